--- /dev/null
+++ b/crates/ryetide-cli/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/crates/ryetide-core/src/arbiter.rs
@@ -0,0 +1,755 @@
+//! The order and placement of one scope's requests: a service's targets in one data centre.
+//!
+//! The entry VM that rendezvous hashing chooses runs the arbiter for all VMs; a VM that cannot
+//! reach it runs one of its own over a conservative share. Either way this is soft state: an
+//! arbiter that is wrong, doubled or freshly started costs quality, never safety, because only the
+//! entry VM that holds a caller dispatches, and at most once.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+
+use rand::Rng;
+
+use crate::{
+    affinity::PrefixHints,
+    catalog::ServiceCatalog,
+    chart::TargetEvent,
+    estimate::TargetModel,
+    event::{LoadReport, Notice},
+    ids::{ScopeKey, TargetKey, VmName},
+    message::{AskProfile, AskRef, RefuseReason, ReleaseMessage, ReleaseOutcome, ScopeLoad},
+    queue::{FairQueue, QueuePlace, QueueTicket},
+    safeguard::SafeguardSwitches,
+    units::{Moment, ShareWeight, TierRank, Tokens},
+};
+
+/// The most requests that may wait at one arbiter; beyond it the last in order is shed.
+const WAITING_LIMIT: usize = 8_192;
+/// A slot whose end was never reported is taken back this long after its expected end.
+const ORPHAN_GRACE: Duration = Duration::from_secs(30);
+/// How often orphaned slots are looked for.
+const ORPHAN_INTERVAL: Duration = Duration::from_secs(1);
+/// Weight of a new observation of how much of their limit requests generate.
+const OUTPUT_LEARNING: f64 = 0.1;
+/// The part of its output limit that a request is expected to generate before any is observed.
+const FIRST_OUTPUT_PART: f64 = 0.5;
+/// The least and greatest spread of a promise to come back, as a part of it.
+const RETRY_SPREAD: std::ops::Range<f64> = 0.0..0.5;
+/// Nobody is told to come back sooner than this.
+const RETRY_LEAST: Duration = Duration::from_millis(200);
+/// Nobody is told to stay away longer than this.
+const RETRY_GREATEST: Duration = Duration::from_secs(300);
+
+/// A request as an arbiter names it: who asks, and which of its requests.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct AskKey {
+    /// The VM that holds the caller.
+    pub vm: VmName,
+    /// The request there.
+    pub ask: AskRef,
+}
+
+/// A request to be ordered and placed.
+#[derive(Clone, Debug)]
+pub struct SlotAsk {
+    /// Who asks for what.
+    pub key: AskKey,
+    /// What to order and place.
+    pub profile: AskProfile,
+    /// The caller's deadline.
+    pub deadline: Moment,
+    /// How long it has waited already.
+    pub waited: Duration,
+}
+
+/// What an arbiter decided about a request.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum VerdictKind {
+    /// It may be dispatched to this target.
+    Grant(TargetKey),
+    /// It waits in line.
+    Queued,
+    /// It does not run here; come back after the time given.
+    Refuse(RefuseReason, Duration),
+}
+
+/// A decision and the request it is about.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ArbiterVerdict {
+    /// The request.
+    pub key: AskKey,
+    /// The decision.
+    pub kind: VerdictKind,
+}
+
+#[derive(Debug)]
+struct WaitingAsk {
+    profile: AskProfile,
+    place: QueuePlace,
+    latest_start: Moment,
+}
+
+#[derive(Debug)]
+struct HeldSlot {
+    target: TargetKey,
+    tokens: Tokens,
+    prompt: Tokens,
+    output_limit: Tokens,
+    expected_end: Moment,
+}
+
+/// What an arbiter needs to know of the configuration.
+#[derive(Clone, Debug)]
+struct TierLimit {
+    wait: Duration,
+    fill: f64,
+}
+
+/// Orders and places the requests of one scope.
+#[derive(Debug)]
+pub struct ScopeArbiter {
+    scope: ScopeKey,
+    switches: SafeguardSwitches,
+    tiers: Vec<TierLimit>,
+    weights: BTreeMap<crate::ids::OrganisationKey, ShareWeight>,
+    targets: BTreeMap<TargetKey, TargetModel>,
+    waiting: BTreeMap<AskKey, WaitingAsk>,
+    by_latest_start: BTreeSet<(Moment, AskKey)>,
+    queue: FairQueue<AskKey>,
+    held: BTreeMap<AskKey, HeldSlot>,
+    /// Sum over the held slots of their expected ends, for the mean remaining time.
+    ends_sum: u128,
+    hints: PrefixHints,
+    output_part: f64,
+    share: f64,
+    grant_from: Moment,
+    /// Work that refused callers were told to come back with, decaying as its time comes.
+    promised: Duration,
+    promised_at: Moment,
+    orphans_sought: Moment,
+}
+
+impl ScopeArbiter {
+    /// Creates an arbiter over `share` (0 to 1) of each of the scope's targets, which grants
+    /// nothing before `grant_from`: one that takes over first hears what is in use.
+    pub fn new(
+        scope: ScopeKey,
+        catalog: &ServiceCatalog,
+        share: f64,
+        grant_from: Moment,
+        switches: SafeguardSwitches,
+    ) -> Self {
+        let mut arbiter = Self {
+            scope,
+            switches,
+            tiers: Vec::new(),
+            weights: BTreeMap::new(),
+            targets: BTreeMap::new(),
+            waiting: BTreeMap::new(),
+            by_latest_start: BTreeSet::new(),
+            queue: FairQueue::new(),
+            held: BTreeMap::new(),
+            ends_sum: 0,
+            hints: PrefixHints::default(),
+            output_part: FIRST_OUTPUT_PART,
+            share,
+            grant_from,
+            promised: Duration::ZERO,
+            promised_at: grant_from,
+            orphans_sought: grant_from,
+        };
+        arbiter.configure(catalog);
+        arbiter
+    }
+
+    /// Takes over a changed configuration; what waits and what is held stays.
+    pub fn configure(&mut self, catalog: &ServiceCatalog) {
+        let limit = |tier: &crate::catalog::TierRule| TierLimit {
+            wait: tier.wait,
+            fill: tier.fill,
+        };
+        self.tiers = catalog.tiers().iter().map(limit).collect();
+        let shares = catalog.organisations().iter();
+        self.weights = shares.map(|(key, rule)| (*key, rule.share)).collect();
+        let mut targets = BTreeMap::new();
+        for rule in catalog.targets_of(self.scope) {
+            let key = TargetKey::of(&rule.name);
+            let mut model = self
+                .targets
+                .remove(&key)
+                .unwrap_or_else(|| TargetModel::new(rule.clone()));
+            model.set_rule(rule.clone());
+            targets.insert(key, model);
+        }
+        for gone in self.targets.keys() {
+            self.hints.forget(*gone);
+        }
+        self.targets = targets;
+    }
+
+    /// Returns the scope.
+    pub fn scope(&self) -> ScopeKey {
+        self.scope
+    }
+
+    /// Returns whether any target may be granted, now or after a pause.
+    pub fn has_usable_target(&self) -> bool {
+        self.targets.values().any(TargetModel::is_usable)
+    }
+
+    /// Returns the number of waiting requests.
+    pub fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Returns the number of slots in use.
+    pub fn held(&self) -> usize {
+        self.held.len()
+    }
+
+    /// Returns the models of the scope's targets.
+    pub fn targets(&self) -> impl Iterator<Item = &TargetModel> {
+        self.targets.values()
+    }
+
+    /// Sets the part of each target that this arbiter may grant.
+    pub fn set_share(&mut self, share: f64) {
+        self.share = share;
+    }
+
+    /// Takes an ask: grants it, queues it, or refuses it at once when its refusal is known.
+    pub fn ask(
+        &mut self,
+        now: Moment,
+        ask: SlotAsk,
+        rng: &mut impl Rng,
+        verdicts: &mut Vec<ArbiterVerdict>,
+    ) {
+        if self.waiting.contains_key(&ask.key) || self.held.contains_key(&ask.key) {
+            return;
+        }
+        let (key, tier) = (ask.key.clone(), ask.profile.tier);
+        if let Err(reason) = self.enqueue(now, ask) {
+            self.refuse(now, key, (reason, tier), rng, verdicts);
+            return;
+        }
+        self.shed_overflow(now, rng, verdicts);
+        self.pump(now, verdicts);
+        if self.waiting.contains_key(&key) {
+            verdicts.push(ArbiterVerdict {
+                key,
+                kind: VerdictKind::Queued,
+            });
+        }
+    }
+
+    /// Puts an ask in line unless it is known already that it cannot be served in time.
+    fn enqueue(&mut self, now: Moment, ask: SlotAsk) -> Result<(), RefuseReason> {
+        let SlotAsk {
+            key,
+            profile,
+            deadline,
+            waited,
+        } = ask;
+        let tier = profile.tier;
+        let limit = self
+            .tiers
+            .get(usize::from(tier.0))
+            .ok_or(RefuseReason::ServiceGone)?;
+        let budget = limit.wait.saturating_sub(waited);
+        if !self.has_usable_target() {
+            return Err(RefuseReason::NoTarget);
+        }
+        let need = self.tokens_needed(&profile);
+        if self
+            .targets
+            .values()
+            .all(|target| target.rule().tokens.0 < need.0)
+        {
+            return Err(RefuseReason::TooLarge);
+        }
+        let work = self.expected_service(&profile);
+        let left = deadline.since(now);
+        if work > left {
+            return Err(RefuseReason::DeadlineUnreachable);
+        }
+        let wait = self.wait_behind(
+            now,
+            tier,
+            self.queue.work_ahead_of(tier, profile.organisation),
+        );
+        if wait > budget || wait + work > left {
+            let first_in_line = self
+                .queue
+                .work_ahead_of(tier, profile.organisation)
+                .is_zero();
+            let unreachable = first_in_line && wait + work > left && wait <= budget;
+            return Err(if unreachable {
+                RefuseReason::DeadlineUnreachable
+            } else {
+                RefuseReason::Shed
+            });
+        }
+        let latest_start = deadline.before(work).min(now + budget);
+        let ticket = QueueTicket {
+            tier: if self.switches.tier_order {
+                tier
+            } else {
+                TierRank(0)
+            },
+            organisation: profile.organisation,
+            weight: self
+                .weights
+                .get(&profile.organisation)
+                .copied()
+                .unwrap_or(ShareWeight(1)),
+            deadline,
+            cost: need,
+            work,
+        };
+        let place = self.queue.push(key.clone(), &ticket);
+        self.by_latest_start.insert((latest_start, key.clone()));
+        self.waiting.insert(
+            key,
+            WaitingAsk {
+                profile,
+                place,
+                latest_start,
+            },
+        );
+        Ok(())
+    }
+
+    /// Sheds the last in order while too many wait.
+    fn shed_overflow(
+        &mut self,
+        now: Moment,
+        rng: &mut impl Rng,
+        verdicts: &mut Vec<ArbiterVerdict>,
+    ) {
+        while self.waiting.len() > WAITING_LIMIT {
+            let Some((key, _)) = self.queue.last() else {
+                return;
+            };
+            self.forget_waiting(&key);
+            self.refuse_one(now, key, RefuseReason::Shed, rng, verdicts);
+        }
+    }
+
+    /// Refuses `key`. When it is shed for load, everything that waits in lower tiers is shed with
+    /// it: otherwise a caller would see urgent work refused while routine work is served after it.
+    fn refuse(
+        &mut self,
+        now: Moment,
+        key: AskKey,
+        (reason, tier): (RefuseReason, TierRank),
+        rng: &mut impl Rng,
+        verdicts: &mut Vec<ArbiterVerdict>,
+    ) {
+        self.refuse_one(now, key, reason, rng, verdicts);
+        if reason == RefuseReason::Shed && self.switches.shed_below_first {
+            for below in self.queue.below(tier) {
+                self.forget_waiting(&below);
+                self.refuse_one(now, below, RefuseReason::Shed, rng, verdicts);
+            }
+        }
+    }
+
+    fn refuse_one(
+        &mut self,
+        now: Moment,
+        key: AskKey,
+        reason: RefuseReason,
+        rng: &mut impl Rng,
+        verdicts: &mut Vec<ArbiterVerdict>,
+    ) {
+        let retry = self.promise(now, rng);
+        verdicts.push(ArbiterVerdict {
+            key,
+            kind: VerdictKind::Refuse(reason, retry),
+        });
+    }
+
+    /// Takes an ask back: its caller has gone, or it asks elsewhere.
+    pub fn withdraw(&mut self, now: Moment, key: &AskKey, verdicts: &mut Vec<ArbiterVerdict>) {
+        self.forget_waiting(key);
+        if let Some(slot) = self.take_slot(key) {
+            self.return_slot(now, &slot);
+        }
+        self.pump(now, verdicts);
+    }
+
+    /// Takes a slot back and learns from what was observed.
+    pub fn release(
+        &mut self,
+        now: Moment,
+        vm: &VmName,
+        message: &ReleaseMessage,
+        verdicts: &mut Vec<ArbiterVerdict>,
+        notices: &mut Vec<Notice>,
+    ) {
+        let key = AskKey {
+            vm: vm.clone(),
+            ask: message.ask,
+        };
+        let Some(slot) = self.take_slot(&key) else {
+            return;
+        };
+        self.return_slot(now, &slot);
+        if let Some(target) = self.targets.get_mut(&slot.target) {
+            let name = target.rule().name.clone();
+            match message.outcome {
+                ReleaseOutcome::Completed => {
+                    let first = Duration::from_millis(u64::from(message.first_piece_ms));
+                    let total = Duration::from_millis(u64::from(message.total_ms));
+                    target.note_answer();
+                    target.learn(slot.prompt, message.output, first, total);
+                    self.learn_output(slot.output_limit, message.output);
+                }
+                ReleaseOutcome::ConnectFailed => {
+                    if target.note_failure(now) {
+                        notices.push(Notice::TargetSuspect(name));
+                    }
+                }
+                ReleaseOutcome::TargetLeaving => {
+                    if target.handle(TargetEvent::Leaving) {
+                        notices.push(Notice::TargetLeaving(name));
+                    }
+                }
+                ReleaseOutcome::Failed | ReleaseOutcome::Unused => {}
+            }
+        }
+        self.pump(now, verdicts);
+    }
+
+    /// Notes a slot that is in use although this arbiter did not grant it.
+    pub fn note_holding(
+        &mut self,
+        now: Moment,
+        key: AskKey,
+        target: TargetKey,
+        profile: &AskProfile,
+        running: Duration,
+    ) {
+        if self.held.contains_key(&key) || !self.targets.contains_key(&target) {
+            return;
+        }
+        self.forget_waiting(&key);
+        let started = now.before(running);
+        self.hold(now, started, key, target, profile);
+    }
+
+    /// Takes a target's load report.
+    pub fn note_report(
+        &mut self,
+        now: Moment,
+        target: TargetKey,
+        report: &LoadReport,
+        notices: &mut Vec<Notice>,
+    ) {
+        let Some(model) = self.targets.get_mut(&target) else {
+            return;
+        };
+        model.note_report(now, report);
+        model.note_answer();
+        self.hints.note(now, target, &report.cached);
+        if report.leaving && self.switches.leaving_respected {
+            self.note_leaving(target, true, notices);
+        }
+    }
+
+    /// Notes that a target leaves, or that it stays after all.
+    pub fn note_leaving(&mut self, target: TargetKey, leaving: bool, notices: &mut Vec<Notice>) {
+        let Some(model) = self.targets.get_mut(&target) else {
+            return;
+        };
+        let event = if leaving {
+            TargetEvent::Leaving
+        } else {
+            TargetEvent::Stayed
+        };
+        if model.handle(event) && leaving {
+            notices.push(Notice::TargetLeaving(model.rule().name.clone()));
+        }
+    }
+
+    /// Forgets everything that a VM asked for or held: it died, or started anew.
+    pub fn forget_vm(&mut self, now: Moment, vm: &VmName, verdicts: &mut Vec<ArbiterVerdict>) {
+        let waiting: Vec<AskKey> = self
+            .waiting
+            .keys()
+            .filter(|key| key.vm == *vm)
+            .cloned()
+            .collect();
+        for key in waiting {
+            self.forget_waiting(&key);
+        }
+        let held: Vec<AskKey> = self
+            .held
+            .keys()
+            .filter(|key| key.vm == *vm)
+            .cloned()
+            .collect();
+        for key in held {
+            if let Some(slot) = self.take_slot(&key) {
+                self.return_slot(now, &slot);
+            }
+        }
+        self.pump(now, verdicts);
+    }
+
+    /// Returns every waiting request and empties the line, for a new arbiter to take.
+    pub fn dissolve(&mut self) -> Vec<AskKey> {
+        let keys: Vec<AskKey> = self.waiting.keys().cloned().collect();
+        for key in &keys {
+            self.forget_waiting(key);
+        }
+        keys
+    }
+
+    /// Does what has fallen due: sheds requests that can no longer be served in time, takes back
+    /// orphaned slots, and grants what can be granted.
+    pub fn advance(&mut self, now: Moment, rng: &mut impl Rng, verdicts: &mut Vec<ArbiterVerdict>) {
+        self.pump(now, verdicts);
+        while let Some((latest_start, key)) = self.by_latest_start.first().cloned() {
+            if latest_start >= now {
+                break;
+            }
+            let tier = self
+                .waiting
+                .get(&key)
+                .map_or(TierRank(0), |ask| ask.profile.tier);
+            self.forget_waiting(&key);
+            self.refuse(now, key, (RefuseReason::Shed, tier), rng, verdicts);
+        }
+        self.take_back_orphans(now);
+        self.pump(now, verdicts);
+    }
+
+    /// Returns when [`ScopeArbiter::advance`] must be called next.
+    pub fn next_wake(&self, now: Moment) -> Option<Moment> {
+        if self.waiting.is_empty() {
+            return None;
+        }
+        let expiry = self
+            .by_latest_start
+            .first()
+            .map(|(at, _)| *at + Duration::from_micros(1));
+        let start = (now < self.grant_from).then_some(self.grant_from);
+        let pauses = self.targets.values().filter_map(TargetModel::pause_end);
+        let pause = pauses.filter(|end| *end > now).min();
+        [expiry, start, pause].into_iter().flatten().min()
+    }
+
+    /// Returns the scope's load, or nothing while it is idle and whole.
+    pub fn load(&self, now: Moment) -> Option<ScopeLoad> {
+        let usable = self.has_usable_target();
+        let ranks = 0..self.tiers.len() as u8;
+        let waits_ms: Vec<u32> = ranks
+            .map(|rank| millis(self.expected_wait(now, TierRank(rank))))
+            .collect();
+        let idle = usable && waits_ms.iter().all(|wait| *wait == 0);
+        (!idle).then_some(ScopeLoad {
+            scope: self.scope,
+            usable,
+            waits_ms,
+        })
+    }
+
+    /// Returns the time a new request of `tier` would wait: zero when a slot is free for it, or
+    /// else the expected time to the next free slot and then the work ahead spread over all slots.
+    pub fn expected_wait(&self, now: Moment, tier: TierRank) -> Duration {
+        self.wait_behind(now, tier, self.queue.work_ahead(tier))
+    }
+
+    fn wait_behind(&self, now: Moment, tier: TierRank, ahead: Duration) -> Duration {
+        let fill = self.fill_of(tier);
+        let slots: u32 = self
+            .usable()
+            .map(|target| target.slot_limit(now, fill, self.share))
+            .sum();
+        let free = self
+            .usable()
+            .any(|target| target.running() < target.slot_limit(now, fill, self.share));
+        if free && ahead.is_zero() {
+            return self.grant_from.since(now);
+        }
+        let next_free = self.mean_remaining(now) * 2 / (self.held.len() as u32 + 1);
+        next_free + ahead / slots.max(1)
+    }
+
+    fn usable(&self) -> impl Iterator<Item = &TargetModel> {
+        self.targets.values().filter(|target| target.is_usable())
+    }
+
+    fn fill_of(&self, tier: TierRank) -> f64 {
+        self.tiers
+            .get(usize::from(tier.0))
+            .map_or(1.0, |limit| limit.fill)
+    }
+
+    fn mean_remaining(&self, now: Moment) -> Duration {
+        let count = self.held.len() as u128;
+        let mean_end = self.ends_sum.checked_div(count).unwrap_or(0);
+        Moment(u64::try_from(mean_end).unwrap_or(u64::MAX)).since(now)
+    }
+
+    /// Grants from the head of the line until the head cannot be placed. Nothing overtakes it: a
+    /// request of a lower tier that would fit must not take the slot its better is waiting for.
+    fn pump(&mut self, now: Moment, verdicts: &mut Vec<ArbiterVerdict>) {
+        if now < self.grant_from {
+            return;
+        }
+        while let Some((key, _)) = self.queue.peek() {
+            let key = key.clone();
+            let Some(waiting) = self.waiting.get(&key) else {
+                self.queue.pop();
+                continue;
+            };
+            if waiting.latest_start < now {
+                return;
+            }
+            let profile = waiting.profile.clone();
+            let Some(target) = self.place(now, &profile) else {
+                return;
+            };
+            self.queue.pop();
+            self.forget_waiting(&key);
+            self.hold(now, now, key.clone(), target, &profile);
+            verdicts.push(ArbiterVerdict {
+                key,
+                kind: VerdictKind::Grant(target),
+            });
+        }
+    }
+
+    /// Chooses the usable target with the least score that has room.
+    fn place(&mut self, now: Moment, profile: &AskProfile) -> Option<TargetKey> {
+        let fill = self.fill_of(profile.tier);
+        let tokens = self.tokens_needed(profile);
+        let output = self.expected_output(profile);
+        let (hints, share) = (&self.hints, self.share);
+        let candidates = self.targets.values_mut().filter_map(|target| {
+            if !target.fits(now, fill, share, tokens) {
+                return None;
+            }
+            let saved = hints.saved(now, target.key(), &profile.prefixes);
+            Some((target.score(profile.prompt, output, saved), target.key()))
+        });
+        candidates.min().map(|(_, key)| key)
+    }
+
+    fn hold(
+        &mut self,
+        now: Moment,
+        started: Moment,
+        key: AskKey,
+        target: TargetKey,
+        profile: &AskProfile,
+    ) {
+        let tokens = self.tokens_needed(profile);
+        let output = self.expected_output(profile);
+        let Some(model) = self.targets.get_mut(&target) else {
+            return;
+        };
+        model.reserve(now, tokens);
+        let expected_end = started + model.service_time(profile.prompt, output);
+        self.hints.note(now, target, &profile.prefixes);
+        self.ends_sum += u128::from(expected_end.0);
+        let (prompt, output_limit) = (profile.prompt, profile.output_limit);
+        let slot = HeldSlot {
+            target,
+            tokens,
+            prompt,
+            output_limit,
+            expected_end,
+        };
+        self.held.insert(key, slot);
+    }
+
+    fn take_slot(&mut self, key: &AskKey) -> Option<HeldSlot> {
+        let slot = self.held.remove(key)?;
+        self.ends_sum -= u128::from(slot.expected_end.0);
+        Some(slot)
+    }
+
+    fn return_slot(&mut self, now: Moment, slot: &HeldSlot) {
+        if let Some(target) = self.targets.get_mut(&slot.target) {
+            target.release(now, slot.tokens);
+        }
+    }
+
+    fn take_back_orphans(&mut self, now: Moment) {
+        if now.since(self.orphans_sought) < ORPHAN_INTERVAL {
+            return;
+        }
+        self.orphans_sought = now;
+        let due = |slot: &HeldSlot| now.since(slot.expected_end) > ORPHAN_GRACE;
+        let orphans: Vec<AskKey> = self
+            .held
+            .iter()
+            .filter(|(_, slot)| due(slot))
+            .map(|(key, _)| key.clone())
+            .collect();
+        for key in orphans {
+            if let Some(slot) = self.take_slot(&key) {
+                self.return_slot(now, &slot);
+            }
+        }
+    }
+
+    fn forget_waiting(&mut self, key: &AskKey) {
+        let Some(ask) = self.waiting.remove(key) else {
+            return;
+        };
+        self.queue.remove(ask.place);
+        self.by_latest_start
+            .remove(&(ask.latest_start, key.clone()));
+    }
+
+    fn expected_output(&self, profile: &AskProfile) -> Tokens {
+        Tokens((profile.output_limit.0 as f64 * self.output_part).ceil() as u64)
+    }
+
+    fn tokens_needed(&self, profile: &AskProfile) -> Tokens {
+        Tokens(profile.prompt.0 + self.expected_output(profile).0)
+    }
+
+    /// The service time at the fastest usable target.
+    fn expected_service(&self, profile: &AskProfile) -> Duration {
+        let output = self.expected_output(profile);
+        let times = self
+            .usable()
+            .map(|target| target.service_time(profile.prompt, output));
+        times.min().unwrap_or_default()
+    }
+
+    fn learn_output(&mut self, limit: Tokens, output: Tokens) {
+        if limit.0 > 0 {
+            let part = (output.0 as f64 / limit.0 as f64).min(1.0);
+            self.output_part += (part - self.output_part) * OUTPUT_LEARNING;
+        }
+    }
+
+    /// Computes when a refused caller should come back: when the work that waits now, and the work
+    /// of those told to come back before it, will have been served; spread, so that they do not all
+    /// come at once.
+    fn promise(&mut self, now: Moment, rng: &mut impl Rng) -> Duration {
+        let slots: u32 = self.usable().map(|target| target.rule().slots).sum();
+        let passed = now.since(self.promised_at);
+        self.promised = self.promised.saturating_sub(passed);
+        self.promised_at = now;
+        let backlog = self.expected_wait(now, TierRank(u8::MAX));
+        let base = (backlog + self.promised).clamp(RETRY_LEAST, RETRY_GREATEST);
+        let mean_work = self.mean_remaining(now).max(RETRY_LEAST);
+        self.promised = (self.promised + mean_work / slots.max(1)).min(RETRY_GREATEST);
+        base.mul_f64(1.0 + rng.random_range(RETRY_SPREAD))
+            .min(RETRY_GREATEST)
+    }
+}
+
+fn millis(span: Duration) -> u32 {
+    u32::try_from(span.as_millis()).unwrap_or(u32::MAX)
+}
--- /dev/null
+++ b/crates/ryetide-core/src/catalog.rs
@@ -0,0 +1,496 @@
+//! The services text, checked: what operators declare about tiers, organisations and services.
+//!
+//! # Example
+//!
+//! ```
+//! use ryetide_core::catalog::ServiceCatalog;
+//!
+//! let catalog = ServiceCatalog::parse(
+//!     "
+//! tiers:
+//!   - {name: floor, wait: 2s}
+//! organisations:
+//!   - {name: asha, share: 1}
+//! services:
+//!   - name: drafting
+//!     kind: model
+//!     targets:
+//!       - {name: d1, data-centre: rajkot-hall, address: '127.0.0.1:9001', slots: 4, tokens: 8000}
+//! ",
+//! )
+//! .unwrap();
+//! assert_eq!(catalog.services().len(), 1);
+//! ```
+
+use std::{collections::BTreeMap, net, time::Duration};
+
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    ids::{
+        DataCentreKey, DataCentreName, OrganisationKey, OrganisationName, ScopeKey, ServiceKey,
+        ServiceName, TargetKey, TargetName, TierName,
+    },
+    text::{self, FaultReader, TextFaults, TextNode, ValueRange},
+    units::{ByteSize, ShareWeight, TierRank, TokenRate, Tokens},
+};
+
+/// The most tiers a text may declare.
+pub const TIER_LIMIT: usize = 8;
+/// The largest request or answer that a plain service may be given, in bytes.
+const BODY_LIMIT: ValueRange<u64> = ValueRange {
+    least: 1_024,
+    greatest: 64 << 20,
+};
+const WAIT_RANGE: ValueRange<Duration> = ValueRange {
+    least: Duration::from_millis(10),
+    greatest: Duration::from_secs(3_600),
+};
+const SLOT_RANGE: ValueRange<u64> = ValueRange {
+    least: 1,
+    greatest: 4_096,
+};
+const TOKEN_RANGE: ValueRange<u64> = ValueRange {
+    least: 1,
+    greatest: 1 << 32,
+};
+const SHARE_RANGE: ValueRange<u64> = ValueRange {
+    least: 1,
+    greatest: 10_000,
+};
+const RATE_RANGE: ValueRange<u64> = ValueRange {
+    least: 1,
+    greatest: 1_000_000,
+};
+const DEFAULT_BODY_LIMIT: u64 = 1 << 20;
+const DEFAULT_PREFILL_RATE: u64 = 5_000;
+const DEFAULT_DECODE_RATE: u64 = 40;
+
+/// What kind of back end a service is.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub enum ServiceKind {
+    /// Model engines: streamed answers that can be resumed by request id.
+    Model,
+    /// A plain service, routed to by path, whose bodies pass through unread.
+    Plain,
+}
+
+impl std::str::FromStr for ServiceKind {
+    type Err = ();
+
+    fn from_str(text: &str) -> Result<Self, ()> {
+        match text {
+            "model" => Ok(Self::Model),
+            "plain" => Ok(Self::Plain),
+            _ => Err(()),
+        }
+    }
+}
+
+/// A tier of requests; the order in the text is the order of urgency.
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+pub struct TierRule {
+    /// The tier's name, as callers give it.
+    pub name: TierName,
+    /// The longest time a request of this tier may wait for a target.
+    pub wait: Duration,
+    /// The part of each target's slots that this tier may fill; the rest is headroom for the
+    /// tiers before it.
+    pub fill: f64,
+}
+
+/// An organisation and its share within each tier.
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+pub struct OrganisationRule {
+    /// The organisation's name, as callers give it.
+    pub name: OrganisationName,
+    /// Its weight against the other organisations.
+    pub share: ShareWeight,
+}
+
+/// One replica of a service.
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+pub struct TargetRule {
+    /// The target's name; the platform's list names its VM the same.
+    pub name: TargetName,
+    /// The data centre it stands in.
+    pub data_centre: DataCentreName,
+    /// Where it listens.
+    pub address: net::SocketAddr,
+    /// How many requests it works on at once.
+    pub slots: u32,
+    /// How many tokens, prompt and generated, it holds at once.
+    pub tokens: Tokens,
+    /// The prompt speed assumed until one is observed.
+    pub prefill_rate: TokenRate,
+    /// The generation speed of one stream assumed until one is observed.
+    pub decode_rate: TokenRate,
+    /// Whether it refuses orders that carry an old fencing number.
+    pub fencing: bool,
+    /// Whether its contract says that a refusal (status 503) ran nothing.
+    pub refusal_ran_nothing: bool,
+}
+
+/// A service and what it depends on.
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+pub struct ServiceRule {
+    /// The service's name: the `model` of a request, or the first part of a plain path.
+    pub name: ServiceName,
+    /// What kind of back end it is.
+    pub kind: ServiceKind,
+    /// The services without which this one is of no use.
+    pub depends_on: Vec<ServiceKey>,
+    /// The largest request body, and for plain services the largest answer.
+    pub body_limit: ByteSize,
+    /// Its replicas.
+    pub targets: Vec<TargetRule>,
+}
+
+impl ServiceRule {
+    /// Returns the key that stands for this service.
+    pub fn key(&self) -> ServiceKey {
+        ServiceKey::of(&self.name)
+    }
+}
+
+/// A checked services text.
+#[derive(Clone, Debug, Default, PartialEq, Deserialize, Serialize)]
+pub struct ServiceCatalog {
+    tiers: Vec<TierRule>,
+    organisations: BTreeMap<OrganisationKey, OrganisationRule>,
+    services: BTreeMap<ServiceKey, ServiceRule>,
+}
+
+impl ServiceCatalog {
+    /// Reads and checks a services text whole.
+    ///
+    /// # Errors
+    ///
+    /// Returns every fault of the text, each with its place, the value found and what is
+    /// permitted.
+    pub fn parse(text: &str) -> Result<Self, TextFaults> {
+        text::read_text(text, read_catalog)
+    }
+
+    /// Returns the tiers, the most urgent first.
+    pub fn tiers(&self) -> &[TierRule] {
+        &self.tiers
+    }
+
+    /// Returns the organisations by key.
+    pub fn organisations(&self) -> &BTreeMap<OrganisationKey, OrganisationRule> {
+        &self.organisations
+    }
+
+    /// Returns the services by key.
+    pub fn services(&self) -> &BTreeMap<ServiceKey, ServiceRule> {
+        &self.services
+    }
+
+    /// Returns the service with `key`.
+    pub fn service(&self, key: ServiceKey) -> Option<&ServiceRule> {
+        self.services.get(&key)
+    }
+
+    /// Returns the rank and rule of the tier called `name`.
+    pub fn tier(&self, name: &str) -> Option<(TierRank, &TierRule)> {
+        let rank = self
+            .tiers
+            .iter()
+            .position(|tier| tier.name.as_str() == name)?;
+        Some((TierRank(rank as u8), &self.tiers[rank]))
+    }
+
+    /// Returns the data centres in which `service` has targets.
+    pub fn scopes_of(&self, service: ServiceKey) -> Vec<ScopeKey> {
+        let Some(rule) = self.service(service) else {
+            return Vec::new();
+        };
+        let mut scopes: Vec<ScopeKey> = rule
+            .targets
+            .iter()
+            .map(|target| ScopeKey {
+                service,
+                data_centre: DataCentreKey::of(&target.data_centre),
+            })
+            .collect();
+        scopes.sort();
+        scopes.dedup();
+        scopes
+    }
+
+    /// Returns the targets of one scope.
+    pub fn targets_of(&self, scope: ScopeKey) -> impl Iterator<Item = &TargetRule> {
+        self.service(scope.service)
+            .into_iter()
+            .flat_map(|rule| &rule.targets)
+            .filter(move |target| DataCentreKey::of(&target.data_centre) == scope.data_centre)
+    }
+
+    /// Returns every scope of the catalog.
+    pub fn scopes(&self) -> Vec<ScopeKey> {
+        self.services
+            .keys()
+            .flat_map(|service| self.scopes_of(*service))
+            .collect()
+    }
+
+    /// Returns the target with `key` and the service it belongs to.
+    pub fn target(&self, service: ServiceKey, key: TargetKey) -> Option<&TargetRule> {
+        let targets = &self.service(service)?.targets;
+        targets
+            .iter()
+            .find(|target| TargetKey::of(&target.name) == key)
+    }
+
+    /// Returns the services that `service` needs, directly or through others.
+    pub fn needs_of(&self, service: ServiceKey) -> Vec<ServiceKey> {
+        reach(&self.services, service)
+    }
+}
+
+fn read_catalog(reader: &mut FaultReader, root: TextNode<'_>) -> Option<ServiceCatalog> {
+    if !reader.mapping(root, &["tiers", "organisations", "services"]) {
+        return None;
+    }
+    let tiers = reader.required(root, "tiers", read_tiers);
+    let organisations = reader.required(root, "organisations", read_organisations);
+    let services = reader.required(root, "services", read_services);
+    Some(ServiceCatalog {
+        tiers: tiers?,
+        organisations: organisations?,
+        services: services?,
+    })
+}
+
+fn read_tiers(reader: &mut FaultReader, node: TextNode<'_>) -> Option<Vec<TierRule>> {
+    let mut names = NameRegister::default();
+    let tiers = reader.sequence(node, |reader, item| {
+        reader.mapping(item, &["name", "wait", "fill"]);
+        let name: Option<TierName> = reader.required(item, "name", FaultReader::name);
+        if let Some(name) = &name {
+            names.check(reader, item, name.as_str(), 0);
+        }
+        let wait = reader.required(item, "wait", |reader, value| reader.span(value, WAIT_RANGE));
+        let fill = reader.optional(item, "fill", 1.0, FaultReader::fraction);
+        Some(TierRule {
+            name: name?,
+            wait: wait?,
+            fill: fill?,
+        })
+    })?;
+    if tiers.is_empty() || tiers.len() > TIER_LIMIT {
+        let permitted = format!("1 to {TIER_LIMIT} tiers, the most urgent first");
+        reader.note(node, format!("{} tiers", tiers.len()), &permitted);
+        return None;
+    }
+    Some(tiers)
+}
+
+fn read_organisations(
+    reader: &mut FaultReader,
+    node: TextNode<'_>,
+) -> Option<BTreeMap<OrganisationKey, OrganisationRule>> {
+    let mut names = NameRegister::default();
+    let organisations = reader.sequence(node, |reader, item| {
+        reader.mapping(item, &["name", "share"]);
+        let name: Option<OrganisationName> = reader.required(item, "name", FaultReader::name);
+        if let Some(name) = &name {
+            names.check(reader, item, name.as_str(), OrganisationKey::of(name).0);
+        }
+        let share = reader.optional(item, "share", 1, |reader, value| {
+            reader.number(value, SHARE_RANGE)
+        });
+        Some(OrganisationRule {
+            name: name?,
+            share: ShareWeight(share? as u32),
+        })
+    })?;
+    Some(
+        organisations
+            .into_iter()
+            .map(|rule| (OrganisationKey::of(&rule.name), rule))
+            .collect(),
+    )
+}
+
+fn read_services(
+    reader: &mut FaultReader,
+    node: TextNode<'_>,
+) -> Option<BTreeMap<ServiceKey, ServiceRule>> {
+    let mut names = NameRegister::default();
+    let mut targets = NameRegister::default();
+    let rules = reader.sequence(node, |reader, item| {
+        let rule = read_service(reader, item, &mut targets)?;
+        names.check(reader, item, rule.name.as_str(), rule.key().0);
+        Some(rule)
+    })?;
+    let services: BTreeMap<ServiceKey, ServiceRule> =
+        rules.into_iter().map(|rule| (rule.key(), rule)).collect();
+    check_needs(reader, node, &services);
+    Some(services)
+}
+
+/// Returns the services that `start` needs, directly or through others.
+fn reach(services: &BTreeMap<ServiceKey, ServiceRule>, start: ServiceKey) -> Vec<ServiceKey> {
+    let mut found: Vec<ServiceKey> = Vec::new();
+    let mut pending = vec![start];
+    while let Some(key) = pending.pop() {
+        for need in services
+            .get(&key)
+            .into_iter()
+            .flat_map(|rule| &rule.depends_on)
+        {
+            if !found.contains(need) {
+                found.push(*need);
+                pending.push(*need);
+            }
+        }
+    }
+    found
+}
+
+/// Notes dangling references and dependency cycles at the service that names them.
+fn check_needs(
+    reader: &mut FaultReader,
+    node: TextNode<'_>,
+    services: &BTreeMap<ServiceKey, ServiceRule>,
+) {
+    reader.sequence(node, |reader, item| {
+        let name: ServiceName = item.get("name")?.as_text()?.parse().ok()?;
+        let needs = item.get("depends-on")?;
+        reader.optional(item, "depends-on", Vec::new(), |reader, _| {
+            reader.sequence(needs, |reader, need| {
+                let need_name: ServiceName = need.as_text()?.parse().ok()?;
+                if !services.contains_key(&ServiceKey::of(&need_name)) {
+                    reader.note(
+                        need,
+                        format!("{:?}", need_name.as_str()),
+                        "a declared service",
+                    );
+                }
+                Some(())
+            })
+        });
+        if reach(services, ServiceKey::of(&name)).contains(&ServiceKey::of(&name)) {
+            reader.note(
+                needs,
+                format!("a cycle through {:?}", name.as_str()),
+                "dependencies without cycles",
+            );
+        }
+        Some(())
+    });
+}
+
+fn read_service(
+    reader: &mut FaultReader,
+    item: TextNode<'_>,
+    targets: &mut NameRegister,
+) -> Option<ServiceRule> {
+    reader.mapping(
+        item,
+        &["name", "kind", "depends-on", "body-limit", "targets"],
+    );
+    let name: Option<ServiceName> = reader.required(item, "name", FaultReader::name);
+    let kind = reader.required(item, "kind", |reader, value| {
+        reader.parsed(value, "one of model, plain")
+    });
+    let depends_on: Option<Vec<ServiceName>> =
+        reader.optional(item, "depends-on", Vec::new(), |reader, value| {
+            reader.sequence(value, FaultReader::name)
+        });
+    let body_limit = reader.optional(item, "body-limit", DEFAULT_BODY_LIMIT, |reader, value| {
+        reader.number(value, BODY_LIMIT)
+    });
+    let rules = reader.required(item, "targets", |reader, value| {
+        let rules =
+            reader.sequence(value, |reader, target| read_target(reader, target, targets))?;
+        if rules.is_empty() {
+            reader.note(value, "no targets", "at least one target");
+        }
+        Some(rules)
+    });
+    Some(ServiceRule {
+        name: name?,
+        kind: kind?,
+        depends_on: depends_on?.iter().map(ServiceKey::of).collect(),
+        body_limit: ByteSize(body_limit?),
+        targets: rules?,
+    })
+}
+
+fn read_target(
+    reader: &mut FaultReader,
+    item: TextNode<'_>,
+    names: &mut NameRegister,
+) -> Option<TargetRule> {
+    const KEYS: [&str; 9] = [
+        "name",
+        "data-centre",
+        "address",
+        "slots",
+        "tokens",
+        "prefill-rate",
+        "decode-rate",
+        "fencing",
+        "refusal-ran-nothing",
+    ];
+    reader.mapping(item, &KEYS);
+    let name: Option<TargetName> = reader.required(item, "name", FaultReader::name);
+    if let Some(name) = &name {
+        names.check(reader, item, name.as_str(), TargetKey::of(name).0);
+    }
+    let data_centre = reader.required(item, "data-centre", FaultReader::name);
+    let address = reader.required(item, "address", |reader, value| {
+        reader.parsed(value, "an IP number and port, such as 127.0.0.1:9001")
+    });
+    let slots = reader.required(item, "slots", |reader, value| {
+        reader.number(value, SLOT_RANGE)
+    });
+    let tokens = reader.required(item, "tokens", |reader, value| {
+        reader.number(value, TOKEN_RANGE)
+    });
+    let mut rate = |key: &str, default: u64| {
+        reader.optional(item, key, default, |reader, value| {
+            reader.number(value, RATE_RANGE)
+        })
+    };
+    let prefill_rate = rate("prefill-rate", DEFAULT_PREFILL_RATE);
+    let decode_rate = rate("decode-rate", DEFAULT_DECODE_RATE);
+    let fencing = reader.optional(item, "fencing", false, FaultReader::flag);
+    let refusal = reader.optional(item, "refusal-ran-nothing", false, FaultReader::flag);
+    Some(TargetRule {
+        name: name?,
+        data_centre: data_centre?,
+        address: address?,
+        slots: slots? as u32,
+        tokens: Tokens(tokens?),
+        prefill_rate: TokenRate(prefill_rate? as f64),
+        decode_rate: TokenRate(decode_rate? as f64),
+        fencing: fencing?,
+        refusal_ran_nothing: refusal?,
+    })
+}
+
+/// Finds names used twice, and names whose keys collide.
+#[derive(Default)]
+struct NameRegister {
+    seen: BTreeMap<String, u32>,
+}
+
+impl NameRegister {
+    fn check(&mut self, reader: &mut FaultReader, item: TextNode<'_>, name: &str, key: u32) {
+        let place = item.get("name").unwrap_or(item);
+        if self.seen.contains_key(name) {
+            reader.note(place, format!("{name:?} again"), "a name used once");
+        } else if key != 0 && self.seen.values().any(|other| *other == key) {
+            reader.note(
+                place,
+                format!("{name:?}"),
+                "a name whose 32-bit hash no other name shares",
+            );
+        }
+        self.seen.insert(name.to_owned(), key);
+    }
+}
--- /dev/null
+++ b/crates/ryetide-core/src/entry_admission.rs
@@ -0,0 +1,373 @@
+//! Taking requests in: names are checked, keys are claimed, and what cannot run is answered at once.
+
+use std::time::Duration;
+
+use crate::{
+    catalog::ServiceRule,
+    chart::{self, RequestEvent},
+    claim::{self, ClaimStep},
+    entry::EntryCore,
+    event::{
+        CallerRequest, Effect, EffectBuffer, FinalAnswer, RejectReason, TableAnswer, TableCommand,
+        UnknownReason,
+    },
+    ids::{AttemptNumber, OrganisationKey, RequestId, RequestSequence, ServiceKey, TableToken},
+    message::{AskProfile, AskRef, ClaimOutcome, PeerMessage, RefuseReason},
+    request::RequestRecord,
+    units::{Moment, TierRank},
+};
+
+/// When to come back to a VM that is shutting down: the balancer will have moved on.
+const DRAINING_RETRY: Duration = Duration::from_secs(1);
+/// When to come back while no configuration is in force.
+const EMPTY_RETRY: Duration = Duration::from_secs(2);
+/// When to come back while the table service cannot take a claim.
+const PLATFORM_RETRY: Duration = Duration::from_secs(5);
+/// When to come back while a dependency is down.
+const DEPENDENCY_RETRY: Duration = Duration::from_secs(2);
+/// When to ask again for the answer of an earlier request that is still in progress.
+const IN_PROGRESS_RETRY: Duration = Duration::from_secs(1);
+
+impl EntryCore {
+    /// Takes a request in.
+    pub(crate) fn arrive(
+        &mut self,
+        now: Moment,
+        request: CallerRequest,
+        effects: &mut EffectBuffer,
+    ) {
+        let sequence = request.sequence;
+        match self.check(&request) {
+            Ok((profile, rule_limit)) => {
+                let claim_key = request
+                    .key
+                    .as_ref()
+                    .map(|key| claim::row_key(&request.organisation, key));
+                let record = RequestRecord {
+                    state: chart::request().initial(),
+                    profile,
+                    call: Some(request.call),
+                    deadline: now + request.deadline,
+                    arrived: now,
+                    non_idempotent: request.non_idempotent,
+                    claim_key,
+                    caller_gone: false,
+                    slot: None,
+                    refused_by: Vec::new(),
+                    refusal: None,
+                    attempt: AttemptNumber(0),
+                    route: None,
+                    answer_limit: rule_limit,
+                    connection_open: false,
+                    dispatched: None,
+                    first_piece: None,
+                    last_piece: None,
+                    pieces: 0,
+                    head_sent: false,
+                    received: 0,
+                    idle_resumes: 0,
+                    wake: None,
+                };
+                self.requests.insert(sequence, record);
+                self.admit(now, sequence, effects);
+            }
+            Err(answer) => effects.push(Effect::FinishAnswer { sequence, answer }),
+        }
+    }
+
+    /// Finds what is known at once to keep a request from running.
+    fn check(
+        &self,
+        request: &CallerRequest,
+    ) -> Result<(AskProfile, crate::units::ByteSize), FinalAnswer> {
+        let not_run = |reason, retry| FinalAnswer::NotRun {
+            reason,
+            retry_after: Some(retry),
+        };
+        if self.is_draining() {
+            return Err(not_run(RefuseReason::Draining, DRAINING_RETRY));
+        }
+        if self.configuration.in_force().is_none() {
+            return Err(not_run(RefuseReason::NoConfiguration, EMPTY_RETRY));
+        }
+        let (service, profile) = self.resolve(request).map_err(FinalAnswer::Rejected)?;
+        if self.needs_are_down(profile.service) {
+            return Err(not_run(RefuseReason::DependencyDown, DEPENDENCY_RETRY));
+        }
+        Ok((profile, service.body_limit))
+    }
+
+    fn resolve(&self, request: &CallerRequest) -> Result<(&ServiceRule, AskProfile), RejectReason> {
+        let catalog = self.configuration.catalog();
+        let service_key = ServiceKey::of(&request.service.as_str().into());
+        let service = catalog
+            .service(service_key)
+            .filter(|rule| rule.name.as_str() == request.service)
+            .ok_or(RejectReason::UnknownService)?;
+        let organisation = OrganisationKey::of(&request.organisation.as_str().into());
+        catalog
+            .organisations()
+            .get(&organisation)
+            .filter(|rule| rule.name.as_str() == request.organisation)
+            .ok_or(RejectReason::UnknownOrganisation)?;
+        let (tier, _) = catalog
+            .tier(&request.tier)
+            .ok_or(RejectReason::UnknownTier)?;
+        if request.deadline.is_zero() {
+            return Err(RejectReason::DeadlinePast);
+        }
+        if request.non_idempotent && request.key.is_none() {
+            return Err(RejectReason::KeyMissing);
+        }
+        if request.call.body.len() as u64 > service.body_limit.0 {
+            return Err(RejectReason::BodyTooLarge);
+        }
+        let profile = AskProfile {
+            service: service_key,
+            organisation,
+            tier,
+            prompt: request.prompt,
+            output_limit: request.output_limit,
+            prefixes: request.prefixes.clone(),
+        };
+        Ok((service, profile))
+    }
+
+    /// Returns whether a service that `service` depends on has no usable target anywhere, as far as
+    /// this VM and the arbiters that it hears know.
+    fn needs_are_down(&self, service: ServiceKey) -> bool {
+        let catalog = self.configuration.catalog();
+        let down = |need: &ServiceKey| {
+            catalog
+                .scopes_of(*need)
+                .iter()
+                .all(|scope| self.scope_is_down(*scope))
+        };
+        catalog.needs_of(service).iter().any(down)
+    }
+
+    /// Lets a request go on to ask for a slot, or claims its key first.
+    fn admit(&mut self, now: Moment, sequence: RequestSequence, effects: &mut EffectBuffer) {
+        let Some(record) = self.requests.get_mut(sequence) else {
+            return;
+        };
+        let claims = self.options.switches.claim_first;
+        let Some(key) = record.claim_key.clone().filter(|_| claims) else {
+            record.handle(RequestEvent::Admit);
+            self.ask_for_slot(now, sequence, effects);
+            return;
+        };
+        record.handle(RequestEvent::Claim);
+        let deadline = record.deadline;
+        let limit = now + self.wait_limit(sequence);
+        self.requests.set_wake(sequence, Some(deadline.min(limit)));
+        let token = self.take_token();
+        let step = self.claims.begin(sequence, key, token);
+        self.claim_stepped(now, sequence, step, token, effects);
+    }
+
+    /// The longest time that a request's tier may wait.
+    pub(crate) fn wait_limit(&self, sequence: RequestSequence) -> Duration {
+        let tier = self
+            .requests
+            .get(sequence)
+            .map_or(TierRank(0), |record| record.profile.tier);
+        let tiers = self.configuration.catalog().tiers();
+        tiers
+            .get(usize::from(tier.0))
+            .map_or(Duration::ZERO, |rule| rule.wait)
+    }
+
+    /// Takes the table service's answer to a claim.
+    pub(crate) fn claim_answered(
+        &mut self,
+        now: Moment,
+        sequence: RequestSequence,
+        answer: &TableAnswer,
+        effects: &mut EffectBuffer,
+    ) {
+        let token = self.take_token();
+        let mut tokens = || token;
+        let step = self.claims.handle_table(sequence, answer, &mut tokens);
+        self.claim_stepped(now, sequence, step, token, effects);
+    }
+
+    /// Does what follows for a claim.
+    fn claim_stepped(
+        &mut self,
+        now: Moment,
+        sequence: RequestSequence,
+        step: ClaimStep,
+        token: TableToken,
+        effects: &mut EffectBuffer,
+    ) {
+        match step {
+            ClaimStep::Command(command) => effects.push(Effect::Table { token, command }),
+            ClaimStep::Held => {
+                let Some(record) = self.requests.get_mut(sequence) else {
+                    return;
+                };
+                if record.handle(RequestEvent::Claimed) {
+                    self.ask_for_slot(now, sequence, effects);
+                }
+            }
+            ClaimStep::Query(holder) => self.query_holder(now, sequence, holder, effects),
+            ClaimStep::Earlier(outcome) => self.answer_repeat(now, sequence, outcome, effects),
+            ClaimStep::Unavailable => {
+                let reason = RefuseReason::PlatformDown;
+                self.give_up(now, sequence, reason, Some(PLATFORM_RETRY), effects);
+            }
+        }
+    }
+
+    /// Asks the VM that holds a key what became of its request.
+    fn query_holder(
+        &mut self,
+        now: Moment,
+        sequence: RequestSequence,
+        holder: RequestId,
+        effects: &mut EffectBuffer,
+    ) {
+        if self.claims.is_own(&holder) {
+            let outcome = self.claims.outcome_of(holder.sequence);
+            self.take_outcome(now, sequence, outcome, effects);
+            return;
+        }
+        let peer = self.peers.alive().find(|peer| peer.name == holder.vm);
+        if peer.is_none_or(|peer| peer.incarnation != Some(holder.incarnation)) {
+            let token = self.take_token();
+            let step = self.claims.handle_no_holder(sequence, token);
+            self.claim_stepped(now, sequence, step, token, effects);
+            return;
+        }
+        let until = now + claim::QUERY_TIMEOUT;
+        self.claims.await_query(sequence, until);
+        self.requests.set_wake(sequence, Some(until));
+        let to = holder.vm.clone();
+        let ask = AskRef {
+            life: self.life(),
+            sequence,
+        };
+        effects.push(Effect::Send {
+            to,
+            message: PeerMessage::OutcomeQuery { holder, ask },
+        });
+    }
+
+    /// Takes what the holder of a key said.
+    pub(crate) fn take_outcome(
+        &mut self,
+        now: Moment,
+        sequence: RequestSequence,
+        outcome: ClaimOutcome,
+        effects: &mut EffectBuffer,
+    ) {
+        let token = self.take_token();
+        let step = self.claims.handle_outcome(sequence, outcome, token);
+        self.claim_stepped(now, sequence, step, token, effects);
+    }
+
+    /// The claim's time is over: the holder did not answer, or the table did not.
+    pub(crate) fn claim_due(
+        &mut self,
+        now: Moment,
+        sequence: RequestSequence,
+        effects: &mut EffectBuffer,
+    ) {
+        if self
+            .claims
+            .query_until(sequence)
+            .is_some_and(|until| now >= until)
+        {
+            let token = self.take_token();
+            let step = self.claims.handle_no_holder(sequence, token);
+            self.claim_stepped(now, sequence, step, token, effects);
+            return;
+        }
+        let reason = RefuseReason::PlatformDown;
+        self.give_up(now, sequence, reason, Some(PLATFORM_RETRY), effects);
+    }
+
+    /// Answers a request whose key belongs to an earlier one. This one itself never runs, but its
+    /// caller asks about the work, so only "not run" of the earlier one would be "not run" here.
+    fn answer_repeat(
+        &mut self,
+        now: Moment,
+        sequence: RequestSequence,
+        outcome: ClaimOutcome,
+        effects: &mut EffectBuffer,
+    ) {
+        let unknown = |reason, retry_after| FinalAnswer::Unknown {
+            reason,
+            retry_after,
+        };
+        let answer = match outcome {
+            ClaimOutcome::Answered(Some(kept)) => FinalAnswer::Replayed(kept),
+            ClaimOutcome::Answered(None) => unknown(UnknownReason::EarlierAnswered, None),
+            ClaimOutcome::InProgress => {
+                unknown(UnknownReason::EarlierInProgress, Some(IN_PROGRESS_RETRY))
+            }
+            ClaimOutcome::Unknown | ClaimOutcome::NotRun => {
+                unknown(UnknownReason::EarlierUnknown, None)
+            }
+        };
+        if let Some(record) = self.requests.get_mut(sequence) {
+            record.handle(RequestEvent::LoseTrack);
+            // The key is the earlier request's: ending this one must not touch its outcome.
+            record.claim_key = None;
+        }
+        self.finish(now, sequence, answer, effects);
+    }
+
+    /// Gives up a request at shutdown.
+    pub(crate) fn give_up_draining(
+        &mut self,
+        now: Moment,
+        sequence: RequestSequence,
+        effects: &mut EffectBuffer,
+    ) {
+        self.give_up(
+            now,
+            sequence,
+            RefuseReason::Draining,
+            Some(DRAINING_RETRY),
+            effects,
+        );
+    }
+
+    /// Ends a request that was not dispatched: it did not run, and never will.
+    pub(crate) fn give_up(
+        &mut self,
+        now: Moment,
+        sequence: RequestSequence,
+        reason: RefuseReason,
+        retry_after: Option<Duration>,
+        effects: &mut EffectBuffer,
+    ) {
+        let Some(record) = self.requests.get_mut(sequence) else {
+            return;
+        };
+        if !record.handle(RequestEvent::GiveUp) {
+            return;
+        }
+        if record.connection_open {
+            let attempt = record.attempt;
+            effects.push(Effect::Abandon { sequence, attempt });
+        }
+        self.finish(
+            now,
+            sequence,
+            FinalAnswer::NotRun {
+                reason,
+                retry_after,
+            },
+            effects,
+        );
+    }
+
+    /// Runs a claim's command whose answer nobody waits for.
+    pub(crate) fn send_command(&mut self, command: TableCommand, effects: &mut EffectBuffer) {
+        let token = self.take_token();
+        effects.push(Effect::Table { token, command });
+    }
+}
--- /dev/null
+++ b/crates/ryetide-core/src/entry_peer.rs
@@ -0,0 +1,334 @@
+//! Meeting the other entry VMs: heartbeats, the arbiter's side of asks, configuration, outcomes.
+
+use std::{net, time::Duration};
+
+use crate::{
+    arbiter::{AskKey, SlotAsk},
+    entry::EntryCore,
+    event::{Effect, EffectBuffer, Notice},
+    ids::{DataCentreName, Incarnation, VmName},
+    message::{
+        self, AskMessage, AskRef, HeartbeatMessage, HoldingMessage, PeerMessage, RefuseMessage,
+        RefuseReason, ReleaseMessage,
+    },
+    request::SlotSource,
+    units::Moment,
+};
+
+/// The sender of a message.
+#[derive(Clone, Debug)]
+pub(crate) struct MessageSender {
+    pub(crate) name: VmName,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) address: net::SocketAddr,
+    pub(crate) data_centre: DataCentreName,
+}
+
+impl EntryCore {
+    /// Takes a message from a peer.
+    pub(crate) fn peer_message(
+        &mut self,
+        now: Moment,
+        sender: &MessageSender,
+        message: PeerMessage,
+        effects: &mut EffectBuffer,
+    ) {
+        if sender.name == self.options.name {
+            return;
+        }
+        self.hear(now, sender, effects);
+        match message {
+            PeerMessage::Heartbeat(heartbeat) => {
+                self.heartbeat(now, sender, heartbeat, effects);
+            }
+            PeerMessage::Ask(ask) => self.asked(now, sender, ask, effects),
+            PeerMessage::Withdraw { ask, scope } => {
+                let key = AskKey {
+                    vm: sender.name.clone(),
+                    ask,
+                };
+                if let Some(arbiter) = self.arbiters.get_mut(&scope) {
+                    arbiter.withdraw(now, &key, &mut self.verdicts);
+                }
+            }
+            PeerMessage::Release(release) => self.slot_released(now, sender, &release),
+            PeerMessage::Holding(holding) => self.slot_held(now, sender, holding, effects),
+            PeerMessage::Grant { ask, target } => {
+                if self.is_for_this_life(ask) {
+                    let source = SlotSource::Peer(sender.name.clone());
+                    self.granted(now, ask.sequence, &source, target, effects);
+                }
+            }
+            PeerMessage::Queued { ask } => self.queued(sender, ask),
+            PeerMessage::Refuse(refuse) => self.ask_refused(now, sender, &refuse, effects),
+            PeerMessage::ConfigurationPull => self.hand_configuration(sender, effects),
+            PeerMessage::ConfigurationPush(text) => {
+                let from = Some(sender.name.clone());
+                if self.configuration.adopt(text, from, effects) {
+                    self.configuration_changed(now, effects);
+                }
+            }
+            PeerMessage::OutcomeQuery { holder, ask } => {
+                if self.claims.is_own(&holder) {
+                    let outcome = self.claims.outcome_of(holder.sequence);
+                    let message = PeerMessage::OutcomeReply { ask, outcome };
+                    effects.push(Effect::Send {
+                        to: sender.name.clone(),
+                        message,
+                    });
+                }
+            }
+            PeerMessage::OutcomeReply { ask, outcome } => {
+                let awaited = self.claims.query_until(ask.sequence).is_some();
+                if self.is_for_this_life(ask) && awaited {
+                    self.take_outcome(now, ask.sequence, outcome, effects);
+                }
+            }
+        }
+    }
+
+    /// A reply meant for an earlier life of this VM names a request that is not this life's.
+    fn is_for_this_life(&self, ask: AskRef) -> bool {
+        !self.options.switches.life_check || ask.life == self.life()
+    }
+
+    /// Notes a sign of life; a new life of a peer frees all that the old one held here.
+    fn hear(&mut self, now: Moment, sender: &MessageSender, effects: &mut EffectBuffer) {
+        let (name, centre) = (&sender.name, &sender.data_centre);
+        let known = self.peers.get(name).is_some();
+        let change = self
+            .peers
+            .hear(now, name, sender.incarnation, centre, sender.address);
+        if !known || change.restarted {
+            effects.push(Effect::ConnectPeers(self.peers.addresses()));
+        }
+        if change.restarted {
+            for arbiter in self.arbiters.values_mut() {
+                arbiter.forget_vm(now, name, &mut self.verdicts);
+            }
+        }
+        if change.appeared {
+            effects.push(Effect::Note(Notice::PeerHeard(name.clone())));
+            self.heartbeat_at = now;
+            self.elect(now, effects);
+        }
+    }
+
+    fn heartbeat(
+        &mut self,
+        now: Moment,
+        sender: &MessageSender,
+        heartbeat: HeartbeatMessage,
+        effects: &mut EffectBuffer,
+    ) {
+        let HeartbeatMessage {
+            revision,
+            leaving,
+            loads,
+        } = heartbeat;
+        if self
+            .peers
+            .note_heartbeat(&sender.name, revision, loads, leaving)
+        {
+            self.elect(now, effects);
+        }
+        if self.configuration.wants_from_peer(now, revision) {
+            let message = PeerMessage::ConfigurationPull;
+            effects.push(Effect::Send {
+                to: sender.name.clone(),
+                message,
+            });
+        }
+    }
+
+    /// Sends a sign of life to every peer.
+    pub(crate) fn send_heartbeats(&mut self, now: Moment, effects: &mut EffectBuffer) {
+        self.heartbeat_at = now + self.peers.heartbeat_interval();
+        let own = self
+            .arbiters
+            .values()
+            .filter(|arbiter| self.is_elected(arbiter.scope()));
+        let heartbeat = HeartbeatMessage {
+            revision: self.configuration.revision(),
+            leaving: self.is_draining(),
+            loads: own.filter_map(|arbiter| arbiter.load(now)).collect(),
+        };
+        for peer in self.peers.iter() {
+            let message = PeerMessage::Heartbeat(heartbeat.clone());
+            effects.push(Effect::Send {
+                to: peer.name.clone(),
+                message,
+            });
+        }
+    }
+
+    /// Gives up what silent peers held, and finds new arbiters for what they ordered.
+    pub(crate) fn find_silent_peers(&mut self, now: Moment, effects: &mut EffectBuffer) {
+        let silent = self.peers.find_silent(now);
+        for name in &silent {
+            effects.push(Effect::Note(Notice::PeerSilent(name.clone())));
+            for arbiter in self.arbiters.values_mut() {
+                arbiter.forget_vm(now, name, &mut self.verdicts);
+            }
+        }
+        if !silent.is_empty() {
+            self.elect(now, effects);
+        }
+        self.drop_idle_shares(effects);
+    }
+
+    /// Drops arbiters over this VM's own share once they are idle.
+    fn drop_idle_shares(&mut self, effects: &mut EffectBuffer) {
+        let own = &self.options.name;
+        let elected = &self.elected;
+        let before = self.arbiters.len();
+        self.arbiters.retain(|scope, arbiter| {
+            let is_elected = elected.get(scope).and_then(Option::as_ref) == Some(own);
+            is_elected || arbiter.waiting() > 0 || arbiter.held() > 0
+        });
+        if self.arbiters.len() != before {
+            self.watch_targets(effects);
+        }
+    }
+
+    fn asked(
+        &mut self,
+        now: Moment,
+        sender: &MessageSender,
+        ask: AskMessage,
+        effects: &mut EffectBuffer,
+    ) {
+        let scope = message::scope_of(ask.profile.service, ask.data_centre);
+        if !self.is_elected(scope) {
+            let refuse = RefuseMessage {
+                ask: ask.ask,
+                reason: RefuseReason::NotArbiter,
+                retry_ms: 0,
+            };
+            let message = PeerMessage::Refuse(refuse);
+            effects.push(Effect::Send {
+                to: sender.name.clone(),
+                message,
+            });
+            return;
+        }
+        self.ensure_arbiter(now, scope, effects);
+        let Some(arbiter) = self.arbiters.get_mut(&scope) else {
+            return;
+        };
+        let slot_ask = SlotAsk {
+            key: AskKey {
+                vm: sender.name.clone(),
+                ask: ask.ask,
+            },
+            profile: ask.profile,
+            deadline: now + Duration::from_millis(u64::from(ask.deadline_ms)),
+            waited: Duration::from_millis(u64::from(ask.waited_ms)),
+        };
+        arbiter.ask(now, slot_ask, &mut self.rng, &mut self.verdicts);
+    }
+
+    fn slot_released(&mut self, now: Moment, sender: &MessageSender, release: &ReleaseMessage) {
+        if let Some(arbiter) = self.arbiters.get_mut(&release.scope) {
+            let (verdicts, notices) = (&mut self.verdicts, &mut self.notices);
+            arbiter.release(now, &sender.name, release, verdicts, notices);
+        }
+    }
+
+    fn slot_held(
+        &mut self,
+        now: Moment,
+        sender: &MessageSender,
+        holding: HoldingMessage,
+        effects: &mut EffectBuffer,
+    ) {
+        let scope = message::scope_of(holding.profile.service, holding.data_centre);
+        if !self.is_elected(scope) {
+            return;
+        }
+        self.ensure_arbiter(now, scope, effects);
+        let key = AskKey {
+            vm: sender.name.clone(),
+            ask: holding.ask,
+        };
+        let running = Duration::from_millis(u64::from(holding.running_ms));
+        if let Some(arbiter) = self.arbiters.get_mut(&scope) {
+            arbiter.note_holding(now, key, holding.target, &holding.profile, running);
+        }
+    }
+
+    fn queued(&mut self, sender: &MessageSender, ask: AskRef) {
+        if !self.is_for_this_life(ask) {
+            return;
+        }
+        let Some(record) = self.requests.get_mut(ask.sequence) else {
+            return;
+        };
+        let deadline = record.deadline;
+        let source = SlotSource::Peer(sender.name.clone());
+        let Some(slot) = record.slot.as_mut().filter(|slot| slot.source == source) else {
+            return;
+        };
+        if slot.target.is_none() {
+            slot.acknowledged = true;
+            self.requests.set_wake(ask.sequence, Some(deadline));
+        }
+    }
+
+    fn ask_refused(
+        &mut self,
+        now: Moment,
+        sender: &MessageSender,
+        refuse: &RefuseMessage,
+        effects: &mut EffectBuffer,
+    ) {
+        if !self.is_for_this_life(refuse.ask) {
+            return;
+        }
+        let source = SlotSource::Peer(sender.name.clone());
+        let retry = Duration::from_millis(u64::from(refuse.retry_ms));
+        let verdict = (refuse.reason, retry);
+        self.refused(now, refuse.ask.sequence, &source, verdict, effects);
+    }
+
+    fn hand_configuration(&mut self, sender: &MessageSender, effects: &mut EffectBuffer) {
+        if let Some(text) = self.configuration.in_force() {
+            let message = PeerMessage::ConfigurationPush(text.clone());
+            effects.push(Effect::Send {
+                to: sender.name.clone(),
+                message,
+            });
+        }
+    }
+
+    /// A higher revision is in force: arbiters take it over, and the peers hear of it at once.
+    pub(crate) fn configuration_changed(&mut self, now: Moment, effects: &mut EffectBuffer) {
+        let catalog = self.configuration.catalog();
+        let scopes = catalog.scopes();
+        for (scope, arbiter) in &mut self.arbiters {
+            if scopes.contains(scope) {
+                arbiter.configure(catalog);
+            }
+        }
+        let gone: Vec<_> = self
+            .arbiters
+            .keys()
+            .filter(|scope| !scopes.contains(scope))
+            .copied()
+            .collect();
+        for scope in gone {
+            if let Some(mut arbiter) = self.arbiters.remove(&scope) {
+                for key in arbiter.dissolve() {
+                    let kind = crate::arbiter::VerdictKind::Refuse(
+                        RefuseReason::ServiceGone,
+                        Duration::ZERO,
+                    );
+                    self.verdicts
+                        .push(crate::arbiter::ArbiterVerdict { key, kind });
+                }
+            }
+        }
+        self.elect(now, effects);
+        self.send_heartbeats(now, effects);
+    }
+}
--- /dev/null
+++ b/crates/ryetide-core/src/estimate.rs
@@ -0,0 +1,244 @@
+//! What is believed about one target: its speed, its load, and whether it may be used.
+//!
+//! Speeds are learnt from observed answers. The load is what this arbiter granted and has not got
+//! back, plus what the target's own report shows beyond that. Reports are late, so a report is
+//! compared with the grants that were out when it was taken, and it fades when no newer one comes.
+
+use std::{collections::VecDeque, time::Duration};
+
+use crate::{
+    catalog::TargetRule,
+    chart::{self, TargetEvent, TargetState},
+    event::LoadReport,
+    ids::TargetKey,
+    units::{Moment, TokenRate, Tokens},
+};
+
+/// The weight of a new observation in a moving average.
+const LEARNING_WEIGHT: f64 = 0.2;
+/// A report's surplus is believed for this long after it arrived.
+const REPORT_LIFE: Duration = Duration::from_secs(3);
+/// How long the history of own grants reaches back; reports older than this are not corrected.
+const HISTORY_SPAN: Duration = Duration::from_secs(5);
+/// The first pause after a failed connection; it doubles with each further one.
+const FIRST_PAUSE: Duration = Duration::from_millis(250);
+/// The longest pause after failed connections.
+const LONGEST_PAUSE: Duration = Duration::from_secs(8);
+/// Observed decode speeds below this part of the rule's speed are taken as this part.
+const SLOWEST_PART: f64 = 0.01;
+
+/// One target as the arbiter of its scope sees it.
+#[derive(Debug)]
+pub struct TargetModel {
+    key: TargetKey,
+    rule: TargetRule,
+    state: TargetState,
+    pause_until: Moment,
+    failures: u32,
+    running: u32,
+    reserved: Tokens,
+    prefill_rate: TokenRate,
+    decode_rate: TokenRate,
+    history: VecDeque<(Moment, u32)>,
+    surplus: u32,
+    surplus_at: Moment,
+    generated: Option<(Moment, u64)>,
+}
+
+impl TargetModel {
+    /// Creates the model of a target about which nothing was observed yet.
+    pub fn new(rule: TargetRule) -> Self {
+        Self {
+            key: TargetKey::of(&rule.name),
+            state: chart::target().initial(),
+            pause_until: Moment::default(),
+            failures: 0,
+            running: 0,
+            reserved: Tokens(0),
+            prefill_rate: rule.prefill_rate,
+            decode_rate: rule.decode_rate,
+            history: VecDeque::new(),
+            surplus: 0,
+            surplus_at: Moment::default(),
+            generated: None,
+            rule,
+        }
+    }
+
+    /// Returns the target's key.
+    pub fn key(&self) -> TargetKey {
+        self.key
+    }
+
+    /// Returns the target's rule.
+    pub fn rule(&self) -> &TargetRule {
+        &self.rule
+    }
+
+    /// Replaces the rule after a change of configuration; what was learnt is kept.
+    pub fn set_rule(&mut self, rule: TargetRule) {
+        self.rule = rule;
+    }
+
+    /// Returns the number of granted requests.
+    pub fn running(&self) -> u32 {
+        self.running
+    }
+
+    /// Returns whether the target may be granted to anybody.
+    pub fn is_usable(&self) -> bool {
+        self.state != TargetState::Leaving
+    }
+
+    /// Moves the target along its chart; returns whether the state changed.
+    pub fn handle(&mut self, event: TargetEvent) -> bool {
+        let before = self.state;
+        chart::target().advance(&mut self.state, event);
+        before != self.state
+    }
+
+    /// Notes a failed connection; returns whether the target became suspect by it.
+    pub fn note_failure(&mut self, now: Moment) -> bool {
+        let pause = FIRST_PAUSE
+            .saturating_mul(1 << self.failures.min(5))
+            .min(LONGEST_PAUSE);
+        self.failures += 1;
+        self.pause_until = now + pause;
+        self.handle(TargetEvent::ConnectFailed)
+    }
+
+    /// Notes that the target answered.
+    pub fn note_answer(&mut self) {
+        self.failures = 0;
+        self.handle(TargetEvent::Answered);
+    }
+
+    /// Returns when a suspect target may be tried again.
+    pub fn pause_end(&self) -> Option<Moment> {
+        (self.state == TargetState::Suspect).then_some(self.pause_until)
+    }
+
+    /// Returns the slots that `fill` of this target leaves, under `share` of it.
+    pub fn slot_limit(&self, now: Moment, fill: f64, share: f64) -> u32 {
+        let whole = f64::from(self.rule.slots) * share * fill;
+        let limit = (whole.floor() as u32).max(1);
+        limit.saturating_sub(self.current_surplus(now))
+    }
+
+    /// Returns whether a request needing `tokens` fits now.
+    pub fn fits(&mut self, now: Moment, fill: f64, share: f64, tokens: Tokens) -> bool {
+        if self.state == TargetState::Suspect && now >= self.pause_until {
+            self.handle(TargetEvent::PauseOver);
+        }
+        let capacity = (self.rule.tokens.0 as f64 * share) as u64;
+        self.state == TargetState::Usable
+            && self.running < self.slot_limit(now, fill, share)
+            && (self.running == 0 || self.reserved.0 + tokens.0 <= capacity)
+            && tokens.0 <= self.rule.tokens.0
+    }
+
+    /// Reserves a slot.
+    pub fn reserve(&mut self, now: Moment, tokens: Tokens) {
+        self.running += 1;
+        self.reserved.0 += tokens.0;
+        self.remember(now);
+    }
+
+    /// Gives a slot back.
+    pub fn release(&mut self, now: Moment, tokens: Tokens) {
+        self.running = self.running.saturating_sub(1);
+        self.reserved.0 = self.reserved.0.saturating_sub(tokens.0);
+        self.remember(now);
+    }
+
+    /// Returns the expected time from dispatch to the end.
+    pub fn service_time(&self, prompt: Tokens, output: Tokens) -> Duration {
+        self.prefill_rate.time_for(prompt) + self.decode_rate.time_for(output)
+    }
+
+    /// Returns the time that a cached prefix of `tokens` saves.
+    pub fn prefill_saving(&self, tokens: Tokens) -> Duration {
+        self.prefill_rate.time_for(tokens)
+    }
+
+    /// Learns from a completed answer.
+    pub fn learn(&mut self, prompt: Tokens, output: Tokens, first: Duration, total: Duration) {
+        if prompt.0 > 0 && !first.is_zero() {
+            blend(
+                &mut self.prefill_rate,
+                prompt.0 as f64 / first.as_secs_f64(),
+            );
+        }
+        let decode = total.saturating_sub(first);
+        if output.0 > 1 && !decode.is_zero() {
+            blend(
+                &mut self.decode_rate,
+                (output.0 - 1) as f64 / decode.as_secs_f64(),
+            );
+        }
+    }
+
+    /// Takes a load report: corrects it by the grants out when it was taken, and learns the speed
+    /// of streams that have not ended yet, so that a target that slows down is noticed before its
+    /// first slow answer is complete.
+    pub fn note_report(&mut self, now: Moment, report: &LoadReport) {
+        let taken = now.before(Duration::from_millis(report.age_ms));
+        let granted_then = self.running_at(taken);
+        self.surplus = report.running.saturating_sub(granted_then);
+        self.surplus_at = now;
+        if let Some((before, count)) = self.generated {
+            let span = taken.since(before).as_secs_f64();
+            let grown = report.generated.saturating_sub(count) as f64;
+            if span > 0.2 && report.running > 0 && granted_then > 0 {
+                let floor = self.rule.decode_rate.0 * SLOWEST_PART;
+                blend(
+                    &mut self.decode_rate,
+                    (grown / span / f64::from(report.running)).max(floor),
+                );
+            }
+        }
+        if self.generated.is_none_or(|(before, _)| taken > before) {
+            self.generated = Some((taken, report.generated));
+        }
+    }
+
+    /// Returns the score by which targets are compared: the expected time to the end, with a
+    /// growing charge for each request that shares the batch.
+    pub fn score(&self, prompt: Tokens, output: Tokens, saved: Tokens) -> Duration {
+        let crowding = 1.0 + f64::from(self.running) / f64::from(self.rule.slots.max(1));
+        let full = self.service_time(prompt, output).mul_f64(crowding);
+        full.saturating_sub(self.prefill_saving(saved))
+    }
+
+    fn current_surplus(&self, now: Moment) -> u32 {
+        if now.since(self.surplus_at) > REPORT_LIFE {
+            0
+        } else {
+            self.surplus
+        }
+    }
+
+    fn remember(&mut self, now: Moment) {
+        self.history.push_back((now, self.running));
+        while self
+            .history
+            .front()
+            .is_some_and(|(at, _)| now.since(*at) > HISTORY_SPAN)
+        {
+            self.history.pop_front();
+        }
+    }
+
+    /// The most that was running around `taken`: grants just before it may not have arrived yet,
+    /// and counting them twice as somebody else's load would leave slots empty.
+    fn running_at(&self, taken: Moment) -> u32 {
+        let known = self.history.iter().rev().find(|(at, _)| *at <= taken);
+        let later = self.history.iter().filter(|(at, _)| *at > taken);
+        let before = known.map_or(0, |(_, running)| *running);
+        later.map(|(_, running)| *running).fold(before, u32::max)
+    }
+}
+
+fn blend(rate: &mut TokenRate, observed: f64) {
+    rate.0 += (observed - rate.0) * LEARNING_WEIGHT;
+}
--- /dev/null
+++ b/crates/ryetide-core/src/lib.rs
@@ -0,0 +1,55 @@
+//! The decision core of ryetide: a pure, deterministic state machine.
+//!
+//! Ryetide schedules requests onto unlike engines. Each entry VM runs one [`entry::EntryCore`],
+//! which is told what happened ([`event::Event`]) and says what to do ([`event::Effect`]). Nothing in
+//! this crate opens a socket, reads a clock, starts a thread, writes a log or draws unseeded
+//! randomness, so the daemon, the scripted scenarios, the fault matrix and the fuzzers all drive the
+//! same code, and a recorded run replays.
+//!
+//! # What keeps the promises
+//!
+//! * **At most one dispatch.** [`request`] holds each request's state, which moves only along the
+//!   chart in `charts/request.yaml`; `dispatching` is entered once, before the first byte.
+//! * **Urgent before routine.** One [`arbiter`] orders each service's targets in a data centre with a
+//!   [`queue`] that is strict between tiers and fair between organisations.
+//! * **At most one run over a caller's repeats.** [`claim`] holds idempotency keys in the platform's
+//!   table service.
+//! * **Configuration never reverts.** [`configuration`] accepts an edit by compare-and-swap and takes
+//!   only higher revisions.
+//!
+//! # Contents
+//!
+//! | module | what it is |
+//! |---|---|
+//! | [`entry`] | the core: `step(now, event)` pushes effects |
+//! | [`event`], [`message`] | events, effects, and the messages between entry VMs |
+//! | [`chart`] | state charts, read from files and interpreted |
+//! | [`text`], [`catalog`] | operators' YAML with every fault found; the services text |
+//! | [`arbiter`], [`queue`], [`estimate`], [`affinity`] | order and placement |
+//! | [`membership`] | peers, and who arbitrates what |
+//! | [`claim`], [`configuration`], [`request`] | what must not go wrong |
+//! | [`safeguard`] | switches that let tests show what each safeguard prevents |
+//! | [`ids`], [`units`] | newtypes |
+
+pub mod affinity;
+pub mod arbiter;
+pub mod catalog;
+pub mod chart;
+pub mod claim;
+pub mod configuration;
+pub mod entry;
+mod entry_admission;
+mod entry_dispatch;
+mod entry_peer;
+mod entry_slot;
+pub mod estimate;
+pub mod event;
+pub mod ids;
+pub mod membership;
+pub mod message;
+pub mod queue;
+pub mod request;
+pub mod safeguard;
+pub mod text;
+pub mod units;
+mod util;
--- /dev/null
+++ b/crates/ryetide-core/src/text.rs
@@ -0,0 +1,352 @@
+//! Reading of operators' YAML with every fault found in one pass, each with its place.
+//!
+//! A deserializer stops at the first fault. An operator wants all of them, so the readers of the
+//! settings and of the services text walk the marked YAML tree with [`FaultReader`] and keep going.
+
+use std::{fmt, time::Duration};
+
+use saphyr::{LoadableYamlNode, MarkedYaml, Scalar, YamlData};
+
+/// The permitted values that a whole number or a span may take.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ValueRange<T> {
+    /// The least permitted value.
+    pub least: T,
+    /// The greatest permitted value.
+    pub greatest: T,
+}
+
+/// One fault in a text: where it is, what was found and what is permitted.
+#[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+pub struct TextFault {
+    /// The line, counted from 1.
+    pub line: usize,
+    /// The column, counted from 1.
+    pub column: usize,
+    /// The byte offset of the place in the text.
+    pub offset: usize,
+    /// The length in bytes of the faulty piece; at least 1.
+    pub length: usize,
+    /// The path of keys that leads to the place, such as `services[0].targets[2].slots`.
+    pub path: String,
+    /// The value found.
+    pub found: String,
+    /// What is permitted there.
+    pub permitted: String,
+}
+
+impl fmt::Display for TextFault {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            formatter,
+            "{}:{}: {}: found {}; permitted: {}",
+            self.line, self.column, self.path, self.found, self.permitted
+        )
+    }
+}
+
+/// All the faults of a text.
+#[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
+#[error("{} fault(s); the first: {}", .0.len(), .0.first().map(ToString::to_string).unwrap_or_default())]
+pub struct TextFaults(pub Vec<TextFault>);
+
+/// A node of the text together with the path that leads to it.
+#[derive(Clone, Copy)]
+pub struct TextNode<'a> {
+    node: &'a MarkedYaml<'a>,
+}
+
+/// Walks a marked YAML tree and collects faults.
+pub struct FaultReader {
+    path: Vec<String>,
+    /// The byte offset at which each line starts.
+    line_starts: Vec<usize>,
+    faults: Vec<TextFault>,
+}
+
+/// Parses `text`, hands its root to `read`, and returns what was read or every fault.
+///
+/// # Errors
+///
+/// Returns [`TextFaults`] when the text is not YAML or `read` noted any fault.
+pub fn read_text<T>(
+    text: &str,
+    read: impl FnOnce(&mut FaultReader, TextNode<'_>) -> Option<T>,
+) -> Result<T, TextFaults> {
+    let mut reader = FaultReader::new(text);
+    let documents = match MarkedYaml::load_from_str(text) {
+        Ok(documents) => documents,
+        Err(error) => {
+            reader.note_at(
+                error.marker().line(),
+                error.marker().col(),
+                1,
+                error.info().to_owned(),
+                "well-formed YAML without duplicate keys".to_owned(),
+            );
+            return Err(TextFaults(reader.faults));
+        }
+    };
+    let Some(root) = documents.first() else {
+        reader.note_at(1, 0, 1, "nothing".to_owned(), "one YAML mapping".to_owned());
+        return Err(TextFaults(reader.faults));
+    };
+    let value = read(&mut reader, TextNode { node: root });
+    match value {
+        Some(value) if reader.faults.is_empty() => Ok(value),
+        _ => {
+            reader
+                .faults
+                .sort_by_key(|fault| (fault.line, fault.column));
+            Err(TextFaults(reader.faults))
+        }
+    }
+}
+
+impl FaultReader {
+    fn new(text: &str) -> Self {
+        let starts = text.bytes().enumerate().filter(|(_, byte)| *byte == b'\n');
+        let line_starts = std::iter::once(0)
+            .chain(starts.map(|(at, _)| at + 1))
+            .collect();
+        Self {
+            path: Vec::new(),
+            line_starts,
+            faults: Vec::new(),
+        }
+    }
+
+    /// Notes a fault at `node`.
+    pub fn note(&mut self, node: TextNode<'_>, found: impl Into<String>, permitted: &str) {
+        let span = node.node.span;
+        let length = if span.end.line() == span.start.line() {
+            span.len().max(1)
+        } else {
+            1
+        };
+        self.note_at(
+            span.start.line(),
+            span.start.col(),
+            length,
+            found.into(),
+            permitted.to_owned(),
+        );
+    }
+
+    fn note_at(
+        &mut self,
+        line: usize,
+        column: usize,
+        length: usize,
+        found: String,
+        permitted: String,
+    ) {
+        let start = self
+            .line_starts
+            .get(line.saturating_sub(1))
+            .copied()
+            .unwrap_or(0);
+        let path = if self.path.is_empty() {
+            "text".to_owned()
+        } else {
+            self.path.join(".")
+        };
+        self.faults.push(TextFault {
+            line: line.max(1),
+            column: column + 1,
+            offset: start + column,
+            length,
+            path,
+            found,
+            permitted,
+        });
+    }
+
+    /// Runs `read` with `key` added to the path.
+    fn within<T>(&mut self, key: &str, read: impl FnOnce(&mut Self) -> T) -> T {
+        self.path.push(key.to_owned());
+        let value = read(self);
+        self.path.pop();
+        value
+    }
+
+    /// Checks that `node` is a mapping whose keys are all in `known`.
+    pub fn mapping(&mut self, node: TextNode<'_>, known: &[&str]) -> bool {
+        let YamlData::Mapping(entries) = &node.node.data else {
+            self.note(node, node.describe(), "a mapping");
+            return false;
+        };
+        for key in entries.keys() {
+            let key = TextNode { node: key };
+            let name = key.as_text().unwrap_or_default();
+            if !known.contains(&name.as_str()) {
+                let permitted = format!("the keys {}", known.join(", "));
+                self.note(key, format!("key {name:?}"), &permitted);
+            }
+        }
+        true
+    }
+
+    /// Reads the value of `key`, or notes that it is missing.
+    pub fn required<T>(
+        &mut self,
+        node: TextNode<'_>,
+        key: &str,
+        read: impl FnOnce(&mut Self, TextNode<'_>) -> Option<T>,
+    ) -> Option<T> {
+        match node.get(key) {
+            Some(value) => self.within(key, |reader| read(reader, value)),
+            None => {
+                self.within(key, |reader| {
+                    reader.note(node, "nothing", "a value; the key is needed")
+                });
+                None
+            }
+        }
+    }
+
+    /// Reads the value of `key`, or returns `default` when the key is absent.
+    pub fn optional<T>(
+        &mut self,
+        node: TextNode<'_>,
+        key: &str,
+        default: T,
+        read: impl FnOnce(&mut Self, TextNode<'_>) -> Option<T>,
+    ) -> Option<T> {
+        match node.get(key) {
+            Some(value) => self.within(key, |reader| read(reader, value)),
+            None => Some(default),
+        }
+    }
+
+    /// Reads every item of a sequence; items that cannot be read are left out and noted.
+    pub fn sequence<T>(
+        &mut self,
+        node: TextNode<'_>,
+        mut read: impl FnMut(&mut Self, TextNode<'_>) -> Option<T>,
+    ) -> Option<Vec<T>> {
+        let YamlData::Sequence(items) = &node.node.data else {
+            self.note(node, node.describe(), "a sequence");
+            return None;
+        };
+        let own = self.path.last().cloned().unwrap_or_default();
+        let mut values = Vec::with_capacity(items.len());
+        for (index, item) in items.iter().enumerate() {
+            if let Some(last) = self.path.last_mut() {
+                *last = format!("{own}[{index}]");
+            }
+            values.extend(read(self, TextNode { node: item }));
+        }
+        if let Some(last) = self.path.last_mut() {
+            *last = own;
+        }
+        Some(values)
+    }
+
+    /// Reads a scalar as text.
+    pub fn text(&mut self, node: TextNode<'_>) -> Option<String> {
+        let text = node.as_text();
+        if text.is_none() {
+            self.note(node, node.describe(), "a text");
+        }
+        text
+    }
+
+    /// Reads a scalar with its `FromStr`; `permitted` describes what that takes.
+    pub fn parsed<T: std::str::FromStr>(
+        &mut self,
+        node: TextNode<'_>,
+        permitted: &str,
+    ) -> Option<T> {
+        let text = self.text(node)?;
+        let value = text.parse().ok();
+        if value.is_none() {
+            self.note(node, format!("{text:?}"), permitted);
+        }
+        value
+    }
+
+    /// Reads a name.
+    pub fn name<T: std::str::FromStr>(&mut self, node: TextNode<'_>) -> Option<T> {
+        self.parsed(node, "a name: 1 to 64 of a-z, A-Z, 0-9, '-', '_', '.'")
+    }
+
+    /// Reads a whole number within `range`.
+    pub fn number(&mut self, node: TextNode<'_>, range: ValueRange<u64>) -> Option<u64> {
+        let permitted = format!("a whole number from {} to {}", range.least, range.greatest);
+        let value: u64 = self.parsed(node, &permitted)?;
+        if value < range.least || value > range.greatest {
+            self.note(node, value.to_string(), &permitted);
+            return None;
+        }
+        Some(value)
+    }
+
+    /// Reads a fraction from 0 to 1.
+    pub fn fraction(&mut self, node: TextNode<'_>) -> Option<f64> {
+        let permitted = "a fraction from 0 to 1";
+        let value: f64 = self.parsed(node, permitted)?;
+        if !(0.0..=1.0).contains(&value) {
+            self.note(node, value.to_string(), permitted);
+            return None;
+        }
+        Some(value)
+    }
+
+    /// Reads a span of time such as `250ms` or `2s`, within `range`.
+    pub fn span(&mut self, node: TextNode<'_>, range: ValueRange<Duration>) -> Option<Duration> {
+        let permitted = format!(
+            "a time from {} to {}, such as 250ms or 2s",
+            humantime::format_duration(range.least),
+            humantime::format_duration(range.greatest),
+        );
+        let text = self.text(node)?;
+        match humantime::parse_duration(&text) {
+            Ok(span) if span >= range.least && span <= range.greatest => Some(span),
+            _ => {
+                self.note(node, format!("{text:?}"), &permitted);
+                None
+            }
+        }
+    }
+
+    /// Reads `true` or `false`.
+    pub fn flag(&mut self, node: TextNode<'_>) -> Option<bool> {
+        self.parsed(node, "true or false")
+    }
+}
+
+impl<'a> TextNode<'a> {
+    /// Returns the value of `key` when this is a mapping that has it.
+    pub fn get(self, key: &str) -> Option<TextNode<'a>> {
+        let YamlData::Mapping(entries) = &self.node.data else {
+            return None;
+        };
+        let found = entries
+            .iter()
+            .find(|(name, _)| TextNode { node: name }.as_text().as_deref() == Some(key));
+        found.map(|(_, node)| TextNode { node })
+    }
+
+    /// Returns the scalar as text, or nothing when this is no scalar.
+    pub fn as_text(self) -> Option<String> {
+        match &self.node.data {
+            YamlData::Value(Scalar::String(text)) => Some(text.to_string()),
+            YamlData::Value(Scalar::Integer(number)) => Some(number.to_string()),
+            YamlData::Value(Scalar::FloatingPoint(number)) => Some(number.to_string()),
+            YamlData::Value(Scalar::Boolean(flag)) => Some(flag.to_string()),
+            _ => None,
+        }
+    }
+
+    fn describe(self) -> String {
+        match &self.node.data {
+            YamlData::Sequence(_) => "a sequence".to_owned(),
+            YamlData::Mapping(_) => "a mapping".to_owned(),
+            YamlData::Value(Scalar::Null) => "nothing".to_owned(),
+            _ => self
+                .as_text()
+                .map_or_else(|| "an unknown node".to_owned(), |text| format!("{text:?}")),
+        }
+    }
+}
--- /dev/null
+++ b/crates/ryetide-core/src/units.rs
@@ -0,0 +1,116 @@
+//! Sizes, rates, ranks and points in time.
+
+use std::{fmt, ops, time};
+
+use serde::{Deserialize, Serialize};
+
+use crate::util::number_type;
+
+number_type!(
+    /// A count of tokens, prompt or generated.
+    Tokens(u64)
+);
+number_type!(
+    /// A size in bytes.
+    ByteSize(u64)
+);
+number_type!(
+    /// The revision of the services text; it only rises.
+    Revision(u64)
+);
+number_type!(
+    /// The rank of a tier: 0 is the most urgent.
+    TierRank(u8)
+);
+number_type!(
+    /// An organisation's weight within a tier.
+    ShareWeight(u32)
+);
+
+/// A speed in tokens a second.
+#[derive(Clone, Copy, Debug, PartialEq, PartialOrd, Deserialize, Serialize)]
+#[serde(transparent)]
+pub struct TokenRate(pub f64);
+
+impl TokenRate {
+    /// Returns the time that `tokens` take at this speed.
+    pub fn time_for(self, tokens: Tokens) -> time::Duration {
+        time::Duration::from_secs_f64(tokens.0 as f64 / self.0.max(MINIMUM_RATE))
+    }
+}
+
+/// Below this speed a target counts as stopped; it keeps divisions finite.
+const MINIMUM_RATE: f64 = 0.01;
+
+impl fmt::Display for TokenRate {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{:.1}", self.0)
+    }
+}
+
+impl std::str::FromStr for TokenRate {
+    type Err = std::num::ParseFloatError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        text.parse().map(Self)
+    }
+}
+
+/// A point on the driver's monotonic clock, in microseconds since it started.
+///
+/// The core never reads a clock: each event comes with the moment at which it happened.
+///
+/// # Example
+///
+/// ```
+/// use std::time::Duration;
+/// use ryetide_core::units::Moment;
+///
+/// let start = Moment::from_millis(5);
+/// assert_eq!((start + Duration::from_millis(2)).since(start), Duration::from_millis(2));
+/// assert_eq!(start.since(Moment::from_millis(9)), Duration::ZERO);
+/// ```
+#[derive(
+    Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize,
+)]
+#[serde(transparent)]
+pub struct Moment(pub u64);
+
+impl Moment {
+    /// Returns the moment `millis` milliseconds after the clock's start.
+    pub const fn from_millis(millis: u64) -> Self {
+        Self(millis * 1_000)
+    }
+
+    /// Returns the time passed since `earlier`, or zero when `earlier` lies ahead.
+    pub fn since(self, earlier: Self) -> time::Duration {
+        time::Duration::from_micros(self.0.saturating_sub(earlier.0))
+    }
+
+    /// Returns the moment `span` before this one, or the clock's start.
+    pub fn before(self, span: time::Duration) -> Self {
+        Self(self.0.saturating_sub(span.as_micros() as u64))
+    }
+}
+
+impl ops::Add<time::Duration> for Moment {
+    type Output = Self;
+
+    fn add(self, span: time::Duration) -> Self {
+        Self(
+            self.0
+                .saturating_add(u64::try_from(span.as_micros()).unwrap_or(u64::MAX)),
+        )
+    }
+}
+
+impl fmt::Display for Moment {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            formatter,
+            "{}.{:06}",
+            self.0 / 1_000_000,
+            self.0 % 1_000_000
+        )
+    }
+}
