--- /dev/null
+++ b/src/caller_answer.rs
@@ -0,0 +1,251 @@
+//! Turning answers into HTTP: every final answer says which of three it is.
+//!
+//! The header `ryetide-outcome` is `answered`, `not-run` or `unknown`. A stream has sent its headers
+//! before its outcome is known, so there the last event says it: a comment line that existing
+//! clients skip, or an `error` event when the answer is not whole.
+
+use std::time::Duration;
+
+use ntex::{
+    http::{StatusCode, header},
+    web::{HttpResponse, HttpResponseBuilder},
+};
+use ryetide_core::{
+    event::{FinalAnswer, RejectReason, UnknownReason},
+    message::RefuseReason,
+};
+use serde::{Deserialize, Serialize};
+
+use crate::{caller_request::ReadFault, util};
+
+/// The header that says which of three the final answer is.
+pub const OUTCOME_HEADER: &str = "ryetide-outcome";
+/// The header that gives the request's id.
+pub const REQUEST_HEADER: &str = "ryetide-request";
+/// The header that says when to come back, in milliseconds; `retry-after` has whole seconds.
+pub const RETRY_HEADER: &str = "ryetide-retry-after-ms";
+/// The value of an outcome that is a whole answer.
+pub const ANSWERED: &str = "answered";
+/// The value of an outcome that really did not run.
+pub const NOT_RUN: &str = "not-run";
+/// The value of an outcome that may have run.
+pub const UNKNOWN: &str = "unknown";
+
+/// The body of an answer that is not the target's own.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct ErrorBody {
+    /// The error.
+    pub error: ErrorDetail,
+}
+
+/// An error as existing clients read it.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct ErrorDetail {
+    /// A sentence for people.
+    pub message: String,
+    /// `not-run`, `unknown` or `rejected`.
+    pub r#type: String,
+    /// The reason, for programs.
+    pub code: String,
+}
+
+/// What a final answer that is not the target's own means in HTTP.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct FinalStatus {
+    /// The status.
+    pub status: u16,
+    /// The outcome header's value.
+    pub outcome: &'static str,
+    /// The reason, for programs.
+    pub code: String,
+    /// When to come back.
+    pub retry_after: Option<Duration>,
+}
+
+/// Returns the status of a final answer, or nothing for one that is the target's own.
+pub fn final_status(answer: &FinalAnswer) -> Option<FinalStatus> {
+    let status = match answer {
+        FinalAnswer::Answered | FinalAnswer::Replayed(_) => return None,
+        FinalAnswer::NotRun { reason, retry_after } => FinalStatus {
+            status: refuse_status(*reason),
+            outcome: NOT_RUN,
+            code: code_of(reason),
+            retry_after: *retry_after,
+        },
+        FinalAnswer::Unknown { reason, retry_after } => FinalStatus {
+            status: unknown_status(*reason),
+            outcome: UNKNOWN,
+            code: code_of(reason),
+            retry_after: *retry_after,
+        },
+        FinalAnswer::Rejected(reason) => FinalStatus {
+            status: reject_status(*reason),
+            outcome: NOT_RUN,
+            code: code_of(reason),
+            retry_after: None,
+        },
+    };
+    Some(status)
+}
+
+fn refuse_status(reason: RefuseReason) -> u16 {
+    match reason {
+        RefuseReason::TooLarge => 413,
+        RefuseReason::DeadlineUnreachable => 504,
+        _ => 503,
+    }
+}
+
+fn unknown_status(reason: UnknownReason) -> u16 {
+    match reason {
+        UnknownReason::TargetLost | UnknownReason::TargetForgot => 502,
+        UnknownReason::EarlierInProgress
+        | UnknownReason::EarlierAnswered
+        | UnknownReason::EarlierUnknown => 409,
+    }
+}
+
+fn reject_status(reason: RejectReason) -> u16 {
+    match reason {
+        RejectReason::UnknownService => 404,
+        RejectReason::UnknownOrganisation => 403,
+        RejectReason::BodyTooLarge => 413,
+        RejectReason::UnknownTier | RejectReason::DeadlinePast | RejectReason::KeyMissing => 400,
+    }
+}
+
+/// The name of a reason as it is serialised.
+fn code_of(reason: &impl Serialize) -> String {
+    let value = serde_json::to_value(reason).unwrap_or_default();
+    value.as_str().unwrap_or_default().to_owned()
+}
+
+/// Builds the response for a final answer that is not the target's own.
+pub fn final_response(status: &FinalStatus, id: &str) -> HttpResponse {
+    let mut builder = builder(status.status, status.outcome, id);
+    if let Some(after) = status.retry_after {
+        let millis = util::millis(after);
+        builder.set_header(RETRY_HEADER, millis.to_string());
+        builder.set_header(header::RETRY_AFTER, millis.div_ceil(1_000).to_string());
+    }
+    builder.json(&error_body(status))
+}
+
+/// Builds the response to a request that could not be read.
+pub fn fault_response(fault: &ReadFault) -> HttpResponse {
+    let (status, code) = fault.status();
+    let error = ErrorDetail {
+        message: fault.to_string(),
+        r#type: "rejected".to_owned(),
+        code: code.to_owned(),
+    };
+    let mut builder = builder(status, NOT_RUN, "");
+    // What is left of an unread body must not be taken for the next request.
+    builder.force_close();
+    builder.json(&ErrorBody { error })
+}
+
+/// Returns the body that tells of a final answer.
+pub fn error_body(status: &FinalStatus) -> ErrorBody {
+    let message = match status.outcome {
+        NOT_RUN => "the request did not run",
+        _ => "the request may have run",
+    };
+    ErrorBody {
+        error: ErrorDetail {
+            message: message.to_owned(),
+            r#type: status.outcome.to_owned(),
+            code: status.code.clone(),
+        },
+    }
+}
+
+/// Begins a response.
+pub fn builder(status: u16, outcome: &str, id: &str) -> HttpResponseBuilder {
+    let status = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
+    let mut builder = HttpResponse::build(status);
+    if !outcome.is_empty() {
+        builder.set_header(OUTCOME_HEADER, outcome);
+    }
+    if !id.is_empty() {
+        builder.set_header(REQUEST_HEADER, id);
+    }
+    builder
+}
+
+/// Returns the last lines of a stream.
+pub fn stream_end(answer: &FinalAnswer) -> String {
+    match final_status(answer) {
+        None => format!(": {OUTCOME_HEADER} {ANSWERED}\n\n"),
+        Some(status) => {
+            let body = serde_json::to_string(&error_body(&status)).unwrap_or_default();
+            format!("event: error\ndata: {body}\n\n: {OUTCOME_HEADER} {}\n\n", status.outcome)
+        }
+    }
+}
+
+/// One event of an engine's stream.
+#[derive(Debug, Deserialize)]
+struct StreamEvent {
+    #[serde(default)]
+    choices: Vec<StreamChoice>,
+}
+
+#[derive(Debug, Deserialize)]
+struct StreamChoice {
+    #[serde(default)]
+    text: Option<String>,
+    #[serde(default)]
+    delta: Option<StreamDelta>,
+}
+
+#[derive(Debug, Deserialize)]
+struct StreamDelta {
+    #[serde(default)]
+    content: Option<String>,
+}
+
+/// A whole answer, as callers that do not stream expect it.
+#[derive(Debug, Serialize)]
+pub struct WholeAnswer {
+    id: String,
+    object: &'static str,
+    choices: Vec<WholeChoice>,
+}
+
+#[derive(Debug, Serialize)]
+struct WholeChoice {
+    index: u32,
+    text: String,
+    message: WholeMessage,
+    finish_reason: &'static str,
+}
+
+#[derive(Debug, Serialize)]
+struct WholeMessage {
+    role: &'static str,
+    content: String,
+}
+
+/// Puts the events of an engine's stream together into one body.
+///
+/// # Errors
+///
+/// Returns what does not parse.
+pub fn assemble(id: &str, stream: &[u8]) -> Result<WholeAnswer, String> {
+    let text = std::str::from_utf8(stream).map_err(|error| error.to_string())?;
+    let mut content = String::new();
+    for line in text.lines() {
+        let Some(data) = line.strip_prefix("data: ").filter(|data| *data != "[DONE]") else {
+            continue;
+        };
+        let event: StreamEvent = serde_json::from_str(data).map_err(|error| error.to_string())?;
+        for choice in event.choices {
+            content.extend(choice.text);
+            content.extend(choice.delta.and_then(|delta| delta.content));
+        }
+    }
+    let message = WholeMessage { role: "assistant", content: content.clone() };
+    let choice = WholeChoice { index: 0, text: content, message, finish_reason: "stop" };
+    Ok(WholeAnswer { id: id.to_owned(), object: "chat.completion", choices: vec![choice] })
+}
--- /dev/null
+++ b/src/caller_edge.rs
@@ -0,0 +1,414 @@
+//! The thread that callers connect to.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    pin::Pin,
+    rc::Rc,
+    sync::{Arc, Mutex},
+    task::{Context, Poll},
+};
+
+use bytes::Bytes;
+use ntex::{
+    http::{HttpServiceConfig, KeepAlive, header},
+    server::Server,
+    service::cfg::SharedCfg,
+    time::Seconds,
+    util::Stream,
+    web::{self, App, HttpRequest, HttpResponse, HttpServer},
+};
+use ryetide_core::{
+    event::{AnswerHead, Event, FinalAnswer, TargetCall},
+    ids::{Incarnation, RequestId, RequestSequence, VmName},
+};
+
+use crate::{
+    answer_slot::{AnswerPart, AnswerSlot, SlotOverflow},
+    caller_answer::{self, ANSWERED},
+    caller_request::{self, CallerHeaders, ModelRequest, ReadFault},
+    error::StepError,
+    request_report::ReportCommand,
+    ring::{RingReceiver, RingSender},
+    settings::CallerLimits,
+    util,
+};
+
+/// The most connections of callers at once.
+const CONNECTION_LIMIT: usize = 20_000;
+/// A caller's headers may take this long.
+const HEADER_TIMEOUT: Seconds = Seconds(5);
+/// An idle connection of a caller is kept this long.
+const KEEP_ALIVE: Seconds = Seconds(30);
+/// Connections that wait to be accepted.
+const BACKLOG: i32 = 4_096;
+/// The content type of a stream of events.
+const EVENT_STREAM: &str = "text/event-stream";
+/// The first part of a plain service's path.
+const PLAIN_PREFIX: &str = "/services/";
+/// The paths on which models answer.
+const MODEL_PATHS: [&str; 2] = ["/v1/completions", "/v1/chat/completions"];
+
+/// A part of a caller's answer, from the core.
+#[derive(Debug)]
+pub struct EdgeCommand {
+    /// The request.
+    pub sequence: RequestSequence,
+    /// The part.
+    pub part: AnswerPart,
+}
+
+/// The edge's ends of its rings.
+pub struct EdgeRings {
+    /// To the core.
+    pub events: RingSender<Event>,
+    /// From the core.
+    pub commands: RingReceiver<EdgeCommand>,
+    /// To the report.
+    pub reports: RingSender<ReportCommand>,
+}
+
+/// Whose requests these are.
+#[derive(Clone, Debug)]
+pub struct EdgeIdentity {
+    /// The VM.
+    pub vm: VmName,
+    /// This life of it.
+    pub incarnation: Incarnation,
+    /// What callers may take up.
+    pub limits: CallerLimits,
+}
+
+/// What the edge's tasks share.
+struct CallerEdge {
+    identity: EdgeIdentity,
+    events: RingSender<Event>,
+    reports: RingSender<ReportCommand>,
+    slots: RefCell<HashMap<RequestSequence, AnswerSlot>>,
+    next_sequence: Cell<u64>,
+}
+
+type SharedEdge = Rc<CallerEdge>;
+
+/// Starts the edge on `listener`; the server runs until it is stopped.
+///
+/// # Errors
+///
+/// Returns a [`StepError`] when the listener cannot be used.
+pub fn start(
+    listener: std::net::TcpListener,
+    identity: EdgeIdentity,
+    rings: EdgeRings,
+) -> Result<Server, StepError> {
+    // The server clones its factory for each worker; there is one worker, which takes the rings.
+    let rings = Arc::new(Mutex::new(Some(rings)));
+    let factory = move || {
+        let taken = rings.lock().ok().and_then(|mut rings| rings.take());
+        let identity = identity.clone();
+        async move {
+            let edge = taken.map(|rings| open(identity, rings));
+            App::new().state(edge).default_service(web::to(handle))
+        }
+    };
+    let config = HttpServiceConfig::new()
+        .set_keepalive(KeepAlive::Timeout(KEEP_ALIVE))
+        .set_client_timeout(HEADER_TIMEOUT);
+    let server = HttpServer::new(factory)
+        .workers(1)
+        .maxconn(CONNECTION_LIMIT)
+        .backlog(BACKLOG)
+        .disable_signals()
+        .config(SharedCfg::new("callers").add(config))
+        .listen(listener)
+        .map_err(|error| StepError::new("listen for callers", error))?;
+    Ok(server.run())
+}
+
+fn open(identity: EdgeIdentity, rings: EdgeRings) -> SharedEdge {
+    let EdgeRings { events, mut commands, reports } = rings;
+    let edge = Rc::new(CallerEdge {
+        identity,
+        events,
+        reports,
+        slots: RefCell::default(),
+        next_sequence: Cell::new(1),
+    });
+    let receiving = Rc::clone(&edge);
+    ntex::rt::spawn(async move {
+        while let Some(command) = commands.recv().await {
+            receiving.deliver(command);
+        }
+    });
+    edge
+}
+
+async fn handle(
+    request: HttpRequest,
+    payload: web::types::Payload,
+    edge: web::types::State<Option<SharedEdge>>,
+) -> HttpResponse {
+    let Some(edge) = edge.get_ref().clone() else {
+        return HttpResponse::ServiceUnavailable().finish();
+    };
+    match edge.take(&request, payload).await {
+        Ok(response) => response,
+        Err(fault) => {
+            let (_, code) = fault.status();
+            edge.count_reject(code);
+            let peer = request.peer_addr().map(|address| address.to_string()).unwrap_or_default();
+            tracing::info!(event = "request-rejected", step = "read", %peer, reason = %fault);
+            caller_answer::fault_response(&fault)
+        }
+    }
+}
+
+impl CallerEdge {
+    /// Serves one request to its answer.
+    async fn take(
+        self: &Rc<Self>,
+        request: &HttpRequest,
+        payload: web::types::Payload,
+    ) -> Result<HttpResponse, ReadFault> {
+        let path = request.path();
+        let is_model = MODEL_PATHS.contains(&path);
+        if !is_model && !path.starts_with(PLAIN_PREFIX) {
+            return Err(ReadFault::PathUnknown);
+        }
+        let headers = CallerHeaders::read(request.headers())?;
+        let body = self.read_body(request, payload).await?;
+        let sequence = RequestSequence(self.next_sequence.get());
+        self.next_sequence.set(sequence.0 + 1);
+        let (caller_request, stream) = if is_model {
+            let ModelRequest { request, stream } =
+                caller_request::read_model_request(sequence, headers, body)?;
+            (request, stream)
+        } else {
+            let (service, call) = plain_call(request, body)?;
+            (caller_request::plain_request(sequence, headers, &service, call), false)
+        };
+        let slot = AnswerSlot::new(self.identity.limits.answer_buffer);
+        self.slots.borrow_mut().insert(sequence, slot.clone());
+        let call = OpenCall { edge: Rc::clone(self), sequence, slot, ended: Cell::new(false) };
+        if self.events.send(Event::Arrived(caller_request)).await.is_err() {
+            return Ok(HttpResponse::ServiceUnavailable().finish());
+        }
+        let gone = request.io().map(|io| io.on_disconnect());
+        let answer = respond(call, is_model, stream);
+        match gone {
+            None => Ok(answer.await),
+            Some(gone) => tokio::select! {
+                response = answer => Ok(response),
+                // Dropping the call tells the core.
+                () = gone => Ok(HttpResponse::ServiceUnavailable().finish()),
+            },
+        }
+    }
+
+    async fn read_body(
+        &self,
+        request: &HttpRequest,
+        mut payload: web::types::Payload,
+    ) -> Result<Bytes, ReadFault> {
+        let limits = self.identity.limits;
+        let limit = limits.body.0;
+        let declared = request
+            .headers()
+            .get(header::CONTENT_LENGTH)
+            .and_then(|value| value.to_str().ok()?.parse::<u64>().ok());
+        if declared.is_some_and(|length| length > limit) {
+            return Err(ReadFault::BodyTooLarge(limit));
+        }
+        let reading = async {
+            let mut body = Vec::new();
+            while let Some(piece) = payload.recv().await {
+                let piece = piece.map_err(|_| ReadFault::BodyBroken)?;
+                if (body.len() + piece.len()) as u64 > limit {
+                    return Err(ReadFault::BodyTooLarge(limit));
+                }
+                body.extend_from_slice(&piece);
+            }
+            Ok(Bytes::from(body))
+        };
+        let read = util::within(limits.body_timeout, reading).await;
+        read.ok_or(ReadFault::BodyTooSlow(limits.body_timeout))?
+    }
+
+    /// Passes a part of an answer on, or cuts off a caller that leaves too much unread.
+    fn deliver(self: &Rc<Self>, command: EdgeCommand) {
+        let EdgeCommand { sequence, part } = command;
+        let ends = matches!(part, AnswerPart::Final(_));
+        let slot = self.slots.borrow().get(&sequence).cloned();
+        let Some(slot) = slot else { return };
+        if slot.push(part).is_err() {
+            tracing::warn!(event = "caller-too-slow", step = "answer", sequence = sequence.0);
+            self.count_reject("caller-too-slow");
+            self.forget(sequence);
+        } else if ends {
+            self.slots.borrow_mut().remove(&sequence);
+        }
+    }
+
+    /// Tells the core, once, that a caller has gone.
+    fn forget(self: &Rc<Self>, sequence: RequestSequence) {
+        if self.slots.borrow_mut().remove(&sequence).is_none() {
+            return;
+        }
+        let edge = Rc::clone(self);
+        ntex::rt::spawn(async move {
+            let _ = edge.events.send(Event::CallerGone { sequence }).await;
+        });
+    }
+
+    fn count_reject(&self, code: &'static str) {
+        // A full ring loses a count, never a request.
+        let _ = self.reports.try_send(ReportCommand::Reject(code));
+    }
+
+    fn id_of(&self, sequence: RequestSequence) -> String {
+        let EdgeIdentity { vm, incarnation, .. } = self.identity.clone();
+        RequestId { vm, incarnation, sequence }.to_string()
+    }
+}
+
+/// A call whose caller waits. Dropping it before its end tells the core that the caller has gone.
+struct OpenCall {
+    edge: SharedEdge,
+    sequence: RequestSequence,
+    slot: AnswerSlot,
+    ended: Cell<bool>,
+}
+
+impl Drop for OpenCall {
+    fn drop(&mut self) {
+        if !self.ended.get() {
+            self.edge.forget(self.sequence);
+        }
+    }
+}
+
+impl OpenCall {
+    fn id(&self) -> String {
+        self.edge.id_of(self.sequence)
+    }
+}
+
+fn plain_call(request: &HttpRequest, body: Bytes) -> Result<(String, TargetCall), ReadFault> {
+    let rest = request.path().strip_prefix(PLAIN_PREFIX).ok_or(ReadFault::PathUnknown)?;
+    let (service, path) = rest.split_once('/').unwrap_or((rest, ""));
+    if service.is_empty() {
+        return Err(ReadFault::PathUnknown);
+    }
+    let query = request.query_string();
+    let query = if query.is_empty() { String::new() } else { format!("?{query}") };
+    let content_type = request.headers().get(header::CONTENT_TYPE);
+    let content_type = content_type.and_then(|value| value.to_str().ok());
+    let call = TargetCall {
+        method: request.method().to_string(),
+        path: format!("/{path}{query}"),
+        content_type: content_type.unwrap_or("application/octet-stream").to_owned(),
+        body,
+    };
+    Ok((service.to_owned(), call))
+}
+
+/// Waits for an answer's beginning and builds the response.
+async fn respond(call: OpenCall, is_model: bool, stream: bool) -> HttpResponse {
+    let mut head = AnswerHead { status: 200, content_type: String::new() };
+    let mut body = Vec::new();
+    loop {
+        match call.slot.next().await {
+            Ok(AnswerPart::Head(found)) if stream && found.content_type == EVENT_STREAM => {
+                return begin_stream(call, &found);
+            }
+            Ok(AnswerPart::Head(found)) => head = found,
+            Ok(AnswerPart::Piece(piece)) => body.extend_from_slice(&piece),
+            Ok(AnswerPart::Final(answer)) => {
+                call.ended.set(true);
+                return whole_response(&call, answer, head, body, is_model && !stream);
+            }
+            Err(SlotOverflow) => return HttpResponse::BadGateway().finish(),
+        }
+    }
+}
+
+fn whole_response(
+    call: &OpenCall,
+    answer: FinalAnswer,
+    mut head: AnswerHead,
+    mut body: Vec<u8>,
+    assembles: bool,
+) -> HttpResponse {
+    let id = call.id();
+    if let Some(status) = caller_answer::final_status(&answer) {
+        if matches!(answer, FinalAnswer::Rejected(_)) {
+            call.edge.count_reject("rejected");
+            let code = &status.code;
+            tracing::info!(event = "request-rejected", step = "admit", request = %id, reason = %code);
+        }
+        return caller_answer::final_response(&status, &id);
+    }
+    if let FinalAnswer::Replayed(kept) = answer {
+        head = AnswerHead { status: kept.status, content_type: kept.content_type };
+        body = kept.body.to_vec();
+    }
+    let mut builder = caller_answer::builder(head.status, ANSWERED, &id);
+    if assembles && head.content_type == EVENT_STREAM {
+        return match caller_answer::assemble(&id, &body) {
+            Ok(whole) => builder.json(&whole),
+            Err(error) => {
+                tracing::warn!(event = "answer-unreadable", step = "assemble", request = %id, reason = %error);
+                builder.content_type(EVENT_STREAM).body(body)
+            }
+        };
+    }
+    if !head.content_type.is_empty() {
+        builder.content_type(head.content_type.as_str());
+    }
+    builder.body(body)
+}
+
+fn begin_stream(call: OpenCall, head: &AnswerHead) -> HttpResponse {
+    let mut builder = caller_answer::builder(head.status, "", &call.id());
+    builder.content_type(head.content_type.as_str());
+    builder.set_header(header::CACHE_CONTROL, "no-cache");
+    builder.streaming(AnswerStream { call, done: false })
+}
+
+/// An answer on its way to a caller that streams.
+struct AnswerStream {
+    call: OpenCall,
+    done: bool,
+}
+
+impl Stream for AnswerStream {
+    type Item = Result<ntex::util::Bytes, std::io::Error>;
+
+    fn poll_next(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Option<Self::Item>> {
+        if self.done {
+            return Poll::Ready(None);
+        }
+        loop {
+            let part = match self.call.slot.poll_next(context) {
+                Poll::Pending => return Poll::Pending,
+                Poll::Ready(part) => part,
+            };
+            match part {
+                Ok(AnswerPart::Head(_)) => {}
+                Ok(AnswerPart::Piece(piece)) => {
+                    let piece = ntex::util::Bytes::copy_from_slice(&piece);
+                    return Poll::Ready(Some(Ok(piece)));
+                }
+                Ok(AnswerPart::Final(answer)) => {
+                    self.call.ended.set(true);
+                    self.done = true;
+                    let end = caller_answer::stream_end(&answer);
+                    return Poll::Ready(Some(Ok(ntex::util::Bytes::from(end.into_bytes()))));
+                }
+                Err(overflow) => {
+                    self.done = true;
+                    return Poll::Ready(Some(Err(std::io::Error::other(overflow))));
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/daemon.rs
@@ -0,0 +1,405 @@
+//! A whole daemon: the core and the threads around it, joined by bounded rings.
+//!
+//! | thread | duty |
+//! |---|---|
+//! | `core` | runs the decision core; every other thread only carries out what it decides |
+//! | `callers` | HTTP to callers |
+//! | `targets` | HTTP to targets |
+//! | `peers` | QUIC to the other entry VMs |
+//! | `platform` | the table service and the list of VMs |
+//! | `report` | histograms and statsd |
+//! | `operators` | HTTP to operators |
+
+use std::{
+    collections::HashMap,
+    io,
+    net::{TcpListener, UdpSocket},
+    sync::Arc,
+    thread,
+    time::Duration,
+};
+
+use ntex::rt::{DefaultRuntime, System};
+use rand::Rng;
+use ryetide_core::{
+    entry::{EntryCore, EntryOptions},
+    event::{ApplyOutcome, Effect, EffectBuffer, Event, Notice},
+    ids::{Incarnation, OperationId},
+    units::Moment,
+};
+use tokio::{
+    sync::{Notify, oneshot},
+    time::Instant,
+};
+
+use crate::{
+    answer_slot::AnswerPart,
+    caller_edge::{self, EdgeCommand, EdgeIdentity, EdgeRings},
+    error::StepError,
+    operator_port::{self, OperatorCommand, OperatorRings},
+    peer_keys::PeerKeys,
+    peer_link::{self, LinkCommand, LinkOptions, LinkPreface},
+    platform_client::{self, PlatformCommand},
+    request_report::{self, ReportCommand, ReportRings},
+    ring::{self, RingReceiver, RingSender},
+    settings::DaemonSettings,
+    target_client::{self, TargetCommand},
+};
+
+/// Room in each ring.
+const RING_CAPACITY: usize = 8_192;
+/// Events taken from one ring before the next one has its turn.
+const EVENTS_PER_TURN: usize = 256;
+/// Effects after which a step leaves the rest for the next.
+const EFFECT_BOUND: usize = 2_048;
+/// Finished answers are given this long to leave before the process exits.
+const FLUSH_SPAN: Duration = Duration::from_millis(300);
+
+/// The sockets of a daemon, bound before its threads start.
+pub struct DaemonSockets {
+    /// For callers.
+    pub callers: TcpListener,
+    /// For operators.
+    pub operators: TcpListener,
+    /// For peers.
+    pub peers: UdpSocket,
+}
+
+impl DaemonSockets {
+    /// Binds the sockets that the settings name.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`StepError`] that names the address at fault.
+    pub fn bind(settings: &DaemonSettings) -> Result<Self, StepError> {
+        let tcp = |step, address| {
+            TcpListener::bind(address)
+                .map_err(|error| StepError::new(step, error).with_peer(address))
+        };
+        let address = settings.peers.address;
+        let peers = UdpSocket::bind(address)
+            .map_err(|error| StepError::new("bind peers", error).with_peer(address))?;
+        Ok(Self {
+            callers: tcp("bind callers", settings.callers)?,
+            operators: tcp("bind operators", settings.operators)?,
+            peers,
+        })
+    }
+}
+
+/// Tells a running daemon to shut down.
+#[derive(Clone, Debug, Default)]
+pub struct ShutdownSwitch {
+    notify: Arc<Notify>,
+}
+
+impl ShutdownSwitch {
+    /// Begins the shutdown: nothing new is taken, and what runs is finished.
+    pub fn shut_down(&self) {
+        self.notify.notify_one();
+    }
+}
+
+/// Runs a daemon until it was shut down and everything it held is finished.
+///
+/// # Errors
+///
+/// Returns a [`StepError`] when a socket, key or thread cannot be used.
+pub fn run(
+    settings: DaemonSettings,
+    sockets: DaemonSockets,
+    switch: ShutdownSwitch,
+) -> Result<(), StepError> {
+    let keys = PeerKeys::load(&settings.peers)?;
+    let incarnation = Incarnation(rand::rng().random());
+    let bell = Arc::new(Notify::new());
+    let report_bell = Arc::new(Notify::new());
+    let input = || ring::ring_with_bell(RING_CAPACITY, Arc::clone(&bell));
+    let report_ring = || ring::ring_with_bell(RING_CAPACITY, Arc::clone(&report_bell));
+    let (edge_events, from_edge) = input();
+    let (target_events, from_targets) = input();
+    let (peer_events, from_peers) = input();
+    let (platform_events, from_platform) = input();
+    let (operator_commands, from_operators) =
+        ring::ring_with_bell(RING_CAPACITY, Arc::clone(&bell));
+    let (to_edge, edge_commands) = ring::ring(RING_CAPACITY);
+    let (to_targets, target_commands) = ring::ring(RING_CAPACITY);
+    let (to_peers, peer_commands) = ring::ring(RING_CAPACITY);
+    let (to_platform, platform_commands) = ring::ring(RING_CAPACITY);
+    let (to_report, core_reports) = report_ring();
+    let (edge_reports_sender, edge_reports) = report_ring();
+    let (operator_reports_sender, operator_reports) = report_ring();
+    let report_rings =
+        ReportRings::new(vec![core_reports, edge_reports, operator_reports], report_bell);
+
+    let preface = LinkPreface {
+        name: settings.name.clone(),
+        incarnation,
+        data_centre: settings.data_centre.clone(),
+        address: sockets.peers.local_addr().map_err(|error| StepError::new("peers", error))?,
+    };
+    let link_options = LinkOptions { socket: sockets.peers, keys, preface };
+    let identity =
+        EdgeIdentity { vm: settings.name.clone(), incarnation, limits: settings.limits };
+    let options =
+        EntryOptions::new(settings.name.clone(), settings.data_centre.clone(), incarnation)
+            .with_peers(settings.peers.known.clone());
+    let (platform, metrics) = (settings.platform.clone(), settings.metrics);
+    let (stop_servers, servers_stopped) = (Arc::new(Notify::new()), Arc::new(Notify::new()));
+    let stop = Arc::clone(&stop_servers);
+
+    let duties = vec![
+        spawn("targets", move || target_client::run(target_commands, target_events))?,
+        spawn("peers", move || peer_link::run(link_options, peer_commands, peer_events))?,
+        spawn("platform", move || {
+            platform_client::run(platform, platform_commands, platform_events)
+        })?,
+        spawn("report", move || request_report::run(report_rings, metrics))?,
+        spawn("servers", move || async move {
+            let edge_rings = EdgeRings {
+                events: edge_events,
+                commands: edge_commands,
+                reports: edge_reports_sender,
+            };
+            let operator_rings =
+                OperatorRings { commands: operator_commands, reports: operator_reports_sender };
+            let edge = caller_edge::start(sockets.callers, identity, edge_rings)?;
+            let operators = operator_port::start(sockets.operators, operator_rings)?;
+            stop.notified().await;
+            edge.stop(true).await;
+            operators.stop(true).await;
+            servers_stopped.notify_one();
+            Ok(())
+        })?,
+    ];
+    let driver = CoreDriver {
+        core: EntryCore::new(options),
+        effects: EffectBuffer::new(EFFECT_BOUND),
+        started: None,
+        bell,
+        inputs: vec![from_edge, from_targets, from_peers, from_platform],
+        operators: from_operators,
+        to_edge,
+        to_targets,
+        to_peers,
+        to_platform,
+        to_report,
+        edits: HashMap::new(),
+        drained: false,
+    };
+    tracing::info!(event = "started", vm = %settings.name, incarnation = incarnation.0);
+    let core = thread::Builder::new()
+        .name("core".to_owned())
+        .spawn(move || run_core(driver, &switch, &stop_servers))
+        .map_err(|error| StepError::new("start core", error))?;
+    let finished = core.join().map_err(|_| StepError::new("run core", "the thread panicked"))?;
+    for duty in duties {
+        let ended = duty.join().map_err(|_| StepError::new("join", "a thread panicked"))?;
+        ended?;
+    }
+    tracing::info!(event = "stopped", vm = %settings.name);
+    finished
+}
+
+type DutyHandle = thread::JoinHandle<Result<(), StepError>>;
+
+/// Starts a thread with a runtime of its own and runs a duty on it to its end.
+fn spawn<F, D>(name: &'static str, duty: F) -> Result<DutyHandle, StepError>
+where
+    F: FnOnce() -> D + Send + 'static,
+    D: Future<Output = Result<(), StepError>> + 'static,
+{
+    let run = move || {
+        let system = System::new(name, DefaultRuntime);
+        let outcome = system.block_on(async move {
+            let outcome = duty().await;
+            if let Err(error) = &outcome {
+                tracing::error!(event = "duty-failed", step = name, reason = %error);
+            }
+            outcome
+        });
+        outcome
+    };
+    thread::Builder::new()
+        .name(name.to_owned())
+        .spawn(run)
+        .map_err(|error| StepError::new("start thread", error).with_peer(name))
+}
+
+fn run_core(
+    mut driver: CoreDriver,
+    switch: &ShutdownSwitch,
+    stop_servers: &Notify,
+) -> Result<(), StepError> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_time()
+        .build()
+        .map_err(|error: io::Error| StepError::new("build core runtime", error))?;
+    runtime.block_on(driver.run(switch));
+    runtime.block_on(tokio::time::sleep(FLUSH_SPAN));
+    stop_servers.notify_one();
+    Ok(())
+}
+
+/// Runs the core: takes events from the rings, and hands its effects on.
+struct CoreDriver {
+    core: EntryCore,
+    effects: EffectBuffer,
+    started: Option<Instant>,
+    bell: Arc<Notify>,
+    inputs: Vec<RingReceiver<Event>>,
+    operators: RingReceiver<OperatorCommand>,
+    to_edge: RingSender<EdgeCommand>,
+    to_targets: RingSender<TargetCommand>,
+    to_peers: RingSender<LinkCommand>,
+    to_platform: RingSender<PlatformCommand>,
+    to_report: RingSender<ReportCommand>,
+    edits: HashMap<OperationId, oneshot::Sender<ApplyOutcome>>,
+    drained: bool,
+}
+
+impl CoreDriver {
+    async fn run(&mut self, switch: &ShutdownSwitch) {
+        self.started = Some(Instant::now());
+        self.step(Event::Tick).await;
+        while !self.drained {
+            let now = self.now();
+            let wake = self.core.next_wake(now);
+            let sleep = tokio::time::sleep(wake.since(now));
+            tokio::select! {
+                () = self.bell.notified() => {}
+                () = sleep => self.step(Event::Tick).await,
+                () = switch.notify.notified() => {
+                    tracing::info!(event = "shutdown-begun");
+                    self.step(Event::Shutdown).await;
+                }
+            }
+            self.take_inputs().await;
+        }
+    }
+
+    fn now(&self) -> Moment {
+        let passed = self.started.map_or(Duration::ZERO, |started| started.elapsed());
+        // The clock starts at one: moment 0 stands for "never".
+        Moment(u64::try_from(passed.as_micros()).unwrap_or(u64::MAX).saturating_add(1))
+    }
+
+    async fn take_inputs(&mut self) {
+        let mut more = true;
+        while more && !self.drained {
+            more = false;
+            for index in 0..self.inputs.len() {
+                for _ in 0..EVENTS_PER_TURN {
+                    let Some(event) = self.inputs[index].try_recv() else { break };
+                    self.step(event).await;
+                    more = true;
+                }
+            }
+            while let Some(command) = self.operators.try_recv() {
+                self.operate(command).await;
+            }
+        }
+    }
+
+    async fn step(&mut self, event: Event) {
+        let now = self.now();
+        self.core.step(now, event, &mut self.effects);
+        let effects: Vec<Effect> = self.effects.drain().collect();
+        for effect in effects {
+            self.carry_out(effect).await;
+        }
+    }
+
+    async fn operate(&mut self, command: OperatorCommand) {
+        match command {
+            OperatorCommand::Status(reply) => drop(reply.send(self.core.status())),
+            OperatorCommand::Configuration(reply) => {
+                drop(reply.send(self.core.configuration().in_force().cloned()));
+            }
+            OperatorCommand::Apply(base, text, reply) => {
+                let operation = OperationId(rand::rng().random_range(1..=u64::MAX));
+                self.edits.insert(operation, reply);
+                self.step(Event::Apply { operation, base, text }).await;
+            }
+        }
+    }
+
+    async fn carry_out(&mut self, effect: Effect) {
+        // A closed ring means that its thread has failed, which it has logged; the core goes on,
+        // and its time limits give up what depended on that thread.
+        let answer = |sequence, part| EdgeCommand { sequence, part };
+        match effect {
+            Effect::BeginAnswer { sequence, head } => {
+                let _ = self.to_edge.send(answer(sequence, AnswerPart::Head(head))).await;
+            }
+            Effect::SendPiece { sequence, bytes } => {
+                let _ = self.to_edge.send(answer(sequence, AnswerPart::Piece(bytes))).await;
+            }
+            Effect::FinishAnswer { sequence, answer: ended } => {
+                let _ = self.to_edge.send(answer(sequence, AnswerPart::Final(ended))).await;
+            }
+            Effect::Connect { sequence, attempt, route } => {
+                self.tell_targets(TargetCommand::Connect(sequence, attempt, route)).await;
+            }
+            Effect::Permit { sequence, attempt, order } => {
+                self.tell_targets(TargetCommand::Permit(sequence, attempt, order)).await;
+            }
+            Effect::Abandon { sequence, attempt } => {
+                self.tell_targets(TargetCommand::Abandon(sequence, attempt)).await;
+            }
+            Effect::Cancel { id, route } => {
+                self.tell_targets(TargetCommand::Cancel(id, route)).await;
+            }
+            Effect::WatchTargets(routes) => {
+                self.tell_targets(TargetCommand::Watch(routes)).await;
+            }
+            Effect::Send { to, message } => {
+                let _ = self.to_peers.send(LinkCommand::Send(to, message)).await;
+            }
+            Effect::ConnectPeers(peers) => {
+                let _ = self.to_peers.send(LinkCommand::Connect(peers)).await;
+            }
+            Effect::Table { token, command } => {
+                let _ = self.to_platform.send(PlatformCommand { token, command }).await;
+            }
+            Effect::ApplyDone { operation, outcome } => {
+                if let Some(reply) = self.edits.remove(&operation) {
+                    let _ = reply.send(outcome);
+                }
+            }
+            Effect::Record(summary) => {
+                let _ = self.to_report.send(ReportCommand::Record(summary)).await;
+            }
+            Effect::Note(notice) => log_notice(&notice),
+            Effect::Drained => self.drained = true,
+        }
+    }
+
+    async fn tell_targets(&self, command: TargetCommand) {
+        let _ = self.to_targets.send(command).await;
+    }
+}
+
+fn log_notice(notice: &Notice) {
+    match notice {
+        Notice::RevisionInForce { revision, from_peer } => {
+            let source = from_peer.as_ref().map_or("table", |name| name.as_str());
+            tracing::info!(event = "revision-in-force", %revision, source);
+        }
+        Notice::RevisionUnreadable { revision, fault } => {
+            tracing::error!(event = "revision-unreadable", step = "adopt", %revision, %fault);
+        }
+        Notice::RevisionWentBack { found, in_force } => {
+            tracing::error!(event = "revision-went-back", step = "read table", %found, %in_force);
+        }
+        Notice::PeerSilent(peer) => tracing::warn!(event = "peer-silent", %peer),
+        Notice::PeerHeard(peer) => tracing::info!(event = "peer-heard", %peer),
+        Notice::TargetLeaving(target) => tracing::info!(event = "target-leaving", %target),
+        Notice::TargetSuspect(target) => {
+            tracing::warn!(event = "target-suspect", step = "connect", %target);
+        }
+        Notice::ArbiterSilent(peer) => {
+            tracing::warn!(event = "arbiter-silent", step = "ask", %peer);
+        }
+    }
+}
--- /dev/null
+++ b/src/settings.rs
@@ -0,0 +1,213 @@
+//! The settings of one daemon: who it is, where it listens, and where the platform is.
+//!
+//! # Example
+//!
+//! ```
+//! let settings = ryetide::settings::DaemonSettings::parse(
+//!     "
+//! name: e1
+//! data-centre: rajkot-hall
+//! callers: 127.0.0.1:8080
+//! operators: 127.0.0.1:8081
+//! peers:
+//!   address: 127.0.0.1:8082
+//!   authority: /etc/ryetide/authority.pem
+//!   certificate: /etc/ryetide/e1.pem
+//!   key: /etc/ryetide/e1.key
+//! platform:
+//!   table: 127.0.0.1:9000
+//!   list: 127.0.0.1:9001
+//! ",
+//! )
+//! .unwrap();
+//! assert_eq!(settings.name.as_str(), "e1");
+//! ```
+
+use std::{net, path::PathBuf, time::Duration};
+
+use ryetide_core::{
+    entry::KnownPeer,
+    ids::{DataCentreName, VmName},
+    text::{self, FaultReader, TextFaults, TextNode, ValueRange},
+    units::ByteSize,
+};
+
+const ADDRESS: &str = "an IP number and port, such as 127.0.0.1:8080";
+const BODY_RANGE: ValueRange<u64> = ValueRange { least: 1_024, greatest: 64 << 20 };
+const TIMEOUT_RANGE: ValueRange<Duration> =
+    ValueRange { least: Duration::from_millis(100), greatest: Duration::from_secs(120) };
+const DEFAULT_BODY_LIMIT: u64 = 8 << 20;
+const DEFAULT_BODY_TIMEOUT: Duration = Duration::from_secs(10);
+const DEFAULT_ANSWER_BUFFER: u64 = 4 << 20;
+
+/// Where peers are met, and with what keys.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct PeerSettings {
+    /// The UDP address on which this daemon meets its peers.
+    pub address: net::SocketAddr,
+    /// The certificate of the deployment's own authority, PEM.
+    pub authority: PathBuf,
+    /// This daemon's certificate, signed by that authority, PEM.
+    pub certificate: PathBuf,
+    /// The certificate's private key, PEM.
+    pub key: PathBuf,
+    /// Peers to meet while the platform's list cannot be read.
+    pub known: Vec<KnownPeer>,
+}
+
+/// Where the platform's services are.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct PlatformSettings {
+    /// The table service.
+    pub table: net::SocketAddr,
+    /// The list of VMs.
+    pub list: net::SocketAddr,
+}
+
+/// What callers may take up.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct CallerLimits {
+    /// The largest request body.
+    pub body: ByteSize,
+    /// The longest time that a body may take to arrive.
+    pub body_timeout: Duration,
+    /// How much of an answer is held for a caller that reads slowly.
+    pub answer_buffer: ByteSize,
+}
+
+/// The settings of one daemon.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct DaemonSettings {
+    /// The VM's name, as the platform's list has it.
+    pub name: VmName,
+    /// The VM's data centre.
+    pub data_centre: DataCentreName,
+    /// Where callers connect.
+    pub callers: net::SocketAddr,
+    /// Where operators connect.
+    pub operators: net::SocketAddr,
+    /// The peers' side.
+    pub peers: PeerSettings,
+    /// The platform's side.
+    pub platform: PlatformSettings,
+    /// Where statsd lines go, if anywhere.
+    pub metrics: Option<net::SocketAddr>,
+    /// What callers may take up.
+    pub limits: CallerLimits,
+    /// The log filter, such as `info` or `ryetide=debug`.
+    pub log: String,
+}
+
+impl DaemonSettings {
+    /// Reads and checks the settings whole.
+    ///
+    /// # Errors
+    ///
+    /// Returns every fault, each with its place, the value found and what is permitted.
+    pub fn parse(text: &str) -> Result<Self, TextFaults> {
+        text::read_text(text, read_settings)
+    }
+}
+
+fn read_settings(reader: &mut FaultReader, root: TextNode<'_>) -> Option<DaemonSettings> {
+    const KEYS: [&str; 9] = [
+        "name", "data-centre", "callers", "operators", "peers", "platform", "metrics", "limits",
+        "log",
+    ];
+    if !reader.mapping(root, &KEYS) {
+        return None;
+    }
+    let name = reader.required(root, "name", FaultReader::name);
+    let data_centre = reader.required(root, "data-centre", FaultReader::name);
+    let callers = reader.required(root, "callers", read_address);
+    let operators = reader.required(root, "operators", read_address);
+    if let (Some(callers), Some(operators)) = (callers, operators)
+        && callers == operators
+        && callers.port() != 0
+    {
+        let place = root.get("operators").unwrap_or(root);
+        reader.note(place, operators.to_string(), "an address apart from the callers'");
+    }
+    let peers = reader.required(root, "peers", read_peers);
+    let platform = reader.required(root, "platform", read_platform);
+    let metrics = reader
+        .optional(root, "metrics", None, |reader, value| read_address(reader, value).map(Some));
+    let limits = reader.optional(root, "limits", default_limits(), read_limits);
+    let log = reader.optional(root, "log", "info".to_owned(), FaultReader::text);
+    Some(DaemonSettings {
+        name: name?,
+        data_centre: data_centre?,
+        callers: callers?,
+        operators: operators?,
+        peers: peers?,
+        platform: platform?,
+        metrics: metrics?,
+        limits: limits?,
+        log: log?,
+    })
+}
+
+fn read_address(reader: &mut FaultReader, node: TextNode<'_>) -> Option<net::SocketAddr> {
+    reader.parsed(node, ADDRESS)
+}
+
+fn read_peers(reader: &mut FaultReader, node: TextNode<'_>) -> Option<PeerSettings> {
+    reader.mapping(node, &["address", "authority", "certificate", "key", "known"]);
+    let address = reader.required(node, "address", read_address);
+    let authority = reader.required(node, "authority", FaultReader::text);
+    let certificate = reader.required(node, "certificate", FaultReader::text);
+    let key = reader.required(node, "key", FaultReader::text);
+    let known = reader.optional(node, "known", Vec::new(), |reader, value| {
+        reader.sequence(value, read_known_peer)
+    });
+    Some(PeerSettings {
+        address: address?,
+        authority: authority?.into(),
+        certificate: certificate?.into(),
+        key: key?.into(),
+        known: known?,
+    })
+}
+
+fn read_known_peer(reader: &mut FaultReader, node: TextNode<'_>) -> Option<KnownPeer> {
+    reader.mapping(node, &["name", "data-centre", "address"]);
+    let name = reader.required(node, "name", FaultReader::name);
+    let data_centre = reader.required(node, "data-centre", FaultReader::name);
+    let address = reader.required(node, "address", read_address);
+    Some(KnownPeer { name: name?, data_centre: data_centre?, address: address? })
+}
+
+fn read_platform(reader: &mut FaultReader, node: TextNode<'_>) -> Option<PlatformSettings> {
+    reader.mapping(node, &["table", "list"]);
+    let table = reader.required(node, "table", read_address);
+    let list = reader.required(node, "list", read_address);
+    Some(PlatformSettings { table: table?, list: list? })
+}
+
+/// Returns the limits that hold when the settings name none.
+pub fn default_limits() -> CallerLimits {
+    CallerLimits {
+        body: ByteSize(DEFAULT_BODY_LIMIT),
+        body_timeout: DEFAULT_BODY_TIMEOUT,
+        answer_buffer: ByteSize(DEFAULT_ANSWER_BUFFER),
+    }
+}
+
+fn read_limits(reader: &mut FaultReader, node: TextNode<'_>) -> Option<CallerLimits> {
+    reader.mapping(node, &["body", "body-timeout", "answer-buffer"]);
+    let defaults = default_limits();
+    let mut size = |key: &str, default: ByteSize| {
+        reader.optional(node, key, default.0, |reader, value| reader.number(value, BODY_RANGE))
+    };
+    let body = size("body", defaults.body);
+    let answer_buffer = size("answer-buffer", defaults.answer_buffer);
+    let body_timeout =
+        reader.optional(node, "body-timeout", defaults.body_timeout, |reader, value| {
+            reader.span(value, TIMEOUT_RANGE)
+        });
+    Some(CallerLimits {
+        body: ByteSize(body?),
+        body_timeout: body_timeout?,
+        answer_buffer: ByteSize(answer_buffer?),
+    })
+}
--- /dev/null
+++ b/src/target_client.rs
@@ -0,0 +1,278 @@
+//! The thread that talks to targets.
+//!
+//! Every dispatch and every resume has a connection of its own, opened for it and closed after it.
+//! A pooled connection may be dead without a sign, and a client library with a pool may send a
+//! request twice; a connection that was opened just now is proven live by its handshake. The core
+//! permits the first byte only after the connection stands, so a failure before that permit is
+//! known to have sent nothing, whatever error a library reports.
+
+use std::{cell::RefCell, collections::HashMap, rc::Rc, time::Duration};
+
+use ntex::{
+    client::{ClientResponse, error::ClientError},
+    http::{Method, StatusCode, header},
+    util::{Bytes, stream_recv},
+};
+use ryetide_core::{
+    event::{AnswerHead, Event, LoadReport, TargetOrder, TargetRoute},
+    ids::{AttemptNumber, RequestId, RequestSequence},
+    units::ByteSize,
+};
+use tokio::sync::oneshot;
+
+use crate::{
+    error::StepError,
+    fresh_client::{FreshClient, FreshConnection},
+    ring::{RingReceiver, RingSender},
+    util,
+};
+
+/// Opening a connection may take this long.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(800);
+/// How often a watched engine's load is queried.
+const LOAD_INTERVAL: Duration = Duration::from_millis(500);
+/// A load query may take this long.
+const LOAD_TIMEOUT: Duration = Duration::from_millis(800);
+/// A cancel may take this long.
+const CANCEL_TIMEOUT: Duration = Duration::from_secs(2);
+/// The header by which a refusing target says that it is leaving.
+pub const LEAVING_HEADER: &str = "x-target-leaving";
+/// The header that carries the request's id to plain services.
+pub const REQUEST_ID_HEADER: &str = "x-request-id";
+
+/// What the core tells this thread.
+#[derive(Debug)]
+pub enum TargetCommand {
+    /// Opens a connection and sends nothing on it yet.
+    Connect(RequestSequence, AttemptNumber, TargetRoute),
+    /// Sends an order on an open connection.
+    Permit(RequestSequence, AttemptNumber, TargetOrder),
+    /// Closes a connection, whatever its state.
+    Abandon(RequestSequence, AttemptNumber),
+    /// Tells an engine that nobody wants an answer any more.
+    Cancel(RequestId, TargetRoute),
+    /// Replaces the set of engines whose load is queried.
+    Watch(Vec<TargetRoute>),
+}
+
+type ConnectionKey = (RequestSequence, AttemptNumber);
+
+/// An open connection as its task is reached. Dropping it ends the task.
+struct ConnectionHandle {
+    order: Option<oneshot::Sender<TargetOrder>>,
+    _alive: oneshot::Sender<()>,
+}
+
+struct TargetPool {
+    client: FreshClient,
+    events: RingSender<Event>,
+    connections: RefCell<HashMap<ConnectionKey, ConnectionHandle>>,
+}
+
+/// Runs the connections to targets until the command ring closes.
+///
+/// # Errors
+///
+/// Returns a [`StepError`] when the HTTP client cannot be built.
+pub async fn run(
+    mut commands: RingReceiver<TargetCommand>,
+    events: RingSender<Event>,
+) -> Result<(), StepError> {
+    let client = FreshClient::new("targets").await?;
+    let pool = Rc::new(TargetPool { client, events, connections: RefCell::default() });
+    let mut watch: Option<oneshot::Sender<()>> = None;
+    while let Some(command) = commands.recv().await {
+        match command {
+            TargetCommand::Connect(sequence, attempt, route) => {
+                pool.open((sequence, attempt), route);
+            }
+            TargetCommand::Permit(sequence, attempt, order) => {
+                let mut connections = pool.connections.borrow_mut();
+                let handle = connections.get_mut(&(sequence, attempt));
+                if let Some(sender) = handle.and_then(|handle| handle.order.take()) {
+                    let _ = sender.send(order);
+                }
+            }
+            TargetCommand::Abandon(sequence, attempt) => {
+                pool.connections.borrow_mut().remove(&(sequence, attempt));
+            }
+            TargetCommand::Cancel(id, route) => {
+                ntex::rt::spawn(Rc::clone(&pool).cancel(id, route));
+            }
+            TargetCommand::Watch(routes) => {
+                let (alive, ended) = oneshot::channel();
+                watch = Some(alive);
+                ntex::rt::spawn(Rc::clone(&pool).watch(routes, ended));
+            }
+        }
+    }
+    drop(watch);
+    Ok(())
+}
+
+impl TargetPool {
+    fn open(self: &Rc<Self>, key: ConnectionKey, route: TargetRoute) {
+        let (order_sender, order) = oneshot::channel();
+        let (alive, ended) = oneshot::channel::<()>();
+        let handle = ConnectionHandle { order: Some(order_sender), _alive: alive };
+        self.connections.borrow_mut().insert(key, handle);
+        let pool = Rc::clone(self);
+        ntex::rt::spawn(async move {
+            tokio::select! {
+                () = pool.serve(key, &route, order) => {}
+                _ = ended => {}
+            }
+            pool.connections.borrow_mut().remove(&key);
+        });
+    }
+
+    /// One connection's life: opened, permitted, read to its end.
+    async fn serve(
+        &self,
+        key: ConnectionKey,
+        route: &TargetRoute,
+        order: oneshot::Receiver<TargetOrder>,
+    ) {
+        let (sequence, attempt) = key;
+        let Some(connection) = self.connect(route).await else {
+            tracing::debug!(event = "connect-failed", step = "connect", peer = %route.name);
+            self.tell(Event::ConnectFailed { sequence, attempt }).await;
+            return;
+        };
+        self.tell(Event::Connected { sequence, attempt }).await;
+        let Ok(order) = order.await else { return };
+        let end = match order {
+            TargetOrder::Dispatch { id, call, answer_limit } => {
+                let limit = if route.engine { ByteSize(u64::MAX) } else { answer_limit };
+                let method = if route.engine { Method::POST } else { parse_method(&call.method) };
+                let path = if route.engine { engine_path(&id) } else { call.path.clone() };
+                let request = self
+                    .client
+                    .request(connection, method, &path)
+                    .header(REQUEST_ID_HEADER, id.to_string())
+                    .header(header::CONTENT_TYPE, call.content_type.as_str());
+                let sent = request.send_body(call.body.to_vec()).await;
+                self.read(key, route, sent, 0, limit).await
+            }
+            TargetOrder::Resume { id, offset } => {
+                let path = format!("{}?offset={offset}", engine_path(&id));
+                let sent = self.client.request(connection, Method::GET, &path).send().await;
+                if matches!(&sent, Ok(response) if response.status() == StatusCode::NOT_FOUND) {
+                    Some(Event::ResumeUnknown { sequence, attempt })
+                } else {
+                    self.read(key, route, sent, offset, ByteSize(u64::MAX)).await
+                }
+            }
+        };
+        self.tell(end.unwrap_or(Event::TargetBroken { sequence, attempt })).await;
+    }
+
+    async fn connect(&self, route: &TargetRoute) -> Option<FreshConnection> {
+        self.client.connect(route.address, CONNECT_TIMEOUT).await
+    }
+
+    /// Reads an answer to its end; nothing is returned when it broke off.
+    async fn read(
+        &self,
+        (sequence, attempt): ConnectionKey,
+        route: &TargetRoute,
+        sent: Result<ClientResponse, ClientError>,
+        start: u64,
+        limit: ByteSize,
+    ) -> Option<Event> {
+        let mut response = match sent {
+            Ok(response) => response,
+            Err(error) => {
+                let peer = &route.name;
+                tracing::info!(event = "stream-broken", step = "send", %peer, reason = %error);
+                return None;
+            }
+        };
+        if response.status() == StatusCode::SERVICE_UNAVAILABLE {
+            let leaving = response.header(LEAVING_HEADER).is_some();
+            return Some(Event::TargetRefused { sequence, attempt, leaving });
+        }
+        if start > 0 && response.status() != StatusCode::OK {
+            return None;
+        }
+        let content_type = response.header(header::CONTENT_TYPE);
+        let content_type =
+            content_type.and_then(|value| value.to_str().ok()).unwrap_or_default().to_owned();
+        let head = AnswerHead { status: response.status().as_u16(), content_type };
+        self.tell(Event::TargetHead { sequence, attempt, head }).await;
+        let mut offset = start;
+        while let Some(piece) = stream_recv(&mut response).await {
+            let piece = match piece {
+                Ok(piece) => piece,
+                Err(error) => {
+                    let peer = &route.name;
+                    tracing::info!(event = "stream-broken", step = "read", %peer, reason = %error);
+                    return None;
+                }
+            };
+            let length = piece.len() as u64;
+            if offset + length > limit.0 {
+                let peer = &route.name;
+                tracing::warn!(event = "answer-too-large", step = "read", %peer, limit = limit.0);
+                return None;
+            }
+            let bytes = bytes::Bytes::copy_from_slice(&piece);
+            self.tell(Event::TargetPiece { sequence, attempt, offset, bytes }).await;
+            offset += length;
+        }
+        Some(Event::TargetEnd { sequence, attempt, length: offset })
+    }
+
+    async fn tell(&self, event: Event) {
+        // A closed ring means that the daemon is stopping; its receiver decides what that means.
+        let _ = self.events.send(event).await;
+    }
+
+    async fn cancel(self: Rc<Self>, id: RequestId, route: TargetRoute) {
+        let Some(connection) = self.connect(&route).await else { return };
+        let request = self.client.request(connection, Method::DELETE, &engine_path(&id));
+        let sent = util::within(CANCEL_TIMEOUT, request.send()).await;
+        if !matches!(sent, Some(Ok(_))) {
+            tracing::info!(event = "cancel-failed", step = "cancel", peer = %route.name);
+        }
+    }
+
+    /// Queries the load of the engines until `ended` closes.
+    async fn watch(self: Rc<Self>, routes: Vec<TargetRoute>, ended: oneshot::Receiver<()>) {
+        let queries = async {
+            let mut ticks = tokio::time::interval(LOAD_INTERVAL);
+            ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+            loop {
+                ticks.tick().await;
+                for route in &routes {
+                    ntex::rt::spawn(Rc::clone(&self).query_load(route.clone()));
+                }
+            }
+        };
+        tokio::select! {
+            () = queries => {}
+            _ = ended => {}
+        }
+    }
+
+    async fn query_load(self: Rc<Self>, route: TargetRoute) {
+        let query = async {
+            let connection = self.connect(&route).await?;
+            let request = self.client.request(connection, Method::GET, "/v1/load");
+            let response = request.send().await.ok()?;
+            let body: Bytes = response.body().await.ok()?;
+            serde_json::from_slice::<LoadReport>(&body).ok()
+        };
+        if let Some(report) = util::within(LOAD_TIMEOUT, query).await.flatten() {
+            self.tell(Event::LoadReported { target: route.key, report }).await;
+        }
+    }
+}
+
+fn engine_path(id: &RequestId) -> String {
+    format!("/v1/requests/{id}")
+}
+
+fn parse_method(method: &str) -> Method {
+    method.parse().unwrap_or(Method::POST)
+}
--- /dev/null
+++ b/src/text_report.rs
@@ -0,0 +1,65 @@
+//! Faults of an operator's text as `miette` reports: the place underlined, what was found there, and
+//! what is permitted.
+
+use miette::{Diagnostic, LabeledSpan, NamedSource, SourceSpan};
+use ryetide_core::text::{TextFault, TextFaults};
+
+/// One fault, placed in its text.
+#[derive(Debug)]
+struct PlacedFault {
+    fault: TextFault,
+    source: NamedSource<String>,
+}
+
+impl std::fmt::Display for PlacedFault {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let TextFault { line, column, path, found, .. } = &self.fault;
+        write!(formatter, "{}:{line}:{column}: {path}: found {found}", self.source.name())
+    }
+}
+
+impl std::error::Error for PlacedFault {}
+
+impl Diagnostic for PlacedFault {
+    fn help<'a>(&'a self) -> Option<Box<dyn std::fmt::Display + 'a>> {
+        Some(Box::new(format!("permitted: {}", self.fault.permitted)))
+    }
+
+    fn source_code(&self) -> Option<&dyn miette::SourceCode> {
+        Some(&self.source)
+    }
+
+    fn labels(&self) -> Option<Box<dyn Iterator<Item = LabeledSpan> + '_>> {
+        let span = SourceSpan::new(self.fault.offset.into(), self.fault.length);
+        Some(Box::new(std::iter::once(LabeledSpan::new_with_span(Some("here".to_owned()), span))))
+    }
+}
+
+/// All faults of one text.
+#[derive(Debug)]
+pub struct TextReport {
+    file: String,
+    faults: Vec<PlacedFault>,
+}
+
+impl TextReport {
+    /// Places `faults` in `text`, which was read from `file`.
+    pub fn new(file: &str, text: &str, faults: TextFaults) -> Self {
+        let place = |fault| PlacedFault { fault, source: NamedSource::new(file, text.to_owned()) };
+        Self { file: file.to_owned(), faults: faults.0.into_iter().map(place).collect() }
+    }
+}
+
+impl std::fmt::Display for TextReport {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(formatter, "{}: {} fault(s)", self.file, self.faults.len())
+    }
+}
+
+impl std::error::Error for TextReport {}
+
+impl Diagnostic for TextReport {
+    fn related<'a>(&'a self) -> Option<Box<dyn Iterator<Item = &'a dyn Diagnostic> + 'a>> {
+        Some(Box::new(self.faults.iter().map(|fault| fault as &dyn Diagnostic)))
+    }
+}
