--- /dev/null
+++ b/crates/ryetide-lab/src/engine.rs
@@ -0,0 +1,357 @@
+//! A model engine over HTTP.
+//!
+//! | call | what it does |
+//! |---|---|
+//! | `POST /v1/requests/{id}` | runs a prompt and streams the answer |
+//! | `GET /v1/requests/{id}?offset=N` | streams the answer from byte N; 404 for an unknown id |
+//! | `DELETE /v1/requests/{id}` | stops work on it |
+//! | `GET /v1/load` | the load as it was some time ago, and cache events, late and with gaps |
+//! | `POST /lab/faults`, `GET /lab/record` | for tests |
+
+use std::{
+    collections::{HashMap, VecDeque},
+    net::{SocketAddr, TcpListener},
+    pin::Pin,
+    sync::{Arc, Mutex, MutexGuard},
+    task::{Context, Poll, Waker},
+    thread,
+    time::{Duration, Instant},
+};
+
+use ntex::{
+    service::cfg::SharedCfg,
+    util::{Bytes, Stream},
+    web::{self, App, HttpRequest, HttpResponse, HttpServer},
+};
+use ryetide::{error::StepError, target_client::LEAVING_HEADER};
+use ryetide_core::event::LoadReport;
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    engine_batch::{EngineBatch, EnginePrompt, EngineRecord, EngineSpeed},
+    server::StandInServer,
+};
+
+/// The turn of the batch.
+const TURN: Duration = Duration::from_millis(2);
+/// How often the load is noted for later reports.
+const REPORT_STEP: Duration = Duration::from_millis(100);
+/// Every so many cache events one is lost.
+const CACHE_EVENT_GAP: usize = 5;
+/// Requests that may wait at the engine before it refuses more.
+const QUEUE_LIMIT: usize = 256;
+
+/// The faults of an engine.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(default)]
+pub struct EngineFaults {
+    /// It works this many times slower.
+    pub slowdown: f64,
+    /// It refuses new requests and says that it leaves.
+    pub leaving: bool,
+    /// It refuses new requests as busy.
+    pub busy: bool,
+    /// Streams are broken off after this many bytes, once each.
+    pub break_after: Option<usize>,
+    /// Streams fall silent after this many bytes, without a reset, once each.
+    pub silent_after: Option<usize>,
+    /// It forgets every request that it knows.
+    pub forgetful: bool,
+    /// Load reports are this old.
+    pub report_lag_ms: u64,
+}
+
+impl Default for EngineFaults {
+    fn default() -> Self {
+        Self {
+            slowdown: 1.0,
+            leaving: false,
+            busy: false,
+            break_after: None,
+            silent_after: None,
+            forgetful: false,
+            report_lag_ms: 1_000,
+        }
+    }
+}
+
+#[derive(Debug)]
+struct EngineState {
+    batch: EngineBatch,
+    faults: EngineFaults,
+    wakers: HashMap<String, Vec<Waker>>,
+    reports: VecDeque<(Instant, LoadReport)>,
+    /// Requests whose stream was broken off or silenced already.
+    spoilt: Vec<String>,
+    stopped: bool,
+}
+
+type SharedEngine = Arc<Mutex<EngineState>>;
+
+/// A running engine.
+#[derive(Debug)]
+pub struct EngineStandIn {
+    state: SharedEngine,
+    server: StandInServer,
+    worker: Option<thread::JoinHandle<()>>,
+}
+
+impl EngineStandIn {
+    /// Starts an engine on `listener`.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`StepError`] when it cannot be started.
+    pub fn start(listener: TcpListener, speed: EngineSpeed) -> Result<Self, StepError> {
+        let state = Arc::new(Mutex::new(EngineState {
+            batch: EngineBatch::new(speed),
+            faults: EngineFaults::default(),
+            wakers: HashMap::new(),
+            reports: VecDeque::new(),
+            spoilt: Vec::new(),
+            stopped: false,
+        }));
+        let working = Arc::clone(&state);
+        let worker = thread::Builder::new()
+            .name("engine".to_owned())
+            .spawn(move || work(&working))
+            .map_err(|error| StepError::new("start engine", error))?;
+        let served = Arc::clone(&state);
+        let server = StandInServer::start(listener, move |listener| {
+            let factory = move || {
+                let state = Arc::clone(&served);
+                async move {
+                    App::new()
+                        .state(state)
+                        .state(web::types::PayloadConfig::new(64 << 20))
+                        .service(
+                            web::resource("/v1/requests/{id}")
+                                .route(web::post().to(dispatch))
+                                .route(web::get().to(resume))
+                                .route(web::delete().to(cancel)),
+                        )
+                        .route("/v1/load", web::get().to(load))
+                        .route("/lab/faults", web::post().to(set_faults))
+                        .route("/lab/record", web::get().to(record))
+                }
+            };
+            let server = HttpServer::new(factory)
+                .workers(1)
+                .maxconn(20_000)
+                .backlog(4_096)
+                .disable_signals()
+                .config(SharedCfg::new("engine"));
+            Ok(server.listen(listener)?.run())
+        })?;
+        Ok(Self { state, server, worker: Some(worker) })
+    }
+
+    /// Returns where the engine listens.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Switches faults.
+    pub fn set_faults(&self, faults: EngineFaults) {
+        apply_faults(&self.state, faults);
+    }
+
+    /// Returns what the engine has done.
+    pub fn record(&self) -> EngineRecord {
+        lock(&self.state).batch.record.clone()
+    }
+}
+
+impl Drop for EngineStandIn {
+    fn drop(&mut self) {
+        lock(&self.state).stopped = true;
+        if let Some(worker) = self.worker.take() {
+            let _ = worker.join();
+        }
+    }
+}
+
+fn lock(state: &SharedEngine) -> MutexGuard<'_, EngineState> {
+    state.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+}
+
+/// Works the batch until the engine is stopped.
+fn work(state: &SharedEngine) {
+    let mut last = Instant::now();
+    let mut reported = last;
+    loop {
+        thread::park_timeout(TURN);
+        let now = Instant::now();
+        let mut engine = lock(state);
+        if engine.stopped {
+            return;
+        }
+        let slowdown = engine.faults.slowdown;
+        let moved = engine.batch.work((now - last).as_secs_f64(), slowdown);
+        for id in moved {
+            for waker in engine.wakers.remove(&id).unwrap_or_default() {
+                waker.wake();
+            }
+        }
+        if now - reported >= REPORT_STEP {
+            reported = now;
+            note_load(&mut engine, now);
+        }
+        last = now;
+    }
+}
+
+fn note_load(engine: &mut EngineState, now: Instant) {
+    let events = engine.batch.cached().enumerate();
+    let kept = events.filter(|(index, _)| index % CACHE_EVENT_GAP != CACHE_EVENT_GAP - 1);
+    let report = LoadReport {
+        age_ms: 0,
+        running: engine.batch.load(),
+        generated: engine.batch.generated(),
+        leaving: engine.faults.leaving,
+        cached: kept.map(|(_, prefix)| prefix).collect(),
+    };
+    engine.reports.push_back((now, report));
+    let lag = Duration::from_millis(engine.faults.report_lag_ms);
+    while engine.reports.get(1).is_some_and(|(at, _)| now - *at >= lag) {
+        engine.reports.pop_front();
+    }
+}
+
+type EngineData = web::types::State<SharedEngine>;
+
+async fn dispatch(
+    id: web::types::Path<String>,
+    body: Bytes,
+    state: EngineData,
+) -> HttpResponse {
+    let Ok(prompt) = serde_json::from_slice::<EnginePrompt>(&body) else {
+        return HttpResponse::BadRequest().body("the prompt does not parse\n");
+    };
+    let shared = state.get_ref().clone();
+    let mut engine = lock(&shared);
+    if engine.faults.leaving || engine.faults.busy || engine.batch.queued() >= QUEUE_LIMIT {
+        engine.batch.record.refused += 1;
+        let mut builder = HttpResponse::ServiceUnavailable();
+        if engine.faults.leaving {
+            builder.set_header(LEAVING_HEADER, "true");
+        }
+        return builder.finish();
+    }
+    engine.batch.dispatch(&id, prompt);
+    drop(engine);
+    stream(shared, id.into_inner(), 0)
+}
+
+async fn resume(
+    id: web::types::Path<String>,
+    request: HttpRequest,
+    state: EngineData,
+) -> HttpResponse {
+    let query = request.query_string();
+    let offset = query.strip_prefix("offset=").and_then(|text| text.parse().ok()).unwrap_or(0);
+    let shared = state.get_ref().clone();
+    let mut engine = lock(&shared);
+    if engine.faults.forgetful || engine.batch.request(&id).is_none() {
+        return HttpResponse::NotFound().finish();
+    }
+    engine.batch.record.resumes += 1;
+    drop(engine);
+    stream(shared, id.into_inner(), offset)
+}
+
+async fn cancel(id: web::types::Path<String>, state: EngineData) -> HttpResponse {
+    let shared = state.get_ref().clone();
+    let mut engine = lock(&shared);
+    engine.batch.cancel(&id);
+    for waker in engine.wakers.remove(id.as_str()).unwrap_or_default() {
+        waker.wake();
+    }
+    HttpResponse::NoContent().finish()
+}
+
+async fn load(state: EngineData) -> HttpResponse {
+    let engine = lock(state.get_ref());
+    let now = Instant::now();
+    let lagging = engine.reports.front();
+    let mut report = lagging.map(|(_, report)| report.clone()).unwrap_or_default();
+    report.age_ms = lagging.map_or(0, |(at, _)| (now - *at).as_millis() as u64);
+    // Leaving is the one thing that an engine says without delay.
+    report.leaving = engine.faults.leaving;
+    HttpResponse::Ok().json(&report)
+}
+
+async fn set_faults(body: Bytes, state: EngineData) -> HttpResponse {
+    match serde_json::from_slice(&body) {
+        Ok(faults) => {
+            apply_faults(state.get_ref(), faults);
+            HttpResponse::NoContent().finish()
+        }
+        Err(error) => HttpResponse::BadRequest().body(error.to_string()),
+    }
+}
+
+async fn record(state: EngineData) -> HttpResponse {
+    HttpResponse::Ok().json(&lock(state.get_ref()).batch.record)
+}
+
+fn apply_faults(state: &SharedEngine, faults: EngineFaults) {
+    let mut engine = lock(state);
+    engine.faults = faults;
+    engine.spoilt.clear();
+}
+
+fn stream(state: SharedEngine, id: String, offset: usize) -> HttpResponse {
+    let stream = EngineStream { state, id, offset, start: offset, ended: false };
+    HttpResponse::Ok().content_type("text/event-stream").streaming(stream)
+}
+
+/// An answer on its way out of the engine.
+struct EngineStream {
+    state: SharedEngine,
+    id: String,
+    offset: usize,
+    start: usize,
+    ended: bool,
+}
+
+impl Stream for EngineStream {
+    type Item = Result<Bytes, std::io::Error>;
+
+    fn poll_next(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Option<Self::Item>> {
+        if self.ended {
+            return Poll::Ready(None);
+        }
+        let shared = Arc::clone(&self.state);
+        let mut engine = lock(&shared);
+        let Some(request) = engine.batch.request(&self.id) else {
+            return Poll::Ready(Some(Err(std::io::Error::other("forgotten"))));
+        };
+        let (mut bytes, done) = request.stream_from(self.offset);
+        let whole = request.is_done();
+        let spoil = engine.faults.break_after.or(engine.faults.silent_after);
+        let fresh = self.start == 0 && !engine.spoilt.contains(&self.id);
+        if let Some(limit) = spoil.filter(|_| fresh) {
+            let room = limit.saturating_sub(self.offset);
+            bytes.truncate(room);
+            if bytes.is_empty() && self.offset >= limit {
+                engine.spoilt.push(self.id.clone());
+                if engine.faults.break_after.is_some() {
+                    return Poll::Ready(Some(Err(std::io::Error::other("broken off"))));
+                }
+                return Poll::Pending;
+            }
+        } else if bytes.is_empty() && done {
+            self.ended = true;
+            // A cancelled answer is cut off rather than ended, so that nobody takes it for whole.
+            let cut = (!whole).then(|| Err(std::io::Error::other("cancelled")));
+            return Poll::Ready(cut);
+        }
+        if bytes.is_empty() {
+            engine.wakers.entry(self.id.clone()).or_default().push(context.waker().clone());
+            return Poll::Pending;
+        }
+        self.offset += bytes.len();
+        Poll::Ready(Some(Ok(Bytes::copy_from_slice(&bytes))))
+    }
+}
--- /dev/null
+++ b/crates/ryetide-lab/src/keys.rs
@@ -0,0 +1,31 @@
+//! Test keys: an authority of a deployment's own, and certificates for its daemons.
+
+use std::{fs, path::Path};
+
+use rcgen::{BasicConstraints, CertificateParams, IsCa, Issuer, KeyPair};
+use ryetide::{error::StepError, peer_keys::PEER_SERVER_NAME};
+
+/// Writes `authority.pem`, `peer.pem` and `peer.key` into `directory`.
+///
+/// # Errors
+///
+/// Returns a [`StepError`] when a key cannot be made or a file not written.
+pub fn write_keys(directory: &Path) -> Result<(), StepError> {
+    let fault = |error: rcgen::Error| StepError::new("make keys", error);
+    let authority_key = KeyPair::generate().map_err(fault)?;
+    let mut authority = CertificateParams::new(Vec::new()).map_err(fault)?;
+    authority.is_ca = IsCa::Ca(BasicConstraints::Unconstrained);
+    let authority_certificate = authority.self_signed(&authority_key).map_err(fault)?;
+    let issuer = Issuer::new(authority, authority_key);
+    let peer_key = KeyPair::generate().map_err(fault)?;
+    let peer = CertificateParams::new(vec![PEER_SERVER_NAME.to_owned()]).map_err(fault)?;
+    let peer_certificate = peer.signed_by(&peer_key, &issuer).map_err(fault)?;
+    let write = |name: &str, text: String| {
+        let path = directory.join(name);
+        fs::write(&path, text)
+            .map_err(|error| StepError::new("write key", error).with_peer(path.display()))
+    };
+    write("authority.pem", authority_certificate.pem())?;
+    write("peer.pem", peer_certificate.pem())?;
+    write("peer.key", peer_key.serialize_pem())
+}
--- /dev/null
+++ b/crates/ryetide-lab/src/plain_service.rs
@@ -0,0 +1,137 @@
+//! A plain service over HTTP: it does what a call says, once for each time it is called, and counts.
+
+use std::{
+    collections::BTreeMap,
+    net::{SocketAddr, TcpListener},
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use ntex::{
+    service::cfg::SharedCfg,
+    util::Bytes,
+    web::{self, App, HttpRequest, HttpResponse, HttpServer},
+};
+use ryetide::{error::StepError, target_client::REQUEST_ID_HEADER};
+use serde::{Deserialize, Serialize};
+
+use crate::server::StandInServer;
+
+/// The faults of a plain service.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[serde(default)]
+pub struct PlainFaults {
+    /// Each call takes this long.
+    pub delay_ms: u64,
+    /// It does the work and then answers nothing.
+    pub lose_answers: bool,
+    /// It refuses calls.
+    pub busy: bool,
+}
+
+/// What a plain service has done.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+pub struct PlainRecord {
+    /// How often each request id was run.
+    pub runs: BTreeMap<String, u32>,
+    /// How often each body was run.
+    pub bodies: BTreeMap<String, u32>,
+}
+
+#[derive(Debug, Default)]
+struct PlainState {
+    faults: PlainFaults,
+    record: PlainRecord,
+}
+
+type SharedPlain = Arc<Mutex<PlainState>>;
+
+/// A running plain service.
+#[derive(Debug)]
+pub struct PlainStandIn {
+    state: SharedPlain,
+    server: StandInServer,
+}
+
+impl PlainStandIn {
+    /// Starts a plain service on `listener`.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`StepError`] when it cannot be started.
+    pub fn start(listener: TcpListener) -> Result<Self, StepError> {
+        let state = SharedPlain::default();
+        let served = Arc::clone(&state);
+        let server = StandInServer::start(listener, move |listener| {
+            let factory = move || {
+                let state = Arc::clone(&served);
+                async move {
+                    App::new()
+                        .state(state)
+                        .route("/lab/faults", web::post().to(set_faults))
+                        .route("/lab/record", web::get().to(record))
+                        .default_service(web::to(call))
+                }
+            };
+            let server = HttpServer::new(factory).workers(1).disable_signals();
+            Ok(server.config(SharedCfg::new("plain")).listen(listener)?.run())
+        })?;
+        Ok(Self { state, server })
+    }
+
+    /// Returns where the service listens.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Switches faults.
+    pub fn set_faults(&self, faults: PlainFaults) {
+        lock(&self.state).faults = faults;
+    }
+
+    /// Returns what the service has done.
+    pub fn record(&self) -> PlainRecord {
+        lock(&self.state).record.clone()
+    }
+}
+
+fn lock(state: &SharedPlain) -> MutexGuard<'_, PlainState> {
+    state.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+type PlainData = web::types::State<SharedPlain>;
+
+async fn call(request: HttpRequest, body: Bytes, state: PlainData) -> HttpResponse {
+    let id = request.headers().get(REQUEST_ID_HEADER);
+    let id = id.and_then(|value| value.to_str().ok()).unwrap_or_default().to_owned();
+    let text = String::from_utf8_lossy(&body).into_owned();
+    let faults = {
+        let mut plain = lock(state.get_ref());
+        if plain.faults.busy {
+            return HttpResponse::ServiceUnavailable().finish();
+        }
+        *plain.record.runs.entry(id).or_default() += 1;
+        *plain.record.bodies.entry(text.clone()).or_default() += 1;
+        plain.faults.clone()
+    };
+    tokio::time::sleep(Duration::from_millis(faults.delay_ms)).await;
+    if faults.lose_answers {
+        std::future::pending::<()>().await;
+    }
+    let answer = format!("{} {} done: {text}\n", request.method(), request.path());
+    HttpResponse::Ok().content_type("text/plain").body(answer)
+}
+
+async fn set_faults(body: Bytes, state: PlainData) -> HttpResponse {
+    match serde_json::from_slice(&body) {
+        Ok(faults) => {
+            lock(state.get_ref()).faults = faults;
+            HttpResponse::NoContent().finish()
+        }
+        Err(error) => HttpResponse::BadRequest().body(error.to_string()),
+    }
+}
+
+async fn record(state: PlainData) -> HttpResponse {
+    HttpResponse::Ok().json(&lock(state.get_ref()).record)
+}
--- /dev/null
+++ b/crates/ryetide-lab/src/site.rs
@@ -0,0 +1,238 @@
+//! A whole deployment in one process: stand-ins and daemons on threads, on loopback.
+
+use std::{
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    sync::atomic::{AtomicU32, Ordering},
+    thread,
+    time::{Duration, Instant},
+};
+
+use ntex::rt::{DefaultRuntime, System};
+use ryetide::{
+    daemon::{self, DaemonSockets, ShutdownSwitch},
+    error::StepError,
+    fresh_client::FreshClient,
+    settings::DaemonSettings,
+};
+use ryetide_core::entry::EntryStatus;
+
+use crate::{
+    deployment::{self, EntrySite, ServiceSite, TextFrame},
+    engine::EngineStandIn,
+    keys,
+    plain_service::PlainStandIn,
+    platform::PlatformStandIn,
+    server,
+};
+
+/// Daemons must be ready within this long.
+const READY_LIMIT: Duration = Duration::from_secs(20);
+/// The pause between two looks whether they are.
+const READY_PAUSE: Duration = Duration::from_millis(20);
+
+/// What to start.
+#[derive(Clone, Debug)]
+pub struct SitePlan {
+    /// Entry VMs: name and data centre.
+    pub entries: Vec<(String, String)>,
+    /// Services; the addresses of their targets are filled in.
+    pub services: Vec<ServiceSite>,
+    /// Tiers and organisations.
+    pub frame: TextFrame,
+}
+
+/// A directory that is removed with its contents when dropped.
+#[derive(Debug)]
+pub struct ScratchDirectory(PathBuf);
+
+impl ScratchDirectory {
+    /// Creates a directory under the system's directory for temporary files.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`StepError`] when it cannot be created.
+    pub fn create() -> Result<Self, StepError> {
+        static COUNT: AtomicU32 = AtomicU32::new(0);
+        let number = COUNT.fetch_add(1, Ordering::Relaxed);
+        let name = format!("ryetide-lab-{}-{number}", std::process::id());
+        let path = std::env::temp_dir().join(name);
+        std::fs::create_dir_all(&path)
+            .map_err(|error| StepError::new("create directory", error).with_peer(path.display()))?;
+        Ok(Self(path))
+    }
+
+    /// Returns its path.
+    pub fn path(&self) -> &Path {
+        &self.0
+    }
+}
+
+impl Drop for ScratchDirectory {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+/// A daemon on a thread of its own.
+#[derive(Debug)]
+struct LocalDaemon {
+    site: EntrySite,
+    switch: ShutdownSwitch,
+    thread: thread::JoinHandle<Result<(), StepError>>,
+}
+
+/// A running deployment.
+#[derive(Debug)]
+pub struct LocalSite {
+    daemons: Vec<LocalDaemon>,
+    engines: Vec<EngineStandIn>,
+    plain: Vec<PlainStandIn>,
+    platform: PlatformStandIn,
+    _directory: ScratchDirectory,
+}
+
+impl LocalSite {
+    /// Starts everything and waits until each daemon serves and has heard every other.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`StepError`] that names what could not be started.
+    pub fn start(plan: &SitePlan) -> Result<Self, StepError> {
+        let directory = ScratchDirectory::create()?;
+        keys::write_keys(directory.path())?;
+        let platform = PlatformStandIn::start(server::free_listener()?)?;
+        let mut services = plan.services.clone();
+        let (mut engines, mut plain) = (Vec::new(), Vec::new());
+        for target in services.iter_mut().flat_map(|service| &mut service.targets) {
+            let listener = server::free_listener()?;
+            if let Some(speed) = target.speed {
+                let engine = EngineStandIn::start(listener, speed)?;
+                target.address = engine.address();
+                engines.push(engine);
+            } else {
+                let service = PlainStandIn::start(listener)?;
+                target.address = service.address();
+                plain.push(service);
+            }
+        }
+        deployment::install_text(&platform, &deployment::services_text(&plan.frame, &services))?;
+        let entries: Result<Vec<EntrySite>, StepError> = plan
+            .entries
+            .iter()
+            .map(|(name, centre)| EntrySite::on_free_ports(name, centre))
+            .collect();
+        let entries = entries?;
+        platform.set_list(entries.iter().map(EntrySite::listed).collect());
+        let mut daemons = Vec::new();
+        for site in entries {
+            daemons.push(start_daemon(site, directory.path(), platform.address())?);
+        }
+        let site = Self { daemons, engines, plain, platform, _directory: directory };
+        site.wait_ready()?;
+        Ok(site)
+    }
+
+    /// Returns where callers connect, by entry VM.
+    pub fn doors(&self) -> Vec<SocketAddr> {
+        self.daemons.iter().map(|daemon| daemon.site.callers).collect()
+    }
+
+    /// Returns the operators' ports, by entry VM.
+    pub fn operators(&self) -> Vec<SocketAddr> {
+        self.daemons.iter().map(|daemon| daemon.site.operators).collect()
+    }
+
+    /// Returns the engines.
+    pub fn engines(&self) -> &[EngineStandIn] {
+        &self.engines
+    }
+
+    /// Returns the plain services' targets.
+    pub fn plain(&self) -> &[PlainStandIn] {
+        &self.plain
+    }
+
+    /// Returns the platform.
+    pub fn platform(&self) -> &PlatformStandIn {
+        &self.platform
+    }
+
+    fn wait_ready(&self) -> Result<(), StepError> {
+        let operators = self.operators();
+        let others = operators.len() - 1;
+        wait_until_ready(&operators, others)
+    }
+
+    /// Shuts every daemon down and waits until it has finished.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first [`StepError`] with which a daemon ended.
+    pub fn stop(self) -> Result<(), StepError> {
+        for daemon in &self.daemons {
+            daemon.switch.shut_down();
+        }
+        for daemon in self.daemons {
+            let ended = daemon.thread.join();
+            ended.map_err(|_| StepError::new("stop daemon", "its thread panicked"))??;
+        }
+        Ok(())
+    }
+}
+
+fn start_daemon(
+    site: EntrySite,
+    directory: &Path,
+    platform: SocketAddr,
+) -> Result<LocalDaemon, StepError> {
+    let text = site.settings(directory, platform);
+    let settings =
+        DaemonSettings::parse(&text).map_err(|faults| StepError::new("settings", faults))?;
+    let sockets = DaemonSockets::bind(&settings)?;
+    let switch = ShutdownSwitch::default();
+    let own = switch.clone();
+    let thread = thread::Builder::new()
+        .name(site.name.clone())
+        .spawn(move || daemon::run(settings, sockets, own))
+        .map_err(|error| StepError::new("start daemon", error))?;
+    Ok(LocalDaemon { site, switch, thread })
+}
+
+/// Waits until each daemon has a configuration in force and hears `others` peers.
+///
+/// # Errors
+///
+/// Returns a [`StepError`] when that takes too long.
+pub fn wait_until_ready(operators: &[SocketAddr], others: usize) -> Result<(), StepError> {
+    let operators = operators.to_vec();
+    System::new("ready", DefaultRuntime).block_on(async move {
+        let client = FreshClient::new("ready").await?;
+        let started = Instant::now();
+        for address in operators {
+            loop {
+                let status = read_status(&client, address).await;
+                let ready = |status: &EntryStatus| {
+                    status.revision.0 > 0 && status.peers.len() >= others
+                };
+                if status.as_ref().is_some_and(ready) {
+                    break;
+                }
+                if started.elapsed() > READY_LIMIT {
+                    let state = format!("not ready: {status:?}");
+                    return Err(StepError::new("wait for daemons", state).with_peer(address));
+                }
+                tokio::time::sleep(READY_PAUSE).await;
+            }
+        }
+        Ok(())
+    })
+}
+
+/// Reads a daemon's status.
+pub async fn read_status(client: &FreshClient, address: SocketAddr) -> Option<EntryStatus> {
+    let connection = client.connect(address, Duration::from_secs(1)).await?;
+    let request = client.request(connection, ntex::http::Method::GET, "/v1/status");
+    let response = request.send().await.ok()?;
+    serde_json::from_slice(&response.body().await.ok()?).ok()
+}
--- /dev/null
+++ b/crates/ryetide-lab/src/slopes.rs
@@ -0,0 +1,4 @@
+//! Slopes.
+
+/// Measures.
+pub fn run() {}
--- a/crates/ryetided/src/lib.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Placeholder.
--- /dev/null
+++ b/crates/ryetided/src/main.rs
@@ -0,0 +1,96 @@
+//! The entry daemon: one on each entry VM, all equal.
+//!
+//! Exit codes: 0 after a shutdown that finished everything, 1 when the daemon failed, 2 for wrong
+//! usage, 3 when the settings are at fault.
+
+use std::{fs, path::PathBuf, process::ExitCode, thread};
+
+use ryetide::{
+    daemon::{self, DaemonSockets, ShutdownSwitch},
+    error::StepError,
+    log,
+    settings::DaemonSettings,
+    text_report::TextReport,
+};
+use tokio::signal::unix::{self, SignalKind};
+
+mod flags {
+    #![allow(missing_docs, reason = "the macro writes the struct, and its help says what each is")]
+    use std::path::PathBuf;
+
+    xflags::xflags! {
+        /// Runs an entry daemon until SIGTERM or SIGINT. Exit codes: 0 everything finished, 1 failed,
+        /// 2 wrong usage, 3 the settings are at fault.
+        cmd ryetided {
+            /// The settings file.
+            required settings: PathBuf
+            /// Checks the settings and exits.
+            optional --check
+        }
+    }
+}
+
+const FAILED: u8 = 1;
+const FAULTY_SETTINGS: u8 = 3;
+
+fn main() -> ExitCode {
+    let flags = flags::Ryetided::from_env_or_exit();
+    let settings = match read_settings(&flags.settings) {
+        Ok(settings) => settings,
+        Err(report) => {
+            eprintln!("{report:?}");
+            return ExitCode::from(FAULTY_SETTINGS);
+        }
+    };
+    if flags.check {
+        println!("{}: sound", flags.settings.display());
+        return ExitCode::SUCCESS;
+    }
+    log::start(&settings.log);
+    match run(settings) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            tracing::error!(event = "failed", step = error.step(), reason = %error);
+            ExitCode::from(FAILED)
+        }
+    }
+}
+
+fn read_settings(path: &PathBuf) -> Result<DaemonSettings, miette::Report> {
+    let file = path.display().to_string();
+    let text = fs::read_to_string(path).map_err(|error| {
+        miette::Report::new(StepError::new("read settings", error).with_peer(&file))
+    })?;
+    DaemonSettings::parse(&text)
+        .map_err(|faults| miette::Report::new(TextReport::new(&file, &text, faults)))
+}
+
+fn run(settings: DaemonSettings) -> Result<(), StepError> {
+    let sockets = DaemonSockets::bind(&settings)?;
+    let switch = ShutdownSwitch::default();
+    listen_for_signals(switch.clone())?;
+    daemon::run(settings, sockets, switch)
+}
+
+/// Shuts down on SIGTERM or SIGINT. The thread ends with the process.
+fn listen_for_signals(switch: ShutdownSwitch) -> Result<(), StepError> {
+    let fault = |error: std::io::Error| StepError::new("listen for signals", error);
+    let runtime =
+        tokio::runtime::Builder::new_current_thread().enable_io().build().map_err(fault)?;
+    let wait = move || {
+        runtime.block_on(async move {
+            let streams = unix::signal(SignalKind::terminate())
+                .and_then(|term| Ok((term, unix::signal(SignalKind::interrupt())?)));
+            let Ok((mut terminate, mut interrupt)) = streams else { return };
+            loop {
+                tokio::select! {
+                    _ = terminate.recv() => {}
+                    _ = interrupt.recv() => {}
+                }
+                switch.shut_down();
+            }
+        });
+    };
+    thread::Builder::new().name("signals".to_owned()).spawn(wait).map_err(fault)?;
+    Ok(())
+}
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -235,8 +235,10 @@
         .enable_time()
         .build()
         .map_err(|error: io::Error| StepError::new("build core runtime", error))?;
-    runtime.block_on(driver.run(switch));
-    runtime.block_on(tokio::time::sleep(FLUSH_SPAN));
+    runtime.block_on(async {
+        driver.run(switch).await;
+        tokio::time::sleep(FLUSH_SPAN).await;
+    });
     stop_servers.notify_one();
     Ok(())
 }
