Serve the tiers behind an emptied one

Ruled out: placement (slots were free), the tier's fill, load-report surplus. Now a line goes when nobody waits in it.

--- a/crates/ryetide-core/src/queue.rs
+++ b/crates/ryetide-core/src/queue.rs
@@ -65,6 +65,7 @@
     order: BTreeSet<(u64, OrganisationKey)>,
     /// Virtual finishing times of organisations with nothing waiting, kept until the virtual time
     /// passes them: otherwise an organisation that empties its line at once gains a fresh start.
+    /// They go with the whole line once nobody waits: then nobody can be overtaken either.
     finished: BTreeMap<OrganisationKey, u64>,
     /// Sum of the weights of the organisations that wait.
     weights: u64,
@@ -216,11 +217,7 @@
     }
 
     fn drop_empty(&mut self, rank: TierRank) {
-        let empty = self
-            .tiers
-            .get(&rank)
-            .is_some_and(|line| line.length == 0 && line.finished.is_empty());
-        if empty {
+        if self.tiers.get(&rank).is_some_and(|line| line.length == 0) {
             self.tiers.remove(&rank);
         }
     }
--- /dev/null
+++ b/crates/ryetide-core/tests/queue.rs
@@ -0,0 +1,139 @@
+//! The order of service: tiers, organisations, deadlines.
+
+use std::time::Duration;
+
+use ryetide_core::{
+    ids::OrganisationKey,
+    queue::{FairQueue, QueueTicket},
+    units::{Moment, ShareWeight, TierRank, Tokens},
+};
+
+fn ticket(tier: u8, organisation: u32) -> QueueTicket {
+    QueueTicket {
+        tier: TierRank(tier),
+        organisation: OrganisationKey(organisation),
+        weight: ShareWeight(1),
+        deadline: Moment::from_millis(1_000),
+        cost: Tokens(100),
+        work: Duration::from_millis(10),
+    }
+}
+
+/// A caller of the routine tier waits for ever although every slot is free.
+/// An urgent organisation was served and left its line empty; its finishing tag is kept, so that it
+/// gains no fresh start. The empty line must not stand in front of the lines behind it.
+#[test]
+fn an_emptied_tier_does_not_block_the_tiers_behind_it() {
+    let mut queue = FairQueue::new();
+    queue.push("urgent", &ticket(0, 1));
+    assert_eq!(queue.pop().map(|(key, _)| key), Some("urgent"));
+    queue.push("routine", &ticket(1, 1));
+    assert_eq!(queue.peek().map(|(key, _)| *key), Some("routine"));
+    assert_eq!(queue.pop().map(|(key, _)| key), Some("routine"));
+}
+
+#[test]
+fn urgent_goes_before_routine_whatever_came_first() {
+    let mut queue = FairQueue::new();
+    queue.push("routine", &ticket(2, 1));
+    queue.push("urgent", &ticket(0, 1));
+    queue.push("middle", &ticket(1, 1));
+    let order: Vec<&str> = std::iter::from_fn(|| queue.pop()).map(|(key, _)| key).collect();
+    assert_eq!(order, ["urgent", "middle", "routine"]);
+}
+
+/// A light organisation's requests wait behind a heavy one's whole backlog.
+/// The heavy one queued 100 requests before the light one queued its first; sharing by weight serves
+/// the light one within the next two.
+#[test]
+fn a_heavy_organisation_does_not_starve_a_light_one() {
+    let mut queue = FairQueue::new();
+    for number in 0..100 {
+        queue.push(number, &ticket(0, 1));
+    }
+    for _ in 0..10 {
+        queue.pop();
+    }
+    queue.push(1_000, &ticket(0, 2));
+    let next: Vec<u32> = (0..2).filter_map(|_| queue.pop()).map(|(key, _)| key).collect();
+    assert!(next.contains(&1_000), "served next: {next:?}");
+}
+
+#[test]
+fn organisations_share_by_weight_in_tokens() {
+    let mut queue = FairQueue::new();
+    for _ in 0..90 {
+        queue.push(1, &QueueTicket { weight: ShareWeight(2), ..ticket(0, 1) });
+        queue.push(2, &ticket(0, 2));
+    }
+    let served: Vec<u32> = (0..60).filter_map(|_| queue.pop()).map(|(key, _)| key).collect();
+    let heavy = served.iter().filter(|key| **key == 1).count();
+    assert!((39..=41).contains(&heavy), "of 60, weight 2 had {heavy}");
+}
+
+/// An organisation is served far beyond its share by sending one request at a time.
+/// Its line is empty after each; without the kept finishing tag every request would start anew at
+/// the front.
+#[test]
+fn emptying_the_line_gains_no_fresh_start() {
+    let mut queue = FairQueue::new();
+    for number in 0..40 {
+        queue.push(number, &ticket(0, 1));
+    }
+    let mut trickled = 0;
+    queue.push(1_000, &ticket(0, 2));
+    for _ in 0..20 {
+        if queue.pop().is_some_and(|(key, _)| key == 1_000) {
+            trickled += 1;
+            queue.push(1_000, &ticket(0, 2));
+        }
+    }
+    assert!((9..=11).contains(&trickled), "of 20, the trickling one had {trickled}");
+}
+
+#[test]
+fn earlier_deadlines_go_first_within_an_organisation() {
+    let mut queue = FairQueue::new();
+    queue.push("late", &ticket(0, 1));
+    queue.push("soon", &QueueTicket { deadline: Moment::from_millis(10), ..ticket(0, 1) });
+    assert_eq!(queue.pop().map(|(key, _)| key), Some("soon"));
+}
+
+#[test]
+fn removing_keeps_the_books() {
+    let mut queue = FairQueue::new();
+    let place = queue.push("a", &ticket(0, 1));
+    queue.push("b", &ticket(0, 2));
+    assert_eq!(queue.remove(place), Some("a"));
+    assert_eq!(queue.remove(place), None);
+    assert_eq!(queue.len(), 1);
+    assert_eq!(queue.work_ahead(TierRank(0)), Duration::from_millis(10));
+    assert_eq!(queue.pop().map(|(key, _)| key), Some("b"));
+    assert!(queue.is_empty());
+    assert_eq!(queue.work_ahead(TierRank(9)), Duration::ZERO);
+}
+
+/// A light organisation is refused for the backlog of a heavy one, although fair sharing would serve
+/// it soon. The wait that it is told must be its own, not the tier's.
+#[test]
+fn the_work_ahead_of_a_light_organisation_is_not_the_whole_backlog() {
+    let mut queue = FairQueue::new();
+    for number in 0..100 {
+        queue.push(number, &ticket(0, 1));
+    }
+    let light = queue.work_ahead_of(TierRank(0), OrganisationKey(2));
+    let heavy = queue.work_ahead_of(TierRank(0), OrganisationKey(1));
+    assert_eq!(light, Duration::from_millis(10));
+    assert_eq!(heavy, Duration::from_millis(1_000));
+}
+
+/// The state kept for organisations that have nothing waiting goes away as others are served.
+#[test]
+fn state_grows_with_the_organisations_that_wait() {
+    let mut queue = FairQueue::new();
+    for organisation in 0..1_000 {
+        queue.push(organisation, &ticket(0, organisation));
+        queue.pop();
+    }
+    assert!(queue.organisations_held() <= 2, "held {}", queue.organisations_held());
+}
--- a/crates/ryetide-lab/src/deployment.rs
+++ b/crates/ryetide-lab/src/deployment.rs
@@ -2,7 +2,7 @@
 
 use std::{
     fmt::Write,
-    net::{SocketAddr, TcpListener, UdpSocket},
+    net::{Ipv4Addr, SocketAddr},
     path::Path,
 };
 
@@ -30,24 +30,16 @@
 }
 
 impl EntrySite {
-    /// Finds free loopback addresses for a VM. Another process may take one before the daemon does;
-    /// the daemon then fails to start and says so.
-    ///
-    /// # Errors
-    ///
-    /// Returns a [`StepError`] when no address is free.
-    pub fn on_free_ports(name: &str, data_centre: &str) -> Result<Self, StepError> {
-        let fault = |error: std::io::Error| StepError::new("find a free port", error);
-        let callers = TcpListener::bind("127.0.0.1:0").map_err(fault)?;
-        let operators = TcpListener::bind("127.0.0.1:0").map_err(fault)?;
-        let peers = UdpSocket::bind("127.0.0.1:0").map_err(fault)?;
-        Ok(Self {
+    /// Creates a VM whose daemon is to bind free ports; the addresses are filled in once it has.
+    pub fn unbound(name: &str, data_centre: &str) -> Self {
+        let free = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        Self {
             name: name.to_owned(),
             data_centre: data_centre.to_owned(),
-            callers: callers.local_addr().map_err(fault)?,
-            operators: operators.local_addr().map_err(fault)?,
-            peers: peers.local_addr().map_err(fault)?,
-        })
+            callers: free,
+            operators: free,
+            peers: free,
+        }
     }
 
     /// Returns the VM's settings, with keys from `directory`.
--- a/crates/ryetide-lab/src/site.rs
+++ b/crates/ryetide-lab/src/site.rs
@@ -117,17 +117,12 @@
             }
         }
         deployment::install_text(&platform, &deployment::services_text(&plan.frame, &services))?;
-        let entries: Result<Vec<EntrySite>, StepError> = plan
-            .entries
-            .iter()
-            .map(|(name, centre)| EntrySite::on_free_ports(name, centre))
-            .collect();
-        let entries = entries?;
-        platform.set_list(entries.iter().map(EntrySite::listed).collect());
         let mut daemons = Vec::new();
-        for site in entries {
+        for (name, centre) in &plan.entries {
+            let site = EntrySite::unbound(name, centre);
             daemons.push(start_daemon(site, directory.path(), platform.address())?);
         }
+        platform.set_list(daemons.iter().map(|daemon| daemon.site.listed()).collect());
         let site = Self { daemons, engines, plain, platform, _directory: directory };
         site.wait_ready()?;
         Ok(site)
@@ -182,7 +177,7 @@
 }
 
 fn start_daemon(
-    site: EntrySite,
+    mut site: EntrySite,
     directory: &Path,
     platform: SocketAddr,
 ) -> Result<LocalDaemon, StepError> {
@@ -190,6 +185,9 @@
     let settings =
         DaemonSettings::parse(&text).map_err(|faults| StepError::new("settings", faults))?;
     let sockets = DaemonSockets::bind(&settings)?;
+    let addresses = sockets.addresses()?;
+    (site.callers, site.operators, site.peers) =
+        (addresses.callers, addresses.operators, addresses.peers);
     let switch = ShutdownSwitch::default();
     let own = switch.clone();
     let thread = thread::Builder::new()
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -13,7 +13,7 @@
 use std::{
     collections::HashMap,
     io,
-    net::{TcpListener, UdpSocket},
+    net::{SocketAddr, TcpListener, UdpSocket},
     sync::Arc,
     thread,
     time::Duration,
@@ -87,6 +87,33 @@
     }
 }
 
+/// Where a daemon listens, once its sockets are bound.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct DaemonAddresses {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For operators.
+    pub operators: SocketAddr,
+    /// For peers.
+    pub peers: SocketAddr,
+}
+
+impl DaemonSockets {
+    /// Returns where the sockets are bound, which the settings leave open with port 0.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`StepError`] when the system cannot tell.
+    pub fn addresses(&self) -> Result<DaemonAddresses, StepError> {
+        let fault = |error: io::Error| StepError::new("read socket address", error);
+        Ok(DaemonAddresses {
+            callers: self.callers.local_addr().map_err(fault)?,
+            operators: self.operators.local_addr().map_err(fault)?,
+            peers: self.peers.local_addr().map_err(fault)?,
+        })
+    }
+}
+
 /// Tells a running daemon to shut down.
 #[derive(Clone, Debug, Default)]
 pub struct ShutdownSwitch {
@@ -132,11 +159,12 @@
     let report_rings =
         ReportRings::new(vec![core_reports, edge_reports, operator_reports], report_bell);
 
+    let addresses = sockets.addresses()?;
     let preface = LinkPreface {
         name: settings.name.clone(),
         incarnation,
         data_centre: settings.data_centre.clone(),
-        address: sockets.peers.local_addr().map_err(|error| StepError::new("peers", error))?,
+        address: addresses.peers,
     };
     let link_options = LinkOptions { socket: sockets.peers, keys, preface };
     let identity =
@@ -187,7 +215,8 @@
         edits: HashMap::new(),
         drained: false,
     };
-    tracing::info!(event = "started", vm = %settings.name, incarnation = incarnation.0);
+    let DaemonAddresses { callers, operators, peers } = addresses;
+    tracing::info!(event = "listening", vm = %settings.name, %callers, %operators, %peers);
     let core = thread::Builder::new()
         .name("core".to_owned())
         .spawn(move || run_core(driver, &switch, &stop_servers))
