--- a/crates/ryetide-core/src/arbiter.rs
+++ b/crates/ryetide-core/src/arbiter.rs
@@ -29,12 +29,17 @@
 const WAITING_LIMIT: usize = 8_192;
 /// A slot whose end was never reported is taken back this long after its expected end.
 const ORPHAN_GRACE: Duration = Duration::from_secs(30);
+/// How many requests near the front of a tier are tried for a free target.
+const FRONT_LIMIT: usize = 16;
+/// The most prompt work at an engine ahead of a new grant, for all but the most urgent tier.
+const BACKLOG_LIMIT: Duration = Duration::from_millis(100);
 /// How often orphaned slots are looked for.
 const ORPHAN_INTERVAL: Duration = Duration::from_secs(1);
 /// Weight of a new observation of how much of their limit requests generate.
 const OUTPUT_LEARNING: f64 = 0.1;
-/// The part of its output limit that a request is expected to generate before any is observed.
-const FIRST_OUTPUT_PART: f64 = 0.5;
+/// The part of its output limit that a request is expected to generate before any is observed: an
+/// answer that comes late has wasted its prefill, so the first ones are taken at their limit.
+const FIRST_OUTPUT_PART: f64 = 1.0;
 /// The least and greatest spread of a promise to come back, as a part of it.
 const RETRY_SPREAD: std::ops::Range<f64> = 0.0..0.5;
 /// Nobody is told to come back sooner than this.
@@ -89,6 +94,7 @@
     profile: AskProfile,
     place: QueuePlace,
     latest_start: Moment,
+    deadline: Moment,
 }
 
 #[derive(Debug)]
@@ -98,6 +104,8 @@
     prompt: Tokens,
     output_limit: Tokens,
     expected_end: Moment,
+    /// The prompts that were to be worked on before this one.
+    backlog: Duration,
 }
 
 /// What an arbiter needs to know of the configuration.
@@ -166,20 +174,16 @@
 
     /// Takes over a changed configuration; what waits and what is held stays.
     pub fn configure(&mut self, catalog: &ServiceCatalog) {
-        let limit = |tier: &crate::catalog::TierRule| TierLimit {
-            wait: tier.wait,
-            fill: tier.fill,
-        };
+        let limit =
+            |tier: &crate::catalog::TierRule| TierLimit { wait: tier.wait, fill: tier.fill };
         self.tiers = catalog.tiers().iter().map(limit).collect();
         let shares = catalog.organisations().iter();
         self.weights = shares.map(|(key, rule)| (*key, rule.share)).collect();
         let mut targets = BTreeMap::new();
         for rule in catalog.targets_of(self.scope) {
             let key = TargetKey::of(&rule.name);
-            let mut model = self
-                .targets
-                .remove(&key)
-                .unwrap_or_else(|| TargetModel::new(rule.clone()));
+            let mut model =
+                self.targets.remove(&key).unwrap_or_else(|| TargetModel::new(rule.clone()));
             model.set_rule(rule.clone());
             targets.insert(key, model);
         }
@@ -238,53 +242,32 @@
         self.shed_overflow(now, rng, verdicts);
         self.pump(now, verdicts);
         if self.waiting.contains_key(&key) {
-            verdicts.push(ArbiterVerdict {
-                key,
-                kind: VerdictKind::Queued,
-            });
+            verdicts.push(ArbiterVerdict { key, kind: VerdictKind::Queued });
         }
     }
 
     /// Puts an ask in line unless it is known already that it cannot be served in time.
     fn enqueue(&mut self, now: Moment, ask: SlotAsk) -> Result<(), RefuseReason> {
-        let SlotAsk {
-            key,
-            profile,
-            deadline,
-            waited,
-        } = ask;
+        let SlotAsk { key, profile, deadline, waited } = ask;
         let tier = profile.tier;
-        let limit = self
-            .tiers
-            .get(usize::from(tier.0))
-            .ok_or(RefuseReason::ServiceGone)?;
+        let limit = self.tiers.get(usize::from(tier.0)).ok_or(RefuseReason::ServiceGone)?;
         let budget = limit.wait.saturating_sub(waited);
         if !self.has_usable_target() {
             return Err(RefuseReason::NoTarget);
         }
         let need = self.tokens_needed(&profile);
-        if self
-            .targets
-            .values()
-            .all(|target| target.rule().tokens.0 < need.0)
-        {
+        if self.targets.values().all(|target| target.rule().tokens.0 < need.0) {
             return Err(RefuseReason::TooLarge);
         }
-        let work = self.expected_service(&profile);
+        let work = self.expected_service(now, &profile);
         let left = deadline.since(now);
         if work > left {
             return Err(RefuseReason::DeadlineUnreachable);
         }
-        let wait = self.wait_behind(
-            now,
-            tier,
-            self.queue.work_ahead_of(tier, profile.organisation),
-        );
+        let wait =
+            self.wait_behind(now, tier, self.queue.work_ahead_of(tier, profile.organisation));
         if wait > budget || wait + work > left {
-            let first_in_line = self
-                .queue
-                .work_ahead_of(tier, profile.organisation)
-                .is_zero();
+            let first_in_line = self.queue.work_ahead_of(tier, profile.organisation).is_zero();
             let unreachable = first_in_line && wait + work > left && wait <= budget;
             return Err(if unreachable {
                 RefuseReason::DeadlineUnreachable
@@ -294,31 +277,16 @@
         }
         let latest_start = deadline.before(work).min(now + budget);
         let ticket = QueueTicket {
-            tier: if self.switches.tier_order {
-                tier
-            } else {
-                TierRank(0)
-            },
+            tier: if self.switches.tier_order { tier } else { TierRank(0) },
             organisation: profile.organisation,
-            weight: self
-                .weights
-                .get(&profile.organisation)
-                .copied()
-                .unwrap_or(ShareWeight(1)),
+            weight: self.weights.get(&profile.organisation).copied().unwrap_or(ShareWeight(1)),
             deadline,
             cost: need,
             work,
         };
         let place = self.queue.push(key.clone(), &ticket);
         self.by_latest_start.insert((latest_start, key.clone()));
-        self.waiting.insert(
-            key,
-            WaitingAsk {
-                profile,
-                place,
-                latest_start,
-            },
-        );
+        self.waiting.insert(key, WaitingAsk { profile, place, latest_start, deadline });
         Ok(())
     }
 
@@ -366,10 +334,7 @@
         verdicts: &mut Vec<ArbiterVerdict>,
     ) {
         let retry = self.promise(now, rng);
-        verdicts.push(ArbiterVerdict {
-            key,
-            kind: VerdictKind::Refuse(reason, retry),
-        });
+        verdicts.push(ArbiterVerdict { key, kind: VerdictKind::Refuse(reason, retry) });
     }
 
     /// Takes an ask back: its caller has gone, or it asks elsewhere.
@@ -390,10 +355,7 @@
         verdicts: &mut Vec<ArbiterVerdict>,
         notices: &mut Vec<Notice>,
     ) {
-        let key = AskKey {
-            vm: vm.clone(),
-            ask: message.ask,
-        };
+        let key = AskKey { vm: vm.clone(), ask: message.ask };
         let Some(slot) = self.take_slot(&key) else {
             return;
         };
@@ -405,7 +367,8 @@
                     let first = Duration::from_millis(u64::from(message.first_piece_ms));
                     let total = Duration::from_millis(u64::from(message.total_ms));
                     target.note_answer();
-                    target.learn(slot.prompt, message.output, first, total);
+                    let own = first.saturating_sub(slot.backlog);
+                    target.learn(slot.prompt, message.output, own, total - first.min(total) + own);
                     self.learn_output(slot.output_limit, message.output);
                 }
                 ReleaseOutcome::ConnectFailed => {
@@ -465,11 +428,7 @@
         let Some(model) = self.targets.get_mut(&target) else {
             return;
         };
-        let event = if leaving {
-            TargetEvent::Leaving
-        } else {
-            TargetEvent::Stayed
-        };
+        let event = if leaving { TargetEvent::Leaving } else { TargetEvent::Stayed };
         if model.handle(event) && leaving {
             notices.push(Notice::TargetLeaving(model.rule().name.clone()));
         }
@@ -477,21 +436,12 @@
 
     /// Forgets everything that a VM asked for or held: it died, or started anew.
     pub fn forget_vm(&mut self, now: Moment, vm: &VmName, verdicts: &mut Vec<ArbiterVerdict>) {
-        let waiting: Vec<AskKey> = self
-            .waiting
-            .keys()
-            .filter(|key| key.vm == *vm)
-            .cloned()
-            .collect();
+        let waiting: Vec<AskKey> =
+            self.waiting.keys().filter(|key| key.vm == *vm).cloned().collect();
         for key in waiting {
             self.forget_waiting(&key);
         }
-        let held: Vec<AskKey> = self
-            .held
-            .keys()
-            .filter(|key| key.vm == *vm)
-            .cloned()
-            .collect();
+        let held: Vec<AskKey> = self.held.keys().filter(|key| key.vm == *vm).cloned().collect();
         for key in held {
             if let Some(slot) = self.take_slot(&key) {
                 self.return_slot(now, &slot);
@@ -517,10 +467,7 @@
             if latest_start >= now {
                 break;
             }
-            let tier = self
-                .waiting
-                .get(&key)
-                .map_or(TierRank(0), |ask| ask.profile.tier);
+            let tier = self.waiting.get(&key).map_or(TierRank(0), |ask| ask.profile.tier);
             self.forget_waiting(&key);
             self.refuse(now, key, (RefuseReason::Shed, tier), rng, verdicts);
         }
@@ -533,29 +480,24 @@
         if self.waiting.is_empty() {
             return None;
         }
-        let expiry = self
-            .by_latest_start
-            .first()
-            .map(|(at, _)| *at + Duration::from_micros(1));
+        let expiry = self.by_latest_start.first().map(|(at, _)| *at + Duration::from_micros(1));
         let start = (now < self.grant_from).then_some(self.grant_from);
         let pauses = self.targets.values().filter_map(TargetModel::pause_end);
         let pause = pauses.filter(|end| *end > now).min();
-        [expiry, start, pause].into_iter().flatten().min()
+        let backlogs = self.targets.values().map(|target| target.prefill_backlog(now));
+        let backlog = backlogs.filter(|backlog| *backlog > BACKLOG_LIMIT).min();
+        let room = backlog.map(|backlog| now + (backlog - BACKLOG_LIMIT));
+        [expiry, start, pause, room].into_iter().flatten().min()
     }
 
     /// Returns the scope's load, or nothing while it is idle and whole.
     pub fn load(&self, now: Moment) -> Option<ScopeLoad> {
         let usable = self.has_usable_target();
         let ranks = 0..self.tiers.len() as u8;
-        let waits_ms: Vec<u32> = ranks
-            .map(|rank| millis(self.expected_wait(now, TierRank(rank))))
-            .collect();
+        let waits_ms: Vec<u32> =
+            ranks.map(|rank| millis(self.expected_wait(now, TierRank(rank)))).collect();
         let idle = usable && waits_ms.iter().all(|wait| *wait == 0);
-        (!idle).then_some(ScopeLoad {
-            scope: self.scope,
-            usable,
-            waits_ms,
-        })
+        (!idle).then_some(ScopeLoad { scope: self.scope, usable, waits_ms })
     }
 
     /// Returns the time a new request of `tier` would wait: zero when a slot is free for it, or
@@ -566,13 +508,9 @@
 
     fn wait_behind(&self, now: Moment, tier: TierRank, ahead: Duration) -> Duration {
         let fill = self.fill_of(tier);
-        let slots: u32 = self
-            .usable()
-            .map(|target| target.slot_limit(now, fill, self.share))
-            .sum();
-        let free = self
-            .usable()
-            .any(|target| target.running() < target.slot_limit(now, fill, self.share));
+        let slots: u32 = self.usable().map(|target| target.slot_limit(now, fill, self.share)).sum();
+        let free =
+            self.usable().any(|target| target.running() < target.slot_limit(now, fill, self.share));
         if free && ahead.is_zero() {
             return self.grant_from.since(now);
         }
@@ -585,9 +523,7 @@
     }
 
     fn fill_of(&self, tier: TierRank) -> f64 {
-        self.tiers
-            .get(usize::from(tier.0))
-            .map_or(1.0, |limit| limit.fill)
+        self.tiers.get(usize::from(tier.0)).map_or(1.0, |limit| limit.fill)
     }
 
     fn mean_remaining(&self, now: Moment) -> Duration {
@@ -596,51 +532,62 @@
         Moment(u64::try_from(mean_end).unwrap_or(u64::MAX)).since(now)
     }
 
-    /// Grants from the head of the line until the head cannot be placed. Nothing overtakes it: a
-    /// request of a lower tier that would fit must not take the slot its better is waiting for.
+    /// Grants while something near the front of the first tier that waits can be placed.
+    ///
+    /// Within that tier a request may pass another that no free target would serve in time. A lower
+    /// tier passes nobody: a request that would fit must not take the slot its better waits for.
     fn pump(&mut self, now: Moment, verdicts: &mut Vec<ArbiterVerdict>) {
         if now < self.grant_from {
             return;
         }
-        while let Some((key, _)) = self.queue.peek() {
-            let key = key.clone();
-            let Some(waiting) = self.waiting.get(&key) else {
-                self.queue.pop();
-                continue;
-            };
-            if waiting.latest_start < now {
-                return;
+        while let Some((key, target)) = self.next_placement(now) {
+            let Some(ask) = self.waiting.remove(&key) else { return };
+            self.queue.serve(ask.place);
+            self.by_latest_start.remove(&(ask.latest_start, key.clone()));
+            self.hold(now, now, key.clone(), target, &ask.profile);
+            verdicts.push(ArbiterVerdict { key, kind: VerdictKind::Grant(target) });
+        }
+    }
+
+    fn next_placement(&mut self, now: Moment) -> Option<(AskKey, TargetKey)> {
+        for key in self.queue.front(FRONT_LIMIT) {
+            let Some(ask) = self.waiting.get(&key) else { continue };
+            let (profile, deadline) = (ask.profile.clone(), ask.deadline);
+            if let Some(target) = self.place(now, &profile, deadline) {
+                return Some((key, target));
             }
-            let profile = waiting.profile.clone();
-            let Some(target) = self.place(now, &profile) else {
-                return;
-            };
-            self.queue.pop();
-            self.forget_waiting(&key);
-            self.hold(now, now, key.clone(), target, &profile);
-            verdicts.push(ArbiterVerdict {
-                key,
-                kind: VerdictKind::Grant(target),
-            });
         }
+        None
     }
 
-    /// Chooses the usable target with the least score that has room.
-    fn place(&mut self, now: Moment, profile: &AskProfile) -> Option<TargetKey> {
+    /// Chooses the usable target with the least score that has room and would end in time.
+    fn place(&mut self, now: Moment, profile: &AskProfile, deadline: Moment) -> Option<TargetKey> {
         let fill = self.fill_of(profile.tier);
         let tokens = self.tokens_needed(profile);
         let output = self.expected_output(profile);
+        let backlog_limit = self.backlog_limit(profile.tier);
         let (hints, share) = (&self.hints, self.share);
         let candidates = self.targets.values_mut().filter_map(|target| {
-            if !target.fits(now, fill, share, tokens) {
+            let fits = target.fits(now, fill, share, tokens)
+                && target.prefill_backlog(now) <= backlog_limit;
+            if !fits {
                 return None;
             }
             let saved = hints.saved(now, target.key(), &profile.prefixes);
-            Some((target.score(profile.prompt, output, saved), target.key()))
+            let prefill = Tokens(profile.prompt.0.saturating_sub(saved.0));
+            let in_time = now + target.service_time(now, prefill, output) <= deadline;
+            in_time.then(|| (target.score(now, prefill, output), target.key()))
         });
         candidates.min().map(|(_, key)| key)
     }
 
+    /// The most prompt work that may be ahead of a new grant. Engines take prompts in order and do
+    /// not preempt, so for all but the most urgent tier the line is kept here, where it can still be
+    /// passed: a long drawing more at the engine would hold up every colour check behind it.
+    fn backlog_limit(&self, tier: TierRank) -> Duration {
+        if tier == TierRank(0) { Duration::MAX } else { BACKLOG_LIMIT }
+    }
+
     fn hold(
         &mut self,
         now: Moment,
@@ -651,21 +598,18 @@
     ) {
         let tokens = self.tokens_needed(profile);
         let output = self.expected_output(profile);
-        let Some(model) = self.targets.get_mut(&target) else {
-            return;
-        };
-        model.reserve(now, tokens);
-        let expected_end = started + model.service_time(profile.prompt, output);
+        let saved = self.hints.saved(now, target, &profile.prefixes);
+        // A prompt that was partly in the cache teaches only by what was worked on.
+        let prefill = Tokens(profile.prompt.0.saturating_sub(saved.0));
+        let Some(model) = self.targets.get_mut(&target) else { return };
+        let expected_end = started + model.service_time(now, prefill, output);
+        let backlog = model.prefill_backlog(now);
+        model.reserve(now, tokens, prefill);
         self.hints.note(now, target, &profile.prefixes);
         self.ends_sum += u128::from(expected_end.0);
-        let (prompt, output_limit) = (profile.prompt, profile.output_limit);
-        let slot = HeldSlot {
-            target,
-            tokens,
-            prompt,
-            output_limit,
-            expected_end,
-        };
+        let output_limit = profile.output_limit;
+        let slot =
+            HeldSlot { target, tokens, prompt: prefill, output_limit, expected_end, backlog };
         self.held.insert(key, slot);
     }
 
@@ -687,12 +631,8 @@
         }
         self.orphans_sought = now;
         let due = |slot: &HeldSlot| now.since(slot.expected_end) > ORPHAN_GRACE;
-        let orphans: Vec<AskKey> = self
-            .held
-            .iter()
-            .filter(|(_, slot)| due(slot))
-            .map(|(key, _)| key.clone())
-            .collect();
+        let orphans: Vec<AskKey> =
+            self.held.iter().filter(|(_, slot)| due(slot)).map(|(key, _)| key.clone()).collect();
         for key in orphans {
             if let Some(slot) = self.take_slot(&key) {
                 self.return_slot(now, &slot);
@@ -705,8 +645,7 @@
             return;
         };
         self.queue.remove(ask.place);
-        self.by_latest_start
-            .remove(&(ask.latest_start, key.clone()));
+        self.by_latest_start.remove(&(ask.latest_start, key.clone()));
     }
 
     fn expected_output(&self, profile: &AskProfile) -> Tokens {
@@ -718,11 +657,9 @@
     }
 
     /// The service time at the fastest usable target.
-    fn expected_service(&self, profile: &AskProfile) -> Duration {
+    fn expected_service(&self, now: Moment, profile: &AskProfile) -> Duration {
         let output = self.expected_output(profile);
-        let times = self
-            .usable()
-            .map(|target| target.service_time(profile.prompt, output));
+        let times = self.usable().map(|target| target.service_time(now, profile.prompt, output));
         times.min().unwrap_or_default()
     }
 
@@ -745,8 +682,7 @@
         let base = (backlog + self.promised).clamp(RETRY_LEAST, RETRY_GREATEST);
         let mean_work = self.mean_remaining(now).max(RETRY_LEAST);
         self.promised = (self.promised + mean_work / slots.max(1)).min(RETRY_GREATEST);
-        base.mul_f64(1.0 + rng.random_range(RETRY_SPREAD))
-            .min(RETRY_GREATEST)
+        base.mul_f64(1.0 + rng.random_range(RETRY_SPREAD)).min(RETRY_GREATEST)
     }
 }
 
--- a/crates/ryetide-core/src/catalog.rs
+++ b/crates/ryetide-core/src/catalog.rs
@@ -38,30 +38,13 @@
 /// The most tiers a text may declare.
 pub const TIER_LIMIT: usize = 8;
 /// The largest request or answer that a plain service may be given, in bytes.
-const BODY_LIMIT: ValueRange<u64> = ValueRange {
-    least: 1_024,
-    greatest: 64 << 20,
-};
-const WAIT_RANGE: ValueRange<Duration> = ValueRange {
-    least: Duration::from_millis(10),
-    greatest: Duration::from_secs(3_600),
-};
-const SLOT_RANGE: ValueRange<u64> = ValueRange {
-    least: 1,
-    greatest: 4_096,
-};
-const TOKEN_RANGE: ValueRange<u64> = ValueRange {
-    least: 1,
-    greatest: 1 << 32,
-};
-const SHARE_RANGE: ValueRange<u64> = ValueRange {
-    least: 1,
-    greatest: 10_000,
-};
-const RATE_RANGE: ValueRange<u64> = ValueRange {
-    least: 1,
-    greatest: 1_000_000,
-};
+const BODY_LIMIT: ValueRange<u64> = ValueRange { least: 1_024, greatest: 64 << 20 };
+const WAIT_RANGE: ValueRange<Duration> =
+    ValueRange { least: Duration::from_millis(10), greatest: Duration::from_secs(3_600) };
+const SLOT_RANGE: ValueRange<u64> = ValueRange { least: 1, greatest: 4_096 };
+const TOKEN_RANGE: ValueRange<u64> = ValueRange { least: 1, greatest: 1 << 32 };
+const SHARE_RANGE: ValueRange<u64> = ValueRange { least: 1, greatest: 10_000 };
+const RATE_RANGE: ValueRange<u64> = ValueRange { least: 1, greatest: 1_000_000 };
 const DEFAULT_BODY_LIMIT: u64 = 1 << 20;
 const DEFAULT_PREFILL_RATE: u64 = 5_000;
 const DEFAULT_DECODE_RATE: u64 = 40;
@@ -194,10 +177,7 @@
 
     /// Returns the rank and rule of the tier called `name`.
     pub fn tier(&self, name: &str) -> Option<(TierRank, &TierRule)> {
-        let rank = self
-            .tiers
-            .iter()
-            .position(|tier| tier.name.as_str() == name)?;
+        let rank = self.tiers.iter().position(|tier| tier.name.as_str() == name)?;
         Some((TierRank(rank as u8), &self.tiers[rank]))
     }
 
@@ -209,10 +189,7 @@
         let mut scopes: Vec<ScopeKey> = rule
             .targets
             .iter()
-            .map(|target| ScopeKey {
-                service,
-                data_centre: DataCentreKey::of(&target.data_centre),
-            })
+            .map(|target| ScopeKey { service, data_centre: DataCentreKey::of(&target.data_centre) })
             .collect();
         scopes.sort();
         scopes.dedup();
@@ -229,18 +206,13 @@
 
     /// Returns every scope of the catalog.
     pub fn scopes(&self) -> Vec<ScopeKey> {
-        self.services
-            .keys()
-            .flat_map(|service| self.scopes_of(*service))
-            .collect()
+        self.services.keys().flat_map(|service| self.scopes_of(*service)).collect()
     }
 
     /// Returns the target with `key` and the service it belongs to.
     pub fn target(&self, service: ServiceKey, key: TargetKey) -> Option<&TargetRule> {
         let targets = &self.service(service)?.targets;
-        targets
-            .iter()
-            .find(|target| TargetKey::of(&target.name) == key)
+        targets.iter().find(|target| TargetKey::of(&target.name) == key)
     }
 
     /// Returns the services that `service` needs, directly or through others.
@@ -256,11 +228,7 @@
     let tiers = reader.required(root, "tiers", read_tiers);
     let organisations = reader.required(root, "organisations", read_organisations);
     let services = reader.required(root, "services", read_services);
-    Some(ServiceCatalog {
-        tiers: tiers?,
-        organisations: organisations?,
-        services: services?,
-    })
+    Some(ServiceCatalog { tiers: tiers?, organisations: organisations?, services: services? })
 }
 
 fn read_tiers(reader: &mut FaultReader, node: TextNode<'_>) -> Option<Vec<TierRule>> {
@@ -273,11 +241,7 @@
         }
         let wait = reader.required(item, "wait", |reader, value| reader.span(value, WAIT_RANGE));
         let fill = reader.optional(item, "fill", 1.0, FaultReader::fraction);
-        Some(TierRule {
-            name: name?,
-            wait: wait?,
-            fill: fill?,
-        })
+        Some(TierRule { name: name?, wait: wait?, fill: fill? })
     })?;
     if tiers.is_empty() || tiers.len() > TIER_LIMIT {
         let permitted = format!("1 to {TIER_LIMIT} tiers, the most urgent first");
@@ -298,20 +262,11 @@
         if let Some(name) = &name {
             names.check(reader, item, name.as_str(), OrganisationKey::of(name).0);
         }
-        let share = reader.optional(item, "share", 1, |reader, value| {
-            reader.number(value, SHARE_RANGE)
-        });
-        Some(OrganisationRule {
-            name: name?,
-            share: ShareWeight(share? as u32),
-        })
+        let share =
+            reader.optional(item, "share", 1, |reader, value| reader.number(value, SHARE_RANGE));
+        Some(OrganisationRule { name: name?, share: ShareWeight(share? as u32) })
     })?;
-    Some(
-        organisations
-            .into_iter()
-            .map(|rule| (OrganisationKey::of(&rule.name), rule))
-            .collect(),
-    )
+    Some(organisations.into_iter().map(|rule| (OrganisationKey::of(&rule.name), rule)).collect())
 }
 
 fn read_services(
@@ -336,11 +291,7 @@
     let mut found: Vec<ServiceKey> = Vec::new();
     let mut pending = vec![start];
     while let Some(key) = pending.pop() {
-        for need in services
-            .get(&key)
-            .into_iter()
-            .flat_map(|rule| &rule.depends_on)
-        {
+        for need in services.get(&key).into_iter().flat_map(|rule| &rule.depends_on) {
             if !found.contains(need) {
                 found.push(*need);
                 pending.push(*need);
@@ -363,11 +314,7 @@
             reader.sequence(needs, |reader, need| {
                 let need_name: ServiceName = need.as_text()?.parse().ok()?;
                 if !services.contains_key(&ServiceKey::of(&need_name)) {
-                    reader.note(
-                        need,
-                        format!("{:?}", need_name.as_str()),
-                        "a declared service",
-                    );
+                    reader.note(need, format!("{:?}", need_name.as_str()), "a declared service");
                 }
                 Some(())
             })
@@ -388,14 +335,10 @@
     item: TextNode<'_>,
     targets: &mut NameRegister,
 ) -> Option<ServiceRule> {
-    reader.mapping(
-        item,
-        &["name", "kind", "depends-on", "body-limit", "targets"],
-    );
+    reader.mapping(item, &["name", "kind", "depends-on", "body-limit", "targets"]);
     let name: Option<ServiceName> = reader.required(item, "name", FaultReader::name);
-    let kind = reader.required(item, "kind", |reader, value| {
-        reader.parsed(value, "one of model, plain")
-    });
+    let kind =
+        reader.required(item, "kind", |reader, value| reader.parsed(value, "one of model, plain"));
     let depends_on: Option<Vec<ServiceName>> =
         reader.optional(item, "depends-on", Vec::new(), |reader, value| {
             reader.sequence(value, FaultReader::name)
@@ -445,16 +388,10 @@
     let address = reader.required(item, "address", |reader, value| {
         reader.parsed(value, "an IP number and port, such as 127.0.0.1:9001")
     });
-    let slots = reader.required(item, "slots", |reader, value| {
-        reader.number(value, SLOT_RANGE)
-    });
-    let tokens = reader.required(item, "tokens", |reader, value| {
-        reader.number(value, TOKEN_RANGE)
-    });
+    let slots = reader.required(item, "slots", |reader, value| reader.number(value, SLOT_RANGE));
+    let tokens = reader.required(item, "tokens", |reader, value| reader.number(value, TOKEN_RANGE));
     let mut rate = |key: &str, default: u64| {
-        reader.optional(item, key, default, |reader, value| {
-            reader.number(value, RATE_RANGE)
-        })
+        reader.optional(item, key, default, |reader, value| reader.number(value, RATE_RANGE))
     };
     let prefill_rate = rate("prefill-rate", DEFAULT_PREFILL_RATE);
     let decode_rate = rate("decode-rate", DEFAULT_DECODE_RATE);
--- a/crates/ryetide-core/src/chart.rs
+++ b/crates/ryetide-core/src/chart.rs
@@ -308,13 +308,10 @@
             events: marker::PhantomData,
         };
         for state in S::ALL {
-            let entry = file
-                .states
-                .get(state)
-                .ok_or_else(|| ChartError::MissingState {
-                    chart: chart.name.clone(),
-                    state: format!("{state:?}"),
-                })?;
+            let entry = file.states.get(state).ok_or_else(|| ChartError::MissingState {
+                chart: chart.name.clone(),
+                state: format!("{state:?}"),
+            })?;
             chart.fill(*state, entry)?;
         }
         chart.check_reachable()?;
--- a/crates/ryetide-core/src/claim.rs
+++ b/crates/ryetide-core/src/claim.rs
@@ -163,19 +163,11 @@
         claim.expected = expected;
         self.by_token.insert(token, sequence);
         let value = claim_value(holder, false);
-        ClaimStep::Command(TableCommand::Write {
-            key: claim.key.clone(),
-            expected,
-            value,
-        })
+        ClaimStep::Command(TableCommand::Write { key: claim.key.clone(), expected, value })
     }
 
     fn id_of(&self, sequence: RequestSequence) -> RequestId {
-        RequestId {
-            vm: self.vm.clone(),
-            incarnation: self.incarnation,
-            sequence,
-        }
+        RequestId { vm: self.vm.clone(), incarnation: self.incarnation, sequence }
     }
 
     /// Returns the request that an answer of the table service belongs to, if it is a claim's.
@@ -378,15 +370,9 @@
         outcome: &ClaimOutcome,
     ) -> Option<TableCommand> {
         let not_run = *outcome == ClaimOutcome::NotRun;
-        let held = self
-            .claims
-            .get(&sequence)
-            .is_some_and(|claim| claim.version.is_some());
+        let held = self.claims.get(&sequence).is_some_and(|claim| claim.version.is_some());
         if held || not_run {
-            let own = self
-                .outcomes
-                .get(key)
-                .is_none_or(|record| record.sequence == sequence);
+            let own = self.outcomes.get(key).is_none_or(|record| record.sequence == sequence);
             if own {
                 self.note_outcome(now, sequence, key, outcome);
             }
@@ -417,11 +403,7 @@
                 outcome.clone()
             }
         };
-        let record = OutcomeRecord {
-            sequence,
-            outcome,
-            kept: None,
-        };
+        let record = OutcomeRecord { sequence, outcome, kept: None };
         self.outcomes.insert(key.to_owned(), record);
         self.keys.insert(sequence, key.to_owned());
         self.ends.insert((now, sequence));
@@ -438,11 +420,7 @@
         let expected = claim.version?;
         let claim = self.claims.remove(&sequence)?;
         let value = claim_value(self.id_of(sequence), true);
-        Some(TableCommand::Write {
-            key: claim.key,
-            expected,
-            value,
-        })
+        Some(TableCommand::Write { key: claim.key, expected, value })
     }
 
     /// Forgets outcomes whose time is over, and the oldest when there are too many.
@@ -455,10 +433,7 @@
             let Some(key) = self.keys.remove(&sequence) else {
                 continue;
             };
-            let current = self
-                .outcomes
-                .get(&key)
-                .is_some_and(|one| one.sequence == sequence);
+            let current = self.outcomes.get(&key).is_some_and(|one| one.sequence == sequence);
             if let Some(record) = current.then(|| self.outcomes.remove(&key)).flatten() {
                 self.kept_bytes -= record.size();
             }
--- a/crates/ryetide-core/src/configuration.rs
+++ b/crates/ryetide-core/src/configuration.rs
@@ -134,10 +134,7 @@
         let revision = text.revision;
         self.text = Some(text);
         chart::configuration().advance(&mut self.state, ConfigurationEvent::Adopt);
-        effects.push(Effect::Note(Notice::RevisionInForce {
-            revision,
-            from_peer,
-        }));
+        effects.push(Effect::Note(Notice::RevisionInForce { revision, from_peer }));
         true
     }
 
@@ -162,10 +159,7 @@
         effects: &mut EffectBuffer,
     ) {
         if self.edit.is_some() {
-            effects.push(Effect::ApplyDone {
-                operation,
-                outcome: ApplyOutcome::Busy,
-            });
+            effects.push(Effect::ApplyDone { operation, outcome: ApplyOutcome::Busy });
             return;
         }
         chart::configuration().advance(&mut self.state, ConfigurationEvent::Apply);
@@ -188,10 +182,7 @@
             edit.token = token;
             edit.retry_at = None;
         }
-        let command = TableCommand::Read {
-            key: CONFIGURATION_KEY.to_owned(),
-            known: None,
-        };
+        let command = TableCommand::Read { key: CONFIGURATION_KEY.to_owned(), known: None };
         effects.push(Effect::Table { token, command });
     }
 
@@ -207,23 +198,14 @@
     ) -> TableHandling {
         if self.read.is_some_and(|(own, _)| own == token) {
             self.read = None;
-            return TableHandling {
-                taken: true,
-                adopted: self.take_row(answer, effects),
-            };
+            return TableHandling { taken: true, adopted: self.take_row(answer, effects) };
         }
         if self.edit.as_ref().is_some_and(|edit| edit.token == token) {
             let before = self.revision();
             self.advance_edit(now, answer, next_token, effects);
-            return TableHandling {
-                taken: true,
-                adopted: self.revision() != before,
-            };
-        }
-        TableHandling {
-            taken: false,
-            adopted: false,
+            return TableHandling { taken: true, adopted: self.revision() != before };
         }
+        TableHandling { taken: false, adopted: false }
     }
 
     /// Puts a row that was read in force, if it is higher.
@@ -237,10 +219,8 @@
         };
         if found.revision < self.revision() {
             // The platform restored an older copy: an accepted revision must not revert with it.
-            let notice = Notice::RevisionWentBack {
-                found: found.revision,
-                in_force: self.revision(),
-            };
+            let notice =
+                Notice::RevisionWentBack { found: found.revision, in_force: self.revision() };
             effects.push(Effect::Note(notice));
         }
         self.adopt(found.into_text(), None, effects)
@@ -270,11 +250,7 @@
                 self.accept(text, effects);
             }
             TableAnswer::Unavailable if !edit.write_open => {
-                self.finish(
-                    ConfigurationEvent::Collided,
-                    ApplyOutcome::NotWritten,
-                    effects,
-                );
+                self.finish(ConfigurationEvent::Collided, ApplyOutcome::NotWritten, effects);
             }
             TableAnswer::Unavailable | TableAnswer::Unchanged => {
                 edit.retry_at = Some(now + SETTLE_PAUSE);
@@ -301,17 +277,12 @@
         let in_force = self.revision();
         let Some(edit) = &mut self.edit else { return };
         let version = row.map_or(0, |row| row.version);
-        let found = row
-            .and_then(parse_row)
-            .unwrap_or_else(ConfigurationRow::absent);
+        let found = row.and_then(parse_row).unwrap_or_else(ConfigurationRow::absent);
         let first_read = edit.target.is_none();
         let ours = found.names(edit.operation);
         let standing = found.revision.max(in_force);
         let base_moved = first_read && edit.base.is_some_and(|base| base != standing);
-        let overtaken = edit
-            .target
-            .as_ref()
-            .is_some_and(|(known, _)| *known != version);
+        let overtaken = edit.target.as_ref().is_some_and(|(known, _)| *known != version);
         if ours || base_moved || overtaken {
             self.finish_against(row, effects);
             return;
@@ -324,19 +295,13 @@
         edit.write_open = true;
         let value = edit.row_value();
         let key = CONFIGURATION_KEY.to_owned();
-        let command = TableCommand::Write {
-            key,
-            expected: version,
-            value,
-        };
+        let command = TableCommand::Write { key, expected: version, value };
         effects.push(Effect::Table { token, command });
     }
 
     /// Ends an edit by what the row that stands says.
     fn finish_against(&mut self, row: Option<&TableRow>, effects: &mut EffectBuffer) {
-        let found = row
-            .and_then(parse_row)
-            .unwrap_or_else(ConfigurationRow::absent);
+        let found = row.and_then(parse_row).unwrap_or_else(ConfigurationRow::absent);
         let Some(edit) = &self.edit else { return };
         if found.names(edit.operation) {
             let own = edit.written_text();
@@ -348,10 +313,7 @@
             }
             return;
         }
-        let outcome = ApplyOutcome::Collided {
-            revision: found.revision,
-            text: found.text.clone(),
-        };
+        let outcome = ApplyOutcome::Collided { revision: found.revision, text: found.text.clone() };
         self.finish(ConfigurationEvent::Collided, outcome, effects);
         self.adopt(found.into_text(), None, effects);
     }
@@ -359,11 +321,7 @@
     fn accept(&mut self, text: ConfigurationText, effects: &mut EffectBuffer) {
         let revision = text.revision;
         self.adopt(text, None, effects);
-        self.finish(
-            ConfigurationEvent::Written,
-            ApplyOutcome::Accepted(revision),
-            effects,
-        );
+        self.finish(ConfigurationEvent::Written, ApplyOutcome::Accepted(revision), effects);
     }
 
     fn finish(
@@ -374,10 +332,7 @@
     ) {
         let Some(edit) = self.edit.take() else { return };
         chart::configuration().advance(&mut self.state, event);
-        effects.push(Effect::ApplyDone {
-            operation: edit.operation,
-            outcome,
-        });
+        effects.push(Effect::ApplyDone { operation: edit.operation, outcome });
     }
 
     /// Does what has fallen due: reads the row at a rate that all `vm_count` VMs together keep
@@ -389,29 +344,21 @@
         next_token: &mut impl FnMut() -> TableToken,
         effects: &mut EffectBuffer,
     ) {
-        if self
-            .read
-            .is_some_and(|(_, at)| now.since(at) > READ_TIMEOUT)
-        {
+        if self.read.is_some_and(|(_, at)| now.since(at) > READ_TIMEOUT) {
             self.read = None;
         }
         if self.read.is_none() && now >= self.read_at {
             let token = next_token();
             self.read = Some((token, now));
             self.read_at = now + read_interval(vm_count);
-            let command = TableCommand::Read {
-                key: CONFIGURATION_KEY.to_owned(),
-                known: self.known_version,
-            };
+            let command =
+                TableCommand::Read { key: CONFIGURATION_KEY.to_owned(), known: self.known_version };
             effects.push(Effect::Table { token, command });
         }
         let Some(edit) = &self.edit else { return };
         if now.since(edit.started) > SETTLE_LIMIT {
-            let outcome = if edit.write_open {
-                ApplyOutcome::Uncertain
-            } else {
-                ApplyOutcome::NotWritten
-            };
+            let outcome =
+                if edit.write_open { ApplyOutcome::Uncertain } else { ApplyOutcome::NotWritten };
             self.finish(ConfigurationEvent::Collided, outcome, effects);
             return;
         }
--- a/crates/ryetide-core/src/entry.rs
+++ b/crates/ryetide-core/src/entry.rs
@@ -213,36 +213,19 @@
             Event::ConnectFailed { sequence, attempt } => {
                 self.connect_failed(now, sequence, attempt, effects);
             }
-            Event::TargetHead {
-                sequence,
-                attempt,
-                head,
-            } => {
+            Event::TargetHead { sequence, attempt, head } => {
                 self.target_head(now, sequence, attempt, head, effects);
             }
-            Event::TargetPiece {
-                sequence,
-                attempt,
-                offset,
-                bytes,
-            } => {
+            Event::TargetPiece { sequence, attempt, offset, bytes } => {
                 self.target_piece(now, sequence, attempt, offset, bytes, effects);
             }
-            Event::TargetEnd {
-                sequence,
-                attempt,
-                length,
-            } => {
+            Event::TargetEnd { sequence, attempt, length } => {
                 self.target_end(now, sequence, attempt, length, effects);
             }
             Event::TargetBroken { sequence, attempt } => {
                 self.target_broken(now, sequence, attempt, effects);
             }
-            Event::TargetRefused {
-                sequence,
-                attempt,
-                leaving,
-            } => {
+            Event::TargetRefused { sequence, attempt, leaving } => {
                 self.target_refused(now, sequence, attempt, leaving, effects);
             }
             Event::ResumeUnknown { sequence, attempt } => {
@@ -253,13 +236,7 @@
                     arbiter.note_report(now, target, &report, &mut self.notices);
                 }
             }
-            Event::PeerMessage {
-                from,
-                incarnation,
-                address,
-                data_centre,
-                message,
-            } => {
+            Event::PeerMessage { from, incarnation, address, data_centre, message } => {
                 let sender = crate::entry_peer::MessageSender {
                     name: from,
                     incarnation,
@@ -272,14 +249,9 @@
             Event::TableReplied { token, answer } => {
                 self.table_replied(now, token, &answer, effects);
             }
-            Event::Apply {
-                operation,
-                base,
-                text,
-            } => {
+            Event::Apply { operation, base, text } => {
                 let token = self.take_token();
-                self.configuration
-                    .apply(now, operation, base, text, token, effects);
+                self.configuration.apply(now, operation, base, text, token, effects);
             }
             Event::Shutdown => self.shutdown(now, effects),
         }
@@ -291,17 +263,9 @@
         if self.more_due {
             return now;
         }
-        let arbiters = self
-            .arbiters
-            .values()
-            .filter_map(|arbiter| arbiter.next_wake(now));
+        let arbiters = self.arbiters.values().filter_map(|arbiter| arbiter.next_wake(now));
         let idle = self.maintained_at + IDLE_INTERVAL;
-        arbiters
-            .chain(self.requests.next_wake())
-            .chain([idle])
-            .min()
-            .unwrap_or(idle)
-            .max(now)
+        arbiters.chain(self.requests.next_wake()).chain([idle]).min().unwrap_or(idle).max(now)
     }
 
     /// Returns what this VM can say of itself.
@@ -310,15 +274,8 @@
         for (_, record) in self.requests.iter() {
             *requests.entry(record.state).or_insert(0) += 1;
         }
-        let alive = self
-            .peers
-            .alive()
-            .map(|peer| (peer.name.clone(), peer.revision))
-            .collect();
-        let silent = self
-            .peers
-            .iter()
-            .filter(|peer| peer.state != chart::PeerState::Alive);
+        let alive = self.peers.alive().map(|peer| (peer.name.clone(), peer.revision)).collect();
+        let silent = self.peers.iter().filter(|peer| peer.state != chart::PeerState::Alive);
         EntryStatus {
             name: self.options.name.clone(),
             revision: self.configuration.revision(),
@@ -327,11 +284,7 @@
             claims: self.claims.open_claims(),
             peers: alive,
             silent_peers: silent.map(|peer| peer.name.clone()).collect(),
-            scopes: self
-                .arbiters
-                .values()
-                .map(|arbiter| self.scope_status(arbiter))
-                .collect(),
+            scopes: self.arbiters.values().map(|arbiter| self.scope_status(arbiter)).collect(),
         }
     }
 
@@ -339,14 +292,9 @@
         let scope = arbiter.scope();
         let catalog = self.configuration.catalog();
         let service = catalog.service(scope.service);
-        let centre = catalog
-            .targets_of(scope)
-            .next()
-            .map(|target| target.data_centre.to_string());
+        let centre = catalog.targets_of(scope).next().map(|target| target.data_centre.to_string());
         ScopeStatus {
-            service: service
-                .map(|rule| rule.name.to_string())
-                .unwrap_or_default(),
+            service: service.map(|rule| rule.name.to_string()).unwrap_or_default(),
             data_centre: centre.unwrap_or_default(),
             elected: self.is_elected(scope),
             waiting: arbiter.waiting(),
@@ -427,8 +375,7 @@
             *next_token += 1;
             TableToken(*next_token)
         };
-        self.configuration
-            .advance(now, vm_count, &mut tokens, effects);
+        self.configuration.advance(now, vm_count, &mut tokens, effects);
         self.claims.advance(now);
     }
 
@@ -448,9 +395,7 @@
             *next_token += 1;
             TableToken(*next_token)
         };
-        let handling = self
-            .configuration
-            .handle_table(now, token, answer, &mut tokens, effects);
+        let handling = self.configuration.handle_table(now, token, answer, &mut tokens, effects);
         if handling.adopted {
             self.configuration_changed(now, effects);
         }
--- a/crates/ryetide-core/src/entry_admission.rs
+++ b/crates/ryetide-core/src/entry_admission.rs
@@ -39,10 +39,8 @@
         let sequence = request.sequence;
         match self.check(&request) {
             Ok((profile, rule_limit)) => {
-                let claim_key = request
-                    .key
-                    .as_ref()
-                    .map(|key| claim::row_key(&request.organisation, key));
+                let claim_key =
+                    request.key.as_ref().map(|key| claim::row_key(&request.organisation, key));
                 let record = RequestRecord {
                     state: chart::request().initial(),
                     profile,
@@ -80,10 +78,7 @@
         &self,
         request: &CallerRequest,
     ) -> Result<(AskProfile, crate::units::ByteSize), FinalAnswer> {
-        let not_run = |reason, retry| FinalAnswer::NotRun {
-            reason,
-            retry_after: Some(retry),
-        };
+        let not_run = |reason, retry| FinalAnswer::NotRun { reason, retry_after: Some(retry) };
         if self.is_draining() {
             return Err(not_run(RefuseReason::Draining, DRAINING_RETRY));
         }
@@ -110,9 +105,7 @@
             .get(&organisation)
             .filter(|rule| rule.name.as_str() == request.organisation)
             .ok_or(RejectReason::UnknownOrganisation)?;
-        let (tier, _) = catalog
-            .tier(&request.tier)
-            .ok_or(RejectReason::UnknownTier)?;
+        let (tier, _) = catalog.tier(&request.tier).ok_or(RejectReason::UnknownTier)?;
         if request.deadline.is_zero() {
             return Err(RejectReason::DeadlinePast);
         }
@@ -138,10 +131,7 @@
     fn needs_are_down(&self, service: ServiceKey) -> bool {
         let catalog = self.configuration.catalog();
         let down = |need: &ServiceKey| {
-            catalog
-                .scopes_of(*need)
-                .iter()
-                .all(|scope| self.scope_is_down(*scope))
+            catalog.scopes_of(*need).iter().all(|scope| self.scope_is_down(*scope))
         };
         catalog.needs_of(service).iter().any(down)
     }
@@ -168,14 +158,9 @@
 
     /// The longest time that a request's tier may wait.
     pub(crate) fn wait_limit(&self, sequence: RequestSequence) -> Duration {
-        let tier = self
-            .requests
-            .get(sequence)
-            .map_or(TierRank(0), |record| record.profile.tier);
+        let tier = self.requests.get(sequence).map_or(TierRank(0), |record| record.profile.tier);
         let tiers = self.configuration.catalog().tiers();
-        tiers
-            .get(usize::from(tier.0))
-            .map_or(Duration::ZERO, |rule| rule.wait)
+        tiers.get(usize::from(tier.0)).map_or(Duration::ZERO, |rule| rule.wait)
     }
 
     /// Takes the table service's answer to a claim.
@@ -244,14 +229,8 @@
         self.claims.await_query(sequence, until);
         self.requests.set_wake(sequence, Some(until));
         let to = holder.vm.clone();
-        let ask = AskRef {
-            life: self.life(),
-            sequence,
-        };
-        effects.push(Effect::Send {
-            to,
-            message: PeerMessage::OutcomeQuery { holder, ask },
-        });
+        let ask = AskRef { life: self.life(), sequence };
+        effects.push(Effect::Send { to, message: PeerMessage::OutcomeQuery { holder, ask } });
     }
 
     /// Takes what the holder of a key said.
@@ -274,11 +253,7 @@
         sequence: RequestSequence,
         effects: &mut EffectBuffer,
     ) {
-        if self
-            .claims
-            .query_until(sequence)
-            .is_some_and(|until| now >= until)
-        {
+        if self.claims.query_until(sequence).is_some_and(|until| now >= until) {
             let token = self.take_token();
             let step = self.claims.handle_no_holder(sequence, token);
             self.claim_stepped(now, sequence, step, token, effects);
@@ -297,10 +272,7 @@
         outcome: ClaimOutcome,
         effects: &mut EffectBuffer,
     ) {
-        let unknown = |reason, retry_after| FinalAnswer::Unknown {
-            reason,
-            retry_after,
-        };
+        let unknown = |reason, retry_after| FinalAnswer::Unknown { reason, retry_after };
         let answer = match outcome {
             ClaimOutcome::Answered(Some(kept)) => FinalAnswer::Replayed(kept),
             ClaimOutcome::Answered(None) => unknown(UnknownReason::EarlierAnswered, None),
@@ -326,13 +298,7 @@
         sequence: RequestSequence,
         effects: &mut EffectBuffer,
     ) {
-        self.give_up(
-            now,
-            sequence,
-            RefuseReason::Draining,
-            Some(DRAINING_RETRY),
-            effects,
-        );
+        self.give_up(now, sequence, RefuseReason::Draining, Some(DRAINING_RETRY), effects);
     }
 
     /// Ends a request that was not dispatched: it did not run, and never will.
@@ -354,15 +320,7 @@
             let attempt = record.attempt;
             effects.push(Effect::Abandon { sequence, attempt });
         }
-        self.finish(
-            now,
-            sequence,
-            FinalAnswer::NotRun {
-                reason,
-                retry_after,
-            },
-            effects,
-        );
+        self.finish(now, sequence, FinalAnswer::NotRun { reason, retry_after }, effects);
     }
 
     /// Runs a claim's command whose answer nobody waits for.
--- a/crates/ryetide-core/src/entry_dispatch.rs
+++ b/crates/ryetide-core/src/entry_dispatch.rs
@@ -50,10 +50,7 @@
         attempt: AttemptNumber,
         effects: &mut EffectBuffer,
     ) {
-        let current = self
-            .requests
-            .get(sequence)
-            .filter(|record| record.attempt == attempt);
+        let current = self.requests.get(sequence).filter(|record| record.attempt == attempt);
         let Some(record) = current else {
             effects.push(Effect::Abandon { sequence, attempt });
             return;
@@ -76,13 +73,7 @@
         if self.options.switches.permit_recheck {
             if now >= record.deadline {
                 let retry = Some(EXPIRED_RETRY);
-                self.give_up(
-                    now,
-                    sequence,
-                    RefuseReason::DeadlineUnreachable,
-                    retry,
-                    effects,
-                );
+                self.give_up(now, sequence, RefuseReason::DeadlineUnreachable, retry, effects);
                 return;
             }
             let service = record.profile.service;
@@ -111,18 +102,10 @@
         }
         record.dispatched = Some(record.dispatched.unwrap_or(now));
         let (attempt, answer_limit) = (record.attempt, record.answer_limit);
-        let order = TargetOrder::Dispatch {
-            id,
-            call,
-            answer_limit,
-        };
+        let order = TargetOrder::Dispatch { id, call, answer_limit };
         let wake = self.silence_end(now, sequence, wait);
         self.requests.set_wake(sequence, wake);
-        effects.push(Effect::Permit {
-            sequence,
-            attempt,
-            order,
-        });
+        effects.push(Effect::Permit { sequence, attempt, order });
     }
 
     fn resume(&mut self, now: Moment, sequence: RequestSequence, effects: &mut EffectBuffer) {
@@ -135,11 +118,7 @@
         let wake = self.silence_end(now, sequence, PIECE_SILENCE);
         self.requests.set_wake(sequence, wake);
         let order = TargetOrder::Resume { id, offset };
-        effects.push(Effect::Permit {
-            sequence,
-            attempt,
-            order,
-        });
+        effects.push(Effect::Permit { sequence, attempt, order });
     }
 
     /// When a silence that starts now has lasted too long: for model engines the given bound, for
@@ -163,11 +142,7 @@
     }
 
     fn id_of(&self, sequence: RequestSequence) -> RequestId {
-        RequestId {
-            vm: self.options.name.clone(),
-            incarnation: self.options.incarnation,
-            sequence,
-        }
+        RequestId { vm: self.options.name.clone(), incarnation: self.options.incarnation, sequence }
     }
 
     /// No connection could be opened: nothing was sent, so another target may be asked for.
@@ -296,10 +271,7 @@
         let wake = self.silence_end(now, sequence, PIECE_SILENCE);
         self.requests.set_wake(sequence, wake);
         if !gone {
-            effects.push(Effect::SendPiece {
-                sequence,
-                bytes: fresh,
-            });
+            effects.push(Effect::SendPiece { sequence, bytes: fresh });
         }
     }
 
@@ -366,11 +338,7 @@
         let Some(route) = record.route.clone() else {
             return;
         };
-        effects.push(Effect::Connect {
-            sequence,
-            attempt,
-            route,
-        });
+        effects.push(Effect::Connect { sequence, attempt, route });
     }
 
     /// Sets the time of the next resume, or gives the answer up when the tries are used.
@@ -403,11 +371,7 @@
         record.connection_open = true;
         let attempt = record.attempt;
         self.requests.set_wake(sequence, Some(now + PIECE_SILENCE));
-        effects.push(Effect::Connect {
-            sequence,
-            attempt,
-            route,
-        });
+        effects.push(Effect::Connect { sequence, attempt, route });
     }
 
     /// The target refused. It was the one dispatch all the same: "not run" is said only where the
@@ -428,21 +392,14 @@
         let (service, route) = (record.profile.service, record.route.clone());
         let rule = route.and_then(|it| self.configuration.catalog().target(service, it.key));
         let ran_nothing = trusting || rule.is_some_and(|rule| rule.refusal_ran_nothing);
-        let outcome = if leaving {
-            ReleaseOutcome::TargetLeaving
-        } else {
-            ReleaseOutcome::Failed
-        };
+        let outcome = if leaving { ReleaseOutcome::TargetLeaving } else { ReleaseOutcome::Failed };
         self.release_slot(now, sequence, outcome, effects);
         let Some(record) = self.requests.get_mut(sequence) else {
             return;
         };
         if ran_nothing && record.handle(RequestEvent::Refused) {
             let reason = RefuseReason::TargetRefused;
-            let answer = FinalAnswer::NotRun {
-                reason,
-                retry_after: Some(REFUSED_RETRY),
-            };
+            let answer = FinalAnswer::NotRun { reason, retry_after: Some(REFUSED_RETRY) };
             self.finish(now, sequence, answer, effects);
         } else {
             self.lose_track(now, sequence, UnknownReason::TargetLost, effects);
@@ -477,15 +434,7 @@
             return;
         }
         let retry_after = record.claim_key.is_some().then_some(UNKNOWN_RETRY);
-        self.finish(
-            now,
-            sequence,
-            FinalAnswer::Unknown {
-                reason,
-                retry_after,
-            },
-            effects,
-        );
+        self.finish(now, sequence, FinalAnswer::Unknown { reason, retry_after }, effects);
     }
 
     /// A caller closed its connection. Waiting work is dropped; running work that may be repeated
@@ -530,13 +479,7 @@
             RequestState::Asking => self.ask_due(now, sequence, effects),
             RequestState::Connecting => {
                 let retry = Some(EXPIRED_RETRY);
-                self.give_up(
-                    now,
-                    sequence,
-                    RefuseReason::DeadlineUnreachable,
-                    retry,
-                    effects,
-                );
+                self.give_up(now, sequence, RefuseReason::DeadlineUnreachable, retry, effects);
             }
             RequestState::Dispatching | RequestState::Running if over => {
                 self.cancel_late(now, sequence, effects);
@@ -620,40 +563,25 @@
     ) -> Option<RequestSummary> {
         let catalog = self.configuration.catalog();
         let since_arrival = |at: Moment| at.since(record.arrived);
-        let between = record
-            .first_piece
-            .zip(record.last_piece)
-            .and_then(|(first, last)| {
-                let gaps = u32::try_from(record.pieces.saturating_sub(1)).unwrap_or(u32::MAX);
-                last.since(first).checked_div(gaps)
-            });
+        let between = record.first_piece.zip(record.last_piece).and_then(|(first, last)| {
+            let gaps = u32::try_from(record.pieces.saturating_sub(1)).unwrap_or(u32::MAX);
+            last.since(first).checked_div(gaps)
+        });
         let late = now > record.deadline;
         let useful = outcome == OutcomeKind::Answered && !late;
         let wasted = record.dispatched.is_some() && !useful && outcome != OutcomeKind::NotRun;
         Some(RequestSummary {
             sequence,
             service: catalog.service(record.profile.service)?.name.clone(),
-            organisation: catalog
-                .organisations()
-                .get(&record.profile.organisation)?
-                .name
-                .clone(),
-            tier: catalog
-                .tiers()
-                .get(usize::from(record.profile.tier.0))?
-                .name
-                .clone(),
+            organisation: catalog.organisations().get(&record.profile.organisation)?.name.clone(),
+            tier: catalog.tiers().get(usize::from(record.profile.tier.0))?.name.clone(),
             outcome,
             queued: since_arrival(record.dispatched.unwrap_or(now)),
             first_piece: record.first_piece.map(since_arrival),
             between_pieces: between,
             total: since_arrival(now),
             late,
-            wasted_prompt: if wasted {
-                record.profile.prompt
-            } else {
-                Tokens(0)
-            },
+            wasted_prompt: if wasted { record.profile.prompt } else { Tokens(0) },
             prompt: record.profile.prompt,
         })
     }
--- a/crates/ryetide-core/src/entry_peer.rs
+++ b/crates/ryetide-core/src/entry_peer.rs
@@ -43,10 +43,7 @@
             }
             PeerMessage::Ask(ask) => self.asked(now, sender, ask, effects),
             PeerMessage::Withdraw { ask, scope } => {
-                let key = AskKey {
-                    vm: sender.name.clone(),
-                    ask,
-                };
+                let key = AskKey { vm: sender.name.clone(), ask };
                 if let Some(arbiter) = self.arbiters.get_mut(&scope) {
                     arbiter.withdraw(now, &key, &mut self.verdicts);
                 }
@@ -72,10 +69,7 @@
                 if self.claims.is_own(&holder) {
                     let outcome = self.claims.outcome_of(holder.sequence);
                     let message = PeerMessage::OutcomeReply { ask, outcome };
-                    effects.push(Effect::Send {
-                        to: sender.name.clone(),
-                        message,
-                    });
+                    effects.push(Effect::Send { to: sender.name.clone(), message });
                 }
             }
             PeerMessage::OutcomeReply { ask, outcome } => {
@@ -96,9 +90,7 @@
     fn hear(&mut self, now: Moment, sender: &MessageSender, effects: &mut EffectBuffer) {
         let (name, centre) = (&sender.name, &sender.data_centre);
         let known = self.peers.get(name).is_some();
-        let change = self
-            .peers
-            .hear(now, name, sender.incarnation, centre, sender.address);
+        let change = self.peers.hear(now, name, sender.incarnation, centre, sender.address);
         if !known || change.restarted {
             effects.push(Effect::ConnectPeers(self.peers.addresses()));
         }
@@ -121,33 +113,20 @@
         heartbeat: HeartbeatMessage,
         effects: &mut EffectBuffer,
     ) {
-        let HeartbeatMessage {
-            revision,
-            leaving,
-            loads,
-        } = heartbeat;
-        if self
-            .peers
-            .note_heartbeat(&sender.name, revision, loads, leaving)
-        {
+        let HeartbeatMessage { revision, leaving, loads } = heartbeat;
+        if self.peers.note_heartbeat(&sender.name, revision, loads, leaving) {
             self.elect(now, effects);
         }
         if self.configuration.wants_from_peer(now, revision) {
             let message = PeerMessage::ConfigurationPull;
-            effects.push(Effect::Send {
-                to: sender.name.clone(),
-                message,
-            });
+            effects.push(Effect::Send { to: sender.name.clone(), message });
         }
     }
 
     /// Sends a sign of life to every peer.
     pub(crate) fn send_heartbeats(&mut self, now: Moment, effects: &mut EffectBuffer) {
         self.heartbeat_at = now + self.peers.heartbeat_interval();
-        let own = self
-            .arbiters
-            .values()
-            .filter(|arbiter| self.is_elected(arbiter.scope()));
+        let own = self.arbiters.values().filter(|arbiter| self.is_elected(arbiter.scope()));
         let heartbeat = HeartbeatMessage {
             revision: self.configuration.revision(),
             leaving: self.is_draining(),
@@ -155,10 +134,7 @@
         };
         for peer in self.peers.iter() {
             let message = PeerMessage::Heartbeat(heartbeat.clone());
-            effects.push(Effect::Send {
-                to: peer.name.clone(),
-                message,
-            });
+            effects.push(Effect::Send { to: peer.name.clone(), message });
         }
     }
 
@@ -200,16 +176,10 @@
     ) {
         let scope = message::scope_of(ask.profile.service, ask.data_centre);
         if !self.is_elected(scope) {
-            let refuse = RefuseMessage {
-                ask: ask.ask,
-                reason: RefuseReason::NotArbiter,
-                retry_ms: 0,
-            };
+            let refuse =
+                RefuseMessage { ask: ask.ask, reason: RefuseReason::NotArbiter, retry_ms: 0 };
             let message = PeerMessage::Refuse(refuse);
-            effects.push(Effect::Send {
-                to: sender.name.clone(),
-                message,
-            });
+            effects.push(Effect::Send { to: sender.name.clone(), message });
             return;
         }
         self.ensure_arbiter(now, scope, effects);
@@ -217,10 +187,7 @@
             return;
         };
         let slot_ask = SlotAsk {
-            key: AskKey {
-                vm: sender.name.clone(),
-                ask: ask.ask,
-            },
+            key: AskKey { vm: sender.name.clone(), ask: ask.ask },
             profile: ask.profile,
             deadline: now + Duration::from_millis(u64::from(ask.deadline_ms)),
             waited: Duration::from_millis(u64::from(ask.waited_ms)),
@@ -247,10 +214,7 @@
             return;
         }
         self.ensure_arbiter(now, scope, effects);
-        let key = AskKey {
-            vm: sender.name.clone(),
-            ask: holding.ask,
-        };
+        let key = AskKey { vm: sender.name.clone(), ask: holding.ask };
         let running = Duration::from_millis(u64::from(holding.running_ms));
         if let Some(arbiter) = self.arbiters.get_mut(&scope) {
             arbiter.note_holding(now, key, holding.target, &holding.profile, running);
@@ -294,10 +258,7 @@
     fn hand_configuration(&mut self, sender: &MessageSender, effects: &mut EffectBuffer) {
         if let Some(text) = self.configuration.in_force() {
             let message = PeerMessage::ConfigurationPush(text.clone());
-            effects.push(Effect::Send {
-                to: sender.name.clone(),
-                message,
-            });
+            effects.push(Effect::Send { to: sender.name.clone(), message });
         }
     }
 
@@ -310,12 +271,8 @@
                 arbiter.configure(catalog);
             }
         }
-        let gone: Vec<_> = self
-            .arbiters
-            .keys()
-            .filter(|scope| !scopes.contains(scope))
-            .copied()
-            .collect();
+        let gone: Vec<_> =
+            self.arbiters.keys().filter(|scope| !scopes.contains(scope)).copied().collect();
         for scope in gone {
             if let Some(mut arbiter) = self.arbiters.remove(&scope) {
                 for key in arbiter.dissolve() {
@@ -323,8 +280,7 @@
                         RefuseReason::ServiceGone,
                         Duration::ZERO,
                     );
-                    self.verdicts
-                        .push(crate::arbiter::ArbiterVerdict { key, kind });
+                    self.verdicts.push(crate::arbiter::ArbiterVerdict { key, kind });
                 }
             }
         }
--- a/crates/ryetide-core/src/entry_slot.rs
+++ b/crates/ryetide-core/src/entry_slot.rs
@@ -40,10 +40,7 @@
         effects: &mut EffectBuffer,
     ) {
         let Some(scope) = self.choose_scope(now, sequence) else {
-            let refusal = self
-                .requests
-                .get(sequence)
-                .and_then(|record| record.refusal);
+            let refusal = self.requests.get(sequence).and_then(|record| record.refusal);
             let (reason, retry) = refusal.unwrap_or((RefuseReason::NoTarget, NO_TARGET_RETRY));
             self.give_up(now, sequence, reason, Some(retry), effects);
             return;
@@ -58,35 +55,20 @@
     }
 
     fn is_distrusted(&self, now: Moment, name: &VmName) -> bool {
-        self.peers
-            .get(name)
-            .is_none_or(|peer| now < peer.distrusted_until)
+        self.peers.get(name).is_none_or(|peer| now < peer.distrusted_until)
     }
 
     /// Chooses the scope with the least expected wait; its own data centre goes first among equals.
     fn choose_scope(&self, now: Moment, sequence: RequestSequence) -> Option<ScopeKey> {
         let record = self.requests.get(sequence)?;
         let own = DataCentreKey::of(&self.options.data_centre);
-        let scopes = self
-            .configuration
-            .catalog()
-            .scopes_of(record.profile.service);
-        let open = scopes
-            .into_iter()
-            .filter(|scope| !record.refused_by.contains(scope));
+        let scopes = self.configuration.catalog().scopes_of(record.profile.service);
+        let open = scopes.into_iter().filter(|scope| !record.refused_by.contains(scope));
         let charge = |scope: &ScopeKey| {
             let down = self.scope_is_down(*scope);
             let remote = scope.data_centre != own;
-            let way = if remote {
-                REMOTE_CHARGE
-            } else {
-                Duration::ZERO
-            };
-            (
-                down,
-                self.scope_wait(now, *scope, record.profile.tier) + way,
-                *scope,
-            )
+            let way = if remote { REMOTE_CHARGE } else { Duration::ZERO };
+            (down, self.scope_wait(now, *scope, record.profile.tier) + way, *scope)
         };
         open.min_by_key(charge)
     }
@@ -104,20 +86,13 @@
 
     fn load_of(&self, scope: ScopeKey) -> Option<&crate::message::ScopeLoad> {
         let name = self.elected.get(&scope)?.as_ref()?;
-        self.peers
-            .get(name)?
-            .loads
-            .iter()
-            .find(|load| load.scope == scope)
+        self.peers.get(name)?.loads.iter().find(|load| load.scope == scope)
     }
 
     /// Returns whether a scope is known to have no usable target.
     pub(crate) fn scope_is_down(&self, scope: ScopeKey) -> bool {
         if self.is_elected(scope) {
-            return self
-                .arbiters
-                .get(&scope)
-                .is_some_and(|arbiter| !arbiter.has_usable_target());
+            return self.arbiters.get(&scope).is_some_and(|arbiter| !arbiter.has_usable_target());
         }
         self.load_of(scope).is_some_and(|load| !load.usable)
     }
@@ -130,10 +105,7 @@
         name: VmName,
         effects: &mut EffectBuffer,
     ) {
-        let ask = AskRef {
-            life: self.life(),
-            sequence,
-        };
+        let ask = AskRef { life: self.life(), sequence };
         let Some(record) = self.requests.get_mut(sequence) else {
             return;
         };
@@ -167,18 +139,11 @@
         let Some(record) = self.requests.get_mut(sequence) else {
             return;
         };
-        record.slot = Some(SlotClaim {
-            scope,
-            source: SlotSource::Own,
-            acknowledged: true,
-            target: None,
-        });
+        record.slot =
+            Some(SlotClaim { scope, source: SlotSource::Own, acknowledged: true, target: None });
         let life = crate::message::LifeMark(self.options.incarnation.0 as u16);
         let ask = SlotAsk {
-            key: AskKey {
-                vm: self.options.name.clone(),
-                ask: AskRef { life, sequence },
-            },
+            key: AskKey { vm: self.options.name.clone(), ask: AskRef { life, sequence } },
             profile: record.profile.clone(),
             deadline: record.deadline,
             waited: now.since(record.arrived),
@@ -200,17 +165,9 @@
             return;
         }
         let elected = self.is_elected(scope);
-        let share = if elected {
-            1.0
-        } else {
-            1.0 / self.peers.known_count() as f64
-        };
+        let share = if elected { 1.0 } else { 1.0 / self.peers.known_count() as f64 };
         let others = self.peers.alive().next().is_some();
-        let pause = if elected && others {
-            TAKEOVER_PAUSE
-        } else {
-            Duration::ZERO
-        };
+        let pause = if elected && others { TAKEOVER_PAUSE } else { Duration::ZERO };
         let catalog = self.configuration.catalog();
         let switches = self.options.switches;
         let mut arbiter = ScopeArbiter::new(scope, catalog, share, now + pause, switches);
@@ -226,15 +183,10 @@
         let catalog = self.configuration.catalog();
         let mut routes = Vec::new();
         for scope in self.arbiters.keys() {
-            let engine = catalog
-                .service(scope.service)
-                .is_some_and(|rule| rule.kind == ServiceKind::Model);
+            let engine =
+                catalog.service(scope.service).is_some_and(|rule| rule.kind == ServiceKind::Model);
             if engine {
-                routes.extend(
-                    catalog
-                        .targets_of(*scope)
-                        .map(|rule| route_to(rule, engine)),
-                );
+                routes.extend(catalog.targets_of(*scope).map(|rule| route_to(rule, engine)));
             }
         }
         let keys: Vec<TargetKey> = routes.iter().map(|route: &TargetRoute| route.key).collect();
@@ -313,10 +265,7 @@
             }
             return;
         };
-        let ask = AskRef {
-            life: self.life(),
-            sequence,
-        };
+        let ask = AskRef { life: self.life(), sequence };
         let running = record.dispatched.map_or(Duration::ZERO, |at| now.since(at));
         let profile = record.profile.clone();
         let elected = self.elected.get(&scope).cloned().flatten();
@@ -329,29 +278,19 @@
                     profile,
                     running_ms: millis(running),
                 });
-                effects.push(Effect::Send {
-                    to: name.clone(),
-                    message,
-                });
+                effects.push(Effect::Send { to: name.clone(), message });
                 SlotSource::Peer(name)
             }
             _ => {
                 self.ensure_arbiter(now, scope, effects);
-                let key = AskKey {
-                    vm: self.options.name.clone(),
-                    ask,
-                };
+                let key = AskKey { vm: self.options.name.clone(), ask };
                 if let Some(arbiter) = self.arbiters.get_mut(&scope) {
                     arbiter.note_holding(now, key, target, &profile, running);
                 }
                 SlotSource::Own
             }
         };
-        if let Some(slot) = self
-            .requests
-            .get_mut(sequence)
-            .and_then(|it| it.slot.as_mut())
-        {
+        if let Some(slot) = self.requests.get_mut(sequence).and_then(|it| it.slot.as_mut()) {
             slot.source = source;
         }
     }
@@ -369,17 +308,10 @@
                         VerdictKind::Queued => PeerMessage::Queued { ask },
                         VerdictKind::Refuse(reason, retry) => {
                             let retry_ms = millis(retry);
-                            PeerMessage::Refuse(RefuseMessage {
-                                ask,
-                                reason,
-                                retry_ms,
-                            })
+                            PeerMessage::Refuse(RefuseMessage { ask, reason, retry_ms })
                         }
                     };
-                    effects.push(Effect::Send {
-                        to: verdict.key.vm,
-                        message,
-                    });
+                    effects.push(Effect::Send { to: verdict.key.vm, message });
                 }
             }
         }
@@ -409,21 +341,13 @@
         effects: &mut EffectBuffer,
     ) {
         let wanted = self.requests.get(sequence).is_some_and(|record| {
-            record
-                .slot
-                .as_ref()
-                .is_some_and(|slot| slot.source == *source && slot.target.is_none())
+            record.slot.as_ref().is_some_and(|slot| slot.source == *source && slot.target.is_none())
         });
-        let service = self
-            .requests
-            .get(sequence)
-            .map(|record| record.profile.service);
+        let service = self.requests.get(sequence).map(|record| record.profile.service);
         let rule = service.and_then(|key| {
             let catalog = self.configuration.catalog();
             let engine = catalog.service(key)?.kind == ServiceKind::Model;
-            catalog
-                .target(key, target)
-                .map(|rule| route_to(rule, engine))
+            catalog.target(key, target).map(|rule| route_to(rule, engine))
         });
         let Some(record) = self.requests.get_mut(sequence).filter(|_| wanted) else {
             return;
@@ -447,11 +371,7 @@
         record.connection_open = true;
         let (attempt, deadline) = (record.attempt, record.deadline);
         self.requests.set_wake(sequence, Some(deadline));
-        effects.push(Effect::Connect {
-            sequence,
-            attempt,
-            route,
-        });
+        effects.push(Effect::Connect { sequence, attempt, route });
     }
 
     /// An arbiter refused: the next scope is asked, or the request ends when none is left.
@@ -507,13 +427,7 @@
             return;
         };
         if now >= record.deadline {
-            self.give_up(
-                now,
-                sequence,
-                RefuseReason::Shed,
-                Some(NO_TARGET_RETRY),
-                effects,
-            );
+            self.give_up(now, sequence, RefuseReason::Shed, Some(NO_TARGET_RETRY), effects);
             return;
         }
         let Some(slot) = record.slot.clone() else {
@@ -535,10 +449,7 @@
 
     /// Takes an ask back, wherever it waits.
     fn withdraw_ask(&mut self, now: Moment, sequence: RequestSequence, effects: &mut EffectBuffer) {
-        let ask = AskRef {
-            life: self.life(),
-            sequence,
-        };
+        let ask = AskRef { life: self.life(), sequence };
         let Some(record) = self.requests.get_mut(sequence) else {
             return;
         };
@@ -557,23 +468,14 @@
     ) {
         match &slot.source {
             SlotSource::Own => {
-                let key = AskKey {
-                    vm: self.options.name.clone(),
-                    ask,
-                };
+                let key = AskKey { vm: self.options.name.clone(), ask };
                 if let Some(arbiter) = self.arbiters.get_mut(&slot.scope) {
                     arbiter.withdraw(now, &key, &mut self.verdicts);
                 }
             }
             SlotSource::Peer(name) => {
-                let message = PeerMessage::Withdraw {
-                    ask,
-                    scope: slot.scope,
-                };
-                effects.push(Effect::Send {
-                    to: name.clone(),
-                    message,
-                });
+                let message = PeerMessage::Withdraw { ask, scope: slot.scope };
+                effects.push(Effect::Send { to: name.clone(), message });
             }
         }
     }
@@ -586,10 +488,7 @@
         outcome: ReleaseOutcome,
         effects: &mut EffectBuffer,
     ) {
-        let ask = AskRef {
-            life: self.life(),
-            sequence,
-        };
+        let ask = AskRef { life: self.life(), sequence };
         let Some(record) = self.requests.get_mut(sequence) else {
             return;
         };
@@ -620,10 +519,7 @@
             }
             SlotSource::Peer(name) => {
                 let message = PeerMessage::Release(message);
-                effects.push(Effect::Send {
-                    to: name.clone(),
-                    message,
-                });
+                effects.push(Effect::Send { to: name.clone(), message });
             }
         }
     }
--- a/crates/ryetide-core/src/estimate.rs
+++ b/crates/ryetide-core/src/estimate.rs
@@ -16,6 +16,8 @@
 
 /// The weight of a new observation in a moving average.
 const LEARNING_WEIGHT: f64 = 0.2;
+/// Prompts shorter than this teach no prefill speed.
+const LEARNING_PROMPT: u64 = 256;
 /// A report's surplus is believed for this long after it arrived.
 const REPORT_LIFE: Duration = Duration::from_secs(3);
 /// How long the history of own grants reaches back; reports older than this are not corrected.
@@ -43,6 +45,8 @@
     surplus: u32,
     surplus_at: Moment,
     generated: Option<(Moment, u64)>,
+    /// When the prompts granted so far will have been worked on.
+    prefill_end: Moment,
 }
 
 impl TargetModel {
@@ -61,6 +65,7 @@
             surplus: 0,
             surplus_at: Moment::default(),
             generated: None,
+            prefill_end: Moment::default(),
             rule,
         }
     }
@@ -99,9 +104,7 @@
 
     /// Notes a failed connection; returns whether the target became suspect by it.
     pub fn note_failure(&mut self, now: Moment) -> bool {
-        let pause = FIRST_PAUSE
-            .saturating_mul(1 << self.failures.min(5))
-            .min(LONGEST_PAUSE);
+        let pause = FIRST_PAUSE.saturating_mul(1 << self.failures.min(5)).min(LONGEST_PAUSE);
         self.failures += 1;
         self.pause_until = now + pause;
         self.handle(TargetEvent::ConnectFailed)
@@ -137,13 +140,20 @@
             && tokens.0 <= self.rule.tokens.0
     }
 
-    /// Reserves a slot.
-    pub fn reserve(&mut self, now: Moment, tokens: Tokens) {
+    /// Reserves a slot for a request of `tokens` in all, of which `prefill` are to be worked on.
+    pub fn reserve(&mut self, now: Moment, tokens: Tokens, prefill: Tokens) {
         self.running += 1;
         self.reserved.0 += tokens.0;
+        self.prefill_end = self.prefill_end.max(now) + self.prefill_rate.time_for(prefill);
         self.remember(now);
     }
 
+    /// Returns the time until the prompts granted so far will have been worked on. Engines take
+    /// prompts in order, so a short request behind two long drawings waits for both.
+    pub fn prefill_backlog(&self, now: Moment) -> Duration {
+        self.prefill_end.since(now)
+    }
+
     /// Gives a slot back.
     pub fn release(&mut self, now: Moment, tokens: Tokens) {
         self.running = self.running.saturating_sub(1);
@@ -151,30 +161,22 @@
         self.remember(now);
     }
 
-    /// Returns the expected time from dispatch to the end.
-    pub fn service_time(&self, prompt: Tokens, output: Tokens) -> Duration {
-        self.prefill_rate.time_for(prompt) + self.decode_rate.time_for(output)
+    /// Returns the expected time from a dispatch at `now` to the end, when `prefill` tokens of the
+    /// prompt are to be worked on.
+    pub fn service_time(&self, now: Moment, prefill: Tokens, output: Tokens) -> Duration {
+        let prefill = self.prefill_backlog(now) + self.prefill_rate.time_for(prefill);
+        prefill + self.decode_rate.time_for(output)
     }
 
-    /// Returns the time that a cached prefix of `tokens` saves.
-    pub fn prefill_saving(&self, tokens: Tokens) -> Duration {
-        self.prefill_rate.time_for(tokens)
-    }
-
-    /// Learns from a completed answer.
+    /// Learns from a completed answer, whose first piece came `first` after the dispatch, less the
+    /// backlog that it met. Short prompts say nothing of the speed: their time is all overhead.
     pub fn learn(&mut self, prompt: Tokens, output: Tokens, first: Duration, total: Duration) {
-        if prompt.0 > 0 && !first.is_zero() {
-            blend(
-                &mut self.prefill_rate,
-                prompt.0 as f64 / first.as_secs_f64(),
-            );
+        if prompt.0 >= LEARNING_PROMPT && !first.is_zero() {
+            blend(&mut self.prefill_rate, prompt.0 as f64 / first.as_secs_f64());
         }
         let decode = total.saturating_sub(first);
         if output.0 > 1 && !decode.is_zero() {
-            blend(
-                &mut self.decode_rate,
-                (output.0 - 1) as f64 / decode.as_secs_f64(),
-            );
+            blend(&mut self.decode_rate, (output.0 - 1) as f64 / decode.as_secs_f64());
         }
     }
 
@@ -191,10 +193,7 @@
             let grown = report.generated.saturating_sub(count) as f64;
             if span > 0.2 && report.running > 0 && granted_then > 0 {
                 let floor = self.rule.decode_rate.0 * SLOWEST_PART;
-                blend(
-                    &mut self.decode_rate,
-                    (grown / span / f64::from(report.running)).max(floor),
-                );
+                blend(&mut self.decode_rate, (grown / span / f64::from(report.running)).max(floor));
             }
         }
         if self.generated.is_none_or(|(before, _)| taken > before) {
@@ -204,27 +203,18 @@
 
     /// Returns the score by which targets are compared: the expected time to the end, with a
     /// growing charge for each request that shares the batch.
-    pub fn score(&self, prompt: Tokens, output: Tokens, saved: Tokens) -> Duration {
+    pub fn score(&self, now: Moment, prefill: Tokens, output: Tokens) -> Duration {
         let crowding = 1.0 + f64::from(self.running) / f64::from(self.rule.slots.max(1));
-        let full = self.service_time(prompt, output).mul_f64(crowding);
-        full.saturating_sub(self.prefill_saving(saved))
+        self.service_time(now, prefill, output).mul_f64(crowding)
     }
 
     fn current_surplus(&self, now: Moment) -> u32 {
-        if now.since(self.surplus_at) > REPORT_LIFE {
-            0
-        } else {
-            self.surplus
-        }
+        if now.since(self.surplus_at) > REPORT_LIFE { 0 } else { self.surplus }
     }
 
     fn remember(&mut self, now: Moment) {
         self.history.push_back((now, self.running));
-        while self
-            .history
-            .front()
-            .is_some_and(|(at, _)| now.since(*at) > HISTORY_SPAN)
-        {
+        while self.history.front().is_some_and(|(at, _)| now.since(*at) > HISTORY_SPAN) {
             self.history.pop_front();
         }
     }
--- a/crates/ryetide-core/src/event.rs
+++ b/crates/ryetide-core/src/event.rs
@@ -562,10 +562,7 @@
 impl EffectBuffer {
     /// Creates a buffer that asks for a pause after `bound` effects.
     pub fn new(bound: usize) -> Self {
-        Self {
-            effects: Vec::new(),
-            bound,
-        }
+        Self { effects: Vec::new(), bound }
     }
 
     /// Adds an effect.
--- a/crates/ryetide-core/src/ids.rs
+++ b/crates/ryetide-core/src/ids.rs
@@ -26,11 +26,7 @@
 pub fn check_name(text: &str) -> Result<(), NameError> {
     let permitted = |byte: u8| byte.is_ascii_alphanumeric() || matches!(byte, b'-' | b'_' | b'.');
     let fits = !text.is_empty() && text.len() <= NAME_LIMIT;
-    if fits && text.bytes().all(permitted) {
-        Ok(())
-    } else {
-        Err(NameError(text.to_owned()))
-    }
+    if fits && text.bytes().all(permitted) { Ok(()) } else { Err(NameError(text.to_owned())) }
 }
 
 name_type!(
@@ -137,11 +133,7 @@
 
 impl fmt::Display for RequestId {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(
-            formatter,
-            "{}~{:x}~{}",
-            self.vm, self.incarnation.0, self.sequence
-        )
+        write!(formatter, "{}~{:x}~{}", self.vm, self.incarnation.0, self.sequence)
     }
 }
 
--- a/crates/ryetide-core/src/membership.rs
+++ b/crates/ryetide-core/src/membership.rs
@@ -70,12 +70,7 @@
 impl PeerTable {
     /// Creates a table that knows only its own VM and the peers of the settings.
     pub fn new(own_name: VmName, own_data_centre: DataCentreName) -> Self {
-        Self {
-            own_name,
-            own_data_centre,
-            own_leaving: false,
-            peers: BTreeMap::new(),
-        }
+        Self { own_name, own_data_centre, own_leaving: false, peers: BTreeMap::new() }
     }
 
     /// Returns the peer called `name`.
@@ -90,17 +85,13 @@
 
     /// Returns the peers heard lately.
     pub fn alive(&self) -> impl Iterator<Item = &PeerRecord> {
-        self.peers
-            .values()
-            .filter(|peer| peer.state == PeerState::Alive)
+        self.peers.values().filter(|peer| peer.state == PeerState::Alive)
     }
 
     /// Returns the addresses to keep connections to.
     pub fn addresses(&self) -> Vec<PeerAddress> {
-        let address = |peer: &PeerRecord| PeerAddress {
-            name: peer.name.clone(),
-            address: peer.address,
-        };
+        let address =
+            |peer: &PeerRecord| PeerAddress { name: peer.name.clone(), address: peer.address };
         self.peers.values().map(address).collect()
     }
 
@@ -149,11 +140,7 @@
             changed |= self.list(&name, &vm.data_centre, address);
             named.push(name);
         }
-        for peer in self
-            .peers
-            .values_mut()
-            .filter(|peer| !named.contains(&peer.name))
-        {
+        for peer in self.peers.values_mut().filter(|peer| !named.contains(&peer.name)) {
             changed |= chart::peer().advance(&mut peer.state, PeerEvent::Delisted);
         }
         self.peers.retain(|_, peer| peer.state != PeerState::Gone);
@@ -185,10 +172,7 @@
         if restarted {
             peer.loads.clear();
         }
-        PeerChange {
-            appeared,
-            restarted,
-        }
+        PeerChange { appeared, restarted }
     }
 
     /// Takes what a peer's heartbeat says of it; returns whether it has just said that it leaves.
--- a/crates/ryetide-core/src/message.rs
+++ b/crates/ryetide-core/src/message.rs
@@ -314,8 +314,5 @@
 
 /// Returns a scope's key from its parts.
 pub fn scope_of(service: ServiceKey, data_centre: DataCentreKey) -> ScopeKey {
-    ScopeKey {
-        service,
-        data_centre,
-    }
+    ScopeKey { service, data_centre }
 }
--- a/crates/ryetide-core/src/queue.rs
+++ b/crates/ryetide-core/src/queue.rs
@@ -18,6 +18,9 @@
 /// Virtual time advances by this much for each token at weight 1.
 const VIRTUAL_SCALE: u64 = 1_000;
 
+/// How many entries of one organisation count as near the front.
+const FRONT_PER_ORGANISATION: usize = 4;
+
 /// What the queue needs to know of an entry.
 #[derive(Clone, Debug)]
 pub struct QueueTicket {
@@ -117,10 +120,7 @@
 
 impl<K> Default for FairQueue<K> {
     fn default() -> Self {
-        Self {
-            tiers: BTreeMap::new(),
-            arrivals: 0,
-        }
+        Self { tiers: BTreeMap::new(), arrivals: 0 }
     }
 }
 
@@ -136,11 +136,7 @@
         let order = (ticket.deadline, self.arrivals);
         let line = self.tiers.entry(ticket.tier).or_default();
         line.push(ticket, order, key);
-        QueuePlace {
-            tier: ticket.tier,
-            organisation: ticket.organisation,
-            order,
-        }
+        QueuePlace { tier: ticket.tier, organisation: ticket.organisation, order }
     }
 
     /// Returns the entry that goes first, with its tier.
@@ -149,17 +145,33 @@
         line.peek().map(|key| (key, *rank))
     }
 
+    /// Returns up to `limit` entries of the first tier that waits, those near the front first.
+    pub fn front(&self, limit: usize) -> Vec<K> {
+        let line = self.tiers.first_key_value().map(|(_, line)| line);
+        line.into_iter().flat_map(TierLine::front).take(limit).cloned().collect()
+    }
+
     /// Removes and returns the entry that goes first, and charges its organisation.
     pub fn pop(&mut self) -> Option<(K, TierRank)> {
-        let (rank, line) = self.tiers.iter_mut().next()?;
-        let (rank, key) = (*rank, line.pop()?);
-        self.drop_empty(rank);
-        Some((key, rank))
+        let (rank, line) = self.tiers.first_key_value()?;
+        let (tier, (organisation, order)) = (*rank, line.first()?);
+        let key = self.serve(QueuePlace { tier, organisation, order })?;
+        Some((key, tier))
+    }
+
+    /// Removes the entry at `place`, if it is still there, and charges its organisation.
+    pub fn serve(&mut self, place: QueuePlace) -> Option<K> {
+        self.take(place, true)
     }
 
     /// Removes the entry at `place`, if it is still there, without charging its organisation.
     pub fn remove(&mut self, place: QueuePlace) -> Option<K> {
-        let key = self.tiers.get_mut(&place.tier)?.remove(place)?;
+        self.take(place, false)
+    }
+
+    fn take(&mut self, place: QueuePlace, served: bool) -> Option<K> {
+        let line = self.tiers.get_mut(&place.tier)?;
+        let key = line.take(place.organisation, place.order, served)?;
         self.drop_empty(place.tier);
         Some(key)
     }
@@ -174,20 +186,13 @@
     /// the whole tier would refuse a light organisation for the backlog of a heavy one.
     pub fn work_ahead_of(&self, tier: TierRank, organisation: OrganisationKey) -> Duration {
         let before: Duration = self.tiers.range(..tier).map(|(_, line)| line.work).sum();
-        before
-            + self
-                .tiers
-                .get(&tier)
-                .map_or(Duration::ZERO, |line| line.work_before(organisation))
+        before + self.tiers.get(&tier).map_or(Duration::ZERO, |line| line.work_before(organisation))
     }
 
     /// Returns every entry of the tiers after `tier`.
     pub fn below(&self, tier: TierRank) -> Vec<K> {
         let below = (std::ops::Bound::Excluded(tier), std::ops::Bound::Unbounded);
-        self.tiers
-            .range(below)
-            .flat_map(|(_, line)| line.keys())
-            .collect()
+        self.tiers.range(below).flat_map(|(_, line)| line.keys()).collect()
     }
 
     /// Returns the entry that would be served last, with its tier.
@@ -210,10 +215,7 @@
 
     /// Returns the number of organisations for which state is kept.
     pub fn organisations_held(&self) -> usize {
-        self.tiers
-            .values()
-            .map(|line| line.lines.len() + line.finished.len())
-            .sum()
+        self.tiers.values().map(|line| line.lines.len() + line.finished.len()).sum()
     }
 
     fn drop_empty(&mut self, rank: TierRank) {
@@ -226,11 +228,7 @@
 impl<K: Clone> TierLine<K> {
     fn push(&mut self, ticket: &QueueTicket, order: (Moment, u64), key: K) {
         let organisation = ticket.organisation;
-        let entry = QueuedEntry {
-            key,
-            cost: ticket.cost,
-            work: ticket.work,
-        };
+        let entry = QueuedEntry { key, cost: ticket.cost, work: ticket.work };
         self.work += ticket.work;
         self.length += 1;
         if let Some(line) = self.lines.get_mut(&organisation) {
@@ -239,18 +237,9 @@
             return;
         }
         self.weights += u64::from(ticket.weight.0);
-        let start = self
-            .finished
-            .remove(&organisation)
-            .unwrap_or(0)
-            .max(self.virtual_time);
+        let start = self.finished.remove(&organisation).unwrap_or(0).max(self.virtual_time);
         let entries = BTreeMap::from([(order, entry)]);
-        let line = OrganisationLine {
-            start,
-            weight: ticket.weight,
-            work: ticket.work,
-            entries,
-        };
+        let line = OrganisationLine { start, weight: ticket.weight, work: ticket.work, entries };
         self.lines.insert(organisation, line);
         self.order.insert((start, organisation));
     }
@@ -261,31 +250,41 @@
         Some(&entry.key)
     }
 
-    fn pop(&mut self) -> Option<K> {
-        let (start, organisation) = self.order.pop_first()?;
+    /// Returns the place of the entry that goes first.
+    fn first(&self) -> Option<(OrganisationKey, (Moment, u64))> {
+        let (_, organisation) = self.order.first()?;
+        let (order, _) = self.lines.get(organisation)?.entries.first_key_value()?;
+        Some((*organisation, *order))
+    }
+
+    /// Removes an entry; one that is served is charged to its organisation.
+    fn take(
+        &mut self,
+        organisation: OrganisationKey,
+        order: (Moment, u64),
+        served: bool,
+    ) -> Option<K> {
         let line = self.lines.get_mut(&organisation)?;
-        let (_, entry) = line.entries.pop_first()?;
+        let entry = line.entries.remove(&order)?;
         line.work = line.work.saturating_sub(entry.work);
-        let weight = u64::from(line.weight.0.max(1));
-        line.start = start + entry.cost.0.max(1) * VIRTUAL_SCALE / weight;
-        self.virtual_time = self.virtual_time.max(start);
-        self.finished
-            .retain(|_, finish| *finish > self.virtual_time);
+        self.order.remove(&(line.start, organisation));
+        if served {
+            let weight = u64::from(line.weight.0.max(1));
+            self.virtual_time = self.virtual_time.max(line.start);
+            line.start += entry.cost.0.max(1) * VIRTUAL_SCALE / weight;
+            self.finished.retain(|_, finish| *finish > self.virtual_time);
+        }
         self.settle(organisation);
         self.work = self.work.saturating_sub(entry.work);
         self.length -= 1;
         Some(entry.key)
     }
 
-    fn remove(&mut self, place: QueuePlace) -> Option<K> {
-        let line = self.lines.get_mut(&place.organisation)?;
-        let entry = line.entries.remove(&place.order)?;
-        line.work = line.work.saturating_sub(entry.work);
-        self.order.remove(&(line.start, place.organisation));
-        self.settle(place.organisation);
-        self.work = self.work.saturating_sub(entry.work);
-        self.length -= 1;
-        Some(entry.key)
+    /// Returns entries near the front: a few of each organisation, in order.
+    fn front(&self) -> impl Iterator<Item = &K> {
+        self.order.iter().filter_map(|(_, organisation)| self.lines.get(organisation)).flat_map(
+            |line| line.entries.values().take(FRONT_PER_ORGANISATION).map(|entry| &entry.key),
+        )
     }
 
     /// Puts an organisation back in order, or remembers its finish when its line is empty.
@@ -315,8 +314,6 @@
     }
 
     fn keys(&self) -> impl Iterator<Item = K> + '_ {
-        self.lines
-            .values()
-            .flat_map(|line| line.entries.values().map(|entry| entry.key.clone()))
+        self.lines.values().flat_map(|line| line.entries.values().map(|entry| entry.key.clone()))
     }
 }
--- a/crates/ryetide-core/src/request.rs
+++ b/crates/ryetide-core/src/request.rs
@@ -143,9 +143,7 @@
 
     /// Returns all requests.
     pub fn iter(&self) -> impl Iterator<Item = (RequestSequence, &RequestRecord)> {
-        self.records
-            .iter()
-            .map(|(sequence, record)| (*sequence, record))
+        self.records.iter().map(|(sequence, record)| (*sequence, record))
     }
 
     /// Returns the number of requests.
--- a/crates/ryetide-core/src/text.rs
+++ b/crates/ryetide-core/src/text.rs
@@ -95,9 +95,7 @@
     match value {
         Some(value) if reader.faults.is_empty() => Ok(value),
         _ => {
-            reader
-                .faults
-                .sort_by_key(|fault| (fault.line, fault.column));
+            reader.faults.sort_by_key(|fault| (fault.line, fault.column));
             Err(TextFaults(reader.faults))
         }
     }
@@ -106,24 +104,14 @@
 impl FaultReader {
     fn new(text: &str) -> Self {
         let starts = text.bytes().enumerate().filter(|(_, byte)| *byte == b'\n');
-        let line_starts = std::iter::once(0)
-            .chain(starts.map(|(at, _)| at + 1))
-            .collect();
-        Self {
-            path: Vec::new(),
-            line_starts,
-            faults: Vec::new(),
-        }
+        let line_starts = std::iter::once(0).chain(starts.map(|(at, _)| at + 1)).collect();
+        Self { path: Vec::new(), line_starts, faults: Vec::new() }
     }
 
     /// Notes a fault at `node`.
     pub fn note(&mut self, node: TextNode<'_>, found: impl Into<String>, permitted: &str) {
         let span = node.node.span;
-        let length = if span.end.line() == span.start.line() {
-            span.len().max(1)
-        } else {
-            1
-        };
+        let length = if span.end.line() == span.start.line() { span.len().max(1) } else { 1 };
         self.note_at(
             span.start.line(),
             span.start.col(),
@@ -141,16 +129,8 @@
         found: String,
         permitted: String,
     ) {
-        let start = self
-            .line_starts
-            .get(line.saturating_sub(1))
-            .copied()
-            .unwrap_or(0);
-        let path = if self.path.is_empty() {
-            "text".to_owned()
-        } else {
-            self.path.join(".")
-        };
+        let start = self.line_starts.get(line.saturating_sub(1)).copied().unwrap_or(0);
+        let path = if self.path.is_empty() { "text".to_owned() } else { self.path.join(".") };
         self.faults.push(TextFault {
             line: line.max(1),
             column: column + 1,
--- a/crates/ryetide-core/src/units.rs
+++ b/crates/ryetide-core/src/units.rs
@@ -97,20 +97,12 @@
     type Output = Self;
 
     fn add(self, span: time::Duration) -> Self {
-        Self(
-            self.0
-                .saturating_add(u64::try_from(span.as_micros()).unwrap_or(u64::MAX)),
-        )
+        Self(self.0.saturating_add(u64::try_from(span.as_micros()).unwrap_or(u64::MAX)))
     }
 }
 
 impl fmt::Display for Moment {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(
-            formatter,
-            "{}.{:06}",
-            self.0 / 1_000_000,
-            self.0 % 1_000_000
-        )
+        write!(formatter, "{}.{:06}", self.0 / 1_000_000, self.0 % 1_000_000)
     }
 }
--- /dev/null
+++ b/crates/ryetide-core/tests/arbiter.rs
@@ -0,0 +1,331 @@
+//! One arbiter's decisions: order, placement, refusals.
+
+use std::time::Duration;
+
+use rand::{SeedableRng, rngs::SmallRng};
+use ryetide_core::{
+    arbiter::{ArbiterVerdict, AskKey, ScopeArbiter, SlotAsk, VerdictKind},
+    catalog::ServiceCatalog,
+    event::LoadReport,
+    ids::{OrganisationKey, OrganisationName, RequestSequence, TargetKey, TargetName, VmName},
+    message::{AskProfile, AskRef, LifeMark, RefuseReason, ReleaseMessage, ReleaseOutcome},
+    safeguard::SafeguardSwitches,
+    units::{Moment, TierRank, Tokens},
+};
+
+const TEXT: &str = "
+tiers:
+  - {name: urgent, wait: 2s}
+  - {name: routine, wait: 10s, fill: 0.5}
+organisations:
+  - {name: heavy, share: 1}
+  - {name: light, share: 1}
+services:
+  - name: drafting
+    kind: model
+    targets:
+      - {name: fast, data-centre: here, address: '127.0.0.1:1', slots: 4, tokens: 100000,
+         prefill-rate: 10000, decode-rate: 100}
+      - {name: slow, data-centre: here, address: '127.0.0.1:2', slots: 4, tokens: 100000,
+         prefill-rate: 1000, decode-rate: 10}
+";
+
+struct Bench {
+    arbiter: ScopeArbiter,
+    rng: SmallRng,
+    verdicts: Vec<ArbiterVerdict>,
+    next: u64,
+}
+
+impl Bench {
+    fn new(text: &str) -> Self {
+        let catalog = ServiceCatalog::parse(text).expect("a sound text");
+        let scope = catalog.scopes()[0];
+        let switches = SafeguardSwitches::default();
+        let arbiter = ScopeArbiter::new(scope, &catalog, 1.0, Moment(0), switches);
+        Self { arbiter, rng: SmallRng::seed_from_u64(1), verdicts: Vec::new(), next: 0 }
+    }
+
+    /// Asks and returns the request's number.
+    fn ask(&mut self, now: Moment, tier: u8, prompt: u64, output: u64, deadline: u64) -> u64 {
+        self.ask_as("heavy", now, tier, (prompt, output), deadline)
+    }
+
+    fn ask_as(
+        &mut self,
+        organisation: &str,
+        now: Moment,
+        tier: u8,
+        (prompt, output): (u64, u64),
+        deadline: u64,
+    ) -> u64 {
+        self.next += 1;
+        let profile = AskProfile {
+            service: self.arbiter.scope().service,
+            organisation: OrganisationKey::of(&OrganisationName::from(organisation)),
+            tier: TierRank(tier),
+            prompt: Tokens(prompt),
+            output_limit: Tokens(output),
+            prefixes: Vec::new(),
+        };
+        let ask = SlotAsk {
+            key: key(self.next),
+            profile,
+            deadline: now + Duration::from_millis(deadline),
+            waited: Duration::ZERO,
+        };
+        self.arbiter.ask(now, ask, &mut self.rng, &mut self.verdicts);
+        self.next
+    }
+
+    fn advance(&mut self, now: Moment) {
+        self.arbiter.advance(now, &mut self.rng, &mut self.verdicts);
+    }
+
+    fn release(&mut self, now: Moment, number: u64, outcome: ReleaseOutcome) {
+        let message = ReleaseMessage {
+            ask: key(number).ask,
+            scope: self.arbiter.scope(),
+            outcome,
+            first_piece_ms: 10,
+            total_ms: 100,
+            output: Tokens(10),
+        };
+        let vm = VmName::from("e1");
+        self.arbiter.release(now, &vm, &message, &mut self.verdicts, &mut Vec::new());
+    }
+
+    /// Returns the last verdict about a request.
+    fn verdict(&self, number: u64) -> Option<&VerdictKind> {
+        let of_request = |verdict: &&ArbiterVerdict| verdict.key == key(number);
+        self.verdicts.iter().rev().find(of_request).map(|verdict| &verdict.kind)
+    }
+}
+
+fn key(number: u64) -> AskKey {
+    let ask = AskRef { life: LifeMark(0), sequence: RequestSequence(number) };
+    AskKey { vm: VmName::from("e1"), ask }
+}
+
+fn target(name: &str) -> TargetKey {
+    TargetKey::of(&TargetName::from(name))
+}
+
+fn at(millis: u64) -> Moment {
+    Moment::from_millis(millis)
+}
+
+#[test]
+fn a_request_goes_to_the_faster_target() {
+    let mut bench = Bench::new(TEXT);
+    let number = bench.ask(at(1), 0, 100, 10, 10_000);
+    assert_eq!(bench.verdict(number), Some(&VerdictKind::Grant(target("fast"))));
+}
+
+/// A caller's drawing is granted to a slow target that cannot finish it in time, and comes late.
+/// The fast target is full; the slow one is free, but would take 11 s of the 6 s that are left.
+/// Placement must leave it in line for the fast one.
+#[test]
+fn a_target_that_would_end_too_late_is_passed_over() {
+    let mut bench = Bench::new(TEXT);
+    let first: Vec<u64> = (0..4).map(|_| bench.ask(at(1), 0, 10, 100, 1_500)).collect();
+    for number in &first {
+        assert_eq!(bench.verdict(*number), Some(&VerdictKind::Grant(target("fast"))));
+    }
+    let drawing = bench.ask(at(2), 0, 1_000, 100, 6_000);
+    assert_eq!(bench.verdict(drawing), Some(&VerdictKind::Queued));
+    bench.release(at(500), first[0], ReleaseOutcome::Completed);
+    assert_eq!(bench.verdict(drawing), Some(&VerdictKind::Grant(target("fast"))));
+}
+
+/// An urgent colour check waits seconds for its first token behind drawings already at the engine.
+/// Engines take prompts in order and do not preempt, so a second drawing granted at once would put
+/// its whole prompt before every later check. It must wait here, where it can be passed.
+#[test]
+fn prompts_of_lower_tiers_do_not_pile_up_at_an_engine() {
+    let mut bench = Bench::new(TEXT);
+    let drawings: Vec<u64> = (0..3).map(|_| bench.ask(at(1), 1, 8_000, 10, 60_000)).collect();
+    let granted = drawings
+        .iter()
+        .filter(|number| matches!(bench.verdict(**number), Some(VerdictKind::Grant(_))))
+        .count();
+    assert_eq!(granted, 2, "one for each engine");
+    let check = bench.ask(at(2), 0, 50, 5, 2_000);
+    assert_eq!(bench.verdict(check), Some(&VerdictKind::Grant(target("fast"))));
+    // Once the first prompt is worked on, the engine gets the next, without waiting for an end.
+    bench.release(at(700), check, ReleaseOutcome::Completed);
+    bench.advance(at(790));
+    let granted = drawings
+        .iter()
+        .filter(|number| matches!(bench.verdict(**number), Some(VerdictKind::Grant(_))))
+        .count();
+    assert_eq!(granted, 3);
+}
+
+#[test]
+fn routine_leaves_headroom_for_urgent() {
+    let mut bench = Bench::new(TEXT);
+    let routine: Vec<u64> = (0..6).map(|_| bench.ask(at(1), 1, 10, 100, 60_000)).collect();
+    let granted = routine
+        .iter()
+        .filter(|number| matches!(bench.verdict(**number), Some(VerdictKind::Grant(_))))
+        .count();
+    assert_eq!(granted, 4, "half of the eight slots");
+    let urgent = bench.ask(at(2), 0, 10, 10, 5_000);
+    assert!(matches!(bench.verdict(urgent), Some(VerdictKind::Grant(_))));
+}
+
+/// A caller of the urgent tier is told to come back while routine work waits and is served later.
+/// Urgent work alone is more than the targets can do in its time, so one more is shed; everything
+/// that waits below it must be shed with it.
+#[test]
+fn routine_is_shed_before_urgent() {
+    let mut bench = Bench::new(TEXT);
+    let routine: Vec<u64> = (0..6).map(|_| bench.ask(at(1), 1, 10, 400, 60_000)).collect();
+    let mut shed = None;
+    for _ in 0..60 {
+        let number = bench.ask(at(2), 0, 10, 100, 60_000);
+        if matches!(bench.verdict(number), Some(VerdictKind::Refuse(RefuseReason::Shed, _))) {
+            shed = Some(number);
+            break;
+        }
+    }
+    assert!(shed.is_some(), "urgent work alone should have been too much");
+    for number in routine {
+        let verdict = bench.verdict(number);
+        assert!(
+            matches!(verdict, Some(VerdictKind::Grant(_) | VerdictKind::Refuse(..))),
+            "{number} still waits below shed urgent work: {verdict:?}"
+        );
+    }
+}
+
+#[test]
+fn a_deadline_that_cannot_be_met_is_refused_before_any_prefill() {
+    let mut bench = Bench::new(TEXT);
+    let number = bench.ask(at(1), 0, 20_000, 100, 500);
+    let refused = VerdictKind::Refuse(RefuseReason::DeadlineUnreachable, Duration::ZERO);
+    match bench.verdict(number) {
+        Some(VerdictKind::Refuse(reason, retry)) => {
+            assert_eq!(VerdictKind::Refuse(*reason, Duration::ZERO), refused);
+            assert!(*retry > Duration::ZERO);
+        }
+        other => panic!("{other:?}"),
+    }
+}
+
+#[test]
+fn a_request_larger_than_any_target_is_refused() {
+    let mut bench = Bench::new(TEXT);
+    let number = bench.ask(at(1), 0, 200_000, 100, 3_600_000);
+    let verdict = bench.verdict(number);
+    assert!(matches!(verdict, Some(VerdictKind::Refuse(RefuseReason::TooLarge, _))), "{verdict:?}");
+}
+
+/// A caller waits although it is known that it cannot be served: its time in line is over.
+/// It must be told at the moment that is known, not at its deadline.
+#[test]
+fn a_request_is_refused_when_its_time_in_line_is_over() {
+    let mut bench = Bench::new(TEXT);
+    for _ in 0..8 {
+        bench.ask(at(1), 0, 10, 1_000, 3_000_000);
+    }
+    let number = bench.ask(at(1), 0, 10, 10, 1_000_000);
+    if bench.verdict(number) == Some(&VerdictKind::Queued) {
+        bench.advance(at(2_010));
+    }
+    let verdict = bench.verdict(number);
+    assert!(matches!(verdict, Some(VerdictKind::Refuse(RefuseReason::Shed, _))), "{verdict:?}");
+}
+
+#[test]
+fn those_told_to_come_back_are_spread() {
+    let mut bench = Bench::new(TEXT);
+    let mut times = Vec::new();
+    for _ in 0..400 {
+        let number = bench.ask(at(1), 0, 10, 100, 60_000);
+        if let Some(VerdictKind::Refuse(_, retry)) = bench.verdict(number) {
+            times.push(*retry);
+        }
+    }
+    assert!(times.len() > 100, "{} refused", times.len());
+    let (least, greatest) = (times.iter().min().unwrap(), times.iter().max().unwrap());
+    assert!(*greatest > *least * 2, "from {least:?} to {greatest:?}");
+    let mean = |part: &[Duration]| part.iter().sum::<Duration>() / part.len() as u32;
+    let (early, late) = times.split_at(times.len() / 2);
+    assert!(mean(late) > mean(early), "the promise does not grow with the backlog");
+}
+
+#[test]
+fn a_leaving_target_is_granted_to_nobody() {
+    let mut bench = Bench::new(TEXT);
+    let report = LoadReport { leaving: true, ..LoadReport::default() };
+    bench.arbiter.note_report(at(1), target("fast"), &report, &mut Vec::new());
+    let number = bench.ask(at(2), 0, 10, 10, 60_000);
+    assert_eq!(bench.verdict(number), Some(&VerdictKind::Grant(target("slow"))));
+    bench.arbiter.note_leaving(target("fast"), false, &mut Vec::new());
+    let number = bench.ask(at(3), 0, 10, 10, 60_000);
+    assert_eq!(bench.verdict(number), Some(&VerdictKind::Grant(target("fast"))));
+}
+
+/// Every request is sent to a target that is gone, one connection after another.
+/// A failed connection pauses the target; after the pause it is tried again.
+#[test]
+fn a_target_that_cannot_be_reached_is_paused() {
+    let mut bench = Bench::new(TEXT);
+    let number = bench.ask(at(1), 0, 10, 10, 60_000);
+    bench.release(at(2), number, ReleaseOutcome::ConnectFailed);
+    let next = bench.ask(at(3), 0, 10, 10, 60_000);
+    assert_eq!(bench.verdict(next), Some(&VerdictKind::Grant(target("slow"))));
+    let later = bench.ask(at(400), 0, 10, 10, 60_000);
+    assert_eq!(bench.verdict(later), Some(&VerdictKind::Grant(target("fast"))));
+}
+
+/// The engine's report counts the requests that this arbiter granted itself.
+/// Counting them twice would leave half of the slots empty; the report is late, so they are compared
+/// with the grants that were out when it was taken.
+#[test]
+fn a_late_report_does_not_count_own_grants_twice() {
+    let mut bench = Bench::new(TEXT);
+    for _ in 0..3 {
+        bench.ask(at(1), 0, 10, 10, 60_000);
+    }
+    let report = LoadReport { age_ms: 1_000, running: 3, ..LoadReport::default() };
+    bench.arbiter.note_report(at(1_500), target("fast"), &report, &mut Vec::new());
+    let number = bench.ask(at(1_501), 0, 10, 10, 60_000);
+    assert_eq!(bench.verdict(number), Some(&VerdictKind::Grant(target("fast"))));
+}
+
+#[test]
+fn work_that_others_gave_a_target_takes_up_its_slots() {
+    let mut bench = Bench::new(TEXT);
+    let report = LoadReport { age_ms: 100, running: 4, ..LoadReport::default() };
+    bench.arbiter.note_report(at(1_000), target("fast"), &report, &mut Vec::new());
+    let number = bench.ask(at(1_001), 0, 10, 10, 60_000);
+    assert_eq!(bench.verdict(number), Some(&VerdictKind::Grant(target("slow"))));
+    let later = bench.ask(at(5_000), 0, 10, 10, 60_000);
+    assert_eq!(bench.verdict(later), Some(&VerdictKind::Grant(target("fast"))));
+}
+
+/// Slots leak when an entry VM dies: nobody gives them back.
+#[test]
+fn the_slots_of_a_dead_vm_are_free_again() {
+    let mut bench = Bench::new(TEXT);
+    for _ in 0..20 {
+        bench.ask(at(1), 0, 10, 1_000, 3_000_000);
+    }
+    assert_eq!(bench.arbiter.held(), 8);
+    bench.arbiter.forget_vm(at(2), &VmName::from("e1"), &mut Vec::new());
+    assert_eq!((bench.arbiter.held(), bench.arbiter.waiting()), (0, 0));
+}
+
+/// A report of a slot's end was lost: the slot is taken back some time after its expected end.
+#[test]
+fn an_orphaned_slot_is_taken_back() {
+    let mut bench = Bench::new(TEXT);
+    bench.ask(at(1), 0, 10, 100, 60_000);
+    bench.advance(at(20_000));
+    assert_eq!(bench.arbiter.held(), 1);
+    bench.advance(at(40_000));
+    assert_eq!(bench.arbiter.held(), 0);
+}
--- a/crates/ryetide-lab/src/deployment.rs
+++ b/crates/ryetide-lab/src/deployment.rs
@@ -8,8 +8,8 @@
 
 use ryetide::error::StepError;
 use ryetide_core::{
-    event::{ListedVm, TableAnswer, TableCommand},
     configuration::CONFIGURATION_KEY,
+    event::{ListedVm, TableAnswer, TableCommand},
 };
 
 use crate::{engine_batch::EngineSpeed, platform::PlatformStandIn};
--- a/crates/ryetide-lab/src/engine_batch.rs
+++ b/crates/ryetide-lab/src/engine_batch.rs
@@ -287,8 +287,12 @@
     fn fill(&mut self) {
         while self.running.len() < self.speed.slots {
             let Some(id) = self.queue.front() else { return };
-            let held: u64 =
-                self.running.iter().filter_map(|id| self.requests.get(id)).map(EngineRequest::tokens).sum();
+            let held: u64 = self
+                .running
+                .iter()
+                .filter_map(|id| self.requests.get(id))
+                .map(EngineRequest::tokens)
+                .sum();
             let Some(request) = self.requests.get(id) else {
                 self.queue.pop_front();
                 continue;
--- a/crates/ryetide-lab/src/site.rs
+++ b/crates/ryetide-lab/src/site.rs
@@ -210,9 +210,8 @@
         for address in operators {
             loop {
                 let status = read_status(&client, address).await;
-                let ready = |status: &EntryStatus| {
-                    status.revision.0 > 0 && status.peers.len() >= others
-                };
+                let ready =
+                    |status: &EntryStatus| status.revision.0 > 0 && status.peers.len() >= others;
                 if status.as_ref().is_some_and(ready) {
                     break;
                 }
--- a/crates/ryetide-lab/src/workload.rs
+++ b/crates/ryetide-lab/src/workload.rs
@@ -66,7 +66,8 @@
 }
 
 fn draw_one(rng: &mut SmallRng, class: &WorkClass, at: Duration) -> WorkArrival {
-    let length = log_uniform(rng, class.prompt_bytes.0 as f64, class.prompt_bytes.1 as f64) as usize;
+    let length =
+        log_uniform(rng, class.prompt_bytes.0 as f64, class.prompt_bytes.1 as f64) as usize;
     let output = log_uniform(rng, class.output.0 as f64, class.output.1 as f64) as u64;
     let organisation = rng.random_range(0..class.organisations.len());
     WorkArrival {
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -167,8 +167,7 @@
         address: addresses.peers,
     };
     let link_options = LinkOptions { socket: sockets.peers, keys, preface };
-    let identity =
-        EdgeIdentity { vm: settings.name.clone(), incarnation, limits: settings.limits };
+    let identity = EdgeIdentity { vm: settings.name.clone(), incarnation, limits: settings.limits };
     let options =
         EntryOptions::new(settings.name.clone(), settings.data_centre.clone(), incarnation)
             .with_peers(settings.peers.known.clone());
@@ -240,14 +239,13 @@
 {
     let run = move || {
         let system = System::new(name, DefaultRuntime);
-        let outcome = system.block_on(async move {
+        system.block_on(async move {
             let outcome = duty().await;
             if let Err(error) = &outcome {
                 tracing::error!(event = "duty-failed", step = name, reason = %error);
             }
             outcome
-        });
-        outcome
+        })
     };
     thread::Builder::new()
         .name(name.to_owned())
--- a/src/error.rs
+++ b/src/error.rs
@@ -20,10 +20,7 @@
 
 impl StepError {
     /// Creates an error that arose in `step`.
-    pub fn new(
-        step: &'static str,
-        cause: impl Into<Box<dyn error::Error + Send + Sync>>,
-    ) -> Self {
+    pub fn new(step: &'static str, cause: impl Into<Box<dyn error::Error + Send + Sync>>) -> Self {
         Self { step, peer: None, cause: cause.into() }
     }
 
--- a/src/operator_port.rs
+++ b/src/operator_port.rs
@@ -13,12 +13,8 @@
     web::{self, App, HttpRequest, HttpResponse, HttpServer},
 };
 use ryetide_core::{
-    catalog::ServiceCatalog,
-    entry::EntryStatus,
-    event::ApplyOutcome,
-    message::ConfigurationText,
-    text::TextFault,
-    units::Revision,
+    catalog::ServiceCatalog, entry::EntryStatus, event::ApplyOutcome, message::ConfigurationText,
+    text::TextFault, units::Revision,
 };
 use serde::{Deserialize, Serialize};
 use tokio::sync::oneshot;
--- a/src/peer_link.rs
+++ b/src/peer_link.rs
@@ -105,9 +105,9 @@
                 };
                 lines.retain(keep);
                 for peer in peers {
-                    lines.entry(peer.name.clone()).or_insert_with(|| {
-                        PeerLine::open(endpoint.clone(), peer, preface.clone())
-                    });
+                    lines
+                        .entry(peer.name.clone())
+                        .or_insert_with(|| PeerLine::open(endpoint.clone(), peer, preface.clone()));
                 }
             }
             LinkCommand::Send(to, message) => {
--- a/src/request_report.rs
+++ b/src/request_report.rs
@@ -8,11 +8,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::sync::{self, oneshot};
 
-use crate::{
-    error::StepError,
-    ring::RingReceiver,
-    util,
-};
+use crate::{error::StepError, ring::RingReceiver, util};
 
 /// Times are kept up to an hour, in microseconds, with this many digits.
 const GREATEST_MICROS: u64 = 3_600_000_000;
@@ -187,9 +183,8 @@
     };
     let (tier, service) = (summary.tier.as_str(), summary.service.as_str());
     // Lines are sent over UDP: one that cannot be sent is lost, and nothing waits for it.
-    let tags = |name| {
-        client.count_with_tags(name, 1).with_tag("tier", tier).with_tag("service", service)
-    };
+    let tags =
+        |name| client.count_with_tags(name, 1).with_tag("tier", tier).with_tag("service", service);
     tags("requests").with_tag("outcome", outcome).send();
     let wasted = i64::try_from(summary.wasted_prompt.0).unwrap_or(i64::MAX);
     client.count_with_tags("wasted_prompt_tokens", wasted).with_tag("tier", tier).send();
@@ -203,11 +198,7 @@
     }
 }
 
-fn record(
-    classes: &mut BTreeMap<String, ClassHistograms>,
-    name: &str,
-    summary: &RequestSummary,
-) {
+fn record(classes: &mut BTreeMap<String, ClassHistograms>, name: &str, summary: &RequestSummary) {
     if !classes.contains_key(name) {
         classes.insert(name.to_owned(), ClassHistograms::new());
     }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -111,7 +111,14 @@
 
 fn read_settings(reader: &mut FaultReader, root: TextNode<'_>) -> Option<DaemonSettings> {
     const KEYS: [&str; 9] = [
-        "name", "data-centre", "callers", "operators", "peers", "platform", "metrics", "limits",
+        "name",
+        "data-centre",
+        "callers",
+        "operators",
+        "peers",
+        "platform",
+        "metrics",
+        "limits",
         "log",
     ];
     if !reader.mapping(root, &KEYS) {
