Add the operators' command line and tests with separate processes

Three daemons, three engines, a plain service and the platform as processes of their own: 203 streams compared byte for byte, among them three of 12 MB each; each dispatched once by the engines' records; SIGTERM with streams running and others waiting.

--- a/crates/ryetide-cli/src/main.rs
+++ b/crates/ryetide-cli/src/main.rs
@@ -1,17 +1,191 @@
-//! The operators' command line.
+//! The operators' command line: `ryetide check`, `apply`, `show`, `status`, `report`, `demo`.
+//!
+//! Exit codes: 0 done, 1 failed, 2 wrong usage, 3 the text is at fault, 4 the edit collided with
+//! another, 5 it cannot be said whether the edit took effect.
 
-use std::process::ExitCode;
+mod flags;
+mod operator_client;
+mod table;
+
+use std::{fs, net::SocketAddr, path::Path, process::ExitCode};
+
+use flags::{Ryetide, RyetideCmd};
+use miette::Report;
+use operator_client::OperatorClient;
+use ryetide::{
+    error::StepError, log, operator_port::ApplyReply, settings::DaemonSettings,
+    text_report::TextReport,
+};
+use ryetide_core::{
+    catalog::ServiceCatalog, event::ApplyOutcome, text::TextFaults, units::Revision,
+};
+use serde::Serialize;
+
+const FAILED: u8 = 1;
+const FAULTY_TEXT: u8 = 3;
+const COLLIDED: u8 = 4;
+const UNCERTAIN: u8 = 5;
 
 fn main() -> ExitCode {
-    ryetide::log::start("warn");
-    match ryetide_lab::demo::run() {
-        Ok(report) => {
-            println!("{report}");
+    let flags = Ryetide::from_env_or_exit();
+    log::start("warn");
+    match run(flags) {
+        Ok(code) => code,
+        Err(report) => {
+            eprintln!("{report:?}");
+            ExitCode::from(FAILED)
+        }
+    }
+}
+
+fn run(flags: Ryetide) -> Result<ExitCode, Report> {
+    let json = flags.json;
+    match flags.subcommand {
+        RyetideCmd::Check(check) => run_check(&check.file, check.settings),
+        RyetideCmd::Apply(apply) => run_apply(apply, json),
+        RyetideCmd::Show(show) => run_show(show.daemon, json),
+        RyetideCmd::Status(status) => run_status(status.daemon, json),
+        RyetideCmd::Report(report) => run_report(report.daemon, json),
+        RyetideCmd::Demo(_) => run_demo(),
+    }
+}
+
+fn read(file: &Path) -> Result<String, Report> {
+    let fault = |error| StepError::new("read file", error).with_peer(file.display());
+    fs::read_to_string(file).map_err(|error| Report::new(fault(error)))
+}
+
+fn run_check(file: &Path, settings: bool) -> Result<ExitCode, Report> {
+    let text = read(file)?;
+    let checked = if settings {
+        DaemonSettings::parse(&text).map(drop)
+    } else {
+        ServiceCatalog::parse(&text).map(drop)
+    };
+    match checked {
+        Ok(()) => {
+            println!("{}: sound", file.display());
+            Ok(ExitCode::SUCCESS)
+        }
+        Err(faults) => Ok(tell_faults(file, &text, faults)),
+    }
+}
+
+fn tell_faults(file: &Path, text: &str, faults: TextFaults) -> ExitCode {
+    let report = TextReport::new(&file.display().to_string(), text, faults);
+    eprintln!("{:?}", Report::new(report));
+    ExitCode::from(FAULTY_TEXT)
+}
+
+fn run_apply(apply: flags::Apply, json: bool) -> Result<ExitCode, Report> {
+    let text = read(&apply.file)?;
+    if let Err(faults) = ServiceCatalog::parse(&text) {
+        return Ok(tell_faults(&apply.file, &text, faults));
+    }
+    let client = OperatorClient::new(apply.daemon);
+    // Without --base the edit is made from what is in force now, so that of two edits made at the
+    // same moment one collides instead of silently undoing the other.
+    let base = match apply.base {
+        Some(base) => Revision(base),
+        None => client.configuration()?.map_or(Revision(0), |text| text.revision),
+    };
+    let reply = client.apply(base, text.clone())?;
+    if json {
+        print_json(&reply)?;
+    }
+    let outcome = match reply {
+        ApplyReply::Faulty(faults) => {
+            return Ok(tell_faults(&apply.file, &text, TextFaults(faults)));
+        }
+        ApplyReply::Ended(outcome) => outcome,
+    };
+    Ok(tell_outcome(&outcome, base, &text))
+}
+
+fn tell_outcome(outcome: &ApplyOutcome, base: Revision, own: &str) -> ExitCode {
+    match outcome {
+        ApplyOutcome::Accepted(revision) => {
+            eprintln!("accepted as revision {revision}");
             ExitCode::SUCCESS
         }
-        Err(error) => {
-            eprintln!("{error}");
-            ExitCode::FAILURE
+        ApplyOutcome::Collided { revision, text } => {
+            eprintln!("not accepted: it was made from revision {base}, and {revision} stands now");
+            eprint!("{}", table::difference(text, own));
+            ExitCode::from(COLLIDED)
+        }
+        ApplyOutcome::NotWritten => {
+            eprintln!(
+                "not accepted: the platform's table could not be reached; nothing was written"
+            );
+            ExitCode::from(FAILED)
         }
+        ApplyOutcome::Busy => {
+            eprintln!(
+                "not accepted: another edit is under way through this daemon; nothing was written"
+            );
+            ExitCode::from(FAILED)
+        }
+        ApplyOutcome::Uncertain => {
+            eprintln!("not known: the table did not answer; `ryetide show` will tell once it does");
+            ExitCode::from(UNCERTAIN)
+        }
+    }
+}
+
+fn print_json(value: &impl Serialize) -> Result<(), Report> {
+    let text = serde_json::to_string_pretty(value)
+        .map_err(|error| Report::new(StepError::new("write json", error)))?;
+    println!("{text}");
+    Ok(())
+}
+
+fn run_show(daemon: SocketAddr, json: bool) -> Result<ExitCode, Report> {
+    let client = OperatorClient::new(daemon);
+    let configuration = client.configuration()?;
+    let status = client.status()?;
+    if json {
+        let value = serde_json::json!({"configuration": configuration, "peers": status.peers});
+        print_json(&value)?;
+        return Ok(ExitCode::SUCCESS);
+    }
+    match &configuration {
+        None => println!("# no revision is in force on {}", status.name),
+        Some(text) => println!("# revision {}\n{}", text.revision, text.text),
     }
+    println!("# {}: revision {}", status.name, status.revision);
+    for (name, revision) in &status.peers {
+        println!("# {name}: revision {revision}");
+    }
+    for name in &status.silent_peers {
+        println!("# {name}: not heard");
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+fn run_status(daemon: SocketAddr, json: bool) -> Result<ExitCode, Report> {
+    let status = OperatorClient::new(daemon).status()?;
+    if json {
+        print_json(&status)?;
+    } else {
+        print!("{}", table::status(&status));
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+fn run_report(daemon: SocketAddr, json: bool) -> Result<ExitCode, Report> {
+    let report = OperatorClient::new(daemon).report()?;
+    if json {
+        print_json(&report)?;
+    } else {
+        print!("{}", table::report(&report));
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+fn run_demo() -> Result<ExitCode, Report> {
+    println!("Playing the harness association's floor and quoting desk for about 25 s ...");
+    let report = ryetide_lab::demo::run().map_err(Report::new)?;
+    println!("{report}");
+    let sound = report.doubled == 0 && report.tiers.values().all(|tally| tally.wrong == 0);
+    Ok(if sound { ExitCode::SUCCESS } else { ExitCode::from(FAILED) })
 }
--- /dev/null
+++ b/crates/ryetide-cli/src/operator_client.rs
@@ -0,0 +1,101 @@
+//! Calls to a daemon's operators' port.
+
+use std::{net::SocketAddr, time::Duration};
+
+use miette::Report;
+use ntex::{
+    http::Method,
+    rt::{DefaultRuntime, System},
+};
+use ryetide::{
+    error::StepError,
+    fresh_client::FreshClient,
+    operator_port::{ApplyReply, TEXT_LIMIT},
+    request_report::RequestReport,
+};
+use ryetide_core::{entry::EntryStatus, message::ConfigurationText, units::Revision};
+use serde::de::DeserializeOwned;
+
+/// Connecting may take this long.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(3);
+/// An answer may take this long; the port itself gives up an edit before.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(20);
+/// The largest answer: a services text with its escapes.
+const ANSWER_LIMIT: usize = 4 * TEXT_LIMIT;
+
+/// A daemon's operators' port.
+pub struct OperatorClient {
+    address: SocketAddr,
+}
+
+impl OperatorClient {
+    /// Creates a client of the daemon at `address`.
+    pub fn new(address: SocketAddr) -> Self {
+        Self { address }
+    }
+
+    /// Returns the services text in force.
+    ///
+    /// # Errors
+    ///
+    /// Returns a report when the daemon does not answer.
+    pub fn configuration(&self) -> Result<Option<ConfigurationText>, Report> {
+        self.ask(Method::GET, "/v1/configuration", None)
+    }
+
+    /// Returns the daemon's status.
+    ///
+    /// # Errors
+    ///
+    /// Returns a report when the daemon does not answer.
+    pub fn status(&self) -> Result<EntryStatus, Report> {
+        self.ask(Method::GET, "/v1/status", None)
+    }
+
+    /// Returns the daemon's counts and times.
+    ///
+    /// # Errors
+    ///
+    /// Returns a report when the daemon does not answer.
+    pub fn report(&self) -> Result<RequestReport, Report> {
+        self.ask(Method::GET, "/v1/report", None)
+    }
+
+    /// Has a services text accepted.
+    ///
+    /// # Errors
+    ///
+    /// Returns a report when the daemon does not answer.
+    pub fn apply(&self, base: Revision, text: String) -> Result<ApplyReply, Report> {
+        self.ask(Method::POST, &format!("/v1/apply?base={base}"), Some(text))
+    }
+
+    fn ask<T: DeserializeOwned + 'static>(
+        &self,
+        method: Method,
+        path: &str,
+        body: Option<String>,
+    ) -> Result<T, Report> {
+        let (address, path) = (self.address, path.to_owned());
+        let exchange = async move {
+            let fault = |step, cause: String| StepError::new(step, cause).with_peer(address);
+            let client = FreshClient::new("operator").await?;
+            let connection = client.connect(address, CONNECT_TIMEOUT).await;
+            let connection =
+                connection.ok_or_else(|| fault("connect", "no daemon answers there".to_owned()))?;
+            let request = client.request(connection, method, &path);
+            let sent = request.send_body(body.unwrap_or_default()).await;
+            let response = sent.map_err(|error| fault("ask", error.to_string()))?;
+            let status = response.status();
+            let read = response.body().limit(ANSWER_LIMIT).await;
+            let bytes = read.map_err(|error| fault("read answer", error.to_string()))?;
+            serde_json::from_slice(&bytes)
+                .map_err(|error| fault("read answer", format!("status {status}: {error}")))
+        };
+        let limited = async move {
+            let done = tokio::time::timeout(ANSWER_TIMEOUT, exchange).await;
+            done.unwrap_or_else(|_| Err(StepError::new("ask", "timed out").with_peer(address)))
+        };
+        System::new("operator", DefaultRuntime).block_on(limited).map_err(Report::new)
+    }
+}
--- a/crates/ryetide-core/src/catalog.rs
+++ b/crates/ryetide-core/src/catalog.rs
@@ -243,9 +243,10 @@
         let fill = reader.optional(item, "fill", 1.0, FaultReader::fraction);
         Some(TierRule { name: name?, wait: wait?, fill: fill? })
     })?;
-    if tiers.is_empty() || tiers.len() > TIER_LIMIT {
+    let count = node.length();
+    if count == 0 || count > TIER_LIMIT {
         let permitted = format!("1 to {TIER_LIMIT} tiers, the most urgent first");
-        reader.note(node, format!("{} tiers", tiers.len()), &permitted);
+        reader.note(node, format!("{count} tiers"), &permitted);
         return None;
     }
     Some(tiers)
@@ -349,7 +350,7 @@
     let rules = reader.required(item, "targets", |reader, value| {
         let rules =
             reader.sequence(value, |reader, target| read_target(reader, target, targets))?;
-        if rules.is_empty() {
+        if value.length() == 0 {
             reader.note(value, "no targets", "at least one target");
         }
         Some(rules)
--- a/crates/ryetide-core/src/text.rs
+++ b/crates/ryetide-core/src/text.rs
@@ -308,6 +308,11 @@
         found.map(|(_, node)| TextNode { node })
     }
 
+    /// Returns the number of items when this is a sequence.
+    pub fn length(self) -> usize {
+        if let YamlData::Sequence(items) = &self.node.data { items.len() } else { 0 }
+    }
+
     /// Returns the scalar as text, or nothing when this is no scalar.
     pub fn as_text(self) -> Option<String> {
         match &self.node.data {
--- a/crates/ryetide-lab/src/lib.rs
+++ b/crates/ryetide-lab/src/lib.rs
@@ -11,11 +11,13 @@
 //! | [`platform`] | the table service, the object store and the lagging list of VMs |
 //! | [`relay`] | a TCP relay that can fall silent without a reset |
 //! | [`keys`], [`deployment`] | test certificates, and whole deployments on loopback |
-//! | [`site`] | a whole deployment in one process |
+//! | [`site`], [`process_site`] | a whole deployment, in one process or in many |
+//! | [`process`], [`control`] | processes, and calls to stand-ins and daemons |
 //! | [`caller`], [`workload`] | callers, and seeded arrivals |
 //! | [`demo`], [`overhead`], [`slopes`] | the demo and the measurements |
 
 pub mod caller;
+pub mod control;
 pub mod demo;
 pub mod deployment;
 pub mod engine;
@@ -24,6 +26,8 @@
 pub mod overhead;
 pub mod plain_service;
 pub mod platform;
+pub mod process;
+pub mod process_site;
 pub mod relay;
 pub mod server;
 pub mod site;
--- a/crates/ryetide-lab/src/main.rs
+++ b/crates/ryetide-lab/src/main.rs
@@ -87,14 +87,19 @@
                 ..defaults
             };
             let stand_in = EngineStandIn::start(bind(engine.listen)?, speed)?;
-            stay(stand_in)
+            stay(stand_in.address(), &stand_in)
+        }
+        flags::RyetideLabCmd::Plain(plain) => {
+            let stand_in = PlainStandIn::start(bind(plain.listen)?)?;
+            stay(stand_in.address(), &stand_in)
         }
-        flags::RyetideLabCmd::Plain(plain) => stay(PlainStandIn::start(bind(plain.listen)?)?),
         flags::RyetideLabCmd::Platform(platform) => {
-            stay(PlatformStandIn::start(bind(platform.listen)?)?)
+            let stand_in = PlatformStandIn::start(bind(platform.listen)?)?;
+            stay(stand_in.address(), &stand_in)
         }
         flags::RyetideLabCmd::Relay(relay) => {
-            stay(RelayStandIn::start(bind(relay.listen)?, relay.target)?)
+            let stand_in = RelayStandIn::start(bind(relay.listen)?, relay.target)?;
+            stay(stand_in.address(), &stand_in)
         }
         flags::RyetideLabCmd::Overhead(options) => overhead::run(&overhead::OverheadOptions {
             daemon: options.daemon,
@@ -113,10 +118,11 @@
     TcpListener::bind(address).map_err(|error| StepError::new("bind", error).with_peer(address))
 }
 
-/// Keeps a stand-in alive until the process is killed.
-fn stay<T>(stand_in: T) -> Result<(), StepError> {
+/// Says where a stand-in listens, and keeps it alive until the process is killed.
+fn stay<T>(address: SocketAddr, stand_in: &T) -> Result<(), StepError> {
+    println!("event=listening address={address}");
     loop {
         std::thread::park();
-        std::hint::black_box(&stand_in);
+        std::hint::black_box(stand_in);
     }
 }
--- /dev/null
+++ b/crates/ryetide-lab/src/process_site.rs
@@ -0,0 +1,164 @@
+//! A whole deployment as separate processes on loopback.
+
+use std::{
+    net::SocketAddr,
+    path::{Path, PathBuf},
+};
+
+use ryetide::error::StepError;
+use ryetide_core::{
+    configuration::CONFIGURATION_KEY,
+    event::{ListedVm, TableCommand},
+};
+
+use crate::{
+    control,
+    deployment::{self, EntrySite},
+    engine_batch::EngineSpeed,
+    keys,
+    process::TestProcess,
+    site::{self, ScratchDirectory, SitePlan},
+};
+
+/// The programs to start.
+#[derive(Clone, Debug)]
+pub struct SitePrograms {
+    /// The daemon.
+    pub daemon: PathBuf,
+    /// The stand-ins.
+    pub lab: PathBuf,
+}
+
+/// A daemon and where it listens.
+#[derive(Debug)]
+pub struct DaemonProcess {
+    /// Where it listens.
+    pub site: EntrySite,
+    /// The process.
+    pub process: TestProcess,
+}
+
+/// A stand-in and where it listens.
+#[derive(Debug)]
+pub struct StandInProcess {
+    /// Its name.
+    pub name: String,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// The process.
+    pub process: TestProcess,
+}
+
+/// A running deployment.
+#[derive(Debug)]
+pub struct ProcessSite {
+    /// The daemons.
+    pub daemons: Vec<DaemonProcess>,
+    /// The targets.
+    pub targets: Vec<StandInProcess>,
+    /// The platform.
+    pub platform: StandInProcess,
+    programs: SitePrograms,
+    directory: ScratchDirectory,
+}
+
+impl ProcessSite {
+    /// Starts everything and waits until each daemon serves and has heard every other.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`StepError`] that names what could not be started.
+    pub fn start(plan: &SitePlan, programs: &SitePrograms) -> Result<Self, StepError> {
+        let directory = ScratchDirectory::create()?;
+        keys::write_keys(directory.path())?;
+        let platform = start_stand_in(&programs.lab, "platform", "platform", &[])?;
+        let mut services = plan.services.clone();
+        let mut targets = Vec::new();
+        for target in services.iter_mut().flat_map(|service| &mut service.targets) {
+            let (kind, arguments) = match &target.speed {
+                Some(speed) => ("engine", engine_arguments(speed)),
+                None => ("plain", Vec::new()),
+            };
+            let stand_in = start_stand_in(&programs.lab, &target.name, kind, &arguments)?;
+            target.address = stand_in.address;
+            targets.push(stand_in);
+        }
+        let text = deployment::services_text(&plan.frame, &services);
+        let row = serde_json::json!({"revision": 1, "operation": 1, "text": text});
+        let key = CONFIGURATION_KEY.to_owned();
+        let command = TableCommand::Write { key, expected: 0, value: row.to_string() };
+        control::post(platform.address, "/table", &command)?;
+        let mut site =
+            Self { daemons: Vec::new(), targets, platform, programs: programs.clone(), directory };
+        for (name, centre) in &plan.entries {
+            let daemon = site.start_daemon(name, centre)?;
+            site.daemons.push(daemon);
+        }
+        site.publish_list()?;
+        site.wait_ready()?;
+        Ok(site)
+    }
+
+    /// Starts a daemon; it is not yet in the platform's list.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`StepError`] when it does not start.
+    pub fn start_daemon(&self, name: &str, centre: &str) -> Result<DaemonProcess, StepError> {
+        let mut site = EntrySite::unbound(name, centre);
+        let text = site.settings(self.directory.path(), self.platform.address);
+        let path = self.directory.path().join(format!("{name}.yaml"));
+        std::fs::write(&path, text).map_err(|error| StepError::new("write settings", error))?;
+        let arguments = [path.display().to_string()];
+        let process = TestProcess::start(&self.programs.daemon, &arguments)?;
+        site.callers = process.wait_address("callers")?;
+        site.operators = process.wait_address("operators")?;
+        site.peers = process.wait_address("peers")?;
+        Ok(DaemonProcess { site, process })
+    }
+
+    /// Puts the daemons into the platform's list.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`StepError`] when the platform does not answer.
+    pub fn publish_list(&self) -> Result<(), StepError> {
+        let listed: Vec<ListedVm> =
+            self.daemons.iter().map(|daemon| daemon.site.listed()).collect();
+        control::post(self.platform.address, "/lab/vms", &listed).map(drop)
+    }
+
+    /// Waits until each daemon serves and has heard every other.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`StepError`] when that takes too long.
+    pub fn wait_ready(&self) -> Result<(), StepError> {
+        let operators: Vec<SocketAddr> =
+            self.daemons.iter().map(|daemon| daemon.site.operators).collect();
+        site::wait_until_ready(&operators, operators.len() - 1)
+    }
+}
+
+fn engine_arguments(speed: &EngineSpeed) -> Vec<String> {
+    let figures = [
+        ("--slots", speed.slots.to_string()),
+        ("--tokens", speed.tokens.to_string()),
+        ("--prefill-rate", speed.prefill_rate.to_string()),
+        ("--decode-rate", speed.decode_rate.to_string()),
+    ];
+    figures.into_iter().flat_map(|(flag, figure)| [flag.to_owned(), figure]).collect()
+}
+
+fn start_stand_in(
+    lab: &Path,
+    name: &str,
+    kind: &str,
+    extra: &[String],
+) -> Result<StandInProcess, StepError> {
+    let mut arguments = vec![kind.to_owned(), "127.0.0.1:0".to_owned()];
+    arguments.extend_from_slice(extra);
+    let process = TestProcess::start(lab, &arguments)?;
+    let address = process.wait_address("address")?;
+    Ok(StandInProcess { name: name.to_owned(), address, process })
+}
