Test failures, bad input and the operators' commands on separate processes

Ten failure cases (broken, silent and forgotten streams; refusals; the arbiter killed, and frozen then thawed; an order repeated after its VM died; a table that loses answers or is down; a start in an outage; a caller that goes away), sixteen kinds of bad input, slow bodies, callers that do not read, and edits that race, lose their answer or meet an outage.

--- a/crates/ryetide-lab/src/deployment.rs
+++ b/crates/ryetide-lab/src/deployment.rs
@@ -42,17 +42,29 @@
         }
     }
 
-    /// Returns the VM's settings, with keys from `directory`.
-    pub fn settings(&self, directory: &Path, platform: SocketAddr) -> String {
+    /// Returns the VM's settings, with keys from `directory` and the peers in `known`.
+    pub fn settings(&self, directory: &Path, platform: SocketAddr, known: &[&EntrySite]) -> String {
         let directory = directory.display();
+        let known: Vec<String> = known.iter().map(|peer| peer.known()).collect();
         format!(
             "name: {}\ndata-centre: {}\ncallers: '{}'\noperators: '{}'\npeers:\n  address: '{}'\n  \
              authority: {directory}/authority.pem\n  certificate: {directory}/peer.pem\n  \
-             key: {directory}/peer.key\nplatform:\n  table: '{platform}'\n  list: '{platform}'\n",
-            self.name, self.data_centre, self.callers, self.operators, self.peers,
+             key: {directory}/peer.key\n  known: [{}]\nplatform:\n  table: '{platform}'\n  \
+             list: '{platform}'\n",
+            self.name,
+            self.data_centre,
+            self.callers,
+            self.operators,
+            self.peers,
+            known.join(", "),
         )
     }
 
+    fn known(&self) -> String {
+        let Self { name, data_centre, peers, .. } = self;
+        format!("{{name: {name}, data-centre: {data_centre}, address: '{peers}'}}")
+    }
+
     /// Returns the VM's line in the platform's list.
     pub fn listed(&self) -> ListedVm {
         ListedVm {
--- a/crates/ryetide-lab/src/process_site.rs
+++ b/crates/ryetide-lab/src/process_site.rs
@@ -91,7 +91,7 @@
         let mut site =
             Self { daemons: Vec::new(), targets, platform, programs: programs.clone(), directory };
         for (name, centre) in &plan.entries {
-            let daemon = site.start_daemon(name, centre)?;
+            let daemon = site.start_daemon(name, centre, &[])?;
             site.daemons.push(daemon);
         }
         site.publish_list()?;
@@ -99,14 +99,19 @@
         Ok(site)
     }
 
-    /// Starts a daemon; it is not yet in the platform's list.
+    /// Starts a daemon whose settings name the peers in `known`; it is not yet in the platform's list.
     ///
     /// # Errors
     ///
     /// Returns a [`StepError`] when it does not start.
-    pub fn start_daemon(&self, name: &str, centre: &str) -> Result<DaemonProcess, StepError> {
+    pub fn start_daemon(
+        &self,
+        name: &str,
+        centre: &str,
+        known: &[&EntrySite],
+    ) -> Result<DaemonProcess, StepError> {
         let mut site = EntrySite::unbound(name, centre);
-        let text = site.settings(self.directory.path(), self.platform.address);
+        let text = site.settings(self.directory.path(), self.platform.address, known);
         let path = self.directory.path().join(format!("{name}.yaml"));
         std::fs::write(&path, text).map_err(|error| StepError::new("write settings", error))?;
         let arguments = [path.display().to_string()];
--- a/crates/ryetide-lab/src/site.rs
+++ b/crates/ryetide-lab/src/site.rs
@@ -181,7 +181,7 @@
     directory: &Path,
     platform: SocketAddr,
 ) -> Result<LocalDaemon, StepError> {
-    let text = site.settings(directory, platform);
+    let text = site.settings(directory, platform, &[]);
     let settings =
         DaemonSettings::parse(&text).map_err(|faults| StepError::new("settings", faults))?;
     let sockets = DaemonSockets::bind(&settings)?;
--- /dev/null
+++ b/crates/ryetide-lab/tests/engine_batch.rs
@@ -0,0 +1,73 @@
+//! The engine stand-in batches as an engine does.
+
+use ryetide_lab::engine_batch::{EngineBatch, EnginePrompt, EngineSpeed, STREAM_END};
+
+fn prompt(text: &str, output: u64) -> EnginePrompt {
+    EnginePrompt {
+        model: "m".to_owned(),
+        prompt: text.to_owned(),
+        max_tokens: output,
+        ..EnginePrompt::default()
+    }
+}
+
+fn speed() -> EngineSpeed {
+    EngineSpeed {
+        slots: 2,
+        tokens: 10_000,
+        prefill_rate: 1_000.0,
+        decode_rate: 10.0,
+        cache_blocks: 8,
+    }
+}
+
+#[test]
+fn the_stream_is_what_the_caller_expects() {
+    let mut batch = EngineBatch::new(speed());
+    let wanted = prompt("colour of wire 7", 5);
+    batch.dispatch("a", wanted.clone());
+    for _ in 0..20 {
+        batch.work(0.1, 1.0);
+    }
+    let (stream, done) = batch.request("a").unwrap().stream_from(0);
+    assert!(done);
+    assert_eq!(stream, wanted.expected_stream());
+    assert!(wanted.expected_stream().ends_with(STREAM_END));
+}
+
+/// A short request waits for the prompts before it: what makes placement matter.
+#[test]
+fn prompts_are_worked_on_in_order() {
+    let mut batch = EngineBatch::new(speed());
+    batch.dispatch("long", prompt(&"x".repeat(8_000), 5));
+    batch.dispatch("short", prompt("y", 1));
+    batch.work(1.0, 1.0);
+    assert!(!batch.request("short").unwrap().is_done());
+    batch.work(1.5, 1.0);
+    assert!(batch.request("short").unwrap().is_done());
+}
+
+#[test]
+fn a_known_prefix_is_not_worked_on_again() {
+    let mut batch = EngineBatch::new(speed());
+    let text = "z".repeat(4_096);
+    batch.dispatch("first", prompt(&text, 1));
+    batch.work(5.0, 1.0);
+    batch.dispatch("second", prompt(&text, 1));
+    batch.work(0.2, 1.0);
+    assert!(batch.request("second").unwrap().is_done());
+    assert_eq!((batch.record.prefilled, batch.record.cached), (1_024, 1_024));
+}
+
+#[test]
+fn cancelled_work_frees_its_slot() {
+    let mut batch = EngineBatch::new(speed());
+    batch.dispatch("a", prompt("a", 1_000));
+    batch.dispatch("b", prompt("b", 1_000));
+    batch.dispatch("c", prompt("c", 1));
+    batch.work(0.1, 1.0);
+    assert_eq!(batch.queued(), 1);
+    assert!(batch.cancel("a"));
+    batch.work(0.2, 1.0);
+    assert!(batch.request("c").unwrap().is_done());
+}
--- /dev/null
+++ b/crates/ryetided/tests/processes/bad_input.rs
@@ -0,0 +1,127 @@
+//! Bad input from callers gets a clear 4xx, is counted, and costs the targets nothing.
+
+use std::{
+    io::{Read, Write},
+    net::{SocketAddr, TcpStream},
+    time::Duration,
+};
+
+use ryetide::request_report::RequestReport;
+use ryetide_lab::{control, process_site::ProcessSite};
+
+const GOOD: &str = "ryetide-organisation: asha\r\nryetide-tier: floor\r\n";
+const BODY: &str = "{\"model\":\"drafting\",\"prompt\":\"p\",\"max_tokens\":4}";
+
+/// Sends raw bytes and returns the status line's number and the body.
+fn exchange(door: SocketAddr, request: &[u8]) -> (u16, String) {
+    let mut stream = TcpStream::connect(door).unwrap();
+    stream.set_read_timeout(Some(Duration::from_secs(20))).unwrap();
+    // The daemon may answer and close before everything is written.
+    let _ = stream.write_all(request);
+    let mut answer = Vec::new();
+    let _ = stream.read_to_end(&mut answer);
+    let text = String::from_utf8_lossy(&answer).into_owned();
+    let status = text.split_whitespace().nth(1).and_then(|word| word.parse().ok()).unwrap_or(0);
+    (status, text)
+}
+
+fn post(headers: &str, body: &str) -> Vec<u8> {
+    post_to("/v1/completions", headers, body)
+}
+
+fn post_to(path: &str, headers: &str, body: &str) -> Vec<u8> {
+    let length = body.len();
+    format!(
+        "POST {path} HTTP/1.1\r\nhost: x\r\nconnection: close\r\n{headers}content-length: \
+         {length}\r\n\r\n{body}"
+    )
+    .into_bytes()
+}
+
+fn with(header: &str) -> String {
+    format!("{GOOD}{header}\r\n")
+}
+
+fn engines_are_untouched(site: &ProcessSite) {
+    for target in site.targets.iter().filter(|target| target.name.starts_with("engine")) {
+        let record: ryetide_lab::engine_batch::EngineRecord =
+            control::get(target.address, "/lab/record").unwrap();
+        assert!(record.dispatches.is_empty());
+    }
+}
+
+#[test]
+fn each_fault_has_its_status_and_reason() {
+    let site = crate::support::start(crate::support::fast());
+    let door = site.daemons[0].site.callers;
+    let other_model = BODY.replace("drafting", "nosuch");
+    let cases: Vec<(Vec<u8>, u16, &str)> = vec![
+        (post("ryetide-tier: floor\r\n", BODY), 400, "header-missing"),
+        (post("ryetide-organisation: asha\r\n", BODY), 400, "header-missing"),
+        (post(&GOOD.replace("asha", "nobody"), BODY), 403, "unknown-organisation"),
+        (post(&GOOD.replace("floor", "attic"), BODY), 400, "unknown-tier"),
+        (post(GOOD, &other_model), 404, "unknown-service"),
+        (post(GOOD, "{not json"), 400, "body-malformed"),
+        (post(GOOD, "{\"prompt\":\"no model\"}"), 400, "body-malformed"),
+        (post(&with("ryetide-deadline-ms: 0"), BODY), 400, "deadline-past"),
+        (post(&with("ryetide-deadline-ms: -5"), BODY), 400, "deadline-past"),
+        (post(&with("ryetide-deadline-ms: soon"), BODY), 400, "header-value"),
+        (post(&with("ryetide-non-idempotent: maybe"), BODY), 400, "header-value"),
+        (post(&with("ryetide-non-idempotent: true"), BODY), 400, "key-missing"),
+        (post(&with(&format!("idempotency-key: {}", "k".repeat(300))), BODY), 400, "header-value"),
+        (post_to("/nowhere", GOOD, BODY), 404, "path-unknown"),
+        (post_to("/services/nosuch/x", GOOD, BODY), 404, "unknown-service"),
+        (post_to("/services/records/x", GOOD, &"x".repeat(8_400_000)), 413, "body-too-large"),
+    ];
+    for (request, status, reason) in &cases {
+        let (found, text) = exchange(door, request);
+        let shown = String::from_utf8_lossy(&request[..request.len().min(200)]).into_owned();
+        assert_eq!(found, *status, "{shown}\n{text}");
+        assert!(text.contains(reason), "{reason} is missing: {text}");
+        assert!(text.contains("ryetide-outcome: not-run"), "{text}");
+    }
+    engines_are_untouched(&site);
+    let report: RequestReport = control::get(site.daemons[0].site.operators, "/v1/report").unwrap();
+    let counted: u64 = report.rejects.values().sum();
+    assert_eq!(counted, cases.len() as u64, "{:?}", report.rejects);
+    let line = site.daemons[0].process.wait_line("event=request-rejected", Duration::from_secs(5));
+    let line = line.unwrap();
+    assert!(line.contains("step=read") && line.contains("peer="), "{line}");
+}
+
+/// A caller announces a body and sends it a byte at a time, or not at all.
+/// It holds a connection and nothing else, and is answered 408 when the time for bodies is over.
+#[test]
+fn a_trickled_body_is_cut_off() {
+    let site = crate::support::start(crate::support::fast());
+    let door = site.daemons[0].site.callers;
+    let request =
+        format!("POST /v1/completions HTTP/1.1\r\nhost: x\r\n{GOOD}content-length: 500\r\n\r\n{{");
+    let (status, text) = exchange(door, request.as_bytes());
+    assert_eq!(status, 408, "{text}");
+    assert!(text.contains("body-too-slow"), "{text}");
+    engines_are_untouched(&site);
+}
+
+/// A caller reads nothing of a large answer.
+/// Its unread answer is bounded: the connection is cut, and the engine is told to stop.
+#[test]
+fn a_caller_that_does_not_read_is_cut_off() {
+    let site = crate::support::start(crate::support::fast());
+    let door = site.daemons[0].site.callers;
+    let body = "{\"model\":\"drafting\",\"prompt\":\"p\",\"max_tokens\":20000,\"stream\":true,\
+                \"lab_token_bytes\":4096}";
+    let mut stream = TcpStream::connect(door).unwrap();
+    stream.write_all(&post(GOOD, body)).unwrap();
+    let daemon = &site.daemons[0].process;
+    let line = daemon.wait_line("event=caller-too-slow", Duration::from_secs(20));
+    assert!(line.is_some(), "{:?}", daemon.lines());
+    crate::support::wait_until("the engine is told", Duration::from_secs(10), || {
+        site.targets.iter().filter(|target| target.name.starts_with("engine")).any(|target| {
+            let record: ryetide_lab::engine_batch::EngineRecord =
+                control::get(target.address, "/lab/record").unwrap();
+            record.cancelled == 1
+        })
+    });
+    drop(stream);
+}
--- /dev/null
+++ b/crates/ryetided/tests/processes/main.rs
@@ -0,0 +1,7 @@
+//! Tests of whole deployments as separate processes on loopback.
+#![allow(clippy::unwrap_used, reason = "a test that cannot go on fails where it stands")]
+
+mod bad_input;
+mod failures;
+mod serving;
+mod support;
--- a/crates/ryetided/tests/serving.rs
+++ b/crates/ryetided/tests/processes/serving.rs
@@ -1,7 +1,5 @@
 //! Whole answers through separate processes.
 
-mod support;
-
 use std::{collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration};
 
 use nix::sys::signal::Signal;
@@ -22,9 +20,9 @@
             .enumerate()
             .map(|(index, prompt)| {
                 let (caller, door) = (Rc::clone(&caller), doors[index % doors.len()]);
-                ntex::rt::spawn(
-                    async move { caller.prompt(door, &support::terms(), &prompt).await },
-                )
+                ntex::rt::spawn(async move {
+                    caller.prompt(door, &crate::support::terms(), &prompt).await
+                })
             })
             .collect();
         let mut results = Vec::new();
@@ -53,12 +51,13 @@
 
 #[test]
 fn whole_answers_through_each_daemon() {
-    let site = support::start(support::fast());
+    let site = crate::support::start(crate::support::fast());
     // Larger than any one buffer on the way: the rings, the slots, the sockets.
-    let mut large = support::prompt("a long drawing", 3_000);
+    let mut large = crate::support::prompt("a long drawing", 3_000);
     large.lab_token_bytes = Some(4_096);
-    let mut prompts: Vec<EnginePrompt> =
-        (0..200).map(|number| support::prompt(&format!("wire colour {number}"), 40)).collect();
+    let mut prompts: Vec<EnginePrompt> = (0..200)
+        .map(|number| crate::support::prompt(&format!("wire colour {number}"), 40))
+        .collect();
     prompts.extend([large.clone(), large.clone(), large]);
     let results = call_all(doors(&site), prompts.clone());
     for (prompt, result) in prompts.iter().zip(&results) {
@@ -92,8 +91,8 @@
 
 #[test]
 fn one_whole_body_for_callers_that_do_not_stream() {
-    let site = support::start(support::fast());
-    let prompt = EnginePrompt { stream: false, ..support::prompt("crimp steps", 20) };
+    let site = crate::support::start(crate::support::fast());
+    let prompt = EnginePrompt { stream: false, ..crate::support::prompt("crimp steps", 20) };
     let results = call_all(doors(&site), vec![prompt.clone(); 3]);
     for result in results {
         assert_eq!((result.outcome, result.status), (CallOutcome::Answered, 200));
@@ -105,13 +104,13 @@
 
 #[test]
 fn plain_services_are_routed_by_path_and_pass_bodies_unread() {
-    let site = support::start(support::fast());
+    let site = crate::support::start(crate::support::fast());
     let door = doors(&site)[0];
     let result = control::block_on(async move {
         let caller = TestCaller::new().await.unwrap();
         let body = b"not json \xff".to_vec();
         caller
-            .call(door, Method::PUT, "/services/records/tags/7?x=1", &support::terms(), body)
+            .call(door, Method::PUT, "/services/records/tags/7?x=1", &crate::support::terms(), body)
             .await
     });
     assert_eq!((result.outcome, result.status), (CallOutcome::Answered, 200));
@@ -124,15 +123,15 @@
 /// told at once that they did not run, nothing new may be taken, and the process must exit with 0.
 #[test]
 fn a_graceful_shutdown_cuts_off_nothing() {
-    let slow = EngineSpeed { slots: 4, decode_rate: 60.0, ..support::fast() };
-    let mut site = support::start(slow);
+    let slow = EngineSpeed { slots: 4, decode_rate: 60.0, ..crate::support::fast() };
+    let mut site = crate::support::start(slow);
     let door = site.daemons[0].site.callers;
     let operators = site.daemons[0].site.operators;
     let prompts: Vec<EnginePrompt> =
-        (0..16).map(|number| support::prompt(&format!("steps {number}"), 60)).collect();
+        (0..16).map(|number| crate::support::prompt(&format!("steps {number}"), 60)).collect();
     let expected = prompts.clone();
     let calls = std::thread::spawn(move || call_all(vec![door], prompts));
-    support::wait_until("streams run and others wait", Duration::from_secs(10), || {
+    crate::support::wait_until("streams run and others wait", Duration::from_secs(10), || {
         let status: ryetide_core::entry::EntryStatus =
             control::get(operators, "/v1/status").unwrap();
         let count = |state| status.requests.get(&state).copied().unwrap_or(0);
