Script the eight promises in a small test language; look at full targets once

An arbiter's ask tried 16 requests against every target also while all were full. Now the targets with room are found once, and prefix hints name only their holders.

The overhead tool's histograms saturated at their first size (2.047 ms); they grow now. Several engines stand behind the daemon, since one address runs out of ports after 28,000 connections in a minute.

--- a/crates/ryetide-core/src/arbiter.rs
+++ b/crates/ryetide-core/src/arbiter.rs
@@ -563,33 +563,48 @@
     }
 
     fn next_placement(&mut self, now: Moment) -> Option<(AskKey, TargetKey)> {
+        let (_, tier) = self.queue.peek()?;
+        let open = self.open_targets(now, tier);
+        if open.is_empty() {
+            return None;
+        }
         for key in self.queue.front(FRONT_LIMIT) {
             let Some(ask) = self.waiting.get(&key) else { continue };
-            let (profile, deadline) = (ask.profile.clone(), ask.deadline);
-            if let Some(target) = self.place(now, &profile, deadline) {
+            if let Some(target) = self.place(now, &open, &ask.profile, ask.deadline) {
                 return Some((key, target));
             }
         }
         None
     }
 
-    /// Chooses the usable target with the least score that has room and would end in time.
-    fn place(&mut self, now: Moment, profile: &AskProfile, deadline: Moment) -> Option<TargetKey> {
-        let fill = self.fill_of(profile.tier);
+    /// Returns the targets that have room for a request of `tier`, whatever its size. While all are
+    /// full, which is when most asks come, this one look is all that an ask costs.
+    fn open_targets(&mut self, now: Moment, tier: TierRank) -> Vec<TargetKey> {
+        let (fill, share) = (self.fill_of(tier), self.share);
+        let backlog_limit = self.backlog_limit(tier);
+        let has_room = |target: &mut TargetModel| {
+            target.has_slot(now, fill, share) && target.prefill_backlog(now) <= backlog_limit
+        };
+        let targets = self.targets.values_mut();
+        targets.filter_map(|target| has_room(target).then(|| target.key())).collect()
+    }
+
+    /// Chooses the open target with the least score that holds the request and would end in time.
+    fn place(
+        &self,
+        now: Moment,
+        open: &[TargetKey],
+        profile: &AskProfile,
+        deadline: Moment,
+    ) -> Option<TargetKey> {
         let tokens = self.tokens_needed(profile);
         let output = self.expected_output(profile);
-        let backlog_limit = self.backlog_limit(profile.tier);
-        let (hints, share) = (&self.hints, self.share);
-        let candidates = self.targets.values_mut().filter_map(|target| {
-            let fits = target.fits(now, fill, share, tokens)
-                && target.prefill_backlog(now) <= backlog_limit;
-            if !fits {
-                return None;
-            }
-            let saved = hints.saved(now, target.key(), &profile.prefixes);
-            let prefill = Tokens(profile.prompt.0.saturating_sub(saved.0));
+        let savings = self.hints.savings(now, &profile.prefixes);
+        let candidates = open.iter().filter_map(|key| {
+            let target = self.targets.get(key).filter(|it| it.holds(self.share, tokens))?;
+            let prefill = Tokens(profile.prompt.0.saturating_sub(savings.of(*key).0));
             let in_time = now + target.service_time(now, prefill, output) <= deadline;
-            in_time.then(|| (target.score(now, prefill, output), target.key()))
+            in_time.then(|| (target.score(now, prefill, output), *key))
         });
         candidates.min().map(|(_, key)| key)
     }
@@ -611,7 +626,7 @@
     ) {
         let tokens = self.tokens_needed(profile);
         let output = self.expected_output(profile);
-        let saved = self.hints.saved(now, target, &profile.prefixes);
+        let saved = self.hints.savings(now, &profile.prefixes).of(target);
         // A prompt that was partly in the cache teaches only by what was worked on.
         let prefill = Tokens(profile.prompt.0.saturating_sub(saved.0));
         let Some(model) = self.targets.get_mut(&target) else { return };
--- a/crates/ryetide-core/src/estimate.rs
+++ b/crates/ryetide-core/src/estimate.rs
@@ -128,16 +128,20 @@
         limit.saturating_sub(self.current_surplus(now))
     }
 
-    /// Returns whether a request needing `tokens` fits now.
-    pub fn fits(&mut self, now: Moment, fill: f64, share: f64, tokens: Tokens) -> bool {
+    /// Returns whether a slot is free now; a suspect target is tried again when its pause is over.
+    pub fn has_slot(&mut self, now: Moment, fill: f64, share: f64) -> bool {
         if self.state == TargetState::Suspect && now >= self.pause_until {
             self.handle(TargetEvent::PauseOver);
         }
+        self.state == TargetState::Usable && self.running < self.slot_limit(now, fill, share)
+    }
+
+    /// Returns whether `tokens` more can be held; a target with nothing to do takes any request that
+    /// it can hold alone.
+    pub fn holds(&self, share: f64, tokens: Tokens) -> bool {
         let capacity = (self.rule.tokens.0 as f64 * share) as u64;
-        self.state == TargetState::Usable
-            && self.running < self.slot_limit(now, fill, share)
-            && (self.running == 0 || self.reserved.0 + tokens.0 <= capacity)
-            && tokens.0 <= self.rule.tokens.0
+        let fits = self.running == 0 || self.reserved.0 + tokens.0 <= capacity;
+        fits && tokens.0 <= self.rule.tokens.0
     }
 
     /// Reserves a slot for a request of `tokens` in all, of which `prefill` are to be worked on.
--- a/crates/ryetide-core/tests/fault_matrix/main.rs
+++ b/crates/ryetide-core/tests/fault_matrix/main.rs
@@ -8,6 +8,7 @@
 mod check;
 mod fault;
 mod scenario;
+mod script;
 
 use std::{
     collections::BTreeMap,
--- a/crates/ryetide-lab/src/overhead.rs
+++ b/crates/ryetide-lab/src/overhead.rs
@@ -39,6 +39,8 @@
 
 /// The time that a kernel's clock tick stands for; Linux has 100 in a second.
 const TICK: Duration = Duration::from_millis(10);
+/// Engines behind the daemon.
+const ENGINES: usize = 6;
 /// Tokens of each answer.
 const OUTPUT: u64 = 8;
 
@@ -60,15 +62,16 @@
     let programs = SitePrograms { daemon: options.daemon.clone(), lab };
     let site = ProcessSite::start(&plan(), &programs)?;
     let daemon = &site.daemons[0];
-    let (engine, door) = (site.targets[0].address, daemon.site.callers);
+    let engines: Vec<SocketAddr> = site.targets.iter().map(|target| target.address).collect();
+    let door = vec![daemon.site.callers];
     let id = daemon.process.id();
     println!(
         "way      run  streams/s  first p50  first p99  total p50  total p99  answered  core-ms/stream"
     );
     let mut added = Vec::new();
     for number in 1..=options.runs {
-        let direct = measure(options, engine, true, None);
-        let through = measure(options, door, false, Some(id));
+        let direct = measure(options, &engines, true, None);
+        let through = measure(options, &door, false, Some(id));
         print_way("direct", number, &direct);
         print_way("through", number, &through);
         let difference = |quantile: f64| {
@@ -93,14 +96,16 @@
 }
 
 fn plan() -> SitePlan {
-    let target = TargetSite {
-        name: "engine-1".to_owned(),
+    // Several engines, since every dispatch opens a connection of its own: one address would run out
+    // of ports that are not in TIME_WAIT after 28,000 connections within a minute.
+    let engine = |number: usize| TargetSite {
+        name: format!("engine-{number}"),
         data_centre: "hall".to_owned(),
         address: ([127, 0, 0, 1], 0).into(),
         speed: Some(EngineSpeed {
             slots: 4_000,
             tokens: 1_000_000_000,
-            prefill_rate: 10_000_000.0,
+            prefill_rate: 1_000_000.0,
             decode_rate: 10_000.0,
             cache_blocks: 16,
         }),
@@ -109,7 +114,7 @@
         entries: vec![("e1".to_owned(), "hall".to_owned())],
         services: vec![ServiceSite {
             name: "drafting".to_owned(),
-            targets: vec![target],
+            targets: (0..ENGINES).map(engine).collect(),
             depends_on: Vec::new(),
         }],
         frame: TextFrame {
@@ -121,7 +126,7 @@
 
 fn measure(
     options: &OverheadOptions,
-    address: SocketAddr,
+    addresses: &[SocketAddr],
     direct: bool,
     process: Option<u32>,
 ) -> WayResult {
@@ -129,15 +134,16 @@
     let started = Instant::now();
     let (count, gap) =
         (options.rate * options.seconds, Duration::from_secs(1) / options.rate.max(1));
+    let addresses = addresses.to_vec();
     let (total, first, answered) =
-        control::block_on(async move { play(address, direct, count, gap).await });
+        control::block_on(async move { play(&addresses, direct, count, gap).await });
     let took = started.elapsed();
     let cpu = process.map_or(Duration::ZERO, cpu_time).saturating_sub(before);
     WayResult { total, first, answered, cpu, took }
 }
 
 async fn play(
-    address: SocketAddr,
+    addresses: &[SocketAddr],
     direct: bool,
     count: u32,
     gap: Duration,
@@ -150,6 +156,7 @@
     for number in 0..count {
         tokio::time::sleep_until(start + gap * number).await;
         let caller = Rc::clone(&caller);
+        let address = addresses[number as usize % addresses.len()];
         calls.push(ntex::rt::spawn(async move {
             let prompt = EnginePrompt {
                 model: "drafting".to_owned(),
@@ -175,8 +182,9 @@
     for call in calls {
         let Ok((good, first_byte, took)) = call.await else { continue };
         answered += u64::from(good);
-        total.saturating_record(took.as_micros() as u64);
-        first.saturating_record(first_byte.unwrap_or_default().as_micros() as u64);
+        // These histograms grow by themselves; saturating would cut off at their first size.
+        let _ = total.record(took.as_micros() as u64);
+        let _ = first.record(first_byte.unwrap_or_default().as_micros() as u64);
     }
     (total, first, answered)
 }
--- a/crates/ryetide-lab/src/slopes.rs
+++ b/crates/ryetide-lab/src/slopes.rs
@@ -2,7 +2,6 @@
 //! grows, measured on the bare core and on frames of the wire encoding, at four sizes or more.
 
 use std::{
-    collections::BTreeMap,
     fmt::Write,
     hint::black_box,
     time::{Duration, Instant},
@@ -16,7 +15,7 @@
     event::{Effect, EffectBuffer, Event, ListedVm, TableAnswer, TableRow},
     ids::{
         DataCentreKey, DataCentreName, Incarnation, OrganisationKey, OrganisationName,
-        RequestSequence, ServiceKey, ServiceName, TargetKey, TargetName, VmName,
+        RequestSequence, ServiceKey, ServiceName, TableToken, TargetKey, TargetName, VmName,
     },
     message::{
         self, AskMessage, AskProfile, AskRef, HeartbeatMessage, HoldingMessage, LifeMark,
@@ -60,6 +59,8 @@
 
 /// Measures all slopes and prints them.
 pub fn run() {
+    println!("== resident memory");
+    print_memory();
     println!("== bytes of messages (frame with its length, before QUIC and UDP)");
     print_frames();
     println!("== a heartbeat by scopes under load");
@@ -95,8 +96,6 @@
         .map(|count| (f64::from(count), fleet_text(count, 600).len() as f64))
         .to_vec();
     print_fit("bytes of the text over organisations, 600 replicas", "bytes", &points);
-    println!("== resident memory");
-    print_memory();
 }
 
 fn profile() -> AskProfile {
@@ -188,6 +187,14 @@
     core
 }
 
+/// Answers the first read of the table, whose token is the first that a core takes.
+fn adopt(core: &mut EntryCore, text: &str, effects: &mut EffectBuffer) {
+    let value = serde_json::json!({"revision": 1, "operation": 1, "text": text}).to_string();
+    let answer = TableAnswer::Row(Some(TableRow { version: 1, value }));
+    let event = Event::TableReplied { token: TableToken(1), answer };
+    core.step(Moment::from_millis(2), event, effects);
+}
+
 fn listed(peers: u32) -> Vec<ListedVm> {
     let vm = |number: u32| ListedVm {
         name: format!("e{number}"),
@@ -269,23 +276,14 @@
 /// Measures how long a core takes to put a services text in force.
 fn adopt_time(organisations: u32) -> f64 {
     let text = fleet_text(organisations, 600);
-    let row = serde_json::json!({"revision": 1, "operation": 1, "text": text}).to_string();
     let mut times = Vec::new();
     for _ in 0..5 {
         let mut core = core_with_peers(8);
         let mut effects = EffectBuffer::new(usize::MAX);
-        core.step(Moment::from_millis(500), Event::Tick, &mut effects);
-        let token = effects.drain().find_map(|effect| match effect {
-            Effect::Table { token, .. } => Some(token),
-            _ => None,
-        });
-        let Some(token) = token else { continue };
-        let row = TableRow { version: 1, value: row.clone() };
-        let event = Event::TableReplied { token, answer: TableAnswer::Row(Some(row)) };
         let started = Instant::now();
-        core.step(Moment::from_millis(501), event, &mut effects);
+        adopt(&mut core, &text, &mut effects);
         times.push(started.elapsed().as_secs_f64() * 1_000.0);
-        black_box(core.configuration().revision());
+        assert_eq!(core.configuration().revision(), Revision(1), "the text is in force");
     }
     times.sort_by(f64::total_cmp);
     times.get(times.len() / 2).copied().unwrap_or(0.0)
@@ -369,23 +367,16 @@
 fn requests_time(count: u32) -> f64 {
     let mut core = core_with_peers(0);
     let mut effects = EffectBuffer::new(usize::MAX);
-    core.step(Moment::from_millis(500), Event::Tick, &mut effects);
-    let token = effects.drain().find_map(|effect| match effect {
-        Effect::Table { token, .. } => Some(token),
-        _ => None,
-    });
-    let Some(token) = token else { return 0.0 };
-    let text = scope_text(8, 10);
-    let value = serde_json::json!({"revision": 1, "operation": 1, "text": text}).to_string();
-    let answer = TableAnswer::Row(Some(TableRow { version: 1, value }));
-    core.step(Moment::from_millis(501), Event::TableReplied { token, answer }, &mut effects);
+    adopt(&mut core, &scope_text(8, 10), &mut effects);
     effects.drain();
     let started = Instant::now();
     for number in 1..=u64::from(count) {
         let now = Moment::from_millis(1_000 + number * 20);
         run_request(&mut core, now, RequestSequence(number), &mut effects);
     }
-    started.elapsed().as_secs_f64() * 1_000.0
+    let spent = started.elapsed().as_secs_f64() * 1_000.0;
+    assert!(core.status().requests.is_empty(), "every request has ended");
+    spent
 }
 
 /// One request with 32 pieces, through every step.
@@ -431,64 +422,70 @@
     effects.drain();
 }
 
-/// Prints how the resident memory of this process grows with what a core holds.
+/// Prints how the resident memory of this process grows with what a core holds. It comes first, and
+/// what was measured is kept until the end: freed memory that is used again would hide the growth.
 fn print_memory() {
-    let mut held: BTreeMap<u32, EntryCore> = BTreeMap::new();
+    let mut kept: Vec<Vec<EntryCore>> = Vec::new();
     let mut points = Vec::new();
-    let base = resident_bytes();
-    for peers in [100, 200, 400, 800] {
-        held.insert(peers, core_with_peers(peers));
-        let total: u32 = held.keys().sum();
-        points.push((f64::from(total), resident_bytes().saturating_sub(base) as f64));
+    for peers in [50, 100, 200, 409] {
+        let base = resident_bytes();
+        kept.push((0..MEMORY_COPIES).map(|_| core_with_peers(peers)).collect());
+        let grown = resident_bytes().saturating_sub(base) as f64 / f64::from(MEMORY_COPIES);
+        points.push((f64::from(peers), grown));
     }
-    print_fit("bytes over peers known", "bytes a peer", &points);
-    drop(held);
-    let catalog = ServiceCatalog::parse(&scope_text(1, 10));
-    let Ok(catalog) = catalog else { return };
+    print_fit("bytes of a core over peers known", "bytes a peer", &points);
+    let mut catalogs = Vec::new();
+    let mut points = Vec::new();
+    for organisations in [100, 1_000, 5_000, 10_000] {
+        let text = fleet_text(organisations, 600);
+        let base = resident_bytes();
+        catalogs.push((0..4).map(|_| ServiceCatalog::parse(&text).ok()).collect::<Vec<_>>());
+        let grown = resident_bytes().saturating_sub(base) as f64 / 4.0;
+        points.push((f64::from(organisations), grown));
+    }
+    print_fit("bytes of a catalog over organisations, 600 replicas", "bytes", &points);
+    print_waiting_memory();
+    black_box((kept, catalogs));
+}
+
+/// Copies of a core, so that its memory is more than a few pages.
+const MEMORY_COPIES: u32 = 50;
+
+fn print_waiting_memory() {
+    let Ok(catalog) = ServiceCatalog::parse(&scope_text(1, 10)) else { return };
     let (scope, switches) = (catalog.scopes()[0], SafeguardSwitches::default());
-    let mut arbiter = ScopeArbiter::new(scope, &catalog, 1.0, Moment(u64::MAX / 2), switches);
-    let mut rng = SmallRng::seed_from_u64(7);
-    let mut verdicts = Vec::new();
-    let base = resident_bytes();
+    let later = Moment(u64::MAX / 2);
+    let mut arbiters: Vec<ScopeArbiter> =
+        (0..8).map(|_| ScopeArbiter::new(scope, &catalog, 1.0, later, switches)).collect();
+    let (mut rng, mut verdicts) = (SmallRng::seed_from_u64(7), Vec::new());
+    let (now, base) = (Moment(u64::MAX / 2 - 1), resident_bytes());
+    let organisation = OrganisationKey::of(&OrganisationName::from("org-1"));
     let mut points = Vec::new();
-    for number in 1..=8_000_u64 {
-        let ask = AskRef { life: LifeMark(0), sequence: RequestSequence(number) };
-        let now = Moment(u64::MAX / 2 - 1);
-        arbiter.ask(
-            now,
-            SlotAsk {
+    for number in 1..=4_000_u64 {
+        for arbiter in &mut arbiters {
+            let ask = AskRef { life: LifeMark(0), sequence: RequestSequence(number) };
+            let profile = AskProfile {
+                organisation,
+                prompt: Tokens(1),
+                output_limit: Tokens(1),
+                ..profile()
+            };
+            let ask = SlotAsk {
                 key: AskKey { vm: VmName::from("e1"), ask },
-                profile: AskProfile {
-                    organisation: *catalog
-                        .organisations()
-                        .keys()
-                        .next()
-                        .unwrap_or(&OrganisationKey(0)),
-                    prompt: Tokens(1),
-                    output_limit: Tokens(1),
-                    ..profile()
-                },
+                profile,
                 deadline: now + Duration::from_secs(3_600),
                 waited: Duration::ZERO,
-            },
-            &mut rng,
-            &mut verdicts,
-        );
-        verdicts.clear();
-        if number % 2_000 == 0 {
-            points.push((arbiter.waiting() as f64, resident_bytes().saturating_sub(base) as f64));
+            };
+            arbiter.ask(now, ask, &mut rng, &mut verdicts);
+            verdicts.clear();
+        }
+        if number.is_multiple_of(1_000) {
+            let waiting: usize = arbiters.iter().map(ScopeArbiter::waiting).sum();
+            points.push((waiting as f64, resident_bytes().saturating_sub(base) as f64));
         }
     }
     print_fit("bytes over requests waiting at an arbiter", "bytes a request", &points);
-    for organisations in [100, 1_000, 5_000, 10_000] {
-        let base = resident_bytes();
-        let catalog = ServiceCatalog::parse(&fleet_text(organisations, 600)).ok();
-        let grown = resident_bytes().saturating_sub(base);
-        println!(
-            "    catalog of {organisations} organisations and 600 replicas: {grown} bytes more"
-        );
-        black_box(catalog);
-    }
+    black_box(arbiters);
 }
 
 /// Returns the resident memory of this process.
