Bound the shutdown, and cut off only callers that have stalled

Ruled out: running requests (the core had drained), the callers (all had their answers), QUIC (1 s bound). The shutdown now counts open answers itself and gives the library 2 s.

A caller is now cut off when it has read nothing for a second, or at four times the buffer.

--- a/src/answer_slot.rs
+++ b/src/answer_slot.rs
@@ -7,6 +7,7 @@
     future::poll_fn,
     rc::Rc,
     task::{Context, Poll, Waker},
+    time::Duration,
 };
 
 use bytes::Bytes;
@@ -14,6 +15,12 @@
     event::{AnswerHead, FinalAnswer},
     units::ByteSize,
 };
+use tokio::time::Instant;
+
+/// A reader that has taken nothing for this long has stalled.
+const STALL_LIMIT: Duration = Duration::from_secs(1);
+/// How many times its limit a slot holds for a reader that reads on.
+const HARD_FACTOR: u64 = 4;
 
 /// A part of an answer.
 #[derive(Clone, Debug, PartialEq)]
@@ -36,6 +43,8 @@
     parts: VecDeque<AnswerPart>,
     bytes: usize,
     overflowed: bool,
+    /// When the reader last took something.
+    taken: Option<Instant>,
     waker: Option<Waker>,
 }
 
@@ -47,9 +56,11 @@
 }
 
 impl AnswerSlot {
-    /// Creates an empty slot that holds at most `limit` bytes unread.
+    /// Creates an empty slot that holds `limit` bytes for a reader that has stalled, and four times
+    /// that for one that reads on: an engine may be faster than a caller for a moment.
     pub fn new(limit: ByteSize) -> Self {
-        Self { state: Rc::default(), limit }
+        let state = SlotState { taken: Some(Instant::now()), ..SlotState::default() };
+        Self { state: Rc::new(RefCell::new(state)), limit }
     }
 
     /// Adds a part.
@@ -61,7 +72,10 @@
         let mut state = self.state.borrow_mut();
         if let AnswerPart::Piece(bytes) = &part {
             state.bytes += bytes.len();
-            state.overflowed |= state.bytes as u64 > self.limit.0;
+            let unread = state.bytes as u64;
+            let stalled = state.taken.is_none_or(|at| at.elapsed() > STALL_LIMIT);
+            let over = unread > self.limit.0 && stalled;
+            state.overflowed |= over || unread > self.limit.0 * HARD_FACTOR;
         }
         if state.overflowed {
             state.parts.clear();
@@ -84,6 +98,7 @@
             state.waker = Some(context.waker().clone());
             return Poll::Pending;
         };
+        state.taken = Some(Instant::now());
         if let AnswerPart::Piece(bytes) = &part {
             state.bytes -= bytes.len();
         }
--- a/src/caller_edge.rs
+++ b/src/caller_edge.rs
@@ -5,7 +5,10 @@
     collections::HashMap,
     pin::Pin,
     rc::Rc,
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicUsize, Ordering},
+    },
     task::{Context, Poll},
 };
 
@@ -77,6 +80,8 @@
     pub incarnation: Incarnation,
     /// What callers may take up.
     pub limits: CallerLimits,
+    /// Calls whose answers have not left yet; a shutdown waits for them.
+    pub open_calls: Arc<AtomicUsize>,
 }
 
 /// What the edge's tasks share.
@@ -188,6 +193,7 @@
         };
         let slot = AnswerSlot::new(self.identity.limits.answer_buffer);
         self.slots.borrow_mut().insert(sequence, slot.clone());
+        self.identity.open_calls.fetch_add(1, Ordering::SeqCst);
         let call = OpenCall { edge: Rc::clone(self), sequence, slot, ended: Cell::new(false) };
         if self.events.send(Event::Arrived(caller_request)).await.is_err() {
             return Ok(HttpResponse::ServiceUnavailable().finish());
@@ -283,6 +289,7 @@
         if !self.ended.get() {
             self.edge.forget(self.sequence);
         }
+        self.edge.identity.open_calls.fetch_sub(1, Ordering::SeqCst);
     }
 }
 
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -14,12 +14,18 @@
     collections::HashMap,
     io,
     net::{SocketAddr, TcpListener, UdpSocket},
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
     thread,
     time::Duration,
 };
 
-use ntex::rt::{DefaultRuntime, System};
+use ntex::{
+    rt::{DefaultRuntime, System},
+    server::Server,
+};
 use rand::Rng;
 use ryetide_core::{
     entry::{EntryCore, EntryOptions},
@@ -44,6 +50,7 @@
     ring::{self, RingReceiver, RingSender},
     settings::DaemonSettings,
     target_client::{self, PermittedOrder, TargetCommand},
+    util,
 };
 
 /// Room in each ring.
@@ -52,8 +59,14 @@
 const EVENTS_PER_TURN: usize = 256;
 /// Effects after which a step leaves the rest for the next.
 const EFFECT_BOUND: usize = 2_048;
-/// Finished answers are given this long to leave before the process exits.
-const FLUSH_SPAN: Duration = Duration::from_millis(300);
+/// Answers that the core has finished are given this long to be read by their callers.
+const ANSWER_LIMIT: Duration = Duration::from_secs(60);
+/// The pause between two looks whether they have been.
+const ANSWER_PAUSE: Duration = Duration::from_millis(10);
+/// Bytes already written are given this long to leave.
+const CLOSE_LIMIT: Duration = Duration::from_secs(2);
+/// The edge is given this long to take the core's last commands from its ring.
+const FLUSH_SPAN: Duration = Duration::from_millis(100);
 
 /// The sockets of a daemon, bound before its threads start.
 pub struct DaemonSockets {
@@ -167,12 +180,18 @@
         address: addresses.peers,
     };
     let link_options = LinkOptions { socket: sockets.peers, keys, preface };
-    let identity = EdgeIdentity { vm: settings.name.clone(), incarnation, limits: settings.limits };
+    let open_calls = Arc::new(AtomicUsize::new(0));
+    let identity = EdgeIdentity {
+        vm: settings.name.clone(),
+        incarnation,
+        limits: settings.limits,
+        open_calls: Arc::clone(&open_calls),
+    };
     let options =
         EntryOptions::new(settings.name.clone(), settings.data_centre.clone(), incarnation)
             .with_peers(settings.peers.known.clone());
     let (platform, metrics) = (settings.platform.clone(), settings.metrics);
-    let (stop_servers, servers_stopped) = (Arc::new(Notify::new()), Arc::new(Notify::new()));
+    let stop_servers = Arc::new(Notify::new());
     let stop = Arc::clone(&stop_servers);
 
     let duties = vec![
@@ -193,9 +212,7 @@
             let edge = caller_edge::start(sockets.callers, identity, edge_rings)?;
             let operators = operator_port::start(sockets.operators, operator_rings)?;
             stop.notified().await;
-            edge.stop(true).await;
-            operators.stop(true).await;
-            servers_stopped.notify_one();
+            stop_serving(&open_calls, &edge, &operators).await;
             Ok(())
         })?,
     ];
@@ -229,6 +246,26 @@
     finished
 }
 
+/// Lets the answers of a finished core leave, and then closes both ports.
+///
+/// The library's own graceful stop now and then waited its whole 30 s with nothing left to send, so it
+/// is given only the time that bytes already written need.
+async fn stop_serving(open_calls: &AtomicUsize, edge: &Server, operators: &Server) {
+    let answers_left = async {
+        while open_calls.load(Ordering::SeqCst) > 0 {
+            tokio::time::sleep(ANSWER_PAUSE).await;
+        }
+    };
+    if util::within(ANSWER_LIMIT, answers_left).await.is_none() {
+        let left = open_calls.load(Ordering::SeqCst);
+        tracing::warn!(event = "answers-abandoned", step = "shutdown", left);
+    }
+    if util::within(CLOSE_LIMIT, edge.stop(true)).await.is_none() {
+        edge.stop(false).await;
+    }
+    operators.stop(false).await;
+}
+
 type DutyHandle = thread::JoinHandle<Result<(), StepError>>;
 
 /// Starts a thread with a runtime of its own and runs a duty on it to its end.
