--- a/crates/ryetide-core/src/arbiter.rs
+++ b/crates/ryetide-core/src/arbiter.rs
@@ -19,10 +19,12 @@
     estimate::TargetModel,
     event::{LoadReport, Notice},
     ids::{ScopeKey, TargetKey, VmName},
-    message::{AskProfile, AskRef, RefuseReason, ReleaseMessage, ReleaseOutcome, ScopeLoad},
+    message::{AskProfile, RefuseReason, ReleaseMessage, ReleaseOutcome, ScopeLoad},
     queue::{FairQueue, QueuePlace, QueueTicket},
+    retry::RetryPromise,
     safeguard::SafeguardSwitches,
     units::{Moment, ShareWeight, TierRank, Tokens},
+    verdict::{ArbiterVerdict, AskKey, SlotAsk, VerdictKind},
 };
 
 /// The most requests that may wait at one arbiter; beyond it the last in order is shed.
@@ -40,54 +42,6 @@
 /// The part of its output limit that a request is expected to generate before any is observed: an
 /// answer that comes late has wasted its prefill, so the first ones are taken at their limit.
 const FIRST_OUTPUT_PART: f64 = 1.0;
-/// The least and greatest spread of a promise to come back, as a part of it.
-const RETRY_SPREAD: std::ops::Range<f64> = 0.0..0.5;
-/// Nobody is told to come back sooner than this.
-const RETRY_LEAST: Duration = Duration::from_millis(200);
-/// Nobody is told to stay away longer than this.
-const RETRY_GREATEST: Duration = Duration::from_secs(300);
-
-/// A request as an arbiter names it: who asks, and which of its requests.
-#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
-pub struct AskKey {
-    /// The VM that holds the caller.
-    pub vm: VmName,
-    /// The request there.
-    pub ask: AskRef,
-}
-
-/// A request to be ordered and placed.
-#[derive(Clone, Debug)]
-pub struct SlotAsk {
-    /// Who asks for what.
-    pub key: AskKey,
-    /// What to order and place.
-    pub profile: AskProfile,
-    /// The caller's deadline.
-    pub deadline: Moment,
-    /// How long it has waited already.
-    pub waited: Duration,
-}
-
-/// What an arbiter decided about a request.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum VerdictKind {
-    /// It may be dispatched to this target.
-    Grant(TargetKey),
-    /// It waits in line.
-    Queued,
-    /// It does not run here; come back after the time given.
-    Refuse(RefuseReason, Duration),
-}
-
-/// A decision and the request it is about.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct ArbiterVerdict {
-    /// The request.
-    pub key: AskKey,
-    /// The decision.
-    pub kind: VerdictKind,
-}
 
 #[derive(Debug)]
 struct WaitingAsk {
@@ -133,9 +87,7 @@
     output_part: f64,
     share: f64,
     grant_from: Moment,
-    /// Work that refused callers were told to come back with, decaying as its time comes.
-    promised: Duration,
-    promised_at: Moment,
+    promise: RetryPromise,
     orphans_sought: Moment,
     /// When a request of each tier was last shed for load.
     last_shed: BTreeMap<TierRank, Moment>,
@@ -166,8 +118,7 @@
             output_part: FIRST_OUTPUT_PART,
             share,
             grant_from,
-            promised: Duration::ZERO,
-            promised_at: grant_from,
+            promise: RetryPromise::new(grant_from),
             orphans_sought: grant_from,
             last_shed: BTreeMap::new(),
         };
@@ -346,7 +297,10 @@
         rng: &mut impl Rng,
         verdicts: &mut Vec<ArbiterVerdict>,
     ) {
-        let retry = self.promise(now, rng);
+        let slots: u32 = self.usable().map(|target| target.rule().slots).sum();
+        let backlog = self.expected_wait(now, TierRank(u8::MAX));
+        let work = self.mean_remaining(now) / slots.max(1);
+        let retry = self.promise.next(now, backlog, work, rng);
         verdicts.push(ArbiterVerdict { key, kind: VerdictKind::Refuse(reason, retry) });
     }
 
@@ -697,21 +651,6 @@
             self.output_part += (part - self.output_part) * OUTPUT_LEARNING;
         }
     }
-
-    /// Computes when a refused caller should come back: when the work that waits now, and the work
-    /// of those told to come back before it, will have been served; spread, so that they do not all
-    /// come at once.
-    fn promise(&mut self, now: Moment, rng: &mut impl Rng) -> Duration {
-        let slots: u32 = self.usable().map(|target| target.rule().slots).sum();
-        let passed = now.since(self.promised_at);
-        self.promised = self.promised.saturating_sub(passed);
-        self.promised_at = now;
-        let backlog = self.expected_wait(now, TierRank(u8::MAX));
-        let base = (backlog + self.promised).clamp(RETRY_LEAST, RETRY_GREATEST);
-        let mean_work = self.mean_remaining(now).max(RETRY_LEAST);
-        self.promised = (self.promised + mean_work / slots.max(1)).min(RETRY_GREATEST);
-        base.mul_f64(1.0 + rng.random_range(RETRY_SPREAD)).min(RETRY_GREATEST)
-    }
 }
 
 fn millis(span: Duration) -> u32 {
--- a/crates/ryetide-core/src/entry.rs
+++ b/crates/ryetide-core/src/entry.rs
@@ -18,7 +18,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    arbiter::{ArbiterVerdict, ScopeArbiter},
+    arbiter::ScopeArbiter,
     chart::{self, DrainEvent, DrainState, RequestState},
     claim::ClaimKeeper,
     configuration::ConfigurationKeeper,
@@ -29,6 +29,7 @@
     request::RequestTable,
     safeguard::SafeguardSwitches,
     units::{Moment, Revision},
+    verdict::ArbiterVerdict,
 };
 
 /// How often the core looks for what is due when nothing nearer is.
--- a/crates/ryetide-core/src/entry_peer.rs
+++ b/crates/ryetide-core/src/entry_peer.rs
@@ -3,7 +3,6 @@
 use std::{net, time::Duration};
 
 use crate::{
-    arbiter::{AskKey, SlotAsk},
     entry::EntryCore,
     event::{Effect, EffectBuffer, Notice},
     ids::{DataCentreName, Incarnation, VmName},
@@ -13,6 +12,7 @@
     },
     request::SlotSource,
     units::Moment,
+    verdict::{AskKey, SlotAsk},
 };
 
 /// The sender of a message.
@@ -276,11 +276,11 @@
         for scope in gone {
             if let Some(mut arbiter) = self.arbiters.remove(&scope) {
                 for key in arbiter.dissolve() {
-                    let kind = crate::arbiter::VerdictKind::Refuse(
+                    let kind = crate::verdict::VerdictKind::Refuse(
                         RefuseReason::ServiceGone,
                         Duration::ZERO,
                     );
-                    self.verdicts.push(crate::arbiter::ArbiterVerdict { key, kind });
+                    self.verdicts.push(crate::verdict::ArbiterVerdict { key, kind });
                 }
             }
         }
--- a/crates/ryetide-core/src/entry_slot.rs
+++ b/crates/ryetide-core/src/entry_slot.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use crate::{
-    arbiter::{ArbiterVerdict, AskKey, ScopeArbiter, SlotAsk, VerdictKind},
+    arbiter::ScopeArbiter,
     catalog::ServiceKind,
     chart::RequestEvent,
     entry::EntryCore,
@@ -16,6 +16,7 @@
     },
     request::{SlotClaim, SlotSource},
     units::Moment,
+    verdict::{ArbiterVerdict, AskKey, SlotAsk, VerdictKind},
 };
 
 /// An arbiter that has not answered an ask after this long is passed over: slow is worse than dead,
--- a/crates/ryetide-core/src/lib.rs
+++ b/crates/ryetide-core/src/lib.rs
@@ -25,7 +25,7 @@
 //! | [`event`], [`message`] | events, effects, and the messages between entry VMs |
 //! | [`chart`] | state charts, read from files and interpreted |
 //! | [`text`], [`catalog`] | operators' YAML with every fault found; the services text |
-//! | [`arbiter`], [`queue`], [`estimate`], [`affinity`] | order and placement |
+//! | [`arbiter`], [`verdict`], [`queue`], [`estimate`], [`affinity`], [`retry`] | order and placement |
 //! | [`membership`] | peers, and who arbitrates what |
 //! | [`claim`], [`configuration`], [`request`] | what must not go wrong |
 //! | [`safeguard`] | switches that let tests show what each safeguard prevents |
@@ -49,7 +49,9 @@
 pub mod message;
 pub mod queue;
 pub mod request;
+pub mod retry;
 pub mod safeguard;
 pub mod text;
 pub mod units;
 mod util;
+pub mod verdict;
--- a/crates/ryetide-core/tests/arbiter.rs
+++ b/crates/ryetide-core/tests/arbiter.rs
@@ -4,13 +4,14 @@
 
 use rand::{SeedableRng, rngs::SmallRng};
 use ryetide_core::{
-    arbiter::{ArbiterVerdict, AskKey, ScopeArbiter, SlotAsk, VerdictKind},
+    arbiter::ScopeArbiter,
     catalog::ServiceCatalog,
     event::LoadReport,
     ids::{OrganisationKey, OrganisationName, RequestSequence, TargetKey, TargetName, VmName},
     message::{AskProfile, AskRef, LifeMark, RefuseReason, ReleaseMessage, ReleaseOutcome},
     safeguard::SafeguardSwitches,
     units::{Moment, TierRank, Tokens},
+    verdict::{ArbiterVerdict, AskKey, SlotAsk, VerdictKind},
 };
 
 const TEXT: &str = "
--- a/crates/ryetide-core/tests/fault_matrix/cell.rs
+++ b/crates/ryetide-core/tests/fault_matrix/cell.rs
@@ -8,15 +8,13 @@
     time::Duration,
 };
 
-use bytes::Bytes;
 use ryetide_core::{
     chart::DrainState,
     configuration::CONFIGURATION_KEY,
     entry::{EntryCore, EntryOptions},
     event::{
-        AnswerHead, ApplyOutcome, CallerRequest, Effect, EffectBuffer, Event, FinalAnswer,
-        ListedVm, LoadReport, TableAnswer, TableCommand, TableRow, TargetCall, TargetOrder,
-        TargetRoute,
+        ApplyOutcome, CallerRequest, Effect, EffectBuffer, Event, FinalAnswer, ListedVm,
+        LoadReport, TableAnswer, TableCommand, TableRow, TargetCall, TargetOrder, TargetRoute,
     },
     ids::{
         AttemptNumber, DataCentreName, Incarnation, OperationId, RequestId, RequestSequence,
@@ -27,30 +25,21 @@
     units::{Moment, Revision, Tokens},
 };
 
+use crate::fakes::{PIECES, TEXT, TableFake, TargetFake, body_of, first_row};
+
 /// The way between any two parties.
-const WAY: Duration = Duration::from_millis(1);
+pub const WAY: Duration = Duration::from_millis(1);
 /// The time limit of a table command, as the daemon has it.
 const TABLE_LIMIT: Duration = Duration::from_millis(1_500);
-/// The time between two pieces of an answer.
-const PIECE_GAP: Duration = Duration::from_millis(20);
-/// Pieces of an answer, and the length of each.
-const PIECES: usize = 10;
-const PIECE_BYTES: usize = 8;
 /// The balancer finds out after this long that a VM is dead.
 const BALANCER_LAG: Duration = Duration::from_secs(2);
 /// When the VMs first read the list.
 const FIRST_POLL: Moment = Moment::from_millis(5);
 /// A VM that has shut down is replaced after this long.
 const REPLACED_AFTER: Duration = Duration::from_millis(300);
-/// Answers are resumed from multiples of this.
-const EVENT_BYTES: u64 = 24;
-/// Targets whose contract says that a refusal ran nothing.
-const CONTRACTS: [&str; 1] = ["d3"];
 /// The tokens of a prompt.
 const PROMPT: u64 = 100;
 
-/// The services text of every cell.
-pub const TEXT: &str = include_str!("services.yaml");
 /// Entry VMs with their data centres.
 pub const VMS: [(&str, &str); 3] = [("e1", "here"), ("e2", "here"), ("e3", "there")];
 /// Targets with their data centres; the last one is plain.
@@ -115,52 +104,6 @@
     pub drained: bool,
 }
 
-#[derive(Debug, Default)]
-pub struct TargetFake {
-    pub dead: bool,
-    pub leaving: bool,
-    /// From when to when it was leaving.
-    pub leavings: Vec<(Moment, Moment)>,
-    pub busy: bool,
-    pub forgetful: bool,
-    pub truncating: bool,
-    pub slowdown: u32,
-    pub jobs: BTreeMap<RequestId, EngineJob>,
-    /// Dispatches in order, with their bodies.
-    pub dispatches: Vec<(Moment, RequestId, Bytes)>,
-}
-
-#[derive(Clone, Debug)]
-pub struct EngineJob {
-    pub started: Moment,
-    pub content: Bytes,
-    pub cancelled: bool,
-}
-
-#[derive(Debug, Default)]
-pub struct TableFake {
-    pub rows: BTreeMap<String, TableRow>,
-    pub down: bool,
-    pub slow: bool,
-    pub losing: bool,
-    pub dropping: bool,
-    /// Every configuration row that was ever written.
-    pub history: Vec<String>,
-}
-
-impl TableFake {
-    /// Puts the first services text back, as a restored backup would; the version still rises.
-    pub fn restore(&mut self) {
-        let version = self.rows.get(CONFIGURATION_KEY).map_or(0, |row| row.version) + 1;
-        let row = TableRow { version, value: first_row() };
-        self.rows.insert(CONFIGURATION_KEY.to_owned(), row);
-    }
-}
-
-fn first_row() -> String {
-    serde_json::json!({"revision": 1, "operation": 1, "text": TEXT}).to_string()
-}
-
 /// A connection, by VM, incarnation, request and attempt.
 pub type LinkKey = (usize, u64, RequestSequence, AttemptNumber);
 
@@ -595,27 +538,6 @@
         }
     }
 
-    fn run_table(&mut self, command: &TableCommand) -> TableAnswer {
-        match command {
-            TableCommand::Read { key, known } => match self.table.rows.get(key) {
-                Some(row) if Some(row.version) == *known => TableAnswer::Unchanged,
-                row => TableAnswer::Row(row.cloned()),
-            },
-            TableCommand::Write { key, expected, value } => {
-                let current = self.table.rows.get(key).map_or(0, |row| row.version);
-                if current != *expected {
-                    return TableAnswer::Conflict(self.table.rows.get(key).cloned());
-                }
-                let row = TableRow { version: current + 1, value: value.clone() };
-                if key == CONFIGURATION_KEY {
-                    self.table.history.push(value.clone());
-                }
-                self.table.rows.insert(key.clone(), row);
-                TableAnswer::Written(current + 1)
-            }
-        }
-    }
-
     fn deliver(&mut self, delivery: Delivery) {
         match delivery {
             Delivery::ToVm(vm, life, event) => {
@@ -637,7 +559,7 @@
             Delivery::Order(key, order) => self.order_target(key, order),
             Delivery::Stream(key, id, offset) => self.stream(key, id, offset),
             Delivery::Table(vm, life, token, command, answered) => {
-                let answer = self.run_table(&command);
+                let answer = self.table.run(&command);
                 let lost = self.table.losing && matches!(command, TableCommand::Write { .. });
                 if answered {
                     let (after, answer) =
@@ -694,99 +616,6 @@
         });
         entries.chain(targets).collect()
     }
-
-    fn order_target(&mut self, key: LinkKey, order: TargetOrder) {
-        let (vm, life, sequence, attempt) = key;
-        let now = self.now;
-        let Some(link) = self.links.get_mut(&key) else { return };
-        let index = link.target;
-        if link.silent || self.network.cut_targets.contains(&(vm, index)) {
-            return;
-        }
-        let target = &mut self.targets[index];
-        let to_vm = |event| Delivery::ToVm(vm, life, event);
-        if target.dead {
-            self.close(key, Event::TargetBroken { sequence, attempt });
-            return;
-        }
-        match order {
-            TargetOrder::Dispatch { not_after, .. } if now >= not_after => {
-                self.close(key, Event::TargetBroken { sequence, attempt });
-            }
-            TargetOrder::Dispatch { id, call, .. } => {
-                if target.leaving || target.busy {
-                    if !CONTRACTS.contains(&TARGETS[index].0) {
-                        // Without the contract a refusal may have run all the same: this one has.
-                        target.dispatches.push((now, id, call.body));
-                    }
-                    let leaving = target.leaving;
-                    self.close(key, Event::TargetRefused { sequence, attempt, leaving });
-                    return;
-                }
-                link.dispatched = Some(id.clone());
-                target.dispatches.push((now, id.clone(), call.body.clone()));
-                let job =
-                    EngineJob { started: now, content: content_of(&call.body), cancelled: false };
-                target.jobs.entry(id.clone()).or_insert(job);
-                let head = AnswerHead { status: 200, content_type: String::new() };
-                let head = to_vm(Event::TargetHead { sequence, attempt, head });
-                self.schedule(now + WAY, head);
-                self.schedule(now + PIECE_GAP, Delivery::Stream(key, id, 0));
-            }
-            TargetOrder::Resume { id, offset } => {
-                if target.forgetful || !target.jobs.contains_key(&id) {
-                    self.close(key, Event::ResumeUnknown { sequence, attempt });
-                    return;
-                }
-                // Engines resume at the start of an event, which may lie before the byte asked for.
-                let start = offset - offset % EVENT_BYTES;
-                self.schedule(now + WAY, Delivery::Stream(key, id, start));
-            }
-        }
-    }
-
-    /// Ends a connection from the target's side.
-    pub fn close(&mut self, key: LinkKey, last: Event) {
-        self.links.remove(&key);
-        self.schedule(self.now + WAY, Delivery::ToVm(key.0, key.1, last));
-    }
-
-    /// Sends what a target has generated beyond `offset`, and goes on until the end.
-    fn stream(&mut self, key: LinkKey, id: RequestId, offset: u64) {
-        let (vm, life, sequence, attempt) = key;
-        let now = self.now;
-        let Some(link) = self.links.get(&key) else { return };
-        let target = &self.targets[link.target];
-        let Some(job) = target.jobs.get(&id).filter(|job| !job.cancelled) else { return };
-        let lost = link.silent || self.network.cut_targets.contains(&(vm, link.target));
-        let gap = PIECE_GAP * target.slowdown;
-        let made = (now.since(job.started).as_millis() / gap.as_millis().max(1)) as usize;
-        let length = (made * PIECE_BYTES).min(job.content.len()) as u64;
-        let whole = length == job.content.len() as u64;
-        if target.truncating && !whole && length > 0 {
-            let length = job.content.len() as u64;
-            self.close(key, Event::TargetEnd { sequence, attempt, length });
-            return;
-        }
-        let piece = job.content.slice(offset.min(length) as usize..length as usize);
-        if target.dead {
-            return;
-        }
-        if !piece.is_empty() && !lost {
-            let event = Event::TargetPiece { sequence, attempt, offset, bytes: piece };
-            self.schedule(now + WAY, Delivery::ToVm(vm, life, event));
-        }
-        if lost {
-            // What was sent into a dead connection is gone; the target notices nothing.
-            return;
-        }
-        if whole && offset >= length {
-            let event = Event::TargetEnd { sequence, attempt, length };
-            self.close(key, event);
-        } else {
-            self.schedule(now + gap, Delivery::Stream(key, id, length.max(offset)));
-        }
-    }
 }
 
 pub fn target_index(route: &TargetRoute) -> usize {
@@ -796,20 +625,3 @@
 fn address_of(vm: usize) -> std::net::SocketAddr {
     ([127, 0, 0, 1], 7_000 + vm as u16).into()
 }
-
-/// The body of a call: all its tries send the same.
-pub fn body_of(call: usize, empty: bool) -> Bytes {
-    Bytes::from(if empty { format!("{EMPTY}{call}") } else { format!("call {call}") })
-}
-
-/// How the body of a call begins whose answer has no bytes.
-const EMPTY: &str = "empty ";
-
-/// The answer that a body must get: each byte depends on the body and its place.
-pub fn content_of(body: &Bytes) -> Bytes {
-    if body.starts_with(EMPTY.as_bytes()) {
-        return Bytes::new();
-    }
-    let seed: usize = body.iter().map(|byte| *byte as usize).sum::<usize>() + body.len();
-    (0..PIECES * PIECE_BYTES).map(|place| b'a' + ((seed * 31 + place * 7) % 26) as u8).collect()
-}
--- a/crates/ryetide-core/tests/fault_matrix/check.rs
+++ b/crates/ryetide-core/tests/fault_matrix/check.rs
@@ -10,7 +10,8 @@
 };
 
 use crate::{
-    cell::{CallRecord, CallTry, Cell, VMS, body_of, content_of},
+    cell::{CallRecord, CallTry, Cell, VMS},
+    fakes::{body_of, content_of},
     fault::FaultKind,
 };
 
--- a/crates/ryetide-core/tests/fault_matrix/main.rs
+++ b/crates/ryetide-core/tests/fault_matrix/main.rs
@@ -5,7 +5,9 @@
 //! hold: see `check.rs`.
 
 mod cell;
+mod cell_targets;
 mod check;
+mod fakes;
 mod fault;
 mod scenario;
 mod script;
--- a/crates/ryetide-lab/src/engine.rs
+++ b/crates/ryetide-lab/src/engine.rs
@@ -29,7 +29,7 @@
 
 use crate::{
     engine_batch::{EngineBatch, EnginePrompt, EngineRecord, EngineSpeed},
-    server::StandInServer,
+    server::{self, StandInServer},
 };
 
 /// The turn of the batch.
@@ -278,13 +278,7 @@
 }
 
 async fn set_faults(body: Bytes, state: EngineData) -> HttpResponse {
-    match serde_json::from_slice(&body) {
-        Ok(faults) => {
-            apply_faults(state.get_ref(), faults);
-            HttpResponse::NoContent().finish()
-        }
-        Err(error) => HttpResponse::BadRequest().body(error.to_string()),
-    }
+    server::take_json(&body, |faults| apply_faults(state.get_ref(), faults))
 }
 
 async fn record(state: EngineData) -> HttpResponse {
--- a/crates/ryetide-lab/src/plain_service.rs
+++ b/crates/ryetide-lab/src/plain_service.rs
@@ -15,7 +15,7 @@
 use ryetide::{error::StepError, target_client::REQUEST_ID_HEADER};
 use serde::{Deserialize, Serialize};
 
-use crate::server::StandInServer;
+use crate::server::{self, StandInServer};
 
 /// The faults of a plain service.
 #[derive(Clone, Debug, Default, Deserialize, Serialize)]
@@ -123,13 +123,7 @@
 }
 
 async fn set_faults(body: Bytes, state: PlainData) -> HttpResponse {
-    match serde_json::from_slice(&body) {
-        Ok(faults) => {
-            lock(state.get_ref()).faults = faults;
-            HttpResponse::NoContent().finish()
-        }
-        Err(error) => HttpResponse::BadRequest().body(error.to_string()),
-    }
+    server::take_json(&body, |faults| lock(state.get_ref()).faults = faults)
 }
 
 async fn record(state: PlainData) -> HttpResponse {
--- a/crates/ryetide-lab/src/platform.rs
+++ b/crates/ryetide-lab/src/platform.rs
@@ -23,7 +23,7 @@
 use ryetide_core::event::{ListedVm, TableAnswer, TableCommand, TableRow};
 use serde::{Deserialize, Serialize};
 
-use crate::server::StandInServer;
+use crate::server::{self, StandInServer};
 
 /// The faults of the platform.
 #[derive(Clone, Debug, Default, Deserialize, Serialize)]
@@ -251,23 +251,11 @@
 }
 
 async fn set_list(body: Bytes, state: PlatformData) -> HttpResponse {
-    match serde_json::from_slice(&body) {
-        Ok(listed) => {
-            change_list(state.get_ref(), listed);
-            HttpResponse::NoContent().finish()
-        }
-        Err(error) => HttpResponse::BadRequest().body(error.to_string()),
-    }
+    server::take_json(&body, |listed| change_list(state.get_ref(), listed))
 }
 
 async fn set_faults(body: Bytes, state: PlatformData) -> HttpResponse {
-    match serde_json::from_slice(&body) {
-        Ok(faults) => {
-            lock(state.get_ref()).faults = faults;
-            HttpResponse::NoContent().finish()
-        }
-        Err(error) => HttpResponse::BadRequest().body(error.to_string()),
-    }
+    server::take_json(&body, |faults| lock(state.get_ref()).faults = faults)
 }
 
 async fn record(state: PlatformData) -> HttpResponse {
--- a/crates/ryetide-lab/src/server.rs
+++ b/crates/ryetide-lab/src/server.rs
@@ -9,8 +9,10 @@
 use ntex::{
     rt::{DefaultRuntime, System},
     server::Server,
+    web::HttpResponse,
 };
 use ryetide::error::StepError;
+use serde::de::DeserializeOwned;
 
 /// A running server; dropping it stops the server and joins its thread.
 #[derive(Debug)]
@@ -68,6 +70,17 @@
     }
 }
 
+/// Answers a control call whose body is JSON: applies it, or says what does not parse.
+pub fn take_json<T: DeserializeOwned>(body: &[u8], apply: impl FnOnce(T)) -> HttpResponse {
+    match serde_json::from_slice(body) {
+        Ok(value) => {
+            apply(value);
+            HttpResponse::NoContent().finish()
+        }
+        Err(error) => HttpResponse::BadRequest().body(error.to_string()),
+    }
+}
+
 /// Binds a loopback listener on a free port.
 ///
 /// # Errors
--- a/crates/ryetide-lab/src/slopes.rs
+++ b/crates/ryetide-lab/src/slopes.rs
@@ -9,7 +9,7 @@
 
 use rand::{SeedableRng, rngs::SmallRng};
 use ryetide_core::{
-    arbiter::{AskKey, ScopeArbiter, SlotAsk, VerdictKind},
+    arbiter::ScopeArbiter,
     catalog::ServiceCatalog,
     entry::{EntryCore, EntryOptions},
     event::{Effect, EffectBuffer, Event, ListedVm, TableAnswer, TableRow},
@@ -23,6 +23,7 @@
     },
     safeguard::SafeguardSwitches,
     units::{Moment, Revision, TierRank, Tokens},
+    verdict::{AskKey, SlotAsk, VerdictKind},
 };
 
 /// A straight line through measured points, and how far the points lie from it.
