Test a hole in the network and a peer with other keys on real processes

A relay between daemons and engines falls silent for every open connection, without a reset: the stream is resumed over a new one and is whole; one dispatch, at least one resume by the engines' records.

--- a/crates/ryetided/tests/processes/failures.rs
+++ b/crates/ryetided/tests/processes/failures.rs
@@ -4,15 +4,23 @@
 
 use nix::sys::signal::Signal;
 use ntex::http::Method;
+use ryetide::operator_port::ApplyReply;
 use ryetide_core::entry::EntryStatus;
+use ryetide_core::{event::ApplyOutcome, message::ConfigurationText};
 use ryetide_lab::{
     caller::{CallOutcome, CallResult, CallTerms, TestCaller},
     control,
+    deployment::EntrySite,
     engine::EngineFaults,
     engine_batch::{EnginePrompt, EngineRecord, EngineSpeed},
+    keys,
     plain_service::{PlainFaults, PlainRecord},
     platform::PlatformFaults,
+    process::TestProcess,
     process_site::ProcessSite,
+    relay::RelayStandIn,
+    server,
+    site::ScratchDirectory,
 };
 
 const SOON: Duration = Duration::from_secs(10);
@@ -274,3 +282,68 @@
     });
     crate::support::wait_until("nothing is held", SOON, || status(&site, 0).requests.is_empty());
 }
+
+/// A connection between daemon and engine passes nothing more, without a reset, while new ones work:
+/// something between them has lost track of it. The open stream is resumed over a new connection.
+#[test]
+fn a_connection_that_goes_silent_for_good_is_replaced() {
+    let slow = EngineSpeed { decode_rate: 200.0, ..crate::support::fast() };
+    let site = crate::support::start(slow);
+    let operators = site.daemons[0].site.operators;
+    let relays: Vec<RelayStandIn> = site
+        .targets
+        .iter()
+        .filter(|target| target.name.starts_with("engine"))
+        .map(|target| {
+            RelayStandIn::start(server::free_listener().unwrap(), target.address).unwrap()
+        })
+        .collect();
+    let engines = site.targets.iter().filter(|target| target.name.starts_with("engine"));
+    let found: Option<ConfigurationText> = control::get(operators, "/v1/configuration").unwrap();
+    let mut text = found.unwrap().text;
+    for (engine, relay) in engines.zip(&relays) {
+        text = text.replace(&engine.address.to_string(), &relay.address().to_string());
+    }
+    let reply =
+        control::call(operators, Method::POST, "/v1/apply?base=1", text.into_bytes()).unwrap();
+    let reply: ApplyReply = serde_json::from_slice(&reply).unwrap();
+    assert!(matches!(reply, ApplyReply::Ended(ApplyOutcome::Accepted(_))), "{reply:?}");
+    crate::support::wait_until("the relays are in force everywhere", SOON, || {
+        (0..3).all(|index| status(&site, index).revision.0 == 2)
+    });
+    let (first, prompt) = (door(&site, 0), crate::support::prompt("through a hole", 300));
+    let expected = prompt.expected_stream();
+    let call = std::thread::spawn(move || prompt_through(first, prompt));
+    crate::support::wait_until("the stream runs", SOON, || {
+        let running = ryetide_core::chart::RequestState::Running;
+        status(&site, 0).requests.contains_key(&running)
+    });
+    for relay in &relays {
+        relay.silence_open();
+    }
+    let result = call.join().unwrap();
+    assert_eq!(result.outcome, CallOutcome::Answered);
+    assert_eq!(result.body, expected.as_bytes());
+    assert!(check_single_dispatch(&site).resumes >= 1);
+}
+
+/// A daemon with keys of another deployment knocks: it is refused in the handshake, and nobody counts
+/// it as a peer.
+#[test]
+fn a_peer_without_the_deployments_keys_is_refused() {
+    let site = crate::support::start(crate::support::fast());
+    let directory = ScratchDirectory::create().unwrap();
+    keys::write_keys(directory.path()).unwrap();
+    let intruder = EntrySite::unbound("intruder", "hall");
+    let known = [&site.daemons[0].site];
+    let text = intruder.settings(directory.path(), site.platform.address, &known);
+    let path = directory.path().join("intruder.yaml");
+    std::fs::write(&path, text).unwrap();
+    let program = crate::support::programs().daemon;
+    let process = TestProcess::start(&program, &[path.display().to_string()]).unwrap();
+    process.wait_address("peers").unwrap();
+    let refused = site.daemons[0].process.wait_line("event=peer-refused", SOON);
+    assert!(refused.is_some(), "{:?}", site.daemons[0].process.lines());
+    let seen = status(&site, 0);
+    assert!(!seen.peers.keys().any(|name| name.as_str() == "intruder"), "{:?}", seen.peers);
+}
