--- a/crates/ryetide-core/src/arbiter.rs
+++ b/crates/ryetide-core/src/arbiter.rs
@@ -14,11 +14,11 @@
 
 use crate::{
     affinity::PrefixHints,
-    catalog::ServiceCatalog,
+    catalog::{ServiceCatalog, TierRule},
     chart::TargetEvent,
     estimate::TargetModel,
     event::{LoadReport, Notice},
-    ids::{ScopeKey, TargetKey, VmName},
+    ids::{OrganisationKey, ScopeKey, TargetKey, VmName},
     message::{AskProfile, RefuseReason, ReleaseMessage, ReleaseOutcome, ScopeLoad},
     queue::{FairQueue, QueuePlace, QueueTicket},
     retry::RetryPromise,
@@ -62,7 +62,7 @@
     backlog: Duration,
 }
 
-/// What an arbiter needs to know of the configuration.
+/// What an arbiter needs to know of a tier.
 #[derive(Clone, Debug)]
 struct TierLimit {
     wait: Duration,
@@ -75,7 +75,7 @@
     scope: ScopeKey,
     switches: SafeguardSwitches,
     tiers: Vec<TierLimit>,
-    weights: BTreeMap<crate::ids::OrganisationKey, ShareWeight>,
+    weights: BTreeMap<OrganisationKey, ShareWeight>,
     targets: BTreeMap<TargetKey, TargetModel>,
     waiting: BTreeMap<AskKey, WaitingAsk>,
     by_latest_start: BTreeSet<(Moment, AskKey)>,
@@ -128,8 +128,7 @@
 
     /// Takes over a changed configuration; what waits and what is held stays.
     pub fn configure(&mut self, catalog: &ServiceCatalog) {
-        let limit =
-            |tier: &crate::catalog::TierRule| TierLimit { wait: tier.wait, fill: tier.fill };
+        let limit = |tier: &TierRule| TierLimit { wait: tier.wait, fill: tier.fill };
         self.tiers = catalog.tiers().iter().map(limit).collect();
         let shares = catalog.organisations().iter();
         self.weights = shares.map(|(key, rule)| (*key, rule.share)).collect();
--- a/crates/ryetide-core/src/entry_admission.rs
+++ b/crates/ryetide-core/src/entry_admission.rs
@@ -14,7 +14,7 @@
     ids::{AttemptNumber, OrganisationKey, RequestId, RequestSequence, ServiceKey, TableToken},
     message::{AskProfile, AskRef, ClaimOutcome, PeerMessage, RefuseReason},
     request::RequestRecord,
-    units::{Moment, TierRank},
+    units::{ByteSize, Moment, TierRank},
 };
 
 /// When to come back to a VM that is shutting down: the balancer will have moved on.
@@ -77,10 +77,7 @@
     }
 
     /// Finds what is known at once to keep a request from running.
-    fn check(
-        &self,
-        request: &CallerRequest,
-    ) -> Result<(AskProfile, crate::units::ByteSize), FinalAnswer> {
+    fn check(&self, request: &CallerRequest) -> Result<(AskProfile, ByteSize), FinalAnswer> {
         let not_run = |reason, retry| FinalAnswer::NotRun { reason, retry_after: Some(retry) };
         if self.is_draining() {
             return Err(not_run(RefuseReason::Draining, DRAINING_RETRY));
--- a/crates/ryetide-core/src/entry_slot.rs
+++ b/crates/ryetide-core/src/entry_slot.rs
@@ -5,17 +5,17 @@
 
 use crate::{
     arbiter::ScopeArbiter,
-    catalog::ServiceKind,
+    catalog::{ServiceKind, TargetRule},
     chart::RequestEvent,
     entry::EntryCore,
     event::{Effect, EffectBuffer, Notice, TargetRoute},
     ids::{AttemptNumber, DataCentreKey, RequestSequence, ScopeKey, ServiceKey, TargetKey, VmName},
     message::{
         AskMessage, AskRef, HoldingMessage, PeerMessage, RefuseMessage, RefuseReason,
-        ReleaseMessage, ReleaseOutcome,
+        ReleaseMessage, ReleaseOutcome, ScopeLoad,
     },
     request::{SlotClaim, SlotSource},
-    units::Moment,
+    units::{Moment, TierRank, Tokens},
     verdict::{ArbiterVerdict, AskKey, SlotAsk, VerdictKind},
 };
 
@@ -75,7 +75,7 @@
     }
 
     /// The wait that the scope's arbiter tells of, or that this VM's own arbiter knows.
-    fn scope_wait(&self, now: Moment, scope: ScopeKey, tier: crate::units::TierRank) -> Duration {
+    fn scope_wait(&self, now: Moment, scope: ScopeKey, tier: TierRank) -> Duration {
         if self.is_elected(scope) {
             let arbiter = self.arbiters.get(&scope);
             return arbiter.map_or(Duration::ZERO, |arbiter| arbiter.expected_wait(now, tier));
@@ -85,7 +85,7 @@
         Duration::from_millis(u64::from(wait.copied().unwrap_or(0)))
     }
 
-    fn load_of(&self, scope: ScopeKey) -> Option<&crate::message::ScopeLoad> {
+    fn load_of(&self, scope: ScopeKey) -> Option<&ScopeLoad> {
         let name = self.elected.get(&scope)?.as_ref()?;
         self.peers.get(name)?.loads.iter().find(|load| load.scope == scope)
     }
@@ -136,13 +136,13 @@
         scope: ScopeKey,
         effects: &mut EffectBuffer,
     ) {
+        let life = self.life();
         self.ensure_arbiter(now, scope, effects);
         let Some(record) = self.requests.get_mut(sequence) else {
             return;
         };
         record.slot =
             Some(SlotClaim { scope, source: SlotSource::Own, acknowledged: true, target: None });
-        let life = crate::message::LifeMark(self.options.incarnation.0 as u16);
         let ask = SlotAsk {
             key: AskKey { vm: self.options.name.clone(), ask: AskRef { life, sequence } },
             profile: record.profile.clone(),
@@ -553,7 +553,7 @@
             outcome,
             first_piece_ms: since_dispatch(record.first_piece).map_or(0, millis),
             total_ms: since_dispatch(Some(now)).map_or(0, millis),
-            output: crate::units::Tokens(record.pieces),
+            output: Tokens(record.pieces),
         };
         match &slot.source {
             SlotSource::Own => {
@@ -571,7 +571,7 @@
     }
 }
 
-fn route_to(rule: &crate::catalog::TargetRule, engine: bool) -> TargetRoute {
+fn route_to(rule: &TargetRule, engine: bool) -> TargetRoute {
     TargetRoute {
         key: TargetKey::of(&rule.name),
         name: rule.name.clone(),
--- a/crates/ryetide-core/src/event.rs
+++ b/crates/ryetide-core/src/event.rs
@@ -1,6 +1,6 @@
 //! What the driver tells the core, and what the core tells the driver to do.
 //!
-//! Everything here can be serialised, so that a recorded run replays: see `tests/replay.rs`.
+//! Everything here can be serialised, so that a recorded run replays: see `tests/entry.rs`.
 
 use std::{net, time::Duration};
 
--- a/crates/ryetide-core/src/message.rs
+++ b/crates/ryetide-core/src/message.rs
@@ -102,8 +102,6 @@
     NoConfiguration,
     /// The service left the configuration while the request waited.
     ServiceGone,
-    /// The platform's table service could not record the idempotency key.
-    PlatformDown,
     /// The caller closed its connection while the request waited.
     CallerGone,
     /// The target refused, and its contract says that nothing ran.
--- a/crates/ryetide-lab/src/engine.rs
+++ b/crates/ryetide-lab/src/engine.rs
@@ -6,6 +6,7 @@
 //! | `GET /v1/requests/{id}?offset=N` | streams the answer from byte N; 404 for an unknown id |
 //! | `DELETE /v1/requests/{id}` | stops work on it |
 //! | `GET /v1/load` | the load as it was some time ago, and cache events, late and with gaps |
+//! | `POST /v1/orders` | takes an order; with a fencing check, refuses an old number with 412 |
 //! | `POST /lab/faults`, `GET /lab/record` | for tests |
 
 use std::{
@@ -55,6 +56,8 @@
     pub break_after: Option<usize>,
     /// Streams fall silent after this many bytes, without a reset, once each.
     pub silent_after: Option<usize>,
+    /// It refuses orders whose fencing number is below the highest it has seen.
+    pub checks_fencing: bool,
     /// It forgets every request that it knows.
     pub forgetful: bool,
     /// Load reports are this old.
@@ -69,6 +72,7 @@
             busy: false,
             break_after: None,
             silent_after: None,
+            checks_fencing: false,
             forgetful: false,
             report_lag_ms: 1_000,
         }
@@ -131,6 +135,7 @@
                                 .route(web::delete().to(cancel)),
                         )
                         .route("/v1/load", web::get().to(load))
+                        .route("/v1/orders", web::post().to(order))
                         .route("/lab/faults", web::post().to(set_faults))
                         .route("/lab/record", web::get().to(record))
                 }
@@ -277,6 +282,24 @@
     HttpResponse::Ok().json(&report)
 }
 
+/// The header that carries an order's fencing number.
+pub const FENCING_HEADER: &str = "x-fencing-number";
+
+async fn order(request: HttpRequest, body: Bytes, state: EngineData) -> HttpResponse {
+    let number = request.headers().get(FENCING_HEADER);
+    let number = number.and_then(|value| value.to_str().ok()?.parse::<u64>().ok());
+    let Some(number) = number else { return HttpResponse::BadRequest().finish() };
+    let mut engine = lock(state.get_ref());
+    let record = &engine.batch.record;
+    let highest = record.orders.iter().map(|(number, _)| *number).max().unwrap_or(0);
+    if engine.faults.checks_fencing && number < highest {
+        return HttpResponse::PreconditionFailed().finish();
+    }
+    let text = String::from_utf8_lossy(&body).into_owned();
+    engine.batch.record.orders.push((number, text));
+    HttpResponse::NoContent().finish()
+}
+
 async fn set_faults(body: Bytes, state: EngineData) -> HttpResponse {
     server::take_json(&body, |faults| apply_faults(state.get_ref(), faults))
 }
--- a/crates/ryetide-lab/src/engine_batch.rs
+++ b/crates/ryetide-lab/src/engine_batch.rs
@@ -150,6 +150,8 @@
     pub prefilled: u64,
     /// Prompt tokens found in the cache.
     pub cached: u64,
+    /// Orders taken, with their fencing numbers.
+    pub orders: Vec<(u64, String)>,
     /// Prompts of the requests dispatched here, hashed, in order of arrival.
     pub prompts: Vec<u64>,
 }
--- a/crates/ryetide-lab/tests/engine_batch.rs
+++ b/crates/ryetide-lab/tests/engine_batch.rs
@@ -71,3 +71,30 @@
     batch.work(0.2, 1.0);
     assert!(batch.request("c").unwrap().is_done());
 }
+
+/// An engine that checks fencing refuses an order from a holder whose number is old; another kind of
+/// engine takes it.
+#[test]
+fn old_fencing_numbers_are_refused_where_checked() {
+    use ryetide_lab::{
+        control,
+        engine::{EngineFaults, EngineStandIn},
+        server,
+    };
+    let engine = EngineStandIn::start(server::free_listener().unwrap(), speed()).unwrap();
+    let order = |number: u64| {
+        let (address, body) = (engine.address(), format!("load model {number}"));
+        control::block_on(async move {
+            let client = ryetide::fresh_client::FreshClient::new("order").await.unwrap();
+            let connection =
+                client.connect(address, std::time::Duration::from_secs(5)).await.unwrap();
+            let request = client.request(connection, ntex::http::Method::POST, "/v1/orders");
+            let request = request.header("x-fencing-number", number.to_string());
+            request.send_body(body).await.unwrap().status().as_u16()
+        })
+    };
+    assert_eq!((order(5), order(3)), (204, 204));
+    engine.set_faults(EngineFaults { checks_fencing: true, ..EngineFaults::default() });
+    assert_eq!((order(4), order(6)), (412, 204));
+    assert_eq!(engine.record().orders.len(), 3);
+}
--- a/crates/ryetided/tests/processes/bad_input.rs
+++ b/crates/ryetided/tests/processes/bad_input.rs
@@ -7,7 +7,7 @@
 };
 
 use ryetide::request_report::RequestReport;
-use ryetide_lab::{control, process_site::ProcessSite};
+use ryetide_lab::{control, engine_batch::EngineSpeed, process_site::ProcessSite};
 
 const GOOD: &str = "ryetide-organisation: asha\r\nryetide-tier: floor\r\n";
 const BODY: &str = "{\"model\":\"drafting\",\"prompt\":\"p\",\"max_tokens\":4}";
@@ -107,7 +107,9 @@
 /// Its unread answer is bounded: the connection is cut, and the engine is told to stop.
 #[test]
 fn a_caller_that_does_not_read_is_cut_off() {
-    let site = crate::support::start(crate::support::fast());
+    // Slow enough that the engine is far from its end when the caller is cut off.
+    let speed = EngineSpeed { decode_rate: 2_000.0, ..crate::support::fast() };
+    let site = crate::support::start(speed);
     let door = site.daemons[0].site.callers;
     let body = "{\"model\":\"drafting\",\"prompt\":\"p\",\"max_tokens\":20000,\"stream\":true,\
                 \"lab_token_bytes\":4096}";
