Deal large deployments into cells, ask the store less, count listed VMs

Each of 143 registrations cost each VM a call of the store.

Changes: cells of about 8 VMs with their targets, brief digests to the others; a pause after changes, waits of 5 s, and a nudge when a peer has news; listed VMs count before they are heard, and a bucket starts with the VM's part.

--- a/crates/ryetide-core/src/lib.rs
+++ b/crates/ryetide-core/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod affinity;
 pub mod arbiter;
 pub mod catalog;
+pub mod cell_plan;
 pub mod chart;
 pub mod claim;
 pub mod configuration;
--- a/crates/ryetide-core/src/load_digest.rs
+++ b/crates/ryetide-core/src/load_digest.rs
@@ -7,7 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    ids::{Incarnation, OrganisationKey, ServiceKey, TargetKey, VmName},
+    ids::{DataCentreName, Incarnation, OrganisationKey, ServiceKey, TargetKey, VmName},
     pace::PaceReport,
     units::{Revision, TierRank},
 };
@@ -64,8 +64,14 @@
     pub sequence: u64,
     /// Whether the VM is shutting down.
     pub leaving: bool,
+    /// Whether only what must be known everywhere is told: the receiver is of another cell.
+    pub brief: bool,
+    /// The VM's data centre.
+    pub data_centre: Option<DataCentreName>,
     /// The version of the routes in force there.
     pub revision: Revision,
+    /// The newest news of the targets' registry that came there, as its source numbers them.
+    pub registry: u64,
     /// What runs where.
     pub targets: Vec<TargetMark>,
     /// What waits.
--- a/crates/ryetide-core/src/peer_board.rs
+++ b/crates/ryetide-core/src/peer_board.rs
@@ -3,16 +3,20 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use crate::{
-    ids::{Incarnation, ServiceKey, VmName},
+    cell_plan::CellMember,
+    ids::{DataCentreName, Incarnation, ServiceKey, VmName},
     load_digest::{LoadDigest, WaitMark},
     units::{Moment, Revision, TierRank},
 };
 
-/// A peer that said nothing for this long is not heard: three of the slowest digests.
-const HEARD_SPAN: Duration = Duration::from_millis(1_500);
+/// A peer that said nothing for this long is not heard: two of the slowest digests, and some.
+const HEARD_SPAN: Duration = Duration::from_millis(2_500);
 /// A peer that was not heard for this long no longer counts as serving its part.
 const KNOWN_SPAN: Duration = Duration::from_secs(20);
 
+/// A peer that was not heard for this long is no member of a cell: its callers have gone to others.
+const MEMBER_SPAN: Duration = Duration::from_secs(5);
+
 #[derive(Debug)]
 struct PeerNote {
     incarnation: Incarnation,
@@ -20,7 +24,9 @@
     placed: u32,
     heard: Moment,
     leaving: bool,
+    data_centre: Option<DataCentreName>,
     revision: Revision,
+    registry: u64,
     waiting: Vec<WaitMark>,
 }
 
@@ -38,10 +44,16 @@
     NewLife,
 }
 
+/// How many VMs there are believed to be before the list of them was read: the most of one cell.
+const UNLISTED_COUNT: usize = 12;
+
 /// The peers of this VM.
 #[derive(Debug, Default)]
 pub struct PeerBoard {
     notes: BTreeMap<VmName, PeerNote>,
+    /// Peers that are listed and have not been heard yet, with the time at which they were listed
+    /// first. None before the list was read.
+    unheard: Option<BTreeMap<VmName, Moment>>,
 }
 
 impl PeerBoard {
@@ -59,17 +71,44 @@
             placed: digest.placed.last().map_or(0, |placed| placed.number),
             heard: now,
             leaving: digest.leaving,
+            data_centre: digest.data_centre.clone(),
             revision: digest.revision,
+            registry: digest.registry,
             waiting: digest.waiting.clone(),
         };
         self.notes.insert(from.clone(), note);
+        if let Some(unheard) = &mut self.unheard {
+            unheard.remove(from);
+        }
         change
     }
 
+    /// Takes the list of peers. Those that are listed count before they are heard: after all VMs were
+    /// killed at once, each that counted only whom it hears would take itself for the only one, and
+    /// let all callers of an organisation use its whole quota.
+    pub fn list(&mut self, now: Moment, listed: &[VmName]) {
+        let before = self.unheard.take().unwrap_or_default();
+        let unheard = listed.iter().filter(|name| !self.notes.contains_key(*name));
+        let since = |name: &VmName| before.get(name).copied().unwrap_or(now);
+        self.unheard = Some(unheard.map(|name| (name.clone(), since(name))).collect());
+    }
+
     /// Returns how many entry VMs count as serving, this one included.
     pub fn known_count(&self, now: Moment) -> usize {
-        let known = self.notes.values().filter(|it| !it.leaving);
-        known.filter(|note| now.since(note.heard) < KNOWN_SPAN).count() + 1
+        let serving = self.notes.values().filter(|it| !it.leaving);
+        let known = serving.filter(|note| now.since(note.heard) < KNOWN_SPAN).count() + 1;
+        let Some(unheard) = &self.unheard else { return known.max(UNLISTED_COUNT) };
+        known + unheard.values().filter(|since| now.since(**since) < KNOWN_SPAN).count()
+    }
+
+    /// Returns the peers that count as serving, as far as cells go.
+    pub fn members(&self, now: Moment) -> Vec<CellMember> {
+        let serving = self.notes.iter().filter(|(_, note)| !note.leaving);
+        let lately = serving.filter(|(_, note)| now.since(note.heard) < MEMBER_SPAN);
+        let member = |(name, note): (&VmName, &PeerNote)| {
+            Some(CellMember { name: name.clone(), data_centre: note.data_centre.clone()? })
+        };
+        lately.filter_map(member).collect()
     }
 
     /// Returns the part of the serving entry VMs that is heard, this one included.
@@ -78,9 +117,10 @@
         heard as f64 / self.known_count(now) as f64
     }
 
-    /// Returns the highest version of the routes that a peer has in force.
-    pub fn highest_revision(&self) -> Option<Revision> {
-        self.notes.values().map(|note| note.revision).max()
+    /// Returns whether a peer that is heard has news which this VM, with this `revision` of the routes
+    /// and all news of the registry up to the number `reached`, has not.
+    pub fn knows_more(&self, now: Moment, revision: Revision, reached: u64) -> bool {
+        self.heard(now).any(|note| note.revision > revision || note.registry > reached)
     }
 
     /// Returns the requests at peers that go before one here of this rank which has waited `waited`.
--- a/crates/ryetide-core/src/quota.rs
+++ b/crates/ryetide-core/src/quota.rs
@@ -47,6 +47,9 @@
     }
 }
 
+/// A bucket less full than this part of a burst may be empty before peers next hear of it.
+const SHORT_PART: f64 = 0.5;
+
 /// What a request takes from its organisation's bucket.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct QuotaCharge {
@@ -60,6 +63,7 @@
 #[derive(Debug)]
 struct QuotaBucket {
     level: f64,
+    burst: f64,
     filled_at: Moment,
     /// Units that this VM has let through since it started.
     spent: u64,
@@ -115,15 +119,12 @@
         charge: QuotaCharge,
     ) -> Result<(), Duration> {
         let QuotaCharge { key, units } = charge;
-        let rate = rule.rate * self.heard_part;
-        let bucket = self.buckets.entry(key).or_insert(QuotaBucket {
-            level: rule.burst,
-            filled_at: now,
-            spent: 0,
-        });
-        bucket.fill(now, rate, rule.burst);
+        let (rate, burst) = (rule.rate * self.heard_part, rule.burst * self.heard_part);
+        let new = QuotaBucket { level: burst, burst, filled_at: now, spent: 0 };
+        let bucket = self.buckets.entry(key).or_insert(new);
+        bucket.fill(now, rate, burst);
         // A request larger than the burst is let through from a full bucket, or it never would be.
-        let needed = (units as f64).min(rule.burst);
+        let needed = (units as f64).min(burst);
         if bucket.level < needed {
             let missing = needed - bucket.level;
             return Err(Duration::from_secs_f64((missing / rate.max(1e-3)).min(60.0)));
@@ -156,6 +157,11 @@
         self.heard.retain(|(name, _), _| name != peer);
     }
 
+    /// Returns whether an organisation has used up more than half of what it may use at once.
+    pub fn is_short(&self) -> bool {
+        self.buckets.values().any(|bucket| bucket.level < bucket.burst * SHORT_PART)
+    }
+
     /// Returns this VM's own running totals.
     pub fn totals(&self) -> impl Iterator<Item = (OrganisationKey, u64)> + '_ {
         self.buckets.iter().map(|(key, bucket)| (*key, bucket.spent))
@@ -166,6 +172,7 @@
     fn fill(&mut self, now: Moment, rate: f64, burst: f64) {
         let passed = now.since(self.filled_at).as_secs_f64();
         self.filled_at = now;
+        self.burst = burst;
         // Several VMs may have let requests through at the same moment; the debt is paid back, but
         // never more than a burst of it, so that a garbled total cannot shut an organisation out.
         self.level = (self.level.max(-burst) + passed * rate).min(burst);
--- a/crates/ryetide-core/src/retry_budget.rs
+++ b/crates/ryetide-core/src/retry_budget.rs
@@ -32,9 +32,16 @@
 /// know of each other yet.
 const USED_SLACK: f64 = 0.5;
 
+/// How long what requests earned may be saved: failures come in clumps, and a VM that may save no
+/// more than its slack denies repeats though the window has room. Well under the window, so that what
+/// is saved and what is earned anew stay within the part.
+const SAVED_SPAN: Duration = Duration::from_secs(4);
+
 #[derive(Debug)]
 struct ServiceBudget {
     credit: f64,
+    /// What requests earned lately, fading over [`SAVED_SPAN`].
+    earned: f64,
     at: Moment,
 }
 
@@ -60,9 +67,10 @@
     /// Notes a request for `service`, which earns its part of a repeat.
     pub fn note_request(&mut self, now: Moment, service: &ServiceName) {
         let earned = self.rule.part * USED_PART;
-        let bound = self.credit_bound();
+        let slack = self.slack_share();
         let budget = self.budget(now, service);
-        budget.credit = (budget.credit + earned).min(bound);
+        budget.earned += earned;
+        budget.credit = (budget.credit + earned).min(slack + budget.earned);
     }
 
     /// Takes one repeat, if one is left.
@@ -75,21 +83,25 @@
         permitted
     }
 
-    /// This VM's even part of the slack, which is also the most credit that may be saved up.
-    fn credit_bound(&self) -> f64 {
+    /// This VM's even part of the slack.
+    fn slack_share(&self) -> f64 {
         (self.rule.slack * USED_SLACK / self.vm_count as f64).max(1.0)
     }
 
     fn budget(&mut self, now: Moment, service: &ServiceName) -> &mut ServiceBudget {
-        let bound = self.credit_bound();
+        let slack = self.slack_share();
         let window = self.rule.window;
-        let budget = self
-            .services
-            .entry(service.clone())
-            .or_insert(ServiceBudget { credit: bound, at: now });
+        let budget = self.services.entry(service.clone()).or_insert(ServiceBudget {
+            credit: slack,
+            earned: 0.0,
+            at: now,
+        });
+        let passed = now.since(budget.at);
+        let spans = passed.as_secs_f64() / SAVED_SPAN.as_secs_f64();
+        budget.earned *= (-spans).exp();
         // The slack comes back once a window, evenly.
-        let passed = now.since(budget.at).as_secs_f64() / window.as_secs_f64().max(1e-3);
-        budget.credit = (budget.credit + passed * bound).min(bound);
+        let windows = passed.as_secs_f64() / window.as_secs_f64().max(1e-3);
+        budget.credit = (budget.credit + windows * slack).min(slack + budget.earned);
         budget.at = now;
         budget
     }
--- a/crates/ryetide-core/src/scheduler.rs
+++ b/crates/ryetide-core/src/scheduler.rs
@@ -16,6 +16,7 @@
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
 use crate::{
+    cell_plan::{CellMember, CellPlan},
     ids::{
         DataCentreName, Incarnation, RequestSequence, ServiceKey, ServiceName, TargetKey, VmName,
     },
@@ -71,6 +72,23 @@
     pub assumed: AssumedPace,
 }
 
+impl SchedulerOptions {
+    fn member(&self) -> CellMember {
+        CellMember { name: self.name.clone(), data_centre: self.data_centre.clone() }
+    }
+}
+
+/// How far this VM's knowledge of the fleet reaches.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct FleetNews {
+    /// The version of the routes in force.
+    pub revision: Revision,
+    /// The newest news of the targets' registry, as its source numbers them.
+    pub registry: u64,
+    /// The number up to which all news of the registry have come.
+    pub registry_reached: u64,
+}
+
 /// Why a request that has not run is told to come back.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq, strum::IntoStaticStr)]
 #[strum(serialize_all = "kebab-case")]
@@ -161,6 +179,7 @@
     decisions: Vec<Decision>,
     sequence: u64,
     changed: bool,
+    plan: CellPlan,
 }
 
 #[derive(Clone, Debug)]
@@ -174,10 +193,12 @@
 impl Scheduler {
     /// Creates a scheduler that knows no targets and no peers.
     pub fn new(options: SchedulerOptions) -> Self {
+        let plan = CellPlan::new(&options.member(), &[]);
         Self {
             rng: SmallRng::seed_from_u64(options.seed),
             retries: RetryBudget::new(options.retry),
             options,
+            plan,
             services: BTreeMap::new(),
             targets: BTreeMap::new(),
             runs: HashMap::new(),
@@ -194,13 +215,9 @@
     /// Replaces the targets. What is known of those that stay is kept; what runs at those that are
     /// gone runs on.
     pub fn set_targets(&mut self, now: Moment, entries: Vec<TargetEntry>) {
-        for state in self.services.values_mut() {
-            state.targets.clear();
-        }
         let mut known = std::mem::take(&mut self.targets);
         for entry in entries {
             let key = TargetKey::of(&entry.name);
-            self.service_state(&entry.service).targets.push(key);
             let load = match known.remove(&key) {
                 Some(mut load) => {
                     load.set_entry(entry);
@@ -210,9 +227,54 @@
             };
             self.targets.insert(key, load);
         }
+        self.deal_targets();
         self.advance(now);
     }
 
+    /// Finds the targets that this VM's cell uses.
+    fn deal_targets(&mut self) {
+        let mut by_service: BTreeMap<ServiceName, Vec<&TargetEntry>> = BTreeMap::new();
+        for load in self.targets.values() {
+            by_service.entry(load.entry().service.clone()).or_default().push(load.entry());
+        }
+        let dealt: Vec<(ServiceName, Vec<TargetKey>)> = by_service
+            .into_iter()
+            .map(|(service, entries)| (service, self.plan.targets(&entries)))
+            .collect();
+        for state in self.services.values_mut() {
+            state.targets.clear();
+        }
+        for (service, keys) in dealt {
+            self.service_state(&service).targets = keys;
+        }
+    }
+
+    /// Works the cells out anew from the VMs that are heard.
+    pub fn plan_cells(&mut self, now: Moment) {
+        let plan = CellPlan::new(&self.options.member(), &self.peers.members(now));
+        if plan != self.plan {
+            self.plan = plan;
+            self.deal_targets();
+        }
+    }
+
+    /// Returns whether a peer is told everything.
+    pub fn is_mate(&self, peer: &VmName) -> bool {
+        self.plan.is_mate(peer)
+    }
+
+    /// Returns whether an organisation is near the end of its quota, so that peers should be told
+    /// soon what it uses here.
+    pub fn is_quota_short(&self) -> bool {
+        self.quotas.is_short()
+    }
+
+    /// Takes the list of the other entry VMs.
+    pub fn list_peers(&mut self, now: Moment, listed: &[VmName]) {
+        self.peers.list(now, listed);
+        self.note_peers(now);
+    }
+
     /// Takes a peer's digest.
     pub fn take_digest(&mut self, now: Moment, envelope: DigestEnvelope) {
         let DigestEnvelope { from, digest } = envelope;
@@ -224,8 +286,10 @@
                 digest.placed.last().map_or(0, |placed| placed.number)
             }
         };
-        for load in self.targets.values_mut() {
-            load.forget_mark(&from);
+        if !digest.brief {
+            for load in self.targets.values_mut() {
+                load.forget_mark(&from);
+            }
         }
         for mark in &digest.targets {
             if let Some(load) = self.targets.get_mut(&mark.target) {
@@ -361,26 +425,39 @@
         std::mem::take(&mut self.changed)
     }
 
-    /// Returns what this VM tells its peers.
-    pub fn digest(&mut self, now: Moment, revision: Revision, leaving: bool) -> LoadDigest {
+    /// Returns what this VM tells all peers that are not of its cell.
+    pub fn brief_digest(&mut self, news: FleetNews, leaving: bool) -> LoadDigest {
         self.sequence += 1;
-        let told =
-            self.targets.values().filter(|load| load.own_running() > 0 || load.has_learnt(now));
         LoadDigest {
             incarnation: self.options.incarnation,
             sequence: self.sequence,
             leaving,
-            revision,
+            brief: true,
+            data_centre: Some(self.options.data_centre.clone()),
+            revision: news.revision,
+            registry: news.registry,
+            spent: self.quotas.totals().collect(),
+            ..LoadDigest::default()
+        }
+    }
+
+    /// Returns what this VM tells the peers of its cell.
+    pub fn digest(&mut self, now: Moment, news: FleetNews, leaving: bool) -> LoadDigest {
+        let brief = self.brief_digest(news, leaving);
+        let told =
+            self.targets.values().filter(|load| load.own_running() > 0 || load.has_learnt(now));
+        LoadDigest {
             targets: told.map(|load| load.mark(now)).collect(),
             waiting: self.wait_marks(now),
-            spent: self.quotas.totals().collect(),
             placed: self.placed.iter().copied().collect(),
+            brief: false,
+            ..brief
         }
     }
 
-    /// Returns the highest version of the routes that a peer has in force.
-    pub fn highest_revision(&self) -> Option<Revision> {
-        self.peers.highest_revision()
+    /// Returns whether a peer has news that this VM has not.
+    pub fn peers_know_more(&self, now: Moment, news: FleetNews) -> bool {
+        self.peers.knows_more(now, news.revision, news.registry_reached)
     }
 
     /// Returns the targets, for reports.
--- a/crates/ryetide-core/src/target_registry.rs
+++ b/crates/ryetide-core/src/target_registry.rs
@@ -58,6 +58,8 @@
 pub struct TargetRegistry {
     targets: BTreeMap<TargetName, RegisteredTarget>,
     known: bool,
+    newest: u64,
+    reached: u64,
     lost: bool,
     back_at: Option<Moment>,
 }
@@ -84,6 +86,27 @@
         }
     }
 
+    /// Notes the number of the newest news that came.
+    pub fn note_newest(&mut self, number: u64) {
+        self.newest = self.newest.max(number);
+    }
+
+    /// Notes the number up to which the source had no other news than those that came.
+    pub fn note_reached(&mut self, number: u64) {
+        self.reached = self.reached.max(number);
+    }
+
+    /// Returns the number up to which all news have come. It is ahead of [`TargetRegistry::newest`]
+    /// where the source has other things to number, and where an entry that is gone was never seen.
+    pub fn reached(&self) -> u64 {
+        self.reached.max(self.newest)
+    }
+
+    /// Returns the number of the newest news that came, as the source numbers them.
+    pub fn newest(&self) -> u64 {
+        self.newest
+    }
+
     /// Returns whether the source was read at least once.
     pub fn is_known(&self) -> bool {
         self.known
--- /dev/null
+++ b/crates/ryetide-core/tests/quota.rs
@@ -0,0 +1,125 @@
+//! Quotas and the budget of repeats over several VMs.
+
+use std::time::Duration;
+
+use ryetide_core::{
+    ids::{OrganisationKey, ServiceName, VmName},
+    peer_board::PeerBoard,
+    quota::{QuotaCharge, QuotaLedger, QuotaRule, QuotaUnit},
+    retry_budget::{RetryBudget, RetryRule},
+    units::Moment,
+};
+
+const KEY: OrganisationKey = OrganisationKey(7);
+const RULE: QuotaRule =
+    QuotaRule { unit: QuotaUnit::Tokens, rate: 1_000.0, burst: 1_000.0, default_tokens: 200 };
+
+fn charge(units: u64) -> QuotaCharge {
+    QuotaCharge { key: KEY, units }
+}
+
+#[test]
+fn a_request_without_a_size_counts_as_the_rule_says() {
+    assert_eq!(RULE.cost_of(None), 200);
+    assert_eq!(RULE.cost_of(Some(50)), 50);
+    let by_request = QuotaRule { unit: QuotaUnit::Requests, ..RULE };
+    assert_eq!(by_request.cost_of(Some(50)), 1);
+}
+
+#[test]
+fn what_was_refused_or_did_not_run_is_not_used_up() {
+    let mut ledger = QuotaLedger::default();
+    let now = Moment::from_millis(1);
+    ledger.take(now, &RULE, charge(900)).unwrap();
+    let wait = ledger.take(now, &RULE, charge(200)).unwrap_err();
+    assert_eq!(wait, Duration::from_millis(100));
+    ledger.give_back(charge(900));
+    assert!(ledger.take(now, &RULE, charge(200)).is_ok());
+}
+
+/// Nine VMs serve one organisation that asks for four times its quota at all of them. Each hears of
+/// the others' use 20 ms late. Over 8 s its callers together may get the rate, one burst, and what
+/// is let through in the 20 ms before the others hear of it.
+#[test]
+fn all_vms_together_keep_the_quota() {
+    let names: Vec<VmName> = (0..9).map(|index| format!("e{index}").as_str().into()).collect();
+    let mut ledgers: Vec<QuotaLedger> = names.iter().map(|_| QuotaLedger::default()).collect();
+    let mut passed = 0;
+    for step in 0..400_u64 {
+        let now = Moment::from_millis(1 + step * 20);
+        for ledger in &mut ledgers {
+            // 9 VMs x 9 units in 20 ms are 4,050 units a second.
+            passed += u64::from(ledger.take(now, &RULE, charge(9)).is_ok()) * 9;
+        }
+        let totals: Vec<u64> =
+            ledgers.iter().map(|ledger| ledger.totals().map(|(_, spent)| spent).sum()).collect();
+        for (own, ledger) in ledgers.iter_mut().enumerate() {
+            for (peer, name) in names.iter().enumerate().filter(|(peer, _)| *peer != own) {
+                ledger.note_peer(name, KEY, totals[peer]);
+            }
+        }
+    }
+    assert!(passed <= 9_000 + 9 * 81, "passed {passed}");
+    assert!(passed >= 8_700, "passed {passed}");
+}
+
+/// A cut divides nine VMs into four and five, which do not hear each other. Callers come to both
+/// sides. The rates of the two sides must not add up to more than the organisation's.
+#[test]
+fn the_sides_of_a_cut_share_the_rate() {
+    let passed_by = |heard: f64| {
+        let mut ledger = QuotaLedger::default();
+        ledger.set_heard_part(heard);
+        let mut passed = 0;
+        for step in 1..=800_u64 {
+            let now = Moment::from_millis(1 + step * 10);
+            passed += u64::from(ledger.take(now, &RULE, charge(10)).is_ok()) * 10;
+        }
+        passed
+    };
+    let both = passed_by(4.0 / 9.0) + passed_by(5.0 / 9.0);
+    assert!((8_900..=9_000).contains(&both), "a burst and 8 s of the rate, passed {both}");
+}
+
+/// All nine VMs are killed at once and come back with nothing. For a second none hears another; the
+/// callers of one organisation press at all of them. Each must take itself for one of nine, not for
+/// the only one: together they may let through one burst and one second's rate.
+#[test]
+fn vms_that_start_together_share_the_quota_before_they_hear_each_other() {
+    let names: Vec<VmName> = (0..8).map(|index| format!("e{index}").as_str().into()).collect();
+    let mut passed = 0;
+    for _ in 0..9 {
+        let mut board = PeerBoard::default();
+        let mut ledger = QuotaLedger::default();
+        let start = Moment::from_millis(1);
+        board.list(start, &names);
+        ledger.set_heard_part(board.heard_part(start));
+        for step in 0..100_u64 {
+            let now = Moment::from_millis(1 + step * 10);
+            passed += u64::from(ledger.take(now, &RULE, charge(10)).is_ok()) * 10;
+        }
+    }
+    assert!((1_500..=2_100).contains(&passed), "passed {passed}");
+}
+
+/// Every target of a service fails every request for ten seconds, and all of them may be repeated.
+/// What arrives beyond the first of each request must stay within the part and the slack.
+#[test]
+fn repeats_stay_within_their_budget_while_everything_fails() {
+    let rule = RetryRule { part: 0.2, window: Duration::from_secs(10), slack: 56.0 };
+    let service = ServiceName::from("desk");
+    let mut budgets: Vec<RetryBudget> = (0..8).map(|_| RetryBudget::new(rule)).collect();
+    let (mut requests, mut repeats) = (0_u32, 0_u32);
+    for step in 0..1_000_u64 {
+        let now = Moment::from_millis(1 + step * 10);
+        for budget in &mut budgets {
+            budget.set_vm_count(8);
+            budget.note_request(now, &service);
+            requests += 1;
+            repeats += u32::from(budget.take(now, &service));
+        }
+    }
+    let bound = f64::from(requests) * 0.2 + 56.0;
+    assert!(f64::from(repeats) < bound, "{repeats} repeats of {requests}");
+    assert!(f64::from(repeats) > f64::from(requests) * 0.1, "{repeats} repeats of {requests}");
+}
--- /dev/null
+++ b/crates/ryetide-core/tests/target_registry.rs
@@ -0,0 +1,73 @@
+//! Which targets there are while their registry comes and goes.
+
+use std::time::Duration;
+
+use ryetide_core::{
+    target_load::TargetEntry,
+    target_registry::{RegistryUpdate, TargetRegistry},
+    units::Moment,
+};
+
+fn entry(name: &str) -> TargetEntry {
+    TargetEntry {
+        name: name.into(),
+        service: "desk".into(),
+        address: std::net::SocketAddr::from(([127, 0, 0, 1], 9)),
+        data_centre: "hall-a".into(),
+        slots: 6,
+        leaving: false,
+        warmup: Duration::ZERO,
+    }
+}
+
+fn names(registry: &mut TargetRegistry, millis: u64) -> Vec<String> {
+    let current = registry.current(Moment::from_millis(millis));
+    current.into_iter().map(|target| target.name.to_string()).collect()
+}
+
+fn gone(name: &str) -> RegistryUpdate {
+    RegistryUpdate::Changed { entries: Vec::new(), gone: vec![name.into()] }
+}
+
+fn with_two() -> TargetRegistry {
+    let mut registry = TargetRegistry::default();
+    registry.take(Moment::from_millis(1), RegistryUpdate::Snapshot(vec![entry("a"), entry("b")]));
+    registry
+}
+
+#[test]
+fn an_entry_that_goes_in_calm_is_a_target_that_is_gone() {
+    let mut registry = with_two();
+    registry.take(Moment::from_millis(10), gone("a"));
+    assert_eq!(names(&mut registry, 10), ["b"]);
+}
+
+/// The store is away for some seconds and every target's entry lapses, though all of them live. The
+/// store comes back, tells that the entries are gone, and half a second later the targets write
+/// themselves in again. Callers who come in that half second must still be served.
+#[test]
+fn entries_that_lapsed_with_their_store_are_kept_until_they_can_be_back() {
+    let mut registry = with_two();
+    registry.take(Moment::from_millis(1_000), RegistryUpdate::SourceLost);
+    assert_eq!(names(&mut registry, 4_000), ["a", "b"]);
+    registry.take(Moment::from_millis(5_000), RegistryUpdate::SourceBack);
+    registry.take(Moment::from_millis(5_010), RegistryUpdate::Snapshot(Vec::new()));
+    assert_eq!(names(&mut registry, 5_400), ["a", "b"]);
+    let back = RegistryUpdate::Changed { entries: vec![entry("a")], gone: Vec::new() };
+    registry.take(Moment::from_millis(5_500), back);
+    assert_eq!(names(&mut registry, 6_500), ["a", "b"]);
+    assert_eq!(names(&mut registry, 6_700), ["a"], "the other did not come back in time");
+}
+
+/// The store is away, and a target that had said before that it leaves is taken out. It is gone:
+/// nobody waits for it to come back.
+#[test]
+fn a_leaving_target_is_not_kept() {
+    let mut registry = with_two();
+    let leaving = TargetEntry { leaving: true, ..entry("a") };
+    let update = RegistryUpdate::Changed { entries: vec![leaving], gone: Vec::new() };
+    registry.take(Moment::from_millis(10), update);
+    registry.take(Moment::from_millis(20), RegistryUpdate::SourceLost);
+    registry.take(Moment::from_millis(30), gone("a"));
+    assert_eq!(names(&mut registry, 31), ["b"]);
+}
--- a/crates/ryetide-gateway/src/fleet_view.rs
+++ b/crates/ryetide-gateway/src/fleet_view.rs
@@ -5,6 +5,7 @@
 use ryetide_core::{
     ids::ServiceName,
     route::{EngineProfile, RouteTable},
+    scheduler::FleetNews,
     target_load::TargetEntry,
     target_registry::TargetRegistry,
     units::Revision,
@@ -29,6 +30,16 @@
         self.routes.borrow().as_ref().map_or(Revision(0), |routes| routes.revision())
     }
 
+    /// Returns how far this VM's knowledge of the fleet reaches.
+    pub fn news(&self) -> FleetNews {
+        let registry = self.registry.borrow();
+        FleetNews {
+            revision: self.revision(),
+            registry: registry.newest(),
+            registry_reached: registry.reached(),
+        }
+    }
+
     /// Puts a version in force, unless a higher one is: a reader that lags behind must not bring an
     /// older version back. Returns whether it is in force now.
     pub fn adopt(&self, routes: Arc<RouteTable>) -> bool {
--- a/crates/ryetide-gateway/src/gateway.rs
+++ b/crates/ryetide-gateway/src/gateway.rs
@@ -18,7 +18,7 @@
 use ryetide::error::StepError;
 use ryetide_core::{
     ids::{Incarnation, OrganisationKey, VmName},
-    load_digest::DigestEnvelope,
+    load_digest::{DigestEnvelope, LoadDigest},
     pace::AssumedPace,
     quota::QuotaCharge,
     route::MatchedRoute,
@@ -41,7 +41,8 @@
     gateway_metrics::GatewayMetrics,
     peer_link::{self, PeerLink},
     ports::{
-        FleetFeed, FleetUpdate, GatewaySettings, HeaderNames, PeerEntry, WorkReader, WorkSize,
+        FeedLine, FleetFeed, FleetUpdate, GatewaySettings, HeaderNames, PeerEntry, WorkReader,
+        WorkSize,
     },
     scheduler_hub::SchedulerHub,
     status_port,
@@ -59,12 +60,19 @@
 const STOP_INTERVAL: Duration = Duration::from_millis(20);
 /// How often kept connections, entries that lapse and levels are looked at.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(200);
+/// Sweeps in a row that find a peer with news not heard here before the feed is asked anew, and again.
+const BEHIND_SWEEPS: u32 = 3;
 /// The shortest time between two digests: under the time between two VMs' decisions at today's load,
 /// and a bound on what they cost.
 const DIGEST_LEAST: Duration = Duration::from_millis(6);
 /// The longest time between two digests.
 const DIGEST_GREATEST: Duration = Duration::from_millis(400);
 
+/// The time between two brief digests to peers of other cells; the short one while an organisation is
+/// near the end of its quota, which all VMs must then count together.
+const BRIEF_INTERVAL: Duration = Duration::from_millis(1_000);
+const BRIEF_SHORT: Duration = Duration::from_millis(300);
+
 /// What a gateway is made of.
 pub struct GatewayParts {
     /// Its settings.
@@ -179,12 +187,14 @@
         closing: Notify::new(),
     });
     let (updates, receiver) = mpsc::channel(UPDATES_BUFFERED);
+    let nudge = Rc::new(Notify::new());
+    let line = FeedLine { updates, nudge: Rc::clone(&nudge) };
     let link = Rc::new(PeerLink::new(socket, &own));
-    task::spawn_local(feed.run(own, updates));
+    task::spawn_local(feed.run(own, line));
     task::spawn_local(take_updates(Rc::clone(&gateway), receiver));
     task::spawn_local(schedule(Rc::clone(&gateway), Rc::clone(&link)));
     task::spawn_local(peer_link::receive(Rc::clone(&gateway), Rc::clone(&link)));
-    task::spawn_local(sweep(Rc::clone(&gateway)));
+    task::spawn_local(sweep(Rc::clone(&gateway), nudge));
     task::spawn_local(status_port::serve(Rc::clone(&gateway), status));
     let accepting = task::spawn_local(caller_listener::accept(Rc::clone(&gateway), callers));
     stop.stopped().await;
@@ -194,7 +204,8 @@
     time::sleep(LAME_SPAN.min(grace / 2)).await;
     accepting.abort();
     gateway.closing.notify_waiters();
-    gateway.tell_peers(&link, true).await;
+    gateway.tell_mates(&link, true).await;
+    gateway.tell_others(&link, true).await;
     let until = ordered + grace.saturating_sub(STOP_MARGIN);
     while gateway.connections.get() > 0 && Instant::now() < until {
         time::sleep(STOP_INTERVAL).await;
@@ -221,16 +232,23 @@
                     tracing::debug!(event = "routes-passed-over", %revision);
                 }
             }
-            FleetUpdate::Targets(update) => {
+            FleetUpdate::Targets(update, newest) => {
                 let now = gateway.hub.clock().now();
                 gateway.fleet.registry().borrow_mut().take(now, update);
+                gateway.fleet.registry().borrow_mut().note_newest(newest);
                 gateway.refresh_targets();
             }
+            FleetUpdate::TargetsReached(number) => {
+                gateway.fleet.registry().borrow_mut().note_reached(number);
+            }
             FleetUpdate::Peers(listed) => {
                 let own = &gateway.settings.name;
                 let others = listed.into_iter().filter(|peer| peer.name != *own);
-                let others = others.map(|peer| (peer.name.clone(), peer)).collect();
+                let others: BTreeMap<VmName, PeerEntry> =
+                    others.map(|peer| (peer.name.clone(), peer)).collect();
+                let names: Vec<VmName> = others.keys().cloned().collect();
                 *gateway.peers.borrow_mut() = others;
+                gateway.hub.with(|scheduler, now| scheduler.list_peers(now, &names));
             }
         }
     }
@@ -239,6 +257,7 @@
 /// Lets the scheduler do what falls due, and tells peers what has changed.
 async fn schedule(gateway: Rc<Gateway>, link: Rc<PeerLink>) {
     let mut told = Instant::now();
+    let mut told_briefly = told;
     let mut pending = false;
     loop {
         let now = gateway.hub.clock().now();
@@ -258,19 +277,32 @@
         if Instant::now() >= digest_at {
             told = Instant::now();
             pending = false;
-            gateway.tell_peers(&link, false).await;
+            gateway.tell_mates(&link, false).await;
+        }
+        let short = gateway.hub.peek(Scheduler::is_quota_short);
+        let interval = if short { BRIEF_SHORT } else { BRIEF_INTERVAL };
+        if told_briefly.elapsed() >= interval {
+            told_briefly = Instant::now();
+            gateway.hub.with(Scheduler::plan_cells);
+            gateway.tell_others(&link, false).await;
         }
     }
 }
 
 /// Closes kept connections, drops entries that lapse, and brings levels up to date.
-async fn sweep(gateway: Rc<Gateway>) {
+async fn sweep(gateway: Rc<Gateway>, nudge: Rc<Notify>) {
+    let mut behind = 0;
     let mut ticks = time::interval(SWEEP_INTERVAL);
     ticks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
     loop {
         ticks.tick().await;
         gateway.pool.sweep();
         gateway.refresh_targets();
+        behind = if gateway.is_behind() { behind + 1 } else { 0 };
+        if behind > 0 && behind % BEHIND_SWEEPS == 0 {
+            tracing::info!(event = "feed-nudged", revision = %gateway.fleet.revision());
+            nudge.notify_waiters();
+        }
         let (waiting, running) =
             gateway.hub.peek(|scheduler| (scheduler.waiting(), scheduler.running()));
         let revision = gateway.fleet.revision().0;
@@ -381,6 +413,12 @@
         caller_answer::own_answer(&self.names, id, answer)
     }
 
+    /// Returns whether a peer has news that have not come here.
+    fn is_behind(&self) -> bool {
+        let (now, news) = (self.hub.clock().now(), self.fleet.news());
+        self.hub.peek(|scheduler| scheduler.peers_know_more(now, news))
+    }
+
     fn refresh_targets(&self) {
         let now = self.hub.clock().now();
         let Some(targets) = self.fleet.refresh_targets(now) else { return };
@@ -389,16 +427,38 @@
         self.hub.with(|scheduler, now| scheduler.set_targets(now, targets));
     }
 
-    async fn tell_peers(&self, link: &PeerLink, leaving: bool) {
-        let peers: Vec<PeerEntry> = self.peers.borrow().values().cloned().collect();
-        if peers.is_empty() {
+    /// Tells the peers of this VM's cell everything.
+    async fn tell_mates(&self, link: &PeerLink, leaving: bool) {
+        let mates = self.listed_peers(true);
+        if mates.is_empty() {
             return;
         }
-        let revision = self.fleet.revision();
-        let now = self.hub.clock().now();
-        let digest = self.hub.peek_mut(|scheduler| scheduler.digest(now, revision, leaving));
+        let (now, news) = (self.hub.clock().now(), self.fleet.news());
+        let digest = self.hub.peek_mut(|scheduler| scheduler.digest(now, news, leaving));
+        self.send_digest(link, digest, &mates).await;
+    }
+
+    /// Tells the peers of other cells what must be known everywhere.
+    async fn tell_others(&self, link: &PeerLink, leaving: bool) {
+        let others = self.listed_peers(false);
+        if others.is_empty() {
+            return;
+        }
+        let news = self.fleet.news();
+        let digest = self.hub.peek_mut(|scheduler| scheduler.brief_digest(news, leaving));
+        self.send_digest(link, digest, &others).await;
+    }
+
+    async fn send_digest(&self, link: &PeerLink, digest: LoadDigest, peers: &[PeerEntry]) {
         let envelope = DigestEnvelope { from: self.settings.name.clone(), digest };
-        link.send(&envelope, &peers).await;
+        link.send(&envelope, peers).await;
+    }
+
+    /// Returns the listed peers that are of this VM's cell, or those that are not.
+    fn listed_peers(&self, mates: bool) -> Vec<PeerEntry> {
+        let peers = self.peers.borrow();
+        let is_mate = |peer: &&PeerEntry| self.hub.peek(|scheduler| scheduler.is_mate(&peer.name));
+        peers.values().filter(|peer| is_mate(peer) == mates).cloned().collect()
     }
 }
 
--- a/crates/ryetide-gateway/src/ports.rs
+++ b/crates/ryetide-gateway/src/ports.rs
@@ -3,7 +3,7 @@
 //! The gateway knows no platform's names. An adapter gives it the headers' names, reads the size of a
 //! request from them, and feeds it routes, targets and peers.
 
-use std::{net, pin::Pin, sync::Arc, time::Duration};
+use std::{net, pin::Pin, rc::Rc, sync::Arc, time::Duration};
 
 use hyper::{HeaderMap, header::HeaderName};
 use ryetide_core::{
@@ -13,7 +13,7 @@
     target_registry::RegistryUpdate,
     units::Tokens,
 };
-use tokio::sync::mpsc;
+use tokio::sync::{Notify, mpsc};
 
 /// What one gateway is told when it starts.
 #[derive(Clone, Debug)]
@@ -102,8 +102,11 @@
 pub enum FleetUpdate {
     /// A version of the routes, as it was accepted.
     Routes(Arc<RouteTable>),
-    /// News of targets.
-    Targets(RegistryUpdate),
+    /// News of targets, and the number that their source gives the newest of them; 0 when it gives
+    /// none.
+    Targets(RegistryUpdate, u64),
+    /// All news of targets up to this number, as their source gives it, have come.
+    TargetsReached(u64),
     /// All entry VMs that are listed.
     Peers(Vec<PeerEntry>),
 }
@@ -111,14 +114,18 @@
 /// A future that stays on its thread.
 pub type LocalFuture<'a, T> = Pin<Box<dyn Future<Output = T> + 'a>>;
 
+/// A feed's ends of what joins it to the gateway.
+#[derive(Clone)]
+pub struct FeedLine {
+    /// Takes news. The feed ends when it closes.
+    pub updates: mpsc::Sender<FleetUpdate>,
+    /// Rung when another VM has news that have not come here: whatever the feed waits for may have
+    /// gone silent, and it should ask anew.
+    pub nudge: Rc<Notify>,
+}
+
 /// Where routes, targets and peers come from.
-///
-/// The feed ends when the channel closes.
 pub trait FleetFeed {
-    /// Makes `own` known to the other entry VMs, and sends news until the channel closes.
-    fn run(
-        self: Box<Self>,
-        own: PeerEntry,
-        updates: mpsc::Sender<FleetUpdate>,
-    ) -> LocalFuture<'static, ()>;
+    /// Makes `own` known to the other entry VMs, and sends news until the line closes.
+    fn run(self: Box<Self>, own: PeerEntry, line: FeedLine) -> LocalFuture<'static, ()>;
 }
