Yield free places to better requests at peers; keep long prompts off slow engines

The longest pause now stands in the ended line. Ruled out: prompts kept by engines (0.6 % of the tokens were found kept).

Now the places' own time decides: one that was free for 15 ms without a peer taking it is one that its better requests cannot use. No request goes where it breaks pauses while a busy engine would keep them.

Tests (failed first): a_free_place_is_left_to_the_more_urgent_at_a_peer, a_long_prompt_never_stalls_the_streams_of_a_slow_engine.

--- a/crates/ryetide-core/src/scheduler.rs
+++ b/crates/ryetide-core/src/scheduler.rs
@@ -33,14 +33,12 @@
 
 /// How often the line is looked at while somebody waits: well under the shortest objective.
 const LINE_INTERVAL: Duration = Duration::from_millis(10);
-/// A request whose better waits at a peer lets it go first for this long. Digests need a few
-/// milliseconds; a place that the peer has not taken by then it cannot see.
+/// Places that have been free for no longer than this belong to the requests at peers that go before
+/// those here. Digests need a few milliseconds; a place that no peer has taken by then is one that its
+/// better requests cannot use.
 const YIELD_SPAN: Duration = Duration::from_millis(15);
 /// Time that an answer needs to reach a caller before it leaves.
 const LEAVE_MARGIN: Duration = Duration::from_millis(150);
-/// Requests that are late already are sent wherever there is a place after waiting this long, even
-/// where they make the streams beside them pause.
-const PATIENCE: Duration = Duration::from_secs(1);
 /// Placements repeated in each digest; more than a VM makes between a few digests.
 const PLACED_REPEATED: usize = 12;
 /// How fast the mean time in a place follows new ones.
@@ -161,6 +159,8 @@
     line: WaitLine,
     targets: Vec<TargetKey>,
     hold: Duration,
+    /// Since when a place has been free while somebody waited.
+    free_since: Option<Moment>,
 }
 
 /// Schedules the requests of one entry VM onto the targets that all share.
@@ -486,6 +486,7 @@
             line: WaitLine::default(),
             targets: Vec::new(),
             hold: ASSUMED_HOLD,
+            free_since: None,
         })
     }
 
@@ -504,6 +505,7 @@
 
     /// Places and refuses what can be decided now.
     fn pump(&mut self, now: Moment, service: &ServiceName) {
+        self.note_free(now, service);
         while let Some(choice) = self.next_choice(now, service) {
             match choice {
                 LineChoice::Place { ticket, target, evidence } => {
@@ -514,6 +516,13 @@
         }
     }
 
+    fn note_free(&mut self, now: Moment, service: &ServiceName) {
+        let Some(state) = self.services.get(service) else { return };
+        let free = self.usable(now, state).iter().any(|load| load.free_places(now) > 0);
+        let state = self.service_state(service);
+        state.free_since = state.free_since.filter(|_| free).or(free.then_some(now));
+    }
+
     /// Finds the first request in line about which something can be done.
     fn next_choice(&self, now: Moment, service: &ServiceName) -> Option<LineChoice> {
         let state = self.services.get(service).filter(|state| !state.line.is_empty())?;
@@ -555,7 +564,9 @@
         usable.iter().map(first).min().unwrap_or_default()
     }
 
-    /// Whether the free places belong to requests at peers that go before this one.
+    /// Whether the free places belong to requests at peers that go before this one. A request that has
+    /// just come finds no better one only in the digests heard, so a place that is free while nobody
+    /// waits anywhere is taken at once.
     fn yields(
         &self,
         now: Moment,
@@ -564,10 +575,10 @@
         work: &WaitingWork,
         free: u32,
     ) -> bool {
-        let waited = now.since(work.arrived);
-        if !rank.late && waited > YIELD_SPAN {
+        if state.free_since.is_none_or(|since| now.since(since) >= YIELD_SPAN) {
             return false;
         }
+        let waited = now.since(work.arrived);
         self.peers.ahead(now, state.key, rank.late, rank.tier, waited) >= free
     }
 
@@ -597,13 +608,13 @@
         if forecast.on_time {
             return Some(best);
         }
-        let waited = now.since(work.arrived);
-        if rank.late {
-            let harmless = forecast.keeps_pauses || waited > PATIENCE;
-            return harmless.then_some(best);
-        }
-        // No free place serves it on time; one that is taken may yet.
-        let worth_waiting = all.iter().any(|(load, it)| it.on_time && load.free_places(now) == 0);
+        // No free place serves it on time. One that is taken may yet; and a late answer to one caller is
+        // not worth the pauses of all whose streams run beside it.
+        let better = |it: &PlacingForecast| match rank.late {
+            true => it.keeps_pauses && !forecast.keeps_pauses,
+            false => it.on_time,
+        };
+        let worth_waiting = all.iter().any(|(load, it)| better(it) && load.free_places(now) == 0);
         (!worth_waiting).then_some(best)
     }
 
--- /dev/null
+++ b/crates/ryetide-core/tests/scheduler.rs
@@ -0,0 +1,273 @@
+//! One VM's scheduler: placing, waiting, yielding, refusing.
+
+use std::time::Duration;
+
+use ryetide_core::{
+    ids::{Incarnation, RequestSequence, ServiceKey, ServiceName, TargetKey},
+    load_digest::{DigestEnvelope, LoadDigest, TargetMark, WaitMark},
+    pace::{AssumedPace, FadingMean, PaceReport},
+    retry_budget::RetryRule,
+    scheduler::{Decision, RefusalReason, RunEnd, Scheduler, SchedulerOptions},
+    target_load::TargetEntry,
+    units::{Moment, TierRank, Tokens},
+    wait_line::WaitingWork,
+};
+
+const SERVICE: &str = "drafting";
+
+struct Bench {
+    scheduler: Scheduler,
+    next: u64,
+}
+
+fn target(name: &str, slots: u32) -> TargetEntry {
+    TargetEntry {
+        name: name.into(),
+        service: SERVICE.into(),
+        address: std::net::SocketAddr::from(([127, 0, 0, 1], 9)),
+        data_centre: "hall-a".into(),
+        slots,
+        leaving: false,
+        warmup: Duration::ZERO,
+    }
+}
+
+fn work(ticket: u64, now: Moment, tier: u8, prompt: u64) -> WaitingWork {
+    WaitingWork {
+        ticket: RequestSequence(ticket),
+        service: SERVICE.into(),
+        tier: TierRank(tier),
+        engine: true,
+        prompt: Tokens(prompt),
+        part: None,
+        events: 50,
+        arrived: now,
+        objective_at: now + Duration::from_millis(1_000),
+        leave_at: now + Duration::from_millis(4_000),
+        pause: Some(Duration::from_millis(400)),
+        excluded: Vec::new(),
+    }
+}
+
+fn at(millis: u64) -> Moment {
+    Moment::from_millis(1_000 + millis)
+}
+
+impl Bench {
+    fn new(targets: &[(&str, u32)]) -> Self {
+        let mut scheduler = Scheduler::new(SchedulerOptions {
+            name: "e1".into(),
+            data_centre: "hall-a".into(),
+            incarnation: Incarnation(1),
+            seed: 1,
+            retry: RetryRule::default(),
+            assumed: AssumedPace::default(),
+        });
+        let entries = targets.iter().map(|(name, slots)| target(name, *slots)).collect();
+        scheduler.set_targets(at(0), entries);
+        Self { scheduler, next: 0 }
+    }
+
+    /// Takes a request in, and returns its number.
+    fn enter(&mut self, now: Moment, tier: u8, prompt: u64) -> u64 {
+        self.next += 1;
+        self.scheduler.enter(now, work(self.next, now, tier, prompt));
+        self.next
+    }
+
+    /// The placements made since the last look, as request and target.
+    fn placed(&mut self) -> Vec<(u64, String)> {
+        let decisions = self.scheduler.take_decisions().into_iter();
+        decisions
+            .filter_map(|decision| match decision {
+                Decision::Place { ticket, target, .. } => Some((ticket.0, target.name.to_string())),
+                Decision::Refuse { .. } => None,
+            })
+            .collect()
+    }
+
+    fn refused(&mut self) -> Vec<(u64, RefusalReason)> {
+        let decisions = self.scheduler.take_decisions().into_iter();
+        decisions
+            .filter_map(|decision| match decision {
+                Decision::Refuse { ticket, reason, .. } => Some((ticket.0, reason)),
+                Decision::Place { .. } => None,
+            })
+            .collect()
+    }
+
+    fn end(&mut self, now: Moment, ticket: u64) {
+        self.scheduler.end(now, RequestSequence(ticket), RunEnd::Whole);
+    }
+
+    fn hear(&mut self, now: Moment, sequence: u64, digest: LoadDigest) {
+        let digest = LoadDigest { incarnation: Incarnation(2), sequence, ..digest };
+        self.scheduler.take_digest(now, DigestEnvelope { from: "e2".into(), digest });
+    }
+}
+
+/// What a peer knows of a target: microseconds for a prompt token, and between events.
+fn mark(name: &str, running: u16, prompt: f32, event: f32) -> TargetMark {
+    let figure = |mean| FadingMean { mean, weight: 6.0 };
+    TargetMark {
+        target: TargetKey::of(&name.into()),
+        running,
+        unread: 0,
+        doubtful: false,
+        pace: PaceReport { prompt: figure(prompt), event: figure(event) },
+    }
+}
+
+fn waiting(tier: u8, count: u16, oldest_ms: u16) -> WaitMark {
+    let service = ServiceKey::of(&ServiceName::from(SERVICE));
+    WaitMark { service, on_time: true, tier: TierRank(tier), count, oldest_ms }
+}
+
+#[test]
+fn a_request_is_placed_at_once_while_there_is_a_place() {
+    let mut bench = Bench::new(&[("t1", 2)]);
+    assert_eq!(bench.enter(at(0), 2, 100), 1);
+    assert_eq!(bench.placed(), [(1, "t1".to_owned())]);
+}
+
+/// All VMs have just started and know nothing of the targets' speed. Sixty requests come at once for
+/// one target of four slots. Nobody may be refused because of a speed that was only assumed.
+#[test]
+fn nobody_is_refused_on_an_assumed_speed() {
+    let mut bench = Bench::new(&[("t1", 4)]);
+    for _ in 0..20 {
+        bench.enter(at(0), 0, 1_000);
+    }
+    assert_eq!(bench.refused(), []);
+}
+
+#[test]
+fn the_urgent_tier_takes_the_next_place_though_it_came_later() {
+    let mut bench = Bench::new(&[("t1", 1)]);
+    bench.enter(at(0), 2, 100);
+    let routine = bench.enter(at(10), 2, 100);
+    let urgent = bench.enter(at(20), 0, 100);
+    bench.placed();
+    bench.end(at(100), 1);
+    assert_eq!(bench.placed(), [(urgent, "t1".to_owned())]);
+    bench.end(at(200), urgent);
+    assert_eq!(bench.placed(), [(routine, "t1".to_owned())]);
+}
+
+/// A request that has missed its objective waits behind all that can still meet theirs, and is
+/// served when they are, before its caller leaves.
+#[test]
+fn what_is_late_goes_behind_what_is_on_time() {
+    let mut bench = Bench::new(&[("t1", 1)]);
+    bench.enter(at(0), 0, 100);
+    let late = bench.enter(at(0), 0, 100);
+    let fresh = bench.enter(at(1_500), 2, 100);
+    bench.placed();
+    bench.end(at(1_600), 1);
+    assert_eq!(bench.placed(), [(fresh, "t1".to_owned())]);
+    bench.end(at(1_700), fresh);
+    assert_eq!(bench.placed(), [(late, "t1".to_owned())]);
+}
+
+/// A caller leaves at 4 s. Just before, it is told that its request has not run, so that it may come
+/// back; a request still in line after it has gone would be worked on for nobody.
+#[test]
+fn a_request_still_in_line_is_refused_before_its_caller_leaves() {
+    let mut bench = Bench::new(&[("t1", 1)]);
+    bench.enter(at(0), 0, 100);
+    let waiting = bench.enter(at(0), 0, 100);
+    bench.scheduler.advance(at(3_800));
+    assert_eq!(bench.refused(), []);
+    bench.scheduler.advance(at(3_860));
+    assert_eq!(bench.refused(), [(waiting, RefusalReason::OutOfTime)]);
+}
+
+/// The last place is free here, and a more urgent request has waited at a peer for 200 ms. A request
+/// here that has waited too, but is less urgent, must leave the place to it; only when the peer has
+/// not taken it after a while, because it cannot use it, does it go.
+#[test]
+fn a_free_place_is_left_to_the_more_urgent_at_a_peer() {
+    let mut bench = Bench::new(&[("t1", 1)]);
+    bench.enter(at(0), 2, 100);
+    let routine = bench.enter(at(0), 2, 100);
+    bench.placed();
+    let digest = LoadDigest { waiting: vec![waiting(0, 1, 200)], ..LoadDigest::default() };
+    bench.hear(at(100), 1, digest);
+    bench.end(at(110), 1);
+    assert_eq!(bench.placed(), [], "the place is the peer's");
+    bench.scheduler.advance(at(115));
+    assert_eq!(bench.placed(), []);
+    bench.scheduler.advance(at(130));
+    assert_eq!(bench.placed(), [(routine, "t1".to_owned())], "the peer has not taken it");
+}
+
+/// One engine reads 18 tokens a millisecond, the other 80. Short requests run at both. A prompt of
+/// 12,000 tokens would hold up every stream at the slow one for over 600 ms. It goes to the fast one,
+/// and waits for it when it is full, even when it is late already: one caller's late answer is worth
+/// less than eight others' pauses.
+#[test]
+fn a_long_prompt_never_stalls_the_streams_of_a_slow_engine() {
+    let mut bench = Bench::new(&[("slow", 9), ("fast", 1)]);
+    let marks = vec![mark("slow", 2, 55.0, 70_000.0), mark("fast", 0, 12.5, 16_000.0)];
+    let digest = LoadDigest { targets: marks, ..LoadDigest::default() };
+    bench.hear(at(0), 1, digest.clone());
+    let first = bench.enter(at(1), 0, 12_000);
+    assert_eq!(bench.placed(), [(first, "fast".to_owned())]);
+    let second = bench.enter(at(2), 0, 12_000);
+    assert_eq!(bench.placed(), []);
+    bench.hear(at(1_000), 2, digest.clone());
+    bench.scheduler.advance(at(1_100));
+    bench.hear(at(2_400), 3, digest);
+    bench.scheduler.advance(at(2_500));
+    assert_eq!(bench.placed(), [], "late, and still not at the slow engine");
+    bench.end(at(2_600), first);
+    assert_eq!(bench.placed(), [(second, "fast".to_owned())]);
+}
+
+/// A target crashes and refuses connections. Its requests go elsewhere at once, and it is tried again
+/// a little later, not with every request.
+#[test]
+fn an_unreachable_target_is_passed_over_for_a_while() {
+    let mut bench = Bench::new(&[("t1", 1)]);
+    bench.enter(at(0), 0, 100);
+    bench.placed();
+    bench.scheduler.end(at(1), RequestSequence(1), RunEnd::Unreachable);
+    let again = bench.enter(at(2), 0, 100);
+    assert_eq!(bench.placed(), []);
+    bench.scheduler.advance(at(150));
+    assert_eq!(bench.placed(), []);
+    bench.scheduler.advance(at(210));
+    assert_eq!(bench.placed(), [(again, "t1".to_owned())]);
+}
+
+/// A peer is killed with nine requests at an engine; the engine drops them when their connections
+/// close. The places must not stay taken in the books of the others.
+#[test]
+fn the_places_of_a_silent_peer_come_free() {
+    let mut bench = Bench::new(&[("t1", 9)]);
+    let marks = vec![mark("t1", 9, 20.0, 20_000.0)];
+    bench.hear(at(0), 1, LoadDigest { targets: marks, ..LoadDigest::default() });
+    let waiting = bench.enter(at(10), 0, 100);
+    assert_eq!(bench.placed(), []);
+    bench.scheduler.advance(at(1_400));
+    assert_eq!(bench.placed(), []);
+    bench.scheduler.advance(at(1_510));
+    assert_eq!(bench.placed(), [(waiting, "t1".to_owned())]);
+}
+
+#[test]
+fn a_service_without_targets_refuses_at_once() {
+    let mut bench = Bench::new(&[]);
+    let refused = bench.enter(at(0), 0, 100);
+    assert_eq!(bench.refused(), [(refused, RefusalReason::NoTarget)]);
+}
+
+#[test]
+fn a_leaving_target_gets_no_new_work() {
+    let mut bench = Bench::new(&[("t1", 9), ("t2", 1)]);
+    let leaving = TargetEntry { leaving: true, ..target("t1", 9) };
+    bench.scheduler.set_targets(at(0), vec![leaving, target("t2", 1)]);
+    bench.enter(at(1), 0, 100);
+    bench.enter(at(2), 0, 100);
+    assert_eq!(bench.placed(), [(1, "t2".to_owned())]);
+}
--- a/crates/ryetide-gateway/src/decision_log.rs
+++ b/crates/ryetide-gateway/src/decision_log.rs
@@ -205,6 +205,7 @@
             attempts,
             placed_ms = spans.placed.map(millis),
             first_ms = spans.first.map(millis),
+            longest_pause_ms = millis(spans.longest_pause),
             total_ms = millis(spans.total),
         );
     }
--- a/crates/ryetide-gateway/src/exchange.rs
+++ b/crates/ryetide-gateway/src/exchange.rs
@@ -92,6 +92,8 @@
     target: Option<TargetEntry>,
     placed_at: Option<Moment>,
     first_at: Option<Moment>,
+    last_at: Option<Moment>,
+    longest_pause: Duration,
     ended: bool,
 }
 
@@ -175,6 +177,8 @@
             target: None,
             placed_at: None,
             first_at: None,
+            last_at: None,
+            longest_pause: Duration::ZERO,
             ended: false,
             matched,
         })
@@ -422,8 +426,11 @@
         if self.matched.route.kind.is_stream() {
             self.ticket.note_event();
         }
+        let now = self.gateway.hub().clock().now();
+        if let Some(last) = self.last_at.replace(now) {
+            self.longest_pause = self.longest_pause.max(now.since(last));
+        }
         if self.first_at.is_none() {
-            let now = self.gateway.hub().clock().now();
             self.first_at = Some(now);
             self.gateway.metrics().note_first(self.matched.tier(), now.since(self.arrived));
         }
@@ -456,6 +463,7 @@
         let spans = ExchangeSpans {
             placed: self.placed_at.map(|at| at.since(self.arrived)),
             first: self.first_at.map(|at| at.since(self.arrived)),
+            longest_pause: self.longest_pause,
             total: now.since(self.arrived),
         };
         let target = self.target.as_ref();
@@ -550,6 +558,8 @@
     pub placed: Option<Duration>,
     /// Until its first event, or its whole answer.
     pub first: Option<Duration>,
+    /// The longest pause between two events.
+    pub longest_pause: Duration,
     /// Until its end.
     pub total: Duration,
 }
