Wait for answers where no other attempt is permitted; test the gateway whole

Ruled out: targets that fail (their logs show the work cut by the connection's end).

Test (failed first): a_slow_answer_is_waited_for_when_no_other_attempt_is_permitted. 28 more tests drive a whole gateway between scripted callers and targets over real sockets: routes, keys, quotas, broken, foreign, unsigned and unframed answers, repeats, resumed streams, leaving callers, shutdown.

--- a/crates/ryetide-gateway/src/exchange.rs
+++ b/crates/ryetide-gateway/src/exchange.rs
@@ -194,6 +194,11 @@
         self.matched.route.kind.is_repeatable()
     }
 
+    /// Returns whether the route permits one more run than those that were begun.
+    pub fn may_run_again(&self) -> bool {
+        self.is_repeatable() && self.attempts < self.matched.route.attempts
+    }
+
     /// Returns when the request's time is over.
     pub fn timeout_at(&self) -> Instant {
         self.gateway.hub().clock().instant(self.deadline_at)
@@ -222,7 +227,7 @@
     /// Sends a request that has run, or may have, to another target, if that is permitted.
     pub async fn run_again(&mut self, last_event: Option<&str>) -> DispatchEnd {
         self.ticket.end(RunEnd::Failed);
-        if !self.is_repeatable() || self.attempts >= self.matched.route.attempts {
+        if !self.may_run_again() {
             return DispatchEnd::Own(OwnAnswer::new(OwnReason::TargetFailed));
         }
         match self.ticket.enter_again(self.work(), true).await {
@@ -332,8 +337,12 @@
         }
     }
 
-    /// How long the head of an answer may take before work that may be repeated is tried elsewhere.
+    /// How long the head of an answer may take before the work is tried elsewhere. There is no limit
+    /// where it may not be: giving up an answer that is being made would only lose it.
     fn head_limit(&self) -> Option<Duration> {
+        if !self.may_run_again() {
+            return None;
+        }
         let expected = self.evidence.map_or(Duration::ZERO, |evidence| evidence.forecast.first);
         match self.matched.route.kind {
             WorkKind::Repeatable => Some((expected * HANG_FACTOR).max(HANG_LEAST)),
--- a/crates/ryetide-gateway/src/gateway.rs
+++ b/crates/ryetide-gateway/src/gateway.rs
@@ -29,7 +29,7 @@
     net::{TcpListener, UdpSocket},
     signal::unix::{self, Signal, SignalKind},
     sync::{Notify, mpsc},
-    task::{self, LocalSet},
+    task::{JoinSet, LocalSet},
     time::{self, Instant},
 };
 
@@ -113,11 +113,40 @@
         .build()
         .map_err(|error| StepError::new("build runtime", error))?;
     LocalSet::new().block_on(&runtime, async {
-        let stop = StopSignals::listen()?;
-        serve(parts, stop).await
+        let mut stop = StopSignals::listen()?;
+        let sockets = GatewaySockets::bind(&parts.settings).await?;
+        serve(parts, sockets, async move { stop.stopped().await }).await
     })
 }
 
+/// The sockets of a gateway, bound before its tasks start.
+pub struct GatewaySockets {
+    /// For callers.
+    pub callers: TcpListener,
+    /// For readiness and metrics.
+    pub status: TcpListener,
+    /// For digests.
+    pub peers: UdpSocket,
+}
+
+impl GatewaySockets {
+    /// Binds the sockets that the settings name; port 0 takes a free one.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`StepError`] that names the address at fault.
+    pub async fn bind(settings: &GatewaySettings) -> Result<Self, StepError> {
+        let peers = UdpSocket::bind(settings.peers)
+            .await
+            .map_err(|error| StepError::new("bind peers", error).with_peer(settings.peers))?;
+        Ok(Self {
+            callers: bind(settings.callers, "bind callers").await?,
+            status: bind(settings.status, "bind status").await?,
+            peers,
+        })
+    }
+}
+
 /// The orders to stop, or to read the settings again.
 struct StopSignals {
     terminate: Signal,
@@ -141,13 +170,18 @@
     }
 }
 
-async fn serve(parts: GatewayParts, mut stop: StopSignals) -> Result<(), StepError> {
+/// Serves until `stop` has come and what was held has ended. It must run on a [`LocalSet`].
+///
+/// # Errors
+///
+/// Returns a [`StepError`] when a socket cannot be used.
+pub async fn serve(
+    parts: GatewayParts,
+    sockets: GatewaySockets,
+    stop: impl Future<Output = ()>,
+) -> Result<(), StepError> {
     let GatewayParts { settings, names, reader, feed } = parts;
-    let callers = bind(settings.callers, "bind callers").await?;
-    let status = bind(settings.status, "bind status").await?;
-    let socket = UdpSocket::bind(settings.peers)
-        .await
-        .map_err(|error| StepError::new("bind peers", error).with_peer(settings.peers))?;
+    let GatewaySockets { callers, status, peers: socket } = sockets;
     let incarnation = Incarnation(rand::rng().random());
     let own = PeerEntry {
         name: settings.name.clone(),
@@ -190,14 +224,15 @@
     let nudge = Rc::new(Notify::new());
     let line = FeedLine { updates, nudge: Rc::clone(&nudge) };
     let link = Rc::new(PeerLink::new(socket, &own));
-    task::spawn_local(feed.run(own, line));
-    task::spawn_local(take_updates(Rc::clone(&gateway), receiver));
-    task::spawn_local(schedule(Rc::clone(&gateway), Rc::clone(&link)));
-    task::spawn_local(peer_link::receive(Rc::clone(&gateway), Rc::clone(&link)));
-    task::spawn_local(sweep(Rc::clone(&gateway), nudge));
-    task::spawn_local(status_port::serve(Rc::clone(&gateway), status));
-    let accepting = task::spawn_local(caller_listener::accept(Rc::clone(&gateway), callers));
-    stop.stopped().await;
+    let mut duties = JoinSet::new();
+    duties.spawn_local(feed.run(own, line));
+    duties.spawn_local(take_updates(Rc::clone(&gateway), receiver));
+    duties.spawn_local(schedule(Rc::clone(&gateway), Rc::clone(&link)));
+    duties.spawn_local(peer_link::receive(Rc::clone(&gateway), Rc::clone(&link)));
+    duties.spawn_local(sweep(Rc::clone(&gateway), nudge));
+    duties.spawn_local(status_port::serve(Rc::clone(&gateway), status));
+    let accepting = duties.spawn_local(caller_listener::accept(Rc::clone(&gateway), callers));
+    stop.await;
     let ordered = Instant::now();
     gateway.draining.set(true);
     tracing::info!(event = "stop-ordered", connections = gateway.connections.get());
--- a/crates/ryetide-gateway/src/relay.rs
+++ b/crates/ryetide-gateway/src/relay.rs
@@ -109,10 +109,11 @@
 
     async fn read_piece(&mut self) -> Result<Option<Bytes>, RelayFault> {
         let resumable = self.exchange.is_repeatable();
+        let has_other = self.exchange.may_run_again();
         let silence = if self.pieces == 0 { self.exchange.first_limit() } else { SILENCE_LIMIT };
         let timeout = self.exchange.timeout_at();
         let now = tokio::time::Instant::now();
-        let until = if resumable { timeout.min(now + silence) } else { timeout };
+        let until = if has_other { timeout.min(now + silence) } else { timeout };
         let Some(answer) = &mut self.answer else { return Ok(None) };
         let frame = tokio::time::timeout_at(until, answer.body.frame()).await;
         match frame {
--- /dev/null
+++ b/crates/ryetide-gateway/tests/serving/main.rs
@@ -0,0 +1,8 @@
+//! A whole gateway between callers and scripted targets, over real sockets.
+
+mod answers;
+mod repeats;
+mod routes;
+mod shutdown;
+mod streams;
+mod support;
--- /dev/null
+++ b/crates/ryetide-gateway/tests/serving/repeats.rs
@@ -0,0 +1,149 @@
+//! What is sent a second time, and what never is.
+
+use std::{net::SocketAddr, time::Duration};
+
+use ryetide_core::route::WorkKind;
+use ryetide_gateway::ports::LocalFuture;
+use tokio::{net::TcpListener, time};
+
+use crate::support::{self, Gateway, Message, Target, Wire};
+
+fn breaking(_request: Message, wire: Wire) -> LocalFuture<'static, Option<Wire>> {
+    Box::pin(async move {
+        wire.reset();
+        None
+    })
+}
+
+fn turning_away(_request: Message, mut wire: Wire) -> LocalFuture<'static, Option<Wire>> {
+    Box::pin(async move {
+        let head =
+            "HTTP/1.1 503 Service Unavailable\r\ntest-not-run: 1\r\ncontent-length: 0\r\n\r\n";
+        wire.send(head).await;
+        Some(wire)
+    })
+}
+
+/// An order reaches a target and the connection breaks before an answer. It may have run. It must not
+/// be sent again, and its caller must not be told that it has not run.
+#[test]
+fn work_that_may_run_once_is_not_sent_again_after_a_broken_connection() {
+    support::run(async {
+        let first = Target::start("t1", breaking).await;
+        let second = Target::start("t2", breaking).await;
+        let route = support::route(WorkKind::OnceOnly, 3);
+        let gateway = Gateway::serving(route, &[&first, &second]).await;
+        let answer = gateway.ask("q1", "").await.expect("an answer");
+        assert_eq!(answer.status(), 502);
+        assert_eq!(answer.header("retry-after"), None);
+        assert_eq!(first.count() + second.count(), 1);
+    });
+}
+
+/// A target that is full says that it did not run the order. Then another may.
+#[test]
+fn work_that_a_target_did_not_run_goes_to_another() {
+    support::run(async {
+        let [first, second] = support::names_in_order(["t1", "t2"]);
+        let full = Target::start(first, turning_away).await;
+        let free = Target::start(second, support::answering).await;
+        let route = support::route(WorkKind::OnceOnly, 1);
+        let gateway = Gateway::serving(route, &[&full, &free]).await;
+        for id in ["q1", "q2", "q3"] {
+            assert_eq!(gateway.ask(id, "").await.expect("an answer").status(), 200);
+        }
+        assert_eq!(free.count(), 3);
+        assert!(full.count() >= 1);
+    });
+}
+
+/// All targets are full, and say that they did not run the request. Its caller is told so, and when
+/// to come back.
+#[test]
+fn work_that_nobody_ran_is_answered_as_not_run() {
+    support::run(async {
+        let full = Target::start("t1", turning_away).await;
+        let mut route = support::route(WorkKind::OnceOnly, 1);
+        route.timeout = Duration::from_millis(400);
+        let gateway = Gateway::serving(route, &[&full]).await;
+        let answer = gateway.ask("q1", "").await.expect("an answer");
+        assert_eq!(answer.status(), 503);
+        assert!(answer.header("retry-after").is_some());
+    });
+}
+
+#[test]
+fn work_that_may_be_repeated_is_tried_at_another_target() {
+    support::run(async {
+        let [first, second] = support::names_in_order(["t1", "t2"]);
+        let broken = Target::start(first, breaking).await;
+        let sound = Target::start(second, support::answering).await;
+        let route = support::route(WorkKind::Repeatable, 2);
+        let gateway = Gateway::serving(route, &[&broken, &sound]).await;
+        for id in ["q1", "q2", "q3", "q4"] {
+            assert_eq!(gateway.ask(id, "").await.expect("an answer").status(), 200);
+        }
+        assert_eq!(sound.count(), 4);
+        assert!(broken.count() >= 1);
+    });
+}
+
+#[test]
+fn attempts_bound_how_often_work_is_repeated() {
+    support::run(async {
+        let all = [
+            Target::start("t1", breaking).await,
+            Target::start("t2", breaking).await,
+            Target::start("t3", breaking).await,
+        ];
+        let route = support::route(WorkKind::Repeatable, 2);
+        let gateway = Gateway::serving(route, &all.each_ref()).await;
+        assert_eq!(gateway.ask("q1", "").await.expect("an answer").status(), 502);
+        assert_eq!(all.iter().map(Target::count).sum::<usize>(), 2);
+    });
+}
+
+/// A target hangs with a request that may be repeated, and another is there. The caller does not wait
+/// for the first one.
+#[test]
+fn a_hanging_target_is_passed_over_where_another_attempt_is_permitted() {
+    fn hanging(_request: Message, mut wire: Wire) -> LocalFuture<'static, Option<Wire>> {
+        Box::pin(async move {
+            wire.closed().await;
+            None
+        })
+    }
+    support::run(async {
+        let [first, second] = support::names_in_order(["t1", "t2"]);
+        let hung = Target::start(first, hanging).await;
+        let sound = Target::start(second, support::answering).await;
+        let route = support::route(WorkKind::Repeatable, 2);
+        let gateway = Gateway::serving(route, &[&hung, &sound]).await;
+        for id in ["q1", "q2"] {
+            let asked = time::Instant::now();
+            assert_eq!(gateway.ask(id, "").await.expect("an answer").status(), 200);
+            assert!(asked.elapsed() < Duration::from_millis(900), "{:?}", asked.elapsed());
+        }
+        assert_eq!(hung.count(), 1, "the hanging one was tried, and then passed over");
+    });
+}
+
+/// A target is gone and its port refuses connections. Nothing was sent, so also an order goes to the
+/// next target.
+#[test]
+fn an_order_goes_on_to_the_next_target_when_the_first_refuses_connections() {
+    support::run(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address: SocketAddr = listener.local_addr().expect("an address");
+        drop(listener);
+        let sound = Target::start("t2", support::answering).await;
+        let gateway = Gateway::start().await;
+        let table = support::table(1, support::route(WorkKind::OnceOnly, 1), Vec::new());
+        gateway.tell(ryetide_gateway::ports::FleetUpdate::Routes(table.into())).await;
+        gateway.set_targets(vec![support::entry("t1", address), sound.entry.clone()]).await;
+        for id in ["q1", "q2"] {
+            assert_eq!(gateway.ask(id, "").await.expect("an answer").status(), 200);
+        }
+        assert_eq!(sound.count(), 2);
+    });
+}
--- /dev/null
+++ b/crates/ryetide-gateway/tests/serving/streams.rs
@@ -0,0 +1,202 @@
+//! Streams: passed on as they come, resumed where permitted, broken off where not.
+
+use std::time::Duration;
+
+use ryetide_core::route::WorkKind;
+use ryetide_gateway::ports::LocalFuture;
+use tokio::time;
+
+use crate::support::{self, Gateway, Message, Target, Wire};
+
+const RESUMABLE: WorkKind = WorkKind::Stream { resumable: true };
+const ONCE: WorkKind = WorkKind::Stream { resumable: false };
+
+fn chunk(text: &str) -> String {
+    format!("{:x}\r\n{text}\r\n", text.len())
+}
+
+fn event(number: u32) -> String {
+    format!("id: {number}\ndata: e{number}\n\n")
+}
+
+fn stream_head(request: &Message) -> String {
+    let head = support::signed(request, "200 OK");
+    format!("{head}content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n")
+}
+
+/// Goes on after the last event that the request names, to the sixth and last.
+fn streaming(request: Message, mut wire: Wire) -> LocalFuture<'static, Option<Wire>> {
+    Box::pin(async move {
+        wire.send(&stream_head(&request)).await;
+        let last: u32 = request.header("last-event-id").map_or(0, |id| id.parse().expect("an id"));
+        for number in last + 1..=6 {
+            wire.send(&chunk(&event(number))).await;
+        }
+        wire.send("0\r\n\r\n").await;
+        Some(wire)
+    })
+}
+
+/// Sends three events and half of the fourth, and breaks off.
+fn breaking(request: Message, mut wire: Wire) -> LocalFuture<'static, Option<Wire>> {
+    Box::pin(async move {
+        wire.send(&stream_head(&request)).await;
+        for number in 1..=3 {
+            wire.send(&chunk(&event(number))).await;
+            time::sleep(Duration::from_millis(5)).await;
+        }
+        wire.send(&chunk("id: 4\nda")).await;
+        time::sleep(Duration::from_millis(20)).await;
+        wire.reset();
+        None
+    })
+}
+
+/// Reads a chunked answer; returns its payload and whether it ended as it should.
+async fn read_stream(wire: &mut Wire) -> (String, bool) {
+    let mut payload = String::new();
+    loop {
+        let Some(size) = wire.read_to("\r\n").await else { return (payload, false) };
+        let size = usize::from_str_radix(size.trim(), 16).expect("a chunk's size");
+        let Some(piece) = wire.read_exactly(size + 2).await else { return (payload, false) };
+        if size == 0 {
+            return (payload, true);
+        }
+        payload.push_str(&piece[..size]);
+    }
+}
+
+async fn ask_stream(gateway: &Gateway, id: &str) -> (Message, String, bool) {
+    let mut wire = gateway.call().await;
+    wire.send(&support::request("POST", id, "", "body")).await;
+    let head = wire.read_message().await.expect("a head");
+    let (payload, whole) = read_stream(&mut wire).await;
+    (head, payload, whole)
+}
+
+fn events(numbers: std::ops::RangeInclusive<u32>) -> String {
+    numbers.map(event).collect()
+}
+
+#[test]
+fn a_stream_is_passed_on_whole() {
+    support::run(async {
+        let target = Target::start("t1", streaming).await;
+        let gateway = Gateway::serving(support::route(ONCE, 1), &[&target]).await;
+        let (head, payload, whole) = ask_stream(&gateway, "q1").await;
+        assert_eq!(head.header("content-type"), Some("text/event-stream"));
+        assert_eq!(head.header("test-signature"), Some("s1"));
+        assert_eq!((payload.as_str(), whole), (events(1..=6).as_str(), true));
+    });
+}
+
+#[test]
+fn an_event_is_passed_on_before_the_next_one_comes() {
+    fn waiting(request: Message, mut wire: Wire) -> LocalFuture<'static, Option<Wire>> {
+        Box::pin(async move {
+            wire.send(&stream_head(&request)).await;
+            wire.send(&chunk(&event(1))).await;
+            wire.closed().await;
+            None
+        })
+    }
+    support::run(async {
+        let target = Target::start("t1", waiting).await;
+        let gateway = Gateway::serving(support::route(ONCE, 1), &[&target]).await;
+        let mut wire = gateway.call().await;
+        wire.send(&support::request("POST", "q1", "", "body")).await;
+        let asked = time::Instant::now();
+        assert!(wire.read_to("data: e1\n\n").await.is_some());
+        assert!(asked.elapsed() < Duration::from_millis(500), "{:?}", asked.elapsed());
+    });
+}
+
+/// A target breaks off in the middle of the fourth event, and the route permits to resume. Another
+/// target goes on after the third. The caller sees one stream: every event once, none torn.
+#[test]
+fn a_stream_that_breaks_goes_on_at_another_target() {
+    support::run(async {
+        let broken = Target::start("t1", breaking).await;
+        let sound = Target::start("t2", streaming).await;
+        let route = support::route(RESUMABLE, 2);
+        let gateway = Gateway::serving(route, &[&broken]).await;
+        let mut wire = gateway.call().await;
+        wire.send(&support::request("POST", "q1", "", "body")).await;
+        wire.read_message().await.expect("a head");
+        gateway.set_targets(vec![broken.entry.clone(), sound.entry.clone()]).await;
+        let (payload, whole) = read_stream(&mut wire).await;
+        assert_eq!((payload.as_str(), whole), (events(1..=6).as_str(), true));
+        let resumed = sound.seen.borrow()[0].clone();
+        assert_eq!(resumed.header("last-event-id"), Some("3"));
+        assert_eq!(resumed.header("test-id"), Some("q1"));
+        assert_eq!(resumed.body, "body");
+    });
+}
+
+/// A stream that may run once only breaks off. It is sent nowhere else, and its end must not look
+/// like the end of a whole stream.
+#[test]
+fn a_stream_that_may_not_be_resumed_is_broken_off() {
+    support::run(async {
+        let broken = Target::start("t1", breaking).await;
+        let sound = Target::start("t2", streaming).await;
+        let gateway = Gateway::serving(support::route(ONCE, 2), &[&broken]).await;
+        let mut wire = gateway.call().await;
+        wire.send(&support::request("POST", "q1", "", "body")).await;
+        wire.read_message().await.expect("a head");
+        gateway.set_targets(vec![broken.entry.clone(), sound.entry.clone()]).await;
+        let (payload, whole) = read_stream(&mut wire).await;
+        assert!(!whole, "{payload}");
+        assert_eq!(sound.count(), 0);
+    });
+}
+
+/// A caller closes its connection in the middle of a stream. Its target must stop within half a
+/// second, though the stream says nothing at that moment.
+#[test]
+fn a_caller_that_leaves_a_stream_ends_it_at_the_target() {
+    fn pausing(request: Message, mut wire: Wire) -> LocalFuture<'static, Option<Wire>> {
+        Box::pin(async move {
+            wire.send(&stream_head(&request)).await;
+            wire.send(&chunk(&event(1))).await;
+            Some(wire)
+        })
+    }
+    support::run(async {
+        let target = Target::start("t1", pausing).await;
+        let gateway = Gateway::serving(support::route(ONCE, 1), &[&target]).await;
+        let mut wire = gateway.call().await;
+        wire.send(&support::request("POST", "q1", "", "body")).await;
+        assert!(wire.read_to("data: e1\n\n").await.is_some());
+        drop(wire);
+        let left = time::Instant::now();
+        while target.hung_up.get() == 0 {
+            time::sleep(Duration::from_millis(2)).await;
+        }
+        assert!(left.elapsed() < Duration::from_millis(400), "{:?}", left.elapsed());
+    });
+}
+
+/// A stream lasts longer than its route permits. At the end of that time it is broken off: an operator
+/// sets the time so that nobody waits longer.
+#[test]
+fn a_stream_ends_with_its_routes_time() {
+    fn endless(request: Message, mut wire: Wire) -> LocalFuture<'static, Option<Wire>> {
+        Box::pin(async move {
+            wire.send(&stream_head(&request)).await;
+            wire.send(&chunk(&event(1))).await;
+            wire.closed().await;
+            None
+        })
+    }
+    support::run(async {
+        let target = Target::start("t1", endless).await;
+        let mut route = support::route(ONCE, 1);
+        route.timeout = Duration::from_millis(300);
+        let gateway = Gateway::serving(route, &[&target]).await;
+        let asked = time::Instant::now();
+        let (_, payload, whole) = ask_stream(&gateway, "q1").await;
+        assert_eq!((payload.as_str(), whole), (event(1).as_str(), false));
+        assert!(asked.elapsed() < Duration::from_millis(800), "{:?}", asked.elapsed());
+    });
+}
--- /dev/null
+++ b/crates/ryetide-gateway/tests/serving/support.rs
@@ -0,0 +1,396 @@
+//! Scripted targets, callers that speak plain HTTP, and a gateway between them.
+//!
+//! Targets and callers read and write bytes themselves: what is tested is what happens when they do
+//! what no library would.
+
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+    rc::Rc,
+    sync::Arc,
+    time::Duration,
+};
+
+use hyper::{HeaderMap, header::HeaderName};
+use ryetide_core::{
+    ids::TargetKey,
+    quota::QuotaRule,
+    retry_budget::RetryRule,
+    route::{KeyHolder, RouteRule, RouteTable, RoutedService, ServiceShare, WorkKind},
+    target_load::TargetEntry,
+    target_registry::RegistryUpdate,
+    units::{Revision, TierRank, Tokens},
+};
+use ryetide_gateway::{
+    gateway::{self, GatewayParts, GatewaySockets},
+    ports::{
+        FeedLine, FleetFeed, FleetUpdate, GatewaySettings, HeaderNames, LocalFuture, PeerEntry,
+        WorkReader, WorkSize,
+    },
+};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+    sync::{mpsc, oneshot},
+    task::{self, LocalSet},
+    time,
+};
+
+/// Nothing in these tests takes longer than this unless it hangs.
+pub const PATIENCE: Duration = Duration::from_secs(10);
+const HOST: &str = "desk.example";
+const SERVICE: &str = "desk";
+
+/// Runs a test on a local set, bounded in time.
+pub fn run(test: impl Future<Output = ()>) {
+    let runtime =
+        tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    let bounded = async { time::timeout(PATIENCE, test).await.expect("the test hangs") };
+    LocalSet::new().block_on(&runtime, bounded);
+}
+
+/// A connection of which both sides are written by hand.
+pub struct Wire {
+    stream: TcpStream,
+    read: Vec<u8>,
+}
+
+impl Wire {
+    pub fn new(stream: TcpStream) -> Self {
+        Self { stream, read: Vec::new() }
+    }
+
+    pub async fn send(&mut self, text: &str) {
+        self.stream.write_all(text.as_bytes()).await.expect("a peer that reads");
+    }
+
+    /// Reads until `end` has come, and returns everything up to and with it.
+    pub async fn read_to(&mut self, end: &str) -> Option<String> {
+        loop {
+            let found = self.read.windows(end.len()).position(|bytes| bytes == end.as_bytes());
+            if let Some(at) = found {
+                let rest = self.read.split_off(at + end.len());
+                let taken = std::mem::replace(&mut self.read, rest);
+                return Some(String::from_utf8(taken).expect("text"));
+            }
+            let mut piece = [0; 4_096];
+            match self.stream.read(&mut piece).await {
+                Ok(0) | Err(_) => return None,
+                Ok(length) => self.read.extend_from_slice(&piece[..length]),
+            }
+        }
+    }
+
+    /// Reads exactly `length` bytes.
+    pub async fn read_exactly(&mut self, length: usize) -> Option<String> {
+        while self.read.len() < length {
+            let mut piece = [0; 4_096];
+            match self.stream.read(&mut piece).await {
+                Ok(0) | Err(_) => return None,
+                Ok(count) => self.read.extend_from_slice(&piece[..count]),
+            }
+        }
+        let rest = self.read.split_off(length);
+        let taken = std::mem::replace(&mut self.read, rest);
+        Some(String::from_utf8(taken).expect("text"))
+    }
+
+    /// Reads a head and, where it names a length, the body that follows.
+    pub async fn read_message(&mut self) -> Option<Message> {
+        let head = self.read_to("\r\n\r\n").await?;
+        let message = Message { head, body: String::new() };
+        let length = message.header("content-length").map_or(0, |it| it.parse().expect("a length"));
+        let body = self.read_exactly(length).await?;
+        Some(Message { body, ..message })
+    }
+
+    /// Waits until the other side has closed the connection.
+    pub async fn closed(&mut self) {
+        let mut piece = [0; 4_096];
+        while matches!(self.stream.read(&mut piece).await, Ok(length) if length > 0) {}
+    }
+
+    /// Breaks the connection off with a reset.
+    pub fn reset(self) {
+        let socket = socket2::SockRef::from(&self.stream);
+        socket.set_linger(Some(Duration::ZERO)).expect("an open socket");
+    }
+}
+
+/// A request or an answer as it went over the wire.
+#[derive(Clone, Debug)]
+pub struct Message {
+    pub head: String,
+    pub body: String,
+}
+
+impl Message {
+    pub fn header(&self, name: &str) -> Option<&str> {
+        let lines = self.head.lines().filter_map(|line| line.split_once(':'));
+        let mut found = lines.filter(|(key, _)| key.eq_ignore_ascii_case(name));
+        found.next().map(|(_, value)| value.trim())
+    }
+
+    pub fn status(&self) -> u16 {
+        let word = self.head.split_whitespace().nth(1).expect("a status line");
+        word.parse().expect("a status")
+    }
+}
+
+/// A target that does with each request what its script says.
+pub struct Target {
+    pub entry: TargetEntry,
+    /// The requests that came, in order.
+    pub seen: Rc<RefCell<Vec<Message>>>,
+    /// Connections on which the gateway has hung up.
+    pub hung_up: Rc<Cell<usize>>,
+}
+
+/// Returns names so that the first is chosen among targets that are equal in all else.
+pub fn names_in_order(mut names: [&'static str; 2]) -> [&'static str; 2] {
+    names.sort_by_key(|name| TargetKey::of(&(*name).into()));
+    names
+}
+
+/// What a target does with a request on a connection.
+pub type Script = fn(Message, Wire) -> LocalFuture<'static, Option<Wire>>;
+
+impl Target {
+    /// Starts a target; `script` is run for each request, and gives the connection back to keep it.
+    pub async fn start(name: &str, script: Script) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let seen = Rc::new(RefCell::new(Vec::new()));
+        let hung_up = Rc::new(Cell::new(0));
+        let (all, gone) = (Rc::clone(&seen), Rc::clone(&hung_up));
+        task::spawn_local(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let (all, gone) = (Rc::clone(&all), Rc::clone(&gone));
+                task::spawn_local(async move {
+                    let mut wire = Wire::new(stream);
+                    while let Some(message) = wire.read_message().await {
+                        all.borrow_mut().push(message.clone());
+                        match script(message, wire).await {
+                            Some(kept) => wire = kept,
+                            None => return,
+                        }
+                    }
+                    gone.set(gone.get() + 1);
+                });
+            }
+        });
+        Self { entry: entry(name, address), seen, hung_up }
+    }
+
+    pub fn count(&self) -> usize {
+        self.seen.borrow().len()
+    }
+}
+
+pub fn entry(name: &str, address: SocketAddr) -> TargetEntry {
+    TargetEntry {
+        name: name.into(),
+        service: SERVICE.into(),
+        address,
+        data_centre: "hall-a".into(),
+        slots: 4,
+        leaving: false,
+        warmup: Duration::ZERO,
+    }
+}
+
+/// The head of a signed answer to `request`, up to where its framing is told.
+pub fn signed(request: &Message, status: &str) -> String {
+    let id = request.header("test-id").unwrap_or_default();
+    format!("HTTP/1.1 {status}\r\ntest-id: {id}\r\ntest-signature: s1\r\n")
+}
+
+/// A whole signed answer.
+pub fn whole(request: &Message, status: &str, body: &str) -> String {
+    format!("{}content-length: {}\r\n\r\n{body}", signed(request, status), body.len())
+}
+
+/// A script that answers every request with 200 and `done`.
+pub fn answering(request: Message, mut wire: Wire) -> LocalFuture<'static, Option<Wire>> {
+    Box::pin(async move {
+        wire.send(&whole(&request, "200 OK", "done")).await;
+        Some(wire)
+    })
+}
+
+/// A route of the test service.
+pub fn route(kind: WorkKind, attempts: u32) -> RouteRule {
+    RouteRule {
+        name: "r1".to_owned(),
+        host: HOST.to_owned(),
+        prefix: "/".to_owned(),
+        kind,
+        timeout: Duration::from_secs(2),
+        objective: Duration::from_millis(200),
+        pause: None,
+        patience: None,
+        tier: TierRank(0),
+        attempts,
+        anonymous: true,
+        shares: vec![ServiceShare { service: SERVICE.into(), weight: 1 }],
+    }
+}
+
+pub fn holder(name: &str, key: &str, quota: Option<QuotaRule>) -> KeyHolder {
+    KeyHolder { name: name.into(), tier: None, quota, keys: vec![key.to_owned()] }
+}
+
+pub fn table(revision: u64, route: RouteRule, holders: Vec<KeyHolder>) -> RouteTable {
+    let service = RoutedService { name: SERVICE.into(), connection_limit: 100, engine: None };
+    let builder = RouteTable::builder(Revision(revision)).route(route).service(service);
+    holders.into_iter().fold(builder, |builder, holder| builder.holder(holder)).build()
+}
+
+struct TestReader;
+
+impl WorkReader for TestReader {
+    fn read(&self, headers: &HeaderMap) -> WorkSize {
+        let number = |name| headers.get(name)?.to_str().ok()?.parse().ok().map(Tokens);
+        WorkSize {
+            prompt: number("test-prompt"),
+            output_limit: number("test-output"),
+            ..WorkSize::default()
+        }
+    }
+}
+
+struct TestFeed {
+    news: mpsc::Receiver<FleetUpdate>,
+}
+
+impl FleetFeed for TestFeed {
+    fn run(mut self: Box<Self>, _own: PeerEntry, line: FeedLine) -> LocalFuture<'static, ()> {
+        Box::pin(async move {
+            while let Some(update) = self.news.recv().await {
+                line.updates.send(update).await.expect("a gateway that listens");
+            }
+            std::future::pending::<()>().await;
+        })
+    }
+}
+
+fn names() -> HeaderNames {
+    HeaderNames {
+        request_id: HeaderName::from_static("test-id"),
+        deadline: HeaderName::from_static("test-deadline"),
+        key: HeaderName::from_static("test-key"),
+        organisation: HeaderName::from_static("test-organisation"),
+        target: HeaderName::from_static("test-target"),
+        not_run: HeaderName::from_static("test-not-run"),
+        signature: HeaderName::from_static("test-signature"),
+        last_event: HeaderName::from_static("last-event-id"),
+        reserved: vec![HeaderName::from_static("test-reserved")],
+    }
+}
+
+/// A gateway under test.
+pub struct Gateway {
+    callers: SocketAddr,
+    status: SocketAddr,
+    news: mpsc::Sender<FleetUpdate>,
+    stop: Option<oneshot::Sender<()>>,
+    ended: task::JoinHandle<()>,
+}
+
+impl Gateway {
+    /// Starts a gateway that knows nothing yet.
+    pub async fn start() -> Self {
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let settings = GatewaySettings {
+            name: "e1".into(),
+            data_centre: "hall-a".into(),
+            callers: any,
+            status: any,
+            peers: any,
+            grace: Duration::from_secs(3),
+            retry: RetryRule { part: 0.2, window: Duration::from_secs(10), slack: 100.0 },
+        };
+        let sockets = GatewaySockets::bind(&settings).await.expect("free ports");
+        let callers = sockets.callers.local_addr().expect("an address");
+        let status = sockets.status.local_addr().expect("an address");
+        let (news, receiver) = mpsc::channel(16);
+        let parts = GatewayParts {
+            settings,
+            names: names(),
+            reader: Box::new(TestReader),
+            feed: Box::new(TestFeed { news: receiver }),
+        };
+        let (stop, stopped) = oneshot::channel::<()>();
+        let ended = task::spawn_local(async move {
+            let stop = async {
+                if stopped.await.is_err() {
+                    std::future::pending::<()>().await;
+                }
+            };
+            gateway::serve(parts, sockets, stop).await.expect("a gateway that serves");
+        });
+        Self { callers, status, news, stop: Some(stop), ended }
+    }
+
+    /// Starts a gateway that serves one route by `targets`.
+    pub async fn serving(route: RouteRule, targets: &[&Target]) -> Self {
+        let gateway = Self::start().await;
+        gateway.tell(FleetUpdate::Routes(Arc::new(table(1, route, Vec::new())))).await;
+        gateway.set_targets(targets.iter().map(|target| target.entry.clone()).collect()).await;
+        gateway
+    }
+
+    pub async fn tell(&self, update: FleetUpdate) {
+        self.news.send(update).await.expect("a gateway that listens");
+    }
+
+    /// Sets the targets, and waits until the gateway is ready with them.
+    pub async fn set_targets(&self, entries: Vec<TargetEntry>) {
+        self.tell(FleetUpdate::Targets(RegistryUpdate::Snapshot(entries), 0)).await;
+        while self.ready().await != 200 {
+            time::sleep(Duration::from_millis(2)).await;
+        }
+    }
+
+    pub async fn ready(&self) -> u16 {
+        self.ask_status("/ready").await.status()
+    }
+
+    pub async fn ask_status(&self, path: &str) -> Message {
+        let mut wire = Wire::new(TcpStream::connect(self.status).await.expect("a status port"));
+        wire.send(&format!("GET {path} HTTP/1.1\r\nhost: e1\r\n\r\n")).await;
+        wire.read_message().await.expect("an answer")
+    }
+
+    /// Opens a connection as a caller does.
+    pub async fn call(&self) -> Wire {
+        Wire::new(TcpStream::connect(self.callers).await.expect("a callers' port"))
+    }
+
+    /// Sends one request on a connection of its own and returns the answer, if a whole one came.
+    pub async fn ask(&self, id: &str, headers: &str) -> Option<Message> {
+        let mut wire = self.call().await;
+        wire.send(&request("POST", id, headers, "body")).await;
+        wire.read_message().await
+    }
+
+    /// Orders the gateway to stop.
+    pub fn stop(&mut self) {
+        let stop = self.stop.take().expect("a gateway that was not stopped yet");
+        stop.send(()).expect("a gateway that runs");
+    }
+
+    /// Waits until the gateway has ended.
+    pub async fn ended(self) {
+        self.ended.await.expect("a gateway that ends");
+    }
+}
+
+/// A caller's request.
+pub fn request(method: &str, id: &str, headers: &str, body: &str) -> String {
+    let length = body.len();
+    format!(
+        "{method} /orders/17?full=1 HTTP/1.1\r\nhost: {HOST}\r\ntest-id: {id}\r\n{headers}\
+         content-length: {length}\r\n\r\n{body}"
+    )
+}
