Take hangups as an order to read the settings again

Now settings are read again at a hangup and every 5 s; what may change while a gateway runs (budget of repeats, grace) is taken, other sockets ask for a restart in the log.

--- a/crates/ryetide-core/src/retry_budget.rs
+++ b/crates/ryetide-core/src/retry_budget.rs
@@ -59,6 +59,11 @@
         Self { rule, vm_count: 1, services: BTreeMap::new() }
     }
 
+    /// Replaces what is permitted; what is saved stays.
+    pub fn set_rule(&mut self, rule: RetryRule) {
+        self.rule = rule;
+    }
+
     /// Sets the number of entry VMs among which the slack is divided.
     pub fn set_vm_count(&mut self, vm_count: usize) {
         self.vm_count = vm_count.max(1);
--- a/crates/ryetide-core/src/scheduler.rs
+++ b/crates/ryetide-core/src/scheduler.rs
@@ -269,6 +269,11 @@
         self.quotas.is_short()
     }
 
+    /// Replaces what may be repeated.
+    pub fn set_retry_rule(&mut self, rule: RetryRule) {
+        self.retries.set_rule(rule);
+    }
+
     /// Takes the list of the other entry VMs.
     pub fn list_peers(&mut self, now: Moment, listed: &[VmName]) {
         self.peers.list(now, listed);
--- a/crates/ryetide-gateway/src/gateway.rs
+++ b/crates/ryetide-gateway/src/gateway.rs
@@ -27,9 +27,9 @@
 };
 use tokio::{
     net::{TcpListener, UdpSocket},
-    signal::unix::{self, Signal, SignalKind},
+    signal::unix::{self, SignalKind},
     sync::{Notify, mpsc},
-    task::{JoinSet, LocalSet},
+    task::{self, JoinSet, LocalSet},
     time::{self, Instant},
 };
 
@@ -41,14 +41,18 @@
     gateway_metrics::GatewayMetrics,
     peer_link::{self, PeerLink},
     ports::{
-        FeedLine, FleetFeed, FleetUpdate, GatewaySettings, HeaderNames, PeerEntry, WorkReader,
-        WorkSize,
+        FeedLine, FleetFeed, FleetUpdate, GatewaySettings, HeaderNames, PeerEntry, SettingsSource,
+        WorkReader, WorkSize,
     },
     scheduler_hub::SchedulerHub,
     status_port,
     target_pool::{ConnectFault, ConnectionChoice, TargetConnection, TargetPool},
 };
 
+/// Orders that wait to be followed.
+const ORDERS_BUFFERED: usize = 8;
+/// How often the settings are read again without an order.
+const SETTINGS_INTERVAL: Duration = Duration::from_secs(5);
 /// News of the fleet that waits to be taken.
 const UPDATES_BUFFERED: usize = 64;
 /// The time between an order to stop and the end of taking connections: a balancer that asks once a
@@ -77,6 +81,8 @@
 pub struct GatewayParts {
     /// Its settings.
     pub settings: GatewaySettings,
+    /// Where they are read again.
+    pub source: Box<dyn SettingsSource>,
     /// The headers' names.
     pub names: HeaderNames,
     /// Reads the size of requests.
@@ -87,7 +93,7 @@
 
 /// What a gateway's tasks share.
 pub struct Gateway {
-    settings: GatewaySettings,
+    settings: RefCell<GatewaySettings>,
     names: HeaderNames,
     reader: Box<dyn WorkReader>,
     hub: Rc<SchedulerHub>,
@@ -113,12 +119,21 @@
         .build()
         .map_err(|error| StepError::new("build runtime", error))?;
     LocalSet::new().block_on(&runtime, async {
-        let mut stop = StopSignals::listen()?;
+        let orders = order_by_signals()?;
         let sockets = GatewaySockets::bind(&parts.settings).await?;
-        serve(parts, sockets, async move { stop.stopped().await }).await
+        serve(parts, sockets, orders).await
     })
 }
 
+/// What a running gateway is told to do.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum GatewayOrder {
+    /// End what is held, and stop.
+    Stop,
+    /// Read the settings again.
+    Reload,
+}
+
 /// The sockets of a gateway, bound before its tasks start.
 pub struct GatewaySockets {
     /// For callers.
@@ -147,30 +162,32 @@
     }
 }
 
-/// The orders to stop, or to read the settings again.
-struct StopSignals {
-    terminate: Signal,
-    interrupt: Signal,
-}
-
-impl StopSignals {
-    fn listen() -> Result<Self, StepError> {
-        let fault = |error| StepError::new("listen for signals", error);
-        Ok(Self {
-            terminate: unix::signal(SignalKind::terminate()).map_err(fault)?,
-            interrupt: unix::signal(SignalKind::interrupt()).map_err(fault)?,
-        })
-    }
-
-    async fn stopped(&mut self) {
-        tokio::select! {
-            _ = self.terminate.recv() => {}
-            _ = self.interrupt.recv() => {}
+/// Turns the process's signals into orders. A hangup must be taken: the system ends a process that
+/// does not.
+fn order_by_signals() -> Result<mpsc::Receiver<GatewayOrder>, StepError> {
+    let listen =
+        |kind| unix::signal(kind).map_err(|error| StepError::new("listen for signals", error));
+    let mut terminate = listen(SignalKind::terminate())?;
+    let mut interrupt = listen(SignalKind::interrupt())?;
+    let mut hangup = listen(SignalKind::hangup())?;
+    let (sender, orders) = mpsc::channel(ORDERS_BUFFERED);
+    task::spawn_local(async move {
+        loop {
+            let order = tokio::select! {
+                _ = terminate.recv() => GatewayOrder::Stop,
+                _ = interrupt.recv() => GatewayOrder::Stop,
+                _ = hangup.recv() => GatewayOrder::Reload,
+            };
+            if sender.send(order).await.is_err() {
+                return;
+            }
         }
-    }
+    });
+    Ok(orders)
 }
 
-/// Serves until `stop` has come and what was held has ended. It must run on a [`LocalSet`].
+/// Serves until the order to stop has come and what was held has ended. It must run on a
+/// [`LocalSet`].
 ///
 /// # Errors
 ///
@@ -178,9 +195,9 @@
 pub async fn serve(
     parts: GatewayParts,
     sockets: GatewaySockets,
-    stop: impl Future<Output = ()>,
+    orders: mpsc::Receiver<GatewayOrder>,
 ) -> Result<(), StepError> {
-    let GatewayParts { settings, names, reader, feed } = parts;
+    let GatewayParts { settings, source, names, reader, feed } = parts;
     let GatewaySockets { callers, status, peers: socket } = sockets;
     let incarnation = Incarnation(rand::rng().random());
     let own = PeerEntry {
@@ -196,7 +213,6 @@
         retry: settings.retry,
         assumed: AssumedPace::default(),
     });
-    let grace = settings.grace;
     tracing::info!(
         event = "started",
         vm = %settings.name,
@@ -207,7 +223,7 @@
         peers = %settings.peers,
     );
     let gateway = Rc::new(Gateway {
-        settings,
+        settings: RefCell::new(settings),
         names,
         reader,
         hub: SchedulerHub::new(scheduler),
@@ -232,8 +248,9 @@
     duties.spawn_local(sweep(Rc::clone(&gateway), nudge));
     duties.spawn_local(status_port::serve(Rc::clone(&gateway), status));
     let accepting = duties.spawn_local(caller_listener::accept(Rc::clone(&gateway), callers));
-    stop.await;
+    gateway.follow_orders(orders, &*source).await;
     let ordered = Instant::now();
+    let grace = gateway.settings.borrow().grace;
     gateway.draining.set(true);
     tracing::info!(event = "stop-ordered", connections = gateway.connections.get());
     time::sleep(LAME_SPAN.min(grace / 2)).await;
@@ -277,8 +294,8 @@
                 gateway.fleet.registry().borrow_mut().note_reached(number);
             }
             FleetUpdate::Peers(listed) => {
-                let own = &gateway.settings.name;
-                let others = listed.into_iter().filter(|peer| peer.name != *own);
+                let own = gateway.settings.borrow().name.clone();
+                let others = listed.into_iter().filter(|peer| peer.name != own);
                 let others: BTreeMap<VmName, PeerEntry> =
                     others.map(|peer| (peer.name.clone(), peer)).collect();
                 let names: Vec<VmName> = others.keys().cloned().collect();
@@ -346,6 +363,45 @@
 }
 
 impl Gateway {
+    /// Follows orders until the one to stop has come. The settings are read again when that is
+    /// ordered, and now and then, since they may change without an order.
+    async fn follow_orders(
+        &self,
+        mut orders: mpsc::Receiver<GatewayOrder>,
+        source: &dyn SettingsSource,
+    ) {
+        loop {
+            match time::timeout(SETTINGS_INTERVAL, orders.recv()).await {
+                Ok(Some(GatewayOrder::Stop) | None) => return,
+                Ok(Some(GatewayOrder::Reload)) => self.reload(source, true),
+                Err(_) => self.reload(source, false),
+            }
+        }
+    }
+
+    /// Reads the settings again and takes what may change while the gateway runs.
+    fn reload(&self, source: &dyn SettingsSource, ordered: bool) {
+        let found = match source.read() {
+            Ok(found) => found,
+            Err(error) => {
+                tracing::warn!(event = "settings-kept", step = error.step(), reason = %error);
+                return;
+            }
+        };
+        let mut settings = self.settings.borrow_mut();
+        let changed = *settings != found;
+        if !changed && !ordered {
+            return;
+        }
+        let same_sockets = settings.callers == found.callers
+            && settings.status == found.status
+            && settings.peers == found.peers;
+        tracing::info!(event = "settings-read", ordered, changed, needs_restart = !same_sockets);
+        self.hub.peek_mut(|scheduler| scheduler.set_retry_rule(found.retry));
+        settings.retry = found.retry;
+        settings.grace = found.grace;
+    }
+
     /// Returns the headers' names.
     pub fn names(&self) -> &HeaderNames {
         &self.names
@@ -485,7 +541,8 @@
     }
 
     async fn send_digest(&self, link: &PeerLink, digest: LoadDigest, peers: &[PeerEntry]) {
-        let envelope = DigestEnvelope { from: self.settings.name.clone(), digest };
+        let from = self.settings.borrow().name.clone();
+        let envelope = DigestEnvelope { from, digest };
         link.send(&envelope, peers).await;
     }
 
--- a/crates/ryetide-gateway/src/ports.rs
+++ b/crates/ryetide-gateway/src/ports.rs
@@ -6,6 +6,7 @@
 use std::{net, pin::Pin, rc::Rc, sync::Arc, time::Duration};
 
 use hyper::{HeaderMap, header::HeaderName};
+use ryetide::error::StepError;
 use ryetide_core::{
     ids::{DataCentreName, VmName},
     retry_budget::RetryRule,
@@ -16,7 +17,7 @@
 use tokio::sync::{Notify, mpsc};
 
 /// What one gateway is told when it starts.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct GatewaySettings {
     /// This VM's name.
     pub name: VmName,
@@ -34,6 +35,16 @@
     pub retry: RetryRule,
 }
 
+/// Where the settings are read from, at the start and when they may have changed.
+pub trait SettingsSource {
+    /// Reads the settings as they are now.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`StepError`] when they cannot be read; those in use then stay.
+    fn read(&self) -> Result<GatewaySettings, StepError>;
+}
+
 /// The names of the headers that carry what the gateway must know or say.
 #[derive(Clone, Debug)]
 pub struct HeaderNames {
--- a/crates/ryetide-gateway/tests/serving/shutdown.rs
+++ b/crates/ryetide-gateway/tests/serving/shutdown.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use ryetide_core::route::WorkKind;
-use ryetide_gateway::ports::LocalFuture;
+use ryetide_gateway::{gateway::GatewayOrder, ports::LocalFuture};
 use tokio::time;
 
 use crate::support::{self, Gateway, Message, Target, Wire};
@@ -21,13 +21,13 @@
     }
     support::run(async {
         let target = Target::start("t1", slow).await;
-        let mut gateway = Gateway::serving(support::route(WorkKind::OnceOnly, 1), &[&target]).await;
+        let gateway = Gateway::serving(support::route(WorkKind::OnceOnly, 1), &[&target]).await;
         let mut running = gateway.call().await;
         running.send(&support::request("POST", "q1", "", "body")).await;
         while target.count() == 0 {
             time::sleep(Duration::from_millis(2)).await;
         }
-        gateway.stop();
+        gateway.order(GatewayOrder::Stop).await;
         while gateway.ready().await != 503 {
             time::sleep(Duration::from_millis(2)).await;
         }
@@ -38,3 +38,17 @@
         gateway.ended().await;
     });
 }
+
+/// The platform tells a process that its settings file has changed. Callers notice nothing.
+#[test]
+fn a_gateway_that_reads_its_settings_again_serves_on() {
+    support::run(async {
+        let target = Target::start("t1", support::answering).await;
+        let gateway = Gateway::serving(support::route(WorkKind::OnceOnly, 1), &[&target]).await;
+        for id in ["q1", "q2", "q3"] {
+            gateway.order(GatewayOrder::Reload).await;
+            assert_eq!(gateway.ask(id, "").await.expect("an answer").status(), 200);
+        }
+        assert_eq!(gateway.ready().await, 200);
+    });
+}
--- a/crates/ryetide-gateway/tests/serving/support.rs
+++ b/crates/ryetide-gateway/tests/serving/support.rs
@@ -12,6 +12,7 @@
 };
 
 use hyper::{HeaderMap, header::HeaderName};
+use ryetide::error::StepError;
 use ryetide_core::{
     ids::TargetKey,
     quota::QuotaRule,
@@ -22,16 +23,16 @@
     units::{Revision, TierRank, Tokens},
 };
 use ryetide_gateway::{
-    gateway::{self, GatewayParts, GatewaySockets},
+    gateway::{self, GatewayOrder, GatewayParts, GatewaySockets},
     ports::{
         FeedLine, FleetFeed, FleetUpdate, GatewaySettings, HeaderNames, LocalFuture, PeerEntry,
-        WorkReader, WorkSize,
+        SettingsSource, WorkReader, WorkSize,
     },
 };
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
-    sync::{mpsc, oneshot},
+    sync::mpsc,
     task::{self, LocalSet},
     time,
 };
@@ -259,6 +260,14 @@
     }
 }
 
+struct TestSource(GatewaySettings);
+
+impl SettingsSource for TestSource {
+    fn read(&self) -> Result<GatewaySettings, StepError> {
+        Ok(self.0.clone())
+    }
+}
+
 struct TestFeed {
     news: mpsc::Receiver<FleetUpdate>,
 }
@@ -293,7 +302,7 @@
     callers: SocketAddr,
     status: SocketAddr,
     news: mpsc::Sender<FleetUpdate>,
-    stop: Option<oneshot::Sender<()>>,
+    orders: mpsc::Sender<GatewayOrder>,
     ended: task::JoinHandle<()>,
 }
 
@@ -315,21 +324,17 @@
         let status = sockets.status.local_addr().expect("an address");
         let (news, receiver) = mpsc::channel(16);
         let parts = GatewayParts {
-            settings,
+            settings: settings.clone(),
+            source: Box::new(TestSource(settings)),
             names: names(),
             reader: Box::new(TestReader),
             feed: Box::new(TestFeed { news: receiver }),
         };
-        let (stop, stopped) = oneshot::channel::<()>();
+        let (orders, ordered) = mpsc::channel(4);
         let ended = task::spawn_local(async move {
-            let stop = async {
-                if stopped.await.is_err() {
-                    std::future::pending::<()>().await;
-                }
-            };
-            gateway::serve(parts, sockets, stop).await.expect("a gateway that serves");
+            gateway::serve(parts, sockets, ordered).await.expect("a gateway that serves");
         });
-        Self { callers, status, news, stop: Some(stop), ended }
+        Self { callers, status, news, orders, ended }
     }
 
     /// Starts a gateway that serves one route by `targets`.
@@ -374,10 +379,8 @@
         wire.read_message().await
     }
 
-    /// Orders the gateway to stop.
-    pub fn stop(&mut self) {
-        let stop = self.stop.take().expect("a gateway that was not stopped yet");
-        stop.send(()).expect("a gateway that runs");
+    pub async fn order(&self, order: GatewayOrder) {
+        self.orders.send(order).await.expect("a gateway that runs");
     }
 
     /// Waits until the gateway has ended.
