Let a gateway run without a platform, on texts of its own

The file is read again every second; a text with a fault changes nothing. Peers share a key from the settings.

--- a/crates/ryetide-cli/src/flags.rs
+++ b/crates/ryetide-cli/src/flags.rs
@@ -11,12 +11,14 @@
         /// Prints JSON, for scripts.
         optional --json
 
-        /// Checks a services text, or a daemon's settings, whole.
+        /// Checks a services text, a routes text, or a daemon's settings, whole.
         cmd check {
             /// The file.
             required file: PathBuf
             /// The file holds a daemon's settings.
             optional --settings
+            /// The file holds a gateway's routes.
+            optional --routes
         }
         /// Has a services text accepted. It is then in force everywhere within seconds.
         cmd apply {
--- a/crates/ryetide-cli/src/main.rs
+++ b/crates/ryetide-cli/src/main.rs
@@ -17,7 +17,8 @@
     text_report::TextReport,
 };
 use ryetide_core::{
-    catalog::ServiceCatalog, event::ApplyOutcome, text::TextFaults, units::Revision,
+    catalog::ServiceCatalog, event::ApplyOutcome, route_text::RouteText, text::TextFaults,
+    units::Revision,
 };
 use serde::Serialize;
 
@@ -41,7 +42,7 @@
 fn run(flags: Ryetide) -> Result<ExitCode, Report> {
     let json = flags.json;
     match flags.subcommand {
-        RyetideCmd::Check(check) => run_check(&check.file, check.settings),
+        RyetideCmd::Check(check) => run_check(&check),
         RyetideCmd::Apply(apply) => run_apply(apply, json),
         RyetideCmd::Show(show) => run_show(show.daemon, json),
         RyetideCmd::Status(status) => run_status(status.daemon, json),
@@ -55,10 +56,13 @@
     fs::read_to_string(file).map_err(|error| Report::new(fault(error)))
 }
 
-fn run_check(file: &Path, settings: bool) -> Result<ExitCode, Report> {
+fn run_check(check: &flags::Check) -> Result<ExitCode, Report> {
+    let file = check.file.as_path();
     let text = read(file)?;
-    let checked = if settings {
+    let checked = if check.settings {
         DaemonSettings::parse(&text).map(drop)
+    } else if check.routes {
+        RouteText::parse(&text).map(drop)
     } else {
         ServiceCatalog::parse(&text).map(drop)
     };
--- a/crates/ryetide-core/src/lib.rs
+++ b/crates/ryetide-core/src/lib.rs
@@ -59,6 +59,7 @@
 pub mod retry;
 pub mod retry_budget;
 pub mod route;
+pub mod route_text;
 pub mod safeguard;
 pub mod scheduler;
 pub mod target_health;
--- a/crates/ryetide-core/src/quota.rs
+++ b/crates/ryetide-core/src/quota.rs
@@ -24,6 +24,18 @@
     Tokens,
 }
 
+impl std::str::FromStr for QuotaUnit {
+    type Err = ();
+
+    fn from_str(text: &str) -> Result<Self, ()> {
+        match text {
+            "requests" => Ok(Self::Requests),
+            "tokens" => Ok(Self::Tokens),
+            _ => Err(()),
+        }
+    }
+}
+
 /// An organisation's quota.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct QuotaRule {
--- /dev/null
+++ b/crates/ryetide-core/src/route_text.rs
@@ -0,0 +1,299 @@
+//! The routes text: what a gateway serves without a platform, as operators write it.
+//!
+//! # Example
+//!
+//! ```
+//! let text = "
+//! revision: 1
+//! services:
+//!   - name: desk
+//!     targets:
+//!       - {name: desk-1, data-centre: rajkot-hall, address: '10.1.0.11:9000', slots: 6}
+//! routes:
+//!   - name: orders
+//!     host: desk.example
+//!     prefix: /orders/
+//!     kind: once
+//!     timeout: 2s
+//!     objective: 150ms
+//!     services: [{name: desk}]
+//! ";
+//! let text = ryetide_core::route_text::RouteText::parse(text).unwrap();
+//! assert_eq!(text.targets.len(), 1);
+//! assert!(text.table.find("desk.example", "/orders/17", None).is_ok());
+//! ```
+
+use std::{net, time::Duration};
+
+use crate::{
+    ids::{OrganisationName, ServiceName},
+    quota::{QuotaRule, QuotaUnit},
+    route::{
+        CallerBounds, EngineProfile, KeyHolder, RouteRule, RouteTable, RouteTableBuilder,
+        RoutedService, ServiceShare, WorkKind,
+    },
+    target_load::TargetEntry,
+    text::{self, FaultReader, TextFaults, TextNode, ValueRange},
+    units::{ByteSize, Revision, TierRank, Tokens},
+};
+
+const REVISION_RANGE: ValueRange<u64> = ValueRange { least: 1, greatest: u64::MAX };
+const TIER_RANGE: ValueRange<u64> = ValueRange { least: 0, greatest: 7 };
+const SLOT_RANGE: ValueRange<u64> = ValueRange { least: 1, greatest: 4_096 };
+const CONNECTION_RANGE: ValueRange<u64> = ValueRange { least: 1, greatest: 1_000_000 };
+const ATTEMPT_RANGE: ValueRange<u64> = ValueRange { least: 1, greatest: 16 };
+const WEIGHT_RANGE: ValueRange<u64> = ValueRange { least: 0, greatest: 1_000_000 };
+const TOKEN_RANGE: ValueRange<u64> = ValueRange { least: 1, greatest: 1 << 40 };
+const BODY_RANGE: ValueRange<u64> = ValueRange { least: 1_024, greatest: 64 << 20 };
+const SPAN_RANGE: ValueRange<Duration> =
+    ValueRange { least: Duration::from_millis(1), greatest: Duration::from_secs(3_600) };
+const DEFAULT_CONNECTIONS: u64 = 256;
+
+/// Everything that a routes text says.
+#[derive(Clone, Debug)]
+pub struct RouteText {
+    /// The routes, services and organisations.
+    pub table: RouteTable,
+    /// The targets of the services.
+    pub targets: Vec<TargetEntry>,
+}
+
+impl RouteText {
+    /// Reads and checks a text whole.
+    ///
+    /// # Errors
+    ///
+    /// Returns every fault, each with its place, the value found and what is permitted.
+    pub fn parse(text: &str) -> Result<Self, TextFaults> {
+        text::read_text(text, read_root)
+    }
+}
+
+fn read_root(reader: &mut FaultReader, root: TextNode<'_>) -> Option<RouteText> {
+    if !reader.mapping(root, &["revision", "organisations", "services", "routes", "limits"]) {
+        return None;
+    }
+    let revision =
+        reader.required(root, "revision", |reader, node| reader.number(node, REVISION_RANGE));
+    let holders = reader.optional(root, "organisations", Vec::new(), |reader, node| {
+        reader.sequence(node, read_holder)
+    });
+    let services =
+        reader.required(root, "services", |reader, node| reader.sequence(node, read_service))?;
+    let names: Vec<ServiceName> =
+        services.iter().map(|(service, _)| service.name.clone()).collect();
+    let routes = reader.required(root, "routes", |reader, node| {
+        reader.sequence(node, |reader, item| read_route(reader, item, &names))
+    });
+    let bounds = reader.optional(root, "limits", CallerBounds::default(), read_bounds);
+    let mut builder = RouteTable::builder(Revision(revision?)).bounds(bounds?);
+    builder = holders?.into_iter().fold(builder, RouteTableBuilder::holder);
+    builder = routes?.into_iter().fold(builder, RouteTableBuilder::route);
+    let mut targets = Vec::new();
+    for (service, entries) in services {
+        builder = builder.service(service);
+        targets.extend(entries);
+    }
+    Some(RouteText { table: builder.build(), targets })
+}
+
+fn read_holder(reader: &mut FaultReader, node: TextNode<'_>) -> Option<KeyHolder> {
+    reader.mapping(node, &["name", "tier", "keys", "quota"]);
+    let name: Option<OrganisationName> = reader.required(node, "name", FaultReader::name);
+    let tier = reader.optional(node, "tier", None, |reader, value| {
+        reader.number(value, TIER_RANGE).map(|rank| Some(TierRank(rank as u8)))
+    });
+    let keys =
+        reader.required(node, "keys", |reader, value| reader.sequence(value, FaultReader::text));
+    let quota =
+        reader.optional(node, "quota", None, |reader, value| read_quota(reader, value).map(Some));
+    Some(KeyHolder { name: name?, tier: tier?, quota: quota?, keys: keys? })
+}
+
+fn read_quota(reader: &mut FaultReader, node: TextNode<'_>) -> Option<QuotaRule> {
+    reader.mapping(node, &["unit", "rate", "burst", "default-tokens"]);
+    let unit: Option<QuotaUnit> =
+        reader.required(node, "unit", |reader, value| reader.parsed(value, "requests or tokens"));
+    let mut amount =
+        |key: &str| reader.required(node, key, |reader, value| reader.number(value, TOKEN_RANGE));
+    let (rate, burst) = (amount("rate"), amount("burst"));
+    let default_tokens = reader
+        .optional(node, "default-tokens", 0, |reader, value| reader.number(value, TOKEN_RANGE));
+    Some(QuotaRule {
+        unit: unit?,
+        rate: rate? as f64,
+        burst: burst? as f64,
+        default_tokens: default_tokens?,
+    })
+}
+
+fn read_service(
+    reader: &mut FaultReader,
+    node: TextNode<'_>,
+) -> Option<(RoutedService, Vec<TargetEntry>)> {
+    reader.mapping(node, &["name", "connection-limit", "engine", "targets"]);
+    let name: Option<ServiceName> = reader.required(node, "name", FaultReader::name);
+    let limit = reader.optional(node, "connection-limit", DEFAULT_CONNECTIONS, |reader, value| {
+        reader.number(value, CONNECTION_RANGE)
+    });
+    let engine =
+        reader.optional(node, "engine", None, |reader, value| read_engine(reader, value).map(Some));
+    let name = name?;
+    let targets = reader.required(node, "targets", |reader, value| {
+        reader.sequence(value, |reader, item| read_target(reader, item, &name))
+    });
+    let connection_limit = u32::try_from(limit?).unwrap_or(u32::MAX);
+    Some((RoutedService { name, connection_limit, engine: engine? }, targets?))
+}
+
+fn read_engine(reader: &mut FaultReader, node: TextNode<'_>) -> Option<EngineProfile> {
+    reader.mapping(node, &["memory", "tokens-per-event"]);
+    let memory = reader.required(node, "memory", |reader, value| reader.number(value, TOKEN_RANGE));
+    let per_event = reader
+        .optional(node, "tokens-per-event", 1, |reader, value| reader.number(value, SLOT_RANGE));
+    Some(EngineProfile { memory: Tokens(memory?), tokens_per_event: per_event? as u32 })
+}
+
+fn read_target(
+    reader: &mut FaultReader,
+    node: TextNode<'_>,
+    service: &ServiceName,
+) -> Option<TargetEntry> {
+    reader.mapping(node, &["name", "data-centre", "address", "slots", "leaving"]);
+    let name = reader.required(node, "name", FaultReader::name);
+    let data_centre = reader.required(node, "data-centre", FaultReader::name);
+    let address: Option<net::SocketAddr> = reader.required(node, "address", |reader, value| {
+        reader.parsed(value, "an IP number and port, such as 127.0.0.1:8080")
+    });
+    let slots = reader.required(node, "slots", |reader, value| reader.number(value, SLOT_RANGE));
+    let leaving = reader.optional(node, "leaving", false, FaultReader::flag);
+    Some(TargetEntry {
+        name: name?,
+        service: service.clone(),
+        address: address?,
+        data_centre: data_centre?,
+        slots: slots? as u32,
+        leaving: leaving?,
+        warmup: Duration::ZERO,
+    })
+}
+
+/// A route's kind as the text names it.
+struct KindWord(WorkKind);
+
+impl std::str::FromStr for KindWord {
+    type Err = ();
+
+    fn from_str(text: &str) -> Result<Self, ()> {
+        match text {
+            "repeatable" => Ok(Self(WorkKind::Repeatable)),
+            "once" => Ok(Self(WorkKind::OnceOnly)),
+            "stream" => Ok(Self(WorkKind::Stream { resumable: false })),
+            "resumable-stream" => Ok(Self(WorkKind::Stream { resumable: true })),
+            _ => Err(()),
+        }
+    }
+}
+
+fn read_route(
+    reader: &mut FaultReader,
+    node: TextNode<'_>,
+    services: &[ServiceName],
+) -> Option<RouteRule> {
+    const KEYS: [&str; 12] = [
+        "name",
+        "host",
+        "prefix",
+        "kind",
+        "timeout",
+        "objective",
+        "pause",
+        "patience",
+        "tier",
+        "attempts",
+        "anonymous",
+        "services",
+    ];
+    reader.mapping(node, &KEYS);
+    let name = reader.required(node, "name", FaultReader::text);
+    let host = reader.required(node, "host", FaultReader::text);
+    let prefix = reader.required(node, "prefix", read_prefix);
+    let kind: Option<KindWord> = reader.required(node, "kind", |reader, value| {
+        reader.parsed(value, "repeatable, once, stream or resumable-stream")
+    });
+    let mut span =
+        |key: &str| reader.required(node, key, |reader, value| reader.span(value, SPAN_RANGE));
+    let (timeout, objective) = (span("timeout"), span("objective"));
+    let mut optional_span = |key: &str| {
+        reader.optional(node, key, None, |reader, value| reader.span(value, SPAN_RANGE).map(Some))
+    };
+    let (pause, patience) = (optional_span("pause"), optional_span("patience"));
+    let tier = reader.optional(node, "tier", 0, |reader, value| reader.number(value, TIER_RANGE));
+    let attempts =
+        reader.optional(node, "attempts", 1, |reader, value| reader.number(value, ATTEMPT_RANGE));
+    let anonymous = reader.optional(node, "anonymous", false, FaultReader::flag);
+    let shares = reader.required(node, "services", |reader, value| {
+        reader.sequence(value, |reader, item| read_share(reader, item, services))
+    });
+    Some(RouteRule {
+        name: name?,
+        host: host?,
+        prefix: prefix?,
+        kind: kind?.0,
+        timeout: timeout?,
+        objective: objective?,
+        pause: pause?,
+        patience: patience?,
+        tier: TierRank(tier? as u8),
+        attempts: attempts? as u32,
+        anonymous: anonymous?,
+        shares: shares?,
+    })
+}
+
+fn read_prefix(reader: &mut FaultReader, node: TextNode<'_>) -> Option<String> {
+    let prefix = reader.text(node)?;
+    if prefix.starts_with('/') && prefix.ends_with('/') {
+        return Some(prefix);
+    }
+    reader.note(node, format!("{prefix:?}"), "a path that begins and ends with a slash");
+    None
+}
+
+fn read_share(
+    reader: &mut FaultReader,
+    node: TextNode<'_>,
+    services: &[ServiceName],
+) -> Option<ServiceShare> {
+    reader.mapping(node, &["name", "weight"]);
+    let service: Option<ServiceName> = reader.required(node, "name", FaultReader::name);
+    let weight =
+        reader.optional(node, "weight", 1, |reader, value| reader.number(value, WEIGHT_RANGE));
+    let service = service?;
+    if !services.contains(&service) {
+        let place = node.get("name").unwrap_or(node);
+        reader.note(place, format!("{:?}", service.as_str()), "a declared service");
+        return None;
+    }
+    Some(ServiceShare { service, weight: weight? as u32 })
+}
+
+fn read_bounds(reader: &mut FaultReader, node: TextNode<'_>) -> Option<CallerBounds> {
+    reader.mapping(node, &["header", "body", "header-timeout", "idle-timeout"]);
+    let defaults = CallerBounds::default();
+    let mut size = |key: &str, default: ByteSize| {
+        reader.optional(node, key, default.0, |reader, value| reader.number(value, BODY_RANGE))
+    };
+    let (header, body) = (size("header", defaults.header), size("body", defaults.body));
+    let mut span = |key: &str, default: Duration| {
+        reader.optional(node, key, default, |reader, value| reader.span(value, SPAN_RANGE))
+    };
+    let header_timeout = span("header-timeout", defaults.header_timeout);
+    let idle_timeout = span("idle-timeout", defaults.idle_timeout);
+    Some(CallerBounds {
+        header: ByteSize(header?),
+        body: ByteSize(body?),
+        header_timeout: header_timeout?,
+        idle_timeout: idle_timeout?,
+    })
+}
--- /dev/null
+++ b/crates/ryetide-gateway/src/file_feed.rs
@@ -0,0 +1,76 @@
+//! Routes and targets from a file, and peers from the settings: a gateway without a platform.
+
+use std::{path::PathBuf, sync::Arc, time::Duration};
+
+use ryetide::error::StepError;
+use ryetide_core::{route_text::RouteText, target_registry::RegistryUpdate};
+use tokio::time;
+
+use crate::ports::{FeedLine, FleetFeed, FleetUpdate, LocalFuture, PeerEntry};
+
+/// How often the file is read again: a change is in force within this time.
+const READ_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Reads a routes text again and again.
+pub struct FileFeed {
+    path: PathBuf,
+    peers: Vec<PeerEntry>,
+}
+
+impl FileFeed {
+    /// Creates a feed of the routes text at `path` and the listed `peers`.
+    pub fn new(path: PathBuf, peers: Vec<PeerEntry>) -> Self {
+        Self { path, peers }
+    }
+
+    fn read(&self) -> Result<String, StepError> {
+        std::fs::read_to_string(&self.path)
+            .map_err(|error| StepError::new("read routes", error).with_peer(self.path.display()))
+    }
+
+    /// Sends what a changed text says; a text with a fault changes nothing.
+    async fn tell(&self, text: &str, line: &FeedLine) -> bool {
+        let RouteText { table, targets } = match RouteText::parse(text) {
+            Ok(text) => text,
+            Err(faults) => {
+                let path = self.path.display();
+                tracing::error!(event = "routes-unreadable", %path, reason = %faults);
+                return true;
+            }
+        };
+        let targets = FleetUpdate::Targets(RegistryUpdate::Snapshot(targets), 0);
+        for update in [FleetUpdate::Routes(Arc::new(table)), targets] {
+            if line.updates.send(update).await.is_err() {
+                return false;
+            }
+        }
+        true
+    }
+}
+
+impl FleetFeed for FileFeed {
+    fn run(self: Box<Self>, _own: PeerEntry, line: FeedLine) -> LocalFuture<'static, ()> {
+        Box::pin(async move {
+            if line.updates.send(FleetUpdate::Peers(self.peers.clone())).await.is_err() {
+                return;
+            }
+            let mut known = None;
+            let mut ticks = time::interval(READ_INTERVAL);
+            loop {
+                ticks.tick().await;
+                match self.read() {
+                    Ok(text) if known.as_ref() == Some(&text) => {}
+                    Ok(text) => {
+                        if !self.tell(&text, &line).await {
+                            return;
+                        }
+                        known = Some(text);
+                    }
+                    Err(error) => {
+                        tracing::warn!(event = "routes-kept", step = error.step(), reason = %error);
+                    }
+                }
+            }
+        })
+    }
+}
--- /dev/null
+++ b/crates/ryetide-gateway/src/gateway_text.rs
@@ -0,0 +1,152 @@
+//! The settings text of a gateway that runs without a platform.
+//!
+//! # Example
+//!
+//! ```
+//! let text = "
+//! name: e1
+//! data-centre: rajkot-hall
+//! callers: 127.0.0.1:8080
+//! status: 127.0.0.1:8081
+//! peers:
+//!   address: 127.0.0.1:8082
+//!   key: 6b2f7c1de8a0446f9f0e5d4c3b2a19087f6e5d4c3b2a1908a7b6c5d4e3f20110
+//! routes: /etc/ryetide/routes.yaml
+//! ";
+//! let text = ryetide_gateway::gateway_text::GatewayText::parse(text).unwrap();
+//! assert_eq!(text.settings.name.as_str(), "e1");
+//! ```
+
+use std::{net, path::PathBuf, str::FromStr, time::Duration};
+
+use ryetide_core::{
+    retry_budget::RetryRule,
+    text::{self, FaultReader, TextFaults, TextNode, ValueRange},
+};
+
+use crate::ports::{GatewaySettings, PeerEntry, PeerSecret};
+
+const ADDRESS: &str = "an IP number and port, such as 127.0.0.1:8080";
+const SPAN_RANGE: ValueRange<Duration> =
+    ValueRange { least: Duration::from_millis(100), greatest: Duration::from_secs(600) };
+const SLACK_RANGE: ValueRange<u64> = ValueRange { least: 0, greatest: 1_000_000 };
+/// Long enough for today's longest answers.
+const DEFAULT_GRACE: Duration = Duration::from_secs(30);
+
+/// Everything that a gateway's settings text says.
+#[derive(Clone, Debug)]
+pub struct GatewayText {
+    /// The gateway's settings.
+    pub settings: GatewaySettings,
+    /// The file of its routes.
+    pub routes: PathBuf,
+    /// The other entry VMs.
+    pub peers: Vec<PeerEntry>,
+    /// What is logged, such as `info`.
+    pub log: String,
+}
+
+impl GatewayText {
+    /// Reads and checks a text whole.
+    ///
+    /// # Errors
+    ///
+    /// Returns every fault, each with its place, the value found and what is permitted.
+    pub fn parse(text: &str) -> Result<Self, TextFaults> {
+        text::read_text(text, read_root)
+    }
+}
+
+/// A key of 32 bytes in hexadecimal.
+struct KeyText(PeerSecret);
+
+impl FromStr for KeyText {
+    type Err = ();
+
+    fn from_str(text: &str) -> Result<Self, ()> {
+        let mut secret = PeerSecret::default();
+        if text.len() != secret.len() * 2 || !text.is_ascii() {
+            return Err(());
+        }
+        for (index, byte) in secret.iter_mut().enumerate() {
+            let digits = &text[index * 2..index * 2 + 2];
+            *byte = u8::from_str_radix(digits, 16).map_err(|_| ())?;
+        }
+        Ok(Self(secret))
+    }
+}
+
+/// Where peers are met, and who they are.
+struct PeerText {
+    address: net::SocketAddr,
+    known: Vec<PeerEntry>,
+}
+
+fn read_root(reader: &mut FaultReader, root: TextNode<'_>) -> Option<GatewayText> {
+    const KEYS: [&str; 9] =
+        ["name", "data-centre", "callers", "status", "peers", "grace", "retry", "routes", "log"];
+    if !reader.mapping(root, &KEYS) {
+        return None;
+    }
+    let name = reader.required(root, "name", FaultReader::name);
+    let data_centre = reader.required(root, "data-centre", FaultReader::name);
+    let callers = reader.required(root, "callers", read_address);
+    let status = reader.required(root, "status", read_address);
+    let peers = reader.required(root, "peers", read_peers);
+    let grace = reader
+        .optional(root, "grace", DEFAULT_GRACE, |reader, value| reader.span(value, SPAN_RANGE));
+    let retry = reader.optional(root, "retry", RetryRule::default(), read_retry);
+    let routes = reader.required(root, "routes", FaultReader::text);
+    let log = reader.optional(root, "log", "info".to_owned(), FaultReader::text);
+    let PeerText { address, known } = peers?;
+    let settings = GatewaySettings {
+        name: name?,
+        data_centre: data_centre?,
+        callers: callers?,
+        status: status?,
+        peers: address,
+        grace: grace?,
+        retry: retry?,
+    };
+    Some(GatewayText { settings, routes: routes?.into(), peers: known, log: log? })
+}
+
+fn read_address(reader: &mut FaultReader, node: TextNode<'_>) -> Option<net::SocketAddr> {
+    reader.parsed(node, ADDRESS)
+}
+
+fn read_peers(reader: &mut FaultReader, node: TextNode<'_>) -> Option<PeerText> {
+    reader.mapping(node, &["address", "key", "known"]);
+    let address = reader.required(node, "address", read_address);
+    let key: Option<KeyText> = reader.required(node, "key", |reader, value| {
+        reader.parsed(value, "64 hexadecimal digits, the same on all entry VMs")
+    });
+    let secret = key?.0;
+    let known = reader.optional(node, "known", Vec::new(), |reader, value| {
+        reader.sequence(value, |reader, item| read_peer(reader, item, secret))
+    });
+    Some(PeerText { address: address?, known: known? })
+}
+
+fn read_peer(
+    reader: &mut FaultReader,
+    node: TextNode<'_>,
+    secret: PeerSecret,
+) -> Option<PeerEntry> {
+    reader.mapping(node, &["name", "address"]);
+    let name = reader.required(node, "name", FaultReader::name);
+    let address = reader.required(node, "address", read_address);
+    Some(PeerEntry { name: name?, address: address?, secret })
+}
+
+fn read_retry(reader: &mut FaultReader, node: TextNode<'_>) -> Option<RetryRule> {
+    reader.mapping(node, &["part", "window", "slack"]);
+    let defaults = RetryRule::default();
+    let part = reader.optional(node, "part", defaults.part, FaultReader::fraction);
+    let window = reader
+        .optional(node, "window", defaults.window, |reader, value| reader.span(value, SPAN_RANGE));
+    let slack = reader.optional(node, "slack", defaults.slack as u64, |reader, value| {
+        reader.number(value, SLACK_RANGE)
+    });
+    Some(RetryRule { part: part?, window: window?, slack: slack? as f64 })
+}
--- a/crates/ryetide-gateway/src/lib.rs
+++ b/crates/ryetide-gateway/src/lib.rs
@@ -20,6 +20,7 @@
 //! | [`call_template`], [`target_pool`], [`target_answer`], [`relay`], [`event_scanner`] | targets |
 //! | [`scheduler_hub`], [`fleet_view`] | the scheduler and what it schedules onto |
 //! | [`peer_link`] | the other entry VMs |
+//! | [`gateway_text`], [`file_feed`], [`own_headers`] | a gateway without a platform |
 //! | [`status_port`], [`gateway_metrics`], [`decision_log`] | readiness, metrics, logs |
 
 pub mod call_template;
@@ -28,9 +29,12 @@
 pub mod decision_log;
 pub mod event_scanner;
 pub mod exchange;
+pub mod file_feed;
 pub mod fleet_view;
 pub mod gateway;
 pub mod gateway_metrics;
+pub mod gateway_text;
+pub mod own_headers;
 pub mod peer_link;
 pub mod ports;
 pub mod relay;
--- /dev/null
+++ b/crates/ryetide-gateway/src/main.rs
@@ -0,0 +1,91 @@
+//! A gateway without a platform: routes and targets come from a file.
+//!
+//! Exit codes: 0 after a stop, 1 when the gateway failed, 2 for wrong usage, 3 when the settings are
+//! at fault.
+
+use std::{
+    fs,
+    path::{Path, PathBuf},
+    process::ExitCode,
+};
+
+use ryetide::{error::StepError, text_report::TextReport};
+use ryetide_gateway::{
+    decision_log,
+    file_feed::FileFeed,
+    gateway::{self, GatewayParts},
+    gateway_text::GatewayText,
+    own_headers::{self, OwnWorkReader},
+    ports::{GatewaySettings, SettingsSource},
+};
+
+mod flags {
+    #![allow(missing_docs, reason = "the macro writes the struct, and its help says what each is")]
+    use std::path::PathBuf;
+
+    xflags::xflags! {
+        /// Runs a gateway until SIGTERM or SIGINT. Exit codes: 0 everything ended, 1 failed, 2 wrong
+        /// usage, 3 the settings are at fault.
+        cmd ryetide-gateway {
+            /// The settings file.
+            required settings: PathBuf
+            /// Checks the settings and exits.
+            optional --check
+        }
+    }
+}
+
+const FAILED: u8 = 1;
+const FAULTY_SETTINGS: u8 = 3;
+
+/// The settings file, read again when it may have changed.
+struct SettingsFile(PathBuf);
+
+impl SettingsSource for SettingsFile {
+    fn read(&self) -> Result<GatewaySettings, StepError> {
+        let text = fs::read_to_string(&self.0)
+            .map_err(|error| StepError::new("read settings", error).with_peer(self.0.display()))?;
+        let read = GatewayText::parse(&text);
+        let read = read.map_err(|faults| StepError::new("parse settings", faults))?;
+        Ok(read.settings)
+    }
+}
+
+fn main() -> ExitCode {
+    let flags = flags::RyetideGateway::from_env_or_exit();
+    let text = match read(&flags.settings) {
+        Ok(text) => text,
+        Err(report) => {
+            eprintln!("{report:?}");
+            return ExitCode::from(FAULTY_SETTINGS);
+        }
+    };
+    if flags.check {
+        println!("{}: sound", flags.settings.display());
+        return ExitCode::SUCCESS;
+    }
+    let _written = decision_log::start(&text.log);
+    let parts = GatewayParts {
+        settings: text.settings,
+        source: Box::new(SettingsFile(flags.settings)),
+        names: own_headers::header_names(),
+        reader: Box::new(OwnWorkReader),
+        feed: Box::new(FileFeed::new(text.routes, text.peers)),
+    };
+    match gateway::run(parts) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            tracing::error!(event = "failed", step = error.step(), reason = %error);
+            ExitCode::from(FAILED)
+        }
+    }
+}
+
+fn read(path: &Path) -> Result<GatewayText, miette::Report> {
+    let file = path.display().to_string();
+    let text = fs::read_to_string(path).map_err(|error| {
+        miette::Report::new(StepError::new("read settings", error).with_peer(&file))
+    })?;
+    GatewayText::parse(&text)
+        .map_err(|faults| miette::Report::new(TextReport::new(&file, &text, faults)))
+}
--- /dev/null
+++ b/crates/ryetide-gateway/src/own_headers.rs
@@ -0,0 +1,44 @@
+//! The gateway's own headers, where no platform names others.
+
+use hyper::{HeaderMap, header::HeaderName};
+use ryetide_core::units::Tokens;
+use xxhash_rust::xxh3;
+
+use crate::ports::{HeaderNames, WorkReader, WorkSize};
+
+const PROMPT_TOKENS: &str = "ryetide-prompt-tokens";
+const OUTPUT_LIMIT: &str = "ryetide-output-limit";
+const OUTPUT_HINT: &str = "ryetide-output-hint";
+const PROMPT_NAME: &str = "ryetide-prompt";
+
+/// Returns the gateway's own headers by what they hold.
+pub fn header_names() -> HeaderNames {
+    HeaderNames {
+        request_id: HeaderName::from_static("ryetide-request-id"),
+        deadline: HeaderName::from_static("ryetide-deadline-ms"),
+        key: HeaderName::from_static("ryetide-key"),
+        organisation: HeaderName::from_static("ryetide-organisation"),
+        target: HeaderName::from_static("ryetide-target"),
+        not_run: HeaderName::from_static("ryetide-not-run"),
+        signature: HeaderName::from_static("ryetide-answered-by"),
+        last_event: HeaderName::from_static("last-event-id"),
+        reserved: vec![HeaderName::from_static("ryetide-not-run")],
+    }
+}
+
+/// Reads the size of a request's work from the gateway's own headers.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct OwnWorkReader;
+
+impl WorkReader for OwnWorkReader {
+    fn read(&self, headers: &HeaderMap) -> WorkSize {
+        let text = |name| headers.get(name).and_then(|value| value.to_str().ok());
+        let tokens = |name| text(name).and_then(|text| text.parse().ok()).map(Tokens);
+        WorkSize {
+            prompt: tokens(PROMPT_TOKENS),
+            output_limit: tokens(OUTPUT_LIMIT),
+            output_hint: tokens(OUTPUT_HINT),
+            part: text(PROMPT_NAME).map(|name| xxh3::xxh3_64(name.as_bytes()) as u32),
+        }
+    }
+}
