Measure a caller's patience from its last event

Ruled out: attempts (1 of 2), budget of repeats (none was denied). Test (failed first): a_stream_that_breaks_late_goes_on_too.

--- a/crates/ryetide-gateway/src/exchange.rs
+++ b/crates/ryetide-gateway/src/exchange.rs
@@ -511,9 +511,14 @@
         let output = self.size.output_hint.or(self.size.output_limit);
         let output = output.unwrap_or(Tokens(ASSUMED_OUTPUT)).0;
         let per_event = engine.map_or(1, |engine| engine.tokens_per_event.max(1));
+        // A caller who has had events waits anew after each of them; measured from its arrival, it
+        // would count as gone in the middle of a long stream that only has to go on elsewhere.
+        let heard = self.last_at.unwrap_or(self.arrived);
         let leave_at = route
             .patience
-            .map_or(self.deadline_at, |patience| self.deadline_at.min(self.arrived + patience));
+            .map_or(self.deadline_at, |patience| self.deadline_at.min(heard + patience));
+        let pause = route.pause.filter(|_| self.last_at.is_some());
+        let objective_at = heard + pause.unwrap_or(route.objective);
         WaitingWork {
             ticket: self.ticket.number(),
             service: self.service.clone(),
@@ -523,7 +528,7 @@
             part: self.size.part,
             events: u32::try_from(output / u64::from(per_event)).unwrap_or(u32::MAX),
             arrived: self.arrived,
-            objective_at: self.arrived + route.objective,
+            objective_at,
             leave_at,
             pause: route.pause,
             excluded: self.excluded.clone(),
--- a/crates/ryetide-gateway/tests/serving/streams.rs
+++ b/crates/ryetide-gateway/tests/serving/streams.rs
@@ -133,6 +133,36 @@
     });
 }
 
+/// A stream has run for longer than callers wait for a first event when its target breaks off. Its
+/// caller is still there: it had an event a moment ago. The stream goes on elsewhere.
+#[test]
+fn a_stream_that_breaks_late_goes_on_too() {
+    fn lasting(request: Message, mut wire: Wire) -> LocalFuture<'static, Option<Wire>> {
+        Box::pin(async move {
+            wire.send(&stream_head(&request)).await;
+            for number in 1..=4 {
+                wire.send(&chunk(&event(number))).await;
+                time::sleep(Duration::from_millis(150)).await;
+            }
+            wire.reset();
+            None
+        })
+    }
+    support::run(async {
+        let broken = Target::start("t1", lasting).await;
+        let sound = Target::start("t2", streaming).await;
+        let mut route = support::route(RESUMABLE, 2);
+        route.patience = Some(Duration::from_millis(400));
+        let gateway = Gateway::serving(route, &[&broken]).await;
+        let mut wire = gateway.call().await;
+        wire.send(&support::request("POST", "q1", "", "body")).await;
+        wire.read_message().await.expect("a head");
+        gateway.set_targets(vec![broken.entry.clone(), sound.entry.clone()]).await;
+        let (payload, whole) = read_stream(&mut wire).await;
+        assert_eq!((payload.as_str(), whole), (events(1..=6).as_str(), true));
+    });
+}
+
 /// A stream that may run once only breaks off. It is sent nowhere else, and its end must not look
 /// like the end of a whole stream.
 #[test]
