--- /dev/null
+++ b/crates/ryetide-cli/src/explain.rs
@@ -0,0 +1,124 @@
+//! `ryetide explain`: the story of one request, from the logs of all VMs.
+
+use std::{
+    collections::BTreeMap,
+    io::{self, BufRead},
+};
+
+/// One line of a log, as its keys and values.
+type LineFields = BTreeMap<String, String>;
+
+/// The story of one request.
+#[derive(Debug, Default)]
+pub struct RequestStory {
+    /// The lines that concern it, by time.
+    lines: Vec<(String, LineFields)>,
+}
+
+impl RequestStory {
+    /// Picks the lines about the request `id` out of a log.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the reader.
+    pub fn read(id: &str, log: impl BufRead) -> io::Result<Self> {
+        let mut story = Self::default();
+        for line in log.lines() {
+            let fields = fields_of(&line?);
+            if fields.get("request").is_some_and(|request| request == id) {
+                let time = fields.get("ts").cloned().unwrap_or_default();
+                story.lines.push((time, fields));
+            }
+        }
+        story.lines.sort_by(|(left, _), (right, _)| left.cmp(right));
+        Ok(story)
+    }
+
+    /// Returns whether the log says anything of the request.
+    pub fn is_empty(&self) -> bool {
+        self.lines.is_empty()
+    }
+
+    /// Returns the story, a line for each decision.
+    pub fn tell(&self) -> String {
+        let mut text = String::new();
+        for (time, fields) in &self.lines {
+            let vm = value(fields, "vm");
+            text.push_str(&format!("{time}  {vm}  {}\n", sentence(fields)));
+        }
+        text
+    }
+}
+
+fn value<'a>(fields: &'a LineFields, key: &str) -> &'a str {
+    fields.get(key).map_or("?", String::as_str)
+}
+
+/// Says what one line means.
+fn sentence(fields: &LineFields) -> String {
+    let of = |key| value(fields, key);
+    match of("event") {
+        "placed" => format!(
+            "sent to {} after waiting {} ms, {} others running there and {} in line here; first event \
+             expected in {} ms{}; routes {}",
+            of("target"),
+            of("waited_ms"),
+            of("running"),
+            of("line"),
+            of("expected_ms"),
+            if of("late") == "true" { ", too late already" } else { "" },
+            of("revision"),
+        ),
+        "refused" => format!(
+            "told to come back in {} ms, not run: {} ({} in line)",
+            of("retry_ms"),
+            of("reason"),
+            of("line")
+        ),
+        "own-answer" => {
+            format!("answered {} by the gateway itself: {}", of("status"), of("reason"))
+        }
+        "target-unreachable" => {
+            format!("no connection to {} at {}: {}", of("target"), of("peer"), of("reason"))
+        }
+        "answer-lost" => format!(
+            "no answer from {}, where it may have run: {} (kept connection: {})",
+            of("target"),
+            of("reason"),
+            of("kept_connection")
+        ),
+        "target-failed" => format!(
+            "failed by {}: {}, after {} attempt(s)",
+            of("target"),
+            of("reason"),
+            of("attempts")
+        ),
+        "broken-off" => format!("broken off towards its caller: {}", of("reason")),
+        "ended" => format!(
+            "ended {} after {} ms and {} attempt(s); first event after {} ms, longest pause {} ms",
+            of("outcome"),
+            of("total_ms"),
+            of("attempts"),
+            of("first_ms"),
+            of("longest_pause_ms")
+        ),
+        other => format!("{other}: {fields:?}"),
+    }
+}
+
+/// Reads a line of key=value pairs; values with spaces stand in quotes. What stands before the first
+/// pair, as a collector may add it, is passed over.
+fn fields_of(line: &str) -> LineFields {
+    let mut fields = LineFields::new();
+    let mut rest = line;
+    while let Some((before, after)) = rest.split_once('=') {
+        let key = before.rsplit(' ').next().unwrap_or_default().to_owned();
+        let (found, left) = match after.strip_prefix('"') {
+            Some(quoted) => quoted.split_once('"').unwrap_or((quoted, "")),
+            None => after.split_once(' ').unwrap_or((after, "")),
+        };
+        fields.insert(key, found.to_owned());
+        rest = left;
+    }
+    fields
+}
--- a/crates/ryetide-cli/src/flags.rs
+++ b/crates/ryetide-cli/src/flags.rs
@@ -20,6 +20,12 @@
             /// The file holds a gateway's routes.
             optional --routes
         }
+        /// Tells the story of one request from a gateway's logs, read from standard input; logs of
+        /// several VMs may be put together.
+        cmd explain {
+            /// The request's id, as its caller gave it.
+            required id: String
+        }
         /// Has a services text accepted. It is then in force everywhere within seconds.
         cmd apply {
             /// The file.
--- a/crates/ryetide-cli/src/main.rs
+++ b/crates/ryetide-cli/src/main.rs
@@ -1,14 +1,16 @@
-//! The operators' command line: `ryetide check`, `apply`, `show`, `status`, `report`, `demo`.
+//! The operators' command line: `ryetide check`, `explain`, `apply`, `show`, `status`, `report`, `demo`.
 //!
 //! Exit codes: 0 done, 1 failed, 2 wrong usage, 3 the text is at fault, 4 the edit collided with
 //! another, 5 it cannot be said whether the edit took effect.
 
+mod explain;
 mod flags;
 mod operator_client;
 mod table;
 
 use std::{fs, net::SocketAddr, path::Path, process::ExitCode};
 
+use explain::RequestStory;
 use flags::{Ryetide, RyetideCmd};
 use miette::Report;
 use operator_client::OperatorClient;
@@ -43,6 +45,7 @@
     let json = flags.json;
     match flags.subcommand {
         RyetideCmd::Check(check) => run_check(&check),
+        RyetideCmd::Explain(explain) => run_explain(&explain.id),
         RyetideCmd::Apply(apply) => run_apply(apply, json),
         RyetideCmd::Show(show) => run_show(show.daemon, json),
         RyetideCmd::Status(status) => run_status(status.daemon, json),
@@ -75,6 +78,17 @@
     }
 }
 
+fn run_explain(id: &str) -> Result<ExitCode, Report> {
+    let story = RequestStory::read(id, std::io::stdin().lock())
+        .map_err(|error| Report::new(StepError::new("read log", error)))?;
+    if story.is_empty() {
+        eprintln!("the log says nothing of request {id}");
+        return Ok(ExitCode::from(FAILED));
+    }
+    print!("{}", story.tell());
+    Ok(ExitCode::SUCCESS)
+}
+
 fn tell_faults(file: &Path, text: &str, faults: TextFaults) -> ExitCode {
     let report = TextReport::new(&file.display().to_string(), text, faults);
     eprintln!("{:?}", Report::new(report));
--- /dev/null
+++ b/crates/ryetide-cli/tests/explain.rs
@@ -0,0 +1,47 @@
+//! `ryetide explain` on lines as gateways write them.
+
+use std::{
+    io::Write,
+    process::{Command, Output, Stdio},
+};
+
+/// Lines of two VMs, out of order, with lines of another request between them.
+const LOG: &str = r#"
+ts=2026-03-25T04:18:49.2333Z level=warn event=answer-lost vm=e2 request=q1 sequence=16 target=i-ec kept_connection=false reason="send: connection error"
+ts=2026-03-25T04:18:49.2290Z level=info event=placed vm=e2 request=q1 sequence=16 route=r1 target=i-ec revision=14 waited_ms=0 expected_ms=66 to_read=732 running=1 line=1 late=false on_time=true
+ts=2026-03-25T04:18:49.2300Z level=info event=placed vm=e1 request=q2 sequence=9 route=r1 target=i-aa revision=14 waited_ms=0 expected_ms=6 to_read=0 running=1 line=1 late=false on_time=true
+ts=2026-03-25T04:18:49.2334Z level=info event=own-answer vm=e2 request=q1 status=502 reason=target-failed
+"#;
+
+fn explain(id: &str) -> Output {
+    let mut child = Command::new(env!("CARGO_BIN_EXE_ryetide"))
+        .args(["explain", id])
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .expect("ryetide runs");
+    let mut input = child.stdin.take().expect("its input");
+    input.write_all(LOG.as_bytes()).expect("an input that takes bytes");
+    drop(input);
+    child.wait_with_output().expect("an end")
+}
+
+#[test]
+fn the_story_of_a_request_is_told_in_order() {
+    let output = explain("q1");
+    assert!(output.status.success());
+    let text = String::from_utf8(output.stdout).expect("text");
+    let lines: Vec<&str> = text.lines().collect();
+    assert_eq!(lines.len(), 3, "{text}");
+    assert!(lines[0].contains("e2  sent to i-ec after waiting 0 ms"), "{text}");
+    assert!(lines[1].contains("may have run: send: connection error"), "{text}");
+    assert!(lines[2].contains("answered 502 by the gateway itself: target-failed"), "{text}");
+}
+
+#[test]
+fn a_request_that_no_line_names_is_told_apart() {
+    let output = explain("q3");
+    assert_eq!(output.status.code(), Some(1));
+    assert!(String::from_utf8_lossy(&output.stderr).contains("nothing of request q3"));
+}
--- a/crates/ryetide-gateway/src/decision_log.rs
+++ b/crates/ryetide-gateway/src/decision_log.rs
@@ -8,6 +8,7 @@
 use std::{cell::RefCell, time::Duration};
 
 use ryetide_core::{
+    ids::VmName,
     scheduler::{PlacingEvidence, RunEnd},
     target_load::TargetEntry,
     units::Revision,
@@ -60,18 +61,18 @@
 /// Writes decisions, within bounds.
 #[derive(Debug)]
 pub struct DecisionLog {
+    vm: VmName,
     allowance: RefCell<LineAllowance>,
 }
 
-impl Default for DecisionLog {
-    fn default() -> Self {
+impl DecisionLog {
+    /// Creates the log of `vm`, whose name stands on every line: lines of several VMs are read together.
+    pub fn new(vm: VmName) -> Self {
         let now = Instant::now();
         let allowance = LineAllowance { left: LINES_AT_ONCE, filled: now, lost: 0, told: now };
-        Self { allowance: RefCell::new(allowance) }
+        Self { vm, allowance: RefCell::new(allowance) }
     }
-}
 
-impl DecisionLog {
     /// A target was chosen.
     pub fn placed(
         &self,
@@ -86,6 +87,7 @@
         }
         tracing::info!(
             event = "placed",
+            vm = %self.vm,
             request = request.id,
             sequence = request.sequence.0,
             route = request.route,
@@ -106,6 +108,7 @@
         if self.permits() {
             tracing::info!(
                 event = "refused",
+                vm = %self.vm,
                 request = request.id,
                 sequence = request.sequence.0,
                 route = request.route,
@@ -121,6 +124,7 @@
         if self.permits() {
             tracing::warn!(
                 event = "target-unreachable",
+                vm = %self.vm,
                 request = request.id,
                 sequence = request.sequence.0,
                 target = %target.name,
@@ -135,6 +139,7 @@
         if self.permits() {
             tracing::warn!(
                 event = "answer-lost",
+                vm = %self.vm,
                 request = request.id,
                 sequence = request.sequence.0,
                 target = %target.name,
@@ -155,6 +160,7 @@
         if self.permits() {
             tracing::warn!(
                 event = "target-failed",
+                vm = %self.vm,
                 request = request.id,
                 sequence = request.sequence.0,
                 target = %target.name,
@@ -169,6 +175,7 @@
         if self.permits() {
             tracing::warn!(
                 event = "broken-off",
+                vm = %self.vm,
                 request = request.id,
                 sequence = request.sequence.0,
                 reason = why,
@@ -179,7 +186,7 @@
     /// The gateway answered a request itself.
     pub fn own_answer(&self, request: &str, status: u16, why: &'static str) {
         if self.permits() {
-            tracing::info!(event = "own-answer", request, status, reason = why);
+            tracing::info!(event = "own-answer", vm = %self.vm, request, status, reason = why);
         }
     }
 
@@ -197,6 +204,7 @@
         }
         tracing::info!(
             event = "ended",
+            vm = %self.vm,
             request = request.id,
             sequence = request.sequence.0,
             route = request.route,
--- a/crates/ryetide-gateway/src/gateway.rs
+++ b/crates/ryetide-gateway/src/gateway.rs
@@ -222,6 +222,7 @@
         status = %settings.status,
         peers = %settings.peers,
     );
+    let log = DecisionLog::new(settings.name.clone());
     let gateway = Rc::new(Gateway {
         settings: RefCell::new(settings),
         names,
@@ -231,7 +232,7 @@
         fleet: FleetView::default(),
         peers: RefCell::default(),
         metrics: GatewayMetrics::default(),
-        log: DecisionLog::default(),
+        log,
         draining: Cell::new(false),
         connections: Cell::new(0),
         closing: Notify::new(),
