Refuse nobody on an assumed speed; make keys; say 503 for what did not run

Found by trial on the product's own interface: a daemon that was just started refused 41 of 60 requests by speeds that its text did not name; such a refusal left no line in the log; a request that did not run was answered 504, which promises nothing; a new operator found no way to make the peers' keys.

Now only speeds that were declared or observed are a ground to refuse; refusals are logged (request-refused); a deadline that cannot be met is 503; ryetide keys makes the authority, certificate and key (moved from the lab to the library).

Tests (failed first): nobody_is_refused_on_a_speed_that_was_only_assumed (60 of 60 refused), keys_are_made_that_daemons_accept.

--- a/crates/ryetide-cli/src/flags.rs
+++ b/crates/ryetide-cli/src/flags.rs
@@ -20,6 +20,12 @@
             /// The file holds a gateway's routes.
             optional --routes
         }
+        /// Makes the keys by which a deployment's daemons know each other: authority.pem, peer.pem and
+        /// peer.key, to be put on every entry VM.
+        cmd keys {
+            /// Where the files go; it must exist.
+            required directory: PathBuf
+        }
         /// Tells the story of one request from a gateway's logs, read from standard input; logs of
         /// several VMs may be put together.
         cmd explain {
--- a/crates/ryetide-cli/src/main.rs
+++ b/crates/ryetide-cli/src/main.rs
@@ -15,7 +15,7 @@
 use miette::Report;
 use operator_client::OperatorClient;
 use ryetide::{
-    error::StepError, log, operator_port::ApplyReply, settings::DaemonSettings,
+    deployment_keys, error::StepError, log, operator_port::ApplyReply, settings::DaemonSettings,
     text_report::TextReport,
 };
 use ryetide_core::{
@@ -45,6 +45,7 @@
     let json = flags.json;
     match flags.subcommand {
         RyetideCmd::Check(check) => run_check(&check),
+        RyetideCmd::Keys(keys) => run_keys(&keys.directory),
         RyetideCmd::Explain(explain) => run_explain(&explain.id),
         RyetideCmd::Apply(apply) => run_apply(apply, json),
         RyetideCmd::Show(show) => run_show(show.daemon, json),
@@ -78,6 +79,12 @@
     }
 }
 
+fn run_keys(directory: &Path) -> Result<ExitCode, Report> {
+    deployment_keys::write_keys(directory).map_err(Report::new)?;
+    println!("{}: authority.pem, peer.pem and peer.key", directory.display());
+    Ok(ExitCode::SUCCESS)
+}
+
 fn run_explain(id: &str) -> Result<ExitCode, Report> {
     let story = RequestStory::read(id, std::io::stdin().lock())
         .map_err(|error| Report::new(StepError::new("read log", error)))?;
--- a/crates/ryetide-cli/tests/commands.rs
+++ b/crates/ryetide-cli/tests/commands.rs
@@ -7,6 +7,7 @@
     time::{Duration, Instant},
 };
 
+use ryetide::{peer_keys::PeerKeys, settings::PeerSettings};
 use ryetide_lab::{
     deployment::{ServiceSite, TargetSite, TextFrame},
     engine_batch::EngineSpeed,
@@ -142,3 +143,20 @@
     let output = ryetide(&["status", "--daemon", &daemon]);
     assert_eq!(output.status.code(), Some(1), "{}", text_of(&output));
 }
+
+/// A new operator makes the keys that the settings ask for, and a daemon accepts them.
+#[test]
+fn keys_are_made_that_daemons_accept() {
+    let directory = ScratchDirectory::create().expect("a directory");
+    let path = directory.path();
+    let output = ryetide(&["keys", path.to_str().expect("a path in Unicode")]);
+    assert!(output.status.success(), "{output:?}");
+    let settings = PeerSettings {
+        address: ([127, 0, 0, 1], 0).into(),
+        authority: path.join("authority.pem"),
+        certificate: path.join("peer.pem"),
+        key: path.join("peer.key"),
+        known: Vec::new(),
+    };
+    assert!(PeerKeys::load(&settings).is_ok());
+}
--- a/crates/ryetide-core/src/arbiter.rs
+++ b/crates/ryetide-core/src/arbiter.rs
@@ -215,14 +215,15 @@
         if self.targets.values().all(|target| target.rule().tokens.0 < need.0) {
             return Err(RefuseReason::TooLarge);
         }
-        let work = self.expected_service(now, &profile);
+        let speed_known = self.usable().any(TargetModel::is_speed_known);
+        let work = if speed_known { self.expected_service(now, &profile) } else { Duration::ZERO };
         let left = deadline.since(now);
         if work > left {
             return Err(RefuseReason::DeadlineUnreachable);
         }
         let wait =
             self.wait_behind(now, tier, self.queue.work_ahead_of(tier, profile.organisation));
-        if wait > budget || wait + work > left {
+        if speed_known && (wait > budget || wait + work > left) {
             let first_in_line = self.queue.work_ahead_of(tier, profile.organisation).is_zero();
             let unreachable = first_in_line && wait + work > left && wait <= budget;
             return Err(if unreachable {
@@ -556,7 +557,8 @@
         let candidates = open.iter().filter_map(|key| {
             let target = self.targets.get(key).filter(|it| it.holds(self.share, tokens))?;
             let prefill = Tokens(profile.prompt.0.saturating_sub(savings.of(*key).0));
-            let in_time = now + target.service_time(now, prefill, output) <= deadline;
+            let in_time = !target.is_speed_known()
+                || now + target.service_time(now, prefill, output) <= deadline;
             in_time.then(|| (target.score(now, prefill, output), *key))
         });
         candidates.min().map(|(_, key)| key)
--- a/crates/ryetide-core/src/catalog.rs
+++ b/crates/ryetide-core/src/catalog.rs
@@ -108,6 +108,9 @@
     pub prefill_rate: TokenRate,
     /// The generation speed of one stream assumed until one is observed.
     pub decode_rate: TokenRate,
+    /// Whether the operator declared these speeds. Speeds that were only assumed are no ground to
+    /// refuse a request.
+    pub speeds_declared: bool,
     /// Whether it refuses orders that carry an old fencing number.
     pub fencing: bool,
     /// Whether its contract says that a refusal (status 503) ran nothing.
@@ -406,6 +409,7 @@
         tokens: Tokens(tokens?),
         prefill_rate: TokenRate(prefill_rate? as f64),
         decode_rate: TokenRate(decode_rate? as f64),
+        speeds_declared: item.get("prefill-rate").is_some() && item.get("decode-rate").is_some(),
         fencing: fencing?,
         refusal_ran_nothing: refusal?,
     })
--- a/crates/ryetide-core/src/estimate.rs
+++ b/crates/ryetide-core/src/estimate.rs
@@ -41,6 +41,8 @@
     reserved: Tokens,
     prefill_rate: TokenRate,
     decode_rate: TokenRate,
+    /// Whether the speeds were declared or observed, and not only assumed.
+    speed_known: bool,
     history: VecDeque<(Moment, u32)>,
     surplus: u32,
     surplus_at: Moment,
@@ -61,6 +63,7 @@
             reserved: Tokens(0),
             prefill_rate: rule.prefill_rate,
             decode_rate: rule.decode_rate,
+            speed_known: rule.speeds_declared,
             history: VecDeque::new(),
             surplus: 0,
             surplus_at: Moment::default(),
@@ -172,6 +175,12 @@
         prefill + self.decode_rate.time_for(output)
     }
 
+    /// Returns whether the speeds were declared or observed. After all VMs were killed no speed is
+    /// known anywhere; to refuse by one that was only assumed would refuse most callers of that second.
+    pub fn is_speed_known(&self) -> bool {
+        self.speed_known
+    }
+
     /// Learns from a completed answer, whose first piece came `first` after the dispatch, less the
     /// backlog that it met. Short prompts say nothing of the speed: their time is all overhead.
     pub fn learn(&mut self, prompt: Tokens, output: Tokens, first: Duration, total: Duration) {
@@ -181,6 +190,7 @@
         let decode = total.saturating_sub(first);
         if output.0 > 1 && !decode.is_zero() {
             blend(&mut self.decode_rate, (output.0 - 1) as f64 / decode.as_secs_f64());
+            self.speed_known = true;
         }
     }
 
--- a/crates/ryetide-core/tests/arbiter.rs
+++ b/crates/ryetide-core/tests/arbiter.rs
@@ -330,3 +330,29 @@
     bench.advance(at(40_000));
     assert_eq!(bench.arbiter.held(), 0);
 }
+
+/// A VM has just started and its text names no speeds. Sixty callers come at once for one engine of
+/// four slots, with five seconds each. The engine may be far faster than what is assumed of one that
+/// was never observed: nobody is refused for that, and one after the other is granted.
+#[test]
+fn nobody_is_refused_on_a_speed_that_was_only_assumed() {
+    let text = TEXT.replace("prefill-rate: 10000, decode-rate: 100", "refusal-ran-nothing: true");
+    let text = text.replace("prefill-rate: 1000, decode-rate: 10", "refusal-ran-nothing: true");
+    let mut bench = Bench::new(&text);
+    let numbers: Vec<u64> = (0..60).map(|_| bench.ask(at(1), 0, 2_000, 400, 5_000)).collect();
+    let refused = |bench: &Bench| {
+        let verdicts = numbers.iter().map(|number| bench.verdict(*number));
+        verdicts.filter(|it| matches!(it, Some(VerdictKind::Refuse(..)))).count()
+    };
+    assert_eq!(refused(&bench), 0);
+    for round in 0..8 {
+        let granted = numbers
+            .iter()
+            .filter(|number| matches!(bench.verdict(**number), Some(VerdictKind::Grant(_))));
+        let granted: Vec<u64> = granted.copied().collect();
+        for number in granted {
+            bench.release(at(100 + round * 100), number, ReleaseOutcome::Completed);
+        }
+    }
+    assert_eq!(refused(&bench), 0);
+}
--- a/crates/ryetide-lab/src/lib.rs
+++ b/crates/ryetide-lab/src/lib.rs
@@ -10,7 +10,7 @@
 //! | [`plain_service`] | a plain service with calls that may not be repeated |
 //! | [`platform`] | the table service, the object store and the lagging list of VMs |
 //! | [`relay`] | a TCP relay that can fall silent without a reset |
-//! | [`keys`], [`deployment`] | test certificates, and whole deployments on loopback |
+//! | [`deployment`] | whole deployments on loopback |
 //! | [`site`], [`process_site`] | a whole deployment, in one process or in many |
 //! | [`process`], [`control`] | processes, and calls to stand-ins and daemons |
 //! | [`caller`], [`workload`] | callers, and seeded arrivals |
@@ -22,7 +22,6 @@
 pub mod deployment;
 pub mod engine;
 pub mod engine_batch;
-pub mod keys;
 pub mod overhead;
 pub mod plain_service;
 pub mod platform;
--- a/crates/ryetide-lab/src/process_site.rs
+++ b/crates/ryetide-lab/src/process_site.rs
@@ -5,7 +5,7 @@
     path::{Path, PathBuf},
 };
 
-use ryetide::error::StepError;
+use ryetide::{deployment_keys, error::StepError};
 use ryetide_core::{
     configuration::CONFIGURATION_KEY,
     event::{ListedVm, TableCommand},
@@ -15,7 +15,6 @@
     control,
     deployment::{self, EntrySite},
     engine_batch::EngineSpeed,
-    keys,
     process::TestProcess,
     site::{self, ScratchDirectory, SitePlan},
 };
@@ -70,7 +69,7 @@
     /// Returns a [`StepError`] that names what could not be started.
     pub fn start(plan: &SitePlan, programs: &SitePrograms) -> Result<Self, StepError> {
         let directory = ScratchDirectory::create()?;
-        keys::write_keys(directory.path())?;
+        deployment_keys::write_keys(directory.path())?;
         let platform = start_stand_in(&programs.lab, "platform", "platform", &[])?;
         let mut services = plan.services.clone();
         let mut targets = Vec::new();
--- a/crates/ryetide-lab/src/site.rs
+++ b/crates/ryetide-lab/src/site.rs
@@ -11,6 +11,7 @@
 use ntex::rt::{DefaultRuntime, System};
 use ryetide::{
     daemon::{self, DaemonSockets, ShutdownSwitch},
+    deployment_keys,
     error::StepError,
     fresh_client::FreshClient,
     settings::DaemonSettings,
@@ -20,7 +21,6 @@
 use crate::{
     deployment::{self, EntrySite, ServiceSite, TextFrame},
     engine::EngineStandIn,
-    keys,
     plain_service::PlainStandIn,
     platform::PlatformStandIn,
     server,
@@ -100,7 +100,7 @@
     /// Returns a [`StepError`] that names what could not be started.
     pub fn start(plan: &SitePlan) -> Result<Self, StepError> {
         let directory = ScratchDirectory::create()?;
-        keys::write_keys(directory.path())?;
+        deployment_keys::write_keys(directory.path())?;
         let platform = PlatformStandIn::start(server::free_listener()?)?;
         let mut services = plan.services.clone();
         let (mut engines, mut plain) = (Vec::new(), Vec::new());
--- a/crates/ryetided/tests/processes/failures.rs
+++ b/crates/ryetided/tests/processes/failures.rs
@@ -4,7 +4,7 @@
 
 use nix::sys::signal::Signal;
 use ntex::http::Method;
-use ryetide::operator_port::ApplyReply;
+use ryetide::{deployment_keys, operator_port::ApplyReply};
 use ryetide_core::entry::EntryStatus;
 use ryetide_core::{event::ApplyOutcome, message::ConfigurationText};
 use ryetide_lab::{
@@ -13,7 +13,6 @@
     deployment::EntrySite,
     engine::EngineFaults,
     engine_batch::{EnginePrompt, EngineRecord, EngineSpeed},
-    keys,
     plain_service::{PlainFaults, PlainRecord},
     platform::PlatformFaults,
     process::TestProcess,
@@ -333,7 +332,7 @@
 fn a_peer_without_the_deployments_keys_is_refused() {
     let site = crate::support::start(crate::support::fast());
     let directory = ScratchDirectory::create().unwrap();
-    keys::write_keys(directory.path()).unwrap();
+    deployment_keys::write_keys(directory.path()).unwrap();
     let intruder = EntrySite::unbound("intruder", "hall");
     let known = [&site.daemons[0].site];
     let text = intruder.settings(directory.path(), site.platform.address, &known);
--- a/src/caller_answer.rs
+++ b/src/caller_answer.rs
@@ -91,7 +91,6 @@
 fn refuse_status(reason: RefuseReason) -> u16 {
     match reason {
         RefuseReason::TooLarge => 413,
-        RefuseReason::DeadlineUnreachable => 504,
         _ => 503,
     }
 }
--- a/src/caller_edge.rs
+++ b/src/caller_edge.rs
@@ -347,6 +347,10 @@
 ) -> HttpResponse {
     let id = call.id();
     if let Some(status) = caller_answer::final_status(&answer) {
+        if let FinalAnswer::NotRun { .. } = answer {
+            let (code, retry) = (&status.code, status.retry_after.map(util::millis));
+            tracing::info!(event = "request-refused", step = "order", request = %id, reason = %code, retry_ms = retry);
+        }
         if matches!(answer, FinalAnswer::Rejected(_)) {
             call.edge.count_reject("rejected");
             let code = &status.code;
--- a/crates/ryetide-lab/src/keys.rs
+++ b/src/deployment_keys.rs
@@ -1,9 +1,13 @@
-//! Test keys: an authority of a deployment's own, and certificates for its daemons.
+//! A deployment's own keys: an authority, and a certificate that it signed for the daemons.
+//!
+//! Daemons meet each other only with a certificate that the deployment's own authority signed. The
+//! authority's key is not kept: whoever needs new certificates makes a new authority, and hands both out
+//! to all entry VMs together.
 
 use std::{fs, path::Path};
 
+use crate::{error::StepError, peer_keys::PEER_SERVER_NAME};
 use rcgen::{BasicConstraints, CertificateParams, IsCa, Issuer, KeyPair};
-use ryetide::{error::StepError, peer_keys::PEER_SERVER_NAME};
 
 /// Writes `authority.pem`, `peer.pem` and `peer.key` into `directory`.
 ///
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,7 +11,7 @@
 //! | [`settings`], [`text_report`], [`log`], [`error`] | settings, faults, logs, errors |
 //! | [`caller_edge`], [`caller_request`], [`caller_answer`], [`answer_slot`] | callers |
 //! | [`target_client`], [`fresh_client`] | targets |
-//! | [`peer_link`], [`peer_keys`] | the other entry VMs |
+//! | [`peer_link`], [`peer_keys`], [`deployment_keys`] | the other entry VMs |
 //! | [`platform_client`] | the table service and the list of VMs |
 //! | [`operator_port`], [`request_report`] | operators |
 //! | [`ring`] | the bounded rings between the threads |
@@ -21,6 +21,7 @@
 pub mod caller_edge;
 pub mod caller_request;
 pub mod daemon;
+pub mod deployment_keys;
 pub mod error;
 pub mod fresh_client;
 pub mod log;
