--- /dev/null
+++ b/crates/ryetide-core/src/line_view.rs
@@ -0,0 +1,265 @@
+//! What can be done about a service's line at one moment: who goes where, who is told to come back.
+//!
+//! A [`LineView`] only looks. It answers the loads that hurt most: a burst that the targets cannot
+//! begin in time, and the hour in which a part of them is gone.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use crate::{
+    decision::{PlacingEvidence, RefusalReason},
+    ids::{RequestSequence, ServiceKey, ServiceName, TargetKey},
+    load_digest::WaitMark,
+    peer_board::PeerBoard,
+    placing::{self, PlacingForecast, PlacingNeed},
+    scheduler::SchedulerOptions,
+    target_load::TargetLoad,
+    units::{Moment, TierRank},
+    wait_line::{LineRank, WaitLine, WaitingWork},
+};
+
+/// Places that have been free for no longer than this belong to the requests at peers that go before
+/// those here. Digests need a few milliseconds; a place that no peer has taken by then is one that its
+/// better requests cannot use.
+const YIELD_SPAN: Duration = Duration::from_millis(15);
+/// Time that an answer needs to reach a caller before it leaves.
+const LEAVE_MARGIN: Duration = Duration::from_millis(150);
+
+/// The line of a service and how long its places are held.
+#[derive(Debug)]
+pub struct ServiceLine {
+    /// The service.
+    pub key: ServiceKey,
+    /// Who waits.
+    pub line: WaitLine,
+    /// The targets that this VM uses.
+    pub targets: Vec<TargetKey>,
+    /// The mean time that requests hold a place; none before any was observed.
+    pub hold: Option<Duration>,
+    /// Since when a place has been free while somebody waited.
+    pub free_since: Option<Moment>,
+}
+
+impl ServiceLine {
+    /// Creates the line of a service of which nothing is known.
+    pub fn new(service: &ServiceName) -> Self {
+        Self {
+            key: ServiceKey::of(service),
+            line: WaitLine::default(),
+            targets: Vec::new(),
+            hold: None,
+            free_since: None,
+        }
+    }
+}
+
+/// Something that can be done about a request in line.
+#[derive(Clone, Copy, Debug)]
+pub enum LineChoice {
+    /// It goes to this target.
+    Place {
+        /// The request.
+        ticket: RequestSequence,
+        /// The target.
+        target: TargetKey,
+        /// What decided.
+        evidence: PlacingEvidence,
+    },
+    /// Its caller is told to come back.
+    Refuse {
+        /// The request.
+        ticket: RequestSequence,
+        /// Why.
+        reason: RefusalReason,
+    },
+}
+
+/// A service's line and the targets that may get new work, at one moment.
+pub struct LineView<'a> {
+    now: Moment,
+    state: &'a ServiceLine,
+    usable: Vec<&'a TargetLoad>,
+    peers: &'a PeerBoard,
+    options: &'a SchedulerOptions,
+}
+
+impl<'a> LineView<'a> {
+    /// Looks at a line.
+    pub fn new(
+        now: Moment,
+        state: &'a ServiceLine,
+        targets: &'a BTreeMap<TargetKey, TargetLoad>,
+        peers: &'a PeerBoard,
+        options: &'a SchedulerOptions,
+    ) -> Self {
+        let loads = state.targets.iter().filter_map(|key| targets.get(key));
+        let may_get = |load: &&TargetLoad| !load.entry().leaving && !load.health().is_paused(now);
+        Self { now, state, usable: loads.filter(may_get).collect(), peers, options }
+    }
+
+    /// Returns how many places are free.
+    pub fn free_places(&self) -> u32 {
+        self.usable.iter().map(|load| load.free_places(self.now)).sum()
+    }
+
+    /// Finds the first request in line about which something can be done.
+    pub fn next_choice(&self) -> Option<LineChoice> {
+        if self.state.line.is_empty() {
+            return None;
+        }
+        let free = self.free_places();
+        self.ordered().into_iter().find_map(|(rank, work)| self.choice_for(rank, work, free))
+    }
+
+    fn choice_for(&self, rank: LineRank, work: &WaitingWork, free: u32) -> Option<LineChoice> {
+        let ticket = work.ticket;
+        if let Some(reason) = self.refusal_of(work) {
+            return Some(LineChoice::Refuse { ticket, reason });
+        }
+        if free == 0 || self.yields(rank, work, free) {
+            return None;
+        }
+        let (load, forecast) = self.choose(rank, work)?;
+        let (running, line) = (load.running(self.now), self.state.line.len());
+        let evidence = PlacingEvidence { forecast, running, line, late: rank.late };
+        Some(LineChoice::Place { ticket, target: load.key(), evidence })
+    }
+
+    fn refusal_of(&self, work: &WaitingWork) -> Option<RefusalReason> {
+        if self.now + LEAVE_MARGIN >= work.leave_at {
+            return Some(RefusalReason::OutOfTime);
+        }
+        if self.gives_way(work) {
+            return Some(RefusalReason::Overload);
+        }
+        self.state.targets.is_empty().then_some(RefusalReason::NoTarget)
+    }
+
+    fn ordered(&self) -> Vec<(LineRank, &'a WaitingWork)> {
+        self.state.line.ordered(self.now, |work| self.best_first(work))
+    }
+
+    /// The time from a dispatch to the first event at the fastest target.
+    fn best_first(&self, work: &WaitingWork) -> Duration {
+        let overhead = self.options.assumed.overhead;
+        let first = |load: &&TargetLoad| match work.engine {
+            true => overhead + load.estimate().reading_time(work.prompt.0),
+            false => load.answer_time(),
+        };
+        self.usable.iter().map(first).min().unwrap_or_default()
+    }
+
+    /// Whether a request has missed its objective while others that can still meet theirs wait.
+    ///
+    /// It would stay behind all of those, and its caller would mostly be told at the end of its
+    /// patience what can be told now: of 1,082 refusals of a day with two bursts, 428 came after three
+    /// to four seconds. Told at once, and at its arrival where the line shows it, a caller comes back
+    /// when there is room: 0.69 to 0.72 of that day's requests were then served, and 0.64 before.
+    fn gives_way(&self, work: &WaitingWork) -> bool {
+        let missed_at = work.objective_at.before(self.best_first(work));
+        if work.begun || missed_at <= work.arrived || self.now <= missed_at {
+            return false;
+        }
+        let can_meet =
+            |other: &WaitingWork| self.now + self.best_first(other) <= other.objective_at;
+        self.state.line.iter().any(can_meet)
+            || self.peers_ahead(false, TierRank(u8::MAX), Duration::ZERO) > 0
+    }
+
+    /// Whether the free places belong to requests at peers that go before this one. A request that has
+    /// just come finds no better one only in the digests heard, so a place that is free while nobody
+    /// waits anywhere is taken at once.
+    fn yields(&self, rank: LineRank, work: &WaitingWork, free: u32) -> bool {
+        if self.state.free_since.is_none_or(|since| self.now.since(since) >= YIELD_SPAN) {
+            return false;
+        }
+        self.peers_ahead(rank.late, rank.tier, self.now.since(work.arrived)) >= free
+    }
+
+    fn peers_ahead(&self, late: bool, tier: TierRank, waited: Duration) -> u32 {
+        self.peers.ahead(self.now, self.state.key, late, tier, waited)
+    }
+
+    /// Chooses the target for a request, or nothing when it does better to wait.
+    fn choose(
+        &self,
+        rank: LineRank,
+        work: &WaitingWork,
+    ) -> Option<(&'a TargetLoad, PlacingForecast)> {
+        let now = self.now;
+        let need = PlacingNeed {
+            engine: work.engine,
+            prompt: work.prompt,
+            part: work.part,
+            events: work.events,
+            objective_left: work.objective_at.since(now),
+            pause: work.pause,
+        };
+        let (own, assumed) = (&self.options.data_centre, &self.options.assumed);
+        let permitted = self.usable.iter().filter(|load| !work.excluded.contains(&load.key()));
+        let all = permitted.map(|load| (*load, placing::forecast(now, load, &need, own, assumed)));
+        let all: Vec<_> = all.collect();
+        let open = all.iter().filter(|(load, _)| load.free_places(now) > 0);
+        let best = open.min_by_key(|(load, it)| (!it.on_time, it.cost, load.key())).copied()?;
+        let (_, forecast) = best;
+        if forecast.on_time {
+            return Some(best);
+        }
+        // No free place serves it on time. One that is taken may yet; and a late answer to one caller is
+        // not worth the pauses of all whose streams run beside it.
+        let better = |it: &PlacingForecast| match rank.late {
+            true => it.keeps_pauses && !forecast.keeps_pauses,
+            false => it.on_time,
+        };
+        let worth_waiting = all.iter().any(|(load, it)| better(it) && load.free_places(now) == 0);
+        (!worth_waiting).then_some(best)
+    }
+
+    /// Whether a request that has just joined would miss its objective behind the line, or its caller
+    /// would have left before its turn: told at once, it can come back when the burst is over. One that
+    /// must miss its objective in any case, for the length of its prompt, is let in.
+    pub fn is_hopeless(&self, ticket: RequestSequence) -> bool {
+        let Some(work) = self.state.line.iter().find(|work| work.ticket == ticket) else {
+            return false;
+        };
+        let best = self.best_first(work);
+        let rank = work.rank(self.now, best);
+        let wait = self.expected_wait(Some(rank));
+        let first_at = self.now + wait + best;
+        let leaves = first_at + LEAVE_MARGIN > work.leave_at;
+        leaves || (!rank.late && !wait.is_zero() && first_at > work.objective_at)
+    }
+
+    /// Returns the time until a request of this rank, or of the last rank, gets a place. Nothing is
+    /// expected before any place was given back: a time that is only assumed is no ground to refuse
+    /// anybody.
+    pub fn expected_wait(&self, rank: Option<LineRank>) -> Duration {
+        let places: u32 = self.usable.iter().map(|load| load.entry().slots).sum();
+        let before = |other: LineRank| rank.is_none_or(|rank| other < rank);
+        let own = self.ordered().iter().filter(|(other, _)| before(*other)).count();
+        let peers = match rank {
+            Some(rank) => self.peers_ahead(rank.late, rank.tier, Duration::ZERO),
+            None => self.peers.waiting(self.now, self.state.key),
+        };
+        let ahead = u32::try_from(own).unwrap_or(u32::MAX).saturating_add(peers);
+        self.state.hold.unwrap_or_default().saturating_mul(ahead) / places.max(1)
+    }
+
+    /// Returns what peers are told of the line.
+    pub fn wait_marks(&self) -> Vec<WaitMark> {
+        let mut marks: BTreeMap<(bool, TierRank), (u16, Duration)> = BTreeMap::new();
+        for work in self.state.line.iter() {
+            let rank = work.rank(self.now, self.best_first(work));
+            let (count, oldest) = marks.entry((rank.late, rank.tier)).or_default();
+            *count = count.saturating_add(1);
+            *oldest = (*oldest).max(self.now.since(work.arrived));
+        }
+        let told = marks.into_iter().map(|((late, tier), (count, oldest))| WaitMark {
+            service: self.state.key,
+            on_time: !late,
+            tier,
+            count,
+            oldest_ms: u16::try_from(oldest.as_millis()).unwrap_or(u16::MAX),
+        });
+        told.collect()
+    }
+}
--- a/crates/ryetide-core/src/load_digest.rs
+++ b/crates/ryetide-core/src/load_digest.rs
@@ -55,6 +55,17 @@
     pub tokens: u32,
 }
 
+/// How far this VM's knowledge of the fleet reaches.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct FleetNews {
+    /// The version of the routes in force.
+    pub revision: Revision,
+    /// The newest news of the targets' registry, as its source numbers them.
+    pub registry: u64,
+    /// The number up to which all news of the registry have come.
+    pub registry_reached: u64,
+}
+
 /// All that one VM tells its peers.
 #[derive(Clone, Debug, Default, PartialEq, Deserialize, Serialize)]
 pub struct LoadDigest {
--- a/crates/ryetide-core/src/scheduler.rs
+++ b/crates/ryetide-core/src/scheduler.rs
@@ -17,28 +17,21 @@
 
 use crate::{
     cell_plan::{CellMember, CellPlan},
-    ids::{
-        DataCentreName, Incarnation, RequestSequence, ServiceKey, ServiceName, TargetKey, VmName,
-    },
-    load_digest::{DigestEnvelope, LoadDigest, PlacedPrompt, WaitMark},
+    decision::{Decision, PlacingEvidence, RefusalReason, RunEnd},
+    ids::{DataCentreName, Incarnation, RequestSequence, ServiceName, TargetKey, VmName},
+    line_view::{LineChoice, LineView, ServiceLine},
+    load_digest::{DigestEnvelope, FleetNews, LoadDigest, PlacedPrompt},
     pace::AssumedPace,
     peer_board::{DigestChange, PeerBoard},
-    placing::{self, PlacingForecast, PlacingNeed},
     quota::{QuotaCharge, QuotaLedger, QuotaRule},
     retry_budget::{RetryBudget, RetryRule},
     target_load::{TargetEntry, TargetLoad},
-    units::{Moment, Revision, TierRank, Tokens},
-    wait_line::{LineRank, WaitLine, WaitingWork},
+    units::{Moment, Tokens},
+    wait_line::WaitingWork,
 };
 
 /// How often the line is looked at while somebody waits: well under the shortest objective.
 const LINE_INTERVAL: Duration = Duration::from_millis(10);
-/// Places that have been free for no longer than this belong to the requests at peers that go before
-/// those here. Digests need a few milliseconds; a place that no peer has taken by then is one that its
-/// better requests cannot use.
-const YIELD_SPAN: Duration = Duration::from_millis(15);
-/// Time that an answer needs to reach a caller before it leaves.
-const LEAVE_MARGIN: Duration = Duration::from_millis(150);
 /// Placements repeated in each digest; more than a VM makes between a few digests.
 const PLACED_REPEATED: usize = 12;
 /// How fast the mean time in a place follows new ones.
@@ -74,100 +67,12 @@
     }
 }
 
-/// How far this VM's knowledge of the fleet reaches.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub struct FleetNews {
-    /// The version of the routes in force.
-    pub revision: Revision,
-    /// The newest news of the targets' registry, as its source numbers them.
-    pub registry: u64,
-    /// The number up to which all news of the registry have come.
-    pub registry_reached: u64,
-}
-
-/// Why a request that has not run is told to come back.
-#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq, strum::IntoStaticStr)]
-#[strum(serialize_all = "kebab-case")]
-pub enum RefusalReason {
-    /// The service has no target.
-    NoTarget,
-    /// The line is so long that its caller would have left before its turn.
-    Overload,
-    /// Its caller is about to leave, and it still waits.
-    OutOfTime,
-}
-
-/// Why a placed request is not under way any more.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum RunEnd {
-    /// The whole answer was passed on.
-    Whole,
-    /// The target failed it.
-    Failed,
-    /// The target was full or leaving, and said that it did not run.
-    TurnedAway,
-    /// The target could not be reached; nothing was sent.
-    Unreachable,
-    /// The caller left, or this VM gave it up.
-    Abandoned,
-}
-
-/// What the figures were that decided a placement.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct PlacingEvidence {
-    /// What was expected at the target chosen.
-    pub forecast: PlacingForecast,
-    /// Requests running there, of all VMs.
-    pub running: u32,
-    /// Requests waiting here.
-    pub line: usize,
-    /// Whether it had missed its objective already.
-    pub late: bool,
-}
-
-/// What to do about a waiting request.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Decision {
-    /// Send it to this target.
-    Place {
-        /// The request.
-        ticket: RequestSequence,
-        /// The target.
-        target: TargetEntry,
-        /// What decided.
-        evidence: PlacingEvidence,
-    },
-    /// Tell its caller to come back; it has not run.
-    Refuse {
-        /// The request.
-        ticket: RequestSequence,
-        /// Why.
-        reason: RefusalReason,
-        /// When to come back.
-        retry_after: Duration,
-        /// Requests that waited here.
-        line: usize,
-    },
-}
-
-/// The line of a service and how long its places are held.
-#[derive(Debug)]
-struct ServiceState {
-    key: ServiceKey,
-    line: WaitLine,
-    targets: Vec<TargetKey>,
-    /// The mean time that requests hold a place; none before any was observed.
-    hold: Option<Duration>,
-    /// Since when a place has been free while somebody waited.
-    free_since: Option<Moment>,
-}
-
 /// Schedules the requests of one entry VM onto the targets that all share.
 #[derive(Debug)]
 pub struct Scheduler {
     options: SchedulerOptions,
     rng: SmallRng,
-    services: BTreeMap<ServiceName, ServiceState>,
+    services: BTreeMap<ServiceName, ServiceLine>,
     targets: BTreeMap<TargetKey, TargetLoad>,
     runs: HashMap<RequestSequence, PlacedRun>,
     peers: PeerBoard,
@@ -351,11 +256,6 @@
         true
     }
 
-    /// Returns whether the budget of repeats permits one more run, and takes it.
-    pub fn permit_repeat(&mut self, now: Moment, service: &ServiceName) -> bool {
-        self.retries.take(now, service)
-    }
-
     fn join_line(&mut self, now: Moment, work: WaitingWork) {
         let service = work.service.clone();
         self.service_state(&service).line.push(work);
@@ -454,7 +354,12 @@
             self.targets.values().filter(|load| load.own_running() > 0 || load.has_learnt(now));
         LoadDigest {
             targets: told.map(|load| load.mark(now)).collect(),
-            waiting: self.wait_marks(now),
+            waiting: self
+                .services
+                .keys()
+                .filter_map(|name| self.view(now, name))
+                .flat_map(|view| view.wait_marks())
+                .collect(),
             placed: self.placed.iter().copied().collect(),
             brief: false,
             ..brief
@@ -486,14 +391,8 @@
         self.peers.heard_part(now)
     }
 
-    fn service_state(&mut self, service: &ServiceName) -> &mut ServiceState {
-        self.services.entry(service.clone()).or_insert_with(|| ServiceState {
-            key: ServiceKey::of(service),
-            line: WaitLine::default(),
-            targets: Vec::new(),
-            hold: None,
-            free_since: None,
-        })
+    fn service_state(&mut self, service: &ServiceName) -> &mut ServiceLine {
+        self.services.entry(service.clone()).or_insert_with(|| ServiceLine::new(service))
     }
 
     fn note_peers(&mut self, now: Moment) {
@@ -512,7 +411,7 @@
     /// Places and refuses what can be decided now.
     fn pump(&mut self, now: Moment, service: &ServiceName) {
         self.note_free(now, service);
-        while let Some(choice) = self.next_choice(now, service) {
+        while let Some(choice) = self.view(now, service).and_then(|view| view.next_choice()) {
             match choice {
                 LineChoice::Place { ticket, target, evidence } => {
                     self.place(now, service, ticket, target, evidence);
@@ -523,134 +422,12 @@
     }
 
     fn note_free(&mut self, now: Moment, service: &ServiceName) {
-        let Some(state) = self.services.get(service) else { return };
-        let free = self.usable(now, state).iter().any(|load| load.free_places(now) > 0);
+        let Some(view) = self.view(now, service) else { return };
+        let free = view.free_places() > 0;
         let state = self.service_state(service);
         state.free_since = state.free_since.filter(|_| free).or(free.then_some(now));
     }
 
-    /// Finds the first request in line about which something can be done.
-    fn next_choice(&self, now: Moment, service: &ServiceName) -> Option<LineChoice> {
-        let state = self.services.get(service).filter(|state| !state.line.is_empty())?;
-        let usable = self.usable(now, state);
-        let free: u32 = usable.iter().map(|load| load.free_places(now)).sum();
-        let line = state.line.len();
-        for (rank, work) in state.line.ordered(now, |work| self.best_first(work, &usable)) {
-            let ticket = work.ticket;
-            if now + LEAVE_MARGIN >= work.leave_at {
-                return Some(LineChoice::Refuse { ticket, reason: RefusalReason::OutOfTime });
-            }
-            if self.gives_way(now, state, work, &usable) {
-                return Some(LineChoice::Refuse { ticket, reason: RefusalReason::Overload });
-            }
-            if usable.is_empty() && state.targets.is_empty() {
-                return Some(LineChoice::Refuse { ticket, reason: RefusalReason::NoTarget });
-            }
-            if free == 0 || self.yields(now, state, rank, work, free) {
-                continue;
-            }
-            if let Some((load, forecast)) = self.choose(now, &usable, rank, work) {
-                let running = load.running(now);
-                let evidence = PlacingEvidence { forecast, running, line, late: rank.late };
-                return Some(LineChoice::Place { ticket, target: load.key(), evidence });
-            }
-        }
-        None
-    }
-
-    /// Returns the targets that may get new work.
-    fn usable(&self, now: Moment, state: &ServiceState) -> Vec<&TargetLoad> {
-        let loads = state.targets.iter().filter_map(|key| self.targets.get(key));
-        loads.filter(|load| !load.entry().leaving && !load.health().is_paused(now)).collect()
-    }
-
-    /// The time from a dispatch to the first event at the fastest target.
-    fn best_first(&self, work: &WaitingWork, usable: &[&TargetLoad]) -> Duration {
-        let first = |load: &&TargetLoad| match work.engine {
-            true => self.options.assumed.overhead + load.estimate().reading_time(work.prompt.0),
-            false => load.answer_time(),
-        };
-        usable.iter().map(first).min().unwrap_or_default()
-    }
-
-    /// Whether a request has missed its objective while others that can still meet theirs wait.
-    ///
-    /// It would stay behind all of those, and its caller would mostly be told at the end of its
-    /// patience what can be told now: of 1,082 refusals of a day with two bursts, 428 came after three
-    /// to four seconds. Told at once, and at its arrival where the line shows it, a caller comes back
-    /// when there is room: 0.69 to 0.72 of that day's requests were then served, and 0.64 before.
-    fn gives_way(
-        &self,
-        now: Moment,
-        state: &ServiceState,
-        work: &WaitingWork,
-        usable: &[&TargetLoad],
-    ) -> bool {
-        let best = self.best_first(work, usable);
-        let missed_at = work.objective_at.before(best);
-        if work.begun || missed_at <= work.arrived || now <= missed_at {
-            return false;
-        }
-        let can_meet =
-            |other: &WaitingWork| now + self.best_first(other, usable) <= other.objective_at;
-        state.line.iter().any(can_meet)
-            || self.peers.ahead(now, state.key, false, TierRank(u8::MAX), Duration::ZERO) > 0
-    }
-
-    /// Whether the free places belong to requests at peers that go before this one. A request that has
-    /// just come finds no better one only in the digests heard, so a place that is free while nobody
-    /// waits anywhere is taken at once.
-    fn yields(
-        &self,
-        now: Moment,
-        state: &ServiceState,
-        rank: LineRank,
-        work: &WaitingWork,
-        free: u32,
-    ) -> bool {
-        if state.free_since.is_none_or(|since| now.since(since) >= YIELD_SPAN) {
-            return false;
-        }
-        let waited = now.since(work.arrived);
-        self.peers.ahead(now, state.key, rank.late, rank.tier, waited) >= free
-    }
-
-    /// Chooses the target for a request, or nothing when it does better to wait.
-    fn choose<'a>(
-        &self,
-        now: Moment,
-        usable: &[&'a TargetLoad],
-        rank: LineRank,
-        work: &WaitingWork,
-    ) -> Option<(&'a TargetLoad, PlacingForecast)> {
-        let need = PlacingNeed {
-            engine: work.engine,
-            prompt: work.prompt,
-            part: work.part,
-            events: work.events,
-            objective_left: work.objective_at.since(now),
-            pause: work.pause,
-        };
-        let (own, assumed) = (&self.options.data_centre, &self.options.assumed);
-        let permitted = usable.iter().filter(|load| !work.excluded.contains(&load.key()));
-        let all = permitted.map(|load| (*load, placing::forecast(now, load, &need, own, assumed)));
-        let all: Vec<_> = all.collect();
-        let open = all.iter().filter(|(load, _)| load.free_places(now) > 0);
-        let best = open.min_by_key(|(load, it)| (!it.on_time, it.cost, load.key())).copied()?;
-        let (_, forecast) = best;
-        if forecast.on_time {
-            return Some(best);
-        }
-        // No free place serves it on time. One that is taken may yet; and a late answer to one caller is
-        // not worth the pauses of all whose streams run beside it.
-        let better = |it: &PlacingForecast| match rank.late {
-            true => it.keeps_pauses && !forecast.keeps_pauses,
-            false => it.on_time,
-        };
-        let worth_waiting = all.iter().any(|(load, it)| better(it) && load.free_places(now) == 0);
-        (!worth_waiting).then_some(best)
-    }
-
     fn place(
         &mut self,
         now: Moment,
@@ -689,7 +466,7 @@
         let line = self.services.get(service).map_or(0, |state| state.line.len());
         let wait = match reason {
             RefusalReason::NoTarget => NO_TARGET_RETRY,
-            _ => self.expected_wait(now, service, None),
+            _ => self.view(now, service).map_or(Duration::ZERO, |view| view.expected_wait(None)),
         };
         self.service_state(service).line.remove(ticket);
         let retry_after = self.spread(wait.clamp(RETRY_LEAST, RETRY_GREATEST));
@@ -697,72 +474,21 @@
         self.changed = true;
     }
 
-    /// Refuses a request that has just joined a line so long that it would miss its objective, or its
-    /// caller would have left before its turn: told at once, it can come back when the burst is over.
-    /// One that must miss its objective in any case, for the length of its prompt, is let in.
+    /// Refuses a request that has just joined a line behind which it has no hope.
     fn refuse_hopeless(&mut self, now: Moment, service: &ServiceName, ticket: RequestSequence) {
-        let Some(state) = self.services.get(service) else { return };
-        let Some(work) = state.line.iter().find(|work| work.ticket == ticket) else { return };
-        let usable = self.usable(now, state);
-        let best = self.best_first(work, &usable);
-        let rank = work.rank(now, best);
-        let wait = self.expected_wait(now, service, Some(rank));
-        let leaves = now + wait + best + LEAVE_MARGIN > work.leave_at;
-        let misses = !rank.late && !wait.is_zero() && now + wait + best > work.objective_at;
-        if leaves || misses {
+        let hopeless = self.view(now, service).is_some_and(|view| view.is_hopeless(ticket));
+        if hopeless {
             self.refuse(now, service, ticket, RefusalReason::Overload);
         }
     }
 
-    /// The time until a request of this rank, or of the last rank, gets a place. Nothing is expected
-    /// before any place was given back: a time that is only assumed is no ground to refuse anybody.
-    fn expected_wait(
-        &self,
-        now: Moment,
-        service: &ServiceName,
-        rank: Option<LineRank>,
-    ) -> Duration {
-        let Some(state) = self.services.get(service) else { return Duration::ZERO };
-        let usable = self.usable(now, state);
-        let places: u32 = usable.iter().map(|load| load.entry().slots).sum();
-        let own = state.line.ordered(now, |work| self.best_first(work, &usable));
-        let own = own.iter().filter(|(other, _)| rank.is_none_or(|rank| *other < rank)).count();
-        let peers = match rank {
-            Some(rank) => self.peers.ahead(now, state.key, rank.late, rank.tier, Duration::ZERO),
-            None => self.peers.waiting(now, state.key),
-        };
-        let ahead = u32::try_from(own).unwrap_or(u32::MAX).saturating_add(peers);
-        state.hold.unwrap_or_default().saturating_mul(ahead) / places.max(1)
+    /// Returns what can be seen of a service's line and targets.
+    fn view(&self, now: Moment, service: &ServiceName) -> Option<LineView<'_>> {
+        let state = self.services.get(service)?;
+        Some(LineView::new(now, state, &self.targets, &self.peers, &self.options))
     }
 
     fn spread(&mut self, wait: Duration) -> Duration {
         wait.mul_f64(1.0 + self.rng.random_range(0.0..RETRY_SPREAD))
     }
-
-    fn wait_marks(&self, now: Moment) -> Vec<WaitMark> {
-        let mut marks: BTreeMap<(ServiceKey, bool, TierRank), (u16, Duration)> = BTreeMap::new();
-        for state in self.services.values() {
-            let usable = self.usable(now, state);
-            for work in state.line.iter() {
-                let rank = work.rank(now, self.best_first(work, &usable));
-                let mark = marks.entry((state.key, rank.late, rank.tier)).or_default();
-                mark.0 = mark.0.saturating_add(1);
-                mark.1 = mark.1.max(now.since(work.arrived));
-            }
-        }
-        let told = marks.into_iter().map(|((service, late, tier), (count, oldest))| WaitMark {
-            service,
-            on_time: !late,
-            tier,
-            count,
-            oldest_ms: u16::try_from(oldest.as_millis()).unwrap_or(u16::MAX),
-        });
-        told.collect()
-    }
-}
-
-/// Something that can be done about a request in line.
-enum LineChoice {
-    Place { ticket: RequestSequence, target: TargetKey, evidence: PlacingEvidence },
-    Refuse { ticket: RequestSequence, reason: RefusalReason },
 }
--- a/crates/ryetide-core/tests/scheduler.rs
+++ b/crates/ryetide-core/tests/scheduler.rs
@@ -3,11 +3,12 @@
 use std::time::Duration;
 
 use ryetide_core::{
+    decision::{Decision, RefusalReason, RunEnd},
     ids::{Incarnation, RequestSequence, ServiceKey, ServiceName, TargetKey},
     load_digest::{DigestEnvelope, LoadDigest, TargetMark, WaitMark},
     pace::{AssumedPace, FadingMean, PaceReport},
     retry_budget::RetryRule,
-    scheduler::{Decision, RefusalReason, RunEnd, Scheduler, SchedulerOptions},
+    scheduler::{Scheduler, SchedulerOptions},
     target_load::TargetEntry,
     units::{Moment, TierRank, Tokens},
     wait_line::WaitingWork,
--- a/crates/ryetide-core/tests/scheduler_load.rs
+++ b/crates/ryetide-core/tests/scheduler_load.rs
@@ -11,10 +11,11 @@
 
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use ryetide_core::{
+    decision::{Decision, RunEnd},
     ids::{Incarnation, RequestSequence},
     pace::AssumedPace,
     retry_budget::RetryRule,
-    scheduler::{Decision, RunEnd, Scheduler, SchedulerOptions},
+    scheduler::{Scheduler, SchedulerOptions},
     target_load::TargetEntry,
     units::{Moment, TierRank, Tokens},
     wait_line::WaitingWork,
--- a/crates/ryetide-gateway/src/caller_answer.rs
+++ b/crates/ryetide-gateway/src/caller_answer.rs
@@ -17,7 +17,7 @@
     header::{self, HeaderValue},
 };
 
-use crate::{ports::HeaderNames, relay::RelayFault};
+use crate::{ports::HeaderNames, relay_fault::RelayFault};
 
 /// A stream of pieces on their way to a caller.
 pub type PieceStream = Pin<Box<dyn Stream<Item = Result<Bytes, RelayFault>>>>;
--- a/crates/ryetide-gateway/src/caller_listener.rs
+++ b/crates/ryetide-gateway/src/caller_listener.rs
@@ -19,8 +19,9 @@
 
 use crate::{
     caller_answer::{CallerResponse, OwnAnswer, OwnReason},
-    exchange::{self, CallerCall},
-    gateway::Gateway,
+    caller_service,
+    exchange::CallerCall,
+    gateway_state::Gateway,
     target_pool,
 };
 
@@ -95,7 +96,7 @@
     let arrived = gateway.hub().clock().now();
     let (head, body) = request.into_parts();
     let id = head.headers.get(&gateway.names().request_id).cloned();
-    let matched = exchange::match_route(gateway, &head);
+    let matched = caller_service::match_route(gateway, &head);
     let limit = gateway.fleet().routes().map(|routes| routes.bounds().body.0).unwrap_or_default();
     let read = match matched {
         Ok(matched) => read_body(body, limit).await.map(|body| (matched, body)),
@@ -104,7 +105,7 @@
     match read {
         Ok((matched, body)) => {
             let call = CallerCall { head, body, arrived };
-            exchange::serve(Rc::clone(gateway), matched, call).await
+            caller_service::serve(Rc::clone(gateway), matched, call).await
         }
         Err(answer) => gateway.answer_own(id.as_ref(), answer),
     }
--- /dev/null
+++ b/crates/ryetide-gateway/src/caller_service.rs
@@ -0,0 +1,142 @@
+//! Serving a caller: its route is found, its request is sent, and the answer is passed on.
+
+use std::{rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use hyper::{Response, StatusCode, Uri, header, http};
+use ryetide_core::{
+    decision::RunEnd,
+    route::{MatchedRoute, RouteFault},
+};
+
+use crate::{
+    call_template,
+    caller_answer::{AnswerBody, CallerResponse, OwnAnswer, OwnReason},
+    exchange::{CallerCall, DispatchEnd, Exchange},
+    gateway_state::Gateway,
+    relay::StreamRelay,
+    relay_fault::RelayFault,
+    target_answer::{self, TargetAnswer},
+};
+
+/// The largest answer that is read whole before it is passed on, so that one that breaks off can be
+/// asked for again. Larger ones break off towards their caller.
+const WHOLE_LIMIT: usize = 4 << 20;
+/// When to come back before any configuration is in force: one is read within about this time.
+const NO_CONFIGURATION_RETRY: Duration = Duration::from_millis(500);
+
+/// Finds the route of a request by its head.
+///
+/// # Errors
+///
+/// Returns why the gateway answers it itself.
+pub fn match_route(
+    gateway: &Gateway,
+    head: &http::request::Parts,
+) -> Result<MatchedRoute, OwnAnswer> {
+    let Some(routes) = gateway.fleet().routes() else {
+        return Err(OwnAnswer::new(OwnReason::NoConfiguration).with_retry(NO_CONFIGURATION_RETRY));
+    };
+    let host = head.headers.get(header::HOST).and_then(|value| value.to_str().ok());
+    let host = head.uri.host().or(host).ok_or(OwnAnswer::new(OwnReason::BadRequest))?;
+    let key = head.headers.get(&gateway.names().key).and_then(|value| value.to_str().ok());
+    routes.find(host, Uri::path(&head.uri), key).map_err(|fault| match fault {
+        RouteFault::NoRoute => OwnAnswer::new(OwnReason::NoRoute),
+        RouteFault::BadKey => OwnAnswer::new(OwnReason::BadKey),
+    })
+}
+
+/// Serves a request whose route is found and whose body is read.
+pub async fn serve(
+    gateway: Rc<Gateway>,
+    matched: MatchedRoute,
+    call: CallerCall,
+) -> CallerResponse {
+    let id = call.head.headers.get(&gateway.names().request_id).cloned();
+    let mut exchange = match Exchange::begin(&gateway, matched, call) {
+        Ok(exchange) => exchange,
+        Err(answer) => return gateway.answer_own(id.as_ref(), answer),
+    };
+    match exchange.run_first().await {
+        DispatchEnd::Own(answer) => exchange.answer_own(answer),
+        DispatchEnd::Answer(answer) => pass_on(exchange, *answer).await,
+    }
+}
+
+/// Passes an answer on: a stream as it comes, anything else once it is whole.
+async fn pass_on(exchange: Exchange, answer: TargetAnswer) -> CallerResponse {
+    if exchange.is_stream() && answer.head.status.is_success() {
+        pass_on_stream(exchange, answer).await
+    } else {
+        pass_on_whole(exchange, answer).await
+    }
+}
+
+async fn pass_on_stream(exchange: Exchange, answer: TargetAnswer) -> CallerResponse {
+    let head = answer.head.clone();
+    let mut relay = StreamRelay::new(exchange, answer);
+    match relay.next_piece().await {
+        Ok(first) => build_response(&head, AnswerBody::Pieces(relay.into_pieces(first))),
+        Err(RelayFault::TimedOut) => {
+            relay.into_exchange().answer_own(OwnAnswer::new(OwnReason::TimedOut))
+        }
+        Err(_) => relay.into_exchange().answer_own(OwnAnswer::new(OwnReason::TargetFailed)),
+    }
+}
+
+async fn pass_on_whole(mut exchange: Exchange, mut answer: TargetAnswer) -> CallerResponse {
+    // A failure that is the target's own is passed on when no other target does better.
+    let mut failure: Option<(http::response::Parts, Bytes)> = None;
+    loop {
+        let reading = target_answer::read_whole(&mut answer.body, WHOLE_LIMIT);
+        let read = tokio::time::timeout_at(exchange.timeout_at(), reading).await;
+        match read {
+            Err(_) => return exchange.answer_own(OwnAnswer::new(OwnReason::TimedOut)),
+            Ok(Ok(body)) if !answer.head.status.is_server_error() => {
+                let head = answer.head.clone();
+                exchange.note_piece();
+                exchange.finish(RunEnd::Whole);
+                exchange.keep_connection(answer);
+                return build_response(&head, AnswerBody::Whole(body));
+            }
+            Ok(Ok(body)) => {
+                let head = answer.head.clone();
+                exchange.note_target_fault(&answer.target, "failed");
+                exchange.keep_connection(answer);
+                failure = Some((head, body));
+            }
+            Ok(Err(fault)) => {
+                tracing::debug!(event = "answer-broken", peer = %answer.target.name, reason = %fault);
+                exchange.note_target_fault(&answer.target, "broken");
+            }
+        }
+        let run = exchange.run_again(None).await;
+        match (run, failure.take()) {
+            (DispatchEnd::Answer(next), kept) => {
+                answer = *next;
+                failure = kept;
+            }
+            (DispatchEnd::Own(..), Some((head, body))) if passes_on(head.status) => {
+                exchange.finish(RunEnd::Failed);
+                exchange.gateway().metrics().count_outcome("target-failure");
+                return build_response(&head, AnswerBody::Whole(body));
+            }
+            (DispatchEnd::Own(own), _) => return exchange.answer_own(own),
+        }
+    }
+}
+
+/// Whether a target's own failure may be passed on as it is: some statuses would promise that the
+/// request has not run, and it has.
+fn passes_on(status: StatusCode) -> bool {
+    status != StatusCode::SERVICE_UNAVAILABLE
+}
+
+fn build_response(head: &http::response::Parts, body: AnswerBody) -> CallerResponse {
+    let mut response = Response::new(body);
+    *response.status_mut() = head.status;
+    let mut headers = head.headers.clone();
+    call_template::strip_connection_headers(&mut headers);
+    *response.headers_mut() = headers;
+    response
+}
--- a/crates/ryetide-gateway/src/decision_log.rs
+++ b/crates/ryetide-gateway/src/decision_log.rs
@@ -8,8 +8,8 @@
 use std::{cell::RefCell, time::Duration};
 
 use ryetide_core::{
-    ids::VmName,
-    scheduler::{PlacingEvidence, RunEnd},
+    decision::{PlacingEvidence, RunEnd},
+    ids::{RequestSequence, VmName},
     target_load::TargetEntry,
     units::Revision,
 };
@@ -17,10 +17,7 @@
 use tracing_appender::non_blocking::{NonBlockingBuilder, WorkerGuard};
 use tracing_subscriber::{EnvFilter, layer::SubscriberExt, util::SubscriberInitExt};
 
-use crate::{
-    exchange::{ExchangeSpans, LogId},
-    target_pool::{ConnectFault, SendFault},
-};
+use crate::target_pool::{ConnectFault, SendFault};
 
 /// Lines a second that may be written on the long run: several for each of today's requests at one
 /// VM, at some 10 microseconds each under 0.3 % of a core.
@@ -32,6 +29,30 @@
 /// Lines that wait to be written; more are dropped.
 const LINES_BUFFERED: usize = 2_000;
 
+/// How logs name a request.
+#[derive(Clone, Copy, Debug)]
+pub struct LogId<'a> {
+    /// The id that the caller gave it.
+    pub id: &'a str,
+    /// Its number at this VM.
+    pub sequence: RequestSequence,
+    /// Its route.
+    pub route: &'a str,
+}
+
+/// How long the parts of a request took, from its arrival.
+#[derive(Clone, Copy, Debug)]
+pub struct ExchangeSpans {
+    /// Until it was first placed.
+    pub placed: Option<Duration>,
+    /// Until its first event, or its whole answer.
+    pub first: Option<Duration>,
+    /// The longest pause between two events.
+    pub longest_pause: Duration,
+    /// Until its end.
+    pub total: Duration,
+}
+
 /// Starts logging to standard output with `filter`, such as `info`. Lines go through a bounded buffer
 /// to a thread of their own, so that a reader who stalls costs lines and never holds up a request.
 ///
--- a/crates/ryetide-gateway/src/exchange.rs
+++ b/crates/ryetide-gateway/src/exchange.rs
@@ -8,15 +8,15 @@
 
 use bytes::Bytes;
 use hyper::{
-    Response, StatusCode, Uri,
+    StatusCode,
     header::{self, HeaderValue},
     http,
 };
 use ryetide_core::{
-    ids::{RequestSequence, ServiceName, TargetKey},
+    decision::{Decision, PlacingEvidence, RefusalReason, RunEnd},
+    ids::{ServiceName, TargetKey},
     quota::QuotaCharge,
-    route::{MatchedRoute, RouteFault, WorkKind},
-    scheduler::{Decision, PlacingEvidence, RefusalReason, RunEnd},
+    route::{MatchedRoute, WorkKind},
     target_load::TargetEntry,
     units::{Moment, Tokens},
     wait_line::WaitingWork,
@@ -24,27 +24,23 @@
 use tokio::time::Instant;
 
 use crate::{
-    call_template::{self, CallTemplate, CallTurn},
-    caller_answer::{AnswerBody, CallerResponse, OwnAnswer, OwnReason},
-    gateway::Gateway,
+    call_template::{CallTemplate, CallTurn},
+    caller_answer::{CallerResponse, OwnAnswer, OwnReason},
+    decision_log::{ExchangeSpans, LogId},
+    gateway_state::Gateway,
     ports::WorkSize,
-    relay::{RelayFault, StreamRelay},
+    relay_fault::RelayFault,
     scheduler_hub::RequestTicket,
     target_answer::{self, AnswerKind, TargetAnswer},
     target_pool::ConnectionChoice,
 };
 
-/// The largest answer that is read whole before it is passed on, so that one that breaks off can be
-/// asked for again. Larger ones break off towards their caller.
-const WHOLE_LIMIT: usize = 4 << 20;
 /// Work that may be repeated is tried elsewhere when nothing has come after this long...
 const HANG_LEAST: Duration = Duration::from_millis(300);
 /// ...or after this many times what was expected, whichever is longer.
 const HANG_FACTOR: u32 = 5;
 /// A stream's first event may take this long before the stream is tried elsewhere, at the least.
 const FIRST_EVENT_LEAST: Duration = Duration::from_millis(1_200);
-/// When to come back before any configuration is in force: one is read within about this time.
-const NO_CONFIGURATION_RETRY: Duration = Duration::from_millis(500);
 /// When to come back after the only target tried turned the request away.
 const TURNED_AWAY_RETRY: Duration = Duration::from_millis(500);
 /// Connections that may fail to open before a request is given up; each costs at most 300 ms.
@@ -107,42 +103,13 @@
     pub arrived: Moment,
 }
 
-/// Finds the route of a request by its head.
-///
-/// # Errors
-///
-/// Returns why the gateway answers it itself.
-pub fn match_route(
-    gateway: &Gateway,
-    head: &http::request::Parts,
-) -> Result<MatchedRoute, OwnAnswer> {
-    let Some(routes) = gateway.fleet().routes() else {
-        return Err(OwnAnswer::new(OwnReason::NoConfiguration).with_retry(NO_CONFIGURATION_RETRY));
-    };
-    let host = head.headers.get(header::HOST).and_then(|value| value.to_str().ok());
-    let host = head.uri.host().or(host).ok_or(OwnAnswer::new(OwnReason::BadRequest))?;
-    let key = head.headers.get(&gateway.names().key).and_then(|value| value.to_str().ok());
-    routes.find(host, Uri::path(&head.uri), key).map_err(|fault| match fault {
-        RouteFault::NoRoute => OwnAnswer::new(OwnReason::NoRoute),
-        RouteFault::BadKey => OwnAnswer::new(OwnReason::BadKey),
-    })
-}
-
-/// Serves a request whose route is found and whose body is read.
-pub async fn serve(
-    gateway: Rc<Gateway>,
-    matched: MatchedRoute,
-    call: CallerCall,
-) -> CallerResponse {
-    let id = call.head.headers.get(&gateway.names().request_id).cloned();
-    match Exchange::begin(&gateway, matched, call) {
-        Ok(exchange) => exchange.run().await,
-        Err(answer) => gateway.answer_own(id.as_ref(), answer),
-    }
-}
-
 impl Exchange {
-    fn begin(
+    /// Begins to serve a request: its cost is taken from its organisation's quota.
+    ///
+    /// # Errors
+    ///
+    /// Returns what the gateway answers itself.
+    pub fn begin(
         gateway: &Rc<Gateway>,
         matched: MatchedRoute,
         call: CallerCall,
@@ -189,6 +156,11 @@
         &self.gateway
     }
 
+    /// Returns whether the answer is to be passed on event by event.
+    pub fn is_stream(&self) -> bool {
+        self.matched.route.kind.is_stream()
+    }
+
     /// Returns whether another run is permitted by the route's kind.
     pub fn is_repeatable(&self) -> bool {
         self.matched.route.kind.is_repeatable()
@@ -210,15 +182,8 @@
         (expected * HANG_FACTOR).max(FIRST_EVENT_LEAST)
     }
 
-    async fn run(mut self) -> CallerResponse {
-        match self.run_first().await {
-            DispatchEnd::Own(answer) => self.answer_own(answer),
-            DispatchEnd::Answer(answer) => self.pass_on(*answer).await,
-        }
-    }
-
     /// Lets the request wait for its first place, and sends it.
-    async fn run_first(&mut self) -> DispatchEnd {
+    pub async fn run_first(&mut self) -> DispatchEnd {
         let work = self.work();
         let decision = self.ticket.enter(work).await;
         self.follow(decision, None).await
@@ -351,71 +316,8 @@
         }
     }
 
-    /// Passes an answer on: a stream as it comes, anything else once it is whole.
-    async fn pass_on(self, answer: TargetAnswer) -> CallerResponse {
-        if self.matched.route.kind.is_stream() && answer.head.status.is_success() {
-            self.pass_on_stream(answer).await
-        } else {
-            self.pass_on_whole(answer).await
-        }
-    }
-
-    async fn pass_on_stream(self, answer: TargetAnswer) -> CallerResponse {
-        let head = answer.head.clone();
-        let mut relay = StreamRelay::new(self, answer);
-        match relay.next_piece().await {
-            Ok(first) => build_response(&head, AnswerBody::Pieces(relay.into_pieces(first))),
-            Err(RelayFault::TimedOut) => {
-                relay.into_exchange().answer_own(OwnAnswer::new(OwnReason::TimedOut))
-            }
-            Err(_) => relay.into_exchange().answer_own(OwnAnswer::new(OwnReason::TargetFailed)),
-        }
-    }
-
-    async fn pass_on_whole(mut self, mut answer: TargetAnswer) -> CallerResponse {
-        // A failure that is the target's own is passed on when no other target does better.
-        let mut failure: Option<(http::response::Parts, Bytes)> = None;
-        loop {
-            let reading = target_answer::read_whole(&mut answer.body, WHOLE_LIMIT);
-            let read = tokio::time::timeout_at(self.timeout_at(), reading).await;
-            match read {
-                Err(_) => return self.answer_own(OwnAnswer::new(OwnReason::TimedOut)),
-                Ok(Ok(body)) if !answer.head.status.is_server_error() => {
-                    let head = answer.head.clone();
-                    self.note_piece();
-                    self.finish(RunEnd::Whole);
-                    self.keep_connection(answer);
-                    return build_response(&head, AnswerBody::Whole(body));
-                }
-                Ok(Ok(body)) => {
-                    let head = answer.head.clone();
-                    self.note_target_fault(&answer.target, "failed");
-                    self.keep_connection(answer);
-                    failure = Some((head, body));
-                }
-                Ok(Err(fault)) => {
-                    tracing::debug!(event = "answer-broken", peer = %answer.target.name, reason = %fault);
-                    self.note_target_fault(&answer.target, "broken");
-                }
-            }
-            let run = self.run_again(None).await;
-            match (run, failure.take()) {
-                (DispatchEnd::Answer(next), kept) => {
-                    answer = *next;
-                    failure = kept;
-                }
-                (DispatchEnd::Own(..), Some((head, body))) if passes_on(head.status) => {
-                    self.finish(RunEnd::Failed);
-                    self.gateway.metrics().count_outcome("target-failure");
-                    return build_response(&head, AnswerBody::Whole(body));
-                }
-                (DispatchEnd::Own(own), _) => return self.answer_own(own),
-            }
-        }
-    }
-
     /// Answers the caller itself.
-    fn answer_own(mut self, mut answer: OwnAnswer) -> CallerResponse {
+    pub fn answer_own(mut self, mut answer: OwnAnswer) -> CallerResponse {
         if self.attempts > 0 {
             answer = after_dispatch(answer);
         } else if answer.reason == OwnReason::TimedOut {
@@ -432,7 +334,7 @@
 
     /// Notes a piece of the answer.
     pub fn note_piece(&mut self) {
-        if self.matched.route.kind.is_stream() {
+        if self.is_stream() {
             self.ticket.note_event();
         }
         let now = self.gateway.hub().clock().now();
@@ -555,30 +457,6 @@
     }
 }
 
-/// How logs name a request.
-#[derive(Clone, Copy, Debug)]
-pub struct LogId<'a> {
-    /// The id that the caller gave it.
-    pub id: &'a str,
-    /// Its number at this VM.
-    pub sequence: RequestSequence,
-    /// Its route.
-    pub route: &'a str,
-}
-
-/// How long the parts of a request took, from its arrival.
-#[derive(Clone, Copy, Debug)]
-pub struct ExchangeSpans {
-    /// Until it was first placed.
-    pub placed: Option<Duration>,
-    /// Until its first event, or its whole answer.
-    pub first: Option<Duration>,
-    /// The longest pause between two events.
-    pub longest_pause: Duration,
-    /// Until its end.
-    pub total: Duration,
-}
-
 /// What may be said of a request that has been sent: it may have run, so nothing that promises
 /// otherwise, and no time to come back.
 fn after_dispatch(answer: OwnAnswer) -> OwnAnswer {
@@ -593,18 +471,3 @@
         RefusalReason::OutOfTime => OwnReason::OutOfTime,
     }
 }
-
-/// Whether a target's own failure may be passed on as it is: some statuses would promise that the
-/// request has not run, and it has.
-fn passes_on(status: StatusCode) -> bool {
-    status != StatusCode::SERVICE_UNAVAILABLE
-}
-
-fn build_response(head: &http::response::Parts, body: AnswerBody) -> CallerResponse {
-    let mut response = Response::new(body);
-    *response.status_mut() = head.status;
-    let mut headers = head.headers.clone();
-    call_template::strip_connection_headers(&mut headers);
-    *response.headers_mut() = headers;
-    response
-}
--- /dev/null
+++ b/crates/ryetide-gateway/src/fleet_duties.rs
@@ -0,0 +1,172 @@
+//! The tasks beside the callers': news of the fleet, the line, digests to peers, sweeping.
+
+use std::{collections::BTreeMap, rc::Rc, time::Duration};
+
+use ryetide_core::{
+    ids::VmName,
+    load_digest::{DigestEnvelope, LoadDigest},
+    scheduler::Scheduler,
+};
+use tokio::{
+    sync::{Notify, mpsc},
+    time::{self, Instant},
+};
+
+use crate::{
+    gateway_state::Gateway,
+    peer_link::PeerLink,
+    ports::{FleetUpdate, PeerEntry},
+};
+
+/// How often kept connections, entries that lapse and levels are looked at.
+const SWEEP_INTERVAL: Duration = Duration::from_millis(200);
+/// Sweeps in a row that find a peer with news not heard here before the feed is asked anew, and again.
+const BEHIND_SWEEPS: u32 = 3;
+/// The shortest time between two digests: under the time between two VMs' decisions at today's load,
+/// and a bound on what they cost.
+const DIGEST_LEAST: Duration = Duration::from_millis(6);
+/// The longest time between two digests.
+const DIGEST_GREATEST: Duration = Duration::from_millis(400);
+/// The time between two brief digests to peers of other cells; the short one while an organisation is
+/// near the end of its quota, which all VMs must then count together.
+const BRIEF_INTERVAL: Duration = Duration::from_millis(1_000);
+const BRIEF_SHORT: Duration = Duration::from_millis(300);
+
+/// Takes news of the fleet.
+pub async fn take_updates(gateway: Rc<Gateway>, mut updates: mpsc::Receiver<FleetUpdate>) {
+    while let Some(update) = updates.recv().await {
+        match update {
+            FleetUpdate::Routes(routes) => {
+                let (revision, count) = (routes.revision(), routes.route_count());
+                if gateway.fleet().adopt(routes) {
+                    tracing::info!(event = "routes-in-force", %revision, routes = count);
+                } else {
+                    tracing::debug!(event = "routes-passed-over", %revision);
+                }
+            }
+            FleetUpdate::Targets(update, newest) => {
+                let now = gateway.hub().clock().now();
+                gateway.fleet().registry().borrow_mut().take(now, update);
+                gateway.fleet().registry().borrow_mut().note_newest(newest);
+                refresh_targets(&gateway);
+            }
+            FleetUpdate::TargetsReached(number) => {
+                gateway.fleet().registry().borrow_mut().note_reached(number);
+            }
+            FleetUpdate::Peers(listed) => {
+                let own = gateway.settings().borrow().name.clone();
+                let others = listed.into_iter().filter(|peer| peer.name != own);
+                let others: BTreeMap<VmName, PeerEntry> =
+                    others.map(|peer| (peer.name.clone(), peer)).collect();
+                let names: Vec<VmName> = others.keys().cloned().collect();
+                *gateway.peers().borrow_mut() = others;
+                gateway.hub().with(|scheduler, now| scheduler.list_peers(now, &names));
+            }
+        }
+    }
+}
+
+/// Lets the scheduler do what falls due, and tells peers what has changed.
+pub async fn schedule(gateway: Rc<Gateway>, link: Rc<PeerLink>) {
+    let mut told = Instant::now();
+    let mut told_briefly = told;
+    let mut pending = false;
+    loop {
+        let now = gateway.hub().clock().now();
+        let wake = gateway.hub().peek(|scheduler| scheduler.next_wake(now));
+        pending |= gateway.hub().peek_mut(Scheduler::take_changed);
+        let wait = if pending { DIGEST_LEAST } else { DIGEST_GREATEST };
+        let digest_at = told + wait;
+        let line_at = wake.map(|wake| gateway.hub().clock().instant(wake));
+        let until = line_at.map_or(digest_at, |line_at| line_at.min(digest_at));
+        tokio::select! {
+            () = time::sleep_until(until) => {}
+            () = gateway.hub().rung() => {}
+        }
+        if line_at.is_some_and(|at| Instant::now() >= at) {
+            gateway.hub().with(Scheduler::advance);
+        }
+        if Instant::now() >= digest_at {
+            told = Instant::now();
+            pending = false;
+            tell_mates(&gateway, &link, false).await;
+        }
+        let short = gateway.hub().peek(Scheduler::is_quota_short);
+        let interval = if short { BRIEF_SHORT } else { BRIEF_INTERVAL };
+        if told_briefly.elapsed() >= interval {
+            told_briefly = Instant::now();
+            gateway.hub().with(Scheduler::plan_cells);
+            tell_others(&gateway, &link, false).await;
+        }
+    }
+}
+
+/// Closes kept connections, drops entries that lapse, and brings levels up to date.
+pub async fn sweep(gateway: Rc<Gateway>, nudge: Rc<Notify>) {
+    let mut behind = 0;
+    let mut ticks = time::interval(SWEEP_INTERVAL);
+    ticks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        gateway.pool().sweep();
+        refresh_targets(&gateway);
+        behind = if is_behind(&gateway) { behind + 1 } else { 0 };
+        if behind > 0 && behind % BEHIND_SWEEPS == 0 {
+            tracing::info!(event = "feed-nudged", revision = %gateway.fleet().revision());
+            nudge.notify_waiters();
+        }
+        let (waiting, running) =
+            gateway.hub().peek(|scheduler| (scheduler.waiting(), scheduler.running()));
+        let revision = gateway.fleet().revision().0;
+        gateway.metrics().set_levels(waiting, running, revision, gateway.fleet().target_count());
+    }
+}
+
+/// Returns whether a peer has news that have not come here.
+fn is_behind(gateway: &Gateway) -> bool {
+    let (now, news) = (gateway.hub().clock().now(), gateway.fleet().news());
+    gateway.hub().peek(|scheduler| scheduler.peers_know_more(now, news))
+}
+
+fn refresh_targets(gateway: &Gateway) {
+    let now = gateway.hub().clock().now();
+    let Some(targets) = gateway.fleet().refresh_targets(now) else { return };
+    let leaving = targets.iter().filter(|target| target.leaving).count();
+    tracing::info!(event = "targets-changed", targets = targets.len(), leaving);
+    gateway.hub().with(|scheduler, now| scheduler.set_targets(now, targets));
+}
+
+/// Tells the peers of this VM's cell everything.
+pub async fn tell_mates(gateway: &Gateway, link: &PeerLink, leaving: bool) {
+    let mates = listed_peers(gateway, true);
+    if mates.is_empty() {
+        return;
+    }
+    let (now, news) = (gateway.hub().clock().now(), gateway.fleet().news());
+    let digest = gateway.hub().peek_mut(|scheduler| scheduler.digest(now, news, leaving));
+    send_digest(gateway, link, digest, &mates).await;
+}
+
+/// Tells the peers of other cells what must be known everywhere.
+pub async fn tell_others(gateway: &Gateway, link: &PeerLink, leaving: bool) {
+    let others = listed_peers(gateway, false);
+    if others.is_empty() {
+        return;
+    }
+    let news = gateway.fleet().news();
+    let digest = gateway.hub().peek_mut(|scheduler| scheduler.brief_digest(news, leaving));
+    send_digest(gateway, link, digest, &others).await;
+}
+
+async fn send_digest(gateway: &Gateway, link: &PeerLink, digest: LoadDigest, peers: &[PeerEntry]) {
+    let from = gateway.settings().borrow().name.clone();
+    let envelope = DigestEnvelope { from, digest };
+    link.send(&envelope, peers).await;
+}
+
+/// Returns the listed peers that are of this VM's cell, or those that are not.
+fn listed_peers(gateway: &Gateway, mates: bool) -> Vec<PeerEntry> {
+    let peers = gateway.peers().borrow();
+    let is_mate = |peer: &&PeerEntry| gateway.hub().peek(|scheduler| scheduler.is_mate(&peer.name));
+    peers.values().filter(|peer| is_mate(peer) == mates).cloned().collect()
+}
--- a/crates/ryetide-gateway/src/fleet_view.rs
+++ b/crates/ryetide-gateway/src/fleet_view.rs
@@ -4,8 +4,8 @@
 
 use ryetide_core::{
     ids::ServiceName,
+    load_digest::FleetNews,
     route::{EngineProfile, RouteTable},
-    scheduler::FleetNews,
     target_load::TargetEntry,
     target_registry::TargetRegistry,
     units::Revision,
--- a/crates/ryetide-gateway/src/lib.rs
+++ b/crates/ryetide-gateway/src/lib.rs
@@ -15,9 +15,9 @@
 //! | module | what it is |
 //! |---|---|
 //! | [`ports`] | what a platform must provide, and what it is told |
-//! | [`gateway`] | a whole gateway: its tasks, its start and its end |
-//! | [`caller_listener`], [`exchange`], [`caller_answer`] | callers |
-//! | [`call_template`], [`target_pool`], [`target_answer`], [`relay`], [`event_scanner`] | targets |
+//! | [`gateway`], [`gateway_state`], [`fleet_duties`] | a whole gateway: its start and end, what its tasks share, the tasks beside the callers' |
+//! | [`caller_listener`], [`caller_service`], [`exchange`], [`caller_answer`] | callers |
+//! | [`call_template`], [`target_pool`], [`target_answer`], [`relay`], [`relay_fault`], [`event_scanner`] | targets |
 //! | [`scheduler_hub`], [`fleet_view`] | the scheduler and what it schedules onto |
 //! | [`peer_link`] | the other entry VMs |
 //! | [`gateway_text`], [`file_feed`], [`own_headers`] | a gateway without a platform |
@@ -26,18 +26,22 @@
 pub mod call_template;
 pub mod caller_answer;
 pub mod caller_listener;
+pub mod caller_service;
 pub mod decision_log;
 pub mod event_scanner;
 pub mod exchange;
 pub mod file_feed;
+pub mod fleet_duties;
 pub mod fleet_view;
 pub mod gateway;
 pub mod gateway_metrics;
+pub mod gateway_state;
 pub mod gateway_text;
 pub mod own_headers;
 pub mod peer_link;
 pub mod ports;
 pub mod relay;
+pub mod relay_fault;
 pub mod scheduler_hub;
 pub mod status_port;
 pub mod target_answer;
--- a/crates/ryetide-gateway/src/peer_link.rs
+++ b/crates/ryetide-gateway/src/peer_link.rs
@@ -12,7 +12,7 @@
 use tokio::net::UdpSocket;
 
 use crate::{
-    gateway::Gateway,
+    gateway_state::Gateway,
     ports::{PeerEntry, PeerSecret},
 };
 
--- a/crates/ryetide-gateway/src/relay.rs
+++ b/crates/ryetide-gateway/src/relay.rs
@@ -9,12 +9,13 @@
 use bytes::Bytes;
 use futures_util::stream;
 use http_body_util::BodyExt;
-use ryetide_core::scheduler::RunEnd;
+use ryetide_core::decision::RunEnd;
 
 use crate::{
     caller_answer::PieceStream,
     event_scanner::EventScanner,
     exchange::{DispatchEnd, Exchange},
+    relay_fault::RelayFault,
     target_answer::TargetAnswer,
 };
 
@@ -22,21 +23,6 @@
 /// the longest pause that is on time, and well before callers leave.
 const SILENCE_LIMIT: Duration = Duration::from_millis(1_500);
 
-/// Why a stream ends before its end.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error, strum::IntoStaticStr)]
-#[strum(serialize_all = "kebab-case")]
-pub enum RelayFault {
-    /// The target broke off.
-    #[error("the target broke off")]
-    Broken,
-    /// The target has fallen silent.
-    #[error("the target has fallen silent")]
-    Silent,
-    /// The route's time is over.
-    #[error("the route's time is over")]
-    TimedOut,
-}
-
 /// A stream under way.
 pub struct StreamRelay {
     exchange: Exchange,
--- a/crates/ryetide-gateway/src/scheduler_hub.rs
+++ b/crates/ryetide-gateway/src/scheduler_hub.rs
@@ -7,8 +7,9 @@
 };
 
 use ryetide_core::{
+    decision::{Decision, RunEnd},
     ids::RequestSequence,
-    scheduler::{Decision, RunEnd, Scheduler},
+    scheduler::Scheduler,
     units::Moment,
     wait_line::WaitingWork,
 };
--- a/crates/ryetide-gateway/src/status_port.rs
+++ b/crates/ryetide-gateway/src/status_port.rs
@@ -8,7 +8,7 @@
 use hyper_util::rt::TokioIo;
 use tokio::{net::TcpListener, task, time};
 
-use crate::gateway::Gateway;
+use crate::gateway_state::Gateway;
 
 /// The path that balancers ask.
 pub const READY_PATH: &str = "/ready";
