Keep to the cell also before any peer is heard

Ruled out: the store's rates (9,282 calls in 60 s, 1,200 and 6,000 a second are permitted). Listed peers count as members of cells for 5 s now, with the data centre that their rows tell. Test: a_vm_that_has_heard_nobody_yet_keeps_to_its_cell (69 mates before).

--- a/crates/ryetide-core/src/peer_board.rs
+++ b/crates/ryetide-core/src/peer_board.rs
@@ -47,13 +47,20 @@
 /// How many VMs there are believed to be before the list of them was read: the most of one cell.
 const UNLISTED_COUNT: usize = 12;
 
+/// A peer of which only the list tells.
+#[derive(Clone, Debug)]
+struct UnheardPeer {
+    since: Moment,
+    data_centre: DataCentreName,
+}
+
 /// The peers of this VM.
 #[derive(Debug, Default)]
 pub struct PeerBoard {
     notes: BTreeMap<VmName, PeerNote>,
     /// Peers that are listed and have not been heard yet, with the time at which they were listed
     /// first. None before the list was read.
-    unheard: Option<BTreeMap<VmName, Moment>>,
+    unheard: Option<BTreeMap<VmName, UnheardPeer>>,
 }
 
 impl PeerBoard {
@@ -86,11 +93,15 @@
     /// Takes the list of peers. Those that are listed count before they are heard: after all VMs were
     /// killed at once, each that counted only whom it hears would take itself for the only one, and
     /// let all callers of an organisation use its whole quota.
-    pub fn list(&mut self, now: Moment, listed: &[VmName]) {
+    pub fn list(&mut self, now: Moment, listed: &[CellMember]) {
         let before = self.unheard.take().unwrap_or_default();
-        let unheard = listed.iter().filter(|name| !self.notes.contains_key(*name));
-        let since = |name: &VmName| before.get(name).copied().unwrap_or(now);
-        self.unheard = Some(unheard.map(|name| (name.clone(), since(name))).collect());
+        let unheard = listed.iter().filter(|member| !self.notes.contains_key(&member.name));
+        let peer = |member: &CellMember| {
+            let since = before.get(&member.name).map_or(now, |peer| peer.since);
+            let data_centre = member.data_centre.clone();
+            (member.name.clone(), UnheardPeer { since, data_centre })
+        };
+        self.unheard = Some(unheard.map(peer).collect());
     }
 
     /// Returns how many entry VMs count as serving, this one included.
@@ -98,17 +109,25 @@
         let serving = self.notes.values().filter(|it| !it.leaving);
         let known = serving.filter(|note| now.since(note.heard) < KNOWN_SPAN).count() + 1;
         let Some(unheard) = &self.unheard else { return known.max(UNLISTED_COUNT) };
-        known + unheard.values().filter(|since| now.since(**since) < KNOWN_SPAN).count()
+        known + unheard.values().filter(|peer| now.since(peer.since) < KNOWN_SPAN).count()
     }
 
-    /// Returns the peers that count as serving, as far as cells go.
+    /// Returns the peers that count as serving, as far as cells go: those heard lately, and those just
+    /// listed. After all VMs were killed at once nobody is heard, and VMs that told everything to all
+    /// of 69 others would have no processor time left to hear any.
     pub fn members(&self, now: Moment) -> Vec<CellMember> {
         let serving = self.notes.iter().filter(|(_, note)| !note.leaving);
         let lately = serving.filter(|(_, note)| now.since(note.heard) < MEMBER_SPAN);
         let member = |(name, note): (&VmName, &PeerNote)| {
             Some(CellMember { name: name.clone(), data_centre: note.data_centre.clone()? })
         };
-        lately.filter_map(member).collect()
+        let unheard = self.unheard.iter().flatten();
+        let listed = unheard.filter(|(_, peer)| now.since(peer.since) < MEMBER_SPAN);
+        let unheard_member = |(name, peer): (&VmName, &UnheardPeer)| CellMember {
+            name: name.clone(),
+            data_centre: peer.data_centre.clone(),
+        };
+        lately.filter_map(member).chain(listed.map(unheard_member)).collect()
     }
 
     /// Returns the part of the serving entry VMs that is heard, this one included.
--- a/crates/ryetide-core/src/scheduler.rs
+++ b/crates/ryetide-core/src/scheduler.rs
@@ -179,9 +179,10 @@
     }
 
     /// Takes the list of the other entry VMs.
-    pub fn list_peers(&mut self, now: Moment, listed: &[VmName]) {
+    pub fn list_peers(&mut self, now: Moment, listed: &[CellMember]) {
         self.peers.list(now, listed);
         self.note_peers(now);
+        self.plan_cells(now);
     }
 
     /// Takes a peer's digest.
--- a/crates/ryetide-core/tests/quota.rs
+++ b/crates/ryetide-core/tests/quota.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use ryetide_core::{
+    cell_plan::CellMember,
     ids::{OrganisationKey, ServiceName, VmName},
     peer_board::PeerBoard,
     quota::{QuotaCharge, QuotaLedger, QuotaRule, QuotaUnit},
@@ -86,13 +87,17 @@
 /// the only one: together they may let through one burst and one second's rate.
 #[test]
 fn vms_that_start_together_share_the_quota_before_they_hear_each_other() {
-    let names: Vec<VmName> = (0..8).map(|index| format!("e{index}").as_str().into()).collect();
+    let member = |index| CellMember {
+        name: format!("e{index}").as_str().into(),
+        data_centre: "hall-a".into(),
+    };
+    let listed: Vec<CellMember> = (0..8).map(member).collect();
     let mut passed = 0;
     for _ in 0..9 {
         let mut board = PeerBoard::default();
         let mut ledger = QuotaLedger::default();
         let start = Moment::from_millis(1);
-        board.list(start, &names);
+        board.list(start, &listed);
         ledger.set_heard_part(board.heard_part(start));
         for step in 0..100_u64 {
             let now = Moment::from_millis(1 + step * 10);
--- a/crates/ryetide-core/tests/scheduler.rs
+++ b/crates/ryetide-core/tests/scheduler.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use ryetide_core::{
+    cell_plan::CellMember,
     decision::{Decision, RefusalReason, RunEnd},
     ids::{Incarnation, RequestSequence, ServiceKey, ServiceName, TargetKey},
     load_digest::{DigestEnvelope, LoadDigest, TargetMark, WaitMark},
@@ -324,3 +325,19 @@
     bench.end(at(1_500), 1);
     assert_eq!(bench.placed(), [(late, "t1".to_owned())]);
 }
+
+/// Seventy VMs are killed at once and start again. None has heard another yet; the list says who they
+/// are. Each tells everything to the few of its cell only: to tell 69 others of every change would take
+/// more processor time than a small VM has, and nobody would ever be heard.
+#[test]
+fn a_vm_that_has_heard_nobody_yet_keeps_to_its_cell() {
+    let mut bench = Bench::new(&[("t1", 2)]);
+    let member = |index: usize| CellMember {
+        name: format!("e{index}").as_str().into(),
+        data_centre: ["hall-a", "hall-b", "hall-c"][index % 3].into(),
+    };
+    let listed: Vec<CellMember> = (2..71).map(member).collect();
+    bench.scheduler.list_peers(at(0), &listed);
+    let mates = listed.iter().filter(|peer| bench.scheduler.is_mate(&peer.name)).count();
+    assert!((5..=10).contains(&mates), "{mates} mates");
+}
--- a/crates/ryetide-gateway/src/fleet_duties.rs
+++ b/crates/ryetide-gateway/src/fleet_duties.rs
@@ -3,6 +3,7 @@
 use std::{collections::BTreeMap, rc::Rc, time::Duration};
 
 use ryetide_core::{
+    cell_plan::CellMember,
     ids::VmName,
     load_digest::{DigestEnvelope, LoadDigest},
     scheduler::Scheduler,
@@ -58,9 +59,13 @@
                 let others = listed.into_iter().filter(|peer| peer.name != own);
                 let others: BTreeMap<VmName, PeerEntry> =
                     others.map(|peer| (peer.name.clone(), peer)).collect();
-                let names: Vec<VmName> = others.keys().cloned().collect();
+                let member = |peer: &PeerEntry| CellMember {
+                    name: peer.name.clone(),
+                    data_centre: peer.data_centre.clone(),
+                };
+                let members: Vec<CellMember> = others.values().map(member).collect();
                 *gateway.peers().borrow_mut() = others;
-                gateway.hub().with(|scheduler, now| scheduler.list_peers(now, &names));
+                gateway.hub().with(|scheduler, now| scheduler.list_peers(now, &members));
             }
         }
     }
--- a/crates/ryetide-gateway/src/gateway.rs
+++ b/crates/ryetide-gateway/src/gateway.rs
@@ -154,6 +154,7 @@
     let incarnation = Incarnation(rand::rng().random());
     let own = PeerEntry {
         name: settings.name.clone(),
+        data_centre: settings.data_centre.clone(),
         address: settings.peers,
         secret: rand::rng().random(),
     };
--- a/crates/ryetide-gateway/src/gateway_text.rs
+++ b/crates/ryetide-gateway/src/gateway_text.rs
@@ -133,10 +133,11 @@
     node: TextNode<'_>,
     secret: PeerSecret,
 ) -> Option<PeerEntry> {
-    reader.mapping(node, &["name", "address"]);
+    reader.mapping(node, &["name", "data-centre", "address"]);
     let name = reader.required(node, "name", FaultReader::name);
+    let data_centre = reader.required(node, "data-centre", FaultReader::name);
     let address = reader.required(node, "address", read_address);
-    Some(PeerEntry { name: name?, address: address?, secret })
+    Some(PeerEntry { name: name?, data_centre: data_centre?, address: address?, secret })
 }
 
 fn read_retry(reader: &mut FaultReader, node: TextNode<'_>) -> Option<RetryRule> {
--- a/crates/ryetide-gateway/src/ports.rs
+++ b/crates/ryetide-gateway/src/ports.rs
@@ -102,6 +102,8 @@
 pub struct PeerEntry {
     /// Its name.
     pub name: VmName,
+    /// Its data centre.
+    pub data_centre: DataCentreName,
     /// Where it takes digests.
     pub address: net::SocketAddr,
     /// The key of its digests.
