Undo the last import circles of the core

MessageSender stands with the messages, the scheduler's options by themselves; no two files of the project import each other now. The crate page lists the modules of routed requests. No behaviour changes.

--- a/crates/ryetide-core/src/entry.rs
+++ b/crates/ryetide-core/src/entry.rs
@@ -25,7 +25,7 @@
     event::{Effect, EffectBuffer, Event, ListedVm, Notice, TableAnswer},
     ids::{DataCentreName, Incarnation, RequestSequence, ScopeKey, TableToken, TargetKey, VmName},
     membership::PeerTable,
-    message::LifeMark,
+    message::{LifeMark, MessageSender},
     request::RequestTable,
     safeguard::SafeguardSwitches,
     units::{Moment, Revision},
@@ -238,12 +238,7 @@
                 }
             }
             Event::PeerMessage { from, incarnation, address, data_centre, message } => {
-                let sender = crate::entry_peer::MessageSender {
-                    name: from,
-                    incarnation,
-                    address,
-                    data_centre,
-                };
+                let sender = MessageSender { name: from, incarnation, address, data_centre };
                 self.peer_message(now, &sender, message, effects);
             }
             Event::ListRead(listed) => self.list_read(now, &listed, effects),
--- a/crates/ryetide-core/src/entry_peer.rs
+++ b/crates/ryetide-core/src/entry_peer.rs
@@ -1,29 +1,19 @@
 //! Meeting the other entry VMs: heartbeats, the arbiter's side of asks, configuration, outcomes.
 
-use std::{net, time::Duration};
+use std::time::Duration;
 
 use crate::{
     entry::EntryCore,
     event::{Effect, EffectBuffer, Notice},
-    ids::{DataCentreName, Incarnation, VmName},
     message::{
-        self, AskMessage, AskRef, HeartbeatMessage, HoldingMessage, PeerMessage, RefuseMessage,
-        RefuseReason, ReleaseMessage,
+        self, AskMessage, AskRef, HeartbeatMessage, HoldingMessage, MessageSender, PeerMessage,
+        RefuseMessage, RefuseReason, ReleaseMessage,
     },
     request::SlotSource,
     units::Moment,
     verdict::{AskKey, SlotAsk},
 };
 
-/// The sender of a message.
-#[derive(Clone, Debug)]
-pub(crate) struct MessageSender {
-    pub(crate) name: VmName,
-    pub(crate) incarnation: Incarnation,
-    pub(crate) address: net::SocketAddr,
-    pub(crate) data_centre: DataCentreName,
-}
-
 impl EntryCore {
     /// Takes a message from a peer.
     pub(crate) fn peer_message(
--- a/crates/ryetide-core/src/lib.rs
+++ b/crates/ryetide-core/src/lib.rs
@@ -28,6 +28,10 @@
 //! | [`arbiter`], [`verdict`], [`queue`], [`estimate`], [`affinity`], [`retry`] | order and placement |
 //! | [`membership`] | peers, and who arbitrates what |
 //! | [`claim`], [`configuration`], [`request`] | what must not go wrong |
+//! | [`route`], [`route_text`], [`quota`], [`retry_budget`] | routed requests: where they go, what they may cost |
+//! | [`scheduler`], [`scheduler_options`], [`line_view`], [`wait_line`], [`decision`] | the order and refusal of routed requests |
+//! | [`placing`], [`target_load`], [`target_health`], [`pace`], [`prompt_memory`] | where they are placed |
+//! | [`load_digest`], [`peer_board`], [`cell_plan`], [`target_registry`] | what entry VMs tell each other, and which targets there are |
 //! | [`safeguard`] | switches that let tests show what each safeguard prevents |
 //! | [`ids`], [`units`] | newtypes |
 
@@ -64,6 +68,7 @@
 pub mod route_text;
 pub mod safeguard;
 pub mod scheduler;
+pub mod scheduler_options;
 pub mod target_health;
 pub mod target_load;
 pub mod target_registry;
--- a/crates/ryetide-core/src/line_view.rs
+++ b/crates/ryetide-core/src/line_view.rs
@@ -11,7 +11,7 @@
     load_digest::WaitMark,
     peer_board::PeerBoard,
     placing::{self, PlacingForecast, PlacingNeed},
-    scheduler::SchedulerOptions,
+    scheduler_options::SchedulerOptions,
     target_load::TargetLoad,
     units::{Moment, TierRank},
     wait_line::{LineRank, WaitLine, WaitingWork},
--- a/crates/ryetide-core/src/message.rs
+++ b/crates/ryetide-core/src/message.rs
@@ -5,12 +5,14 @@
 //! variant is never changed or removed; a frame that cannot be decoded is counted and skipped, and
 //! bytes after a decoded body are ignored. `tests/message.rs` holds frozen frames of version 1.
 
+use std::net;
+
 use serde::{Deserialize, Serialize};
 
 use crate::{
     ids::{
-        DataCentreKey, OperationId, OrganisationKey, RequestId, RequestSequence, ScopeKey,
-        ServiceKey, TargetKey,
+        DataCentreKey, DataCentreName, Incarnation, OperationId, OrganisationKey, RequestId,
+        RequestSequence, ScopeKey, ServiceKey, TargetKey, VmName,
     },
     units::{Revision, TierRank, Tokens},
 };
@@ -18,6 +20,19 @@
 /// The version that this code writes.
 pub const WIRE_VERSION: u8 = 1;
 
+/// The sender of a message, as its connection made it known.
+#[derive(Clone, Debug)]
+pub struct MessageSender {
+    /// Its name.
+    pub name: VmName,
+    /// Its life.
+    pub incarnation: Incarnation,
+    /// Where it listens.
+    pub address: net::SocketAddr,
+    /// Its data centre.
+    pub data_centre: DataCentreName,
+}
+
 /// A frame that this code cannot read.
 #[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
 pub enum FrameError {
--- a/crates/ryetide-core/src/scheduler.rs
+++ b/crates/ryetide-core/src/scheduler.rs
@@ -18,13 +18,13 @@
 use crate::{
     cell_plan::{CellMember, CellPlan},
     decision::{Decision, PlacingEvidence, RefusalReason, RunEnd},
-    ids::{DataCentreName, Incarnation, RequestSequence, ServiceName, TargetKey, VmName},
+    ids::{RequestSequence, ServiceName, TargetKey, VmName},
     line_view::{LineChoice, LineView, ServiceLine},
     load_digest::{DigestEnvelope, FleetNews, LoadDigest, PlacedPrompt},
-    pace::AssumedPace,
     peer_board::{DigestChange, PeerBoard},
     quota::{QuotaCharge, QuotaLedger, QuotaRule},
     retry_budget::{RetryBudget, RetryRule},
+    scheduler_options::SchedulerOptions,
     target_load::{TargetEntry, TargetLoad},
     units::{Moment, Tokens},
     wait_line::WaitingWork,
@@ -44,29 +44,6 @@
 /// When to come back to a service none of whose targets is known.
 const NO_TARGET_RETRY: Duration = Duration::from_secs(1);
 
-/// What a scheduler is told when it starts.
-#[derive(Clone, Debug)]
-pub struct SchedulerOptions {
-    /// This VM.
-    pub name: VmName,
-    /// Its data centre.
-    pub data_centre: DataCentreName,
-    /// This life of its process.
-    pub incarnation: Incarnation,
-    /// The seed of its randomness.
-    pub seed: u64,
-    /// How much may be repeated.
-    pub retry: RetryRule,
-    /// What is assumed of targets before anything was observed.
-    pub assumed: AssumedPace,
-}
-
-impl SchedulerOptions {
-    fn member(&self) -> CellMember {
-        CellMember { name: self.name.clone(), data_centre: self.data_centre.clone() }
-    }
-}
-
 /// Schedules the requests of one entry VM onto the targets that all share.
 #[derive(Debug)]
 pub struct Scheduler {
--- a/crates/ryetide-gateway/src/gateway.rs
+++ b/crates/ryetide-gateway/src/gateway.rs
@@ -10,9 +10,7 @@
 use rand::Rng;
 use ryetide::error::StepError;
 use ryetide_core::{
-    ids::Incarnation,
-    pace::AssumedPace,
-    scheduler::{Scheduler, SchedulerOptions},
+    ids::Incarnation, pace::AssumedPace, scheduler::Scheduler, scheduler_options::SchedulerOptions,
 };
 use tokio::{
     net::{TcpListener, UdpSocket},
