--- a/crates/ryetide-core/src/prompt_memory.rs
+++ b/crates/ryetide-core/src/prompt_memory.rs
@@ -14,10 +14,9 @@
 
 /// Prompts are remembered this long after their last use.
 const MEMORY_SPAN: Duration = Duration::from_secs(60);
-/// The part of an engine's memory that is reckoned to hold prompts that are not in use.
-const MEMORY_PART: f64 = 0.6;
-/// Prompts remembered when the engine's memory is not known.
-const DEFAULT_TOKENS: u64 = 200_000;
+/// Tokens of prompts that an engine is reckoned to hold beside those in use: less than half of what
+/// today's engines hold, since what runs comes first.
+const MEMORY_TOKENS: u64 = 200_000;
 
 #[derive(Clone, Copy, Debug)]
 struct RememberedPrompt {
@@ -36,16 +35,15 @@
 }
 
 impl PromptMemory {
-    /// Notes that a prompt was sent to the target, whose memory holds `memory` tokens.
-    pub fn note(&mut self, now: Moment, part: u32, tokens: Tokens, memory: Option<Tokens>) {
+    /// Notes that a prompt was sent to the target.
+    pub fn note(&mut self, now: Moment, part: u32, tokens: Tokens) {
         self.forget(part);
         self.uses += 1;
         let prompt = RememberedPrompt { tokens: tokens.0, order: self.uses, used: now };
         self.prompts.insert(part, prompt);
         self.by_use.insert(self.uses, part);
         self.held += tokens.0;
-        let bound = memory.map_or(DEFAULT_TOKENS, |all| (all.0 as f64 * MEMORY_PART) as u64);
-        while self.held > bound && self.prompts.len() > 1 {
+        while self.held > MEMORY_TOKENS && self.prompts.len() > 1 {
             let Some((_, oldest)) = self.by_use.first_key_value() else { break };
             self.forget(*oldest);
         }
@@ -56,11 +54,6 @@
         self.prompts.get(&part).is_some_and(|prompt| now.since(prompt.used) < MEMORY_SPAN)
     }
 
-    /// Forgets everything: the target has started anew.
-    pub fn clear(&mut self) {
-        *self = Self::default();
-    }
-
     fn forget(&mut self, part: u32) {
         if let Some(prompt) = self.prompts.remove(&part) {
             self.by_use.remove(&prompt.order);
--- a/crates/ryetide-core/src/scheduler.rs
+++ b/crates/ryetide-core/src/scheduler.rs
@@ -186,7 +186,7 @@
         }
         for placed in digest.placed.iter().filter(|placed| placed.number > placed_before) {
             if let Some(load) = self.targets.get_mut(&placed.target) {
-                load.memory_mut().note(now, placed.part, Tokens(u64::from(placed.tokens)), None);
+                load.memory_mut().note(now, placed.part, Tokens(u64::from(placed.tokens)));
             }
         }
         for (key, total) in &digest.spent {
@@ -419,7 +419,7 @@
         let Some(load) = self.targets.get_mut(&target) else { return };
         load.begin(now, &assumed, ticket, evidence.forecast.to_read);
         if let Some(part) = work.part {
-            load.memory_mut().note(now, part, work.prompt, None);
+            load.memory_mut().note(now, part, work.prompt);
             self.placed_count += 1;
             let tokens = u32::try_from(work.prompt.0).unwrap_or(u32::MAX);
             self.placed.push_back(PlacedPrompt { number: self.placed_count, part, target, tokens });
