Check whose answer it is before what it says

Found by reading: the header that says 'not run' was looked at before the id, so that a late refusal of an earlier request on a kept connection counted as this one's, and its caller could be told that a request has not run which does. Test (failed first: 503): a_not_run_of_another_request_is_not_taken_for_this_ones.

--- a/crates/ryetide-gateway/src/target_answer.rs
+++ b/crates/ryetide-gateway/src/target_answer.rs
@@ -46,14 +46,15 @@
     id: Option<&HeaderValue>,
 ) -> AnswerKind {
     let headers = response.headers();
+    // A late second answer to an earlier request comes where this one's answer is due, and whatever it
+    // says, it says of that one.
+    if headers.get(&names.request_id).is_some_and(|found| Some(found) != id) {
+        return AnswerKind::Foreign;
+    }
     let misdirected = response.status() == StatusCode::MISDIRECTED_REQUEST;
     if headers.contains_key(&names.not_run) || misdirected {
         return AnswerKind::NotRun;
     }
-    // A late second answer to an earlier request comes where this one's answer is due.
-    if headers.get(&names.request_id).is_some_and(|found| Some(found) != id) {
-        return AnswerKind::Foreign;
-    }
     if headers.contains_key(&names.signature) { AnswerKind::Own } else { AnswerKind::Unsigned }
 }
 
--- a/crates/ryetide-gateway/tests/serving/repeats.rs
+++ b/crates/ryetide-gateway/tests/serving/repeats.rs
@@ -147,3 +147,27 @@
         assert_eq!(sound.count(), 2);
     });
 }
+
+/// A target sends a late "not run" of an earlier request where the answer of the next one is due. Taken
+/// for the next one's, its caller would be told that a request has not run which does.
+#[test]
+fn a_not_run_of_another_request_is_not_taken_for_this_ones() {
+    fn doubling(request: Message, mut wire: Wire) -> LocalFuture<'static, Option<Wire>> {
+        Box::pin(async move {
+            wire.send(
+                "HTTP/1.1 503 Service Unavailable\r\ntest-id: q0\r\ntest-not-run: 1\r\n\
+                 content-length: 0\r\n\r\n",
+            )
+            .await;
+            wire.send(&support::whole(&request, "200 OK", "done")).await;
+            Some(wire)
+        })
+    }
+    support::run(async {
+        let target = Target::start("t1", doubling).await;
+        let gateway = Gateway::serving(support::route(WorkKind::OnceOnly, 1), &[&target]).await;
+        let answer = gateway.ask("q1", "").await.expect("an answer");
+        assert_eq!(answer.status(), 502, "it may have run");
+        assert_eq!(target.count(), 1);
+    });
+}
