Answer a request without an id with 400

Targets turn such a request away as not run, each of them, and its caller got 503 as if coming back could help. Test: a_request_without_an_id_is_at_fault.

--- a/crates/ryetide-gateway/src/caller_service.rs
+++ b/crates/ryetide-gateway/src/caller_service.rs
@@ -39,6 +39,9 @@
     };
     let host = head.headers.get(header::HOST).and_then(|value| value.to_str().ok());
     let host = head.uri.host().or(host).ok_or(OwnAnswer::new(OwnReason::BadRequest))?;
+    if !head.headers.contains_key(&gateway.names().request_id) {
+        return Err(OwnAnswer::new(OwnReason::BadRequest));
+    }
     let key = head.headers.get(&gateway.names().key).and_then(|value| value.to_str().ok());
     routes.find(host, Uri::path(&head.uri), key).map_err(|fault| match fault {
         RouteFault::NoRoute => OwnAnswer::new(OwnReason::NoRoute),
--- a/crates/ryetide-gateway/tests/serving/routes.rs
+++ b/crates/ryetide-gateway/tests/serving/routes.rs
@@ -141,3 +141,16 @@
         assert!(text.contains("ryetide_first_seconds_bucket"), "{text}");
     });
 }
+
+/// Without an id an answer cannot be told from another request's.
+#[test]
+fn a_request_without_an_id_is_at_fault() {
+    support::run(async {
+        let target = Target::start("t1", support::answering).await;
+        let gateway = Gateway::serving(support::route(WorkKind::OnceOnly, 1), &[&target]).await;
+        let mut wire = gateway.call().await;
+        wire.send("GET /orders/17 HTTP/1.1\r\nhost: desk.example\r\n\r\n").await;
+        assert_eq!(wire.read_message().await.expect("an answer").status(), 400);
+        assert_eq!(target.count(), 0);
+    });
+}
