Nudge the feed after 1.6 s of peers' news, more than it pauses by itself

A VM that paused was behind its peers for up to 1 s, was nudged after 0.6 s, and then asked for all three tables anew. Ruled out: registrations (they come together), the waits (5 s). Not measured at 70 VMs.

--- a/crates/ryetide-gateway/src/fleet_duties.rs
+++ b/crates/ryetide-gateway/src/fleet_duties.rs
@@ -21,8 +21,10 @@
 
 /// How often kept connections, entries that lapse and levels are looked at.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(200);
-/// Sweeps in a row that find a peer with news not heard here before the feed is asked anew, and again.
-const BEHIND_SWEEPS: u32 = 3;
+/// Sweeps in a row that find a peer with news not heard here before the feed is asked anew, and again:
+/// 1.6 s, more than a feed pauses by itself after a change. With less, each VM that paused was taken
+/// for one whose call has gone silent, and asked for all its tables anew.
+const BEHIND_SWEEPS: u32 = 8;
 /// The shortest time between two digests: under the time between two VMs' decisions at today's load,
 /// and a bound on what they cost.
 const DIGEST_LEAST: Duration = Duration::from_millis(6);
