Bound the wait for servers that are told to stop

Cause: now and then an HTTP server answers neither the order to stop in an orderly way nor the one to stop at once that follows; the daemon awaited the second without a limit, and its report's thread the ring that the server keeps. So ryetide demo, and ryetided, could hang at their end. Traced without the demo: 900 servers without connections, 9 at once, each told to stop in an orderly way: 3 answered neither order. Ruled out: the order to stop at once alone (0 of 540).

--- a/crates/ryetide-lab/src/server.rs
+++ b/crates/ryetide-lab/src/server.rs
@@ -11,7 +11,7 @@
     server::Server,
     web::HttpResponse,
 };
-use ryetide::error::StepError;
+use ryetide::{error::StepError, server_stop};
 use serde::de::DeserializeOwned;
 
 /// A running server; dropping it stops the server and joins its thread.
@@ -44,7 +44,7 @@
                 };
                 let _ = ready_sender.send(Ok(()));
                 let _ = stopped.await;
-                server.stop(false).await;
+                server_stop::stop_at_once("stand-in", &server).await;
             });
         };
         let thread =
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -48,6 +48,7 @@
     platform_client::{self, PlatformCommand},
     request_report::{self, ReportCommand, ReportRings},
     ring::{self, RingReceiver, RingSender},
+    server_stop,
     settings::DaemonSettings,
     target_client::{self, PermittedOrder, TargetCommand},
     util,
@@ -63,8 +64,6 @@
 const ANSWER_LIMIT: Duration = Duration::from_secs(60);
 /// The pause between two looks whether they have been.
 const ANSWER_PAUSE: Duration = Duration::from_millis(10);
-/// Bytes already written are given this long to leave.
-const CLOSE_LIMIT: Duration = Duration::from_secs(2);
 /// The edge is given this long to take the core's last commands from its ring.
 const FLUSH_SPAN: Duration = Duration::from_millis(100);
 
@@ -169,8 +168,10 @@
     let (to_report, core_reports) = report_ring();
     let (edge_reports_sender, edge_reports) = report_ring();
     let (operator_reports_sender, operator_reports) = report_ring();
+    let (serving, served) = ring::ring_with_bell(1, Arc::clone(&report_bell));
     let report_rings =
-        ReportRings::new(vec![core_reports, edge_reports, operator_reports], report_bell);
+        ReportRings::new(vec![core_reports, edge_reports, operator_reports], report_bell)
+            .until(served);
 
     let addresses = sockets.addresses()?;
     let preface = LinkPreface {
@@ -213,6 +214,7 @@
             let operators = operator_port::start(sockets.operators, operator_rings)?;
             stop.notified().await;
             stop_serving(&open_calls, &edge, &operators).await;
+            drop(serving);
             Ok(())
         })?,
     ];
@@ -247,9 +249,6 @@
 }
 
 /// Lets the answers of a finished core leave, and then closes both ports.
-///
-/// The library's own graceful stop now and then waited its whole 30 s with nothing left to send, so it
-/// is given only the time that bytes already written need.
 async fn stop_serving(open_calls: &AtomicUsize, edge: &Server, operators: &Server) {
     let answers_left = async {
         while open_calls.load(Ordering::SeqCst) > 0 {
@@ -260,10 +259,8 @@
         let left = open_calls.load(Ordering::SeqCst);
         tracing::warn!(event = "answers-abandoned", step = "shutdown", left);
     }
-    if util::within(CLOSE_LIMIT, edge.stop(true)).await.is_none() {
-        edge.stop(false).await;
-    }
-    operators.stop(false).await;
+    server_stop::stop_orderly("callers", edge).await;
+    server_stop::stop_at_once("operators", operators).await;
 }
 
 type DutyHandle = thread::JoinHandle<Result<(), StepError>>;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,7 +7,7 @@
 //!
 //! | module | what it is |
 //! |---|---|
-//! | [`daemon`] | a whole daemon: the core and its threads |
+//! | [`daemon`], [`server_stop`] | a whole daemon: the core and its threads, and their end |
 //! | [`settings`], [`text_report`], [`log`], [`error`] | settings, faults, logs, errors |
 //! | [`caller_edge`], [`caller_request`], [`caller_answer`], [`answer_slot`] | callers |
 //! | [`target_client`], [`fresh_client`] | targets |
@@ -31,6 +31,7 @@
 pub mod platform_client;
 pub mod request_report;
 pub mod ring;
+pub mod server_stop;
 pub mod settings;
 pub mod target_client;
 pub mod text_report;
--- a/src/request_report.rs
+++ b/src/request_report.rs
@@ -1,6 +1,6 @@
 //! The thread that counts: histograms for each tier and each organisation, and statsd lines.
 
-use std::{collections::BTreeMap, net, sync::Arc, time::Duration};
+use std::{collections::BTreeMap, convert::Infallible, net, sync::Arc, time::Duration};
 
 use cadence::{Counted, StatsdClient, Timed};
 use hdrhistogram::Histogram;
@@ -86,18 +86,28 @@
 pub struct ReportRings {
     rings: Vec<RingReceiver<ReportCommand>>,
     bell: Arc<sync::Notify>,
+    end: Option<RingReceiver<Infallible>>,
 }
 
 impl ReportRings {
     /// Joins rings that share `bell`.
     pub fn new(rings: Vec<RingReceiver<ReportCommand>>, bell: Arc<sync::Notify>) -> Self {
-        Self { rings, bell }
+        Self { rings, bell, end: None }
     }
 
-    /// Takes the next command, or nothing once every sender is gone and every ring is empty.
+    /// Ends the counting also when `end` closes: a server that does not stop keeps its ring open.
+    /// It must share the bell.
+    pub fn until(mut self, end: RingReceiver<Infallible>) -> Self {
+        self.end = Some(end);
+        self
+    }
+
+    /// Takes the next command, or nothing once every ring is empty and the end has come or every
+    /// sender is gone.
     async fn recv(&mut self) -> Option<ReportCommand> {
         loop {
-            let closed = self.rings.iter().all(RingReceiver::is_closed);
+            let ended = self.end.as_ref().is_some_and(RingReceiver::is_closed);
+            let closed = ended || self.rings.iter().all(RingReceiver::is_closed);
             if let Some(command) = self.rings.iter_mut().find_map(RingReceiver::try_recv) {
                 return Some(command);
             }
