Follow the store's tables in the product; leave only calls and words in platform/

Cause: platform/ decided when a table is asked for, how long, what is passed over, what is tried again: 300 lines of decisions, testable only over sockets. The waits, pauses and limits are as before. Mended on the way, with a test that failed first: a conflict without a row was answered at once by the same write, without end.

--- /dev/null
+++ b/crates/ryetide-gateway/src/store_feed.rs
@@ -0,0 +1,227 @@
+//! Routes, targets and peers, from the tables of a platform's store.
+//!
+//! Each table is followed on a connection of its own. The rows of routes and targets are the
+//! platform's, which decodes them; those of entry VMs are this module's own.
+
+use std::{collections::BTreeMap, net, rc::Rc, sync::Arc, time::Duration};
+
+use ryetide::error::StepError;
+use ryetide_core::{
+    ids::{DataCentreName, TargetName},
+    route::RouteTable,
+    target_load::TargetEntry,
+    target_registry::RegistryUpdate,
+};
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    ports::{FeedLine, FleetFeed, FleetUpdate, LocalFuture, PeerEntry, PeerSecret},
+    store_table::{StoreTable, TableRow},
+    table_follower::{self, RowReader, TableFollower, TablePace},
+};
+
+/// The operators' table. Operators change it seldom, and wait for the change to be in force.
+const ROUTES_PACE: TablePace = TablePace {
+    name: "routes",
+    wait: Duration::from_millis(5_000),
+    pause: Duration::from_millis(100),
+};
+/// The table in which targets register themselves. When the fleet starts they do so one by one: 143
+/// of them cost each VM as many calls without the pause, and under 20 with it; at 70 VMs the calls were
+/// 0.03 to 0.05 of all worth with a pause of 0.4 s. A leaving target must get nothing new two seconds
+/// after its word, so the pause stays well under that.
+const TARGETS_PACE: TablePace = TablePace {
+    name: "targets",
+    wait: Duration::from_millis(5_000),
+    pause: Duration::from_millis(1_000),
+};
+/// The table in which entry VMs make themselves known to each other.
+const VMS_PACE: TablePace = TablePace {
+    name: "vms",
+    wait: Duration::from_millis(20_000),
+    pause: Duration::from_millis(300),
+};
+
+/// The tables that a gateway needs.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum FleetTable {
+    /// The operators' routes.
+    Routes,
+    /// Targets, by their names.
+    Targets,
+    /// Entry VMs, by their names.
+    Vms,
+}
+
+/// A platform's store: opens its tables and decodes its rows.
+pub trait FleetStore {
+    /// Opens a table on a connection of its own.
+    fn open(&self, table: FleetTable) -> Box<dyn StoreTable>;
+
+    /// Decodes the routes, or returns nothing for a row that does not hold them.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`StepError`] that tells the place at fault.
+    fn routes(&self, row: &TableRow) -> Result<Option<RouteTable>, StepError>;
+
+    /// Decodes the entry that a target wrote of itself.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`StepError`] that tells the place at fault.
+    fn target(&self, name: &str, value: &[u8]) -> Result<TargetEntry, StepError>;
+}
+
+/// What an entry VM says of itself in the store.
+#[derive(Debug, Deserialize, Serialize)]
+struct VmRow {
+    data_centre: DataCentreName,
+    address: net::SocketAddr,
+    /// The key of its digests.
+    secret: PeerSecret,
+}
+
+/// News from a platform's store.
+pub struct StoreFeed {
+    store: Rc<dyn FleetStore>,
+}
+
+impl StoreFeed {
+    /// Creates a feed from `store`.
+    pub fn new(store: impl FleetStore + 'static) -> Self {
+        Self { store: Rc::new(store) }
+    }
+}
+
+impl FleetFeed for StoreFeed {
+    fn run(self: Box<Self>, own: PeerEntry, line: FeedLine) -> LocalFuture<'static, ()> {
+        let store = self.store;
+        let routes = RouteReader(Rc::clone(&store));
+        let targets = TargetReader(Rc::clone(&store));
+        let table = move |kind| store.open(kind);
+        Box::pin(async move {
+            let follow_routes =
+                TableFollower::new(table(FleetTable::Routes), ROUTES_PACE, routes, line.clone());
+            let follow_targets =
+                TableFollower::new(table(FleetTable::Targets), TARGETS_PACE, targets, line.clone());
+            let peers = VmReader::default();
+            let follow_vms = TableFollower::new(table(FleetTable::Vms), VMS_PACE, peers, line);
+            tokio::join!(
+                follow_routes.run(),
+                follow_targets.run(),
+                follow_vms.run(),
+                announce(table(FleetTable::Vms), &own),
+            );
+        })
+    }
+}
+
+/// Writes this VM's row.
+async fn announce(table: Box<dyn StoreTable>, own: &PeerEntry) {
+    let data_centre = own.data_centre.clone();
+    let row = VmRow { data_centre, address: own.address, secret: own.secret };
+    match serde_json::to_vec(&row) {
+        Ok(value) => table_follower::keep_row(table, own.name.as_str(), &value).await,
+        Err(error) => tracing::error!(event = "announce-failed", step = "encode", reason = %error),
+    }
+}
+
+struct RouteReader(Rc<dyn FleetStore>);
+
+impl RouteReader {
+    fn decode(&self, row: &TableRow) -> Option<FleetUpdate> {
+        match self.0.routes(row) {
+            Ok(routes) => Some(FleetUpdate::Routes(Arc::new(routes?))),
+            Err(error) => {
+                tracing::error!(event = "routes-unreadable", version = row.version, reason = %error);
+                None
+            }
+        }
+    }
+}
+
+impl RowReader for RouteReader {
+    fn whole(&mut self, rows: Vec<TableRow>) -> Option<FleetUpdate> {
+        rows.iter().find_map(|row| self.decode(row))
+    }
+
+    fn changed(&mut self, rows: Vec<TableRow>) -> Option<FleetUpdate> {
+        self.whole(rows)
+    }
+}
+
+struct TargetReader(Rc<dyn FleetStore>);
+
+impl TargetReader {
+    fn entries(&self, rows: &[TableRow]) -> Vec<TargetEntry> {
+        let decode = |row: &TableRow| {
+            let decoded = self.0.target(&row.key, row.value.as_ref()?);
+            decoded
+                .inspect_err(|error| {
+                    tracing::warn!(event = "target-unreadable", target = %row.key, reason = %error);
+                })
+                .ok()
+        };
+        rows.iter().filter_map(decode).collect()
+    }
+}
+
+/// The version of the newest change among rows; 0 when there are none.
+fn newest(rows: &[TableRow]) -> u64 {
+    rows.iter().map(|row| row.version).max().unwrap_or(0)
+}
+
+impl RowReader for TargetReader {
+    fn whole(&mut self, rows: Vec<TableRow>) -> Option<FleetUpdate> {
+        Some(FleetUpdate::Targets(RegistryUpdate::Snapshot(self.entries(&rows)), newest(&rows)))
+    }
+
+    fn changed(&mut self, rows: Vec<TableRow>) -> Option<FleetUpdate> {
+        let gone = rows.iter().filter(|row| row.value.is_none());
+        let gone = gone.map(|row| TargetName::from(row.key.as_str())).collect();
+        let entries = self.entries(&rows);
+        Some(FleetUpdate::Targets(RegistryUpdate::Changed { entries, gone }, newest(&rows)))
+    }
+
+    fn reached(&mut self, version: u64) -> Option<FleetUpdate> {
+        Some(FleetUpdate::TargetsReached(version))
+    }
+
+    fn source(&mut self, lost: bool) -> Option<FleetUpdate> {
+        let update = if lost { RegistryUpdate::SourceLost } else { RegistryUpdate::SourceBack };
+        Some(FleetUpdate::Targets(update, 0))
+    }
+}
+
+#[derive(Default)]
+struct VmReader {
+    known: BTreeMap<String, PeerEntry>,
+}
+
+impl RowReader for VmReader {
+    fn whole(&mut self, rows: Vec<TableRow>) -> Option<FleetUpdate> {
+        self.known.clear();
+        self.changed(rows)
+    }
+
+    fn changed(&mut self, rows: Vec<TableRow>) -> Option<FleetUpdate> {
+        for row in rows {
+            let decoded = row.value.as_ref().map(|value| serde_json::from_slice::<VmRow>(value));
+            match decoded {
+                Some(Ok(VmRow { data_centre, address, secret })) => {
+                    let name = row.key.as_str().into();
+                    let peer = PeerEntry { name, data_centre, address, secret };
+                    self.known.insert(row.key, peer);
+                }
+                Some(Err(error)) => {
+                    tracing::warn!(event = "peer-unreadable", peer = %row.key, reason = %error);
+                }
+                None => {
+                    self.known.remove(&row.key);
+                }
+            }
+        }
+        Some(FleetUpdate::Peers(self.known.values().cloned().collect()))
+    }
+}
--- /dev/null
+++ b/crates/ryetide-gateway/src/store_table.rs
@@ -0,0 +1,68 @@
+//! What a platform's store must be able to do with a table: read it, tell its changes, write a row.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+
+use crate::ports::LocalFuture;
+
+/// A row, as it is or as it changed.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct TableRow {
+    /// Its key.
+    pub key: String,
+    /// Its version.
+    pub version: u64,
+    /// Its value; none of a row that was dropped.
+    pub value: Option<Bytes>,
+}
+
+/// Rows, and the table's version as of which they are true.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct TableRows {
+    /// The rows. Changes come in the order in which they were made, and a row that changed twice
+    /// comes twice.
+    pub rows: Vec<TableRow>,
+    /// The version to follow from.
+    pub version: u64,
+}
+
+/// Why a call on a table did not do what was asked.
+#[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
+pub enum TableFault {
+    /// The changes since the given version are no longer to be had.
+    #[error("the history is gone")]
+    HistoryGone,
+    /// The row has another version than the write expected; this is the row, if it is there.
+    #[error("the row has another version")]
+    Conflict(Option<TableRow>),
+    /// The store turned the call away, could not be heard, or said what cannot be read. What was
+    /// asked may have been done.
+    #[error("{0}")]
+    Failed(String),
+}
+
+/// A table of a store, on connections of its own. A call that is dropped ends its connection.
+pub trait StoreTable {
+    /// Reads all rows, each page within `limit`.
+    fn read_all(&mut self, limit: Duration) -> LocalFuture<'_, Result<TableRows, TableFault>>;
+
+    /// Waits up to `wait` for changes after `version`, and up to `limit` for the answer. No rows mean
+    /// that there were none.
+    fn follow(
+        &mut self,
+        version: u64,
+        wait: Duration,
+        limit: Duration,
+    ) -> LocalFuture<'_, Result<TableRows, TableFault>>;
+
+    /// Writes a row within `limit` if it has the version `expected`; 0 means that it must not be
+    /// there.
+    fn write<'a>(
+        &'a mut self,
+        key: &'a str,
+        expected: u64,
+        value: &'a [u8],
+        limit: Duration,
+    ) -> LocalFuture<'a, Result<(), TableFault>>;
+}
--- /dev/null
+++ b/crates/ryetide-gateway/src/table_follower.rs
@@ -0,0 +1,236 @@
+//! Follows a table of a store, whatever the store does, and keeps a row of this VM's own in it.
+//!
+//! A table whose history is gone is read whole again. A reading that is older than what was seen
+//! before is passed over, since after a loss of history a store may answer from the past for some
+//! seconds.
+
+use std::{ops::Range, rc::Rc, time::Duration};
+
+use rand::Rng;
+use tokio::time;
+
+use crate::{
+    ports::{FeedLine, FleetUpdate},
+    store_table::{StoreTable, TableFault, TableRow, TableRows},
+};
+
+/// A call that the store answers at once may take this long; it is slow now and then.
+const CALL_LIMIT: Duration = Duration::from_millis(2_500);
+/// How long after the time for which it was asked to wait the store's answer may come.
+const FOLLOW_MARGIN: Duration = Duration::from_millis(700);
+/// While the store was lost it is asked to wait for no longer than this: it may fall silent again.
+const LOST_WAIT: Duration = Duration::from_millis(1_000);
+/// The first pause after a call that failed; it doubles up to the longest.
+const FIRST_PAUSE: Duration = Duration::from_millis(60);
+const LONGEST_PAUSE: Duration = Duration::from_millis(600);
+/// Part of a pause that is left to chance, so that VMs which failed together do not come back
+/// together.
+const PAUSE_SPREAD: Range<f64> = 0.5..1.0;
+
+/// How often a table is asked for. Each call is paid for, and the store answers at once when something
+/// has changed: a pause after each answer lets changes that come in a row be told together.
+#[derive(Clone, Copy, Debug)]
+pub struct TablePace {
+    /// The table, for the log.
+    pub name: &'static str,
+    /// How long the store is asked to wait for a change. A call that has gone silent, though its
+    /// connection stands, is found out after this time at the latest; sooner when a peer has news.
+    pub wait: Duration,
+    /// The pause after a change. It adds to the time until a change is in force, which must stay
+    /// under two seconds.
+    pub pause: Duration,
+}
+
+/// Turns rows of one table into news.
+pub trait RowReader {
+    /// Takes the whole table.
+    fn whole(&mut self, rows: Vec<TableRow>) -> Option<FleetUpdate>;
+
+    /// Takes the last state of each row that has changed.
+    fn changed(&mut self, rows: Vec<TableRow>) -> Option<FleetUpdate>;
+
+    /// All changes up to a version have come.
+    fn reached(&mut self, version: u64) -> Option<FleetUpdate> {
+        let _ = version;
+        None
+    }
+
+    /// The store cannot be read, or can be again.
+    fn source(&mut self, lost: bool) -> Option<FleetUpdate> {
+        let _ = lost;
+        None
+    }
+}
+
+/// Returns the last state of each row that changed, in the order of those last changes.
+///
+/// A reader that took the first of several changes would believe an operator's version that was
+/// replaced long ago.
+pub fn last_states(changes: Vec<TableRow>) -> Vec<TableRow> {
+    let mut last: Vec<TableRow> = Vec::with_capacity(changes.len());
+    for change in changes {
+        last.retain(|row| row.key != change.key);
+        last.push(change);
+    }
+    last
+}
+
+/// Follows one table.
+pub struct TableFollower<R> {
+    table: Box<dyn StoreTable>,
+    pace: TablePace,
+    reader: R,
+    line: FeedLine,
+    /// The highest version seen.
+    version: u64,
+    lost: bool,
+    pause: RetryPause,
+}
+
+impl<R: RowReader> TableFollower<R> {
+    /// Creates a follower that tells `line` what `reader` makes of the rows.
+    pub fn new(table: Box<dyn StoreTable>, pace: TablePace, reader: R, line: FeedLine) -> Self {
+        Self { table, pace, reader, line, version: 0, lost: false, pause: RetryPause::default() }
+    }
+
+    /// Runs until the line closes.
+    pub async fn run(mut self) {
+        let mut followed = false;
+        while !self.line.updates.is_closed() {
+            let outcome = if followed {
+                // A nudged call is asked anew.
+                let Some(outcome) = self.follow().await else { continue };
+                outcome
+            } else {
+                self.table.read_all(CALL_LIMIT).await
+            };
+            match outcome {
+                Ok(rows) if rows.version < self.version => {
+                    let (table, found) = (self.pace.name, rows.version);
+                    tracing::info!(
+                        event = "reading-passed-over",
+                        table,
+                        found,
+                        seen = self.version
+                    );
+                    self.pause.wait().await;
+                }
+                Ok(rows) => {
+                    let changed = !rows.rows.is_empty();
+                    self.heard().await;
+                    self.take(rows, followed).await;
+                    followed = true;
+                    if changed {
+                        time::sleep(self.pace.pause).await;
+                    }
+                }
+                Err(TableFault::HistoryGone) => {
+                    let table = self.pace.name;
+                    tracing::warn!(event = "history-gone", table, since = self.version);
+                    followed = false;
+                    self.pause.wait().await;
+                }
+                Err(fault) => {
+                    self.failed(&fault).await;
+                    self.pause.wait().await;
+                }
+            }
+        }
+    }
+
+    /// Waits for changes. Returns nothing when a peer has news that have not come here: dropping the
+    /// call ends its connection, which may have gone silent, and the next call opens another.
+    async fn follow(&mut self) -> Option<Result<TableRows, TableFault>> {
+        let wait = if self.lost { LOST_WAIT } else { self.pace.wait };
+        let (nudge, seen) = (Rc::clone(&self.line.nudge), self.version);
+        let outcome = tokio::select! {
+            outcome = self.table.follow(seen, wait, wait + FOLLOW_MARGIN) => outcome,
+            () = nudge.notified() => return None,
+        };
+        // An answer of no changes may tell no version.
+        Some(outcome.map(|rows| TableRows { version: rows.version.max(seen), ..rows }))
+    }
+
+    async fn take(&mut self, rows: TableRows, following: bool) {
+        self.version = rows.version;
+        let update = match following {
+            true if rows.rows.is_empty() => None,
+            true => self.reader.changed(last_states(rows.rows)),
+            false => self.reader.whole(rows.rows),
+        };
+        self.tell(update).await;
+        let reached = self.reader.reached(self.version);
+        self.tell(reached).await;
+    }
+
+    async fn heard(&mut self) {
+        self.pause = RetryPause::default();
+        if std::mem::take(&mut self.lost) {
+            tracing::info!(event = "dependency-regained", peer = "store", table = self.pace.name);
+            let update = self.reader.source(false);
+            self.tell(update).await;
+        }
+    }
+
+    async fn failed(&mut self, fault: &TableFault) {
+        if !std::mem::replace(&mut self.lost, true) {
+            let table = self.pace.name;
+            tracing::warn!(event = "dependency-lost", peer = "store", table, reason = %fault);
+            let update = self.reader.source(true);
+            self.tell(update).await;
+            // The other tables' calls may hang as this one did.
+            self.line.nudge.notify_waiters();
+        }
+    }
+
+    async fn tell(&self, update: Option<FleetUpdate>) {
+        if let Some(update) = update
+            && self.line.updates.send(update).await.is_err()
+        {
+            tracing::debug!(event = "feed-ended", table = self.pace.name);
+        }
+    }
+}
+
+/// Writes a row of this VM's own, over the one of its last life, until it is there.
+pub async fn keep_row(mut table: Box<dyn StoreTable>, key: &str, value: &[u8]) {
+    let mut pause = RetryPause::default();
+    let mut expected = 0;
+    loop {
+        match table.write(key, expected, value, CALL_LIMIT).await {
+            Ok(()) => return,
+            // An earlier try whose answer was lost has taken effect.
+            Err(TableFault::Conflict(Some(row))) if row.value.as_deref() == Some(value) => return,
+            Err(TableFault::Conflict(found)) => {
+                let version = found.map_or(0, |row| row.version);
+                tracing::info!(event = "row-replaced", step = "write", key, expected, version);
+                if version == expected {
+                    // The store contradicts itself; asked at once it would say the same.
+                    pause.wait().await;
+                }
+                expected = version;
+            }
+            Err(fault) => {
+                tracing::info!(event = "row-delayed", step = "write", key, reason = %fault);
+                pause.wait().await;
+            }
+        }
+    }
+}
+
+/// The pause before the next try.
+struct RetryPause(Duration);
+
+impl Default for RetryPause {
+    fn default() -> Self {
+        Self(FIRST_PAUSE)
+    }
+}
+
+impl RetryPause {
+    async fn wait(&mut self) {
+        let spread = rand::rng().random_range(PAUSE_SPREAD);
+        time::sleep(self.0.mul_f64(spread)).await;
+        self.0 = (self.0 * 2).min(LONGEST_PAUSE);
+    }
+}
--- /dev/null
+++ b/crates/ryetide-gateway/tests/table_follower.rs
@@ -0,0 +1,241 @@
+//! Following a table of a store that does as it likes; no network, and time that is paused.
+
+use std::{cell::RefCell, collections::VecDeque, future, rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use ryetide_core::target_registry::RegistryUpdate;
+use ryetide_gateway::{
+    ports::{FeedLine, FleetUpdate, LocalFuture},
+    store_table::{StoreTable, TableFault, TableRow, TableRows},
+    table_follower::{self, RowReader, TableFollower, TablePace},
+};
+use tokio::{
+    sync::{Notify, mpsc},
+    time::{self, Instant},
+};
+
+const PACE: TablePace =
+    TablePace { name: "targets", wait: Duration::from_secs(5), pause: Duration::from_millis(100) };
+/// Longer than any of these tests takes on the paused clock.
+const PATIENCE: Duration = Duration::from_secs(60);
+
+/// What a table was asked.
+#[derive(Clone, Debug, Eq, PartialEq)]
+enum Call {
+    ReadAll,
+    Follow(u64, Duration),
+    Write(u64),
+}
+
+/// What it answers; with no answer left it stays silent.
+enum Answer {
+    Rows(u64, Vec<TableRow>),
+    Fault(TableFault),
+    Written,
+    Silent,
+}
+
+#[derive(Default)]
+struct Script {
+    answers: RefCell<VecDeque<Answer>>,
+    calls: RefCell<Vec<(Call, Instant)>>,
+}
+
+impl Script {
+    fn new(answers: impl IntoIterator<Item = Answer>) -> Rc<Self> {
+        Rc::new(Self {
+            answers: RefCell::new(answers.into_iter().collect()),
+            calls: RefCell::default(),
+        })
+    }
+
+    fn table(self: &Rc<Self>) -> Box<dyn StoreTable> {
+        Box::new(ScriptedTable(Rc::clone(self)))
+    }
+
+    fn calls(&self) -> Vec<Call> {
+        self.calls.borrow().iter().map(|(call, _)| call.clone()).collect()
+    }
+
+    fn next(&self, call: Call) -> Answer {
+        self.calls.borrow_mut().push((call, Instant::now()));
+        self.answers.borrow_mut().pop_front().unwrap_or(Answer::Silent)
+    }
+}
+
+struct ScriptedTable(Rc<Script>);
+
+impl ScriptedTable {
+    async fn rows(&self, call: Call) -> Result<TableRows, TableFault> {
+        match self.0.next(call) {
+            Answer::Rows(version, rows) => Ok(TableRows { rows, version }),
+            Answer::Fault(fault) => Err(fault),
+            Answer::Written => panic!("a reading was asked for"),
+            Answer::Silent => future::pending().await,
+        }
+    }
+}
+
+impl StoreTable for ScriptedTable {
+    fn read_all(&mut self, _limit: Duration) -> LocalFuture<'_, Result<TableRows, TableFault>> {
+        Box::pin(self.rows(Call::ReadAll))
+    }
+
+    fn follow(
+        &mut self,
+        version: u64,
+        wait: Duration,
+        _limit: Duration,
+    ) -> LocalFuture<'_, Result<TableRows, TableFault>> {
+        Box::pin(self.rows(Call::Follow(version, wait)))
+    }
+
+    fn write<'a>(
+        &'a mut self,
+        _key: &'a str,
+        expected: u64,
+        _value: &'a [u8],
+        _limit: Duration,
+    ) -> LocalFuture<'a, Result<(), TableFault>> {
+        Box::pin(async move {
+            match self.0.next(Call::Write(expected)) {
+                Answer::Written => Ok(()),
+                Answer::Fault(fault) => Err(fault),
+                Answer::Rows(..) => panic!("a write was asked for"),
+                Answer::Silent => future::pending().await,
+            }
+        })
+    }
+}
+
+/// Tells what it is given as the numbers of rows and versions.
+struct CountingReader;
+
+impl RowReader for CountingReader {
+    fn whole(&mut self, rows: Vec<TableRow>) -> Option<FleetUpdate> {
+        Some(FleetUpdate::TargetsReached(rows.len() as u64))
+    }
+
+    fn changed(&mut self, rows: Vec<TableRow>) -> Option<FleetUpdate> {
+        self.whole(rows)
+    }
+
+    fn source(&mut self, lost: bool) -> Option<FleetUpdate> {
+        let update = if lost { RegistryUpdate::SourceLost } else { RegistryUpdate::SourceBack };
+        Some(FleetUpdate::Targets(update, 0))
+    }
+}
+
+fn row(key: &str, version: u64) -> TableRow {
+    TableRow { key: key.to_owned(), version, value: Some(Bytes::from_static(b"mine")) }
+}
+
+fn failed() -> Answer {
+    Answer::Fault(TableFault::Failed("turned away".to_owned()))
+}
+
+/// Follows until the script's answers are used up and `span` more has passed; returns what was told.
+async fn follow(script: &Rc<Script>, span: Duration) -> Vec<String> {
+    let (sender, mut updates) = mpsc::channel(64);
+    let line = FeedLine { updates: sender, nudge: Rc::new(Notify::new()) };
+    let follower = TableFollower::new(script.table(), PACE, CountingReader, line);
+    let used_up = async {
+        while !script.answers.borrow().is_empty() {
+            time::sleep(Duration::from_millis(10)).await;
+        }
+        time::sleep(span).await;
+    };
+    time::timeout(PATIENCE, async {
+        tokio::select! {
+            () = follower.run() => panic!("a follower goes on"),
+            () = used_up => {}
+        }
+    })
+    .await
+    .expect("answers that are asked for");
+    let mut told = Vec::new();
+    while let Ok(update) = updates.try_recv() {
+        told.push(match update {
+            FleetUpdate::TargetsReached(rows) => format!("{rows} rows"),
+            FleetUpdate::Targets(update, _) => format!("{update:?}"),
+            other => panic!("{other:?}"),
+        });
+    }
+    told
+}
+
+/// After a loss of its history the store answers from the past. What it says then is not told, or a
+/// replaced version would serve callers again; the next true reading is.
+#[tokio::test(start_paused = true)]
+async fn a_reading_from_the_past_is_passed_over() {
+    let script = Script::new([
+        Answer::Rows(9, vec![row("a", 8), row("b", 9)]),
+        Answer::Fault(TableFault::HistoryGone),
+        Answer::Rows(4, vec![row("a", 4)]),
+        Answer::Rows(5, vec![row("a", 4)]),
+        Answer::Rows(11, vec![row("a", 8), row("b", 10), row("c", 11)]),
+    ]);
+    let told = follow(&script, Duration::ZERO).await;
+    assert_eq!(told, ["2 rows", "3 rows"]);
+    let calls = script.calls();
+    assert_eq!(calls[1], Call::Follow(9, PACE.wait));
+    assert_eq!(calls[2..5], [Call::ReadAll, Call::ReadAll, Call::ReadAll]);
+}
+
+/// The store is away for several calls. That is told once, and so is its return; until it is back it
+/// is asked for short waits only, since it may fall silent again.
+#[tokio::test(start_paused = true)]
+async fn the_loss_and_the_return_are_told_once_each() {
+    let script = Script::new([
+        Answer::Rows(3, vec![row("a", 3)]),
+        failed(),
+        failed(),
+        failed(),
+        Answer::Rows(3, Vec::new()),
+        Answer::Silent,
+    ]);
+    let told = follow(&script, Duration::ZERO).await;
+    assert_eq!(told, ["1 rows", "SourceLost", "SourceBack"]);
+    let waits: Vec<Call> = script.calls()[1..].to_vec();
+    let short = Call::Follow(3, Duration::from_secs(1));
+    let long = Call::Follow(3, PACE.wait);
+    assert_eq!(waits, [long.clone(), short.clone(), short.clone(), short, long]);
+}
+
+/// An answer of no changes may tell a version from before; the next call must not go back to it.
+#[tokio::test(start_paused = true)]
+async fn an_answer_without_changes_takes_nothing_back() {
+    let script = Script::new([
+        Answer::Rows(7, vec![row("a", 7)]),
+        Answer::Rows(0, Vec::new()),
+        Answer::Silent,
+    ]);
+    follow(&script, Duration::ZERO).await;
+    assert_eq!(script.calls()[2], Call::Follow(7, PACE.wait));
+}
+
+/// A VM that restarts meets the row of its last life, and then its own, written by a call whose answer
+/// was lost: both end the trying as they should.
+#[tokio::test(start_paused = true)]
+async fn a_row_of_an_earlier_life_is_written_over() {
+    let old = TableRow { value: Some(Bytes::from_static(b"old")), ..row("e1", 5) };
+    let script = Script::new([
+        Answer::Fault(TableFault::Conflict(Some(old))),
+        failed(),
+        Answer::Fault(TableFault::Conflict(Some(row("e1", 6)))),
+    ]);
+    table_follower::keep_row(script.table(), "e1", b"mine").await;
+    assert_eq!(script.calls(), [Call::Write(0), Call::Write(5), Call::Write(5)]);
+}
+
+/// A store that tells of conflicts without the row gives nothing new to try with. It is asked again
+/// after pauses: without them one VM would put hundreds of calls a second to it, for all others too.
+#[tokio::test(start_paused = true)]
+async fn a_conflict_that_tells_nothing_is_not_answered_at_once() {
+    let conflicts = (0..10).map(|_| Answer::Fault(TableFault::Conflict(None)));
+    let script = Script::new(conflicts.chain([Answer::Written]));
+    let begun = Instant::now();
+    table_follower::keep_row(script.table(), "e1", b"mine").await;
+    assert_eq!(script.calls().len(), 11);
+    assert!(begun.elapsed() > Duration::from_secs(2), "{:?}", begun.elapsed());
+}
--- a/platform/tests/store_rows.rs
+++ b/crates/ryetide-gateway/tests/table_rows.rs
@@ -1,10 +1,10 @@
-//! Rows of the store as its history tells them.
+//! Rows of a store as its history tells them.
 
 use bytes::Bytes;
-use ryetide_platform::store_rows::{self, StoreRow};
+use ryetide_gateway::{store_table::TableRow, table_follower};
 
-fn change(key: &str, version: u64, value: Option<&'static str>) -> StoreRow {
-    StoreRow { key: key.to_owned(), version, value: value.map(Bytes::from) }
+fn change(key: &str, version: u64, value: Option<&'static str>) -> TableRow {
+    TableRow { key: key.to_owned(), version, value: value.map(Bytes::from) }
 }
 
 /// A VM that was cut off from the store hears of two versions of the configuration at once. Callers
@@ -16,7 +16,7 @@
         change("other", 6, Some("kept")),
         change("config", 7, Some("second")),
     ];
-    let last = store_rows::last_states(changes);
+    let last = table_follower::last_states(changes);
     let expected = vec![change("other", 6, Some("kept")), change("config", 7, Some("second"))];
     assert_eq!(last, expected);
 }
@@ -25,5 +25,5 @@
 #[test]
 fn an_entry_that_came_back_is_there() {
     let changes = vec![change("t1", 5, None), change("t1", 6, Some("ready"))];
-    assert_eq!(store_rows::last_states(changes), vec![change("t1", 6, Some("ready"))]);
+    assert_eq!(table_follower::last_states(changes), vec![change("t1", 6, Some("ready"))]);
 }
