Wait for what a gateway logs, not for time to pass, in the test of its own texts

The pause of 1.2 s would also have passed had the faulty text not been read yet; now the line that tells of it is waited for, and the texts are put in place in one step.

--- a/crates/ryetide-gateway/tests/own_text.rs
+++ b/crates/ryetide-gateway/tests/own_text.rs
@@ -1,10 +1,11 @@
 //! A gateway without a platform: the real program, on its own texts.
 
 use std::{
-    io::{Read, Write},
+    io::{BufRead, BufReader, Read, Write},
     net::{SocketAddr, TcpListener, TcpStream},
-    path::PathBuf,
+    path::{Path, PathBuf},
     process::{Child, Command, Stdio},
+    sync::mpsc,
     thread,
     time::{Duration, Instant},
 };
@@ -15,13 +16,45 @@
 const PATIENCE: Duration = Duration::from_secs(10);
 const KEY: &str = "6b2f7c1de8a0446f9f0e5d4c3b2a19087f6e5d4c3b2a1908a7b6c5d4e3f20110";
 
-struct Process(Child);
+/// A running gateway, and what it logs.
+struct Process {
+    child: Child,
+    lines: mpsc::Receiver<String>,
+}
+
+impl Process {
+    fn start(settings: &Path) -> Self {
+        let mut child = Command::new(env!("CARGO_BIN_EXE_ryetide-gateway"))
+            .arg(settings)
+            .stdout(Stdio::piped())
+            .spawn()
+            .expect("the program");
+        let log = BufReader::new(child.stdout.take().expect("its log"));
+        let (sender, lines) = mpsc::channel();
+        // It ends when the program does, or the test.
+        thread::spawn(move || log.lines().map_while(Result::ok).try_for_each(|it| sender.send(it)));
+        Self { child, lines }
+    }
+
+    /// Waits until a line with each of `parts` is logged, and passes over those before it.
+    fn wait_for(&self, parts: &[&str]) {
+        let until = Instant::now() + PATIENCE;
+        loop {
+            let left = until.saturating_duration_since(Instant::now());
+            let line = self.lines.recv_timeout(left);
+            let line = line.unwrap_or_else(|_| panic!("no line with {parts:?}"));
+            if parts.iter().all(|part| line.contains(part)) {
+                return;
+            }
+        }
+    }
+}
 
 impl Drop for Process {
     fn drop(&mut self) {
         // It may have ended already; either way nothing is left behind.
-        let _ = self.0.kill();
-        let _ = self.0.wait();
+        let _ = self.child.kill();
+        let _ = self.child.wait();
     }
 }
 
@@ -84,12 +117,11 @@
     Some(answer)
 }
 
-fn wait_until(what: &str, mut holds: impl FnMut() -> bool) {
-    let until = Instant::now() + PATIENCE;
-    while !holds() {
-        assert!(Instant::now() < until, "{what}");
-        thread::sleep(Duration::from_millis(10));
-    }
+/// Puts a text in its place in one step, so that nobody reads a part of it.
+fn write(path: &Path, text: &str) {
+    let beside = path.with_extension("new");
+    std::fs::write(&beside, text).expect("a file");
+    std::fs::rename(&beside, path).expect("a file");
 }
 
 #[test]
@@ -99,25 +131,24 @@
     std::fs::create_dir_all(&folder).expect("a folder");
     let (routes_path, settings_path): (PathBuf, PathBuf) =
         (folder.join("routes.yaml"), folder.join("settings.yaml"));
-    std::fs::write(&routes_path, routes(1, start_target("first"))).expect("a file");
+    write(&routes_path, &routes(1, start_target("first")));
     let settings = format!(
         "name: e1\ndata-centre: hall-a\ncallers: {callers}\nstatus: {status}\n\
          peers: {{address: '{peers}', key: {KEY}}}\nroutes: {}\n",
         routes_path.display()
     );
-    std::fs::write(&settings_path, settings).expect("a file");
-    let child = Command::new(env!("CARGO_BIN_EXE_ryetide-gateway"))
-        .arg(&settings_path)
-        .stdout(Stdio::null())
-        .spawn()
-        .expect("the program");
-    let _process = Process(child);
+    write(&settings_path, &settings);
+    let process = Process::start(&settings_path);
     let answers = |name: &str| ask(callers).is_some_and(|answer| answer.ends_with(name));
-    wait_until("the first target answers", || answers("first"));
-    std::fs::write(&routes_path, routes(2, start_target("second"))).expect("a file");
-    wait_until("the second target answers", || answers("second"));
-    std::fs::write(&routes_path, "revision: nonsense").expect("a file");
-    thread::sleep(Duration::from_millis(1_200));
+    process.wait_for(&["event=routes-in-force", "revision=1"]);
+    process.wait_for(&["event=targets-changed"]);
+    assert!(answers("first"));
+    write(&routes_path, &routes(2, start_target("second")));
+    process.wait_for(&["event=routes-in-force", "revision=2"]);
+    process.wait_for(&["event=targets-changed"]);
+    assert!(answers("second"));
+    write(&routes_path, "revision: nonsense");
+    process.wait_for(&["event=routes-unreadable"]);
     assert!(answers("second"), "a faulty text changes nothing");
     std::fs::remove_dir_all(&folder).expect("a folder of our own");
 }
