--- a/crates/ryetide-cli/src/main.rs
+++ b/crates/ryetide-cli/src/main.rs
@@ -19,7 +19,7 @@
     text_report::TextReport,
 };
 use ryetide_core::{
-    catalog::ServiceCatalog, event::ApplyOutcome, route_text::RouteText, text::TextFaults,
+    catalog::ServiceCatalog, effect::ApplyOutcome, route_text::RouteText, text::TextFaults,
     units::Revision,
 };
 use serde::Serialize;
--- a/crates/ryetide-core/src/arbiter.rs
+++ b/crates/ryetide-core/src/arbiter.rs
@@ -14,52 +14,33 @@
 
 use crate::{
     affinity::PrefixHints,
+    arbiter_placing::BACKLOG_LIMIT,
     catalog::{ServiceCatalog, TierRule},
     chart::TargetEvent,
+    effect::Notice,
     estimate::TargetModel,
-    event::{LoadReport, Notice},
+    event::LoadReport,
     ids::{OrganisationKey, ScopeKey, TargetKey, VmName},
     message::{AskProfile, RefuseReason, ReleaseMessage, ReleaseOutcome, ScopeLoad},
+    output_guess::OutputGuess,
     queue::{FairQueue, QueuePlace, QueueTicket},
     retry::RetryPromise,
     safeguard::SafeguardSwitches,
-    units::{Moment, ShareWeight, TierRank, Tokens},
+    slot_ledger::{HeldSlot, SlotLedger},
+    units::{Moment, ShareWeight, TierRank},
+    util,
     verdict::{ArbiterVerdict, AskKey, SlotAsk, VerdictKind},
 };
 
 /// The most requests that may wait at one arbiter; beyond it the last in order is shed.
 const WAITING_LIMIT: usize = 8_192;
-/// A slot whose end was never reported is taken back this long after its expected end.
-const ORPHAN_GRACE: Duration = Duration::from_secs(30);
-/// How many requests near the front of a tier are tried for a free target.
-const FRONT_LIMIT: usize = 16;
-/// The most prompt work at an engine ahead of a new grant, for all but the most urgent tier.
-const BACKLOG_LIMIT: Duration = Duration::from_millis(100);
-/// How often orphaned slots are looked for.
-const ORPHAN_INTERVAL: Duration = Duration::from_secs(1);
-/// Weight of a new observation of how much of their limit requests generate.
-const OUTPUT_LEARNING: f64 = 0.1;
-/// The part of its output limit that a request is expected to generate before any is observed: an
-/// answer that comes late has wasted its prefill, so the first ones are taken at their limit.
-const FIRST_OUTPUT_PART: f64 = 1.0;
 
 #[derive(Debug)]
-struct WaitingAsk {
-    profile: AskProfile,
-    place: QueuePlace,
-    latest_start: Moment,
-    deadline: Moment,
-}
-
-#[derive(Debug)]
-struct HeldSlot {
-    target: TargetKey,
-    tokens: Tokens,
-    prompt: Tokens,
-    output_limit: Tokens,
-    expected_end: Moment,
-    /// The prompts that were to be worked on before this one.
-    backlog: Duration,
+pub(crate) struct WaitingAsk {
+    pub(crate) profile: AskProfile,
+    pub(crate) place: QueuePlace,
+    pub(crate) latest_start: Moment,
+    pub(crate) deadline: Moment,
 }
 
 /// What an arbiter needs to know of a tier.
@@ -76,19 +57,16 @@
     switches: SafeguardSwitches,
     tiers: Vec<TierLimit>,
     weights: BTreeMap<OrganisationKey, ShareWeight>,
-    targets: BTreeMap<TargetKey, TargetModel>,
-    waiting: BTreeMap<AskKey, WaitingAsk>,
-    by_latest_start: BTreeSet<(Moment, AskKey)>,
-    queue: FairQueue<AskKey>,
-    held: BTreeMap<AskKey, HeldSlot>,
-    /// Sum over the held slots of their expected ends, for the mean remaining time.
-    ends_sum: u128,
-    hints: PrefixHints,
-    output_part: f64,
-    share: f64,
-    grant_from: Moment,
+    pub(crate) targets: BTreeMap<TargetKey, TargetModel>,
+    pub(crate) waiting: BTreeMap<AskKey, WaitingAsk>,
+    pub(crate) by_latest_start: BTreeSet<(Moment, AskKey)>,
+    pub(crate) queue: FairQueue<AskKey>,
+    pub(crate) held: SlotLedger,
+    pub(crate) hints: PrefixHints,
+    pub(crate) output: OutputGuess,
+    pub(crate) share: f64,
+    pub(crate) grant_from: Moment,
     promise: RetryPromise,
-    orphans_sought: Moment,
     /// When a request of each tier was last shed for load.
     last_shed: BTreeMap<TierRank, Moment>,
 }
@@ -112,14 +90,12 @@
             waiting: BTreeMap::new(),
             by_latest_start: BTreeSet::new(),
             queue: FairQueue::new(),
-            held: BTreeMap::new(),
-            ends_sum: 0,
+            held: SlotLedger::new(grant_from),
             hints: PrefixHints::default(),
-            output_part: FIRST_OUTPUT_PART,
+            output: OutputGuess::default(),
             share,
             grant_from,
             promise: RetryPromise::new(grant_from),
-            orphans_sought: grant_from,
             last_shed: BTreeMap::new(),
         };
         arbiter.configure(catalog);
@@ -184,7 +160,7 @@
         rng: &mut impl Rng,
         verdicts: &mut Vec<ArbiterVerdict>,
     ) {
-        if self.waiting.contains_key(&ask.key) || self.held.contains_key(&ask.key) {
+        if self.waiting.contains_key(&ask.key) || self.held.contains(&ask.key) {
             return;
         }
         let (key, tier) = (ask.key.clone(), ask.profile.tier);
@@ -299,7 +275,7 @@
     ) {
         let slots: u32 = self.usable().map(|target| target.rule().slots).sum();
         let backlog = self.expected_wait(now, TierRank(u8::MAX));
-        let work = self.mean_remaining(now) / slots.max(1);
+        let work = self.held.mean_remaining(now) / slots.max(1);
         let retry = self.promise.next(now, backlog, work, rng);
         verdicts.push(ArbiterVerdict { key, kind: VerdictKind::Refuse(reason, retry) });
     }
@@ -307,7 +283,7 @@
     /// Takes an ask back: its caller has gone, or it asks elsewhere.
     pub fn withdraw(&mut self, now: Moment, key: &AskKey, verdicts: &mut Vec<ArbiterVerdict>) {
         self.forget_waiting(key);
-        if let Some(slot) = self.take_slot(key) {
+        if let Some(slot) = self.held.take(key) {
             self.return_slot(now, &slot);
         }
         self.pump(now, verdicts);
@@ -323,7 +299,7 @@
         notices: &mut Vec<Notice>,
     ) {
         let key = AskKey { vm: vm.clone(), ask: message.ask };
-        let Some(slot) = self.take_slot(&key) else {
+        let Some(slot) = self.held.take(&key) else {
             return;
         };
         self.return_slot(now, &slot);
@@ -336,7 +312,7 @@
                     target.note_answer();
                     let own = first.saturating_sub(slot.backlog);
                     target.learn(slot.prompt, message.output, own, total - first.min(total) + own);
-                    self.learn_output(slot.output_limit, message.output);
+                    self.output.learn(slot.output_limit, message.output);
                 }
                 ReleaseOutcome::ConnectFailed => {
                     if target.note_failure(now) {
@@ -363,7 +339,7 @@
         profile: &AskProfile,
         running: Duration,
     ) {
-        if self.held.contains_key(&key) || !self.targets.contains_key(&target) {
+        if self.held.contains(&key) || !self.targets.contains_key(&target) {
             return;
         }
         self.forget_waiting(&key);
@@ -408,9 +384,8 @@
         for key in waiting {
             self.forget_waiting(&key);
         }
-        let held: Vec<AskKey> = self.held.keys().filter(|key| key.vm == *vm).cloned().collect();
-        for key in held {
-            if let Some(slot) = self.take_slot(&key) {
+        for key in self.held.of_vm(vm) {
+            if let Some(slot) = self.held.take(&key) {
                 self.return_slot(now, &slot);
             }
         }
@@ -462,7 +437,7 @@
         let usable = self.has_usable_target();
         let ranks = 0..self.tiers.len() as u8;
         let waits_ms: Vec<u32> =
-            ranks.map(|rank| millis(self.expected_wait(now, TierRank(rank)))).collect();
+            ranks.map(|rank| util::millis(self.expected_wait(now, TierRank(rank)))).collect();
         let idle = usable && waits_ms.iter().all(|wait| *wait == 0);
         (!idle).then_some(ScopeLoad { scope: self.scope, usable, waits_ms })
     }
@@ -481,127 +456,18 @@
         if free && ahead.is_zero() {
             return self.grant_from.since(now);
         }
-        let next_free = self.mean_remaining(now) * 2 / (self.held.len() as u32 + 1);
+        let next_free = self.held.mean_remaining(now) * 2 / (self.held.len() as u32 + 1);
         next_free + ahead / slots.max(1)
     }
 
-    fn usable(&self) -> impl Iterator<Item = &TargetModel> {
+    pub(crate) fn usable(&self) -> impl Iterator<Item = &TargetModel> {
         self.targets.values().filter(|target| target.is_usable())
     }
 
-    fn fill_of(&self, tier: TierRank) -> f64 {
+    pub(crate) fn fill_of(&self, tier: TierRank) -> f64 {
         self.tiers.get(usize::from(tier.0)).map_or(1.0, |limit| limit.fill)
     }
 
-    fn mean_remaining(&self, now: Moment) -> Duration {
-        let count = self.held.len() as u128;
-        let mean_end = self.ends_sum.checked_div(count).unwrap_or(0);
-        Moment(u64::try_from(mean_end).unwrap_or(u64::MAX)).since(now)
-    }
-
-    /// Grants while something near the front of the first tier that waits can be placed.
-    ///
-    /// Within that tier a request may pass another that no free target would serve in time. A lower
-    /// tier passes nobody: a request that would fit must not take the slot its better waits for.
-    fn pump(&mut self, now: Moment, verdicts: &mut Vec<ArbiterVerdict>) {
-        if now < self.grant_from {
-            return;
-        }
-        while let Some((key, target)) = self.next_placement(now) {
-            let Some(ask) = self.waiting.remove(&key) else { return };
-            self.queue.serve(ask.place);
-            self.by_latest_start.remove(&(ask.latest_start, key.clone()));
-            self.hold(now, now, key.clone(), target, &ask.profile);
-            verdicts.push(ArbiterVerdict { key, kind: VerdictKind::Grant(target) });
-        }
-    }
-
-    fn next_placement(&mut self, now: Moment) -> Option<(AskKey, TargetKey)> {
-        let (_, tier) = self.queue.peek()?;
-        let open = self.open_targets(now, tier);
-        if open.is_empty() {
-            return None;
-        }
-        for key in self.queue.front(FRONT_LIMIT) {
-            let Some(ask) = self.waiting.get(&key) else { continue };
-            if let Some(target) = self.place(now, &open, &ask.profile, ask.deadline) {
-                return Some((key, target));
-            }
-        }
-        None
-    }
-
-    /// Returns the targets that have room for a request of `tier`, whatever its size. While all are
-    /// full, which is when most asks come, this one look is all that an ask costs.
-    fn open_targets(&mut self, now: Moment, tier: TierRank) -> Vec<TargetKey> {
-        let (fill, share) = (self.fill_of(tier), self.share);
-        let backlog_limit = self.backlog_limit(tier);
-        let has_room = |target: &mut TargetModel| {
-            target.has_slot(now, fill, share) && target.prefill_backlog(now) <= backlog_limit
-        };
-        let targets = self.targets.values_mut();
-        targets.filter_map(|target| has_room(target).then(|| target.key())).collect()
-    }
-
-    /// Chooses the open target with the least score that holds the request and would end in time.
-    fn place(
-        &self,
-        now: Moment,
-        open: &[TargetKey],
-        profile: &AskProfile,
-        deadline: Moment,
-    ) -> Option<TargetKey> {
-        let tokens = self.tokens_needed(profile);
-        let output = self.expected_output(profile);
-        let savings = self.hints.savings(now, &profile.prefixes);
-        let candidates = open.iter().filter_map(|key| {
-            let target = self.targets.get(key).filter(|it| it.holds(self.share, tokens))?;
-            let prefill = Tokens(profile.prompt.0.saturating_sub(savings.of(*key).0));
-            let in_time = !target.is_speed_known()
-                || now + target.service_time(now, prefill, output) <= deadline;
-            in_time.then(|| (target.score(now, prefill, output), *key))
-        });
-        candidates.min().map(|(_, key)| key)
-    }
-
-    /// The most prompt work that may be ahead of a new grant. Engines take prompts in order and do
-    /// not preempt, so for all but the most urgent tier the line is kept here, where it can still be
-    /// passed: a long drawing more at the engine would hold up every colour check behind it.
-    fn backlog_limit(&self, tier: TierRank) -> Duration {
-        if tier == TierRank(0) { Duration::MAX } else { BACKLOG_LIMIT }
-    }
-
-    fn hold(
-        &mut self,
-        now: Moment,
-        started: Moment,
-        key: AskKey,
-        target: TargetKey,
-        profile: &AskProfile,
-    ) {
-        let tokens = self.tokens_needed(profile);
-        let output = self.expected_output(profile);
-        let saved = self.hints.savings(now, &profile.prefixes).of(target);
-        // A prompt that was partly in the cache teaches only by what was worked on.
-        let prefill = Tokens(profile.prompt.0.saturating_sub(saved.0));
-        let Some(model) = self.targets.get_mut(&target) else { return };
-        let expected_end = started + model.service_time(now, prefill, output);
-        let backlog = model.prefill_backlog(now);
-        model.reserve(now, tokens, prefill);
-        self.hints.note(now, target, &profile.prefixes);
-        self.ends_sum += u128::from(expected_end.0);
-        let output_limit = profile.output_limit;
-        let slot =
-            HeldSlot { target, tokens, prompt: prefill, output_limit, expected_end, backlog };
-        self.held.insert(key, slot);
-    }
-
-    fn take_slot(&mut self, key: &AskKey) -> Option<HeldSlot> {
-        let slot = self.held.remove(key)?;
-        self.ends_sum -= u128::from(slot.expected_end.0);
-        Some(slot)
-    }
-
     fn return_slot(&mut self, now: Moment, slot: &HeldSlot) {
         if let Some(target) = self.targets.get_mut(&slot.target) {
             target.release(now, slot.tokens);
@@ -609,17 +475,8 @@
     }
 
     fn take_back_orphans(&mut self, now: Moment) {
-        if now.since(self.orphans_sought) < ORPHAN_INTERVAL {
-            return;
-        }
-        self.orphans_sought = now;
-        let due = |slot: &HeldSlot| now.since(slot.expected_end) > ORPHAN_GRACE;
-        let orphans: Vec<AskKey> =
-            self.held.iter().filter(|(_, slot)| due(slot)).map(|(key, _)| key.clone()).collect();
-        for key in orphans {
-            if let Some(slot) = self.take_slot(&key) {
-                self.return_slot(now, &slot);
-            }
+        for slot in self.held.take_orphans(now) {
+            self.return_slot(now, &slot);
         }
     }
 
@@ -630,30 +487,4 @@
         self.queue.remove(ask.place);
         self.by_latest_start.remove(&(ask.latest_start, key.clone()));
     }
-
-    fn expected_output(&self, profile: &AskProfile) -> Tokens {
-        Tokens((profile.output_limit.0 as f64 * self.output_part).ceil() as u64)
-    }
-
-    fn tokens_needed(&self, profile: &AskProfile) -> Tokens {
-        Tokens(profile.prompt.0 + self.expected_output(profile).0)
-    }
-
-    /// The service time at the fastest usable target.
-    fn expected_service(&self, now: Moment, profile: &AskProfile) -> Duration {
-        let output = self.expected_output(profile);
-        let times = self.usable().map(|target| target.service_time(now, profile.prompt, output));
-        times.min().unwrap_or_default()
-    }
-
-    fn learn_output(&mut self, limit: Tokens, output: Tokens) {
-        if limit.0 > 0 {
-            let part = (output.0 as f64 / limit.0 as f64).min(1.0);
-            self.output_part += (part - self.output_part) * OUTPUT_LEARNING;
-        }
-    }
-}
-
-fn millis(span: Duration) -> u32 {
-    u32::try_from(span.as_millis()).unwrap_or(u32::MAX)
 }
--- a/crates/ryetide-core/src/configuration.rs
+++ b/crates/ryetide-core/src/configuration.rs
@@ -13,7 +13,8 @@
 use crate::{
     catalog::ServiceCatalog,
     chart::{self, ConfigurationEvent, ConfigurationState},
-    event::{ApplyOutcome, Effect, EffectBuffer, Notice, TableAnswer, TableCommand, TableRow},
+    effect::{ApplyOutcome, Effect, EffectBuffer, Notice},
+    event::{TableAnswer, TableCommand, TableRow},
     ids::{OperationId, TableToken, VmName},
     message::ConfigurationText,
     safeguard::SafeguardSwitches,
--- a/crates/ryetide-core/src/entry.rs
+++ b/crates/ryetide-core/src/entry.rs
@@ -22,7 +22,8 @@
     chart::{self, DrainEvent, DrainState, RequestState},
     claim::ClaimKeeper,
     configuration::ConfigurationKeeper,
-    event::{Effect, EffectBuffer, Event, ListedVm, Notice, TableAnswer},
+    effect::{Effect, EffectBuffer, Notice},
+    event::{Event, ListedVm, TableAnswer},
     ids::{DataCentreName, Incarnation, RequestSequence, ScopeKey, TableToken, TargetKey, VmName},
     membership::PeerTable,
     message::{LifeMark, MessageSender},
@@ -138,7 +139,7 @@
 /// # Example
 ///
 /// ```
-/// use ryetide_core::{entry::{EntryCore, EntryOptions}, event::{Effect, EffectBuffer, Event}};
+/// use ryetide_core::{entry::{EntryCore, EntryOptions}, effect::{Effect, EffectBuffer}, event::Event};
 /// use ryetide_core::{ids::{DataCentreName, Incarnation, VmName}, units::Moment};
 ///
 /// let options =
--- a/crates/ryetide-core/src/entry_admission.rs
+++ b/crates/ryetide-core/src/entry_admission.rs
@@ -6,11 +6,9 @@
     catalog::ServiceRule,
     chart::{self, RequestEvent, RequestState},
     claim::{self, ClaimStep},
+    effect::{Effect, EffectBuffer},
     entry::EntryCore,
-    event::{
-        CallerRequest, Effect, EffectBuffer, FinalAnswer, RejectReason, TableAnswer, TableCommand,
-        UnknownReason,
-    },
+    event::{CallerRequest, FinalAnswer, RejectReason, TableAnswer, TableCommand, UnknownReason},
     ids::{AttemptNumber, OrganisationKey, RequestId, RequestSequence, ServiceKey, TableToken},
     message::{AskProfile, AskRef, ClaimOutcome, PeerMessage, RefuseReason},
     request::RequestRecord,
--- a/crates/ryetide-core/src/entry_dispatch.rs
+++ b/crates/ryetide-core/src/entry_dispatch.rs
@@ -11,35 +11,27 @@
 
 use crate::{
     chart::{RequestEvent, RequestState},
+    effect::{Effect, EffectBuffer},
     entry::EntryCore,
-    event::{
-        AnswerHead, Effect, EffectBuffer, FinalAnswer, OutcomeKind, RequestSummary, TargetOrder,
-        UnknownReason,
-    },
+    event::{AnswerHead, FinalAnswer, TargetOrder, UnknownReason},
     ids::{AttemptNumber, RequestId, RequestSequence},
-    message::{ClaimOutcome, RefuseReason, ReleaseOutcome},
+    message::{RefuseReason, ReleaseOutcome},
     request::RequestRecord,
-    units::{Moment, Tokens},
+    units::Moment,
 };
 
 /// A stream that has begun may be silent for this long before it is resumed.
-const PIECE_SILENCE: Duration = Duration::from_secs(2);
+pub(crate) const PIECE_SILENCE: Duration = Duration::from_secs(2);
 /// A dispatch may be silent for this long before its first piece.
 const FIRST_SILENCE: Duration = Duration::from_secs(4);
 /// Further time before the first piece for each 1,000 prompt tokens.
 const FIRST_SILENCE_PER_THOUSAND: Duration = Duration::from_secs(1);
-/// The first pause before a resume; it doubles with each resume that brings nothing.
-const RESUME_PAUSE: Duration = Duration::from_millis(50);
-/// Resumes in a row that may bring nothing.
-const RESUME_TRIES: u32 = 7;
 /// A target that answers late is listened to for this long after the deadline.
-const LATE_LIMIT: Duration = Duration::from_secs(10);
+pub(crate) const LATE_LIMIT: Duration = Duration::from_secs(10);
 /// When to come back after a target refused.
 const REFUSED_RETRY: Duration = Duration::from_millis(500);
 /// When to come back when the deadline passed before the first byte went out.
 const EXPIRED_RETRY: Duration = Duration::from_secs(1);
-/// When to ask again, with the same key, for the outcome of a request that was lost track of.
-const UNKNOWN_RETRY: Duration = Duration::from_secs(2);
 
 impl EntryCore {
     /// A connection stands: the request is dispatched on it, or its answer resumed.
@@ -109,22 +101,9 @@
         effects.push(Effect::Permit { sequence, attempt, order });
     }
 
-    fn resume(&mut self, now: Moment, sequence: RequestSequence, effects: &mut EffectBuffer) {
-        let id = self.id_of(sequence);
-        let Some(record) = self.requests.get_mut(sequence) else {
-            return;
-        };
-        record.handle(RequestEvent::Connected);
-        let (attempt, offset) = (record.attempt, record.received);
-        let wake = self.silence_end(now, sequence, PIECE_SILENCE);
-        self.requests.set_wake(sequence, wake);
-        let order = TargetOrder::Resume { id, offset };
-        effects.push(Effect::Permit { sequence, attempt, order });
-    }
-
     /// When a silence that starts now has lasted too long: for model engines the given bound, for
     /// plain services, which cannot be resumed, the deadline.
-    fn silence_end(
+    pub(crate) fn silence_end(
         &self,
         now: Moment,
         sequence: RequestSequence,
@@ -142,7 +121,7 @@
         Some(last.min(now + bound).max(now))
     }
 
-    fn id_of(&self, sequence: RequestSequence) -> RequestId {
+    pub(crate) fn id_of(&self, sequence: RequestSequence) -> RequestId {
         RequestId { vm: self.options.name.clone(), incarnation: self.options.incarnation, sequence }
     }
 
@@ -224,7 +203,7 @@
     }
 
     /// Returns the request if `attempt` is the connection that counts and bytes may come on it.
-    fn current(
+    pub(crate) fn current(
         &mut self,
         sequence: RequestSequence,
         attempt: AttemptNumber,
@@ -302,82 +281,6 @@
         }
     }
 
-    /// A stream broke or fell silent.
-    pub(crate) fn target_broken(
-        &mut self,
-        now: Moment,
-        sequence: RequestSequence,
-        attempt: AttemptNumber,
-        effects: &mut EffectBuffer,
-    ) {
-        let resumes = self.options.switches.resume_only;
-        let Some(record) = self.current(sequence, attempt) else {
-            return;
-        };
-        if std::mem::take(&mut record.connection_open) {
-            effects.push(Effect::Abandon { sequence, attempt });
-        }
-        let engine = record.route.as_ref().is_some_and(|route| route.engine);
-        if !engine {
-            self.lose_track(now, sequence, UnknownReason::TargetLost, effects);
-            return;
-        }
-        if !resumes {
-            self.dispatch_again(sequence, effects);
-            return;
-        }
-        record.handle(RequestEvent::Broken);
-        self.schedule_resume(now, sequence, effects);
-    }
-
-    /// What a careless client library does: sends the request again. Only mutation tests reach it.
-    fn dispatch_again(&mut self, sequence: RequestSequence, effects: &mut EffectBuffer) {
-        let Some(record) = self.requests.get_mut(sequence) else {
-            return;
-        };
-        record.state = RequestState::Connecting;
-        record.attempt = AttemptNumber(record.attempt.0 + 1);
-        record.connection_open = true;
-        let attempt = record.attempt;
-        let Some(route) = record.route.clone() else {
-            return;
-        };
-        effects.push(Effect::Connect { sequence, attempt, route });
-    }
-
-    /// Sets the time of the next resume, or gives the answer up when the tries are used.
-    fn schedule_resume(
-        &mut self,
-        now: Moment,
-        sequence: RequestSequence,
-        effects: &mut EffectBuffer,
-    ) {
-        let Some(record) = self.requests.get_mut(sequence) else {
-            return;
-        };
-        record.idle_resumes += 1;
-        if record.idle_resumes > RESUME_TRIES || now > record.deadline + LATE_LIMIT {
-            self.lose_track(now, sequence, UnknownReason::TargetLost, effects);
-            return;
-        }
-        let pause = RESUME_PAUSE * (1 << (record.idle_resumes - 1));
-        self.requests.set_wake(sequence, Some(now + pause));
-    }
-
-    fn start_resume(&mut self, now: Moment, sequence: RequestSequence, effects: &mut EffectBuffer) {
-        let Some(record) = self.requests.get_mut(sequence) else {
-            return;
-        };
-        let Some(route) = record.route.clone() else {
-            return;
-        };
-        record.attempt = AttemptNumber(record.attempt.0 + 1);
-        record.connection_open = true;
-        let attempt = record.attempt;
-        self.requests.set_wake(sequence, Some(now + PIECE_SILENCE));
-        effects.push(Effect::Connect { sequence, attempt, route });
-    }
-
     /// The target refused. It was the one dispatch all the same: "not run" is said only where the
     /// target's contract says that a refusal ran nothing.
     pub(crate) fn target_refused(
@@ -410,63 +313,6 @@
         }
     }
 
-    /// The target does not know the request: it may have run before the target forgot it.
-    pub(crate) fn resume_unknown(
-        &mut self,
-        now: Moment,
-        sequence: RequestSequence,
-        attempt: AttemptNumber,
-        effects: &mut EffectBuffer,
-    ) {
-        if self.current(sequence, attempt).is_some() {
-            self.lose_track(now, sequence, UnknownReason::TargetForgot, effects);
-        }
-    }
-
-    /// Ends a request of which no more can be found out.
-    pub(crate) fn lose_track(
-        &mut self,
-        now: Moment,
-        sequence: RequestSequence,
-        reason: UnknownReason,
-        effects: &mut EffectBuffer,
-    ) {
-        let Some(record) = self.requests.get_mut(sequence) else {
-            return;
-        };
-        if !record.handle(RequestEvent::LoseTrack) {
-            return;
-        }
-        let retry_after = record.claim_key.is_some().then_some(UNKNOWN_RETRY);
-        self.finish(now, sequence, FinalAnswer::Unknown { reason, retry_after }, effects);
-    }
-
-    /// A caller closed its connection. Waiting work is dropped; running work that may be repeated
-    /// is cancelled; work that may not be repeated runs to its end, and its outcome stays askable.
-    pub(crate) fn caller_gone(
-        &mut self,
-        now: Moment,
-        sequence: RequestSequence,
-        effects: &mut EffectBuffer,
-    ) {
-        let id = self.id_of(sequence);
-        let Some(record) = self.requests.get_mut(sequence) else {
-            return;
-        };
-        record.caller_gone = true;
-        if record.is_before_dispatch() {
-            self.drop_waiting(now, sequence, effects);
-            return;
-        }
-        if record.non_idempotent || record.claim_key.is_some() {
-            return;
-        }
-        if let Some(route) = record.route.clone().filter(|route| route.engine) {
-            effects.push(Effect::Cancel { id, route });
-        }
-        self.lose_track(now, sequence, UnknownReason::TargetLost, effects);
-    }
-
     /// Something fell due for a request.
     pub(crate) fn request_due(
         &mut self,
@@ -503,106 +349,9 @@
             _ => {}
         }
     }
-
-    /// Stops listening to a target long after the deadline.
-    fn cancel_late(&mut self, now: Moment, sequence: RequestSequence, effects: &mut EffectBuffer) {
-        let id = self.id_of(sequence);
-        let record = self.requests.get(sequence);
-        let repeatable = record.is_some_and(|record| !record.non_idempotent);
-        let route = record.and_then(|record| record.route.clone());
-        if let Some(route) = route.filter(|route| route.engine && repeatable) {
-            effects.push(Effect::Cancel { id, route });
-        }
-        self.lose_track(now, sequence, UnknownReason::TargetLost, effects);
-    }
-
-    /// Ends a request: the one place where final answers leave and records go.
-    pub(crate) fn finish(
-        &mut self,
-        now: Moment,
-        sequence: RequestSequence,
-        answer: FinalAnswer,
-        effects: &mut EffectBuffer,
-    ) {
-        let kind = kind_of(&answer);
-        let Some(record) = self.requests.get(sequence) else {
-            return;
-        };
-        let release = match (kind, record.state) {
-            (OutcomeKind::Answered, _) => ReleaseOutcome::Completed,
-            (OutcomeKind::NotRun, _) => ReleaseOutcome::Unused,
-            (OutcomeKind::Unknown, _) => ReleaseOutcome::Failed,
-        };
-        if record.connection_open && !record.is_before_dispatch() {
-            let attempt = record.attempt;
-            effects.push(Effect::Abandon { sequence, attempt });
-        }
-        self.release_slot(now, sequence, release, effects);
-        let Some(record) = self.requests.remove(sequence) else {
-            return;
-        };
-        if let Some(key) = &record.claim_key {
-            // Whatever its caller was told, a request that was not dispatched gives its key back.
-            let outcome = match kind {
-                _ if record.dispatched.is_none() => ClaimOutcome::NotRun,
-                OutcomeKind::Answered => ClaimOutcome::Answered(None),
-                OutcomeKind::NotRun => ClaimOutcome::NotRun,
-                OutcomeKind::Unknown => ClaimOutcome::Unknown,
-            };
-            if let Some(command) = self.claims.end(now, sequence, key, &outcome) {
-                self.send_command(command, effects);
-            }
-        }
-        if let Some(summary) = self.summarize(now, sequence, &record, kind) {
-            effects.push(Effect::Record(summary));
-        }
-        if !record.caller_gone {
-            effects.push(Effect::FinishAnswer { sequence, answer });
-        }
-    }
-
-    fn summarize(
-        &self,
-        now: Moment,
-        sequence: RequestSequence,
-        record: &RequestRecord,
-        outcome: OutcomeKind,
-    ) -> Option<RequestSummary> {
-        let catalog = self.configuration.catalog();
-        let since_arrival = |at: Moment| at.since(record.arrived);
-        let between = record.first_piece.zip(record.last_piece).and_then(|(first, last)| {
-            let gaps = u32::try_from(record.pieces.saturating_sub(1)).unwrap_or(u32::MAX);
-            last.since(first).checked_div(gaps)
-        });
-        let late = now > record.deadline;
-        let useful = outcome == OutcomeKind::Answered && !late;
-        let wasted = record.dispatched.is_some() && !useful && outcome != OutcomeKind::NotRun;
-        Some(RequestSummary {
-            sequence,
-            service: catalog.service(record.profile.service)?.name.clone(),
-            organisation: catalog.organisations().get(&record.profile.organisation)?.name.clone(),
-            tier: catalog.tiers().get(usize::from(record.profile.tier.0))?.name.clone(),
-            outcome,
-            queued: since_arrival(record.dispatched.unwrap_or(now)),
-            first_piece: record.first_piece.map(since_arrival),
-            between_pieces: between,
-            total: since_arrival(now),
-            late,
-            wasted_prompt: if wasted { record.profile.prompt } else { Tokens(0) },
-            prompt: record.profile.prompt,
-        })
-    }
 }
 
 fn first_silence(record: &RequestRecord) -> Duration {
     let thousands = u32::try_from(record.profile.prompt.0 / 1_000).unwrap_or(u32::MAX);
     FIRST_SILENCE + FIRST_SILENCE_PER_THOUSAND.saturating_mul(thousands)
 }
-
-fn kind_of(answer: &FinalAnswer) -> OutcomeKind {
-    match answer {
-        FinalAnswer::Answered | FinalAnswer::Replayed(_) => OutcomeKind::Answered,
-        FinalAnswer::NotRun { .. } | FinalAnswer::Rejected(_) => OutcomeKind::NotRun,
-        FinalAnswer::Unknown { .. } => OutcomeKind::Unknown,
-    }
-}
--- /dev/null
+++ b/crates/ryetide-core/src/entry_election.rs
@@ -0,0 +1,164 @@
+//! Who arbitrates what, and what moves when that changes.
+
+use std::time::Duration;
+
+use crate::{
+    arbiter::ScopeArbiter,
+    catalog::ServiceKind,
+    effect::{Effect, EffectBuffer},
+    entry::EntryCore,
+    entry_slot::route_to,
+    event::TargetRoute,
+    ids::{RequestSequence, ScopeKey, TargetKey},
+    message::{AskRef, HoldingMessage, PeerMessage, RefuseReason},
+    request::SlotSource,
+    units::Moment,
+    util,
+    verdict::{ArbiterVerdict, AskKey, VerdictKind},
+};
+
+/// A new arbiter grants nothing for this long, so that it first hears what is in use.
+const TAKEOVER_PAUSE: Duration = Duration::from_millis(150);
+
+impl EntryCore {
+    /// Creates the arbiter of `scope` here if there is none.
+    pub(crate) fn ensure_arbiter(
+        &mut self,
+        now: Moment,
+        scope: ScopeKey,
+        effects: &mut EffectBuffer,
+    ) {
+        if self.arbiters.contains_key(&scope) {
+            return;
+        }
+        let elected = self.is_elected(scope);
+        let share = if elected { 1.0 } else { 1.0 / self.peers.known_count() as f64 };
+        let others = self.peers.alive().next().is_some();
+        let pause = if elected && others { TAKEOVER_PAUSE } else { Duration::ZERO };
+        let catalog = self.configuration.catalog();
+        let switches = self.options.switches;
+        let mut arbiter = ScopeArbiter::new(scope, catalog, share, now + pause, switches);
+        for target in &self.leaving_targets {
+            arbiter.note_leaving(*target, true, &mut self.notices);
+        }
+        self.arbiters.insert(scope, arbiter);
+        self.watch_targets(effects);
+    }
+
+    /// Queries the load of the targets that this VM's arbiters order, and of no others.
+    pub(crate) fn watch_targets(&mut self, effects: &mut EffectBuffer) {
+        let catalog = self.configuration.catalog();
+        let mut routes = Vec::new();
+        for scope in self.arbiters.keys() {
+            let engine =
+                catalog.service(scope.service).is_some_and(|rule| rule.kind == ServiceKind::Model);
+            if engine {
+                routes.extend(catalog.targets_of(*scope).map(|rule| route_to(rule, engine)));
+            }
+        }
+        let keys: Vec<TargetKey> = routes.iter().map(|route: &TargetRoute| route.key).collect();
+        if keys != self.watched {
+            self.watched = keys;
+            effects.push(Effect::WatchTargets(routes));
+        }
+    }
+
+    /// Finds who arbitrates what, and moves what changed: a VM that is no longer elected hands its
+    /// waiting requests on, and every VM tells a new arbiter which of its slots are in use.
+    pub(crate) fn elect(&mut self, now: Moment, effects: &mut EffectBuffer) {
+        let scopes = self.configuration.catalog().scopes();
+        let mut changed = Vec::new();
+        for scope in &scopes {
+            let name = self.peers.arbiter_of(*scope);
+            if self.elected.get(scope) != Some(&name) {
+                changed.push(*scope);
+                self.elected.insert(*scope, name);
+            }
+        }
+        self.elected.retain(|scope, _| scopes.contains(scope));
+        for scope in &changed {
+            self.hand_over(now, *scope, effects);
+        }
+        let share = 1.0 / self.peers.known_count() as f64;
+        let own = self.options.name.clone();
+        for (scope, arbiter) in &mut self.arbiters {
+            let elected = self.elected.get(scope).and_then(Option::as_ref) == Some(&own);
+            arbiter.set_share(if elected { 1.0 } else { share });
+        }
+        self.watch_targets(effects);
+    }
+
+    fn hand_over(&mut self, now: Moment, scope: ScopeKey, effects: &mut EffectBuffer) {
+        if let Some(mut old) = self.arbiters.remove(&scope) {
+            for key in old.dissolve() {
+                self.verdicts.push(ArbiterVerdict {
+                    key,
+                    kind: VerdictKind::Refuse(RefuseReason::NotArbiter, Duration::ZERO),
+                });
+            }
+        }
+        if self.is_elected(scope) {
+            self.ensure_arbiter(now, scope, effects);
+        }
+        let of_scope: Vec<RequestSequence> = self
+            .requests
+            .iter()
+            .filter(|(_, record)| record.slot.as_ref().is_some_and(|slot| slot.scope == scope))
+            .map(|(sequence, _)| sequence)
+            .collect();
+        for sequence in of_scope {
+            self.follow_arbiter(now, sequence, scope, effects);
+        }
+    }
+
+    /// Tells the new arbiter of a slot in use, or asks it anew for one that waits.
+    fn follow_arbiter(
+        &mut self,
+        now: Moment,
+        sequence: RequestSequence,
+        scope: ScopeKey,
+        effects: &mut EffectBuffer,
+    ) {
+        let Some(record) = self.requests.get(sequence) else {
+            return;
+        };
+        let Some(slot) = record.slot.clone() else {
+            return;
+        };
+        let Some(target) = slot.target else {
+            // What waited at an arbiter of this VM is asked anew by its verdict.
+            if slot.source != SlotSource::Own {
+                self.ask_for_slot(now, sequence, effects);
+            }
+            return;
+        };
+        let ask = AskRef { life: self.life(), sequence };
+        let running = record.dispatched.map_or(Duration::ZERO, |at| now.since(at));
+        let profile = record.profile.clone();
+        let elected = self.elected.get(&scope).cloned().flatten();
+        let source = match elected {
+            Some(name) if name != self.options.name => {
+                let message = PeerMessage::Holding(HoldingMessage {
+                    ask,
+                    data_centre: scope.data_centre,
+                    target,
+                    profile,
+                    running_ms: util::millis(running),
+                });
+                effects.push(Effect::Send { to: name.clone(), message });
+                SlotSource::Peer(name)
+            }
+            _ => {
+                self.ensure_arbiter(now, scope, effects);
+                let key = AskKey { vm: self.options.name.clone(), ask };
+                if let Some(arbiter) = self.arbiters.get_mut(&scope) {
+                    arbiter.note_holding(now, key, target, &profile, running);
+                }
+                SlotSource::Own
+            }
+        };
+        if let Some(slot) = self.requests.get_mut(sequence).and_then(|it| it.slot.as_mut()) {
+            slot.source = source;
+        }
+    }
+}
--- a/crates/ryetide-core/src/entry_peer.rs
+++ b/crates/ryetide-core/src/entry_peer.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use crate::{
+    effect::{Effect, EffectBuffer, Notice},
     entry::EntryCore,
-    event::{Effect, EffectBuffer, Notice},
     message::{
         self, AskMessage, AskRef, HeartbeatMessage, HoldingMessage, MessageSender, PeerMessage,
         RefuseMessage, RefuseReason, ReleaseMessage,
--- a/crates/ryetide-core/src/entry_slot.rs
+++ b/crates/ryetide-core/src/entry_slot.rs
@@ -4,18 +4,19 @@
 use std::time::Duration;
 
 use crate::{
-    arbiter::ScopeArbiter,
     catalog::{ServiceKind, TargetRule},
     chart::RequestEvent,
+    effect::{Effect, EffectBuffer, Notice},
     entry::EntryCore,
-    event::{Effect, EffectBuffer, Notice, TargetRoute},
+    event::TargetRoute,
     ids::{AttemptNumber, DataCentreKey, RequestSequence, ScopeKey, ServiceKey, TargetKey, VmName},
     message::{
-        AskMessage, AskRef, HoldingMessage, PeerMessage, RefuseMessage, RefuseReason,
-        ReleaseMessage, ReleaseOutcome, ScopeLoad,
+        AskMessage, AskRef, PeerMessage, RefuseMessage, RefuseReason, ReleaseMessage,
+        ReleaseOutcome, ScopeLoad,
     },
     request::{SlotClaim, SlotSource},
     units::{Moment, TierRank, Tokens},
+    util,
     verdict::{ArbiterVerdict, AskKey, SlotAsk, VerdictKind},
 };
 
@@ -24,8 +25,6 @@
 const GRANT_WAIT: Duration = Duration::from_millis(60);
 /// How long an arbiter that did not answer is passed over.
 const DISTRUST_SPAN: Duration = Duration::from_secs(1);
-/// A new arbiter grants nothing for this long, so that it first hears what is in use.
-const TAKEOVER_PAUSE: Duration = Duration::from_millis(150);
 /// What the way to another data centre counts against it.
 const REMOTE_CHARGE: Duration = Duration::from_millis(4);
 /// When to come back when no target was usable anywhere.
@@ -120,8 +119,8 @@
             ask,
             data_centre: scope.data_centre,
             profile: record.profile.clone(),
-            deadline_ms: millis(record.deadline.since(now)),
-            waited_ms: millis(now.since(record.arrived)),
+            deadline_ms: util::millis(record.deadline.since(now)),
+            waited_ms: util::millis(now.since(record.arrived)),
         });
         let due = record.deadline.min(now + GRANT_WAIT);
         self.requests.set_wake(sequence, Some(due));
@@ -155,147 +154,6 @@
         }
     }
 
-    /// Creates the arbiter of `scope` here if there is none.
-    pub(crate) fn ensure_arbiter(
-        &mut self,
-        now: Moment,
-        scope: ScopeKey,
-        effects: &mut EffectBuffer,
-    ) {
-        if self.arbiters.contains_key(&scope) {
-            return;
-        }
-        let elected = self.is_elected(scope);
-        let share = if elected { 1.0 } else { 1.0 / self.peers.known_count() as f64 };
-        let others = self.peers.alive().next().is_some();
-        let pause = if elected && others { TAKEOVER_PAUSE } else { Duration::ZERO };
-        let catalog = self.configuration.catalog();
-        let switches = self.options.switches;
-        let mut arbiter = ScopeArbiter::new(scope, catalog, share, now + pause, switches);
-        for target in &self.leaving_targets {
-            arbiter.note_leaving(*target, true, &mut self.notices);
-        }
-        self.arbiters.insert(scope, arbiter);
-        self.watch_targets(effects);
-    }
-
-    /// Queries the load of the targets that this VM's arbiters order, and of no others.
-    pub(crate) fn watch_targets(&mut self, effects: &mut EffectBuffer) {
-        let catalog = self.configuration.catalog();
-        let mut routes = Vec::new();
-        for scope in self.arbiters.keys() {
-            let engine =
-                catalog.service(scope.service).is_some_and(|rule| rule.kind == ServiceKind::Model);
-            if engine {
-                routes.extend(catalog.targets_of(*scope).map(|rule| route_to(rule, engine)));
-            }
-        }
-        let keys: Vec<TargetKey> = routes.iter().map(|route: &TargetRoute| route.key).collect();
-        if keys != self.watched {
-            self.watched = keys;
-            effects.push(Effect::WatchTargets(routes));
-        }
-    }
-
-    /// Finds who arbitrates what, and moves what changed: a VM that is no longer elected hands its
-    /// waiting requests on, and every VM tells a new arbiter which of its slots are in use.
-    pub(crate) fn elect(&mut self, now: Moment, effects: &mut EffectBuffer) {
-        let scopes = self.configuration.catalog().scopes();
-        let mut changed = Vec::new();
-        for scope in &scopes {
-            let name = self.peers.arbiter_of(*scope);
-            if self.elected.get(scope) != Some(&name) {
-                changed.push(*scope);
-                self.elected.insert(*scope, name);
-            }
-        }
-        self.elected.retain(|scope, _| scopes.contains(scope));
-        for scope in &changed {
-            self.hand_over(now, *scope, effects);
-        }
-        let share = 1.0 / self.peers.known_count() as f64;
-        let own = self.options.name.clone();
-        for (scope, arbiter) in &mut self.arbiters {
-            let elected = self.elected.get(scope).and_then(Option::as_ref) == Some(&own);
-            arbiter.set_share(if elected { 1.0 } else { share });
-        }
-        self.watch_targets(effects);
-    }
-
-    fn hand_over(&mut self, now: Moment, scope: ScopeKey, effects: &mut EffectBuffer) {
-        if let Some(mut old) = self.arbiters.remove(&scope) {
-            for key in old.dissolve() {
-                self.verdicts.push(ArbiterVerdict {
-                    key,
-                    kind: VerdictKind::Refuse(RefuseReason::NotArbiter, Duration::ZERO),
-                });
-            }
-        }
-        if self.is_elected(scope) {
-            self.ensure_arbiter(now, scope, effects);
-        }
-        let of_scope: Vec<RequestSequence> = self
-            .requests
-            .iter()
-            .filter(|(_, record)| record.slot.as_ref().is_some_and(|slot| slot.scope == scope))
-            .map(|(sequence, _)| sequence)
-            .collect();
-        for sequence in of_scope {
-            self.follow_arbiter(now, sequence, scope, effects);
-        }
-    }
-
-    /// Tells the new arbiter of a slot in use, or asks it anew for one that waits.
-    fn follow_arbiter(
-        &mut self,
-        now: Moment,
-        sequence: RequestSequence,
-        scope: ScopeKey,
-        effects: &mut EffectBuffer,
-    ) {
-        let Some(record) = self.requests.get(sequence) else {
-            return;
-        };
-        let Some(slot) = record.slot.clone() else {
-            return;
-        };
-        let Some(target) = slot.target else {
-            // What waited at an arbiter of this VM is asked anew by its verdict.
-            if slot.source != SlotSource::Own {
-                self.ask_for_slot(now, sequence, effects);
-            }
-            return;
-        };
-        let ask = AskRef { life: self.life(), sequence };
-        let running = record.dispatched.map_or(Duration::ZERO, |at| now.since(at));
-        let profile = record.profile.clone();
-        let elected = self.elected.get(&scope).cloned().flatten();
-        let source = match elected {
-            Some(name) if name != self.options.name => {
-                let message = PeerMessage::Holding(HoldingMessage {
-                    ask,
-                    data_centre: scope.data_centre,
-                    target,
-                    profile,
-                    running_ms: millis(running),
-                });
-                effects.push(Effect::Send { to: name.clone(), message });
-                SlotSource::Peer(name)
-            }
-            _ => {
-                self.ensure_arbiter(now, scope, effects);
-                let key = AskKey { vm: self.options.name.clone(), ask };
-                if let Some(arbiter) = self.arbiters.get_mut(&scope) {
-                    arbiter.note_holding(now, key, target, &profile, running);
-                }
-                SlotSource::Own
-            }
-        };
-        if let Some(slot) = self.requests.get_mut(sequence).and_then(|it| it.slot.as_mut()) {
-            slot.source = source;
-        }
-    }
-
     /// Delivers the verdicts of this VM's arbiters: to its own requests, or to the peers that asked.
     pub(crate) fn deliver_verdicts(&mut self, now: Moment, effects: &mut EffectBuffer) {
         while !self.verdicts.is_empty() {
@@ -308,7 +166,7 @@
                         VerdictKind::Grant(target) => PeerMessage::Grant { ask, target },
                         VerdictKind::Queued => PeerMessage::Queued { ask },
                         VerdictKind::Refuse(reason, retry) => {
-                            let retry_ms = millis(retry);
+                            let retry_ms = util::millis(retry);
                             PeerMessage::Refuse(RefuseMessage { ask, reason, retry_ms })
                         }
                     };
@@ -551,8 +409,8 @@
             ask,
             scope: slot.scope,
             outcome,
-            first_piece_ms: since_dispatch(record.first_piece).map_or(0, millis),
-            total_ms: since_dispatch(Some(now)).map_or(0, millis),
+            first_piece_ms: since_dispatch(record.first_piece).map_or(0, util::millis),
+            total_ms: since_dispatch(Some(now)).map_or(0, util::millis),
             output: Tokens(record.pieces),
         };
         match &slot.source {
@@ -571,7 +429,7 @@
     }
 }
 
-fn route_to(rule: &TargetRule, engine: bool) -> TargetRoute {
+pub(crate) fn route_to(rule: &TargetRule, engine: bool) -> TargetRoute {
     TargetRoute {
         key: TargetKey::of(&rule.name),
         name: rule.name.clone(),
@@ -579,7 +437,3 @@
         engine,
     }
 }
-
-pub(crate) fn millis(span: Duration) -> u32 {
-    u32::try_from(span.as_millis()).unwrap_or(u32::MAX)
-}
--- a/crates/ryetide-core/src/lib.rs
+++ b/crates/ryetide-core/src/lib.rs
@@ -1,7 +1,7 @@
 //! The decision core of ryetide: a pure, deterministic state machine.
 //!
 //! Ryetide schedules requests onto unlike engines. Each entry VM runs one [`entry::EntryCore`],
-//! which is told what happened ([`event::Event`]) and says what to do ([`event::Effect`]). Nothing in
+//! which is told what happened ([`event::Event`]) and says what to do ([`effect::Effect`]). Nothing in
 //! this crate opens a socket, reads a clock, starts a thread, writes a log or draws unseeded
 //! randomness, so the daemon, the scripted scenarios, the fault matrix and the fuzzers all drive the
 //! same code, and a recorded run replays.
@@ -22,7 +22,7 @@
 //! | module | what it is |
 //! |---|---|
 //! | [`entry`] | the core: `step(now, event)` pushes effects |
-//! | [`event`], [`message`] | events, effects, and the messages between entry VMs |
+//! | [`event`], [`effect`], [`message`] | events, effects, and the messages between entry VMs |
 //! | [`chart`] | state charts, read from files and interpreted |
 //! | [`text`], [`catalog`] | operators' YAML with every fault found; the services text |
 //! | [`arbiter`], [`verdict`], [`queue`], [`estimate`], [`affinity`], [`retry`] | order and placement |
@@ -37,16 +37,21 @@
 
 pub mod affinity;
 pub mod arbiter;
+mod arbiter_placing;
 pub mod catalog;
 pub mod cell_plan;
 pub mod chart;
 pub mod claim;
 pub mod configuration;
 pub mod decision;
+pub mod effect;
 pub mod entry;
 mod entry_admission;
 mod entry_dispatch;
+mod entry_election;
+mod entry_end;
 mod entry_peer;
+mod entry_resume;
 mod entry_slot;
 pub mod estimate;
 pub mod event;
@@ -55,6 +60,7 @@
 pub mod load_digest;
 pub mod membership;
 pub mod message;
+mod output_guess;
 pub mod pace;
 pub mod peer_board;
 pub mod placing;
@@ -69,6 +75,7 @@
 pub mod safeguard;
 pub mod scheduler;
 pub mod scheduler_options;
+mod slot_ledger;
 pub mod target_health;
 pub mod target_load;
 pub mod target_registry;
--- a/crates/ryetide-core/src/membership.rs
+++ b/crates/ryetide-core/src/membership.rs
@@ -11,7 +11,8 @@
 
 use crate::{
     chart::{self, PeerEvent, PeerState},
-    event::{ListedVm, PeerAddress},
+    effect::PeerAddress,
+    event::ListedVm,
     ids::{DataCentreKey, DataCentreName, Incarnation, ScopeKey, VmName},
     message::ScopeLoad,
     units::{Moment, Revision},
--- a/crates/ryetide-core/tests/entry.rs
+++ b/crates/ryetide-core/tests/entry.rs
@@ -4,10 +4,11 @@
 
 use bytes::Bytes;
 use ryetide_core::{
+    effect::{Effect, EffectBuffer},
     entry::{EntryCore, EntryOptions},
     event::{
-        CallerRequest, Effect, EffectBuffer, Event, FinalAnswer, RejectReason, TableAnswer,
-        TableCommand, TableRow, TargetCall, UnknownReason,
+        CallerRequest, Event, FinalAnswer, RejectReason, TableAnswer, TableCommand, TableRow,
+        TargetCall, UnknownReason,
     },
     ids::{DataCentreName, Incarnation, RequestId, RequestSequence, TableToken, VmName},
     message::{AskRef, ClaimOutcome, HeartbeatMessage, LifeMark, PeerMessage, RefuseReason},
--- a/crates/ryetide-core/tests/fault_matrix/cell_targets.rs
+++ b/crates/ryetide-core/tests/fault_matrix/cell_targets.rs
@@ -8,7 +8,8 @@
 };
 
 use crate::{
-    cell::{Cell, Delivery, LinkKey, TARGETS, WAY},
+    cell::{Cell, LinkKey, TARGETS, WAY},
+    cell_network::Delivery,
     fakes::{EngineJob, PIECE_BYTES, content_of},
 };
 
--- a/crates/ryetide-core/tests/fault_matrix/check.rs
+++ b/crates/ryetide-core/tests/fault_matrix/check.rs
@@ -3,10 +3,7 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use ryetide_core::{
-    event::{ApplyOutcome, FinalAnswer},
-    ids::RequestId,
-    message::RefuseReason,
-    units::Moment,
+    effect::ApplyOutcome, event::FinalAnswer, ids::RequestId, message::RefuseReason, units::Moment,
 };
 
 use crate::{
--- a/crates/ryetide-core/tests/fault_matrix/fault.rs
+++ b/crates/ryetide-core/tests/fault_matrix/fault.rs
@@ -4,7 +4,10 @@
 
 use ryetide_core::event::Event;
 
-use crate::cell::{CallPlan, Cell, Delivery, TARGETS, VMS};
+use crate::{
+    cell::{CallPlan, Cell, TARGETS, VMS},
+    cell_network::Delivery,
+};
 
 /// How long a fault lasts.
 pub const FAULT_SPAN: Duration = Duration::from_secs(3);
--- a/crates/ryetide-core/tests/fault_matrix/main.rs
+++ b/crates/ryetide-core/tests/fault_matrix/main.rs
@@ -5,6 +5,7 @@
 //! hold: see `check.rs`.
 
 mod cell;
+mod cell_network;
 mod cell_targets;
 mod check;
 mod fakes;
@@ -93,7 +94,7 @@
         }
         if let Some((at, _)) = cell.triggered {
             let recovery = at + fault::FAULT_SPAN + std::time::Duration::from_millis(500);
-            cell.schedule(recovery, cell::Delivery::Fault(second, true));
+            cell.schedule(recovery, cell_network::Delivery::Fault(second, true));
         }
     }
     cell.run(scenario::CELL_END);
--- a/crates/ryetide-core/tests/fault_matrix/scenario.rs
+++ b/crates/ryetide-core/tests/fault_matrix/scenario.rs
@@ -5,7 +5,8 @@
 use ryetide_core::{safeguard::SafeguardSwitches, units::Moment};
 
 use crate::{
-    cell::{CallPlan, Cell, Delivery},
+    cell::{CallPlan, Cell},
+    cell_network::Delivery,
     fault::{FaultKind, probe},
 };
 
--- a/crates/ryetide-core/tests/fault_matrix/script.rs
+++ b/crates/ryetide-core/tests/fault_matrix/script.rs
@@ -18,7 +18,8 @@
 use ryetide_core::{event::FinalAnswer, safeguard::SafeguardSwitches, units::Moment};
 
 use crate::{
-    cell::{CallPlan, Cell, Delivery, TARGETS, VMS},
+    cell::{CallPlan, Cell, TARGETS, VMS},
+    cell_network::Delivery,
     check,
     fault::{self, FaultKind, probe},
 };
@@ -108,9 +109,9 @@
 
     fn edits(&self) -> String {
         let edits = self.cell.applied.iter();
-        let told = |outcome: &Option<ryetide_core::event::ApplyOutcome>| match outcome {
+        let told = |outcome: &Option<ryetide_core::effect::ApplyOutcome>| match outcome {
             None => "no answer yet".to_owned(),
-            Some(ryetide_core::event::ApplyOutcome::Collided { revision, .. }) => {
+            Some(ryetide_core::effect::ApplyOutcome::Collided { revision, .. }) => {
                 format!("collided with revision {revision}")
             }
             Some(outcome) => format!("{outcome:?}"),
--- a/crates/ryetide-lab/src/slopes.rs
+++ b/crates/ryetide-lab/src/slopes.rs
@@ -11,8 +11,9 @@
 use ryetide_core::{
     arbiter::ScopeArbiter,
     catalog::ServiceCatalog,
+    effect::{Effect, EffectBuffer},
     entry::{EntryCore, EntryOptions},
-    event::{Effect, EffectBuffer, Event, ListedVm, TableAnswer, TableRow},
+    event::{Event, ListedVm, TableAnswer, TableRow},
     ids::{
         DataCentreKey, DataCentreName, Incarnation, OrganisationKey, OrganisationName,
         RequestSequence, ServiceKey, ServiceName, TableToken, TargetKey, TargetName, VmName,
--- a/crates/ryetided/tests/processes/failures.rs
+++ b/crates/ryetided/tests/processes/failures.rs
@@ -6,7 +6,7 @@
 use ntex::http::Method;
 use ryetide::{deployment_keys, operator_port::ApplyReply};
 use ryetide_core::entry::EntryStatus;
-use ryetide_core::{event::ApplyOutcome, message::ConfigurationText};
+use ryetide_core::{effect::ApplyOutcome, message::ConfigurationText};
 use ryetide_lab::{
     caller::{CallOutcome, CallResult, CallTerms, TestCaller},
     control,
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -28,8 +28,9 @@
 };
 use rand::Rng;
 use ryetide_core::{
+    effect::{ApplyOutcome, Effect, EffectBuffer, Notice},
     entry::{EntryCore, EntryOptions},
-    event::{ApplyOutcome, Effect, EffectBuffer, Event, Notice, TargetOrder},
+    event::{Event, TargetOrder},
     ids::{Incarnation, OperationId},
     units::Moment,
 };
--- a/src/operator_port.rs
+++ b/src/operator_port.rs
@@ -13,7 +13,7 @@
     web::{self, App, HttpRequest, HttpResponse, HttpServer},
 };
 use ryetide_core::{
-    catalog::ServiceCatalog, entry::EntryStatus, event::ApplyOutcome, message::ConfigurationText,
+    catalog::ServiceCatalog, effect::ApplyOutcome, entry::EntryStatus, message::ConfigurationText,
     text::TextFault, units::Revision,
 };
 use serde::{Deserialize, Serialize};
--- a/src/peer_link.rs
+++ b/src/peer_link.rs
@@ -11,7 +11,8 @@
 
 use quinn::Endpoint;
 use ryetide_core::{
-    event::{Event, PeerAddress},
+    effect::PeerAddress,
+    event::Event,
     ids::{DataCentreName, Incarnation, VmName},
     message::{self, PeerMessage},
 };
--- a/src/request_report.rs
+++ b/src/request_report.rs
@@ -4,7 +4,7 @@
 
 use cadence::{Counted, StatsdClient, Timed};
 use hdrhistogram::Histogram;
-use ryetide_core::event::{OutcomeKind, RequestSummary};
+use ryetide_core::effect::{OutcomeKind, RequestSummary};
 use serde::{Deserialize, Serialize};
 use tokio::sync::{self, oneshot};
 
--- a/tests/report.rs
+++ b/tests/report.rs
@@ -8,7 +8,7 @@
     ring,
 };
 use ryetide_core::{
-    event::{OutcomeKind, RequestSummary},
+    effect::{OutcomeKind, RequestSummary},
     ids::{OrganisationName, RequestSequence, ServiceName, TierName},
     units::Tokens,
 };
