Write over no row that cannot be read; take no unreadable header for an absent one; tell lost errors

The edit now ends as not written, or uncertain once a write is out, and the row is told of. - The same row in a write's conflict told the operator of a collision with revision 0. - An idempotency key or deadline that is no ASCII counted as absent: the request ran without its protection. It is now refused with 400. Also: values of our own are written as JSON by one function, which never yields an empty row; calls to the platform and to engines say why they failed; bounds of callers are read in one place.

--- a/crates/ryetide-core/src/claim.rs
+++ b/crates/ryetide-core/src/claim.rs
@@ -17,6 +17,7 @@
 use crate::{
     event::{TableAnswer, TableCommand, TableRow},
     ids::{Incarnation, RequestId, RequestSequence, TableToken, VmName},
+    json_form,
     message::{ClaimOutcome, KeptAnswer},
     safeguard::SafeguardSwitches,
     units::Moment,
@@ -456,7 +457,7 @@
 }
 
 fn claim_value(holder: RequestId, released: bool) -> String {
-    serde_json::to_string(&ClaimRow { holder, released }).unwrap_or_default()
+    json_form::encode(&ClaimRow { holder, released })
 }
 
 /// Returns the row's key for an organisation's idempotency key.
--- a/crates/ryetide-core/src/configuration.rs
+++ b/crates/ryetide-core/src/configuration.rs
@@ -16,6 +16,7 @@
     effect::{ApplyOutcome, Effect, EffectBuffer, Notice},
     event::{TableAnswer, TableCommand, TableRow},
     ids::{OperationId, TableToken, VmName},
+    json_form,
     message::ConfigurationText,
     safeguard::SafeguardSwitches,
     units::{Moment, Revision},
@@ -215,8 +216,12 @@
             return false;
         };
         self.known_version = Some(row.version);
-        let Some(found) = parse_row(row) else {
-            return false;
+        let found = match read_row(Some(row)) {
+            Ok(found) => found,
+            Err(notice) => {
+                effects.push(Effect::Note(notice));
+                return false;
+            }
         };
         if found.revision < self.revision() {
             // The platform restored an older copy: an accepted revision must not revert with it.
@@ -236,14 +241,16 @@
     ) {
         let Some(edit) = &mut self.edit else { return };
         match answer {
-            TableAnswer::Row(row) => {
-                let row = row.as_ref();
-                self.continue_edit(row, next_token(), effects);
-            }
-            TableAnswer::Conflict(row) => {
-                edit.write_open = false;
-                let row = row.as_ref();
-                self.finish_against(row, effects);
+            TableAnswer::Row(row) | TableAnswer::Conflict(row) => {
+                let version = row.as_ref().map_or(0, |row| row.version);
+                match read_row(row.as_ref()) {
+                    Err(notice) => self.leave_unreadable(notice, effects),
+                    Ok(found) if matches!(answer, TableAnswer::Conflict(_)) => {
+                        edit.write_open = false;
+                        self.finish_against(version, found, effects);
+                    }
+                    Ok(found) => self.continue_edit(version, found, next_token(), effects),
+                }
             }
             TableAnswer::Written(version) => {
                 self.known_version = Some(*version);
@@ -268,24 +275,32 @@
         }
     }
 
+    /// Ends an edit that met a row which this process cannot read, such as one that a newer build
+    /// wrote. Taken for an absent row it would be written over, by a revision that may be lower.
+    fn leave_unreadable(&mut self, notice: Notice, effects: &mut EffectBuffer) {
+        effects.push(Effect::Note(notice));
+        let tried = self.edit.as_ref().is_some_and(|edit| edit.write_open);
+        let outcome = if tried { ApplyOutcome::Uncertain } else { ApplyOutcome::NotWritten };
+        self.finish(ConfigurationEvent::Collided, outcome, effects);
+    }
+
     /// Goes on with an edit after its row was read: writes it, or finds how it ended.
     fn continue_edit(
         &mut self,
-        row: Option<&TableRow>,
+        version: u64,
+        found: ConfigurationRow,
         token: TableToken,
         effects: &mut EffectBuffer,
     ) {
         let in_force = self.revision();
         let Some(edit) = &mut self.edit else { return };
-        let version = row.map_or(0, |row| row.version);
-        let found = row.and_then(parse_row).unwrap_or_else(ConfigurationRow::absent);
         let first_read = edit.target.is_none();
         let ours = found.names(edit.operation);
         let standing = found.revision.max(in_force);
         let base_moved = first_read && edit.base.is_some_and(|base| base != standing);
         let overtaken = edit.target.as_ref().is_some_and(|(known, _)| *known != version);
         if ours || base_moved || overtaken {
-            self.finish_against(row, effects);
+            self.finish_against(version, found, effects);
             return;
         }
         if first_read {
@@ -301,13 +316,17 @@
     }
 
     /// Ends an edit by what the row that stands says.
-    fn finish_against(&mut self, row: Option<&TableRow>, effects: &mut EffectBuffer) {
-        let found = row.and_then(parse_row).unwrap_or_else(ConfigurationRow::absent);
+    fn finish_against(
+        &mut self,
+        version: u64,
+        found: ConfigurationRow,
+        effects: &mut EffectBuffer,
+    ) {
         let Some(edit) = &self.edit else { return };
         if found.names(edit.operation) {
             let own = edit.written_text();
             let latest = found.operation == edit.operation;
-            self.known_version = row.map(|row| row.version);
+            self.known_version = Some(version);
             self.accept(own, effects);
             if !latest {
                 self.adopt(found.into_text(), None, effects);
@@ -438,7 +457,7 @@
     }
 
     fn row_value(&self) -> String {
-        serde_json::to_string(&self.written_row()).unwrap_or_default()
+        json_form::encode(&self.written_row())
     }
 }
 
@@ -447,6 +466,10 @@
     spread.max(READ_LEAST)
 }
 
-fn parse_row(row: &TableRow) -> Option<ConfigurationRow> {
-    serde_json::from_str(&row.value).ok()
+/// Reads a row; one that is not there counts as revision 0. Returns what operators are told of a row
+/// that cannot be read.
+fn read_row(row: Option<&TableRow>) -> Result<ConfigurationRow, Notice> {
+    let Some(row) = row else { return Ok(ConfigurationRow::absent()) };
+    serde_json::from_str(&row.value)
+        .map_err(|error| Notice::RowUnreadable { version: row.version, fault: error.to_string() })
 }
--- a/crates/ryetide-core/src/effect.rs
+++ b/crates/ryetide-core/src/effect.rs
@@ -228,6 +228,13 @@
         /// The first fault.
         fault: String,
     },
+    /// The table service holds a row that this process cannot read; nothing is written over it.
+    RowUnreadable {
+        /// The row's version.
+        version: u64,
+        /// What is wrong with it.
+        fault: String,
+    },
     /// The table service holds a lower revision than the one in force.
     RevisionWentBack {
         /// The revision in the table.
--- a/crates/ryetide-core/src/lib.rs
+++ b/crates/ryetide-core/src/lib.rs
@@ -33,7 +33,7 @@
 //! | [`placing`], [`target_load`], [`target_health`], [`pace`], [`prompt_memory`] | where they are placed |
 //! | [`load_digest`], [`peer_board`], [`cell_plan`], [`target_registry`] | what entry VMs tell each other, and which targets there are |
 //! | [`safeguard`] | switches that let tests show what each safeguard prevents |
-//! | [`ids`], [`units`] | newtypes |
+//! | [`ids`], [`units`], [`json_form`] | newtypes, and the form in which values are written down |
 
 pub mod affinity;
 pub mod arbiter;
@@ -56,6 +56,7 @@
 pub mod estimate;
 pub mod event;
 pub mod ids;
+pub mod json_form;
 pub mod line_view;
 pub mod load_digest;
 pub mod membership;
--- a/crates/ryetide-core/src/message.rs
+++ b/crates/ryetide-core/src/message.rs
@@ -306,9 +306,8 @@
 /// assert_eq!(message::decode(&frame), Ok(PeerMessage::ConfigurationPull));
 /// ```
 pub fn encode(message: &PeerMessage) -> Vec<u8> {
-    // Writing into a vector cannot fail, and every field type is one postcard writes.
-    let body = postcard::to_extend(message, vec![WIRE_VERSION]);
-    body.unwrap_or_default()
+    postcard::to_extend(message, vec![WIRE_VERSION])
+        .expect("a vector takes everything, and every field is of a type that postcard writes")
 }
 
 /// Decodes a frame.
--- a/crates/ryetide-gateway/src/caller_listener.rs
+++ b/crates/ryetide-gateway/src/caller_listener.rs
@@ -56,13 +56,13 @@
         tracing::debug!(event = "caller-lost", step = "accept", reason = %error);
         return;
     }
-    let bounds = gateway.fleet().routes().map(|routes| routes.bounds()).unwrap_or_default();
+    let bounds = gateway.fleet().bounds();
     let handler = {
         let gateway = Rc::clone(&gateway);
         service::service_fn(move |request| answer(Rc::clone(&gateway), request))
     };
     let idle = bounds.idle_timeout.mul_f64(IDLE_FACTOR) + bounds.header_timeout;
-    let buffer = usize::try_from(bounds.header.0).unwrap_or(LEAST_BUFFER).max(LEAST_BUFFER);
+    let buffer = usize::try_from(bounds.header.0).unwrap_or(usize::MAX).max(LEAST_BUFFER);
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(idle)
@@ -97,9 +97,11 @@
     let (head, body) = request.into_parts();
     let id = head.headers.get(&gateway.names().request_id).cloned();
     let matched = caller_service::match_route(gateway, &head);
-    let limit = gateway.fleet().routes().map(|routes| routes.bounds().body.0).unwrap_or_default();
     let read = match matched {
-        Ok(matched) => read_body(body, limit).await.map(|body| (matched, body)),
+        Ok(matched) => {
+            let limit = gateway.fleet().bounds().body.0;
+            read_body(body, limit).await.map(|body| (matched, body))
+        }
         Err(answer) => Err(answer),
     };
     match read {
@@ -122,6 +124,9 @@
         Ok(Err(error)) if error.is::<LengthLimitError>() => {
             Err(OwnAnswer::new(OwnReason::BodyTooLarge))
         }
-        Ok(Err(_)) => Err(OwnAnswer::new(OwnReason::BadRequest)),
+        Ok(Err(error)) => {
+            tracing::debug!(event = "body-broken", step = "read body", reason = %error);
+            Err(OwnAnswer::new(OwnReason::BadRequest))
+        }
     }
 }
--- a/crates/ryetide-gateway/src/fleet_view.rs
+++ b/crates/ryetide-gateway/src/fleet_view.rs
@@ -5,7 +5,7 @@
 use ryetide_core::{
     ids::ServiceName,
     load_digest::FleetNews,
-    route::{EngineProfile, RouteTable},
+    route::{CallerBounds, EngineProfile, RouteTable},
     target_load::TargetEntry,
     target_registry::TargetRegistry,
     units::Revision,
@@ -30,6 +30,12 @@
         self.routes.borrow().as_ref().map_or(Revision(0), |routes| routes.revision())
     }
 
+    /// Returns what callers may take up: by the routes in force, or by default before the first have
+    /// come, when callers are only told to come back.
+    pub fn bounds(&self) -> CallerBounds {
+        self.routes.borrow().as_ref().map(|routes| routes.bounds()).unwrap_or_default()
+    }
+
     /// Returns how far this VM's knowledge of the fleet reaches.
     pub fn news(&self) -> FleetNews {
         let registry = self.registry.borrow();
--- a/crates/ryetided/tests/processes/bad_input.rs
+++ b/crates/ryetided/tests/processes/bad_input.rs
@@ -70,6 +70,8 @@
         (post(&with("ryetide-non-idempotent: maybe"), BODY), 400, "header-value"),
         (post(&with("ryetide-non-idempotent: true"), BODY), 400, "key-missing"),
         (post(&with(&format!("idempotency-key: {}", "k".repeat(300))), BODY), 400, "header-value"),
+        (post(&with("idempotency-key: cl\u{e9}"), BODY), 400, "header-value"),
+        (post(&with("ryetide-deadline-ms: 5\u{e9}"), BODY), 400, "header-value"),
         (post_to("/nowhere", GOOD, BODY), 404, "path-unknown"),
         (post_to("/services/nosuch/x", GOOD, BODY), 404, "unknown-service"),
         (post_to("/services/records/x", GOOD, &"x".repeat(8_400_000)), 413, "body-too-large"),
--- a/src/caller_answer.rs
+++ b/src/caller_answer.rs
@@ -12,6 +12,7 @@
 };
 use ryetide_core::{
     event::{FinalAnswer, RejectReason, UnknownReason},
+    json_form,
     message::RefuseReason,
 };
 use serde::{Deserialize, Serialize};
@@ -116,8 +117,7 @@
 
 /// The name of a reason as it is serialised.
 fn code_of(reason: &impl Serialize) -> String {
-    let value = serde_json::to_value(reason).unwrap_or_default();
-    value.as_str().unwrap_or_default().to_owned()
+    json_form::encode(reason).trim_matches('"').to_owned()
 }
 
 /// Builds the response for a final answer that is not the target's own.
@@ -162,6 +162,7 @@
 
 /// Begins a response.
 pub fn builder(status: u16, outcome: &str, id: &str) -> HttpResponseBuilder {
+    // The library reads no status of a target that it could not write, and ours are all known to it.
     let status = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
     let mut builder = HttpResponse::build(status);
     if !outcome.is_empty() {
@@ -178,7 +179,7 @@
     match final_status(answer) {
         None => format!(": {OUTCOME_HEADER} {ANSWERED}\n\n"),
         Some(status) => {
-            let body = serde_json::to_string(&error_body(&status)).unwrap_or_default();
+            let body = json_form::encode(&error_body(&status));
             format!("event: error\ndata: {body}\n\n: {OUTCOME_HEADER} {}\n\n", status.outcome)
         }
     }
--- a/src/caller_request.rs
+++ b/src/caller_request.rs
@@ -114,16 +114,24 @@
     }
 }
 
-fn value<'a>(headers: &'a HeaderMap, name: &'static str) -> Option<&'a str> {
-    headers.get(name)?.to_str().ok()
+/// Returns a header's text. One that is no text is a fault and not the same as none: a request whose
+/// idempotency key was passed over would run twice.
+fn value<'a>(headers: &'a HeaderMap, name: &'static str) -> Result<Option<&'a str>, ReadFault> {
+    let Some(found) = headers.get(name) else { return Ok(None) };
+    found.to_str().map(Some).map_err(|_| ReadFault::HeaderValue {
+        header: name,
+        found: String::from_utf8_lossy(found.as_bytes()).into_owned(),
+        permitted: "visible ASCII",
+    })
 }
 
 fn required<'a>(headers: &'a HeaderMap, name: &'static str) -> Result<&'a str, ReadFault> {
-    value(headers, name).filter(|text| !text.is_empty()).ok_or(ReadFault::HeaderMissing(name))
+    let found = value(headers, name)?.filter(|text| !text.is_empty());
+    found.ok_or(ReadFault::HeaderMissing(name))
 }
 
 fn read_deadline(headers: &HeaderMap) -> Result<Duration, ReadFault> {
-    let Some(text) = value(headers, DEADLINE_HEADER) else { return Ok(DEFAULT_DEADLINE) };
+    let Some(text) = value(headers, DEADLINE_HEADER)? else { return Ok(DEFAULT_DEADLINE) };
     let millis: i64 = text.parse().map_err(|_| ReadFault::HeaderValue {
         header: DEADLINE_HEADER,
         found: text.to_owned(),
@@ -136,7 +144,7 @@
 }
 
 fn read_flag(headers: &HeaderMap) -> Result<bool, ReadFault> {
-    match value(headers, NON_IDEMPOTENT_HEADER) {
+    match value(headers, NON_IDEMPOTENT_HEADER)? {
         None | Some("false") => Ok(false),
         Some("true") => Ok(true),
         Some(found) => Err(ReadFault::HeaderValue {
@@ -148,7 +156,7 @@
 }
 
 fn read_key(headers: &HeaderMap) -> Result<Option<String>, ReadFault> {
-    let Some(found) = value(headers, KEY_HEADER) else { return Ok(None) };
+    let Some(found) = value(headers, KEY_HEADER)? else { return Ok(None) };
     if found.is_empty() || found.len() > KEY_LIMIT {
         return Err(ReadFault::HeaderValue {
             header: KEY_HEADER,
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -464,6 +464,9 @@
         Notice::RevisionUnreadable { revision, fault } => {
             tracing::error!(event = "revision-unreadable", step = "adopt", %revision, %fault);
         }
+        Notice::RowUnreadable { version, fault } => {
+            tracing::error!(event = "row-unreadable", step = "read table", version, %fault);
+        }
         Notice::RevisionWentBack { found, in_force } => {
             tracing::error!(event = "revision-went-back", step = "read table", %found, %in_force);
         }
--- a/src/fresh_client.rs
+++ b/src/fresh_client.rs
@@ -74,8 +74,14 @@
         limit: Duration,
     ) -> Option<FreshConnection> {
         let opened = ntex::rt::tcp_connect(address, SharedCfg::new("fresh").into());
-        let io = util::within(limit, opened).await?.ok()?;
-        Some(FreshConnection { address, io })
+        let opened = util::within(limit, opened).await;
+        let reason = match opened {
+            Some(Ok(io)) => return Some(FreshConnection { address, io }),
+            Some(Err(error)) => error.to_string(),
+            None => "silent".to_owned(),
+        };
+        tracing::debug!(event = "connect-failed", step = "connect", peer = %address, reason);
+        None
     }
 
     /// Begins a request on `connection`, which must be sent right away.
--- a/src/peer_keys.rs
+++ b/src/peer_keys.rs
@@ -101,7 +101,8 @@
 
 fn transport() -> quinn::TransportConfig {
     let mut transport = quinn::TransportConfig::default();
-    transport.max_idle_timeout(quinn::IdleTimeout::try_from(IDLE_TIMEOUT).ok());
+    let idle = quinn::IdleTimeout::try_from(IDLE_TIMEOUT);
+    transport.max_idle_timeout(Some(idle.expect("a time far under the library's greatest")));
     transport.max_concurrent_bidi_streams(0_u32.into());
     transport.max_concurrent_uni_streams(4_u32.into());
     transport.datagram_receive_buffer_size(None);
--- a/src/peer_link.rs
+++ b/src/peer_link.rs
@@ -14,6 +14,7 @@
     effect::PeerAddress,
     event::Event,
     ids::{DataCentreName, Incarnation, VmName},
+    json_form,
     message::{self, PeerMessage},
 };
 use serde::{Deserialize, Serialize};
@@ -188,7 +189,7 @@
     let mut stream =
         connection.open_uni().await.map_err(|error| fault("open stream", error.into()))?;
     let mut buffer = Vec::new();
-    append_frame(&mut buffer, &encode_preface(preface));
+    append_frame(&mut buffer, json_form::encode(preface).as_bytes());
     loop {
         stream.write_all(&buffer).await.map_err(|error| fault("write", error.into()))?;
         buffer.clear();
@@ -198,6 +199,7 @@
             reason = closed => return Err(fault("wait", reason.into())),
         };
         let Some(frame) = frame else {
+            // The peer may have closed its end first, and need not say that it has read the last.
             let _ = stream.finish();
             let _ = util::within(OPEN_TIMEOUT, stream.stopped()).await;
             return Ok(());
@@ -216,10 +218,6 @@
     buffer.extend_from_slice(frame);
 }
 
-fn encode_preface(preface: &LinkPreface) -> Vec<u8> {
-    serde_json::to_vec(preface).unwrap_or_default()
-}
-
 /// Receives one peer's connection until it ends.
 async fn receive(incoming: quinn::Incoming, events: &RingSender<Event>) -> Result<(), StepError> {
     let remote = incoming.remote_address();
--- a/src/platform_client.rs
+++ b/src/platform_client.rs
@@ -6,6 +6,7 @@
 use ryetide_core::{
     event::{Event, ListedVm, TableAnswer, TableCommand},
     ids::TableToken,
+    json_form,
 };
 use tokio::sync::Semaphore;
 
@@ -82,7 +83,7 @@
                 continue;
             };
             match serde_json::from_slice::<Vec<ListedVm>>(&body) {
-                Ok(listed) => drop(self.events.send(Event::ListRead(listed)).await),
+                Ok(listed) => self.tell(Event::ListRead(listed)).await,
                 Err(error) => {
                     let reason = error.to_string();
                     tracing::warn!(event = "list-unreadable", peer = %address, %reason);
@@ -94,14 +95,23 @@
     async fn run_command(self: Rc<Self>, command: PlatformCommand) {
         let Ok(_permit) = self.permits.acquire().await else { return };
         let token = command.token;
-        let body = serde_json::to_vec(&command.command).unwrap_or_default();
-        let sent = self.ask(self.settings.table, "/table", Some(body)).await;
+        let body = json_form::encode(&command.command).into_bytes();
+        let table = self.settings.table;
+        let sent = self.ask(table, "/table", Some(body)).await;
         let answer = match sent {
-            Sending::Answered(body) => serde_json::from_slice(&body).unwrap_or(TableAnswer::Lost),
+            Sending::Answered(body) => serde_json::from_slice(&body).unwrap_or_else(|error| {
+                tracing::warn!(event = "table-unreadable", peer = %table, reason = %error);
+                TableAnswer::Lost
+            }),
             Sending::NotSent => TableAnswer::Unavailable,
             Sending::Lost => TableAnswer::Lost,
         };
-        let _ = self.events.send(Event::TableReplied { token, answer }).await;
+        self.tell(Event::TableReplied { token, answer }).await;
+    }
+
+    async fn tell(&self, event: Event) {
+        // A closed ring means that the daemon is stopping.
+        let _ = self.events.send(event).await;
     }
 
     /// Sends one request on a connection of its own.
@@ -116,16 +126,19 @@
                 }
                 None => self.client.request(connection, Method::GET, path).send().await,
             };
-            let response = response.ok()?;
+            let response = response.map_err(|error| error.to_string())?;
             if !response.status().is_success() {
-                return None;
+                return Err(format!("status {}", response.status()));
             }
-            let body: Bytes = response.body().await.ok()?;
-            Some(body)
+            response.body().await.map_err(|error| error.to_string())
         };
-        match util::within(ANSWER_TIMEOUT, exchange).await.flatten() {
-            Some(body) => Sending::Answered(body),
-            None => Sending::Lost,
+        let answered = util::within(ANSWER_TIMEOUT, exchange).await;
+        match answered.unwrap_or_else(|| Err("silent".to_owned())) {
+            Ok(body) => Sending::Answered(body),
+            Err(reason) => {
+                tracing::info!(event = "platform-unheard", step = "ask", peer = %address, path, reason);
+                Sending::Lost
+            }
         }
     }
 }
--- a/src/target_client.rs
+++ b/src/target_client.rs
@@ -144,7 +144,6 @@
     ) {
         let (sequence, attempt) = key;
         let Some(connection) = self.connect(route).await else {
-            tracing::debug!(event = "connect-failed", step = "connect", peer = %route.name);
             self.tell(Event::ConnectFailed { sequence, attempt }).await;
             return;
         };
@@ -157,7 +156,9 @@
             }
             TargetOrder::Dispatch { id, call, answer_limit, not_after: _ } => {
                 let limit = if route.engine { ByteSize(u64::MAX) } else { answer_limit };
-                let method = if route.engine { Method::POST } else { parse_method(&call.method) };
+                let asked = if route.engine { "POST" } else { &call.method };
+                // The edge took it from a request that the library had read.
+                let method = asked.parse().expect("a method that was read before");
                 let path = if route.engine { engine_path(&id) } else { call.path.clone() };
                 let request = self
                     .client
@@ -270,14 +271,19 @@
 
     async fn query_load(self: Rc<Self>, route: TargetRoute) {
         let query = async {
-            let connection = self.connect(&route).await?;
+            let connection = self.connect(&route).await.ok_or("no connection")?;
             let request = self.client.request(connection, Method::GET, "/v1/load");
-            let response = request.send().await.ok()?;
-            let body: Bytes = response.body().await.ok()?;
-            serde_json::from_slice::<LoadReport>(&body).ok()
+            let response = request.send().await.map_err(|error| error.to_string())?;
+            let body: Bytes = response.body().await.map_err(|error| error.to_string())?;
+            serde_json::from_slice::<LoadReport>(&body).map_err(|error| error.to_string())
         };
-        if let Some(report) = util::within(LOAD_TIMEOUT, query).await.flatten() {
-            self.tell(Event::LoadReported { target: route.key, report }).await;
+        let answered = util::within(LOAD_TIMEOUT, query).await;
+        match answered.unwrap_or_else(|| Err("silent".to_owned())) {
+            Ok(report) => self.tell(Event::LoadReported { target: route.key, report }).await,
+            // What is known of the engine ages, and is believed less; no request depends on this call.
+            Err(reason) => {
+                tracing::debug!(event = "load-unread", step = "read load", peer = %route.name, reason);
+            }
         }
     }
 }
@@ -285,7 +291,3 @@
 fn engine_path(id: &RequestId) -> String {
     format!("/v1/requests/{id}")
 }
-
-fn parse_method(method: &str) -> Method {
-    method.parse().unwrap_or(Method::POST)
-}
