--- a/crates/ryetide-cli/src/table.rs
+++ b/crates/ryetide-cli/src/table.rs
@@ -1,56 +1,49 @@
 //! What the commands print for people.
 
-use std::{collections::BTreeMap, fmt::Write};
+use std::collections::BTreeMap;
 
 use ryetide::request_report::{ClassReport, RequestReport, TimeQuantiles};
 use ryetide_core::entry::EntryStatus;
 
 /// Returns a status as lines.
 pub fn status(status: &EntryStatus) -> String {
-    let mut text = String::new();
-    // Writing into a string cannot fail.
-    let _ = writeln!(text, "vm         {}", status.name);
-    let _ = writeln!(text, "revision   {}", status.revision);
-    let _ = writeln!(text, "shutdown   {:?}", status.drain);
-    let _ = writeln!(text, "claims     {}", status.claims);
-    for (state, count) in &status.requests {
-        let _ = writeln!(text, "requests   {state:?} {count}");
-    }
-    for (name, revision) in &status.peers {
-        let _ = writeln!(text, "peer       {name} revision {revision}");
-    }
-    for name in &status.silent_peers {
-        let _ = writeln!(text, "peer       {name} not heard");
-    }
+    let mut lines = vec![
+        format!("vm         {}", status.name),
+        format!("revision   {}", status.revision),
+        format!("shutdown   {:?}", status.drain),
+        format!("claims     {}", status.claims),
+    ];
+    let requests = status.requests.iter();
+    lines.extend(requests.map(|(state, count)| format!("requests   {state:?} {count}")));
+    let peers = status.peers.iter();
+    lines.extend(peers.map(|(name, revision)| format!("peer       {name} revision {revision}")));
+    lines.extend(status.silent_peers.iter().map(|name| format!("peer       {name} not heard")));
     for scope in &status.scopes {
         let role = if scope.elected { "arbiter" } else { "own share" };
-        let _ = writeln!(
-            text,
+        lines.push(format!(
             "scope      {} in {}: {role}, {} waiting, {} held",
             scope.service, scope.data_centre, scope.waiting, scope.held
-        );
+        ));
     }
-    text
+    joined(lines)
 }
 
 /// Returns a report as two tables and the rejects.
 pub fn report(report: &RequestReport) -> String {
-    let mut text = classes("tier", &report.tiers);
-    text.push_str(&classes("organisation", &report.organisations));
-    for (reason, count) in &report.rejects {
-        let _ = writeln!(text, "rejected {reason}: {count}");
-    }
-    text
+    let mut lines = classes("tier", &report.tiers);
+    lines.extend(classes("organisation", &report.organisations));
+    let rejects = report.rejects.iter();
+    lines.extend(rejects.map(|(reason, count)| format!("rejected {reason}: {count}")));
+    joined(lines)
 }
 
-fn classes(kind: &str, classes: &BTreeMap<String, ClassReport>) -> String {
-    let mut text = format!(
-        "{kind:<16} {:>9} {:>6} {:>8} {:>8} {:>10} | ms at p50/p95/p99: {:>16} {:>16} {:>14} {:>18}\n",
+fn classes(kind: &str, classes: &BTreeMap<String, ClassReport>) -> Vec<String> {
+    let mut lines = vec![format!(
+        "{kind:<16} {:>9} {:>6} {:>8} {:>8} {:>10} | ms at p50/p95/p99: {:>16} {:>16} {:>14} {:>18}",
         "answered", "late", "not-run", "unknown", "wasted", "queued", "first", "between", "total"
-    );
-    for (name, class) in classes {
-        let _ = writeln!(
-            text,
+    )];
+    lines.extend(classes.iter().map(|(name, class)| {
+        format!(
             "{name:<16} {:>9} {:>6} {:>8} {:>8} {:>10} | {:>35} {:>16} {:>14} {:>18}",
             class.answered,
             class.late,
@@ -61,9 +54,13 @@
             times(&class.first_piece),
             times(&class.between_pieces),
             times(&class.total),
-        );
-    }
-    text
+        )
+    }));
+    lines
+}
+
+fn joined(lines: Vec<String>) -> String {
+    lines.into_iter().map(|line| line + "\n").collect()
 }
 
 fn times(quantiles: &TimeQuantiles) -> String {
@@ -74,12 +71,8 @@
 
 /// Returns the lines that differ between the text that stands and an operator's own.
 pub fn difference(standing: &str, own: &str) -> String {
-    let mut text = String::new();
-    for line in standing.lines().filter(|line| !own.lines().any(|other| other == *line)) {
-        let _ = writeln!(text, "- {line}");
-    }
-    for line in own.lines().filter(|line| !standing.lines().any(|other| other == *line)) {
-        let _ = writeln!(text, "+ {line}");
-    }
-    text
+    let lacks = |text: &str, line: &str| !text.lines().any(|other| other == line);
+    let gone = standing.lines().filter(|line| lacks(own, line)).map(|line| format!("- {line}"));
+    let new = own.lines().filter(|line| lacks(standing, line)).map(|line| format!("+ {line}"));
+    joined(gone.chain(new).collect())
 }
--- a/crates/ryetide-core/src/catalog.rs
+++ b/crates/ryetide-core/src/catalog.rs
@@ -312,6 +312,7 @@
     services: &BTreeMap<ServiceKey, ServiceRule>,
 ) {
     reader.sequence(node, |reader, item| {
+        // What cannot be read here was noted when the services were read.
         let name: ServiceName = item.get("name")?.as_text()?.parse().ok()?;
         let needs = item.get("depends-on")?;
         reader.optional(item, "depends-on", Vec::new(), |reader, _| {
--- a/crates/ryetide-core/src/claim.rs
+++ b/crates/ryetide-core/src/claim.rs
@@ -256,6 +256,7 @@
         next_token: &mut impl FnMut() -> TableToken,
     ) -> ClaimStep {
         let Ok(found) = serde_json::from_str::<ClaimRow>(&row.value) else {
+            // Whose it is cannot be read; only "may have run" is safe to say.
             self.claims.remove(&sequence);
             return ClaimStep::Earlier(ClaimOutcome::Unknown);
         };
--- a/crates/ryetide-gateway/src/call_template.rs
+++ b/crates/ryetide-gateway/src/call_template.rs
@@ -29,6 +29,7 @@
 /// body's length goes with them: it is set anew for the connection on which the body is sent, which
 /// leaves no room for two lengths that contradict each other.
 pub fn strip_connection_headers(headers: &mut HeaderMap) {
+    // A value that is no text names no header.
     let named: Vec<String> = headers
         .get_all(header::CONNECTION)
         .iter()
--- a/crates/ryetide-gateway/src/caller_answer.rs
+++ b/crates/ryetide-gateway/src/caller_answer.rs
@@ -158,6 +158,7 @@
     if let Some(id) = request_id {
         headers.insert(names.request_id.clone(), id.clone());
     }
+    // Digits and a point always make a header.
     let seconds = retry_after.map(|after| format!("{:.3}", after.as_secs_f64()));
     if let Some(value) = seconds.and_then(|text| HeaderValue::from_str(&text).ok()) {
         headers.insert(header::RETRY_AFTER, value);
--- a/crates/ryetide-gateway/src/caller_service.rs
+++ b/crates/ryetide-gateway/src/caller_service.rs
@@ -37,6 +37,7 @@
     let Some(routes) = gateway.fleet().routes() else {
         return Err(OwnAnswer::new(OwnReason::NoConfiguration).with_retry(NO_CONFIGURATION_RETRY));
     };
+    // A host or key that is no text is nobody's.
     let host = head.headers.get(header::HOST).and_then(|value| value.to_str().ok());
     let host = head.uri.host().or(host).ok_or(OwnAnswer::new(OwnReason::BadRequest))?;
     if !head.headers.contains_key(&gateway.names().request_id) {
@@ -83,7 +84,10 @@
         Err(RelayFault::TimedOut) => {
             relay.into_exchange().answer_own(OwnAnswer::new(OwnReason::TimedOut))
         }
-        Err(_) => relay.into_exchange().answer_own(OwnAnswer::new(OwnReason::TargetFailed)),
+        Err(fault) => {
+            tracing::debug!(event = "stream-given-up", step = "first piece", reason = %fault);
+            relay.into_exchange().answer_own(OwnAnswer::new(OwnReason::TargetFailed))
+        }
     }
 }
 
--- a/crates/ryetide-gateway/src/exchange.rs
+++ b/crates/ryetide-gateway/src/exchange.rs
@@ -118,12 +118,15 @@
         let names = gateway.names();
         let size = gateway.read_size(&head.headers);
         let holder = matched.holder.as_ref().map(|holder| &holder.name);
-        let template = CallTemplate::new(&head, body, names, holder)
-            .map_err(|_| OwnAnswer::new(OwnReason::BadRequest))?;
+        let template = CallTemplate::new(&head, body, names, holder).map_err(|error| {
+            tracing::debug!(event = "request-unwritable", step = "read head", reason = %error);
+            OwnAnswer::new(OwnReason::BadRequest)
+        })?;
         let service = matched.route.pick_service(&mut rand::rng()).cloned();
         let service =
             service.ok_or(OwnAnswer::new(OwnReason::NoTarget).with_retry(TURNED_AWAY_RETRY))?;
         let timeout = matched.route.timeout;
+        // A deadline that is no number tells nothing; the route's time holds then.
         let deadline =
             head.headers.get(&names.deadline).and_then(|it| it.to_str().ok()?.parse().ok());
         let deadline = deadline.map_or(timeout, Duration::from_millis).min(timeout);
@@ -272,8 +275,12 @@
         }
         let deadline_ms = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
         let turn = CallTurn { target, deadline_ms, last_event };
-        let Ok(request) = self.template.build(self.gateway.names(), &turn) else {
-            return SendEnd::Lost("unwritable");
+        let request = match self.template.build(self.gateway.names(), &turn) {
+            Ok(request) => request,
+            Err(error) => {
+                tracing::warn!(event = "request-unwritable", target = %target.name, reason = %error);
+                return SendEnd::Lost("unwritable");
+            }
         };
         self.attempts += 1;
         let timeout = self.timeout_at();
@@ -441,6 +448,7 @@
     /// Returns how logs name the request.
     fn log_id(&self) -> LogId<'_> {
         LogId {
+            // An id that is no text is passed on as it is, and cannot be printed.
             id: self.id.as_ref().and_then(|id| id.to_str().ok()).unwrap_or_default(),
             sequence: self.ticket.number(),
             route: &self.matched.route.name,
--- a/crates/ryetide-gateway/src/file_feed.rs
+++ b/crates/ryetide-gateway/src/file_feed.rs
@@ -40,6 +40,7 @@
         };
         let targets = FleetUpdate::Targets(RegistryUpdate::Snapshot(targets), 0);
         for update in [FleetUpdate::Routes(Arc::new(table)), targets] {
+            // The gateway is ending.
             if line.updates.send(update).await.is_err() {
                 return false;
             }
@@ -51,6 +52,7 @@
 impl FleetFeed for FileFeed {
     fn run(self: Box<Self>, _own: PeerEntry, line: FeedLine) -> LocalFuture<'static, ()> {
         Box::pin(async move {
+            // The gateway may be ending already.
             if line.updates.send(FleetUpdate::Peers(self.peers.clone())).await.is_err() {
                 return;
             }
--- a/crates/ryetide-gateway/src/gateway.rs
+++ b/crates/ryetide-gateway/src/gateway.rs
@@ -128,6 +128,7 @@
                 _ = interrupt.recv() => GatewayOrder::Stop,
                 _ = hangup.recv() => GatewayOrder::Reload,
             };
+            // The gateway has ended.
             if sender.send(order).await.is_err() {
                 return;
             }
--- a/crates/ryetide-gateway/src/gateway_state.rs
+++ b/crates/ryetide-gateway/src/gateway_state.rs
@@ -179,6 +179,7 @@
     pub fn answer_own(&self, id: Option<&HeaderValue>, answer: OwnAnswer) -> CallerResponse {
         let reason = answer.reason;
         self.metrics.count_outcome(reason.name());
+        // An id that is no text is sent back as it is, and cannot be printed.
         let text = id.and_then(|id| id.to_str().ok()).unwrap_or_default();
         self.log.own_answer(text, reason.status().as_u16(), reason.name());
         caller_answer::own_answer(&self.names, id, answer)
--- a/crates/ryetide-gateway/src/own_headers.rs
+++ b/crates/ryetide-gateway/src/own_headers.rs
@@ -32,6 +32,7 @@
 
 impl WorkReader for OwnWorkReader {
     fn read(&self, headers: &HeaderMap) -> WorkSize {
+        // What is no text or no number is left out, as if it had not been told.
         let text = |name| headers.get(name).and_then(|value| value.to_str().ok());
         let tokens = |name| text(name).and_then(|text| text.parse().ok()).map(Tokens);
         WorkSize {
--- a/crates/ryetide-gateway/src/relay.rs
+++ b/crates/ryetide-gateway/src/relay.rs
@@ -110,6 +110,7 @@
                 Err(RelayFault::Broken)
             }
             Ok(Some(Ok(frame))) => {
+                // A frame without data holds trailers, which are not passed on.
                 let data = frame.into_data().unwrap_or_default();
                 if resumable { self.scan(&data) } else { Ok(Some(data)) }
             }
--- a/crates/ryetide-gateway/src/scheduler_hub.rs
+++ b/crates/ryetide-gateway/src/scheduler_hub.rs
@@ -138,6 +138,7 @@
     pub async fn enter(&self, work: WaitingWork) -> Option<Decision> {
         let decision = self.wait();
         self.hub.with(|scheduler, now| scheduler.enter(now, work));
+        // The other end lives as long as the gateway.
         decision.await.ok()
     }
 
@@ -149,6 +150,7 @@
         if !self.hub.with(act) {
             return None;
         }
+        // As in [`Self::enter`].
         decision.await.ok()
     }
 
--- a/crates/ryetide-gateway/src/target_answer.rs
+++ b/crates/ryetide-gateway/src/target_answer.rs
@@ -60,6 +60,7 @@
 
 /// Returns how long the target says that it keeps the connection.
 pub fn kept_for(headers: &HeaderMap) -> Option<Duration> {
+    // What cannot be read promises nothing: the connection is then kept as long as any other.
     let value = headers.get(KEEP_ALIVE)?.to_str().ok()?;
     let field = value.split(',').find_map(|part| part.trim().strip_prefix(TIMEOUT_FIELD))?;
     field.parse().ok().map(Duration::from_secs)
@@ -84,6 +85,7 @@
 pub async fn read_whole(body: &mut Incoming, limit: usize) -> Result<Bytes, BodyFault> {
     let mut whole = BytesMut::new();
     while let Some(frame) = body.frame().await {
+        // A frame without data holds trailers, which are not passed on.
         let Ok(data) = frame?.into_data() else { continue };
         if whole.len() + data.len() > limit {
             return Err(BodyFault::TooLarge(limit));
--- a/crates/ryetide-lab/src/caller.rs
+++ b/crates/ryetide-lab/src/caller.rs
@@ -19,6 +19,7 @@
     error::StepError,
     fresh_client::FreshClient,
 };
+use ryetide_core::json_form;
 
 use crate::engine_batch::EnginePrompt;
 
@@ -100,7 +101,7 @@
         terms: &CallTerms,
         prompt: &EnginePrompt,
     ) -> CallResult {
-        let body = serde_json::to_vec(prompt).unwrap_or_default();
+        let body = json_form::encode(prompt).into_bytes();
         self.call(address, Method::POST, "/v1/completions", terms, body).await
     }
 
@@ -130,6 +131,7 @@
         if terms.non_idempotent {
             request = request.header(NON_IDEMPOTENT_HEADER, "true");
         }
+        // Whatever breaks or takes too long, the caller is cut off: that is its outcome.
         let exchange = async {
             let response = request.send_body(body).await.ok()?;
             Some(read(response, started).await)
--- a/crates/ryetide-lab/src/control.rs
+++ b/crates/ryetide-lab/src/control.rs
@@ -7,6 +7,7 @@
     rt::{DefaultRuntime, System},
 };
 use ryetide::{error::StepError, fresh_client::FreshClient};
+use ryetide_core::json_form;
 use serde::{Serialize, de::DeserializeOwned};
 
 /// A call may take this long.
@@ -65,6 +66,6 @@
 ///
 /// Returns a [`StepError`] when the call fails.
 pub fn post(address: SocketAddr, path: &str, value: &impl Serialize) -> Result<Vec<u8>, StepError> {
-    let body = serde_json::to_vec(value).unwrap_or_default();
+    let body = json_form::encode(value).into_bytes();
     call(address, Method::POST, path, body)
 }
--- a/crates/ryetide-lab/src/demo.rs
+++ b/crates/ryetide-lab/src/demo.rs
@@ -228,7 +228,7 @@
         }));
     }
     for one in calls {
-        let _ = one.await;
+        one.await.map_err(|error| StepError::new("call", error.to_string()))?;
     }
     Ok(results.take())
 }
--- a/crates/ryetide-lab/src/deployment.rs
+++ b/crates/ryetide-lab/src/deployment.rs
@@ -1,7 +1,6 @@
 //! Deployments on loopback: the settings of daemons, their services text, and the list of VMs.
 
 use std::{
-    fmt::Write,
     net::{Ipv4Addr, SocketAddr},
     path::Path,
 };
@@ -117,13 +116,12 @@
 /// Writes a services text.
 pub fn services_text(frame: &TextFrame, services: &[ServiceSite]) -> String {
     let mut text = "tiers:\n".to_owned();
-    // Writing into a string cannot fail.
     for (name, wait, fill) in &frame.tiers {
-        let _ = writeln!(text, "  - {{name: {name}, wait: {wait}, fill: {fill}}}");
+        text += &format!("  - {{name: {name}, wait: {wait}, fill: {fill}}}\n");
     }
     text.push_str("organisations:\n");
     for (name, share) in &frame.organisations {
-        let _ = writeln!(text, "  - {{name: {name}, share: {share}}}");
+        text += &format!("  - {{name: {name}, share: {share}}}\n");
     }
     text.push_str("services:\n");
     for service in services {
@@ -131,7 +129,7 @@
         let kind = if model { "model" } else { "plain" };
         let needs = service.depends_on.join(", ");
         let name = &service.name;
-        let _ = writeln!(text, "  - name: {name}\n    kind: {kind}\n    depends-on: [{needs}]");
+        text += &format!("  - name: {name}\n    kind: {kind}\n    depends-on: [{needs}]\n");
         text.push_str("    body-limit: 8388608\n    targets:\n");
         for target in &service.targets {
             write_target(&mut text, target);
@@ -144,14 +142,13 @@
     let TargetSite { name, data_centre, address, speed } = target;
     let slots = speed.map_or(PLAIN_SLOTS, |speed| speed.slots);
     let tokens = speed.map_or(PLAIN_TOKENS, |speed| speed.tokens);
-    let _ = write!(
-        text,
+    *text += &format!(
         "      - {{name: {name}, data-centre: {data_centre}, address: '{address}', \
          slots: {slots}, tokens: {tokens}, refusal-ran-nothing: true"
     );
     if let Some(speed) = speed {
         let (prefill, decode) = (speed.prefill_rate as u64, speed.decode_rate as u64);
-        let _ = write!(text, ", prefill-rate: {prefill}, decode-rate: {decode}");
+        *text += &format!(", prefill-rate: {prefill}, decode-rate: {decode}");
     }
     text.push_str("}\n");
 }
--- a/crates/ryetide-lab/src/engine.rs
+++ b/crates/ryetide-lab/src/engine.rs
@@ -171,6 +171,7 @@
     fn drop(&mut self) {
         lock(&self.state).stopped = true;
         if let Some(worker) = self.worker.take() {
+            // A worker that panicked has said so.
             let _ = worker.join();
         }
     }
@@ -250,7 +251,9 @@
     state: EngineData,
 ) -> HttpResponse {
     let query = request.query_string();
-    let offset = query.strip_prefix("offset=").and_then(|text| text.parse().ok()).unwrap_or(0);
+    // A resume that cannot be read is a fault of whoever sent it: read leniently, it would hide there.
+    let offset = if query.is_empty() { Some(0) } else { read_offset(query) };
+    let Some(offset) = offset else { return HttpResponse::BadRequest().finish() };
     let shared = state.get_ref().clone();
     let mut engine = lock(&shared);
     if engine.faults.forgetful || engine.batch.request(&id).is_none() {
@@ -282,6 +285,10 @@
     HttpResponse::Ok().json(&report)
 }
 
+fn read_offset(query: &str) -> Option<usize> {
+    query.strip_prefix("offset=")?.parse().ok()
+}
+
 /// The header that carries an order's fencing number.
 pub const FENCING_HEADER: &str = "x-fencing-number";
 
--- a/crates/ryetide-lab/src/overhead.rs
+++ b/crates/ryetide-lab/src/overhead.rs
@@ -14,6 +14,7 @@
 use hdrhistogram::Histogram;
 use ntex::http::Method;
 use ryetide::error::StepError;
+use ryetide_core::json_form;
 
 use crate::{
     caller::{CallOutcome, CallTerms, TestCaller},
@@ -70,8 +71,8 @@
     );
     let mut added = Vec::new();
     for number in 1..=options.runs {
-        let direct = measure(options, &engines, true, None);
-        let through = measure(options, &door, false, Some(id));
+        let direct = measure(options, &engines, true, None)?;
+        let through = measure(options, &door, false, Some(id))?;
         print_way("direct", number, &direct);
         print_way("through", number, &through);
         let difference = |quantile: f64| {
@@ -129,17 +130,18 @@
     addresses: &[SocketAddr],
     direct: bool,
     process: Option<u32>,
-) -> WayResult {
-    let before = process.map_or(Duration::ZERO, cpu_time);
+) -> Result<WayResult, StepError> {
+    let used = || process.map_or(Ok(Duration::ZERO), cpu_time);
+    let before = used()?;
     let started = Instant::now();
     let (count, gap) =
         (options.rate * options.seconds, Duration::from_secs(1) / options.rate.max(1));
     let addresses = addresses.to_vec();
     let (total, first, answered) =
-        control::block_on(async move { play(&addresses, direct, count, gap).await });
+        control::block_on(async move { play(&addresses, direct, count, gap).await })?;
     let took = started.elapsed();
-    let cpu = process.map_or(Duration::ZERO, cpu_time).saturating_sub(before);
-    WayResult { total, first, answered, cpu, took }
+    let cpu = used()?.saturating_sub(before);
+    Ok(WayResult { total, first, answered, cpu, took })
 }
 
 async fn play(
@@ -147,10 +149,9 @@
     direct: bool,
     count: u32,
     gap: Duration,
-) -> (Histogram<u64>, Histogram<u64>, u64) {
+) -> Result<(Histogram<u64>, Histogram<u64>, u64), StepError> {
     let histogram = || Histogram::<u64>::new(3).expect("three digits are permitted");
-    let Ok(caller) = TestCaller::new().await else { return (histogram(), histogram(), 0) };
-    let caller = Rc::new(caller);
+    let caller = Rc::new(TestCaller::new().await?);
     let start = tokio::time::Instant::now();
     let mut calls = Vec::new();
     for number in 0..count {
@@ -165,7 +166,7 @@
                 stream: true,
                 ..EnginePrompt::default()
             };
-            let body = serde_json::to_vec(&prompt).unwrap_or_default();
+            let body = json_form::encode(&prompt).into_bytes();
             let path = if direct {
                 format!("/v1/requests/direct~1~{}-{number}", start.elapsed().as_nanos())
             } else {
@@ -180,13 +181,17 @@
     }
     let (mut total, mut first, mut answered) = (histogram(), histogram(), 0);
     for call in calls {
-        let Ok((good, first_byte, took)) = call.await else { continue };
+        let (good, first_byte, took) =
+            call.await.map_err(|error| StepError::new("call", error.to_string()))?;
         answered += u64::from(good);
         // These histograms grow by themselves; saturating would cut off at their first size.
-        let _ = total.record(took.as_micros() as u64);
-        let _ = first.record(first_byte.unwrap_or_default().as_micros() as u64);
+        let fault = |error| StepError::new("count", error);
+        total.record(took.as_micros() as u64).map_err(fault)?;
+        if let Some(first_byte) = first_byte {
+            first.record(first_byte.as_micros() as u64).map_err(fault)?;
+        }
     }
-    (total, first, answered)
+    Ok((total, first, answered))
 }
 
 fn terms() -> CallTerms {
@@ -216,10 +221,20 @@
 }
 
 /// Returns the processor time that a process has used.
-pub fn cpu_time(id: u32) -> Duration {
-    let stat = std::fs::read_to_string(format!("/proc/{id}/stat")).unwrap_or_default();
-    let after_name = stat.rsplit(')').next().unwrap_or_default();
+///
+/// # Errors
+///
+/// Returns a [`StepError`] where the system does not tell: a measurement that cannot be taken is not
+/// zero.
+pub fn cpu_time(id: u32) -> Result<Duration, StepError> {
+    let fault = |cause: String| StepError::new("read processor time", cause).with_peer(id);
+    let stat = std::fs::read_to_string(format!("/proc/{id}/stat"))
+        .map_err(|error| fault(error.to_string()))?;
+    let after_name = stat.rsplit(')').next().unwrap_or(&stat);
     let fields: Vec<&str> = after_name.split_whitespace().collect();
-    let ticks = |index: usize| fields.get(index).and_then(|field| field.parse::<u32>().ok());
-    TICK * (ticks(11).unwrap_or(0) + ticks(12).unwrap_or(0))
+    let ticks = |index: usize| -> Result<u32, StepError> {
+        let field = fields.get(index).ok_or_else(|| fault(format!("no field {index}")))?;
+        field.parse().map_err(|_| fault(format!("{field} is no number")))
+    };
+    Ok(TICK * (ticks(11)? + ticks(12)?))
 }
--- a/crates/ryetide-lab/src/process.rs
+++ b/crates/ryetide-lab/src/process.rs
@@ -134,6 +134,7 @@
 
 impl Drop for TestProcess {
     fn drop(&mut self) {
+        // It may have ended already; either way nothing is left behind.
         let _ = self.child.kill();
         let _ = self.child.wait();
     }
--- a/crates/ryetide-lab/src/relay.rs
+++ b/crates/ryetide-lab/src/relay.rs
@@ -91,6 +91,7 @@
     fn drop(&mut self) {
         self.state.stop.notify_one();
         if let Some(thread) = self.thread.take() {
+            // A thread that panicked has said so.
             let _ = thread.join();
         }
     }
@@ -104,6 +105,7 @@
         let number = state.accepted.fetch_add(1, Ordering::SeqCst);
         let state = Arc::clone(state);
         tokio::spawn(async move {
+            // A target that cannot be reached is a connection that closes.
             let Ok(outbound) = TcpStream::connect(target).await else { return };
             let (inbound_read, inbound_write) = inbound.into_split();
             let (outbound_read, outbound_write) = outbound.into_split();
@@ -130,6 +132,7 @@
         }
         match read {
             Ok(length) if length > 0 => {
+                // The other side has closed: so does this one.
                 if to.write_all(&chunk[..length]).await.is_err() {
                     return;
                 }
--- a/crates/ryetide-lab/src/server.rs
+++ b/crates/ryetide-lab/src/server.rs
@@ -42,6 +42,7 @@
                     Ok(server) => server,
                     Err(error) => return drop(ready_sender.send(Err(error))),
                 };
+                // Whoever starts it waits for this; dropping the handle is an order to stop as well.
                 let _ = ready_sender.send(Ok(()));
                 let _ = stopped.await;
                 server_stop::stop_at_once("stand-in", &server).await;
@@ -62,6 +63,7 @@
 impl Drop for StandInServer {
     fn drop(&mut self) {
         if let Some(stop) = self.stop.take() {
+            // A thread that has ended needs no order, and has said why it panicked.
             let _ = stop.send(());
         }
         if let Some(thread) = self.thread.take() {
--- a/crates/ryetide-lab/src/site.rs
+++ b/crates/ryetide-lab/src/site.rs
@@ -70,7 +70,10 @@
 
 impl Drop for ScratchDirectory {
     fn drop(&mut self) {
-        let _ = std::fs::remove_dir_all(&self.0);
+        if let Err(error) = std::fs::remove_dir_all(&self.0) {
+            let peer = self.0.display();
+            tracing::warn!(event = "directory-left", step = "remove", %peer, reason = %error);
+        }
     }
 }
 
@@ -226,7 +229,7 @@
     })
 }
 
-/// Reads a daemon's status.
+/// Reads a daemon's status, or returns nothing while it does not tell.
 pub async fn read_status(client: &FreshClient, address: SocketAddr) -> Option<EntryStatus> {
     let connection = client.connect(address, Duration::from_secs(1)).await?;
     let request = client.request(connection, ntex::http::Method::GET, "/v1/status");
--- a/crates/ryetide-lab/src/slopes.rs
+++ b/crates/ryetide-lab/src/slopes.rs
@@ -2,7 +2,6 @@
 //! grows, measured on the bare core and on frames of the wire encoding, at four sizes or more.
 
 use std::{
-    fmt::Write,
     hint::black_box,
     time::{Duration, Instant},
 };
@@ -251,22 +250,20 @@
 /// A services text of the size of letter 1.
 fn fleet_text(organisations: u32, replicas: u32) -> String {
     let mut text = "tiers:\n".to_owned();
-    // Writing into a string cannot fail.
     for tier in 0..5 {
-        let _ = writeln!(text, "  - {{name: tier-{tier}, wait: 10s, fill: 0.9}}");
+        text += &format!("  - {{name: tier-{tier}, wait: 10s, fill: 0.9}}\n");
     }
     text.push_str("organisations:\n");
     for number in 0..organisations {
-        let _ = writeln!(text, "  - {{name: org-{number}, share: {}}}", number % 9 + 1);
+        text += &format!("  - {{name: org-{number}, share: {}}}\n", number % 9 + 1);
     }
     text.push_str("services:\n");
     for service in 0..16 {
-        let _ = writeln!(text, "  - name: model-{service}\n    kind: model\n    targets:");
+        text += &format!("  - name: model-{service}\n    kind: model\n    targets:\n");
         for replica in (0..replicas).filter(|replica| replica % 16 == service) {
-            let _ = writeln!(
-                text,
+            text += &format!(
                 "      - {{name: target-{replica}, data-centre: hall-{}, \
-                 address: '10.0.0.1:{}', slots: 16, tokens: 200000}}",
+                 address: '10.0.0.1:{}', slots: 16, tokens: 200000}}\n",
                 replica / 16 % 5,
                 1_000 + replica
             );
@@ -288,25 +285,24 @@
         assert_eq!(core.configuration().revision(), Revision(1), "the text is in force");
     }
     times.sort_by(f64::total_cmp);
-    times.get(times.len() / 2).copied().unwrap_or(0.0)
+    times[times.len() / 2]
 }
 
 /// One scope with `replicas` targets, and a catalog of `organisations`.
 fn scope_text(replicas: u32, organisations: u32) -> String {
     let mut text = "tiers:\n".to_owned();
     for tier in 0..5 {
-        let _ = writeln!(text, "  - {{name: tier-{tier}, wait: 10s, fill: 0.9}}");
+        text += &format!("  - {{name: tier-{tier}, wait: 10s, fill: 0.9}}\n");
     }
     text.push_str("organisations:\n");
     for number in 0..organisations {
-        let _ = writeln!(text, "  - {{name: org-{number}, share: 1}}");
+        text += &format!("  - {{name: org-{number}, share: 1}}\n");
     }
     text.push_str("services:\n  - name: model-1\n    kind: model\n    targets:\n");
     for replica in 0..replicas {
-        let _ = writeln!(
-            text,
+        text += &format!(
             "      - {{name: target-{replica}, data-centre: hall-0, address: '10.0.0.1:1000', \
-             slots: 16, tokens: 200000, prefill-rate: 20000, decode-rate: 50}}"
+             slots: 16, tokens: 200000, prefill-rate: 20000, decode-rate: 50}}\n"
         );
     }
     text
@@ -315,7 +311,7 @@
 /// Measures asks and releases at a scope that is kept at its capacity with a line before it.
 fn decision_times(replicas: u32, organisations: u32) -> String {
     let catalog = ServiceCatalog::parse(&scope_text(replicas, organisations));
-    let Ok(catalog) = catalog else { return "the text is at fault".to_owned() };
+    let catalog = catalog.expect("a sound text of our own");
     let scope = catalog.scopes()[0];
     let switches = SafeguardSwitches::default();
     let mut arbiter = ScopeArbiter::new(scope, &catalog, 1.0, Moment(1), switches);
@@ -441,7 +437,11 @@
     for organisations in [100, 1_000, 5_000, 10_000] {
         let text = fleet_text(organisations, 600);
         let base = resident_bytes();
-        catalogs.push((0..4).map(|_| ServiceCatalog::parse(&text).ok()).collect::<Vec<_>>());
+        catalogs.push(
+            (0..4)
+                .map(|_| ServiceCatalog::parse(&text).expect("a sound text of our own"))
+                .collect::<Vec<_>>(),
+        );
         let grown = resident_bytes().saturating_sub(base) as f64 / 4.0;
         points.push((f64::from(organisations), grown));
     }
@@ -454,7 +454,7 @@
 const MEMORY_COPIES: u32 = 50;
 
 fn print_waiting_memory() {
-    let Ok(catalog) = ServiceCatalog::parse(&scope_text(1, 10)) else { return };
+    let catalog = ServiceCatalog::parse(&scope_text(1, 10)).expect("a sound text of our own");
     let (scope, switches) = (catalog.scopes()[0], SafeguardSwitches::default());
     let later = Moment(u64::MAX / 2);
     let mut arbiters: Vec<ScopeArbiter> =
@@ -491,8 +491,12 @@
 }
 
 /// Returns the resident memory of this process.
+///
+/// # Panics
+///
+/// Where the system does not tell: a measurement that cannot be taken is not zero.
 pub fn resident_bytes() -> u64 {
-    let statm = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let statm = std::fs::read_to_string("/proc/self/statm").expect("a system that tells");
     let pages = statm.split_whitespace().nth(1).and_then(|word| word.parse::<u64>().ok());
-    pages.unwrap_or(0) * 4_096
+    pages.expect("pages as the second word") * 4_096
 }
--- a/src/caller_edge.rs
+++ b/src/caller_edge.rs
@@ -105,7 +105,8 @@
     identity: EdgeIdentity,
     rings: EdgeRings,
 ) -> Result<Server, StepError> {
-    // The server clones its factory for each worker; there is one worker, which takes the rings.
+    // The server clones its factory for each worker; there is one worker, which takes the rings. Where
+    // there are none to take, callers are told 503.
     let rings = Arc::new(Mutex::new(Some(rings)));
     let factory = move || {
         let taken = rings.lock().ok().and_then(|mut rings| rings.take());
@@ -217,6 +218,7 @@
     ) -> Result<Bytes, ReadFault> {
         let limits = self.identity.limits;
         let limit = limits.body.0;
+        // A length that cannot be read was refused by the library already.
         let declared = request
             .headers()
             .get(header::CONTENT_LENGTH)
@@ -261,6 +263,7 @@
         }
         let edge = Rc::clone(self);
         ntex::rt::spawn(async move {
+            // A closed ring means that the daemon is stopping.
             let _ = edge.events.send(Event::CallerGone { sequence }).await;
         });
     }
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -384,6 +384,7 @@
     }
 
     async fn operate(&mut self, command: OperatorCommand) {
+        // The operator who asked may have gone.
         match command {
             OperatorCommand::Status(reply) => drop(reply.send(self.core.status())),
             OperatorCommand::Configuration(reply) => {
@@ -439,6 +440,7 @@
             }
             Effect::ApplyDone { operation, outcome } => {
                 if let Some(reply) = self.edits.remove(&operation) {
+                    // The operator may have gone.
                     let _ = reply.send(outcome);
                 }
             }
--- a/src/fresh_client.rs
+++ b/src/fresh_client.rs
@@ -107,6 +107,7 @@
     io
 }
 
+/// Returns the address in a URI that [`FreshClient::request`] has built from one.
 fn address_of(uri: &Uri) -> Option<net::SocketAddr> {
     uri.authority()?.as_str().parse().ok()
 }
--- a/src/operator_port.rs
+++ b/src/operator_port.rs
@@ -69,6 +69,8 @@
 ///
 /// Returns a [`StepError`] when the listener cannot be used.
 pub fn start(listener: std::net::TcpListener, rings: OperatorRings) -> Result<Server, StepError> {
+    // The server clones its factory for each worker; there is one worker, which takes the rings. Where
+    // there are none to take, operators are told 503.
     let rings = Arc::new(Mutex::new(Some(rings)));
     let factory = move || {
         let taken = rings.lock().ok().and_then(|mut rings| rings.take());
@@ -95,7 +97,8 @@
 
 type RingsState = web::types::State<Option<SharedRings>>;
 
-/// Sends the core a command and waits for its answer.
+/// Sends the core a command and waits for its answer; nothing is returned while the daemon stops, or
+/// when the answer takes too long.
 async fn ask<T>(
     rings: &RingsState,
     command: impl FnOnce(oneshot::Sender<T>) -> OperatorCommand,
--- a/src/peer_link.rs
+++ b/src/peer_link.rs
@@ -207,6 +207,7 @@
         append_frame(&mut buffer, &frame);
         // Whatever else waits goes in the same packet.
         while buffer.len() < FRAME_LIMIT {
+            // Empty, or closed, which the next turn finds.
             let Ok(frame) = frames.try_recv() else { break };
             append_frame(&mut buffer, &frame);
         }
--- a/src/platform_client.rs
+++ b/src/platform_client.rs
@@ -93,7 +93,7 @@
     }
 
     async fn run_command(self: Rc<Self>, command: PlatformCommand) {
-        let Ok(_permit) = self.permits.acquire().await else { return };
+        let _permit = self.permits.acquire().await.expect("permits that nobody closes");
         let token = command.token;
         let body = json_form::encode(&command.command).into_bytes();
         let table = self.settings.table;
--- a/src/request_report.rs
+++ b/src/request_report.rs
@@ -168,6 +168,7 @@
                     organisations: read(&organisations),
                     rejects: rejects.clone(),
                 };
+                // The operator may have gone.
                 let _ = reply.send(report);
             }
         }
--- a/src/target_client.rs
+++ b/src/target_client.rs
@@ -99,6 +99,7 @@
                 let mut connections = pool.connections.borrow_mut();
                 let handle = connections.get_mut(&(sequence, attempt));
                 if let Some(sender) = handle.and_then(|handle| handle.order.take()) {
+                    // The connection has ended meanwhile, which its own event tells.
                     let _ = sender.send(order);
                 }
             }
@@ -148,6 +149,7 @@
             return;
         };
         self.tell(Event::Connected { sequence, attempt }).await;
+        // Abandoned before it was permitted.
         let Ok(PermittedOrder { order, not_after }) = order.await else { return };
         let end = match order {
             TargetOrder::Dispatch { .. } if Instant::now() >= not_after => {
@@ -209,6 +211,7 @@
         if start > 0 && response.status() != StatusCode::OK {
             return None;
         }
+        // A type that is no text cannot be passed on.
         let content_type = response.header(header::CONTENT_TYPE);
         let content_type =
             content_type.and_then(|value| value.to_str().ok()).unwrap_or_default().to_owned();
