--- a/crates/ryetide-core/src/peer_board.rs
+++ b/crates/ryetide-core/src/peer_board.rs
@@ -5,7 +5,7 @@
 use crate::{
     cell_plan::CellMember,
     ids::{DataCentreName, Incarnation, ServiceKey, VmName},
-    load_digest::{LoadDigest, WaitMark},
+    load_digest::{FleetNews, LoadDigest, WaitMark},
     units::{Moment, Revision, TierRank},
 };
 
@@ -44,6 +44,15 @@
     NewLife,
 }
 
+/// In what this VM is behind a peer that is heard.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct FeedLag {
+    /// A peer has a newer version of the routes.
+    pub routes: bool,
+    /// A peer has newer news of targets.
+    pub targets: bool,
+}
+
 /// How many VMs there are believed to be before the list of them was read: the most of one cell.
 const UNLISTED_COUNT: usize = 12;
 
@@ -136,10 +145,12 @@
         heard as f64 / self.known_count(now) as f64
     }
 
-    /// Returns whether a peer that is heard has news which this VM, with this `revision` of the routes
-    /// and all news of the registry up to the number `reached`, has not.
-    pub fn knows_more(&self, now: Moment, revision: Revision, reached: u64) -> bool {
-        self.heard(now).any(|note| note.revision > revision || note.registry > reached)
+    /// Returns in what peers that are heard have news which this VM, that has `news`, has not.
+    pub fn feed_lag(&self, now: Moment, news: FleetNews) -> FeedLag {
+        FeedLag {
+            routes: self.heard(now).any(|note| note.revision > news.revision),
+            targets: self.heard(now).any(|note| note.registry > news.registry_reached),
+        }
     }
 
     /// Returns the requests at peers that go before one here of this rank which has waited `waited`.
--- a/crates/ryetide-core/src/scheduler.rs
+++ b/crates/ryetide-core/src/scheduler.rs
@@ -21,7 +21,7 @@
     ids::{RequestSequence, ServiceName, TargetKey, VmName},
     line_view::{LineChoice, LineView, ServiceLine},
     load_digest::{DigestEnvelope, FleetNews, LoadDigest, PlacedPrompt},
-    peer_board::{DigestChange, PeerBoard},
+    peer_board::{DigestChange, FeedLag, PeerBoard},
     quota::{QuotaCharge, QuotaLedger, QuotaRule},
     retry_budget::{RetryBudget, RetryRule},
     scheduler_options::SchedulerOptions,
@@ -344,9 +344,9 @@
         }
     }
 
-    /// Returns whether a peer has news that this VM has not.
-    pub fn peers_know_more(&self, now: Moment, news: FleetNews) -> bool {
-        self.peers.knows_more(now, news.revision, news.registry_reached)
+    /// Returns in what peers have news that this VM has not.
+    pub fn feed_lag(&self, now: Moment, news: FleetNews) -> FeedLag {
+        self.peers.feed_lag(now, news)
     }
 
     /// Returns the targets, for reports.
--- a/crates/ryetide-gateway/src/fleet_duties.rs
+++ b/crates/ryetide-gateway/src/fleet_duties.rs
@@ -1,11 +1,12 @@
 //! The tasks beside the callers': news of the fleet, the line, digests to peers, sweeping.
 
-use std::{collections::BTreeMap, rc::Rc, time::Duration};
+use std::{cell::Cell, collections::BTreeMap, rc::Rc, time::Duration};
 
 use ryetide_core::{
     cell_plan::CellMember,
     ids::VmName,
     load_digest::{DigestEnvelope, LoadDigest},
+    peer_board::FeedLag,
     scheduler::Scheduler,
 };
 use tokio::{
@@ -21,10 +22,14 @@
 
 /// How often kept connections, entries that lapse and levels are looked at.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(200);
-/// Sweeps in a row that find a peer with news not heard here before the feed is asked anew, and again:
-/// 1.6 s, more than a feed pauses by itself after a change. With less, each VM that paused was taken
-/// for one whose call has gone silent, and asked for all its tables anew.
-const BEHIND_SWEEPS: u32 = 8;
+/// Sweeps in a row that find a peer with a version of the routes not heard here before the feed is asked
+/// anew: 0.6 s, more than the feed pauses after a version. After a silence of all calls to the store the
+/// VM that finds out first brings the others in force within a second: of three VMs whose calls had gone
+/// silent together, two served by a replaced version for 2.8 s.
+const ROUTES_BEHIND: u32 = 3;
+/// The same for news of targets: 1.6 s, more than the feed pauses by itself after them. With less, each
+/// VM that paused was taken for one whose call has gone silent, and asked for all its tables anew.
+const TARGETS_BEHIND: u32 = 8;
 /// The shortest time between two digests: under the time between two VMs' decisions at today's load,
 /// and a bound on what they cost.
 const DIGEST_LEAST: Duration = Duration::from_millis(6);
@@ -36,7 +41,11 @@
 const BRIEF_SHORT: Duration = Duration::from_millis(300);
 
 /// Takes news of the fleet.
-pub async fn take_updates(gateway: Rc<Gateway>, mut updates: mpsc::Receiver<FleetUpdate>) {
+pub async fn take_updates(
+    gateway: Rc<Gateway>,
+    mut updates: mpsc::Receiver<FleetUpdate>,
+    fleet_size: Rc<Cell<usize>>,
+) {
     while let Some(update) = updates.recv().await {
         match update {
             FleetUpdate::Routes(routes) => {
@@ -66,6 +75,7 @@
                     data_centre: peer.data_centre.clone(),
                 };
                 let members: Vec<CellMember> = others.values().map(member).collect();
+                fleet_size.set(members.len() + 1);
                 *gateway.peers().borrow_mut() = others;
                 gateway.hub().with(|scheduler, now| scheduler.list_peers(now, &members));
             }
@@ -108,17 +118,33 @@
     }
 }
 
+/// How many sweeps in a row have found a peer with news that have not come here.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct FeedWatch {
+    routes: u32,
+    targets: u32,
+}
+
+impl FeedWatch {
+    /// Takes what one sweep has found; returns whether the feed should be asked anew.
+    pub fn is_due(&mut self, behind: FeedLag) -> bool {
+        self.routes = if behind.routes { self.routes + 1 } else { 0 };
+        self.targets = if behind.targets { self.targets + 1 } else { 0 };
+        let again = self.routes.max(self.targets);
+        self.routes == ROUTES_BEHIND || (again > 0 && again.is_multiple_of(TARGETS_BEHIND))
+    }
+}
+
 /// Closes kept connections, drops entries that lapse, and brings levels up to date.
 pub async fn sweep(gateway: Rc<Gateway>, nudge: Rc<Notify>) {
-    let mut behind = 0;
+    let mut watch = FeedWatch::default();
     let mut ticks = time::interval(SWEEP_INTERVAL);
     ticks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
     loop {
         ticks.tick().await;
         gateway.pool().sweep();
         refresh_targets(&gateway);
-        behind = if is_behind(&gateway) { behind + 1 } else { 0 };
-        if behind > 0 && behind % BEHIND_SWEEPS == 0 {
+        if watch.is_due(feed_lag(&gateway)) {
             tracing::info!(event = "feed-nudged", revision = %gateway.fleet().revision());
             nudge.notify_waiters();
         }
@@ -129,10 +155,10 @@
     }
 }
 
-/// Returns whether a peer has news that have not come here.
-fn is_behind(gateway: &Gateway) -> bool {
+/// Returns in what peers have news that have not come here.
+fn feed_lag(gateway: &Gateway) -> FeedLag {
     let (now, news) = (gateway.hub().clock().now(), gateway.fleet().news());
-    gateway.hub().peek(|scheduler| scheduler.peers_know_more(now, news))
+    gateway.hub().peek(|scheduler| scheduler.feed_lag(now, news))
 }
 
 fn refresh_targets(gateway: &Gateway) {
--- a/crates/ryetide-gateway/src/gateway.rs
+++ b/crates/ryetide-gateway/src/gateway.rs
@@ -5,7 +5,7 @@
 //! processor time for a stream of 8 tokens was measured that way, and 0.85 ms of added time, too much
 //! for an entry VM that has a quarter of a core.
 
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration};
 
 use rand::Rng;
 use ryetide::error::StepError;
@@ -177,11 +177,12 @@
     let gateway = Gateway::new(settings, names, reader, scheduler);
     let (updates, receiver) = mpsc::channel(UPDATES_BUFFERED);
     let nudge = Rc::new(Notify::new());
-    let line = FeedLine { updates, nudge: Rc::clone(&nudge) };
+    let fleet_size = Rc::new(Cell::new(1));
+    let line = FeedLine { updates, nudge: Rc::clone(&nudge), fleet_size: Rc::clone(&fleet_size) };
     let link = Rc::new(PeerLink::new(socket, &own));
     let mut duties = JoinSet::new();
     duties.spawn_local(feed.run(own, line));
-    duties.spawn_local(fleet_duties::take_updates(Rc::clone(&gateway), receiver));
+    duties.spawn_local(fleet_duties::take_updates(Rc::clone(&gateway), receiver, fleet_size));
     duties.spawn_local(fleet_duties::schedule(Rc::clone(&gateway), Rc::clone(&link)));
     duties.spawn_local(peer_link::receive(Rc::clone(&gateway), Rc::clone(&link)));
     duties.spawn_local(fleet_duties::sweep(Rc::clone(&gateway), nudge));
--- a/crates/ryetide-gateway/src/ports.rs
+++ b/crates/ryetide-gateway/src/ports.rs
@@ -3,7 +3,7 @@
 //! The gateway knows no platform's names. An adapter gives it the headers' names, reads the size of a
 //! request from them, and feeds it routes, targets and peers.
 
-use std::{net, pin::Pin, rc::Rc, sync::Arc, time::Duration};
+use std::{cell::Cell, net, pin::Pin, rc::Rc, sync::Arc, time::Duration};
 
 use hyper::{HeaderMap, header::HeaderName};
 use ryetide::error::StepError;
@@ -135,6 +135,8 @@
     /// Rung when another VM has news that have not come here: whatever the feed waits for may have
     /// gone silent, and it should ask anew.
     pub nudge: Rc<Notify>,
+    /// How many entry VMs there are, as far as known.
+    pub fleet_size: Rc<Cell<usize>>,
 }
 
 /// Where routes, targets and peers come from.
--- a/crates/ryetide-gateway/src/store_feed.rs
+++ b/crates/ryetide-gateway/src/store_feed.rs
@@ -20,25 +20,33 @@
     table_follower::{self, RowReader, TableFollower, TablePace},
 };
 
-/// The operators' table. Operators change it seldom, and wait for the change to be in force.
+/// What each VM adds to the wait: at 70 VMs the longest is 5 s, and all together make some 20 calls a
+/// second to a table that does not change, which is 0.003 of all worth there.
+const WAIT_PER_VM: Duration = Duration::from_millis(70);
+/// The operators' table. Operators change it seldom, and wait for the change to be in force. A call that
+/// has gone silent is found out in 2.7 s, within the three seconds after which the silence of a connection
+/// excuses nothing any more.
 const ROUTES_PACE: TablePace = TablePace {
     name: "routes",
-    wait: Duration::from_millis(5_000),
+    wait: Duration::from_millis(2_000),
+    wait_per_vm: WAIT_PER_VM,
     pause: Duration::from_millis(100),
 };
 /// The table in which targets register themselves. When the fleet starts they do so one by one: 143
 /// of them cost each VM as many calls without the pause, and under 20 with it; at 70 VMs the calls were
 /// 0.03 to 0.05 of all worth with a pause of 0.4 s. A leaving target must get nothing new two seconds
-/// after its word, so the pause stays well under that.
+/// after its word, so the pause stays well under that, and the wait is that of the routes.
 const TARGETS_PACE: TablePace = TablePace {
     name: "targets",
-    wait: Duration::from_millis(5_000),
+    wait: Duration::from_millis(2_000),
+    wait_per_vm: WAIT_PER_VM,
     pause: Duration::from_millis(1_000),
 };
 /// The table in which entry VMs make themselves known to each other.
 const VMS_PACE: TablePace = TablePace {
     name: "vms",
     wait: Duration::from_millis(20_000),
+    wait_per_vm: Duration::ZERO,
     pause: Duration::from_millis(300),
 };
 
--- a/crates/ryetide-gateway/src/table_follower.rs
+++ b/crates/ryetide-gateway/src/table_follower.rs
@@ -16,8 +16,10 @@
 
 /// A call that the store answers at once may take this long; it is slow now and then.
 const CALL_LIMIT: Duration = Duration::from_millis(2_500);
+/// The longest time for which the store is asked to wait.
+const LONGEST_WAIT: Duration = Duration::from_secs(20);
 /// How long after the time for which it was asked to wait the store's answer may come.
-const FOLLOW_MARGIN: Duration = Duration::from_millis(700);
+pub const FOLLOW_MARGIN: Duration = Duration::from_millis(700);
 /// While the store was lost it is asked to wait for no longer than this: it may fall silent again.
 const LOST_WAIT: Duration = Duration::from_millis(1_000);
 /// The first pause after a call that failed; it doubles up to the longest.
@@ -33,14 +35,28 @@
 pub struct TablePace {
     /// The table, for the log.
     pub name: &'static str,
-    /// How long the store is asked to wait for a change. A call that has gone silent, though its
-    /// connection stands, is found out after this time at the latest; sooner when a peer has news.
+    /// How long the store is asked to wait for a change, by a VM of a small fleet. A call that has gone
+    /// silent, though its connection stands, is found out after this time and [`FOLLOW_MARGIN`] at the
+    /// latest; sooner when a peer has news.
     pub wait: Duration,
+    /// What each VM of a larger fleet adds to the longest wait, so that all of them together make no more
+    /// calls. One of many finds out about a silence soon, and its news nudges the others.
+    pub wait_per_vm: Duration,
     /// The pause after a change. It adds to the time until a change is in force, which must stay
     /// under two seconds.
     pub pause: Duration,
 }
 
+impl TablePace {
+    /// Returns how long the store is asked to wait by one VM of `fleet_size`: a time drawn up to the
+    /// longest, so that VMs which began together do not ask, and find out, at the same moments.
+    pub fn draw_wait(&self, fleet_size: usize, rng: &mut impl Rng) -> Duration {
+        let vms = u32::try_from(fleet_size).unwrap_or(u32::MAX);
+        let longest = self.wait_per_vm.saturating_mul(vms).min(LONGEST_WAIT).max(self.wait);
+        rng.random_range(self.wait..=longest)
+    }
+}
+
 /// Turns rows of one table into news.
 pub trait RowReader {
     /// Takes the whole table.
@@ -141,7 +157,9 @@
     /// Waits for changes. Returns nothing when a peer has news that have not come here: dropping the
     /// call ends its connection, which may have gone silent, and the next call opens another.
     async fn follow(&mut self) -> Option<Result<TableRows, TableFault>> {
-        let wait = if self.lost { LOST_WAIT } else { self.pace.wait };
+        let fleet_size = self.line.fleet_size.get();
+        let drawn = self.pace.draw_wait(fleet_size, &mut rand::rng());
+        let wait = if self.lost { LOST_WAIT } else { drawn };
         let (nudge, seen) = (Rc::clone(&self.line.nudge), self.version);
         let outcome = tokio::select! {
             outcome = self.table.follow(seen, wait, wait + FOLLOW_MARGIN) => outcome,
--- a/crates/ryetide-gateway/tests/table_follower.rs
+++ b/crates/ryetide-gateway/tests/table_follower.rs
@@ -1,10 +1,18 @@
 //! Following a table of a store that does as it likes; no network, and time that is paused.
 
-use std::{cell::RefCell, collections::VecDeque, future, rc::Rc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    collections::VecDeque,
+    future,
+    rc::Rc,
+    time::Duration,
+};
 
 use bytes::Bytes;
-use ryetide_core::target_registry::RegistryUpdate;
+use rand::{SeedableRng, rngs::SmallRng};
+use ryetide_core::{peer_board::FeedLag, target_registry::RegistryUpdate};
 use ryetide_gateway::{
+    fleet_duties::FeedWatch,
     ports::{FeedLine, FleetUpdate, LocalFuture},
     store_table::{StoreTable, TableFault, TableRow, TableRows},
     table_follower::{self, RowReader, TableFollower, TablePace},
@@ -14,8 +22,12 @@
     time::{self, Instant},
 };
 
-const PACE: TablePace =
-    TablePace { name: "targets", wait: Duration::from_secs(5), pause: Duration::from_millis(100) };
+const PACE: TablePace = TablePace {
+    name: "targets",
+    wait: Duration::from_secs(2),
+    wait_per_vm: Duration::from_millis(70),
+    pause: Duration::from_millis(100),
+};
 /// Longer than any of these tests takes on the paused clock.
 const PATIENCE: Duration = Duration::from_secs(60);
 
@@ -137,7 +149,8 @@
 /// Follows until the script's answers are used up and `span` more has passed; returns what was told.
 async fn follow(script: &Rc<Script>, span: Duration) -> Vec<String> {
     let (sender, mut updates) = mpsc::channel(64);
-    let line = FeedLine { updates: sender, nudge: Rc::new(Notify::new()) };
+    let fleet_size = Rc::new(Cell::new(3));
+    let line = FeedLine { updates: sender, nudge: Rc::new(Notify::new()), fleet_size };
     let follower = TableFollower::new(script.table(), PACE, CountingReader, line);
     let used_up = async {
         while !script.answers.borrow().is_empty() {
@@ -239,3 +252,32 @@
     assert_eq!(script.calls().len(), 11);
     assert!(begun.elapsed() > Duration::from_secs(2), "{:?}", begun.elapsed());
 }
+
+/// In a small fleet a VM relies on itself to find out that its call has gone silent. In a large one each
+/// asks less often, at moments of its own: the calls are paid for, and one that finds out tells the others.
+#[test]
+fn waits_grow_with_the_fleet_and_are_spread() {
+    let mut rng = SmallRng::seed_from_u64(1);
+    let mut draw = |fleet_size| -> Vec<Duration> {
+        (0..100).map(|_| PACE.draw_wait(fleet_size, &mut rng)).collect()
+    };
+    assert!(draw(9).iter().all(|wait| *wait == PACE.wait), "all are needed to find out");
+    let large = draw(70);
+    let (least, most) = (large.iter().min().expect("some"), large.iter().max().expect("some"));
+    assert!(*least >= PACE.wait && *most <= Duration::from_millis(4_900), "{least:?} {most:?}");
+    assert!(*most - *least > Duration::from_secs(2), "{least:?} {most:?}");
+    assert!(draw(10_000).iter().all(|wait| *wait <= Duration::from_secs(20)));
+}
+
+/// All calls to the store have gone silent at one moment. The first VM that finds out has the new routes;
+/// the others learn so from its digests, and ask anew while their own calls still hang.
+#[test]
+fn routes_at_a_peer_are_asked_for_sooner_than_targets() {
+    let sweeps = |behind: FeedLag| {
+        let mut watch = FeedWatch::default();
+        (1..=20).filter(|_| watch.is_due(behind)).collect::<Vec<u32>>()
+    };
+    assert_eq!(sweeps(FeedLag { routes: true, targets: false }), [3, 8, 16]);
+    assert_eq!(sweeps(FeedLag { routes: false, targets: true }), [8, 16]);
+    assert!(sweeps(FeedLag::default()).is_empty());
+}
