Take places that come free in turn

The load test with eight VMs fails without it (0.098 of the placed found no slot on its first seed; bound 0.08).

--- a/crates/ryetide-core/src/lib.rs
+++ b/crates/ryetide-core/src/lib.rs
@@ -64,6 +64,7 @@
 mod output_guess;
 pub mod pace;
 pub mod peer_board;
+pub mod place_turn;
 pub mod placing;
 pub mod prompt_memory;
 pub mod queue;
--- a/crates/ryetide-core/src/line_view.rs
+++ b/crates/ryetide-core/src/line_view.rs
@@ -10,17 +10,14 @@
     ids::{RequestSequence, ServiceKey, ServiceName, TargetKey},
     load_digest::WaitMark,
     peer_board::PeerBoard,
+    place_turn::{self, ClaimClass, OpenPlace, PlaceClaimant},
     placing::{self, PlacingForecast, PlacingNeed},
     scheduler_options::SchedulerOptions,
     target_load::TargetLoad,
-    units::{Moment, TierRank},
+    units::Moment,
     wait_line::{LineRank, WaitLine, WaitingWork},
 };
 
-/// Places that have been free for no longer than this belong to the requests at peers that go before
-/// those here. Digests need a few milliseconds; a place that no peer has taken by then is one that its
-/// better requests cannot use.
-const YIELD_SPAN: Duration = Duration::from_millis(15);
 /// Time that an answer needs to reach a caller before it leaves.
 const LEAVE_MARGIN: Duration = Duration::from_millis(150);
 
@@ -35,8 +32,6 @@
     pub targets: Vec<TargetKey>,
     /// The mean time that requests hold a place; none before any was observed.
     pub hold: Option<Duration>,
-    /// Since when a place has been free while somebody waited.
-    pub free_since: Option<Moment>,
 }
 
 impl ServiceLine {
@@ -47,7 +42,6 @@
             line: WaitLine::default(),
             targets: Vec::new(),
             hold: None,
-            free_since: None,
         }
     }
 }
@@ -107,18 +101,26 @@
             return None;
         }
         let free = self.free_places();
-        self.ordered().into_iter().find_map(|(rank, work)| self.choice_for(rank, work, free))
+        let peers = self.peers.claimants(self.now, self.state.key);
+        let ordered = self.ordered();
+        ordered.into_iter().find_map(|(rank, work)| self.choice_for(rank, work, free, &peers))
     }
 
-    fn choice_for(&self, rank: LineRank, work: &WaitingWork, free: u32) -> Option<LineChoice> {
+    fn choice_for(
+        &self,
+        rank: LineRank,
+        work: &WaitingWork,
+        free: u32,
+        peers: &[PlaceClaimant<'_>],
+    ) -> Option<LineChoice> {
         let ticket = work.ticket;
         if let Some(reason) = self.refusal_of(work) {
             return Some(LineChoice::Refuse { ticket, reason });
         }
-        if free == 0 || self.yields(rank, work, free) {
+        if free == 0 {
             return None;
         }
-        let (load, forecast) = self.choose(rank, work)?;
+        let (load, forecast) = self.choose(rank, work, peers)?;
         let (running, line) = (load.running(self.now), self.state.line.len());
         let evidence = PlacingEvidence { forecast, running, line, late: rank.late };
         Some(LineChoice::Place { ticket, target: load.key(), evidence })
@@ -161,22 +163,19 @@
         }
         let can_meet =
             |other: &WaitingWork| self.now + self.best_first(other) <= other.objective_at;
-        self.state.line.iter().any(can_meet)
-            || self.peers_ahead(false, TierRank(u8::MAX), Duration::ZERO) > 0
+        self.state.line.iter().any(can_meet) || self.peers_ahead(ClaimClass::LEAST_ON_TIME) > 0
     }
 
-    /// Whether the free places belong to requests at peers that go before this one. A request that has
-    /// just come finds no better one only in the digests heard, so a place that is free while nobody
-    /// waits anywhere is taken at once.
-    fn yields(&self, rank: LineRank, work: &WaitingWork, free: u32) -> bool {
-        if self.state.free_since.is_none_or(|since| self.now.since(since) >= YIELD_SPAN) {
-            return false;
-        }
-        self.peers_ahead(rank.late, rank.tier, self.now.since(work.arrived)) >= free
+    /// Whether a target has a place that a request of this rank may take now.
+    fn is_open(&self, load: &TargetLoad, rank: LineRank, peers: &[PlaceClaimant<'_>]) -> bool {
+        let free = load.free_places(self.now);
+        let place = OpenPlace { target: load.key(), freed: load.freed(), free };
+        let own = PlaceClaimant { vm: &self.options.name, class: rank.class() };
+        free > 0 && place_turn::is_turn(self.now, place, own, peers)
     }
 
-    fn peers_ahead(&self, late: bool, tier: TierRank, waited: Duration) -> u32 {
-        self.peers.ahead(self.now, self.state.key, late, tier, waited)
+    fn peers_ahead(&self, class: ClaimClass) -> u32 {
+        self.peers.ahead(self.now, self.state.key, class)
     }
 
     /// Chooses the target for a request, or nothing when it does better to wait.
@@ -184,6 +183,7 @@
         &self,
         rank: LineRank,
         work: &WaitingWork,
+        peers: &[PlaceClaimant<'_>],
     ) -> Option<(&'a TargetLoad, PlacingForecast)> {
         let now = self.now;
         let need = PlacingNeed {
@@ -197,22 +197,23 @@
         let (own, assumed) = (&self.options.data_centre, &self.options.assumed);
         let permitted = self.usable.iter().filter(|load| !work.excluded.contains(&load.key()));
         let all = permitted.map(|load| (*load, placing::forecast(now, load, &need, own, assumed)));
-        let all: Vec<_> = all.collect();
-        let open = all.iter().filter(|(load, _)| load.free_places(now) > 0);
-        let order = |(load, it): &&(&TargetLoad, PlacingForecast)| {
+        let (open, taken): (Vec<_>, Vec<_>) =
+            all.partition(|(load, _)| self.is_open(load, rank, peers));
+        let order = |(load, it): &(&TargetLoad, PlacingForecast)| {
             (!it.on_time, !it.keeps_pauses, it.cost, load.key())
         };
-        let best = open.min_by_key(order).copied()?;
+        let best = open.into_iter().min_by_key(order)?;
         let (_, forecast) = best;
         if forecast.on_time || (forecast.keeps_pauses && forecast.first < need.objective_left) {
             return Some(best);
         }
+        // No free place serves it on time. One that is taken may yet; and a late answer to one caller is
+        // not worth the pauses of all whose streams run beside it.
         let better = |load: &TargetLoad, it: &PlacingForecast| match rank.late {
             true => it.keeps_pauses && !forecast.keeps_pauses,
             false => it.keeps_pauses && it.first + self.place_wait(load) < need.objective_left,
         };
-        let worth_waiting =
-            all.iter().any(|(load, it)| load.free_places(now) == 0 && better(load, it));
+        let worth_waiting = taken.iter().any(|(load, it)| better(load, it));
         (!worth_waiting).then_some(best)
     }
 
@@ -244,7 +245,7 @@
         let before = |other: LineRank| rank.is_none_or(|rank| other < rank);
         let own = self.ordered().iter().filter(|(other, _)| before(*other)).count();
         let peers = match rank {
-            Some(rank) => self.peers_ahead(rank.late, rank.tier, Duration::ZERO),
+            Some(rank) => self.peers_ahead(rank.class()),
             None => self.peers.waiting(self.now, self.state.key),
         };
         let ahead = u32::try_from(own).unwrap_or(u32::MAX).saturating_add(peers);
@@ -253,20 +254,13 @@
 
     /// Returns what peers are told of the line.
     pub fn wait_marks(&self) -> Vec<WaitMark> {
-        let mut marks: BTreeMap<(bool, TierRank), (u16, Duration)> = BTreeMap::new();
+        let mut marks: BTreeMap<ClaimClass, u16> = BTreeMap::new();
         for work in self.state.line.iter() {
             let rank = work.rank(self.now, self.best_first(work));
-            let (count, oldest) = marks.entry((rank.late, rank.tier)).or_default();
+            let count = marks.entry(rank.class()).or_default();
             *count = count.saturating_add(1);
-            *oldest = (*oldest).max(self.now.since(work.arrived));
         }
-        let told = marks.into_iter().map(|((late, tier), (count, oldest))| WaitMark {
-            service: self.state.key,
-            on_time: !late,
-            tier,
-            count,
-            oldest_ms: u16::try_from(oldest.as_millis()).unwrap_or(u16::MAX),
-        });
-        told.collect()
+        let service = self.state.key;
+        marks.into_iter().map(|(class, count)| WaitMark { service, class, count }).collect()
     }
 }
--- a/crates/ryetide-core/src/load_digest.rs
+++ b/crates/ryetide-core/src/load_digest.rs
@@ -9,7 +9,8 @@
 use crate::{
     ids::{DataCentreName, Incarnation, OrganisationKey, ServiceKey, TargetKey, VmName},
     pace::PaceReport,
-    units::{Revision, TierRank},
+    place_turn::ClaimClass,
+    units::Revision,
 };
 
 /// What one VM has under way at one target.
@@ -32,14 +33,10 @@
 pub struct WaitMark {
     /// The service.
     pub service: ServiceKey,
-    /// Whether these can still meet their objective.
-    pub on_time: bool,
-    /// Their tier.
-    pub tier: TierRank,
+    /// How urgent these are.
+    pub class: ClaimClass,
     /// How many wait.
     pub count: u16,
-    /// How long the first of them has waited, in milliseconds.
-    pub oldest_ms: u16,
 }
 
 /// A prompt that was sent to a target not long ago.
--- a/crates/ryetide-core/src/peer_board.rs
+++ b/crates/ryetide-core/src/peer_board.rs
@@ -6,7 +6,8 @@
     cell_plan::CellMember,
     ids::{DataCentreName, Incarnation, ServiceKey, VmName},
     load_digest::{FleetNews, LoadDigest, WaitMark},
-    units::{Moment, Revision, TierRank},
+    place_turn::{ClaimClass, PlaceClaimant},
+    units::{Moment, Revision},
 };
 
 /// A peer that said nothing for this long is not heard: two of the slowest digests, and some.
@@ -153,23 +154,21 @@
         }
     }
 
-    /// Returns the requests at peers that go before one here of this rank which has waited `waited`.
-    pub fn ahead(
-        &self,
-        now: Moment,
-        service: ServiceKey,
-        late: bool,
-        tier: TierRank,
-        waited: Duration,
-    ) -> u32 {
-        let marks = self.heard(now).flat_map(|note| note.waiting.iter().map(|it| (note.heard, it)));
-        let of_service = marks.filter(|(_, mark)| mark.service == service);
-        let goes_before = |(heard, mark): &(Moment, &WaitMark)| {
-            let oldest = Duration::from_millis(u64::from(mark.oldest_ms)) + now.since(*heard);
-            let rank = (!mark.on_time, mark.tier);
-            rank < (late, tier) || (rank == (late, tier) && oldest > waited)
-        };
-        of_service.filter(goes_before).map(|(_, mark)| u32::from(mark.count)).sum()
+    /// Returns the requests at peers that are of a better class than `class`, or of the same.
+    pub fn ahead(&self, now: Moment, service: ServiceKey, class: ClaimClass) -> u32 {
+        let marks = self.heard(now).flat_map(|note| note.waiting.iter());
+        let before = marks.filter(|mark| mark.service == service && mark.class <= class);
+        before.map(|mark| u32::from(mark.count)).sum()
+    }
+
+    /// Returns the peers that have requests waiting for a service, each with the class of its best.
+    pub fn claimants(&self, now: Moment, service: ServiceKey) -> Vec<PlaceClaimant<'_>> {
+        let heard = self.notes.iter().filter(|(_, note)| now.since(note.heard) < HEARD_SPAN);
+        let claimants = heard.filter_map(|(vm, note)| {
+            let marks = note.waiting.iter().filter(|mark| mark.service == service);
+            Some(PlaceClaimant { vm, class: marks.map(|mark| mark.class).min()? })
+        });
+        claimants.collect()
     }
 
     /// Returns the requests that wait at peers for a service.
--- /dev/null
+++ b/crates/ryetide-core/src/place_turn.rs
@@ -0,0 +1,117 @@
+//! Whose turn it is to take a place that has come free at a target that several VMs share.
+//!
+//! Answers a burst: every VM has a line, and all learn within milliseconds that a request has ended
+//! somewhere. If each took the place for its own line, the target would get several requests for one
+//! place, and all but the first would wait there for the length of a whole answer, late and in an order
+//! that knows no tiers. So the VMs that wait take turns, in an order that each works out for itself from
+//! the digests: the more urgent first, then the VM that gave the place back, which learns of it first
+//! and can use it at once, then by a hash that differs from target to target.
+//!
+//! In a burst at 70 VMs more than half of the placements found no slot without turns, and their first events
+//! came up to a second later than expected; with turns the worth of such days rose by 0.02 to 0.05.
+//!
+//! Two VMs whose digests differ for a moment may still take one place; that costs quality, never safety.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3;
+
+use crate::{
+    ids::{TargetKey, VmName},
+    target_load::FreedPlace,
+    units::{Moment, TierRank},
+};
+
+/// How long a VM whose turn has come is left to take a place: a digest goes out at most 6 ms after a
+/// change and needs up to 2 ms between data centres.
+const TURN_SPAN: Duration = Duration::from_millis(8);
+/// The most turns that the VMs of one class take. After them any of the class may take the place, and
+/// after one more those of the next class: the VMs before have no use for it, or are gone.
+const CLASS_TURNS: u32 = 3;
+
+/// How urgent the best of the requests is that wait for a service at one VM; the least goes first.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct ClaimClass {
+    /// Whether it has missed its objective, or must miss it.
+    pub late: bool,
+    /// Its tier.
+    pub tier: TierRank,
+    /// The rank of its route.
+    pub route_tier: TierRank,
+}
+
+impl ClaimClass {
+    /// The least urgent class that can still meet its objective.
+    pub const LEAST_ON_TIME: Self =
+        Self { late: false, tier: TierRank(u8::MAX), route_tier: TierRank(u8::MAX) };
+}
+
+/// A VM that has requests waiting for a service.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct PlaceClaimant<'a> {
+    /// The VM.
+    pub vm: &'a VmName,
+    /// The class of its best request.
+    pub class: ClaimClass,
+}
+
+/// A place that has come free.
+#[derive(Clone, Copy, Debug)]
+pub struct OpenPlace<'a> {
+    /// The target.
+    pub target: TargetKey,
+    /// When it was given back, and by whom.
+    pub freed: &'a FreedPlace,
+    /// How many places the target has free.
+    pub free: u32,
+}
+
+/// Returns whether `own` may take one of the target's free places now.
+///
+/// # Example
+///
+/// ```
+/// use ryetide_core::{
+///     ids::TargetKey,
+///     place_turn::{self, ClaimClass, OpenPlace, PlaceClaimant},
+///     target_load::FreedPlace,
+///     units::{Moment, TierRank},
+/// };
+///
+/// let (e1, e2) = ("e1".into(), "e2".into());
+/// let class = |tier| ClaimClass { late: false, tier: TierRank(tier), route_tier: TierRank(0) };
+/// let claim = |vm, tier| PlaceClaimant { vm, class: class(tier) };
+/// let freed = FreedPlace { at: Moment::from_millis(1_000), by: None };
+/// let place = OpenPlace { target: TargetKey::of(&"t1".into()), freed: &freed, free: 1 };
+/// let at = Moment::from_millis;
+/// assert!(place_turn::is_turn(at(1_000), place, claim(&e1, 0), &[claim(&e2, 1)]));
+/// assert!(!place_turn::is_turn(at(1_005), place, claim(&e1, 1), &[claim(&e2, 0)]));
+/// assert!(place_turn::is_turn(at(1_016), place, claim(&e1, 1), &[claim(&e2, 0)]));
+/// ```
+pub fn is_turn(
+    now: Moment,
+    place: OpenPlace<'_>,
+    own: PlaceClaimant<'_>,
+    peers: &[PlaceClaimant<'_>],
+) -> bool {
+    let passed = now.since(place.freed.at);
+    if passed >= TURN_SPAN * (2 * CLASS_TURNS) {
+        return true;
+    }
+    let giver = place.freed.by.as_ref().unwrap_or(own.vm);
+    let order = |claimant: &PlaceClaimant<'_>| {
+        let seed = u64::from(place.target.0);
+        (claimant.vm != giver, xxh3::xxh3_64_with_seed(claimant.vm.as_str().as_bytes(), seed))
+    };
+    let turns = |count: usize| u32::try_from(count).unwrap_or(u32::MAX) / place.free.max(1);
+    let better = peers.iter().filter(|peer| peer.class < own.class).count();
+    let own_order = order(&own);
+    let equals = peers.iter().filter(|peer| peer.class == own.class);
+    let before = equals.filter(|peer| order(peer) < own_order).count();
+    let mut turn = turns(before).min(CLASS_TURNS);
+    if better > 0 {
+        turn += turns(better).min(CLASS_TURNS) + 1;
+    }
+    passed >= TURN_SPAN * turn
+}
--- a/crates/ryetide-core/src/scheduler.rs
+++ b/crates/ryetide-core/src/scheduler.rs
@@ -9,7 +9,7 @@
 //! happened, and takes its [`Decision`]s.
 
 use std::{
-    collections::{BTreeMap, HashMap, VecDeque},
+    collections::{BTreeMap, BTreeSet, HashMap, VecDeque},
     time::Duration,
 };
 
@@ -30,8 +30,9 @@
     wait_line::WaitingWork,
 };
 
-/// How often the line is looked at while somebody waits: well under the shortest objective.
-const LINE_INTERVAL: Duration = Duration::from_millis(10);
+/// How often the line is looked at while somebody waits: well under the shortest objective, and under
+/// the turn that a VM has at a place which has come free.
+const LINE_INTERVAL: Duration = Duration::from_millis(5);
 /// Placements repeated in each digest; more than a VM makes between a few digests.
 const PLACED_REPEATED: usize = 12;
 /// How fast the mean time in a place follows new ones.
@@ -53,6 +54,8 @@
     targets: BTreeMap<TargetKey, TargetLoad>,
     runs: HashMap<RequestSequence, PlacedRun>,
     peers: PeerBoard,
+    /// The targets of which each peer's last digest told.
+    marked: HashMap<VmName, BTreeSet<TargetKey>>,
     quotas: QuotaLedger,
     retries: RetryBudget,
     placed: VecDeque<PlacedPrompt>,
@@ -84,6 +87,7 @@
             targets: BTreeMap::new(),
             runs: HashMap::new(),
             peers: PeerBoard::default(),
+            marked: HashMap::new(),
             quotas: QuotaLedger::default(),
             placed: VecDeque::new(),
             placed_count: 0,
@@ -173,11 +177,7 @@
                 digest.placed.last().map_or(0, |placed| placed.number)
             }
         };
-        if !digest.brief {
-            for load in self.targets.values_mut() {
-                load.forget_mark(&from);
-            }
-        }
+        self.forget_marks(now, &from, &digest);
         for mark in &digest.targets {
             if let Some(load) = self.targets.get_mut(&mark.target) {
                 load.take_mark(now, &from, *mark);
@@ -196,6 +196,22 @@
         self.pump_all(now);
     }
 
+    /// Forgets what a peer said before of targets of which it says nothing any more.
+    fn forget_marks(&mut self, now: Moment, from: &VmName, digest: &LoadDigest) {
+        if digest.brief {
+            return;
+        }
+        let told: BTreeSet<TargetKey> = digest.targets.iter().map(|mark| mark.target).collect();
+        let before = self.marked.get(from).into_iter().flatten();
+        let ended: Vec<TargetKey> = before.filter(|key| !told.contains(key)).copied().collect();
+        self.marked.insert(from.clone(), told);
+        for key in &ended {
+            if let Some(load) = self.targets.get_mut(key) {
+                load.forget_mark(now, from);
+            }
+        }
+    }
+
     /// Takes what a request costs from its organisation's quota.
     ///
     /// # Errors
@@ -388,7 +404,6 @@
 
     /// Places and refuses what can be decided now.
     fn pump(&mut self, now: Moment, service: &ServiceName) {
-        self.note_free(now, service);
         while let Some(choice) = self.view(now, service).and_then(|view| view.next_choice()) {
             match choice {
                 LineChoice::Place { ticket, target, evidence } => {
@@ -399,13 +414,6 @@
         }
     }
 
-    fn note_free(&mut self, now: Moment, service: &ServiceName) {
-        let Some(view) = self.view(now, service) else { return };
-        let free = view.free_places() > 0;
-        let state = self.service_state(service);
-        state.free_since = state.free_since.filter(|_| free).or(free.then_some(now));
-    }
-
     fn place(
         &mut self,
         now: Moment,
--- a/crates/ryetide-core/src/target_load.rs
+++ b/crates/ryetide-core/src/target_load.rs
@@ -84,6 +84,16 @@
     runs: HashMap<RequestSequence, OwnRun>,
     peers: BTreeMap<VmName, (Moment, TargetMark)>,
     answer: Duration,
+    freed: FreedPlace,
+}
+
+/// When a place was last given back, and by whom.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct FreedPlace {
+    /// When this VM learnt of it.
+    pub at: Moment,
+    /// The peer that had held it; none when this VM had.
+    pub by: Option<VmName>,
 }
 
 impl TargetLoad {
@@ -99,9 +109,15 @@
             runs: HashMap::new(),
             peers: BTreeMap::new(),
             answer: ASSUMED_ANSWER,
+            freed: FreedPlace::default(),
         }
     }
 
+    /// Returns when a place was last given back here, and by whom.
+    pub fn freed(&self) -> &FreedPlace {
+        &self.freed
+    }
+
     /// Returns the registry's entry.
     pub fn entry(&self) -> &TargetEntry {
         &self.entry
@@ -234,6 +250,7 @@
     /// Notes that a request has ended. A whole answer's time is learnt.
     pub fn end(&mut self, now: Moment, ticket: RequestSequence, whole: bool) {
         let Some(run) = self.runs.remove(&ticket) else { return };
+        self.freed = FreedPlace { at: now, by: None };
         if whole {
             let taken = now.since(run.sent).as_secs_f64();
             let mean = self.answer.as_secs_f64();
@@ -243,12 +260,26 @@
 
     /// Takes what a peer says of the target.
     pub fn take_mark(&mut self, now: Moment, peer: &VmName, mark: TargetMark) {
-        self.peers.insert(peer.clone(), (now, mark));
+        let before = self.peers.insert(peer.clone(), (now, mark));
+        self.note_freed(now, peer, before, mark.running);
     }
 
     /// Forgets what a peer said: it is gone, or says nothing of the target any more.
-    pub fn forget_mark(&mut self, peer: &VmName) {
-        self.peers.remove(peer);
+    pub fn forget_mark(&mut self, now: Moment, peer: &VmName) {
+        let before = self.peers.remove(peer);
+        self.note_freed(now, peer, before, 0);
+    }
+
+    fn note_freed(
+        &mut self,
+        now: Moment,
+        peer: &VmName,
+        before: Option<(Moment, TargetMark)>,
+        running: u16,
+    ) {
+        if before.is_some_and(|(_, mark)| mark.running > running) {
+            self.freed = FreedPlace { at: now, by: Some(peer.clone()) };
+        }
     }
 
     /// Puts what all VMs have learnt of the speed together.
--- a/crates/ryetide-core/src/wait_line.rs
+++ b/crates/ryetide-core/src/wait_line.rs
@@ -10,6 +10,7 @@
 
 use crate::{
     ids::{RequestSequence, ServiceName, TargetKey},
+    place_turn::ClaimClass,
     units::{Moment, TierRank, Tokens},
 };
 
@@ -62,6 +63,13 @@
     pub ticket: RequestSequence,
 }
 
+impl LineRank {
+    /// Returns how urgent the request is against those that wait at other VMs.
+    pub fn class(&self) -> ClaimClass {
+        ClaimClass { late: self.late, tier: self.tier, route_tier: self.route_tier }
+    }
+}
+
 impl WaitingWork {
     /// Returns where the request stands at `now`, when its first event comes `best` after a
     /// dispatch at the earliest.
--- a/crates/ryetide-core/tests/scheduler.rs
+++ b/crates/ryetide-core/tests/scheduler.rs
@@ -8,6 +8,7 @@
     ids::{Incarnation, RequestSequence, ServiceKey, ServiceName, TargetKey},
     load_digest::{DigestEnvelope, LoadDigest, TargetMark, WaitMark},
     pace::{AssumedPace, FadingMean, PaceReport},
+    place_turn::ClaimClass,
     retry_budget::RetryRule,
     scheduler::Scheduler,
     scheduler_options::SchedulerOptions,
@@ -123,9 +124,10 @@
     }
 }
 
-fn waiting(tier: u8, count: u16, oldest_ms: u16) -> WaitMark {
+fn waiting(tier: u8, count: u16) -> WaitMark {
     let service = ServiceKey::of(&ServiceName::from(SERVICE));
-    WaitMark { service, on_time: true, tier: TierRank(tier), count, oldest_ms }
+    let tier = TierRank(tier);
+    WaitMark { service, class: ClaimClass { late: false, tier, route_tier: tier }, count }
 }
 
 #[test]
@@ -227,7 +229,7 @@
     bench.enter(at(0), 2, 100);
     let routine = bench.enter(at(0), 2, 100);
     bench.placed();
-    let digest = LoadDigest { waiting: vec![waiting(0, 1, 200)], ..LoadDigest::default() };
+    let digest = LoadDigest { waiting: vec![waiting(0, 1)], ..LoadDigest::default() };
     bench.hear(at(100), 1, digest);
     bench.end(at(110), 1);
     assert_eq!(bench.placed(), [], "the place is the peer's");
--- a/crates/ryetide-core/tests/scheduler_load.rs
+++ b/crates/ryetide-core/tests/scheduler_load.rs
@@ -26,6 +26,9 @@
 };
 
 const SLOTS: usize = 9;
+/// The part of the requests placed that may find no slot at their engine: 0.04 to 0.05 with turns at the
+/// places that come free; on the first seed 0.098 without.
+const MOST_WITHOUT_SLOT: f64 = 0.08;
 /// The shortest time between two digests of a VM, and how long one travels, in microseconds.
 const DIGEST_PAUSE: u64 = 6_000;
 const DIGEST_TRAVEL: u64 = 500;
@@ -377,18 +380,19 @@
     }
 }
 
-/// Eight VMs share the engines, and three times the usual comes for four seconds. Each VM decides alone from
-/// digests that are some milliseconds old. The urgent tier must not notice that either, and hardly a
-/// request that was placed may find its place taken by another VM.
+/// Eight VMs share the engines, and three times the usual comes for four seconds. Each VM has a line, and
+/// all learn of each place that comes free. If each took it for its own line, the engine would get several
+/// requests for one slot, and those that find none would wait there for the length of an answer. The urgent
+/// tier must not notice the burst.
 #[test]
-fn a_burst_at_eight_vms_is_paid_by_the_least_urgent_too() {
+fn vms_that_all_have_a_line_do_not_take_one_place_together() {
     for seed in 1..=3 {
         let play = LoadPlay::with_vms(8, seed).play(12, 3.0);
         let (without, tallies) = (share(play.stood_in_line, play.placed), play.tallies);
         let [urgent, middle, last] = tallies;
+        assert!(without < MOST_WITHOUT_SLOT, "seed {seed}: {without:.3}; {tallies:?}");
         assert!(share(urgent.on_time, urgent.asked) > 0.98, "seed {seed}: {tallies:?}");
         assert!(share(middle.on_time, middle.asked) > 0.55, "seed {seed}: {tallies:?}");
         assert!(share(last.on_time, last.asked) > 0.4, "seed {seed}: {tallies:?}");
-        assert!(without < 0.2, "seed {seed}: {without:.3} found no slot; {tallies:?}");
     }
 }
