--- a/crates/ryetide-gateway/src/fleet_duties.rs
+++ b/crates/ryetide-gateway/src/fleet_duties.rs
@@ -40,13 +40,26 @@
 const BRIEF_INTERVAL: Duration = Duration::from_millis(1_000);
 const BRIEF_SHORT: Duration = Duration::from_millis(300);
 
-/// Takes news of the fleet.
-pub async fn take_updates(
-    gateway: Rc<Gateway>,
-    mut updates: mpsc::Receiver<FleetUpdate>,
-    fleet_size: Rc<Cell<usize>>,
-) {
-    while let Some(update) = updates.recv().await {
+/// Takes news of the fleet to those whom they concern.
+pub struct FleetNewsTaker {
+    /// The gateway.
+    pub gateway: Rc<Gateway>,
+    /// The link to the peers.
+    pub link: Rc<PeerLink>,
+    /// Told to the feed: how many entry VMs there are.
+    pub fleet_size: Rc<Cell<usize>>,
+}
+
+impl FleetNewsTaker {
+    /// Takes news until the feed ends.
+    pub async fn run(self, mut updates: mpsc::Receiver<FleetUpdate>) {
+        while let Some(update) = updates.recv().await {
+            self.take(update);
+        }
+    }
+
+    fn take(&self, update: FleetUpdate) {
+        let gateway = &self.gateway;
         match update {
             FleetUpdate::Routes(routes) => {
                 let (revision, count) = (routes.revision(), routes.route_count());
@@ -60,27 +73,30 @@
                 let now = gateway.hub().clock().now();
                 gateway.fleet().registry().borrow_mut().take(now, update);
                 gateway.fleet().registry().borrow_mut().note_newest(newest);
-                refresh_targets(&gateway);
+                refresh_targets(gateway);
             }
             FleetUpdate::TargetsReached(number) => {
                 gateway.fleet().registry().borrow_mut().note_reached(number);
             }
-            FleetUpdate::Peers(listed) => {
-                let own = gateway.settings().borrow().name.clone();
-                let others = listed.into_iter().filter(|peer| peer.name != own);
-                let others: BTreeMap<VmName, PeerEntry> =
-                    others.map(|peer| (peer.name.clone(), peer)).collect();
-                let member = |peer: &PeerEntry| CellMember {
-                    name: peer.name.clone(),
-                    data_centre: peer.data_centre.clone(),
-                };
-                let members: Vec<CellMember> = others.values().map(member).collect();
-                fleet_size.set(members.len() + 1);
-                *gateway.peers().borrow_mut() = others;
-                gateway.hub().with(|scheduler, now| scheduler.list_peers(now, &members));
-            }
+            FleetUpdate::Peers(listed) => self.take_peers(listed),
+            FleetUpdate::OwnSecret(secret) => self.link.set_secret(secret),
         }
     }
+
+    fn take_peers(&self, listed: Vec<PeerEntry>) {
+        let own = self.gateway.settings().borrow().name.clone();
+        let others = listed.into_iter().filter(|peer| peer.name != own);
+        let others: BTreeMap<VmName, PeerEntry> =
+            others.map(|peer| (peer.name.clone(), peer)).collect();
+        let member = |peer: &PeerEntry| CellMember {
+            name: peer.name.clone(),
+            data_centre: peer.data_centre.clone(),
+        };
+        let members: Vec<CellMember> = others.values().map(member).collect();
+        self.fleet_size.set(members.len() + 1);
+        *self.gateway.peers().borrow_mut() = others;
+        self.gateway.hub().with(|scheduler, now| scheduler.list_peers(now, &members));
+    }
 }
 
 /// Lets the scheduler do what falls due, and tells peers what has changed.
--- a/crates/ryetide-gateway/src/gateway.rs
+++ b/crates/ryetide-gateway/src/gateway.rs
@@ -21,7 +21,8 @@
 };
 
 use crate::{
-    caller_listener, fleet_duties,
+    caller_listener,
+    fleet_duties::{self, FleetNewsTaker},
     gateway_state::Gateway,
     peer_link::{self, PeerLink},
     ports::{
@@ -182,7 +183,8 @@
     let link = Rc::new(PeerLink::new(socket, &own));
     let mut duties = JoinSet::new();
     duties.spawn_local(feed.run(own, line));
-    duties.spawn_local(fleet_duties::take_updates(Rc::clone(&gateway), receiver, fleet_size));
+    let news = FleetNewsTaker { gateway: Rc::clone(&gateway), link: Rc::clone(&link), fleet_size };
+    duties.spawn_local(news.run(receiver));
     duties.spawn_local(fleet_duties::schedule(Rc::clone(&gateway), Rc::clone(&link)));
     duties.spawn_local(peer_link::receive(Rc::clone(&gateway), Rc::clone(&link)));
     duties.spawn_local(fleet_duties::sweep(Rc::clone(&gateway), nudge));
--- a/crates/ryetide-gateway/src/peer_link.rs
+++ b/crates/ryetide-gateway/src/peer_link.rs
@@ -1,11 +1,12 @@
 //! Digests to and from the other entry VMs.
 //!
-//! A digest is one datagram: a keyed hash and what it covers. Each VM draws its key when it starts
+//! A digest is one datagram: a keyed hash and what it covers. Each VM draws its key when it starts first
 //! and makes it known where only the deployment's VMs can read, so that nobody else can tell a VM
-//! what to believe, and there is nothing to hand out. Datagrams need no connection to each of many
+//! what to believe, and there is nothing to hand out; a VM that starts again goes on with the key that it
+//! finds there. Datagrams need no connection to each of many
 //! peers, and one that is lost is made good by the next.
 
-use std::rc::Rc;
+use std::{cell::Cell, rc::Rc};
 
 use ring::hmac;
 use ryetide_core::{ids::VmName, load_digest::DigestEnvelope};
@@ -77,18 +78,23 @@
 /// This VM's socket for digests.
 pub struct PeerLink {
     socket: UdpSocket,
-    secret: PeerSecret,
+    secret: Cell<PeerSecret>,
 }
 
 impl PeerLink {
     /// Creates a link that signs as `own`.
     pub fn new(socket: UdpSocket, own: &PeerEntry) -> Self {
-        Self { socket, secret: own.secret }
+        Self { socket, secret: Cell::new(own.secret) }
+    }
+
+    /// Signs with this key from now on.
+    pub fn set_secret(&self, secret: PeerSecret) {
+        self.secret.set(secret);
     }
 
     /// Sends a digest to all peers.
     pub async fn send(&self, envelope: &DigestEnvelope, peers: &[PeerEntry]) {
-        let datagram = match seal(&self.secret, envelope) {
+        let datagram = match seal(&self.secret.get(), envelope) {
             Ok(datagram) => datagram,
             Err(error) => {
                 tracing::warn!(event = "digest-unwritable", step = "send digest", reason = %error);
--- a/crates/ryetide-gateway/src/ports.rs
+++ b/crates/ryetide-gateway/src/ports.rs
@@ -122,6 +122,8 @@
     TargetsReached(u64),
     /// All entry VMs that are listed.
     Peers(Vec<PeerEntry>),
+    /// The key by which the peers know this VM already, from an earlier life.
+    OwnSecret(PeerSecret),
 }
 
 /// A future that stays on its thread.
--- a/crates/ryetide-gateway/src/store_feed.rs
+++ b/crates/ryetide-gateway/src/store_feed.rs
@@ -7,12 +7,13 @@
 
 use ryetide::error::StepError;
 use ryetide_core::{
-    ids::{DataCentreName, TargetName},
+    ids::{DataCentreName, TargetName, VmName},
     route::RouteTable,
     target_load::TargetEntry,
     target_registry::RegistryUpdate,
 };
 use serde::{Deserialize, Serialize};
+use tokio::sync::oneshot;
 
 use crate::{
     ports::{FeedLine, FleetFeed, FleetUpdate, LocalFuture, PeerEntry, PeerSecret},
@@ -90,6 +91,12 @@
     secret: PeerSecret,
 }
 
+impl VmRow {
+    fn is_of_same_vm(&self, other: &Self) -> bool {
+        self.data_centre == other.data_centre && self.address == other.address
+    }
+}
+
 /// News from a platform's store.
 pub struct StoreFeed {
     store: Rc<dyn FleetStore>,
@@ -113,28 +120,56 @@
                 TableFollower::new(table(FleetTable::Routes), ROUTES_PACE, routes, line.clone());
             let follow_targets =
                 TableFollower::new(table(FleetTable::Targets), TARGETS_PACE, targets, line.clone());
-            let peers = VmReader::default();
-            let follow_vms = TableFollower::new(table(FleetTable::Vms), VMS_PACE, peers, line);
+            let (tell_own, found) = oneshot::channel();
+            let peers = VmReader::new(&own, tell_own);
+            let follow_vms =
+                TableFollower::new(table(FleetTable::Vms), VMS_PACE, peers, line.clone());
             tokio::join!(
                 follow_routes.run(),
                 follow_targets.run(),
                 follow_vms.run(),
-                announce(table(FleetTable::Vms), &own),
+                announce(table(FleetTable::Vms), &own, found, line),
             );
         })
     }
 }
 
-/// Writes this VM's row.
-async fn announce(table: Box<dyn StoreTable>, own: &PeerEntry) {
-    let data_centre = own.data_centre.clone();
-    let row = VmRow { data_centre, address: own.address, secret: own.secret };
+/// Makes this VM known by its row. A row that an earlier life left is kept if it still holds: all VMs
+/// follow the table, and 70 that are restarted in turn would make each other ask for it 70 times each. The
+/// peers then know this VM by the key of that row, which only they can read.
+async fn announce(
+    table: Box<dyn StoreTable>,
+    own: &PeerEntry,
+    found: oneshot::Receiver<FoundRow>,
+    line: FeedLine,
+) {
+    // The feed has ended.
+    let Ok(found) = found.await else { return };
+    let row =
+        VmRow { data_centre: own.data_centre.clone(), address: own.address, secret: own.secret };
+    if let Some(left) = found.row.filter(|left| left.is_of_same_vm(&row)) {
+        tracing::info!(event = "row-kept", step = "announce", version = found.version);
+        // The gateway may be ending.
+        let _ = line.updates.send(FleetUpdate::OwnSecret(left.secret)).await;
+        return;
+    }
     match serde_json::to_vec(&row) {
-        Ok(value) => table_follower::keep_row(table, own.name.as_str(), &value).await,
+        Ok(value) => {
+            table_follower::keep_row(table, own.name.as_str(), found.version, &value).await;
+        }
         Err(error) => tracing::error!(event = "announce-failed", step = "encode", reason = %error),
     }
 }
 
+/// This VM's own row, as the first reading of the table had it.
+#[derive(Debug, Default)]
+struct FoundRow {
+    /// Its version; 0 for none.
+    version: u64,
+    /// What it says, if that can be read.
+    row: Option<VmRow>,
+}
+
 struct RouteReader(Rc<dyn FleetStore>);
 
 impl RouteReader {
@@ -202,13 +237,34 @@
     }
 }
 
-#[derive(Default)]
 struct VmReader {
+    own: VmName,
+    /// Takes this VM's own row once it was looked for.
+    tell_own: Option<oneshot::Sender<FoundRow>>,
     known: BTreeMap<String, PeerEntry>,
 }
 
+impl VmReader {
+    fn new(own: &PeerEntry, tell_own: oneshot::Sender<FoundRow>) -> Self {
+        Self { own: own.name.clone(), tell_own: Some(tell_own), known: BTreeMap::new() }
+    }
+
+    fn tell_own(&mut self, rows: &[TableRow]) {
+        let Some(tell_own) = self.tell_own.take() else { return };
+        let own = rows.iter().find(|row| row.key == self.own.as_str());
+        let found = own.map(|row| FoundRow {
+            version: row.version,
+            // One that cannot be read is written over; it is logged below.
+            row: row.value.as_ref().and_then(|value| serde_json::from_slice(value).ok()),
+        });
+        // The feed has ended if nobody waits for it.
+        let _ = tell_own.send(found.unwrap_or_default());
+    }
+}
+
 impl RowReader for VmReader {
     fn whole(&mut self, rows: Vec<TableRow>) -> Option<FleetUpdate> {
+        self.tell_own(&rows);
         self.known.clear();
         self.changed(rows)
     }
