Pace the feed by the bounds that the settings give

Cause: every VM paid for calls of the store by constants fit for the tightest deployment; the larger ones give 3 s for a leaving target and 4 s for a silent connection, and have nine times the VMs. The pause after changes of targets is now half of the first, the wait of a call the second less a second.

--- a/crates/ryetide-gateway/src/store_feed.rs
+++ b/crates/ryetide-gateway/src/store_feed.rs
@@ -24,25 +24,15 @@
 /// What each VM adds to the wait: at 70 VMs the longest is 5 s, and all together make some 20 calls a
 /// second to a table that does not change, which is 0.003 of all worth there.
 const WAIT_PER_VM: Duration = Duration::from_millis(70);
-/// The operators' table. Operators change it seldom, and wait for the change to be in force. A call that
-/// has gone silent is found out in 2.7 s, within the three seconds after which the silence of a connection
-/// excuses nothing any more.
-const ROUTES_PACE: TablePace = TablePace {
-    name: "routes",
-    wait: Duration::from_millis(2_000),
-    wait_per_vm: WAIT_PER_VM,
-    pause: Duration::from_millis(100),
-};
-/// The table in which targets register themselves. When the fleet starts they do so one by one: 143
-/// of them cost each VM as many calls without the pause, and under 20 with it; at 70 VMs the calls were
-/// 0.03 to 0.05 of all worth with a pause of 0.4 s. A leaving target must get nothing new two seconds
-/// after its word, so the pause stays well under that, and the wait is that of the routes.
-const TARGETS_PACE: TablePace = TablePace {
-    name: "targets",
-    wait: Duration::from_millis(2_000),
-    wait_per_vm: WAIT_PER_VM,
-    pause: Duration::from_millis(1_000),
-};
+/// Time to find out and to read anew, beyond the wait of a call that has gone silent.
+const SILENCE_MARGIN: Duration = Duration::from_millis(1_000);
+/// The pause after a change of the operators' table. Operators change it seldom, and wait for the change to
+/// be in force.
+const ROUTES_PAUSE: Duration = Duration::from_millis(100);
+/// The part of the time within which a leaving target must get nothing new that is paused after changes of
+/// targets. When the fleet starts they register one by one: 143 of them cost each VM as many calls without
+/// the pause, and under 20 with it; at 70 VMs calls were 0.03 to 0.05 of all worth with a pause of 0.4 s.
+const LEAVING_PART: f64 = 0.5;
 /// The table in which entry VMs make themselves known to each other.
 const VMS_PACE: TablePace = TablePace {
     name: "vms",
@@ -97,29 +87,52 @@
     }
 }
 
+/// How soon a gateway must know of a change in the store.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct FeedBounds {
+    /// After this time a leaving target must get nothing new.
+    pub leaving: Duration,
+    /// The silence of an open connection excuses nothing after this time.
+    pub silence: Duration,
+}
+
+impl FeedBounds {
+    fn routes_pace(&self) -> TablePace {
+        let wait = self.silence.saturating_sub(SILENCE_MARGIN);
+        TablePace { name: "routes", wait, wait_per_vm: WAIT_PER_VM, pause: ROUTES_PAUSE }
+    }
+
+    fn targets_pace(&self) -> TablePace {
+        let pause = self.leaving.mul_f64(LEAVING_PART);
+        TablePace { name: "targets", pause, ..self.routes_pace() }
+    }
+}
+
 /// News from a platform's store.
 pub struct StoreFeed {
     store: Rc<dyn FleetStore>,
+    bounds: FeedBounds,
 }
 
 impl StoreFeed {
     /// Creates a feed from `store`.
-    pub fn new(store: impl FleetStore + 'static) -> Self {
-        Self { store: Rc::new(store) }
+    pub fn new(store: impl FleetStore + 'static, bounds: FeedBounds) -> Self {
+        Self { store: Rc::new(store), bounds }
     }
 }
 
 impl FleetFeed for StoreFeed {
     fn run(self: Box<Self>, own: PeerEntry, line: FeedLine) -> LocalFuture<'static, ()> {
+        let (routes_pace, targets_pace) = (self.bounds.routes_pace(), self.bounds.targets_pace());
         let store = self.store;
         let routes = RouteReader(Rc::clone(&store));
         let targets = TargetReader(Rc::clone(&store));
         let table = move |kind| store.open(kind);
         Box::pin(async move {
             let follow_routes =
-                TableFollower::new(table(FleetTable::Routes), ROUTES_PACE, routes, line.clone());
+                TableFollower::new(table(FleetTable::Routes), routes_pace, routes, line.clone());
             let follow_targets =
-                TableFollower::new(table(FleetTable::Targets), TARGETS_PACE, targets, line.clone());
+                TableFollower::new(table(FleetTable::Targets), targets_pace, targets, line.clone());
             let (tell_own, found) = oneshot::channel();
             let peers = VmReader::new(&own, tell_own);
             let follow_vms =
