Read of missing targets soon after the store was lost

A replica left without a word: its entry was dropped at 25.806 s. A VM that had been cut off until 24.6 s read of it at 26.67 s, after its pause of 1 s, and kept it for 1.6 s more, since entries that are missing after the store's return may come back. It got new work until 28.4 s, 2.6 s after its end; 2 s are permitted. Both figures are sound alone; together they are not. While missing entries are kept, the pause is now 0.2 s.

Ruled out: the longer waits of calls (the call came back at once here), a VM that did not read (it had read).

--- a/crates/ryetide-core/src/target_registry.rs
+++ b/crates/ryetide-core/src/target_registry.rs
@@ -11,11 +11,11 @@
 
 /// How long an entry that went missing after trouble with its source is kept. The targets write
 /// themselves in again within two seconds of the source's return; new work for one that is truly gone
-/// must stop within two seconds of its entry's end.
+/// must stop within two seconds of its entry's end, so in that time a feed tells of it within 0.3 s.
 const LAPSE_GRACE: Duration = Duration::from_millis(1_600);
 /// How long after the source's return missing entries may still be a consequence of its absence: the
 /// targets write every second or so, and their entries lapse after three missed writes.
-const AFTERMATH: Duration = Duration::from_secs(4);
+pub const AFTERMATH: Duration = Duration::from_secs(4);
 
 /// What a registry's source says.
 #[derive(Clone, Debug, PartialEq)]
--- a/crates/ryetide-gateway/src/table_follower.rs
+++ b/crates/ryetide-gateway/src/table_follower.rs
@@ -7,7 +7,8 @@
 use std::{ops::Range, rc::Rc, time::Duration};
 
 use rand::Rng;
-use tokio::time;
+use ryetide_core::target_registry;
+use tokio::time::{self, Instant};
 
 use crate::{
     ports::{FeedLine, FleetUpdate},
@@ -22,6 +23,11 @@
 pub const FOLLOW_MARGIN: Duration = Duration::from_millis(700);
 /// While the store was lost it is asked to wait for no longer than this: it may fall silent again.
 const LOST_WAIT: Duration = Duration::from_millis(1_000);
+/// The longest pause after a change while the store was lost not long ago. Targets whose entries are then
+/// missing are kept for 1.6 s, since they may come back. With a whole pause of a second before that, one that
+/// had left without a word got new work 2.6 s after its entry's end, and not more than two seconds are
+/// permitted.
+const AFTERMATH_PAUSE: Duration = Duration::from_millis(200);
 /// The first pause after a call that failed; it doubles up to the longest.
 const FIRST_PAUSE: Duration = Duration::from_millis(60);
 const LONGEST_PAUSE: Duration = Duration::from_millis(600);
@@ -100,13 +106,24 @@
     /// The highest version seen.
     version: u64,
     lost: bool,
+    /// When the store was last regained.
+    back_at: Option<Instant>,
     pause: RetryPause,
 }
 
 impl<R: RowReader> TableFollower<R> {
     /// Creates a follower that tells `line` what `reader` makes of the rows.
     pub fn new(table: Box<dyn StoreTable>, pace: TablePace, reader: R, line: FeedLine) -> Self {
-        Self { table, pace, reader, line, version: 0, lost: false, pause: RetryPause::default() }
+        Self {
+            table,
+            pace,
+            reader,
+            line,
+            version: 0,
+            lost: false,
+            back_at: None,
+            pause: RetryPause::default(),
+        }
     }
 
     /// Runs until the line closes.
@@ -137,7 +154,7 @@
                     self.take(rows, followed).await;
                     followed = true;
                     if changed {
-                        time::sleep(self.pace.pause).await;
+                        time::sleep(self.pause_after_change()).await;
                     }
                 }
                 Err(TableFault::HistoryGone) => {
@@ -154,6 +171,11 @@
         }
     }
 
+    fn pause_after_change(&self) -> Duration {
+        let recent = self.back_at.is_some_and(|at| at.elapsed() < target_registry::AFTERMATH);
+        if recent { self.pace.pause.min(AFTERMATH_PAUSE) } else { self.pace.pause }
+    }
+
     /// Waits for changes. Returns nothing when a peer has news that have not come here: dropping the
     /// call ends its connection, which may have gone silent, and the next call opens another.
     async fn follow(&mut self) -> Option<Result<TableRows, TableFault>> {
@@ -184,6 +206,7 @@
     async fn heard(&mut self) {
         self.pause = RetryPause::default();
         if std::mem::take(&mut self.lost) {
+            self.back_at = Some(Instant::now());
             tracing::info!(event = "dependency-regained", peer = "store", table = self.pace.name);
             let update = self.reader.source(false);
             self.tell(update).await;
--- a/crates/ryetide-gateway/tests/table_follower.rs
+++ b/crates/ryetide-gateway/tests/table_follower.rs
@@ -26,7 +26,7 @@
     name: "targets",
     wait: Duration::from_secs(2),
     wait_per_vm: Duration::from_millis(70),
-    pause: Duration::from_millis(100),
+    pause: Duration::from_millis(800),
 };
 /// Longer than any of these tests takes on the paused clock.
 const PATIENCE: Duration = Duration::from_secs(60);
@@ -215,6 +215,31 @@
     assert_eq!(waits, [long.clone(), short.clone(), short.clone(), short, long]);
 }
 
+/// The store was lost and is back. For some seconds an entry that is missing may be of a target that lives,
+/// and is kept for a while; so what is missing must be known soon, or one that has truly left gets new work
+/// for too long. Later the changes are told together again.
+#[tokio::test(start_paused = true)]
+async fn changes_are_told_sooner_after_the_store_was_lost() {
+    let changes = |versions: std::ops::Range<u64>| {
+        versions.map(|version| Answer::Rows(version, vec![row("a", version)]))
+    };
+    let calm = Script::new(changes(1..12));
+    follow(&calm, Duration::ZERO).await;
+    let lost = [Answer::Rows(1, vec![row("a", 1)]), failed()];
+    let back = Script::new(lost.into_iter().chain(changes(2..32)));
+    follow(&back, Duration::ZERO).await;
+    let gaps = |script: &Script, from: usize| -> Vec<Duration> {
+        let calls = script.calls.borrow();
+        calls[from..].windows(2).map(|pair| pair[1].1 - pair[0].1).collect()
+    };
+    assert!(gaps(&calm, 1).iter().all(|gap| *gap >= PACE.pause));
+    let after = gaps(&back, 2);
+    let soon = after.iter().take_while(|gap| **gap <= Duration::from_millis(250)).count();
+    assert!(soon >= 15, "{after:?}");
+    assert!(after[soon..].iter().all(|gap| *gap >= PACE.pause), "{after:?}");
+    assert!(after.len() > soon, "{after:?}");
+}
+
 /// An answer of no changes may tell a version from before; the next call must not go back to it.
 #[tokio::test(start_paused = true)]
 async fn an_answer_without_changes_takes_nothing_back() {
