--- a/crates/ryetide-core/src/place_turn.rs
+++ b/crates/ryetide-core/src/place_turn.rs
@@ -20,7 +20,6 @@
 
 use crate::{
     ids::{TargetKey, VmName},
-    target_load::{FreedPlace, PlaceGiver},
     units::{Moment, TierRank},
 };
 
@@ -57,6 +56,27 @@
     pub class: ClaimClass,
 }
 
+/// Who gave a place back.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub enum PlaceGiver {
+    /// Nobody: the target is new here.
+    #[default]
+    Nobody,
+    /// This VM.
+    Own,
+    /// A peer.
+    Peer(VmName),
+}
+
+/// When a place last came free, and who gave it back.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct FreedPlace {
+    /// When this VM learnt of it.
+    pub at: Moment,
+    /// Who had held it.
+    pub by: PlaceGiver,
+}
+
 /// A place that has come free.
 #[derive(Clone, Copy, Debug)]
 pub struct OpenPlace<'a> {
@@ -73,8 +93,7 @@
 /// ```
 /// use ryetide_core::{
 ///     ids::TargetKey,
-///     place_turn::{self, ClaimClass, OpenPlace, PlaceClaimant},
-///     target_load::{FreedPlace, PlaceGiver},
+///     place_turn::{self, ClaimClass, FreedPlace, OpenPlace, PlaceClaimant, PlaceGiver},
 ///     units::{Moment, TierRank},
 /// };
 ///
--- a/crates/ryetide-core/src/target_load.rs
+++ b/crates/ryetide-core/src/target_load.rs
@@ -11,6 +11,7 @@
     ids::{DataCentreName, RequestSequence, ServiceName, TargetKey, TargetName, VmName},
     load_digest::TargetMark,
     pace::{AssumedPace, PaceEstimate, TargetPace},
+    place_turn::{FreedPlace, PlaceGiver},
     prompt_memory::PromptMemory,
     target_health::TargetHealth,
     units::{Moment, Tokens},
@@ -87,27 +88,6 @@
     freed: FreedPlace,
 }
 
-/// Who gave a place back.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
-pub enum PlaceGiver {
-    /// Nobody: the target is new here.
-    #[default]
-    Nobody,
-    /// This VM.
-    Own,
-    /// A peer.
-    Peer(VmName),
-}
-
-/// When a place last came free, and who gave it back.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
-pub struct FreedPlace {
-    /// When this VM learnt of it.
-    pub at: Moment,
-    /// Who had held it.
-    pub by: PlaceGiver,
-}
-
 impl TargetLoad {
     /// Creates the belief about a target of which nothing was observed, known since `now`.
     pub fn new(now: Moment, entry: TargetEntry, assumed: &AssumedPace) -> Self {
