Let two VMs of each cell watch the store, and tell the others

Ruled out: longer waits alone (a silent call is then found out too late, and each change still answers 71 calls); fewer VMs.

Change: watch_duty says who watches: the first two of a cell, by a hash, among those that are heard and have the source. They pass the changed rows on in one datagram to the mates that do not watch, also to a VM that alone has lost the store. A mate that has missed one sees it in the next digest and asks. While the store is away one table asks for all.

Tests, seen to fail without the change: rests.rs but for the last nudge, and watch_duty.rs is new with its module.

--- a/crates/ryetide-core/src/cell_plan.rs
+++ b/crates/ryetide-core/src/cell_plan.rs
@@ -84,6 +84,11 @@
         Self { mates: Some(mates.collect()), data_centre, cells, own_cell }
     }
 
+    /// Returns whether the VMs are dealt into cells.
+    pub fn is_dealt(&self) -> bool {
+        self.mates.is_some()
+    }
+
     /// Returns whether a VM is told everything.
     pub fn is_mate(&self, name: &VmName) -> bool {
         self.mates.as_ref().is_none_or(|mates| mates.contains(name))
--- a/crates/ryetide-core/src/lib.rs
+++ b/crates/ryetide-core/src/lib.rs
@@ -32,6 +32,7 @@
 //! | [`scheduler`], [`scheduler_options`], [`line_view`], [`wait_line`], [`decision`] | the order and refusal of routed requests |
 //! | [`placing`], [`target_load`], [`target_health`], [`pace`], [`prompt_memory`] | where they are placed |
 //! | [`load_digest`], [`peer_board`], [`cell_plan`], [`target_registry`] | what entry VMs tell each other, and which targets there are |
+//! | [`watch_duty`] | which of them ask the source of routes and targets |
 //! | [`safeguard`] | switches that let tests show what each safeguard prevents |
 //! | [`ids`], [`units`], [`json_form`] | newtypes, and the form in which values are written down |
 
@@ -44,6 +45,7 @@
 pub mod claim;
 pub mod configuration;
 pub mod decision;
+mod digest_teller;
 pub mod effect;
 pub mod entry;
 mod entry_admission;
@@ -86,3 +88,4 @@
 mod util;
 pub mod verdict;
 pub mod wait_line;
+pub mod watch_duty;
--- a/crates/ryetide-core/src/load_digest.rs
+++ b/crates/ryetide-core/src/load_digest.rs
@@ -13,6 +13,7 @@
     pace::PaceReport,
     place_turn::ClaimClass,
     units::Revision,
+    watch_duty::WatchNote,
 };
 
 /// What one VM has under way at one target.
@@ -63,6 +64,8 @@
     pub registry: u64,
     /// The number up to which all news of the registry have come.
     pub registry_reached: u64,
+    /// What this VM tells of its watch; nothing while it rests, or has lost the source.
+    pub watch: Option<WatchNote>,
 }
 
 /// How much of what a VM has to say a digest tells.
@@ -94,6 +97,8 @@
     pub revision: Revision,
     /// The newest news of the targets' registry that came there, as its source numbers them.
     pub registry: u64,
+    /// How far what came from the source reaches; nothing while the VM rests, or has lost the source.
+    pub watch: Option<WatchNote>,
     /// What runs where.
     pub targets: Vec<TargetMark>,
     /// What waits.
--- a/crates/ryetide-core/src/peer_board.rs
+++ b/crates/ryetide-core/src/peer_board.rs
@@ -8,6 +8,7 @@
     load_digest::{FleetNews, LoadDigest, WaitMark},
     place_turn::{ClaimClass, PlaceClaimant},
     units::{Moment, Revision},
+    watch_duty::WATCH_SPAN,
 };
 
 /// A peer that said nothing for this long is not heard: two of the slowest digests, and some.
@@ -28,6 +29,8 @@
     data_centre: Option<DataCentreName>,
     revision: Revision,
     registry: u64,
+    /// Whether it watches the source of routes and targets.
+    watches: bool,
     waiting: Vec<WaitMark>,
 }
 
@@ -95,6 +98,7 @@
             data_centre: digest.data_centre.clone(),
             revision: digest.revision,
             registry: digest.registry,
+            watches: digest.watch.is_some() && !digest.leaving,
             waiting: digest.waiting.clone(),
         };
         self.notes.insert(from.clone(), note);
@@ -158,6 +162,12 @@
         }
     }
 
+    /// Returns the peers that watch the source of routes and targets, as their last digests say.
+    pub fn watching(&self, now: Moment) -> impl Iterator<Item = &VmName> {
+        let heard = self.notes.iter().filter(move |(_, note)| now.since(note.heard) < WATCH_SPAN);
+        heard.filter(|(_, note)| note.watches).map(|(vm, _)| vm)
+    }
+
     /// Returns the requests at peers that are of a better class than `class`, or of the same.
     pub fn ahead(&self, now: Moment, service: ServiceKey, class: ClaimClass) -> u32 {
         let marks = self.heard(now).flat_map(|note| note.waiting.iter());
--- a/crates/ryetide-core/src/scheduler.rs
+++ b/crates/ryetide-core/src/scheduler.rs
@@ -9,7 +9,7 @@
 //! happened, and takes its [`Decision`]s.
 
 use std::{
-    collections::{BTreeMap, BTreeSet, HashMap, VecDeque},
+    collections::{BTreeMap, BTreeSet, HashMap},
     time::Duration,
 };
 
@@ -18,9 +18,10 @@
 use crate::{
     cell_plan::{CellMember, CellPlan},
     decision::{Decision, PlacingEvidence, RefusalReason, RunEnd},
+    digest_teller::DigestTeller,
     ids::{RequestSequence, ServiceName, TargetKey, VmName},
     line_view::{LineChoice, LineView, ServiceLine},
-    load_digest::{DigestEnvelope, DigestScope, FleetNews, LoadDigest, PlacedPrompt, TargetMark},
+    load_digest::{DigestEnvelope, DigestScope, FleetNews, LoadDigest, TargetMark},
     peer_board::{DigestChange, FeedLag, PeerBoard},
     quota::{QuotaCharge, QuotaLedger, QuotaRule},
     retry_budget::{RetryBudget, RetryRule},
@@ -28,20 +29,12 @@
     target_load::{TargetEntry, TargetLoad},
     units::{Moment, Tokens},
     wait_line::WaitingWork,
+    watch_duty,
 };
 
 /// How often the line is looked at while somebody waits: well under the shortest objective, and under
 /// the turn that a VM has at a place which has come free.
 const LINE_INTERVAL: Duration = Duration::from_millis(5);
-/// Placements repeated in each digest; more than a VM makes between a few digests.
-const PLACED_REPEATED: usize = 12;
-/// Placements told in a digest of changes.
-const CHANGES_PLACED: usize = 4;
-/// The time between two digests that tell everything, at the least: what a lost digest told is known after
-/// it, and a peer's mark is believed three times as long.
-const WHOLE_INTERVAL: Duration = Duration::from_millis(400);
-/// For how long a change is told again: in some five digests, at their shortest interval.
-const CHANGE_SPAN: Duration = Duration::from_millis(30);
 /// How fast the mean time in a place follows new ones.
 const HOLD_WEIGHT: f64 = 0.05;
 /// The shortest and the longest time after which refused callers are told to come back.
@@ -65,14 +58,8 @@
     marked: HashMap<VmName, BTreeSet<TargetKey>>,
     quotas: QuotaLedger,
     retries: RetryBudget,
-    placed: VecDeque<PlacedPrompt>,
-    placed_count: u32,
-    /// Targets at which a request has begun or ended lately, oldest first.
-    touched: VecDeque<(Moment, TargetKey)>,
-    /// When everything was told last.
-    told_whole: Option<Moment>,
+    teller: DigestTeller,
     decisions: Vec<Decision>,
-    sequence: u64,
     changed: bool,
     plan: CellPlan,
 }
@@ -100,12 +87,8 @@
             peers: PeerBoard::default(),
             marked: HashMap::new(),
             quotas: QuotaLedger::default(),
-            placed: VecDeque::new(),
-            placed_count: 0,
-            touched: VecDeque::new(),
-            told_whole: None,
+            teller: DigestTeller::default(),
             decisions: Vec::new(),
-            sequence: 0,
             changed: false,
         }
     }
@@ -297,7 +280,7 @@
     /// Notes that a placed request is not under way any more.
     pub fn end(&mut self, now: Moment, ticket: RequestSequence, end: RunEnd) {
         let Some(run) = self.runs.remove(&ticket) else { return };
-        self.touched.push_back((now, run.target));
+        self.teller.note_touched(now, run.target);
         if let Some(load) = self.targets.get_mut(&run.target) {
             load.end(now, ticket, end == RunEnd::Whole);
             match end {
@@ -343,15 +326,15 @@
 
     /// Returns what this VM tells all peers that are not of its cell.
     pub fn brief_digest(&mut self, news: FleetNews, leaving: bool) -> LoadDigest {
-        self.sequence += 1;
         LoadDigest {
             incarnation: self.options.incarnation,
-            sequence: self.sequence,
+            sequence: self.teller.next_sequence(),
             leaving,
             scope: DigestScope::Brief,
             data_centre: Some(self.options.data_centre.clone()),
             revision: news.revision,
             registry: news.registry,
+            watch: news.watch,
             spent: self.quotas.totals().collect(),
             ..LoadDigest::default()
         }
@@ -363,32 +346,19 @@
         let brief = self.brief_digest(news, leaving);
         let waiting = self.services.keys().filter_map(|name| self.view(now, name));
         let waiting = waiting.flat_map(|view| view.wait_marks()).collect();
-        while self.touched.front().is_some_and(|(at, _)| now.since(*at) >= CHANGE_SPAN) {
-            self.touched.pop_front();
-        }
-        let whole = leaving || self.told_whole.is_none_or(|at| now.since(at) >= WHOLE_INTERVAL);
-        if !whole {
-            let touched: BTreeSet<TargetKey> = self.touched.iter().map(|(_, key)| *key).collect();
+        let scope = self.teller.next_scope(now, leaving);
+        let placed = self.teller.placed(scope);
+        if scope == DigestScope::Changes {
+            let touched = self.teller.touched();
             let told = touched.iter().filter_map(|key| self.targets.get(key));
-            return LoadDigest {
-                scope: DigestScope::Changes,
-                targets: told.map(|load| TargetMark { pace: None, ..load.mark(now) }).collect(),
-                waiting,
-                placed: self.placed.iter().rev().take(CHANGES_PLACED).rev().copied().collect(),
-                spent: if self.quotas.is_short() { brief.spent } else { Vec::new() },
-                ..brief
-            };
+            let targets = told.map(|load| TargetMark { pace: None, ..load.mark(now) }).collect();
+            let spent = if self.quotas.is_short() { brief.spent } else { Vec::new() };
+            return LoadDigest { scope, targets, waiting, placed, spent, ..brief };
         }
-        self.told_whole = Some(now);
         let told =
             self.targets.values().filter(|load| load.own_running() > 0 || load.has_learnt(now));
-        LoadDigest {
-            scope: DigestScope::Whole,
-            targets: told.map(|load| load.mark(now)).collect(),
-            waiting,
-            placed: self.placed.iter().copied().collect(),
-            ..brief
-        }
+        let targets = told.map(|load| load.mark(now)).collect();
+        LoadDigest { scope, targets, waiting, placed, ..brief }
     }
 
     /// Returns in what peers have news that this VM has not.
@@ -396,6 +366,25 @@
         self.peers.feed_lag(now, news)
     }
 
+    /// Returns whether this VM must watch the source of routes and targets itself. In a small deployment
+    /// all do.
+    pub fn must_watch(&self, now: Moment) -> bool {
+        let mates = self.peers.watching(now).filter(|peer| self.is_mate(peer));
+        !self.plan.is_dealt() || watch_duty::is_first(&self.options.name, mates)
+    }
+
+    /// Returns whether this VM tells others the changes it hears of from the source: it is among the first
+    /// of those that watch.
+    pub fn is_relay(&self, now: Moment) -> bool {
+        let mates = self.peers.watching(now).filter(|peer| self.is_mate(peer));
+        watch_duty::is_first(&self.options.name, mates)
+    }
+
+    /// Returns whether a peer relies on what others tell it of routes and targets.
+    pub fn relies_on_relays(&self, now: Moment, peer: &VmName) -> bool {
+        self.is_mate(peer) && !self.peers.watching(now).any(|vm| vm == peer)
+    }
+
     /// Returns the targets, for reports.
     pub fn targets(&self) -> impl Iterator<Item = &TargetLoad> {
         self.targets.values()
@@ -457,15 +446,10 @@
         let assumed = self.options.assumed;
         let Some(load) = self.targets.get_mut(&target) else { return };
         load.begin(now, &assumed, ticket, evidence.forecast.to_read);
-        self.touched.push_back((now, target));
+        self.teller.note_touched(now, target);
         if let Some(part) = work.part {
             load.memory_mut().note(now, part, work.prompt);
-            self.placed_count += 1;
-            let tokens = u32::try_from(work.prompt.0).unwrap_or(u32::MAX);
-            self.placed.push_back(PlacedPrompt { number: self.placed_count, part, target, tokens });
-            if self.placed.len() > PLACED_REPEATED {
-                self.placed.pop_front();
-            }
+            self.teller.note_placed(target, part, work.prompt);
         }
         let run = PlacedRun { service: service.clone(), target, since: now, last_event: None };
         self.runs.insert(ticket, run);
--- a/crates/ryetide-gateway/src/fleet_duties.rs
+++ b/crates/ryetide-gateway/src/fleet_duties.rs
@@ -3,10 +3,7 @@
 use std::{cell::Cell, collections::BTreeMap, rc::Rc, time::Duration};
 
 use ryetide_core::{
-    cell_plan::CellMember,
-    ids::VmName,
-    load_digest::{DigestEnvelope, LoadDigest},
-    peer_board::FeedLag,
+    cell_plan::CellMember, ids::VmName, load_digest::LoadDigest, peer_board::FeedLag,
     scheduler::Scheduler,
 };
 use tokio::{
@@ -15,8 +12,9 @@
 };
 
 use crate::{
+    feed_relay::RelayedChange,
     gateway_state::Gateway,
-    peer_link::PeerLink,
+    peer_link::{PeerEnvelope, PeerLink, PeerMessage},
     ports::{FleetUpdate, PeerEntry},
 };
 
@@ -160,6 +158,7 @@
         ticks.tick().await;
         gateway.pool().sweep();
         refresh_targets(&gateway);
+        look_at_duty(&gateway);
         if watch.is_due(feed_lag(&gateway)) {
             tracing::info!(event = "feed-nudged", revision = %gateway.fleet().revision());
             nudge.notify_waiters();
@@ -171,9 +170,39 @@
     }
 }
 
+/// Works out anew whether this VM must watch the source of routes and targets.
+fn look_at_duty(gateway: &Gateway) {
+    let now = gateway.hub().clock().now();
+    let must_watch = gateway.hub().peek(|scheduler| scheduler.must_watch(now));
+    if gateway.relay().set_duty(must_watch) {
+        tracing::info!(event = "watch-duty", must_watch);
+    }
+}
+
+/// Passes changes of the store's tables on to the peers that rely on it, until the feed ends.
+pub async fn pass_changes_on(
+    gateway: Rc<Gateway>,
+    link: Rc<PeerLink>,
+    mut changes: mpsc::Receiver<RelayedChange>,
+) {
+    while let Some(change) = changes.recv().await {
+        let now = gateway.hub().clock().now();
+        if !gateway.hub().peek(|scheduler| scheduler.is_relay(now)) {
+            continue;
+        }
+        let relies = |peer: &&PeerEntry| {
+            gateway.hub().peek(|scheduler| scheduler.relies_on_relays(now, &peer.name))
+        };
+        let peers: Vec<PeerEntry> =
+            gateway.peers().borrow().values().filter(relies).cloned().collect();
+        let from = gateway.settings().borrow().name.clone();
+        link.send(&PeerEnvelope { from, message: PeerMessage::Change(change) }, &peers).await;
+    }
+}
+
 /// Returns in what peers have news that have not come here.
 fn feed_lag(gateway: &Gateway) -> FeedLag {
-    let (now, news) = (gateway.hub().clock().now(), gateway.fleet().news());
+    let (now, news) = (gateway.hub().clock().now(), gateway.news());
     gateway.hub().peek(|scheduler| scheduler.feed_lag(now, news))
 }
 
@@ -191,7 +220,7 @@
     if mates.is_empty() {
         return;
     }
-    let (now, news) = (gateway.hub().clock().now(), gateway.fleet().news());
+    let (now, news) = (gateway.hub().clock().now(), gateway.news());
     let digest = gateway.hub().peek_mut(|scheduler| scheduler.digest(now, news, leaving));
     send_digest(gateway, link, digest, &mates).await;
 }
@@ -202,14 +231,14 @@
     if others.is_empty() {
         return;
     }
-    let news = gateway.fleet().news();
+    let news = gateway.news();
     let digest = gateway.hub().peek_mut(|scheduler| scheduler.brief_digest(news, leaving));
     send_digest(gateway, link, digest, &others).await;
 }
 
 async fn send_digest(gateway: &Gateway, link: &PeerLink, digest: LoadDigest, peers: &[PeerEntry]) {
     let from = gateway.settings().borrow().name.clone();
-    let envelope = DigestEnvelope { from, digest };
+    let envelope = PeerEnvelope { from, message: PeerMessage::Digest(digest) };
     link.send(&envelope, peers).await;
 }
 
--- a/crates/ryetide-gateway/src/fleet_view.rs
+++ b/crates/ryetide-gateway/src/fleet_view.rs
@@ -36,13 +36,14 @@
         self.routes.borrow().as_ref().map(|routes| routes.bounds()).unwrap_or_default()
     }
 
-    /// Returns how far this VM's knowledge of the fleet reaches.
+    /// Returns how far this VM's knowledge of the fleet reaches, but for its watch.
     pub fn news(&self) -> FleetNews {
         let registry = self.registry.borrow();
         FleetNews {
             revision: self.revision(),
             registry: registry.newest(),
             registry_reached: registry.reached(),
+            watch: None,
         }
     }
 
--- a/crates/ryetide-gateway/src/gateway.rs
+++ b/crates/ryetide-gateway/src/gateway.rs
@@ -22,6 +22,7 @@
 
 use crate::{
     caller_listener,
+    feed_relay::FeedRelay,
     fleet_duties::{self, FleetNewsTaker},
     gateway_state::Gateway,
     peer_link::{self, PeerLink},
@@ -91,7 +92,7 @@
     pub callers: TcpListener,
     /// For readiness and metrics.
     pub status: TcpListener,
-    /// For digests.
+    /// For messages of peers.
     pub peers: UdpSocket,
 }
 
@@ -175,11 +176,13 @@
         status = %settings.status,
         peers = %settings.peers,
     );
-    let gateway = Gateway::new(settings, names, reader, scheduler);
+    let (relay, changes) = FeedRelay::new();
+    let gateway = Gateway::new(settings, names, reader, scheduler, Rc::clone(&relay));
     let (updates, receiver) = mpsc::channel(UPDATES_BUFFERED);
     let nudge = Rc::new(Notify::new());
     let fleet_size = Rc::new(Cell::new(1));
-    let line = FeedLine { updates, nudge: Rc::clone(&nudge), fleet_size: Rc::clone(&fleet_size) };
+    let (line_nudge, line_size) = (Rc::clone(&nudge), Rc::clone(&fleet_size));
+    let line = FeedLine { updates, nudge: line_nudge, fleet_size: line_size, relay };
     let link = Rc::new(PeerLink::new(socket, &own));
     let mut duties = JoinSet::new();
     duties.spawn_local(feed.run(own, line));
@@ -187,6 +190,8 @@
     duties.spawn_local(news.run(receiver));
     duties.spawn_local(fleet_duties::schedule(Rc::clone(&gateway), Rc::clone(&link)));
     duties.spawn_local(peer_link::receive(Rc::clone(&gateway), Rc::clone(&link)));
+    let passing_on = fleet_duties::pass_changes_on(Rc::clone(&gateway), Rc::clone(&link), changes);
+    duties.spawn_local(passing_on);
     duties.spawn_local(fleet_duties::sweep(Rc::clone(&gateway), nudge));
     duties.spawn_local(status_port::serve(Rc::clone(&gateway), status));
     let accepting = duties.spawn_local(caller_listener::accept(Rc::clone(&gateway), callers));
--- a/crates/ryetide-gateway/src/gateway_state.rs
+++ b/crates/ryetide-gateway/src/gateway_state.rs
@@ -9,6 +9,7 @@
 use hyper::{HeaderMap, header::HeaderValue};
 use ryetide_core::{
     ids::{OrganisationKey, VmName},
+    load_digest::FleetNews,
     quota::QuotaCharge,
     route::MatchedRoute,
     scheduler::Scheduler,
@@ -19,6 +20,7 @@
 use crate::{
     caller_answer::{self, CallerResponse, OwnAnswer, OwnReason},
     decision_log::DecisionLog,
+    feed_relay::FeedRelay,
     fleet_view::FleetView,
     gateway_metrics::GatewayMetrics,
     ports::{GatewaySettings, HeaderNames, PeerEntry, WorkReader, WorkSize},
@@ -34,6 +36,7 @@
     hub: Rc<SchedulerHub>,
     pool: Rc<TargetPool>,
     fleet: FleetView,
+    relay: Rc<FeedRelay>,
     peers: RefCell<BTreeMap<VmName, PeerEntry>>,
     metrics: GatewayMetrics,
     log: DecisionLog,
@@ -50,6 +53,7 @@
         names: HeaderNames,
         reader: Box<dyn WorkReader>,
         scheduler: Scheduler,
+        relay: Rc<FeedRelay>,
     ) -> Rc<Self> {
         Rc::new(Self {
             names,
@@ -57,6 +61,7 @@
             hub: SchedulerHub::new(scheduler),
             pool: TargetPool::new(),
             fleet: FleetView::default(),
+            relay,
             peers: RefCell::default(),
             metrics: GatewayMetrics::default(),
             log: DecisionLog::new(settings.name.clone()),
@@ -102,6 +107,16 @@
         &self.fleet
     }
 
+    /// Returns what joins the feed to the peers.
+    pub fn relay(&self) -> &FeedRelay {
+        &self.relay
+    }
+
+    /// Returns how far this VM's knowledge of the fleet reaches.
+    pub fn news(&self) -> FleetNews {
+        FleetNews { watch: self.relay.watch_note(), ..self.fleet.news() }
+    }
+
     /// Returns the metrics.
     pub fn metrics(&self) -> &GatewayMetrics {
         &self.metrics
--- a/crates/ryetide-gateway/src/lib.rs
+++ b/crates/ryetide-gateway/src/lib.rs
@@ -19,7 +19,7 @@
 //! | [`caller_listener`], [`caller_service`], [`exchange`], [`caller_answer`] | callers |
 //! | [`call_template`], [`target_pool`], [`target_answer`], [`relay`], [`relay_fault`], [`event_scanner`] | targets |
 //! | [`scheduler_hub`], [`fleet_view`] | the scheduler and what it schedules onto |
-//! | [`store_feed`], [`table_follower`], [`store_table`] | routes, targets and peers from a platform's store |
+//! | [`store_feed`], [`table_follower`], [`store_table`], [`store_outage`], [`feed_relay`] | routes, targets and peers from a platform's store |
 //! | [`peer_link`] | the other entry VMs |
 //! | [`gateway_text`], [`file_feed`], [`own_headers`] | a gateway without a platform |
 //! | [`status_port`], [`gateway_metrics`], [`decision_log`] | readiness, metrics, logs |
@@ -31,6 +31,7 @@
 pub mod decision_log;
 pub mod event_scanner;
 pub mod exchange;
+pub mod feed_relay;
 pub mod file_feed;
 pub mod fleet_duties;
 pub mod fleet_view;
@@ -46,6 +47,7 @@
 pub mod scheduler_hub;
 pub mod status_port;
 pub mod store_feed;
+pub mod store_outage;
 pub mod store_table;
 pub mod table_follower;
 pub mod target_answer;
--- a/crates/ryetide-gateway/src/peer_link.rs
+++ b/crates/ryetide-gateway/src/peer_link.rs
@@ -1,6 +1,6 @@
-//! Digests to and from the other entry VMs.
+//! Messages to and from the other entry VMs: digests, and changes of the store's tables.
 //!
-//! A digest is one datagram: a keyed hash and what it covers. Each VM draws its key when it starts first
+//! A message is one datagram: a keyed hash and what it covers. Each VM draws its key when it starts first
 //! and makes it known where only the deployment's VMs can read, so that nobody else can tell a VM
 //! what to believe, and there is nothing to hand out; a VM that starts again goes on with the key that it
 //! finds there. Datagrams need no connection to each of many
@@ -9,10 +9,15 @@
 use std::{cell::Cell, rc::Rc};
 
 use ring::hmac;
-use ryetide_core::{ids::VmName, load_digest::DigestEnvelope};
+use ryetide_core::{
+    ids::VmName,
+    load_digest::{DigestEnvelope, LoadDigest},
+};
+use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
 
 use crate::{
+    feed_relay::RelayedChange,
     gateway_state::Gateway,
     ports::{PeerEntry, PeerSecret},
 };
@@ -22,10 +27,28 @@
 /// The largest datagram that is read; a digest of 140 targets has some 5 KB.
 const DATAGRAM_LIMIT: usize = 60_000;
 
+/// What one VM tells another.
+#[derive(Debug, Deserialize, Serialize)]
+pub enum PeerMessage {
+    /// Its load.
+    Digest(LoadDigest),
+    /// A change that it has heard of from the store.
+    Change(RelayedChange),
+}
+
+/// A message and the VM that sent it.
+#[derive(Debug, Deserialize, Serialize)]
+pub struct PeerEnvelope {
+    /// The sender.
+    pub from: VmName,
+    /// What it says.
+    pub message: PeerMessage,
+}
+
 /// Why a datagram is not believed.
 #[derive(Debug, thiserror::Error)]
 pub enum DatagramFault {
-    /// It is not a digest.
+    /// It is not a message.
     #[error("unreadable: {0}")]
     Unreadable(#[from] postcard::Error),
     /// It is shorter than a keyed hash.
@@ -39,12 +62,12 @@
     Forged(VmName),
 }
 
-/// Signs a digest.
+/// Signs a message.
 ///
 /// # Errors
 ///
-/// Returns the codec's error when the digest cannot be written.
-pub fn seal(secret: &PeerSecret, envelope: &DigestEnvelope) -> Result<Vec<u8>, postcard::Error> {
+/// Returns the codec's error when the message cannot be written.
+pub fn seal(secret: &PeerSecret, envelope: &PeerEnvelope) -> Result<Vec<u8>, postcard::Error> {
     let body = postcard::to_allocvec(envelope)?;
     let key = hmac::Key::new(hmac::HMAC_SHA256, secret);
     let mut datagram = hmac::sign(&key, &body).as_ref()[..TAG_LENGTH].to_vec();
@@ -56,13 +79,13 @@
 ///
 /// # Errors
 ///
-/// Returns a [`DatagramFault`] when it is not a listed peer's digest.
+/// Returns a [`DatagramFault`] when it is not a listed peer's message.
 pub fn open(
     datagram: &[u8],
     secret_of: impl FnOnce(&VmName) -> Option<PeerSecret>,
-) -> Result<DigestEnvelope, DatagramFault> {
+) -> Result<PeerEnvelope, DatagramFault> {
     let (tag, body) = datagram.split_at_checked(TAG_LENGTH).ok_or(DatagramFault::Short)?;
-    let envelope: DigestEnvelope = postcard::from_bytes(body)?;
+    let envelope: PeerEnvelope = postcard::from_bytes(body)?;
     let from = envelope.from.clone();
     let secret = secret_of(&from).ok_or_else(|| DatagramFault::Unlisted(from.clone()))?;
     let key = hmac::Key::new(hmac::HMAC_SHA256, &secret);
@@ -75,7 +98,7 @@
     Ok(envelope)
 }
 
-/// This VM's socket for digests.
+/// This VM's socket for messages.
 pub struct PeerLink {
     socket: UdpSocket,
     secret: Cell<PeerSecret>,
@@ -92,41 +115,53 @@
         self.secret.set(secret);
     }
 
-    /// Sends a digest to all peers.
-    pub async fn send(&self, envelope: &DigestEnvelope, peers: &[PeerEntry]) {
+    /// Sends a message to all of `peers`.
+    pub async fn send(&self, envelope: &PeerEnvelope, peers: &[PeerEntry]) {
         let datagram = match seal(&self.secret.get(), envelope) {
             Ok(datagram) => datagram,
             Err(error) => {
-                tracing::warn!(event = "digest-unwritable", step = "send digest", reason = %error);
+                tracing::warn!(event = "message-unwritable", step = "send message", reason = %error);
                 return;
             }
         };
         for peer in peers {
-            // A full socket or an unreachable peer loses a digest; the next one makes it good.
+            // A full socket or an unreachable peer loses a message; the next digest makes it good.
             if let Err(error) = self.socket.try_send_to(&datagram, peer.address) {
-                tracing::debug!(event = "digest-unsent", peer = %peer.name, reason = %error);
+                tracing::debug!(event = "message-unsent", peer = %peer.name, reason = %error);
             }
         }
     }
 }
 
-/// Takes digests until the task is ended.
+/// Takes messages until the task is ended.
 pub async fn receive(gateway: Rc<Gateway>, link: Rc<PeerLink>) {
     let mut buffer = vec![0; DATAGRAM_LIMIT];
     loop {
         let length = match link.socket.recv_from(&mut buffer).await {
             Ok((length, _)) => length,
             Err(error) => {
-                tracing::debug!(event = "digest-unread", reason = %error);
+                tracing::debug!(event = "message-unread", reason = %error);
                 continue;
             }
         };
         let secret_of = |name: &VmName| gateway.peers().borrow().get(name).map(|peer| peer.secret);
         match open(&buffer[..length], secret_of) {
-            Ok(envelope) => {
-                gateway.hub().with(|scheduler, now| scheduler.take_digest(now, envelope));
+            Ok(envelope) => take(&gateway, envelope),
+            Err(fault) => tracing::debug!(event = "message-passed-over", reason = %fault),
+        }
+    }
+}
+
+fn take(gateway: &Gateway, envelope: PeerEnvelope) {
+    let PeerEnvelope { from, message } = envelope;
+    match message {
+        PeerMessage::Digest(digest) => {
+            if let Some(note) = &digest.watch {
+                gateway.relay().note_peer(note);
             }
-            Err(fault) => tracing::debug!(event = "digest-passed-over", reason = %fault),
+            let envelope = DigestEnvelope { from, digest };
+            gateway.hub().with(|scheduler, now| scheduler.take_digest(now, envelope));
         }
+        PeerMessage::Change(change) => gateway.relay().hear(change),
     }
 }
--- a/crates/ryetide-gateway/src/ports.rs
+++ b/crates/ryetide-gateway/src/ports.rs
@@ -16,6 +16,8 @@
 };
 use tokio::sync::{Notify, mpsc};
 
+use crate::feed_relay::FeedRelay;
+
 /// What one gateway is told when it starts.
 #[derive(Clone, Debug, PartialEq)]
 pub struct GatewaySettings {
@@ -139,6 +141,8 @@
     pub nudge: Rc<Notify>,
     /// How many entry VMs there are, as far as known.
     pub fleet_size: Rc<Cell<usize>>,
+    /// What this VM and its peers tell each other of changes.
+    pub relay: Rc<FeedRelay>,
 }
 
 /// Where routes, targets and peers come from.
--- a/crates/ryetide-gateway/src/store_feed.rs
+++ b/crates/ryetide-gateway/src/store_feed.rs
@@ -17,7 +17,7 @@
 
 use crate::{
     ports::{FeedLine, FleetFeed, FleetUpdate, LocalFuture, PeerEntry, PeerSecret},
-    store_table::{StoreTable, TableRow},
+    store_table::{FleetTable, StoreTable, TableRow},
     table_follower::{self, RowReader, TableFollower, TablePace},
 };
 
@@ -35,23 +35,12 @@
 const LEAVING_PART: f64 = 0.5;
 /// The table in which entry VMs make themselves known to each other.
 const VMS_PACE: TablePace = TablePace {
-    name: "vms",
+    table: FleetTable::Vms,
     wait: Duration::from_millis(20_000),
     wait_per_vm: Duration::ZERO,
     pause: Duration::from_millis(300),
 };
 
-/// The tables that a gateway needs.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum FleetTable {
-    /// The operators' routes.
-    Routes,
-    /// Targets, by their names.
-    Targets,
-    /// Entry VMs, by their names.
-    Vms,
-}
-
 /// A platform's store: opens its tables and decodes its rows.
 pub trait FleetStore {
     /// Opens a table on a connection of its own.
@@ -99,12 +88,12 @@
 impl FeedBounds {
     fn routes_pace(&self) -> TablePace {
         let wait = self.silence.saturating_sub(SILENCE_MARGIN);
-        TablePace { name: "routes", wait, wait_per_vm: WAIT_PER_VM, pause: ROUTES_PAUSE }
+        TablePace { table: FleetTable::Routes, wait, wait_per_vm: WAIT_PER_VM, pause: ROUTES_PAUSE }
     }
 
     fn targets_pace(&self) -> TablePace {
         let pause = self.leaving.mul_f64(LEAVING_PART);
-        TablePace { name: "targets", pause, ..self.routes_pace() }
+        TablePace { table: FleetTable::Targets, pause, ..self.routes_pace() }
     }
 }
 
--- a/crates/ryetide-gateway/src/store_table.rs
+++ b/crates/ryetide-gateway/src/store_table.rs
@@ -3,11 +3,24 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use serde::{Deserialize, Serialize};
 
 use crate::ports::LocalFuture;
 
+/// The tables that a gateway needs.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize, strum::Display)]
+#[strum(serialize_all = "lowercase")]
+pub enum FleetTable {
+    /// The operators' routes.
+    Routes,
+    /// Targets, by their names.
+    Targets,
+    /// Entry VMs, by their names.
+    Vms,
+}
+
 /// A row, as it is or as it changed.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct TableRow {
     /// Its key.
     pub key: String,
@@ -56,6 +69,9 @@
         limit: Duration,
     ) -> LocalFuture<'_, Result<TableRows, TableFault>>;
 
+    /// Ends the connection of a table that is not asked for a while; the next call opens another.
+    fn hang_up(&mut self);
+
     /// Writes a row within `limit` if it has the version `expected`; 0 means that it must not be
     /// there.
     fn write<'a>(
--- a/crates/ryetide-gateway/src/table_follower.rs
+++ b/crates/ryetide-gateway/src/table_follower.rs
@@ -3,16 +3,23 @@
 //! A table whose history is gone is read whole again. A reading that is older than what was seen
 //! before is passed over, since after a loss of history a store may answer from the past for some
 //! seconds.
+//!
+//! A VM that need not watch the store itself rests: it asks nothing, and takes the changes that its peers pass
+//! on. It asks when it has missed one, or must watch again.
 
 use std::{ops::Range, rc::Rc, time::Duration};
 
 use rand::Rng;
-use ryetide_core::target_registry;
-use tokio::time::{self, Instant};
+use ryetide_core::{target_registry, watch_duty::FeedMark};
+use tokio::{
+    sync::{broadcast, watch},
+    time::{self, Instant},
+};
 
 use crate::{
+    feed_relay::RelayedChange,
     ports::{FeedLine, FleetUpdate},
-    store_table::{StoreTable, TableFault, TableRow, TableRows},
+    store_table::{FleetTable, StoreTable, TableFault, TableRow, TableRows},
 };
 
 /// A call that the store answers at once may take this long; it is slow now and then.
@@ -28,9 +35,20 @@
 /// had left without a word got new work 2.6 s after its entry's end, and not more than two seconds are
 /// permitted.
 const AFTERMATH_PAUSE: Duration = Duration::from_millis(200);
+/// How often a VM that rests looks whether the peers that watch have come further.
+const REST_INTERVAL: Duration = Duration::from_millis(200);
+/// Looks in a row that find a change at a peer which was not passed on here, before the store is asked: the
+/// change itself may come just after the digest that shows it.
+const REST_BEHIND: u32 = 2;
 /// The first pause after a call that failed; it doubles up to the longest.
 const FIRST_PAUSE: Duration = Duration::from_millis(60);
 const LONGEST_PAUSE: Duration = Duration::from_millis(600);
+/// What each VM of a larger fleet adds to the longest pause, so that all of them together ask a store that is
+/// away no more often: 1 s at 70 VMs. The first that finds it back makes its mates ask at once. With 2 s, and
+/// the 1.7 s of a call that hangs, a VM whose cut was over served by a replaced version for 4 s.
+const PAUSE_PER_VM: Duration = Duration::from_millis(15);
+/// A table waits this long for another's follower to find the store back before it asks by itself.
+const OUTAGE_WAIT: Duration = Duration::from_secs(3);
 /// Part of a pause that is left to chance, so that VMs which failed together do not come back
 /// together.
 const PAUSE_SPREAD: Range<f64> = 0.5..1.0;
@@ -39,8 +57,8 @@
 /// has changed: a pause after each answer lets changes that come in a row be told together.
 #[derive(Clone, Copy, Debug)]
 pub struct TablePace {
-    /// The table, for the log.
-    pub name: &'static str,
+    /// The table.
+    pub table: FleetTable,
     /// How long the store is asked to wait for a change, by a VM of a small fleet. A call that has gone
     /// silent, though its connection stands, is found out after this time and [`FOLLOW_MARGIN`] at the
     /// latest; sooner when a peer has news.
@@ -54,6 +72,12 @@
 }
 
 impl TablePace {
+    /// Returns whether changes of the table are passed on between VMs. Those of the VMs themselves are not: they
+    /// hold the keys by which messages are believed.
+    pub fn is_relayed(&self) -> bool {
+        self.table != FleetTable::Vms
+    }
+
     /// Returns how long the store is asked to wait by one VM of `fleet_size`: a time drawn up to the
     /// longest, so that VMs which began together do not ask, and find out, at the same moments.
     pub fn draw_wait(&self, fleet_size: usize, rng: &mut impl Rng) -> Duration {
@@ -105,6 +129,12 @@
     line: FeedLine,
     /// The highest version seen.
     version: u64,
+    /// The version of the newest change seen.
+    changed: u64,
+    /// Whether this VM must watch the store itself.
+    duty: watch::Receiver<bool>,
+    /// Changes that peers pass on.
+    heard: broadcast::Receiver<Rc<RelayedChange>>,
     lost: bool,
     /// When the store was last regained.
     back_at: Option<Instant>,
@@ -118,8 +148,11 @@
             table,
             pace,
             reader,
+            duty: line.relay.duty(),
+            heard: line.relay.heard(),
             line,
             version: 0,
+            changed: 0,
             lost: false,
             back_at: None,
             pause: RetryPause::default(),
@@ -131,7 +164,6 @@
         let mut followed = false;
         while !self.line.updates.is_closed() {
             let outcome = if followed {
-                // A nudged call is asked anew.
                 let Some(outcome) = self.follow().await else { continue };
                 outcome
             } else {
@@ -139,60 +171,196 @@
             };
             match outcome {
                 Ok(rows) if rows.version < self.version => {
-                    let (table, found) = (self.pace.name, rows.version);
-                    tracing::info!(
-                        event = "reading-passed-over",
-                        table,
-                        found,
-                        seen = self.version
-                    );
+                    let (table, found) = (self.pace.table, rows.version);
+                    let seen = self.version;
+                    tracing::info!(event = "reading-passed-over", %table, found, seen);
                     self.pause.wait().await;
                 }
                 Ok(rows) => {
                     let changed = !rows.rows.is_empty();
-                    self.heard().await;
+                    self.regained().await;
+                    if followed && changed {
+                        self.pass_on(&rows, self.changed);
+                    }
                     self.take(rows, followed).await;
                     followed = true;
-                    if changed {
+                    let watches = *self.duty.borrow();
+                    if watches {
+                        self.note_own(true);
+                    }
+                    if changed && watches {
                         time::sleep(self.pause_after_change()).await;
                     }
                 }
                 Err(TableFault::HistoryGone) => {
-                    let table = self.pace.name;
-                    tracing::warn!(event = "history-gone", table, since = self.version);
+                    let table = self.pace.table;
+                    tracing::warn!(event = "history-gone", %table, since = self.version);
                     followed = false;
                     self.pause.wait().await;
                 }
                 Err(fault) => {
                     self.failed(&fault).await;
-                    self.pause.wait().await;
+                    self.wait_for_store().await;
                 }
             }
         }
     }
 
     fn pause_after_change(&self) -> Duration {
-        let recent = self.back_at.is_some_and(|at| at.elapsed() < target_registry::AFTERMATH);
-        if recent { self.pace.pause.min(AFTERMATH_PAUSE) } else { self.pace.pause }
+        if self.is_aftermath() { self.pace.pause.min(AFTERMATH_PAUSE) } else { self.pace.pause }
     }
 
-    /// Waits for changes. Returns nothing when a peer has news that have not come here: dropping the
-    /// call ends its connection, which may have gone silent, and the next call opens another.
+    /// Waits for changes, by asking the store or by resting on the peers that do. Returns nothing when the
+    /// store must be asked anew: a peer has news that have not come here, or this VM's duty has changed.
+    /// Dropping the call ends its connection, which may have gone silent, and the next call opens another.
     async fn follow(&mut self) -> Option<Result<TableRows, TableFault>> {
-        let fleet_size = self.line.fleet_size.get();
-        let drawn = self.pace.draw_wait(fleet_size, &mut rand::rng());
-        let wait = if self.lost { LOST_WAIT } else { drawn };
-        let (nudge, seen) = (Rc::clone(&self.line.nudge), self.version);
+        // One that has lost the store goes on trying: only the store's own answer ends its doubt about missing
+        // rows.
+        let rests = self.pace.is_relayed() && !*self.duty.borrow_and_update() && !self.lost;
+        let wait = if rests {
+            self.rest().await;
+            if *self.duty.borrow() {
+                return None;
+            }
+            Duration::ZERO
+        } else if self.lost {
+            LOST_WAIT
+        } else {
+            self.note_own(true);
+            self.pace.draw_wait(self.line.fleet_size.get(), &mut rand::rng())
+        };
+        let limit = if rests { CALL_LIMIT } else { wait + FOLLOW_MARGIN };
+        let (nudge, seen, lost) = (Rc::clone(&self.line.nudge), self.version, self.lost);
+        let relayed = self.pace.is_relayed();
         let outcome = tokio::select! {
-            outcome = self.table.follow(seen, wait, wait + FOLLOW_MARGIN) => outcome,
-            () = nudge.notified() => return None,
+            outcome = self.table.follow(seen, wait, limit) => outcome,
+            () = nudge.notified(), if !rests => return None,
+            _ = self.duty.changed(), if relayed => return None,
+            change = next_change(&mut self.heard, self.pace.table), if lost && relayed => {
+                self.take_relayed(&change).await;
+                return None;
+            }
         };
         // An answer of no changes may tell no version.
         Some(outcome.map(|rows| TableRows { version: rows.version.max(seen), ..rows }))
     }
 
+    /// Waits before a store that has failed is asked again: until it may be back, or a peer has found it back or
+    /// has news. Takes what peers pass on meanwhile.
+    async fn wait_for_store(&mut self) {
+        let relayed = self.pace.is_relayed();
+        let relay = Rc::clone(&self.line.relay);
+        let asks = relay.outage().must_ask(self.pace.table);
+        let fleet_size = u32::try_from(self.line.fleet_size.get()).unwrap_or(u32::MAX);
+        let longest = LONGEST_PAUSE.max(PAUSE_PER_VM.saturating_mul(fleet_size));
+        let wait = if asks { self.pause.next(longest) } else { OUTAGE_WAIT };
+        let nudge = Rc::clone(&self.line.nudge);
+        let until = Instant::now() + wait;
+        loop {
+            tokio::select! {
+                () = time::sleep_until(until) => return,
+                () = nudge.notified() => return,
+                () = relay.outage().ended(), if !asks => return,
+                _ = self.duty.changed(), if relayed => return,
+                change = next_change(&mut self.heard, self.pace.table), if relayed => {
+                    self.take_relayed(&change).await;
+                }
+            }
+        }
+    }
+
+    /// Takes what peers pass on. Returns when the store must be asked: this VM has missed a change, or must
+    /// watch.
+    async fn rest(&mut self) {
+        self.note_own(false);
+        self.table.hang_up();
+        self.heard = self.heard.resubscribe();
+        let nudge = Rc::clone(&self.line.nudge);
+        let mut behind = 0;
+        let mut ticks = time::interval(REST_INTERVAL);
+        while behind < REST_BEHIND {
+            tokio::select! {
+                _ = self.duty.changed() => return,
+                () = nudge.notified() => return,
+                change = self.heard.recv() => match change {
+                    Ok(change) if self.take_relayed(&change).await => {}
+                    // Some were dropped unread, or one was passed on that does not follow what is known.
+                    Ok(_) | Err(broadcast::error::RecvError::Lagged(_)) => return,
+                    // The gateway is ending.
+                    Err(broadcast::error::RecvError::Closed) => return,
+                },
+                _ = ticks.tick() => {
+                    behind = if self.is_behind_peers().await { behind + 1 } else { 0 };
+                }
+            }
+        }
+    }
+
+    /// Returns whether a peer that watches has a change that has not come here. Otherwise this VM knows the
+    /// table as far as the peer does.
+    async fn is_behind_peers(&mut self) -> bool {
+        let FeedMark { changed, reached } = self.line.relay.peer_mark(self.pace.table);
+        if changed > self.version {
+            return true;
+        }
+        if reached > self.version {
+            self.version = reached;
+            let update = self.reader.reached(reached);
+            self.tell(update).await;
+        }
+        false
+    }
+
+    /// Takes a change that a peer has passed on; returns whether it follows what is known here.
+    async fn take_relayed(&mut self, change: &RelayedChange) -> bool {
+        if change.table != self.pace.table || change.reached <= self.version {
+            return true;
+        }
+        let Some(rows) = change.rows.as_ref().filter(|_| change.after <= self.version) else {
+            return false;
+        };
+        if change.aftermath && !self.is_aftermath() {
+            self.back_at = Some(Instant::now());
+            for lost in [true, false] {
+                let update = self.reader.source(lost);
+                self.tell(update).await;
+            }
+        }
+        let new = rows.iter().filter(|row| row.version > self.version).cloned().collect();
+        let (table, reached) = (self.pace.table, change.reached);
+        tracing::debug!(event = "change-relayed", %table, reached);
+        self.take(TableRows { rows: new, version: reached }, true).await;
+        true
+    }
+
+    /// Tells the peers how far this VM's watch has come, or that it does not watch.
+    fn note_own(&self, watches: bool) {
+        let mark = FeedMark { changed: self.changed, reached: self.version };
+        self.line.relay.note_own(self.pace.table, watches.then_some(mark));
+    }
+
+    /// Passes on what the store has told.
+    fn pass_on(&self, rows: &TableRows, after: u64) {
+        if self.pace.is_relayed() {
+            self.line.relay.tell(RelayedChange {
+                table: self.pace.table,
+                after,
+                reached: rows.version,
+                aftermath: self.is_aftermath(),
+                rows: Some(rows.rows.clone()),
+            });
+        }
+    }
+
+    fn is_aftermath(&self) -> bool {
+        self.back_at.is_some_and(|at| at.elapsed() < target_registry::AFTERMATH)
+    }
+
     async fn take(&mut self, rows: TableRows, following: bool) {
         self.version = rows.version;
+        // What was dropped before a whole reading is not in it.
+        let newest = rows.rows.iter().map(|row| row.version).max();
+        self.changed = if following { newest.unwrap_or(self.changed) } else { rows.version };
         let update = match following {
             true if rows.rows.is_empty() => None,
             true => self.reader.changed(last_states(rows.rows)),
@@ -203,20 +371,22 @@
         self.tell(reached).await;
     }
 
-    async fn heard(&mut self) {
+    async fn regained(&mut self) {
         self.pause = RetryPause::default();
+        self.line.relay.outage().end();
         if std::mem::take(&mut self.lost) {
             self.back_at = Some(Instant::now());
-            tracing::info!(event = "dependency-regained", peer = "store", table = self.pace.name);
+            tracing::info!(event = "dependency-regained", peer = "store", table = %self.pace.table);
             let update = self.reader.source(false);
             self.tell(update).await;
         }
     }
 
     async fn failed(&mut self, fault: &TableFault) {
+        self.note_own(false);
         if !std::mem::replace(&mut self.lost, true) {
-            let table = self.pace.name;
-            tracing::warn!(event = "dependency-lost", peer = "store", table, reason = %fault);
+            let table = self.pace.table;
+            tracing::warn!(event = "dependency-lost", peer = "store", %table, reason = %fault);
             let update = self.reader.source(true);
             self.tell(update).await;
             // The other tables' calls may hang as this one did.
@@ -228,7 +398,7 @@
         if let Some(update) = update
             && self.line.updates.send(update).await.is_err()
         {
-            tracing::debug!(event = "feed-ended", table = self.pace.name);
+            tracing::debug!(event = "feed-ended", table = %self.pace.table);
         }
     }
 }
@@ -270,8 +440,30 @@
 
 impl RetryPause {
     async fn wait(&mut self) {
+        time::sleep(self.next(LONGEST_PAUSE)).await;
+    }
+
+    /// Returns how long to wait now, and doubles it up to `longest` for the next time.
+    fn next(&mut self, longest: Duration) -> Duration {
         let spread = rand::rng().random_range(PAUSE_SPREAD);
-        time::sleep(self.0.mul_f64(spread)).await;
-        self.0 = (self.0 * 2).min(LONGEST_PAUSE);
+        let wait = self.0.mul_f64(spread);
+        self.0 = (self.0 * 2).min(longest);
+        wait
+    }
+}
+
+/// Waits for the next change of `table` that a peer passes on. Those that came in too great a number are lost,
+/// and asked for when the store can be heard.
+async fn next_change(
+    heard: &mut broadcast::Receiver<Rc<RelayedChange>>,
+    table: FleetTable,
+) -> Rc<RelayedChange> {
+    loop {
+        match heard.recv().await {
+            Ok(change) if change.table == table => return change,
+            Ok(_) | Err(broadcast::error::RecvError::Lagged(_)) => {}
+            // The gateway is ending.
+            Err(broadcast::error::RecvError::Closed) => std::future::pending().await,
+        }
     }
 }
--- a/crates/ryetide-gateway/tests/table_follower.rs
+++ b/crates/ryetide-gateway/tests/table_follower/main.rs
@@ -1,181 +1,20 @@
 //! Following a table of a store that does as it likes; no network, and time that is paused.
 
-use std::{
-    cell::{Cell, RefCell},
-    collections::VecDeque,
-    future,
-    rc::Rc,
-    time::Duration,
-};
+mod rests;
+mod support;
+
+use std::time::Duration;
 
 use bytes::Bytes;
 use rand::{SeedableRng, rngs::SmallRng};
-use ryetide_core::{peer_board::FeedLag, target_registry::RegistryUpdate};
+use ryetide_core::peer_board::FeedLag;
 use ryetide_gateway::{
     fleet_duties::FeedWatch,
-    ports::{FeedLine, FleetUpdate, LocalFuture},
-    store_table::{StoreTable, TableFault, TableRow, TableRows},
-    table_follower::{self, RowReader, TableFollower, TablePace},
-};
-use tokio::{
-    sync::{Notify, mpsc},
-    time::{self, Instant},
-};
-
-const PACE: TablePace = TablePace {
-    name: "targets",
-    wait: Duration::from_secs(2),
-    wait_per_vm: Duration::from_millis(70),
-    pause: Duration::from_millis(800),
+    store_table::{TableFault, TableRow},
+    table_follower,
 };
-/// Longer than any of these tests takes on the paused clock.
-const PATIENCE: Duration = Duration::from_secs(60);
-
-/// What a table was asked.
-#[derive(Clone, Debug, Eq, PartialEq)]
-enum Call {
-    ReadAll,
-    Follow(u64, Duration),
-    Write(u64),
-}
-
-/// What it answers; with no answer left it stays silent.
-enum Answer {
-    Rows(u64, Vec<TableRow>),
-    Fault(TableFault),
-    Written,
-    Silent,
-}
-
-#[derive(Default)]
-struct Script {
-    answers: RefCell<VecDeque<Answer>>,
-    calls: RefCell<Vec<(Call, Instant)>>,
-}
-
-impl Script {
-    fn new(answers: impl IntoIterator<Item = Answer>) -> Rc<Self> {
-        Rc::new(Self {
-            answers: RefCell::new(answers.into_iter().collect()),
-            calls: RefCell::default(),
-        })
-    }
-
-    fn table(self: &Rc<Self>) -> Box<dyn StoreTable> {
-        Box::new(ScriptedTable(Rc::clone(self)))
-    }
-
-    fn calls(&self) -> Vec<Call> {
-        self.calls.borrow().iter().map(|(call, _)| call.clone()).collect()
-    }
-
-    fn next(&self, call: Call) -> Answer {
-        self.calls.borrow_mut().push((call, Instant::now()));
-        self.answers.borrow_mut().pop_front().unwrap_or(Answer::Silent)
-    }
-}
-
-struct ScriptedTable(Rc<Script>);
-
-impl ScriptedTable {
-    async fn rows(&self, call: Call) -> Result<TableRows, TableFault> {
-        match self.0.next(call) {
-            Answer::Rows(version, rows) => Ok(TableRows { rows, version }),
-            Answer::Fault(fault) => Err(fault),
-            Answer::Written => panic!("a reading was asked for"),
-            Answer::Silent => future::pending().await,
-        }
-    }
-}
-
-impl StoreTable for ScriptedTable {
-    fn read_all(&mut self, _limit: Duration) -> LocalFuture<'_, Result<TableRows, TableFault>> {
-        Box::pin(self.rows(Call::ReadAll))
-    }
-
-    fn follow(
-        &mut self,
-        version: u64,
-        wait: Duration,
-        _limit: Duration,
-    ) -> LocalFuture<'_, Result<TableRows, TableFault>> {
-        Box::pin(self.rows(Call::Follow(version, wait)))
-    }
-
-    fn write<'a>(
-        &'a mut self,
-        _key: &'a str,
-        expected: u64,
-        _value: &'a [u8],
-        _limit: Duration,
-    ) -> LocalFuture<'a, Result<(), TableFault>> {
-        Box::pin(async move {
-            match self.0.next(Call::Write(expected)) {
-                Answer::Written => Ok(()),
-                Answer::Fault(fault) => Err(fault),
-                Answer::Rows(..) => panic!("a write was asked for"),
-                Answer::Silent => future::pending().await,
-            }
-        })
-    }
-}
-
-/// Tells what it is given as the numbers of rows and versions.
-struct CountingReader;
-
-impl RowReader for CountingReader {
-    fn whole(&mut self, rows: Vec<TableRow>) -> Option<FleetUpdate> {
-        Some(FleetUpdate::TargetsReached(rows.len() as u64))
-    }
-
-    fn changed(&mut self, rows: Vec<TableRow>) -> Option<FleetUpdate> {
-        self.whole(rows)
-    }
-
-    fn source(&mut self, lost: bool) -> Option<FleetUpdate> {
-        let update = if lost { RegistryUpdate::SourceLost } else { RegistryUpdate::SourceBack };
-        Some(FleetUpdate::Targets(update, 0))
-    }
-}
-
-fn row(key: &str, version: u64) -> TableRow {
-    TableRow { key: key.to_owned(), version, value: Some(Bytes::from_static(b"mine")) }
-}
-
-fn failed() -> Answer {
-    Answer::Fault(TableFault::Failed("turned away".to_owned()))
-}
-
-/// Follows until the script's answers are used up and `span` more has passed; returns what was told.
-async fn follow(script: &Rc<Script>, span: Duration) -> Vec<String> {
-    let (sender, mut updates) = mpsc::channel(64);
-    let fleet_size = Rc::new(Cell::new(3));
-    let line = FeedLine { updates: sender, nudge: Rc::new(Notify::new()), fleet_size };
-    let follower = TableFollower::new(script.table(), PACE, CountingReader, line);
-    let used_up = async {
-        while !script.answers.borrow().is_empty() {
-            time::sleep(Duration::from_millis(10)).await;
-        }
-        time::sleep(span).await;
-    };
-    time::timeout(PATIENCE, async {
-        tokio::select! {
-            () = follower.run() => panic!("a follower goes on"),
-            () = used_up => {}
-        }
-    })
-    .await
-    .expect("answers that are asked for");
-    let mut told = Vec::new();
-    while let Ok(update) = updates.try_recv() {
-        told.push(match update {
-            FleetUpdate::TargetsReached(rows) => format!("{rows} rows"),
-            FleetUpdate::Targets(update, _) => format!("{update:?}"),
-            other => panic!("{other:?}"),
-        });
-    }
-    told
-}
+use support::{Answer, Call, PACE, Script, failed, follow, row};
+use tokio::time::Instant;
 
 /// After a loss of its history the store answers from the past. What it says then is not told, or a
 /// replaced version would serve callers again; the next true reading is.
