--- a/crates/ryetide-core/src/arbiter.rs
+++ b/crates/ryetide-core/src/arbiter.rs
@@ -14,7 +14,6 @@
 
 use crate::{
     affinity::PrefixHints,
-    arbiter_placing::BACKLOG_LIMIT,
     catalog::{ServiceCatalog, TierRule},
     chart::TargetEvent,
     effect::Notice,
@@ -32,6 +31,8 @@
     verdict::{ArbiterVerdict, AskKey, SlotAsk, VerdictKind},
 };
 
+/// The most prompt work at an engine ahead of a new grant, for all but the most urgent tier.
+pub(crate) const BACKLOG_LIMIT: Duration = Duration::from_millis(100);
 /// The most requests that may wait at one arbiter; beyond it the last in order is shed.
 const WAITING_LIMIT: usize = 8_192;
 
--- a/crates/ryetide-core/src/arbiter_placing.rs
+++ b/crates/ryetide-core/src/arbiter_placing.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use crate::{
-    arbiter::ScopeArbiter,
+    arbiter::{BACKLOG_LIMIT, ScopeArbiter},
     estimate::TargetModel,
     ids::TargetKey,
     message::AskProfile,
@@ -14,8 +14,6 @@
 
 /// How many requests near the front of a tier are tried for a free target.
 const FRONT_LIMIT: usize = 16;
-/// The most prompt work at an engine ahead of a new grant, for all but the most urgent tier.
-pub(crate) const BACKLOG_LIMIT: Duration = Duration::from_millis(100);
 
 impl ScopeArbiter {
     /// Grants while something near the front of the first tier that waits can be placed.
--- a/crates/ryetide-gateway/src/ports.rs
+++ b/crates/ryetide-gateway/src/ports.rs
@@ -3,7 +3,7 @@
 //! The gateway knows no platform's names. An adapter gives it the headers' names, reads the size of a
 //! request from them, and feeds it routes, targets and peers.
 
-use std::{cell::Cell, net, pin::Pin, rc::Rc, sync::Arc, time::Duration};
+use std::{cell::Cell, net, rc::Rc, sync::Arc, time::Duration};
 
 use hyper::{HeaderMap, header::HeaderName};
 use ryetide::error::StepError;
@@ -17,6 +17,7 @@
 use tokio::sync::{Notify, mpsc};
 
 use crate::feed_relay::FeedRelay;
+pub use crate::local_future::LocalFuture;
 
 /// What one gateway is told when it starts.
 #[derive(Clone, Debug, PartialEq)]
@@ -128,9 +129,6 @@
     OwnSecret(PeerSecret),
 }
 
-/// A future that stays on its thread.
-pub type LocalFuture<'a, T> = Pin<Box<dyn Future<Output = T> + 'a>>;
-
 /// A feed's ends of what joins it to the gateway.
 #[derive(Clone)]
 pub struct FeedLine {
--- a/crates/ryetide-gateway/src/store_table.rs
+++ b/crates/ryetide-gateway/src/store_table.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
-use crate::ports::LocalFuture;
+use crate::local_future::LocalFuture;
 
 /// The tables that a gateway needs.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize, strum::Display)]
--- a/crates/ryetide-gateway/src/table_follower.rs
+++ b/crates/ryetide-gateway/src/table_follower.rs
@@ -7,7 +7,7 @@
 //! A VM that need not watch the store itself rests: it asks nothing, and takes the changes that its peers pass
 //! on. It asks when it has missed one, or must watch again.
 
-use std::{ops::Range, rc::Rc, time::Duration};
+use std::{rc::Rc, time::Duration};
 
 use rand::Rng;
 use ryetide_core::{target_registry, watch_duty::FeedMark};
@@ -19,6 +19,7 @@
 use crate::{
     feed_relay::RelayedChange,
     ports::{FeedLine, FleetUpdate},
+    retry_pause::{self, RetryPause},
     store_table::{FleetTable, StoreTable, TableFault, TableRow, TableRows},
 };
 
@@ -40,18 +41,12 @@
 /// Looks in a row that find a change at a peer which was not passed on here, before the store is asked: the
 /// change itself may come just after the digest that shows it.
 const REST_BEHIND: u32 = 2;
-/// The first pause after a call that failed; it doubles up to the longest.
-const FIRST_PAUSE: Duration = Duration::from_millis(60);
-const LONGEST_PAUSE: Duration = Duration::from_millis(600);
 /// What each VM of a larger fleet adds to the longest pause, so that all of them together ask a store that is
 /// away no more often: 1 s at 70 VMs. The first that finds it back makes its mates ask at once. With 2 s, and
 /// the 1.7 s of a call that hangs, a VM whose cut was over served by a replaced version for 4 s.
 const PAUSE_PER_VM: Duration = Duration::from_millis(15);
 /// A table waits this long for another's follower to find the store back before it asks by itself.
 const OUTAGE_WAIT: Duration = Duration::from_secs(3);
-/// Part of a pause that is left to chance, so that VMs which failed together do not come back
-/// together.
-const PAUSE_SPREAD: Range<f64> = 0.5..1.0;
 
 /// How often a table is asked for. Each call is paid for, and the store answers at once when something
 /// has changed: a pause after each answer lets changes that come in a row be told together.
@@ -252,7 +247,7 @@
         let relay = Rc::clone(&self.line.relay);
         let asks = relay.outage().must_ask(self.pace.table);
         let fleet_size = u32::try_from(self.line.fleet_size.get()).unwrap_or(u32::MAX);
-        let longest = LONGEST_PAUSE.max(PAUSE_PER_VM.saturating_mul(fleet_size));
+        let longest = retry_pause::LONGEST_PAUSE.max(PAUSE_PER_VM.saturating_mul(fleet_size));
         let wait = if asks { self.pause.next(longest) } else { OUTAGE_WAIT };
         let nudge = Rc::clone(&self.line.nudge);
         let until = Instant::now() + wait;
@@ -429,29 +424,6 @@
     }
 }
 
-/// The pause before the next try.
-struct RetryPause(Duration);
-
-impl Default for RetryPause {
-    fn default() -> Self {
-        Self(FIRST_PAUSE)
-    }
-}
-
-impl RetryPause {
-    async fn wait(&mut self) {
-        time::sleep(self.next(LONGEST_PAUSE)).await;
-    }
-
-    /// Returns how long to wait now, and doubles it up to `longest` for the next time.
-    fn next(&mut self, longest: Duration) -> Duration {
-        let spread = rand::rng().random_range(PAUSE_SPREAD);
-        let wait = self.0.mul_f64(spread);
-        self.0 = (self.0 * 2).min(longest);
-        wait
-    }
-}
-
 /// Waits for the next change of `table` that a peer passes on. Those that came in too great a number are lost,
 /// and asked for when the store can be heard.
 async fn next_change(
