Charge what a peer used while it was unheard in part only; grow buckets with the peers heard

A cut had just ended, and each VM charged all that its peers had let through in six seconds to its buckets at once. During the cut it had filled them with its own part of the rate only: the other side's use came from the other side's part.

Tests, both red without: the_end_of_a_cut_puts_nobody_in_debt, vms_that_have_heard_each_other_again_give_the_whole_burst.

--- a/crates/ryetide-core/src/peer_board.rs
+++ b/crates/ryetide-core/src/peer_board.rs
@@ -12,7 +12,7 @@
 };
 
 /// A peer that said nothing for this long is not heard: two of the slowest digests, and some.
-const HEARD_SPAN: Duration = Duration::from_millis(2_500);
+pub const HEARD_SPAN: Duration = Duration::from_millis(2_500);
 /// A peer that was not heard for this long no longer counts as serving its part.
 const KNOWN_SPAN: Duration = Duration::from_secs(20);
 
@@ -43,6 +43,8 @@
     Newer {
         /// The number of the last placement already taken.
         placed: u32,
+        /// For how long the peer had not been heard.
+        unheard: Duration,
     },
     /// The peer was not known in this life.
     NewLife,
@@ -82,11 +84,13 @@
         let known = self.notes.get(from).filter(|note| note.incarnation == digest.incarnation);
         let change = match known {
             Some(note) if note.sequence >= digest.sequence => return DigestChange::Stale,
-            Some(note) => DigestChange::Newer { placed: note.placed },
+            Some(note) => {
+                DigestChange::Newer { placed: note.placed, unheard: now.since(note.heard) }
+            }
             None => DigestChange::NewLife,
         };
         let placed = match change {
-            DigestChange::Newer { placed } => placed,
+            DigestChange::Newer { placed, .. } => placed,
             DigestChange::Stale | DigestChange::NewLife => 0,
         };
         let note = PeerNote {
--- a/crates/ryetide-core/src/quota.rs
+++ b/crates/ryetide-core/src/quota.rs
@@ -12,6 +12,7 @@
 
 use crate::{
     ids::{OrganisationKey, VmName},
+    peer_board::HEARD_SPAN,
     units::Moment,
 };
 
@@ -115,8 +116,22 @@
 
 impl QuotaLedger {
     /// Sets the part of the entry VMs that this one hears, itself included; 1 is all of them.
+    ///
+    /// What is left in a bucket is this VM's part of what is left for all VMs that it hears, so it grows and
+    /// shrinks with them. After all VMs were killed at once each starts with its own part of a burst; kept at
+    /// that when they heard each other, nine VMs let an organisation that had used nothing have 1,206 units in
+    /// the first second, of 1,800 that its rate and its burst give.
     pub fn set_heard_part(&mut self, part: f64) {
-        self.heard_part = part.clamp(0.0, 1.0);
+        let part = part.clamp(0.0, 1.0);
+        let change = if self.heard_part > 0.0 { part / self.heard_part } else { 1.0 };
+        self.heard_part = part;
+        for bucket in self.buckets.values_mut() {
+            bucket.burst *= change;
+            // A debt stays: it was run up by all of them.
+            if bucket.level > 0.0 {
+                bucket.level *= change;
+            }
+        }
     }
 
     /// Takes what a request costs from its organisation's bucket.
@@ -156,11 +171,22 @@
 
     /// Takes a peer's running total. The first total of a peer's life is only remembered: what it
     /// let through before this VM heard of it cannot be told from what it lets through now.
-    pub fn note_peer(&mut self, peer: &VmName, key: OrganisationKey, total: u64) {
+    ///
+    /// What a peer let through while it was taken for unheard came from its own part of the rate, which this VM
+    /// did not fill its buckets with. Charged at the end of a cut of six seconds, it put all organisations in
+    /// debt at once: for a second a fifth of the requests were refused as over quota, on both sides.
+    pub fn note_peer(
+        &mut self,
+        peer: &VmName,
+        key: OrganisationKey,
+        total: u64,
+        unheard: Duration,
+    ) {
         let before = self.heard.insert((peer.clone(), key), total);
         let used = before.map_or(0, |before| total.saturating_sub(before));
+        let counted = HEARD_SPAN.as_secs_f64() / unheard.max(HEARD_SPAN).as_secs_f64();
         if let Some(bucket) = self.buckets.get_mut(&key) {
-            bucket.level -= used as f64;
+            bucket.level -= used as f64 * counted;
         }
     }
 
--- a/crates/ryetide-core/src/scheduler.rs
+++ b/crates/ryetide-core/src/scheduler.rs
@@ -165,14 +165,16 @@
     /// Takes a peer's digest.
     pub fn take_digest(&mut self, now: Moment, envelope: DigestEnvelope) {
         let DigestEnvelope { from, digest } = envelope;
-        let placed_before = match self.peers.take(now, &from, &digest) {
+        let (placed_before, unheard) = match self.peers.take(now, &from, &digest) {
             DigestChange::Stale => return,
-            DigestChange::Newer { placed } => placed,
+            DigestChange::Newer { placed, unheard } => (placed, unheard),
             DigestChange::NewLife => {
                 self.quotas.forget_peer(&from);
-                digest.placed.last().map_or(0, |placed| placed.number)
+                (digest.placed.last().map_or(0, |placed| placed.number), Duration::ZERO)
             }
         };
+        // What a peer that is heard again has used is charged to a bucket that has grown by its part.
+        self.note_peers(now);
         self.forget_marks(now, &from, &digest);
         for mark in &digest.targets {
             if let Some(load) = self.targets.get_mut(&mark.target) {
@@ -186,9 +188,8 @@
             }
         }
         for (key, total) in &digest.spent {
-            self.quotas.note_peer(&from, *key, *total);
+            self.quotas.note_peer(&from, *key, *total, unheard);
         }
-        self.note_peers(now);
         self.pump_all(now);
     }
 
--- a/crates/ryetide-core/tests/quota.rs
+++ b/crates/ryetide-core/tests/quota.rs
@@ -56,7 +56,7 @@
             ledgers.iter().map(|ledger| ledger.totals().map(|(_, spent)| spent).sum()).collect();
         for (own, ledger) in ledgers.iter_mut().enumerate() {
             for (peer, name) in names.iter().enumerate().filter(|(peer, _)| *peer != own) {
-                ledger.note_peer(name, KEY, totals[peer]);
+                ledger.note_peer(name, KEY, totals[peer], Duration::ZERO);
             }
         }
     }
@@ -107,6 +107,57 @@
     assert!((1_500..=2_100).contains(&passed), "passed {passed}");
 }
 
+/// All nine VMs are killed at once, start together, and hear each other a tenth of a second later. An organisation
+/// that has used nothing asks for a little less than its rate and its burst in the first second. Its callers must
+/// not be told that it is over quota because each VM began with a ninth.
+#[test]
+fn vms_that_have_heard_each_other_again_give_the_whole_burst() {
+    let names: Vec<VmName> = (0..9).map(|index| format!("e{index}").as_str().into()).collect();
+    let mut ledgers: Vec<QuotaLedger> = names.iter().map(|_| QuotaLedger::default()).collect();
+    ledgers.iter_mut().for_each(|ledger| ledger.set_heard_part(1.0 / 9.0));
+    let mut passed = 0;
+    for step in 0..100_u64 {
+        let now = Moment::from_millis(1 + step * 10);
+        if step == 10 {
+            ledgers.iter_mut().for_each(|ledger| ledger.set_heard_part(1.0));
+        }
+        for ledger in &mut ledgers {
+            passed += u64::from(ledger.take(now, &RULE, charge(2)).is_ok()) * 2;
+        }
+        let totals: Vec<u64> =
+            ledgers.iter().map(|ledger| ledger.totals().map(|(_, spent)| spent).sum()).collect();
+        for (own, ledger) in ledgers.iter_mut().enumerate().filter(|_| step >= 10) {
+            for (peer, name) in names.iter().enumerate().filter(|(peer, _)| *peer != own) {
+                ledger.note_peer(name, KEY, totals[peer], Duration::ZERO);
+            }
+        }
+    }
+    assert!(passed >= 1_750, "passed {passed} of 1,800");
+}
+
+/// A cut of six seconds divides nine VMs into four and five, and an organisation uses a third of its rate on
+/// each side. When the cut ends each VM hears at once of all that the other side has let through. That came from
+/// the other side's part of the rate: the organisation is well within its quota, and none of its callers may be
+/// told otherwise.
+#[test]
+fn the_end_of_a_cut_puts_nobody_in_debt() {
+    let mut ledger = QuotaLedger::default();
+    let peer = VmName::from("e9");
+    let at = Moment::from_millis;
+    ledger.take(at(1), &RULE, charge(1)).unwrap();
+    ledger.note_peer(&peer, KEY, 5_000, Duration::ZERO);
+    ledger.set_heard_part(4.0 / 9.0);
+    for step in 1..=600_u64 {
+        // A third of 1,000 units a second.
+        assert!(ledger.take(at(1 + step * 10), &RULE, charge(3)).is_ok(), "step {step}");
+    }
+    ledger.set_heard_part(1.0);
+    ledger.note_peer(&peer, KEY, 5_000 + 2_000, Duration::from_millis(6_000));
+    for step in 601..=700_u64 {
+        assert!(ledger.take(at(1 + step * 10), &RULE, charge(6)).is_ok(), "step {step}");
+    }
+}
+
 /// Every target of a service fails every request for ten seconds, and all of them may be repeated.
 /// What arrives beyond the first of each request must stay within the part and the slack.
 #[test]
