--- a/crates/ryetide-gateway/src/decision_log.rs
+++ b/crates/ryetide-gateway/src/decision_log.rs
@@ -9,7 +9,7 @@
 
 use ryetide_core::{
     decision::{PlacingEvidence, RunEnd},
-    ids::{RequestSequence, VmName},
+    ids::{OrganisationName, RequestSequence, VmName},
     target_load::TargetEntry,
     units::Revision,
 };
@@ -122,6 +122,27 @@
         }
     }
 
+    /// A request was told to come back for its organisation's quota. `heard_part` is the part of the entry VMs
+    /// that this one hears, and so of the quota that it gives out.
+    pub fn over_quota(
+        &self,
+        request: &str,
+        organisation: &OrganisationName,
+        heard_part: f64,
+        retry: Duration,
+    ) {
+        if self.permits() {
+            tracing::info!(
+                event = "over-quota",
+                vm = %self.vm,
+                request,
+                %organisation,
+                heard_part,
+                retry_ms = millis(retry),
+            );
+        }
+    }
+
     /// No connection could be opened to a target; nothing was sent.
     pub fn unreachable(&self, request: &LogId<'_>, target: &TargetEntry, fault: &ConnectFault) {
         if self.permits() {
--- a/crates/ryetide-gateway/src/exchange.rs
+++ b/crates/ryetide-gateway/src/exchange.rs
@@ -134,14 +134,17 @@
         let told = deadline.map(Duration::from_millis);
         let waited = told.map_or(Duration::ZERO, |left| gateway.waited(&matched.route.name, left));
         let deadline = told.unwrap_or(timeout).min(timeout);
-        let charge = gateway.charge(&matched, &size)?;
+        let id = head.headers.get(&names.request_id).cloned();
+        // An id that is no text is passed on as it is, and cannot be printed.
+        let printed = id.as_ref().and_then(|id| id.to_str().ok()).unwrap_or_default();
+        let charge = gateway.charge(printed, &matched, &size)?;
         Ok(Self {
             ticket: gateway.hub().take_ticket(),
             gateway: Rc::clone(gateway),
             service,
             template,
             size,
-            id: head.headers.get(&names.request_id).cloned(),
+            id,
             arrived,
             waited,
             deadline_at: arrived + deadline,
--- a/crates/ryetide-gateway/src/gateway_state.rs
+++ b/crates/ryetide-gateway/src/gateway_state.rs
@@ -192,6 +192,7 @@
     /// Returns what to answer when the quota is used up.
     pub fn charge(
         &self,
+        request: &str,
         matched: &MatchedRoute,
         size: &WorkSize,
     ) -> Result<Option<QuotaCharge>, OwnAnswer> {
@@ -200,8 +201,12 @@
         let key = OrganisationKey::of(&holder.name);
         let charge = QuotaCharge { key, units: rule.cost_of(size.quota_tokens()) };
         let charged = self.hub.with(|scheduler, now| scheduler.charge(now, rule, charge));
-        let over = |wait| OwnAnswer::new(OwnReason::OverQuota).with_retry(wait);
-        charged.map(|()| Some(charge)).map_err(over)
+        charged.map(|()| Some(charge)).map_err(|wait| {
+            let now = self.hub.clock().now();
+            let heard_part = self.hub.peek(|scheduler| scheduler.heard_part(now));
+            self.log.over_quota(request, &holder.name, heard_part, wait);
+            OwnAnswer::new(OwnReason::OverQuota).with_retry(wait)
+        })
     }
 
     /// Builds an answer of the gateway's own to the request `id`, and notes it.
