Bound the routes whose callers' habits are remembered

Found by reading: routes come and go for as long as a VM runs, and what was learnt of a route that is gone was kept for good, up to 10 KB each. Beyond 1,024 routes all are learnt anew; a few callers suffice.

--- a/crates/ryetide-gateway/src/gateway_state.rs
+++ b/crates/ryetide-gateway/src/gateway_state.rs
@@ -30,6 +30,10 @@
     target_pool::{ConnectFault, ConnectionChoice, TargetConnection, TargetPool},
 };
 
+/// Routes whose callers' habits are remembered, at some 10 KB each at the most. Routes come and go for as long as a
+/// VM runs; beyond this all are learnt anew, within a few callers each.
+const HABITS_LIMIT: usize = 1_024;
+
 /// What a gateway's tasks share.
 pub struct Gateway {
     settings: RefCell<GatewaySettings>,
@@ -166,10 +170,13 @@
     /// Returns for how long a caller of a route had waited before, that says it has this time left.
     pub fn waited(&self, route: &str, left: Duration) -> Duration {
         let mut habits = self.habits.borrow_mut();
-        match habits.get_mut(route) {
-            Some(habit) => habit.waited(left),
-            None => habits.entry(route.to_owned()).or_default().waited(left),
+        if let Some(habit) = habits.get_mut(route) {
+            return habit.waited(left);
+        }
+        if habits.len() >= HABITS_LIMIT {
+            habits.clear();
         }
+        habits.entry(route.to_owned()).or_default().waited(left)
     }
 
     /// Opens or takes a connection to a target.
