--- a/crates/ryetide-core/src/quota.rs
+++ b/crates/ryetide-core/src/quota.rs
@@ -174,7 +174,7 @@
     ///
     /// What a peer let through while it was taken for unheard came from its own part of the rate, which this VM
     /// did not fill its buckets with. Charged at the end of a cut of six seconds, it put all organisations in
-    /// debt at once: for a second a fifth of the requests were refused as over quota, on both sides.
+    /// debt at once: for a second 28 of 98 requests were refused as over quota, on both sides.
     pub fn note_peer(
         &mut self,
         peer: &VmName,
