Know each life of a target, and take rows of other writers for what they are

Change: TargetLife stands in the registry, the key of a target (so in digests, loads, health, memory, kept connections), the log. An entry of an earlier life changes nothing. What runs at an earlier life ends as lost when the next one is known.

--- a/crates/ryetide-core/src/cell_plan.rs
+++ b/crates/ryetide-core/src/cell_plan.rs
@@ -98,7 +98,7 @@
     ///
     /// The targets of a data centre that has no VM left are dealt among all cells.
     pub fn targets(&self, service: &[&TargetEntry]) -> Vec<TargetKey> {
-        let key = |entry: &&TargetEntry| TargetKey::of(&entry.name);
+        let key = |entry: &&TargetEntry| entry.key();
         let all_cells: usize = self.cells.values().sum();
         if self.mates.is_none() || service.len() < all_cells * LEAST_TARGETS {
             return service.iter().map(key).collect();
--- a/crates/ryetide-core/src/ids.rs
+++ b/crates/ryetide-core/src/ids.rs
@@ -85,6 +85,24 @@
     DataCentreKey of DataCentreName
 );
 
+number_type!(
+    /// Which life of a target this is: when it started, in Unix milliseconds; 0 where its registry does not tell.
+    /// Only compared: a later life has a higher number.
+    TargetLife(u64)
+);
+
+impl TargetKey {
+    /// Returns the key of one life of a target. A target that starts again under its old name is another target
+    /// to everything that goes by keys: what was learnt of its earlier life, and what peers still say of it, is
+    /// not taken for the new one's.
+    pub fn of_life(name: &TargetName, life: TargetLife) -> Self {
+        if life == TargetLife::default() {
+            return Self::of(name);
+        }
+        Self(xxh3::xxh3_64_with_seed(name.as_str().as_bytes(), life.0) as u32)
+    }
+}
+
 number_type!(
     /// One life of one entry VM's process, drawn at random when it starts.
     Incarnation(u64)
--- a/crates/ryetide-core/src/route_text.rs
+++ b/crates/ryetide-core/src/route_text.rs
@@ -26,7 +26,7 @@
 use std::{net, time::Duration};
 
 use crate::{
-    ids::{OrganisationName, ServiceName},
+    ids::{OrganisationName, ServiceName, TargetLife},
     quota::{QuotaRule, QuotaUnit},
     route::{
         CallerBounds, EngineProfile, KeyHolder, RouteRule, RouteTable, RouteTableBuilder,
@@ -175,6 +175,7 @@
         slots: slots? as u32,
         leaving: leaving?,
         warmup: Duration::ZERO,
+        life: TargetLife::default(),
     })
 }
 
--- a/crates/ryetide-core/src/scheduler.rs
+++ b/crates/ryetide-core/src/scheduler.rs
@@ -98,7 +98,7 @@
     pub fn set_targets(&mut self, now: Moment, entries: Vec<TargetEntry>) {
         let mut known = std::mem::take(&mut self.targets);
         for entry in entries {
-            let key = TargetKey::of(&entry.name);
+            let key = entry.key();
             let load = match known.remove(&key) {
                 Some(mut load) => {
                     load.set_entry(entry);
--- a/crates/ryetide-core/src/target_load.rs
+++ b/crates/ryetide-core/src/target_load.rs
@@ -8,7 +8,9 @@
 };
 
 use crate::{
-    ids::{DataCentreName, RequestSequence, ServiceName, TargetKey, TargetName, VmName},
+    ids::{
+        DataCentreName, RequestSequence, ServiceName, TargetKey, TargetLife, TargetName, VmName,
+    },
     load_digest::TargetMark,
     pace::{AssumedPace, PaceEstimate, TargetPace},
     place_turn::{FreedPlace, PlaceGiver},
@@ -32,8 +34,10 @@
 /// One target as the platform's registry has it.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct TargetEntry {
-    /// Its name; a new life of a target has a new one.
+    /// Its name.
     pub name: TargetName,
+    /// Which of the lives that have had this name.
+    pub life: TargetLife,
     /// The service it belongs to.
     pub service: ServiceName,
     /// Where it listens.
@@ -48,6 +52,13 @@
     pub warmup: Duration,
 }
 
+impl TargetEntry {
+    /// Returns the key of this life of the target.
+    pub fn key(&self) -> TargetKey {
+        TargetKey::of_life(&self.name, self.life)
+    }
+}
+
 /// One request that this VM has at the target.
 #[derive(Clone, Debug)]
 struct OwnRun {
@@ -92,7 +103,7 @@
     /// Creates the belief about a target of which nothing was observed, known since `now`.
     pub fn new(now: Moment, entry: TargetEntry, assumed: &AssumedPace) -> Self {
         Self {
-            key: TargetKey::of(&entry.name),
+            key: entry.key(),
             entry,
             pace: TargetPace::default(),
             estimate: PaceEstimate::of(assumed, []),
--- a/crates/ryetide-core/src/target_registry.rs
+++ b/crates/ryetide-core/src/target_registry.rs
@@ -7,7 +7,11 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use crate::{ids::TargetName, target_load::TargetEntry, units::Moment};
+use crate::{
+    ids::{TargetLife, TargetName},
+    target_load::TargetEntry,
+    units::Moment,
+};
 
 /// How long an entry that went missing after trouble with its source is kept. The targets write
 /// themselves in again within two seconds of the source's return; new work for one that is truly gone
@@ -16,18 +20,28 @@
 /// How long after the source's return missing entries may still be a consequence of its absence: the
 /// targets write every second or so, and their entries lapse after three missed writes.
 pub const AFTERMATH: Duration = Duration::from_secs(4);
+/// Names whose last life is remembered, at some 60 bytes each. Names come and go for as long as a VM runs; beyond
+/// this only those of the targets that there are stay.
+const LIVES_LIMIT: usize = 4_096;
 
 /// What a registry's source says.
 #[derive(Clone, Debug, PartialEq)]
 pub enum RegistryUpdate {
     /// All entries there are.
-    Snapshot(Vec<TargetEntry>),
+    Snapshot {
+        /// Those that can be read.
+        entries: Vec<TargetEntry>,
+        /// Names of those that cannot.
+        unreadable: Vec<TargetName>,
+    },
     /// Entries that are new or changed, and names whose entries are gone.
     Changed {
         /// New or changed entries.
         entries: Vec<TargetEntry>,
         /// Entries that are gone.
         gone: Vec<TargetName>,
+        /// Names of changed entries that cannot be read.
+        unreadable: Vec<TargetName>,
     },
     /// The source cannot be read.
     SourceLost,
@@ -35,6 +49,18 @@
     SourceBack,
 }
 
+impl RegistryUpdate {
+    /// Returns the news that these entries are all there are.
+    pub fn whole(entries: Vec<TargetEntry>) -> Self {
+        Self::Snapshot { entries, unreadable: Vec::new() }
+    }
+
+    /// Returns the news that these entries are new or changed.
+    pub fn changed(entries: Vec<TargetEntry>) -> Self {
+        Self::Changed { entries, gone: Vec::new(), unreadable: Vec::new() }
+    }
+}
+
 #[derive(Clone, Debug)]
 struct RegisteredTarget {
     entry: TargetEntry,
@@ -50,13 +76,15 @@
 /// use ryetide_core::units::Moment;
 ///
 /// let mut registry = TargetRegistry::default();
-/// registry.take(Moment::from_millis(1), RegistryUpdate::Snapshot(Vec::new()));
+/// registry.take(Moment::from_millis(1), RegistryUpdate::whole(Vec::new()));
 /// assert!(registry.is_known());
 /// assert!(registry.current(Moment::from_millis(2)).is_empty());
 /// ```
 #[derive(Debug, Default)]
 pub struct TargetRegistry {
     targets: BTreeMap<TargetName, RegisteredTarget>,
+    /// The last life that was seen of each name, also of targets that are gone.
+    lives: BTreeMap<TargetName, TargetLife>,
     known: bool,
     newest: u64,
     reached: u64,
@@ -68,15 +96,19 @@
     /// Takes what the source says.
     pub fn take(&mut self, now: Moment, update: RegistryUpdate) {
         match update {
-            RegistryUpdate::Snapshot(entries) => {
+            RegistryUpdate::Snapshot { entries, unreadable } => {
                 self.known = true;
+                self.drop_unreadable(&unreadable);
                 let names: Vec<TargetName> =
                     entries.iter().map(|entry| entry.name.clone()).collect();
                 let missing = self.targets.keys().filter(|name| !names.contains(name));
                 let missing: Vec<TargetName> = missing.cloned().collect();
                 self.change(now, entries, &missing);
             }
-            RegistryUpdate::Changed { entries, gone } => self.change(now, entries, &gone),
+            RegistryUpdate::Changed { entries, gone, unreadable } => {
+                self.drop_unreadable(&unreadable);
+                self.change(now, entries, &gone);
+            }
             RegistryUpdate::SourceLost => self.lost = true,
             RegistryUpdate::SourceBack => {
                 if std::mem::take(&mut self.lost) {
@@ -123,8 +155,37 @@
         self.targets.values().filter_map(|target| target.lapses_at).min()
     }
 
+    /// Returns whether a later life of a target was seen: this one has ended, and whatever ran there with it.
+    pub fn is_replaced(&self, entry: &TargetEntry) -> bool {
+        self.lives.get(&entry.name).is_some_and(|last| *last > entry.life)
+    }
+
+    /// Drops targets whose entries were overwritten with something that cannot be read. Such an entry names no
+    /// target: kept in use by its last readable one, a target whose place another writer has taken would get work
+    /// that nobody vouches for. No grace: the entry has not lapsed, it is there.
+    fn drop_unreadable(&mut self, names: &[TargetName]) {
+        self.targets.retain(|name, _| !names.contains(name));
+    }
+
+    /// Remembers the life of an entry. Returns false for an entry of an earlier life, which comes late: taken, it
+    /// would bring back the address and the speed of a target that has ended.
+    fn note_life(&mut self, entry: &TargetEntry) -> bool {
+        if self.is_replaced(entry) {
+            return false;
+        }
+        self.lives.insert(entry.name.clone(), entry.life);
+        if self.lives.len() > LIVES_LIMIT {
+            let targets = &self.targets;
+            self.lives.retain(|name, _| targets.contains_key(name) || *name == entry.name);
+        }
+        true
+    }
+
     fn change(&mut self, now: Moment, entries: Vec<TargetEntry>, gone: &[TargetName]) {
         for entry in entries {
+            if !self.note_life(&entry) {
+                continue;
+            }
             let target = RegisteredTarget { entry, lapses_at: None };
             self.targets.insert(target.entry.name.clone(), target);
         }
--- a/crates/ryetide-core/tests/cell_plan.rs
+++ b/crates/ryetide-core/tests/cell_plan.rs
@@ -24,6 +24,7 @@
 fn targets(count: usize) -> Vec<TargetEntry> {
     let entry = |index: usize| TargetEntry {
         name: format!("t{index}").as_str().into(),
+        life: Default::default(),
         service: "drafting".into(),
         address: std::net::SocketAddr::from(([127, 0, 0, 1], 9)),
         data_centre: CENTRES[index % 3].into(),
--- a/crates/ryetide-core/tests/scheduler.rs
+++ b/crates/ryetide-core/tests/scheduler.rs
@@ -5,7 +5,7 @@
 use ryetide_core::{
     cell_plan::CellMember,
     decision::{Decision, RefusalReason, RunEnd},
-    ids::{Incarnation, RequestSequence, ServiceKey, ServiceName, TargetKey},
+    ids::{Incarnation, RequestSequence, ServiceKey, ServiceName, TargetKey, TargetLife},
     load_digest::{DigestEnvelope, DigestScope, FleetNews, LoadDigest, TargetMark, WaitMark},
     pace::{AssumedPace, FadingMean, PaceReport},
     place_turn::ClaimClass,
@@ -27,6 +27,7 @@
 fn target(name: &str, slots: u32) -> TargetEntry {
     TargetEntry {
         name: name.into(),
+        life: Default::default(),
         service: SERVICE.into(),
         address: std::net::SocketAddr::from(([127, 0, 0, 1], 9)),
         data_centre: "hall-a".into(),
@@ -437,3 +438,23 @@
     let mates = listed.iter().filter(|peer| bench.scheduler.is_mate(&peer.name)).count();
     assert!((5..=10).contains(&mates), "{mates} mates");
 }
+
+/// A target fails to open connections, and a peer says that all its places are taken. It starts again under its
+/// old name, and the peer's next digest still speaks of the earlier life. Requests must go to the new one at
+/// once: nothing of what was known before holds for it.
+#[test]
+fn a_new_life_of_a_target_starts_with_nothing_known() {
+    let mut bench = Bench::new(&[("t1", 2)]);
+    bench.enter(at(0), 0, 100);
+    bench.placed();
+    bench.scheduler.end(at(10), RequestSequence(1), RunEnd::Unreachable);
+    let busy = LoadDigest { targets: vec![mark("t1", 2, 20.0, 30_000.0)], ..Default::default() };
+    bench.hear(at(11), 1, busy.clone());
+    let waiting = bench.enter(at(12), 0, 100);
+    assert_eq!(bench.placed(), [], "paused, and full");
+    let restarted = TargetEntry { life: TargetLife(9), ..target("t1", 2) };
+    bench.scheduler.set_targets(at(20), vec![restarted]);
+    bench.hear(at(21), 2, busy);
+    bench.scheduler.advance(at(25));
+    assert_eq!(bench.placed(), [(waiting, "t1".to_owned())]);
+}
--- a/crates/ryetide-core/tests/scheduler_load.rs
+++ b/crates/ryetide-core/tests/scheduler_load.rs
@@ -169,6 +169,7 @@
         let engines: BTreeMap<String, EngineState> = names.collect();
         let entry = |name: &String| TargetEntry {
             name: name.as_str().into(),
+            life: Default::default(),
             service: "drafting".into(),
             address: std::net::SocketAddr::from(([127, 0, 0, 1], 9)),
             data_centre: "hall-a".into(),
--- a/crates/ryetide-core/tests/target_registry.rs
+++ b/crates/ryetide-core/tests/target_registry.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use ryetide_core::{
+    ids::TargetLife,
     target_load::TargetEntry,
     target_registry::{RegistryUpdate, TargetRegistry},
     units::Moment,
@@ -11,6 +12,7 @@
 fn entry(name: &str) -> TargetEntry {
     TargetEntry {
         name: name.into(),
+        life: Default::default(),
         service: "desk".into(),
         address: std::net::SocketAddr::from(([127, 0, 0, 1], 9)),
         data_centre: "hall-a".into(),
@@ -26,12 +28,12 @@
 }
 
 fn gone(name: &str) -> RegistryUpdate {
-    RegistryUpdate::Changed { entries: Vec::new(), gone: vec![name.into()] }
+    RegistryUpdate::Changed { entries: Vec::new(), gone: vec![name.into()], unreadable: Vec::new() }
 }
 
 fn with_two() -> TargetRegistry {
     let mut registry = TargetRegistry::default();
-    registry.take(Moment::from_millis(1), RegistryUpdate::Snapshot(vec![entry("a"), entry("b")]));
+    registry.take(Moment::from_millis(1), RegistryUpdate::whole(vec![entry("a"), entry("b")]));
     registry
 }
 
@@ -51,9 +53,9 @@
     registry.take(Moment::from_millis(1_000), RegistryUpdate::SourceLost);
     assert_eq!(names(&mut registry, 4_000), ["a", "b"]);
     registry.take(Moment::from_millis(5_000), RegistryUpdate::SourceBack);
-    registry.take(Moment::from_millis(5_010), RegistryUpdate::Snapshot(Vec::new()));
+    registry.take(Moment::from_millis(5_010), RegistryUpdate::whole(Vec::new()));
     assert_eq!(names(&mut registry, 5_400), ["a", "b"]);
-    let back = RegistryUpdate::Changed { entries: vec![entry("a")], gone: Vec::new() };
+    let back = RegistryUpdate::changed(vec![entry("a")]);
     registry.take(Moment::from_millis(5_500), back);
     assert_eq!(names(&mut registry, 6_500), ["a", "b"]);
     assert_eq!(names(&mut registry, 6_700), ["a"], "the other did not come back in time");
@@ -65,9 +67,55 @@
 fn a_leaving_target_is_not_kept() {
     let mut registry = with_two();
     let leaving = TargetEntry { leaving: true, ..entry("a") };
-    let update = RegistryUpdate::Changed { entries: vec![leaving], gone: Vec::new() };
+    let update = RegistryUpdate::changed(vec![leaving]);
     registry.take(Moment::from_millis(10), update);
     registry.take(Moment::from_millis(20), RegistryUpdate::SourceLost);
     registry.take(Moment::from_millis(30), gone("a"));
     assert_eq!(names(&mut registry, 31), ["b"]);
 }
+
+fn lived(name: &str, life: u64, port: u16) -> TargetEntry {
+    let address = std::net::SocketAddr::from(([127, 0, 0, 1], port));
+    TargetEntry { life: TargetLife(life), address, ..entry(name) }
+}
+
+fn ports(registry: &mut TargetRegistry) -> Vec<u16> {
+    let current = registry.current(Moment::from_millis(9));
+    current.iter().map(|target| target.address.port()).collect()
+}
+
+/// A target starts again under its old name at another address, and an entry of its earlier life comes late: in a
+/// reading from the past, and once more after the target is gone. Requests sent to the old address would run
+/// nowhere, or at whoever has it now.
+#[test]
+fn an_entry_of_an_earlier_life_changes_nothing() {
+    let mut registry = TargetRegistry::default();
+    let now = Moment::from_millis(5);
+    registry.take(now, RegistryUpdate::whole(vec![lived("a", 100, 1)]));
+    registry.take(now, RegistryUpdate::changed(vec![lived("a", 200, 2)]));
+    assert_eq!(ports(&mut registry), [2]);
+    assert!(registry.is_replaced(&lived("a", 100, 1)));
+    assert!(!registry.is_replaced(&lived("a", 200, 2)));
+    registry.take(now, RegistryUpdate::whole(vec![lived("a", 100, 1)]));
+    registry.take(now, RegistryUpdate::changed(vec![lived("a", 100, 1)]));
+    assert_eq!(ports(&mut registry), [2]);
+    registry.take(now, gone("a"));
+    registry.take(now, RegistryUpdate::changed(vec![lived("a", 100, 1)]));
+    assert!(
+        ports(&mut registry).is_empty(),
+        "the earlier life came back after the later one's end"
+    );
+}
+
+/// The store is away and back, and in the same moments a target's row is overwritten by another writer. Missing
+/// rows are waited for; this one is there, and names nobody.
+#[test]
+fn an_overwritten_entry_is_not_waited_for() {
+    let mut registry = with_two();
+    registry.take(Moment::from_millis(1_000), RegistryUpdate::SourceLost);
+    registry.take(Moment::from_millis(5_000), RegistryUpdate::SourceBack);
+    let unreadable = vec!["a".into()];
+    let update = RegistryUpdate::Snapshot { entries: Vec::new(), unreadable };
+    registry.take(Moment::from_millis(5_010), update);
+    assert_eq!(names(&mut registry, 5_020), ["b"]);
+}
--- a/crates/ryetide-gateway/src/caller_service.rs
+++ b/crates/ryetide-gateway/src/caller_service.rs
@@ -16,7 +16,7 @@
     gateway_state::Gateway,
     relay::StreamRelay,
     relay_fault::RelayFault,
-    target_answer::{self, TargetAnswer},
+    target_answer::{self, BodyFault, TargetAnswer},
 };
 
 /// The largest answer that is read whole before it is passed on, so that one that breaks off can be
@@ -96,7 +96,15 @@
     let mut failure: Option<(http::response::Parts, Bytes)> = None;
     loop {
         let reading = target_answer::read_whole(&mut answer.body, WHOLE_LIMIT);
-        let read = tokio::time::timeout_at(exchange.timeout_at(), reading).await;
+        let reading = tokio::time::timeout_at(exchange.timeout_at(), reading);
+        // An answer that has come whole is passed on, whatever became of the target since.
+        let read = tokio::select! {
+            biased;
+            read = reading => read,
+            () = exchange.gateway().fleet().life_ended(&answer.target) => {
+                Ok(Err(BodyFault::TargetEnded))
+            }
+        };
         match read {
             Err(_) => return exchange.answer_own(OwnAnswer::new(OwnReason::TimedOut)),
             Ok(Ok(body)) if !answer.head.status.is_server_error() => {
--- a/crates/ryetide-gateway/src/decision_log.rs
+++ b/crates/ryetide-gateway/src/decision_log.rs
@@ -93,6 +93,7 @@
             sequence = request.sequence.0,
             route = request.route,
             target = %target.name,
+            life = %target.life,
             %revision,
             waited_ms = millis(waited),
             waited_before_ms = millis(request.waited_before),
--- a/crates/ryetide-gateway/src/exchange.rs
+++ b/crates/ryetide-gateway/src/exchange.rs
@@ -256,7 +256,7 @@
                 );
             }
             if arrived_there {
-                self.excluded.push(TargetKey::of(&target.name));
+                self.excluded.push(target.key());
             }
             decision = self.ticket.enter_again(self.work(), arrived_there).await;
         }
@@ -293,7 +293,14 @@
         self.attempts += 1;
         let timeout = self.timeout_at();
         let until = self.head_limit().map_or(timeout, |limit| timeout.min(Instant::now() + limit));
-        let response = match tokio::time::timeout_at(until, connection.send(request)).await {
+        let sending = tokio::time::timeout_at(until, connection.send(request));
+        // An answer that has come is taken, whatever became of the target since.
+        let sent = tokio::select! {
+            biased;
+            sent = sending => sent,
+            () = self.gateway.fleet().life_ended(target) => return SendEnd::Lost("restarted"),
+        };
+        let response = match sent {
             Err(_) if until == timeout => return SendEnd::TimedOut,
             Err(_) => return SendEnd::Lost("silent"),
             Ok(Err(fault)) => {
@@ -365,7 +372,7 @@
     /// Notes that a target failed the request, which is then not sent there again.
     pub fn note_target_fault(&mut self, target: &TargetEntry, why: &'static str) {
         self.gateway.log().target_failed(&self.log_id(), target, why, self.attempts);
-        self.excluded.push(TargetKey::of(&target.name));
+        self.excluded.push(target.key());
     }
 
     /// Notes that a stream was broken off.
@@ -405,7 +412,7 @@
             .is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"close"));
         if !closes {
             let named = target_answer::kept_for(&answer.head.headers);
-            self.gateway.pool().keep(&answer.target.name, answer.connection, named);
+            self.gateway.pool().keep(answer.target.key(), answer.connection, named);
         }
     }
 
--- a/crates/ryetide-gateway/src/feed_relay.rs
+++ b/crates/ryetide-gateway/src/feed_relay.rs
@@ -6,6 +6,7 @@
 
 use std::{cell::Cell, rc::Rc};
 
+use bytes::Bytes;
 use ryetide_core::watch_duty::{FeedMark, WatchNote};
 use serde::{Deserialize, Serialize};
 use tokio::sync::{broadcast, mpsc, watch};
@@ -40,7 +41,7 @@
 impl RelayedChange {
     /// Leaves rows out that are too large to be passed on.
     fn bounded(mut self) -> Self {
-        let size = |row: &TableRow| row.key.len() + row.value.as_ref().map_or(0, |it| it.len());
+        let size = |row: &TableRow| row.key.len() + row.value.bytes().map_or(0, Bytes::len);
         self.rows = self.rows.filter(|rows| rows.iter().map(size).sum::<usize>() <= ROWS_LIMIT);
         self
     }
--- a/crates/ryetide-gateway/src/file_feed.rs
+++ b/crates/ryetide-gateway/src/file_feed.rs
@@ -38,7 +38,7 @@
                 return true;
             }
         };
-        let targets = FleetUpdate::Targets(RegistryUpdate::Snapshot(targets), 0);
+        let targets = FleetUpdate::Targets(RegistryUpdate::whole(targets), 0);
         for update in [FleetUpdate::Routes(Arc::new(table)), targets] {
             // The gateway is ending.
             if line.updates.send(update).await.is_err() {
--- a/crates/ryetide-gateway/src/fleet_view.rs
+++ b/crates/ryetide-gateway/src/fleet_view.rs
@@ -10,6 +10,7 @@
     target_registry::TargetRegistry,
     units::Revision,
 };
+use tokio::sync::Notify;
 
 /// The routes in force and the targets, as last told.
 #[derive(Default)]
@@ -17,6 +18,8 @@
     routes: RefCell<Option<Arc<RouteTable>>>,
     registry: RefCell<TargetRegistry>,
     current: RefCell<Vec<TargetEntry>>,
+    /// Rung when the targets have changed.
+    changed: Notify,
 }
 
 impl FleetView {
@@ -69,14 +72,30 @@
             return None;
         }
         *self.current.borrow_mut() = found.clone();
+        self.changed.notify_waiters();
         Some(found)
     }
 
-    /// Returns whether a target is leaving or gone.
+    /// Returns whether this life of a target is leaving or gone.
     pub fn has_left(&self, target: &TargetEntry) -> bool {
         let current = self.current.borrow();
         let found = current.iter().find(|entry| entry.name == target.name);
-        found.is_none_or(|entry| entry.leaving)
+        found.is_none_or(|entry| entry.leaving || entry.life != target.life)
+    }
+
+    /// Waits until a later life of a target is known.
+    ///
+    /// Whatever was sent to the earlier life is lost then. Where its VM lost power, nothing comes on the old
+    /// connections, not even their end, until a probe goes unanswered two to three seconds later; the new life's
+    /// entry says it sooner.
+    pub async fn life_ended(&self, target: &TargetEntry) {
+        loop {
+            let changed = self.changed.notified();
+            if self.registry.borrow().is_replaced(target) {
+                return;
+            }
+            changed.await;
+        }
     }
 
     /// Returns how many targets there are.
--- a/crates/ryetide-gateway/src/lib.rs
+++ b/crates/ryetide-gateway/src/lib.rs
@@ -19,7 +19,7 @@
 //! | [`caller_listener`], [`caller_service`], [`exchange`], [`caller_answer`] | callers |
 //! | [`call_template`], [`target_pool`], [`target_answer`], [`relay`], [`relay_fault`], [`event_scanner`] | targets |
 //! | [`scheduler_hub`], [`fleet_view`] | the scheduler and what it schedules onto |
-//! | [`store_feed`], [`table_follower`], [`store_table`], [`store_outage`], [`feed_relay`] | routes, targets and peers from a platform's store |
+//! | [`store_feed`], [`table_follower`], [`store_table`], [`row_faults`], [`store_outage`], [`feed_relay`] | routes, targets and peers from a platform's store |
 //! | [`peer_link`] | the other entry VMs |
 //! | [`gateway_text`], [`file_feed`], [`own_headers`] | a gateway without a platform |
 //! | [`status_port`], [`gateway_metrics`], [`decision_log`] | readiness, metrics, logs |
@@ -46,6 +46,7 @@
 pub mod relay;
 pub mod relay_fault;
 mod retry_pause;
+pub mod row_faults;
 pub mod scheduler_hub;
 pub mod status_port;
 pub mod store_feed;
--- a/crates/ryetide-gateway/src/relay.rs
+++ b/crates/ryetide-gateway/src/relay.rs
@@ -100,13 +100,22 @@
         let timeout = self.exchange.timeout_at();
         let now = tokio::time::Instant::now();
         let until = if has_other { timeout.min(now + silence) } else { timeout };
-        let Some(answer) = &mut self.answer else { return Ok(None) };
-        let frame = tokio::time::timeout_at(until, answer.body.frame()).await;
+        let Some(TargetAnswer { body, target, .. }) = &mut self.answer else { return Ok(None) };
+        let reading = tokio::time::timeout_at(until, body.frame());
+        // What has come is passed on, whatever became of the target since.
+        let frame = tokio::select! {
+            biased;
+            frame = reading => frame,
+            () = self.exchange.gateway().fleet().life_ended(target) => {
+                tracing::debug!(event = "target-restarted", peer = %target.name, life = %target.life);
+                return Err(RelayFault::Broken);
+            }
+        };
         match frame {
             Err(_) if until == timeout => Err(RelayFault::TimedOut),
             Err(_) => Err(RelayFault::Silent),
             Ok(Some(Err(error))) => {
-                tracing::debug!(event = "stream-broken", peer = %answer.target.name, reason = %error);
+                tracing::debug!(event = "stream-broken", peer = %target.name, reason = %error);
                 Err(RelayFault::Broken)
             }
             Ok(Some(Ok(frame))) => {
--- a/crates/ryetide-gateway/src/store_feed.rs
+++ b/crates/ryetide-gateway/src/store_feed.rs
@@ -17,7 +17,8 @@
 
 use crate::{
     ports::{FeedLine, FleetFeed, FleetUpdate, LocalFuture, PeerEntry, PeerSecret},
-    store_table::{FleetTable, StoreTable, TableRow},
+    row_faults::RowFaults,
+    store_table::{FleetTable, RowValue, StoreTable, TableRow},
     table_follower::{self, RowReader, TableFollower, TablePace},
 };
 
@@ -115,8 +116,9 @@
     fn run(self: Box<Self>, own: PeerEntry, line: FeedLine) -> LocalFuture<'static, ()> {
         let (routes_pace, targets_pace) = (self.bounds.routes_pace(), self.bounds.targets_pace());
         let store = self.store;
-        let routes = RouteReader(Rc::clone(&store));
-        let targets = TargetReader(Rc::clone(&store));
+        let faults = RowFaults::default;
+        let routes = RouteReader { store: Rc::clone(&store), faults: faults() };
+        let targets = TargetReader { store: Rc::clone(&store), faults: faults() };
         let table = move |kind| store.open(kind);
         Box::pin(async move {
             let follow_routes =
@@ -173,14 +175,18 @@
     row: Option<VmRow>,
 }
 
-struct RouteReader(Rc<dyn FleetStore>);
+struct RouteReader {
+    store: Rc<dyn FleetStore>,
+    faults: RowFaults,
+}
 
 impl RouteReader {
-    fn decode(&self, row: &TableRow) -> Option<FleetUpdate> {
-        match self.0.routes(row) {
+    /// Routes that cannot be read leave those in force that are.
+    fn decode(&mut self, row: &TableRow) -> Option<FleetUpdate> {
+        match self.store.routes(row) {
             Ok(routes) => Some(FleetUpdate::Routes(Arc::new(routes?))),
             Err(error) => {
-                tracing::error!(event = "routes-unreadable", version = row.version, reason = %error);
+                self.faults.note(FleetTable::Routes, row, &error);
                 None
             }
         }
@@ -197,19 +203,40 @@
     }
 }
 
-struct TargetReader(Rc<dyn FleetStore>);
+struct TargetReader {
+    store: Rc<dyn FleetStore>,
+    faults: RowFaults,
+}
+
+/// What rows of targets say.
+#[derive(Default)]
+struct TargetRows {
+    entries: Vec<TargetEntry>,
+    gone: Vec<TargetName>,
+    unreadable: Vec<TargetName>,
+}
 
 impl TargetReader {
-    fn entries(&self, rows: &[TableRow]) -> Vec<TargetEntry> {
-        let decode = |row: &TableRow| {
-            let decoded = self.0.target(&row.key, row.value.as_ref()?);
-            decoded
-                .inspect_err(|error| {
-                    tracing::warn!(event = "target-unreadable", target = %row.key, reason = %error);
-                })
-                .ok()
-        };
-        rows.iter().filter_map(decode).collect()
+    fn sort(&mut self, rows: &[TableRow]) -> TargetRows {
+        let mut sorted = TargetRows::default();
+        for row in rows {
+            let name = TargetName::from(row.key.as_str());
+            match &row.value {
+                RowValue::Dropped => sorted.gone.push(name),
+                RowValue::Unreadable => {
+                    self.faults.note(FleetTable::Targets, row, &"no bytes");
+                    sorted.unreadable.push(name);
+                }
+                RowValue::Present(value) => match self.store.target(&row.key, value) {
+                    Ok(entry) => sorted.entries.push(entry),
+                    Err(error) => {
+                        self.faults.note(FleetTable::Targets, row, &error);
+                        sorted.unreadable.push(name);
+                    }
+                },
+            }
+        }
+        sorted
     }
 }
 
@@ -220,14 +247,15 @@
 
 impl RowReader for TargetReader {
     fn whole(&mut self, rows: Vec<TableRow>) -> Option<FleetUpdate> {
-        Some(FleetUpdate::Targets(RegistryUpdate::Snapshot(self.entries(&rows)), newest(&rows)))
+        let TargetRows { entries, unreadable, .. } = self.sort(&rows);
+        let update = RegistryUpdate::Snapshot { entries, unreadable };
+        Some(FleetUpdate::Targets(update, newest(&rows)))
     }
 
     fn changed(&mut self, rows: Vec<TableRow>) -> Option<FleetUpdate> {
-        let gone = rows.iter().filter(|row| row.value.is_none());
-        let gone = gone.map(|row| TargetName::from(row.key.as_str())).collect();
-        let entries = self.entries(&rows);
-        Some(FleetUpdate::Targets(RegistryUpdate::Changed { entries, gone }, newest(&rows)))
+        let TargetRows { entries, gone, unreadable } = self.sort(&rows);
+        let update = RegistryUpdate::Changed { entries, gone, unreadable };
+        Some(FleetUpdate::Targets(update, newest(&rows)))
     }
 
     fn reached(&mut self, version: u64) -> Option<FleetUpdate> {
@@ -245,11 +273,17 @@
     /// Takes this VM's own row once it was looked for.
     tell_own: Option<oneshot::Sender<FoundRow>>,
     known: BTreeMap<String, PeerEntry>,
+    faults: RowFaults,
 }
 
 impl VmReader {
     fn new(own: &PeerEntry, tell_own: oneshot::Sender<FoundRow>) -> Self {
-        Self { own: own.name.clone(), tell_own: Some(tell_own), known: BTreeMap::new() }
+        Self {
+            own: own.name.clone(),
+            tell_own: Some(tell_own),
+            known: BTreeMap::new(),
+            faults: RowFaults::default(),
+        }
     }
 
     fn tell_own(&mut self, rows: &[TableRow]) {
@@ -258,7 +292,7 @@
         let found = own.map(|row| FoundRow {
             version: row.version,
             // One that cannot be read is written over; it is logged below.
-            row: row.value.as_ref().and_then(|value| serde_json::from_slice(value).ok()),
+            row: row.value.bytes().and_then(|value| serde_json::from_slice(value).ok()),
         });
         // The feed has ended if nobody waits for it.
         let _ = tell_own.send(found.unwrap_or_default());
@@ -274,19 +308,18 @@
 
     fn changed(&mut self, rows: Vec<TableRow>) -> Option<FleetUpdate> {
         for row in rows {
-            let decoded = row.value.as_ref().map(|value| serde_json::from_slice::<VmRow>(value));
-            match decoded {
-                Some(Ok(VmRow { data_centre, address, secret })) => {
-                    let name = row.key.as_str().into();
-                    let peer = PeerEntry { name, data_centre, address, secret };
-                    self.known.insert(row.key, peer);
-                }
-                Some(Err(error)) => {
-                    tracing::warn!(event = "peer-unreadable", peer = %row.key, reason = %error);
-                }
-                None => {
-                    self.known.remove(&row.key);
-                }
+            let decoded = row.value.bytes().map(|value| serde_json::from_slice::<VmRow>(value));
+            if let Some(Ok(VmRow { data_centre, address, secret })) = decoded {
+                let name = row.key.as_str().into();
+                let peer = PeerEntry { name, data_centre, address, secret };
+                self.known.insert(row.key, peer);
+                continue;
+            }
+            self.known.remove(&row.key);
+            if let Some(Err(error)) = decoded {
+                self.faults.note(FleetTable::Vms, &row, &error);
+            } else if row.value == RowValue::Unreadable {
+                self.faults.note(FleetTable::Vms, &row, &"no bytes");
             }
         }
         Some(FleetUpdate::Peers(self.known.values().cloned().collect()))
--- a/crates/ryetide-gateway/src/store_table.rs
+++ b/crates/ryetide-gateway/src/store_table.rs
@@ -19,6 +19,27 @@
     Vms,
 }
 
+/// What a row holds.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum RowValue {
+    /// These bytes.
+    Present(Bytes),
+    /// Nothing: the row was dropped.
+    Dropped,
+    /// Something that is no bytes: another writer's, and nobody's to use.
+    Unreadable,
+}
+
+impl RowValue {
+    /// Returns the bytes, if that is what the row holds.
+    pub fn bytes(&self) -> Option<&Bytes> {
+        match self {
+            Self::Present(bytes) => Some(bytes),
+            Self::Dropped | Self::Unreadable => None,
+        }
+    }
+}
+
 /// A row, as it is or as it changed.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct TableRow {
@@ -26,8 +47,8 @@
     pub key: String,
     /// Its version.
     pub version: u64,
-    /// Its value; none of a row that was dropped.
-    pub value: Option<Bytes>,
+    /// What it holds.
+    pub value: RowValue,
 }
 
 /// Rows, and the table's version as of which they are true.
--- a/crates/ryetide-gateway/src/table_follower.rs
+++ b/crates/ryetide-gateway/src/table_follower.rs
@@ -406,7 +406,11 @@
         match table.write(key, expected, value, CALL_LIMIT).await {
             Ok(()) => return,
             // An earlier try whose answer was lost has taken effect.
-            Err(TableFault::Conflict(Some(row))) if row.value.as_deref() == Some(value) => return,
+            Err(TableFault::Conflict(Some(row)))
+                if row.value.bytes().is_some_and(|found| found == value) =>
+            {
+                return;
+            }
             Err(TableFault::Conflict(found)) => {
                 let version = found.map_or(0, |row| row.version);
                 tracing::info!(event = "row-replaced", step = "write", key, expected, version);
--- a/crates/ryetide-gateway/src/target_answer.rs
+++ b/crates/ryetide-gateway/src/target_answer.rs
@@ -72,6 +72,9 @@
     /// The connection broke, or what came is no answer.
     #[error("read: {0}")]
     Broken(#[from] hyper::Error),
+    /// The target has started again meanwhile.
+    #[error("read: the target has started again")]
+    TargetEnded,
     /// It is larger than what is held for one answer.
     #[error("read: more than {0} bytes")]
     TooLarge(usize),
--- a/crates/ryetide-gateway/src/target_pool.rs
+++ b/crates/ryetide-gateway/src/target_pool.rs
@@ -15,7 +15,7 @@
     client::conn::http1::{self, SendRequest},
 };
 use hyper_util::rt::TokioIo;
-use ryetide_core::{ids::TargetName, target_load::TargetEntry};
+use ryetide_core::{ids::TargetKey, target_load::TargetEntry};
 use tokio::{
     net::TcpStream,
     task::{self, AbortHandle},
@@ -105,10 +105,10 @@
     Fresh,
 }
 
-/// The connections to all targets.
+/// The connections to all targets, each to one life of a target.
 #[derive(Default)]
 pub struct TargetPool {
-    kept: RefCell<HashMap<TargetName, Vec<KeptConnection>>>,
+    kept: RefCell<HashMap<TargetKey, Vec<KeptConnection>>>,
 }
 
 impl TargetPool {
@@ -128,7 +128,7 @@
         choice: ConnectionChoice,
     ) -> Result<TargetConnection, ConnectFault> {
         if choice == ConnectionChoice::Kept
-            && let Some(connection) = self.take_kept(&target.name)
+            && let Some(connection) = self.take_kept(target.key())
         {
             return Ok(connection);
         }
@@ -136,13 +136,13 @@
     }
 
     /// Keeps a connection whose answer was read whole, for as long as the target said it keeps it.
-    pub fn keep(&self, target: &TargetName, connection: TargetConnection, named: Option<Duration>) {
+    pub fn keep(&self, target: TargetKey, connection: TargetConnection, named: Option<Duration>) {
         let span = named.map_or(KEPT_SPAN, |named| named.mul_f64(KEPT_PART).min(KEPT_SPAN));
         if span.is_zero() || connection.sender.is_closed() {
             return;
         }
         let mut all = self.kept.borrow_mut();
-        let kept = all.entry(target.clone()).or_default();
+        let kept = all.entry(target).or_default();
         if kept.len() < KEPT_LIMIT {
             kept.push(KeptConnection { connection, until: Instant::now() + span });
         }
@@ -157,10 +157,10 @@
         });
     }
 
-    fn take_kept(&self, target: &TargetName) -> Option<TargetConnection> {
+    fn take_kept(&self, target: TargetKey) -> Option<TargetConnection> {
         let now = Instant::now();
         let mut all = self.kept.borrow_mut();
-        let kept = all.get_mut(target)?;
+        let kept = all.get_mut(&target)?;
         while let Some(KeptConnection { mut connection, until }) = kept.pop() {
             if now < until && connection.sender.is_ready() {
                 connection.kept = true;
--- a/crates/ryetide-gateway/tests/serving/support.rs
+++ b/crates/ryetide-gateway/tests/serving/support.rs
@@ -191,6 +191,7 @@
 pub fn entry(name: &str, address: SocketAddr) -> TargetEntry {
     TargetEntry {
         name: name.into(),
+        life: Default::default(),
         service: SERVICE.into(),
         address,
         data_centre: "hall-a".into(),
@@ -351,7 +352,7 @@
 
     /// Sets the targets, and waits until the gateway is ready with them.
     pub async fn set_targets(&self, entries: Vec<TargetEntry>) {
-        self.tell(FleetUpdate::Targets(RegistryUpdate::Snapshot(entries), 0)).await;
+        self.tell(FleetUpdate::Targets(RegistryUpdate::whole(entries), 0)).await;
         while self.ready().await != 200 {
             time::sleep(Duration::from_millis(2)).await;
         }
--- a/crates/ryetide-gateway/tests/table_follower/main.rs
+++ b/crates/ryetide-gateway/tests/table_follower/main.rs
@@ -10,7 +10,7 @@
 use ryetide_core::peer_board::FeedLag;
 use ryetide_gateway::{
     fleet_duties::FeedWatch,
-    store_table::{TableFault, TableRow},
+    store_table::{RowValue, TableFault, TableRow},
     table_follower,
 };
 use support::{Answer, Call, PACE, Script, failed, follow, row};
@@ -95,7 +95,7 @@
 /// was lost: both end the trying as they should.
 #[tokio::test(start_paused = true)]
 async fn a_row_of_an_earlier_life_is_written_over() {
-    let old = TableRow { value: Some(Bytes::from_static(b"old")), ..row("e1", 5) };
+    let old = TableRow { value: RowValue::Present(Bytes::from_static(b"old")), ..row("e1", 5) };
     let script = Script::new([
         Answer::Fault(TableFault::Conflict(Some(old))),
         failed(),
--- a/crates/ryetide-gateway/tests/table_follower/support.rs
+++ b/crates/ryetide-gateway/tests/table_follower/support.rs
@@ -13,7 +13,7 @@
 use ryetide_gateway::{
     feed_relay::FeedRelay,
     ports::{FeedLine, FleetUpdate, LocalFuture},
-    store_table::{FleetTable, StoreTable, TableFault, TableRow, TableRows},
+    store_table::{FleetTable, RowValue, StoreTable, TableFault, TableRow, TableRows},
     table_follower::{RowReader, TableFollower, TablePace},
 };
 use tokio::{
@@ -140,7 +140,7 @@
 }
 
 pub fn row(key: &str, version: u64) -> TableRow {
-    TableRow { key: key.to_owned(), version, value: Some(Bytes::from_static(b"mine")) }
+    TableRow { key: key.to_owned(), version, value: RowValue::Present(Bytes::from_static(b"mine")) }
 }
 
 pub fn failed() -> Answer {
--- a/crates/ryetide-gateway/tests/table_rows.rs
+++ b/crates/ryetide-gateway/tests/table_rows.rs
@@ -1,10 +1,14 @@
 //! Rows of a store as its history tells them.
 
 use bytes::Bytes;
-use ryetide_gateway::{store_table::TableRow, table_follower};
+use ryetide_gateway::{
+    store_table::{RowValue, TableRow},
+    table_follower,
+};
 
 fn change(key: &str, version: u64, value: Option<&'static str>) -> TableRow {
-    TableRow { key: key.to_owned(), version, value: value.map(Bytes::from) }
+    let value = value.map_or(RowValue::Dropped, |text| RowValue::Present(Bytes::from(text)));
+    TableRow { key: key.to_owned(), version, value }
 }
 
 /// A VM that was cut off from the store hears of two versions of the configuration at once. Callers
