Tell peers which targets cannot be reached, and find out with one request

Change: a VM's mark tells that a target could not be reached, a target in doubt is never on time, one request probes it after its pause, any byte from it ends the doubt. Ruled out: leaving out whatever a peer doubts; a VM that alone has lost the way would empty the others' choice, so doubt only costs 3 s of rank. Tests, both failed without it: what_one_vm_cannot_reach_the_others_pass_over, a_target_that_was_not_reached_gets_one_request_to_find_out.

--- a/crates/ryetide-core/src/line_view.rs
+++ b/crates/ryetide-core/src/line_view.rs
@@ -86,8 +86,13 @@
         options: &'a SchedulerOptions,
     ) -> Self {
         let loads = state.targets.iter().filter_map(|key| targets.get(key));
-        let may_get = |load: &&TargetLoad| !load.entry().leaving && !load.health().is_paused(now);
-        Self { now, state, usable: loads.filter(may_get).collect(), peers, options }
+        Self {
+            now,
+            state,
+            usable: loads.filter(|load| load.may_get(now)).collect(),
+            peers,
+            options,
+        }
     }
 
     /// Returns how many places are free.
@@ -204,14 +209,18 @@
         };
         let best = open.into_iter().min_by_key(order)?;
         let (_, forecast) = best;
-        if forecast.on_time || (forecast.keeps_pauses && forecast.first < need.objective_left) {
+        let in_time = forecast.keeps_pauses && forecast.first < need.objective_left;
+        if forecast.on_time || (in_time && !forecast.doubtful) {
             return Some(best);
         }
         // No free place serves it on time. One that is taken may yet; and a late answer to one caller is
         // not worth the pauses of all whose streams run beside it.
         let better = |load: &TargetLoad, it: &PlacingForecast| match rank.late {
             true => it.keeps_pauses && !forecast.keeps_pauses,
-            false => it.keeps_pauses && it.first + self.place_wait(load) < need.objective_left,
+            false => {
+                let wait = self.place_wait(load);
+                it.keeps_pauses && !it.doubtful && it.first + wait < need.objective_left
+            }
         };
         let worth_waiting = taken.iter().any(|(load, it)| better(load, it));
         (!worth_waiting).then_some(best)
--- a/crates/ryetide-core/src/load_digest.rs
+++ b/crates/ryetide-core/src/load_digest.rs
@@ -25,7 +25,7 @@
     pub running: u16,
     /// Prompt tokens sent and not yet read, as this VM reckons.
     pub unread: u32,
-    /// Whether requests to it lately failed or stalled here.
+    /// Whether it could not be reached from here when last tried, or has stalled here.
     pub doubtful: bool,
     /// What this VM has learnt of its speed; only in a whole digest.
     pub pace: Option<PaceReport>,
--- a/crates/ryetide-core/src/placing.rs
+++ b/crates/ryetide-core/src/placing.rs
@@ -22,7 +22,8 @@
 const PLACE_CHARGE: Duration = Duration::from_millis(4);
 /// What a target that fails every request is charged; one that fails a part is charged that part.
 const FAILING_CHARGE: Duration = Duration::from_millis(1_500);
-/// What a target that has fallen silent is charged: it is used only when nothing else is left.
+/// What a target that has fallen silent, or could not be reached, is charged: it is used only when nothing else is
+/// left.
 const DOUBT_CHARGE: Duration = Duration::from_millis(3_000);
 /// The part of the objective within which a first event must be expected for a target to count as
 /// serving on time; the rest covers what the estimate misses.
@@ -63,6 +64,8 @@
     pub keeps_pauses: bool,
     /// Whether it would be on time, and keep the streams beside it on time.
     pub on_time: bool,
+    /// Whether it is in doubt that the target can be reached and works.
+    pub doubtful: bool,
     /// By which targets are compared; least is best.
     pub cost: Duration,
 }
@@ -92,8 +95,10 @@
     let mut cost = first + length + PLACE_CHARGE * running;
     cost += if remote { REMOTE_CHARGE } else { Duration::ZERO };
     cost += FAILING_CHARGE.mul_f64(target.health().failing(now));
-    cost += if target.is_doubtful(now) { DOUBT_CHARGE } else { Duration::ZERO };
+    let doubtful = target.is_doubtful(now);
+    cost += if doubtful { DOUBT_CHARGE } else { Duration::ZERO };
     cost += target.entry().warmup / 10;
-    let on_time = keeps_pauses && first < need.objective_left.mul_f64(FIRST_MARGIN);
-    PlacingForecast { first, to_read, keeps_pauses, on_time, cost }
+    let fits = first < need.objective_left.mul_f64(FIRST_MARGIN);
+    let on_time = keeps_pauses && fits && !doubtful;
+    PlacingForecast { first, to_read, keeps_pauses, on_time, doubtful, cost }
 }
--- a/crates/ryetide-core/src/scheduler.rs
+++ b/crates/ryetide-core/src/scheduler.rs
@@ -368,8 +368,7 @@
             let spent = if self.quotas.ledger().is_short() { brief.spent } else { Vec::new() };
             return LoadDigest { scope, targets, waiting, placed, spent, ..brief };
         }
-        let told =
-            self.targets.values().filter(|load| load.own_running() > 0 || load.has_learnt(now));
+        let told = self.targets.values().filter(|load| load.has_news(now));
         let targets = told.map(|load| load.mark(now)).collect();
         LoadDigest { scope, targets, waiting, placed, ..brief }
     }
--- a/crates/ryetide-core/src/target_health.rs
+++ b/crates/ryetide-core/src/target_health.rs
@@ -43,14 +43,14 @@
 
     /// Notes a request that the target answered well.
     pub fn note_success(&mut self, now: Moment) {
-        self.refused_in_row = 0;
-        self.pause_until = Moment::default();
-        self.heard_at = now;
+        self.note_heard(now);
         self.judge(now, 0.0);
     }
 
-    /// Notes that any byte came from the target.
+    /// Notes that any byte came from the target: it can be reached.
     pub fn note_heard(&mut self, now: Moment) {
+        self.refused_in_row = 0;
+        self.pause_until = Moment::default();
         self.heard_at = now;
     }
 
@@ -64,6 +64,14 @@
         now < self.pause_until
     }
 
+    /// Returns whether the target could not be reached when it was last tried.
+    ///
+    /// It then gets one request at a time, to find out: a target that lies dark takes each one's first 300 ms, and
+    /// its places, all free, look better than any other's while the rest of the fleet is full.
+    pub fn is_suspect(&self) -> bool {
+        self.refused_in_row > 0
+    }
+
     /// Returns the part of late requests that the target failed, 0 to 1.
     pub fn failing(&self, now: Moment) -> f64 {
         let halves = now.since(self.judged_at).as_secs_f64() / FORGIVE_SPAN.as_secs_f64();
--- a/crates/ryetide-core/src/target_load.rs
+++ b/crates/ryetide-core/src/target_load.rs
@@ -167,15 +167,12 @@
         own + self.marks(now).map(|mark| u32::from(mark.running)).sum::<u32>()
     }
 
-    /// Returns the requests that this VM has at the target.
-    pub fn own_running(&self) -> usize {
-        self.runs.len()
-    }
-
-    /// Returns whether this VM knows something of the target's speed that peers may want.
-    pub fn has_learnt(&self, now: Moment) -> bool {
+    /// Returns whether this VM knows something of the target that peers may want: what it has there, how fast the
+    /// target is, or that it is in doubt.
+    pub fn has_news(&self, now: Moment) -> bool {
         let report = self.pace.report(now);
-        report.prompt.weight.max(report.event.weight) > TOLD_WEIGHT
+        let has_learnt = report.prompt.weight.max(report.event.weight) > TOLD_WEIGHT;
+        has_learnt || !self.runs.is_empty() || self.is_doubted_here(now)
     }
 
     /// Returns the places left.
@@ -205,10 +202,21 @@
         assumed.overhead + self.estimate.reading_time(self.unread(now) + tokens.0)
     }
 
-    /// Returns whether a peer or this VM doubts the target: nothing has come from it for too long
-    /// while something should have.
+    /// Returns whether a peer or this VM doubts the target: it could not be reached, or nothing has come from it
+    /// for too long while something should have.
     pub fn is_doubtful(&self, now: Moment) -> bool {
-        self.is_stalled(now) || self.marks(now).any(|mark| mark.doubtful)
+        self.is_doubted_here(now) || self.marks(now).any(|mark| mark.doubtful)
+    }
+
+    /// Returns whether the target may be given new work: not while it is passed over, and one request at a time
+    /// until it is known to be reached again.
+    pub fn may_get(&self, now: Moment) -> bool {
+        let probed = self.health.is_suspect() && !self.runs.is_empty();
+        !self.entry.leaving && !self.health.is_paused(now) && !probed
+    }
+
+    fn is_doubted_here(&self, now: Moment) -> bool {
+        self.is_stalled(now) || self.health.is_suspect()
     }
 
     fn is_stalled(&self, now: Moment) -> bool {
@@ -301,7 +309,7 @@
             target: self.key,
             running: u16::try_from(self.runs.len()).unwrap_or(u16::MAX),
             unread: u32::try_from(unread).unwrap_or(u32::MAX),
-            doubtful: self.is_stalled(now),
+            doubtful: self.is_doubted_here(now),
             pace: Some(self.pace.report(now)),
         }
     }
--- a/crates/ryetide-core/tests/scheduler.rs
+++ b/crates/ryetide-core/tests/scheduler.rs
@@ -123,6 +123,10 @@
     }
 }
 
+fn key_of(name: &str) -> Vec<TargetKey> {
+    vec![TargetKey::of(&name.into())]
+}
+
 /// What a peer knows of a target: microseconds for a prompt token, and between events.
 fn mark(name: &str, running: u16, prompt: f32, event: f32) -> TargetMark {
     let figure = |mean| FadingMean { mean, weight: 6.0 };
@@ -458,3 +462,36 @@
     bench.scheduler.advance(at(25));
     assert_eq!(bench.placed(), [(waiting, "t1".to_owned())]);
 }
+
+/// A target lies dark: its places are all free, and every request sent there costs its caller 300 ms. One VM has
+/// found out and tells the others, who must use the targets that work, also a busier one.
+#[test]
+fn what_one_vm_cannot_reach_the_others_pass_over() {
+    let targets = [("t1", 9), ("t2", 2)];
+    let mut finder = Bench::named("e2", &targets);
+    finder.scheduler.enter(at(0), WaitingWork { excluded: key_of("t2"), ..work(1, at(0), 0, 100) });
+    finder.scheduler.end(at(0), RequestSequence(1), RunEnd::Unreachable);
+    let told = finder.scheduler.digest(at(0), FleetNews::default(), false);
+    let mut bench = Bench::new(&targets);
+    bench.hear(at(0), 1, told);
+    bench.enter(at(1), 0, 100);
+    bench.enter(at(1), 0, 100);
+    assert_eq!(bench.placed(), [(1, "t2".to_owned()), (2, "t2".to_owned())]);
+}
+
+/// A target could not be reached. When its pause is over it gets one request, not all that wait: each would wait
+/// 300 ms for a connection. Once anything has come from it, it is used as before.
+#[test]
+fn a_target_that_was_not_reached_gets_one_request_to_find_out() {
+    let mut bench = Bench::new(&[("t1", 9)]);
+    bench.enter(at(0), 0, 100);
+    bench.placed();
+    bench.scheduler.end(at(10), RequestSequence(1), RunEnd::Unreachable);
+    let probe = bench.enter(at(20), 0, 100);
+    let behind = bench.enter(at(20), 0, 100);
+    bench.scheduler.advance(at(250));
+    assert_eq!(bench.placed(), [(probe, "t1".to_owned())]);
+    bench.scheduler.note_event(at(300), RequestSequence(probe));
+    bench.scheduler.advance(at(301));
+    assert_eq!(bench.placed(), [(behind, "t1".to_owned())]);
+}
