--- a/crates/ryetide-core/src/lib.rs
+++ b/crates/ryetide-core/src/lib.rs
@@ -28,7 +28,7 @@
 //! | [`arbiter`], [`verdict`], [`queue`], [`estimate`], [`affinity`], [`retry`] | order and placement |
 //! | [`membership`] | peers, and who arbitrates what |
 //! | [`claim`], [`configuration`], [`request`] | what must not go wrong |
-//! | [`route`], [`route_text`], [`quota`], [`quota_desk`], [`retry_budget`] | routed requests: where they go, what they may cost |
+//! | [`route`], [`route_text`], [`quota`], [`quota_desk`], [`retry_budget`], [`comeback_time`] | routed requests: where they go, what they may cost |
 //! | [`scheduler`], [`scheduler_options`], [`line_view`], [`wait_line`], [`deadline_habit`], [`decision`] | the order and refusal of routed requests |
 //! | [`placing`], [`target_load`], [`target_health`], [`pace`], [`prompt_memory`] | where they are placed |
 //! | [`load_digest`], [`peer_board`], [`cell_plan`], [`target_registry`] | what entry VMs tell each other, and which targets there are |
@@ -43,6 +43,7 @@
 pub mod cell_plan;
 pub mod chart;
 pub mod claim;
+pub mod comeback_time;
 pub mod configuration;
 pub mod deadline_habit;
 pub mod decision;
--- a/crates/ryetide-core/src/scheduler.rs
+++ b/crates/ryetide-core/src/scheduler.rs
@@ -13,10 +13,9 @@
     time::Duration,
 };
 
-use rand::{Rng, SeedableRng, rngs::SmallRng};
-
 use crate::{
     cell_plan::{CellMember, CellPlan},
+    comeback_time::ComebackTime,
     decision::{Decision, PlacingEvidence, RefusalReason, RunEnd},
     digest_teller::DigestTeller,
     ids::{RequestSequence, ServiceName, TargetKey, VmName},
@@ -38,19 +37,12 @@
 const LINE_INTERVAL: Duration = Duration::from_millis(5);
 /// How fast the mean time in a place follows new ones.
 const HOLD_WEIGHT: f64 = 0.05;
-/// The shortest and the longest time after which refused callers are told to come back.
-const RETRY_LEAST: Duration = Duration::from_millis(300);
-const RETRY_GREATEST: Duration = Duration::from_secs(10);
-/// How far promises are spread, as a part: callers refused together must not come back together.
-const RETRY_SPREAD: f64 = 0.5;
-/// When to come back to a service none of whose targets is known.
-const NO_TARGET_RETRY: Duration = Duration::from_secs(1);
 
 /// Schedules the requests of one entry VM onto the targets that all share.
 #[derive(Debug)]
 pub struct Scheduler {
     options: SchedulerOptions,
-    rng: SmallRng,
+    comeback: ComebackTime,
     services: BTreeMap<ServiceName, ServiceLine>,
     targets: BTreeMap<TargetKey, TargetLoad>,
     runs: HashMap<RequestSequence, PlacedRun>,
@@ -79,7 +71,7 @@
     pub fn new(options: SchedulerOptions) -> Self {
         let plan = CellPlan::new(&options.member(), &[]);
         Self {
-            rng: SmallRng::seed_from_u64(options.seed),
+            comeback: ComebackTime::new(options.seed),
             retries: RetryBudget::new(options.retry),
             options,
             plan,
@@ -218,7 +210,7 @@
     /// back.
     pub fn ask_quota(&mut self, now: Moment, ask: QuotaAsk) -> QuotaAnswer {
         match self.quotas.ask(now, ask) {
-            QuotaAnswer::Over(wait) => QuotaAnswer::Over(self.spread(wait.max(RETRY_LEAST))),
+            QuotaAnswer::Over(wait) => QuotaAnswer::Over(self.comeback.after_quota(wait)),
             answer => answer,
         }
     }
@@ -230,7 +222,7 @@
 
     fn advance_quotas(&mut self, now: Moment) {
         for mut verdict in self.quotas.advance(now) {
-            verdict.outcome = verdict.outcome.map_err(|wait| self.spread(wait.max(RETRY_LEAST)));
+            verdict.outcome = verdict.outcome.map_err(|wait| self.comeback.after_quota(wait));
             self.verdicts.push(verdict);
         }
     }
@@ -478,12 +470,12 @@
         reason: RefusalReason,
     ) {
         let line = self.services.get(service).map_or(0, |state| state.line.len());
-        let wait = match reason {
-            RefusalReason::NoTarget => NO_TARGET_RETRY,
-            _ => self.view(now, service).map_or(Duration::ZERO, |view| view.expected_wait(None)),
-        };
+        let wait = self.view(now, service).map_or(Duration::ZERO, |view| view.expected_wait(None));
         self.service_state(service).line.remove(ticket);
-        let retry_after = self.spread(wait.clamp(RETRY_LEAST, RETRY_GREATEST));
+        let retry_after = match reason {
+            RefusalReason::NoTarget => self.comeback.without_target(),
+            RefusalReason::Overload | RefusalReason::OutOfTime => self.comeback.after_line(wait),
+        };
         self.decisions.push(Decision::Refuse { ticket, reason, retry_after, line });
         self.changed = true;
     }
@@ -501,8 +493,4 @@
         let state = self.services.get(service)?;
         Some(LineView::new(now, state, &self.targets, &self.peers, &self.options))
     }
-
-    fn spread(&mut self, wait: Duration) -> Duration {
-        wait.mul_f64(1.0 + self.rng.random_range(0.0..RETRY_SPREAD))
-    }
 }
--- a/crates/ryetide-gateway/src/caller_answer.rs
+++ b/crates/ryetide-gateway/src/caller_answer.rs
@@ -16,6 +16,7 @@
     body::{Body, Frame, SizeHint},
     header::{self, HeaderValue},
 };
+use ryetide_core::decision::RefusalReason;
 
 use crate::{ports::HeaderNames, relay_fault::RelayFault};
 
@@ -130,7 +131,24 @@
     pub retry_after: Option<Duration>,
 }
 
+impl From<RefusalReason> for OwnReason {
+    fn from(reason: RefusalReason) -> Self {
+        match reason {
+            RefusalReason::NoTarget => Self::NoTarget,
+            RefusalReason::Overload => Self::Overload,
+            RefusalReason::OutOfTime => Self::OutOfTime,
+        }
+    }
+}
+
 impl OwnAnswer {
+    /// Returns what may be said of a request that has been sent: it may have run, so nothing that promises
+    /// otherwise, and no time to come back.
+    pub fn after_dispatch(self) -> Self {
+        let promises = self.reason.status() == StatusCode::SERVICE_UNAVAILABLE;
+        Self::new(if promises { OwnReason::TargetFailed } else { self.reason })
+    }
+
     /// An answer after which coming back does not help, or not at a time that is known.
     pub fn new(reason: OwnReason) -> Self {
         Self { reason, retry_after: None }
--- a/crates/ryetide-gateway/src/exchange.rs
+++ b/crates/ryetide-gateway/src/exchange.rs
@@ -8,15 +8,13 @@
 
 use bytes::Bytes;
 use hyper::{
-    StatusCode,
     header::{self, HeaderValue},
     http,
 };
 use ryetide_core::{
-    decision::{Decision, PlacingEvidence, RefusalReason, RunEnd},
-    ids::{OrganisationKey, ServiceName, TargetKey},
+    decision::{Decision, PlacingEvidence, RunEnd},
+    ids::{ServiceName, TargetKey},
     quota::QuotaCharge,
-    quota_desk::{QuotaAsk, QuotaClass},
     route::{MatchedRoute, WorkKind},
     target_load::TargetEntry,
     units::{Moment, Tokens},
@@ -30,6 +28,7 @@
     decision_log::{ExchangeSpans, LogId},
     gateway_state::Gateway,
     ports::WorkSize,
+    quota_wait,
     relay_fault::RelayFault,
     scheduler_hub::RequestTicket,
     target_answer::{self, AnswerKind, TargetAnswer},
@@ -46,14 +45,6 @@
 const TURNED_AWAY_RETRY: Duration = Duration::from_millis(500);
 /// Connections that may fail to open before a request is given up; each costs at most 300 ms.
 const CONNECT_TRIES: u32 = 6;
-/// The part of the time until its objective for which a request may wait for its quota; it needs the rest to get a
-/// place and its first event.
-const QUOTA_PART: f64 = 0.5;
-/// The part of the time until its caller leaves for which a request that has missed its objective may wait for its
-/// quota. Most callers come back once only: sent away again, it is lost.
-const LATE_QUOTA_PART: f64 = 0.3;
-/// Output tokens assumed of a request that does not tell.
-const ASSUMED_OUTPUT: u64 = 200;
 
 /// How a dispatch ended.
 pub enum DispatchEnd {
@@ -173,25 +164,12 @@
     /// Returns what to answer when the quota is used up.
     pub async fn charge_quota(&mut self) -> Result<(), OwnAnswer> {
         let Some(holder) = &self.matched.holder else { return Ok(()) };
-        let Some(rule) = holder.quota else { return Ok(()) };
-        let key = OrganisationKey::of(&holder.name);
-        let charge = QuotaCharge { key, units: rule.cost_of(self.size.quota_tokens()) };
         let now = self.gateway.hub().clock().now();
-        let work = self.work();
-        let late = work.objective_at <= now;
-        let (until, part) =
-            if late { (work.leave_at, LATE_QUOTA_PART) } else { (work.objective_at, QUOTA_PART) };
-        let ask = QuotaAsk {
-            ticket: self.ticket.number(),
-            charge,
-            rule,
-            class: QuotaClass { tier: work.tier, route_tier: work.route_tier },
-            late,
-            wait_until: now + until.since(now).mul_f64(part),
-        };
+        let ask = quota_wait::ask_of(now, holder, self.size.quota_tokens(), &self.work());
+        let Some(ask) = ask else { return Ok(()) };
         match self.ticket.ask_quota(ask).await {
             Ok(()) => {
-                self.charge = Some(charge);
+                self.charge = Some(ask.charge);
                 Ok(())
             }
             Err(wait) => {
@@ -267,9 +245,7 @@
                 Some(Decision::Place { target, evidence, .. }) => (target, evidence),
                 Some(Decision::Refuse { reason, retry_after, line, .. }) => {
                     self.gateway.log().refused(&self.log_id(), reason.into(), retry_after, line);
-                    return DispatchEnd::Own(
-                        OwnAnswer::new(own_reason(reason)).with_retry(retry_after),
-                    );
+                    return DispatchEnd::Own(OwnAnswer::new(reason.into()).with_retry(retry_after));
                 }
                 None => {
                     return DispatchEnd::Own(
@@ -381,7 +357,7 @@
     /// Answers the caller itself.
     pub fn answer_own(mut self, mut answer: OwnAnswer) -> CallerResponse {
         if self.attempts > 0 {
-            answer = after_dispatch(answer);
+            answer = answer.after_dispatch();
         } else if answer.reason == OwnReason::TimedOut {
             answer.reason = OwnReason::OutOfTime;
         }
@@ -472,8 +448,7 @@
         let route = &self.matched.route;
         let engine = self.gateway.fleet().engine(&self.service);
         let prompt = self.size.prompt.unwrap_or_default();
-        let output = self.size.output_hint.or(self.size.output_limit);
-        let output = output.unwrap_or(Tokens(ASSUMED_OUTPUT)).0;
+        let Tokens(output) = self.size.expected_output();
         let per_event = engine.map_or(1, |engine| engine.tokens_per_event.max(1));
         // A caller who has had events waits anew after each of them; measured from its arrival, it
         // would count as gone in the middle of a long stream that only has to go on elsewhere.
@@ -523,18 +498,3 @@
         }
     }
 }
-
-/// What may be said of a request that has been sent: it may have run, so nothing that promises
-/// otherwise, and no time to come back.
-fn after_dispatch(answer: OwnAnswer) -> OwnAnswer {
-    let promises = answer.reason.status() == StatusCode::SERVICE_UNAVAILABLE;
-    OwnAnswer::new(if promises { OwnReason::TargetFailed } else { answer.reason })
-}
-
-fn own_reason(reason: RefusalReason) -> OwnReason {
-    match reason {
-        RefusalReason::NoTarget => OwnReason::NoTarget,
-        RefusalReason::Overload => OwnReason::Overload,
-        RefusalReason::OutOfTime => OwnReason::OutOfTime,
-    }
-}
--- a/crates/ryetide-gateway/src/ports.rs
+++ b/crates/ryetide-gateway/src/ports.rs
@@ -19,6 +19,9 @@
 use crate::feed_relay::FeedRelay;
 pub use crate::local_future::LocalFuture;
 
+/// Output tokens assumed of a request that does not tell.
+const ASSUMED_OUTPUT: Tokens = Tokens(200);
+
 /// What one gateway is told when it starts.
 #[derive(Clone, Debug, PartialEq)]
 pub struct GatewaySettings {
@@ -85,6 +88,11 @@
 }
 
 impl WorkSize {
+    /// Returns the tokens that the answer is expected to have.
+    pub fn expected_output(&self) -> Tokens {
+        self.output_hint.or(self.output_limit).unwrap_or(ASSUMED_OUTPUT)
+    }
+
     /// Returns the tokens by which the request counts against a quota, when it tells them.
     pub fn quota_tokens(&self) -> Option<u64> {
         Some(self.prompt?.0 + self.output_limit?.0)
