--- a/crates/ryetide-core/src/quota_desk.rs
+++ b/crates/ryetide-core/src/quota_desk.rs
@@ -26,18 +26,19 @@
 
 /// How many mean requests of each more urgent class a less urgent one leaves room for, times the number of those
 /// classes: the last in rank, which cost least by the request, would else pass where the ones before them do not.
-/// With 3 the calm days had 0.915, with 5 0.924; with 24 of each class, whatever the rank, other organisations' calm
-/// days fell by 0.03, since units lay unused.
+/// With 3 a calm day had 0.915 of all worth, with 5 0.924; with 24 of each class, whatever the rank, calm days of
+/// other deployments fell by up to 0.03.
 const ROOM_REQUESTS: f64 = 5.0;
 /// The most room that a request leaves, as a multiple of what it costs itself: an order of 200 units passes where a
-/// review of 4,000 finds its units. 12 and 30 differed by less than the spread, and 60 cost 0.02 to 0.03 elsewhere.
+/// review of 4,000 finds its units. 12 and 30 differed by less than the spread; 60 cost up to 0.03 on other deployments.
 const ROOM_PER_COST: f64 = 30.0;
-/// The most of a burst that is kept as room: the rest always goes to whoever asks first. 0.8 cost 0.02 to 0.03 on calm
-/// days of organisations whose requests are large against their bursts.
+/// The most of a burst that is kept as room: the rest always goes to whoever asks first. 0.8 cost up to 0.03 on calm
+/// days of other deployments.
 const ROOM_PART: f64 = 0.5;
-/// A class that was not seen for this long needs no room.
+/// A class that was not seen for this long needs no room: at today's loads each organisation asks for every class
+/// several times a second, so a class that is away this long is not used.
 const CLASS_LIFE: Duration = Duration::from_secs(5);
-/// How fast the mean cost of a class follows new requests.
+/// How fast the mean cost of a class follows new requests: some ten of them, so that one large prompt does not set it.
 const COST_WEIGHT: f64 = 0.1;
 
 /// How urgent a request is among those of its organisation; the least goes first.
@@ -62,7 +63,7 @@
     pub class: QuotaClass,
     /// Whether it has missed its objective; it then stands behind those of its class that have not.
     pub late: bool,
-    /// How long it may wait for its units; zero when it may not.
+    /// Until when it may wait for its units.
     pub wait_until: Moment,
 }
 
