Size cells by their targets, and pace digests by the number of mates

Cause: 195 VMs before 78 targets were dealt into 25 cells of eight VMs. 78 targets are too few for 25 cells, so every cell used all of them, while a VM told only its seven mates what it had there. Each VM placed on targets whose load 187 others changed unseen, targets with eight places got more, and what waited inside an engine waited in no order: next to nothing was refused, half was late, the urgent as often as the others.

Change: a data centre has as many cells as its VMs make by eights or its targets by tens, whichever is fewer, and at least one. The rule is one for all sizes: fleets with two targets to a VM keep the cells that they had. In a large cell every VM would be told of every change by all the others; digests are further apart there, so that a VM is told as often as in a cell of eight, and what depends on it (turns at free places, repeats of changes) follows.

--- a/crates/ryetide-core/src/cell_plan.rs
+++ b/crates/ryetide-core/src/cell_plan.rs
@@ -4,24 +4,36 @@
 //! part in a hundred of a core, at 70 more than a small VM has. Above [`WHOLE_LIMIT`] the VMs of a
 //! data centre are therefore dealt into cells of about [`CELL_SIZE`], and its targets with them; the
 //! VMs of a cell share its targets as a small deployment would, and tell all others only the little
-//! that must be known everywhere. Nobody is asked and nothing is stored: every VM works its cell out
-//! from the VMs it hears and the targets it knows. Two VMs that see the fleet differently for a
-//! moment may use a target from two cells; that costs quality, never safety.
+//! that must be known everywhere.
+//!
+//! Where VMs outnumber targets, cells have more VMs, so that each keeps [`CELL_TARGETS`]: down to one
+//! cell for a data centre. A target is then always used by VMs that tell each other all they have there.
+//! Used by all VMs and known to few, it is overrun: each of 195 VMs before 78 targets saw what 7 of the
+//! others had placed, requests waited inside engines in no order, and a calm day had 0.60 of all worth.
+//! With one cell for each of its five data centres it had 0.78, for 0.02 of a core a VM.
+//!
+//! Nobody is asked and nothing is stored: every VM works its cell out from the VMs it hears and the
+//! targets it knows. Two VMs that see the fleet differently for a moment may use a target from two cells;
+//! that costs quality, never safety.
 
 use std::collections::{BTreeMap, BTreeSet};
 
 use xxhash_rust::xxh3;
 
 use crate::{
-    ids::{DataCentreName, TargetKey, VmName},
+    ids::{DataCentreName, ServiceName, TargetKey, VmName},
     target_load::TargetEntry,
 };
 
 /// Up to this many VMs all are one cell.
 pub const WHOLE_LIMIT: usize = 12;
-/// VMs in a cell: enough to even out callers who come in unequal numbers, few enough that each costs
-/// the others little.
+/// VMs in a cell where there are targets enough: enough VMs to even out callers who come in unequal
+/// numbers, few enough that each costs the others little.
 pub const CELL_SIZE: usize = 8;
+/// Targets that a cell has of the service with the most, at the least. With fewer, one long answer or one
+/// slow target is a large part of all that the cell has: cells of 3 targets left a calm day at 0.66 of all
+/// worth where cells of 16 had 0.78.
+pub const CELL_TARGETS: usize = 10;
 /// A service with fewer targets for each cell than this is shared by all cells: too few would run
 /// full in one cell while they are idle in another.
 const LEAST_TARGETS: usize = 4;
@@ -49,7 +61,7 @@
 }
 
 impl CellPlan {
-    /// Works out the cells of `own` and the `others` that are heard.
+    /// Works out the cells of `own` and the `others` that are heard, before `targets`.
     ///
     /// # Example
     ///
@@ -57,10 +69,10 @@
     /// use ryetide_core::cell_plan::{CellMember, CellPlan};
     ///
     /// let member = |name: &str| CellMember { name: name.into(), data_centre: "hall-a".into() };
-    /// let plan = CellPlan::new(&member("e1"), &[member("e2")]);
+    /// let plan = CellPlan::new(&member("e1"), &[member("e2")], &[]);
     /// assert!(plan.is_mate(&"e2".into()));
     /// ```
-    pub fn new(own: &CellMember, others: &[CellMember]) -> Self {
+    pub fn new(own: &CellMember, others: &[CellMember], targets: &[&TargetEntry]) -> Self {
         let data_centre = own.data_centre.clone();
         if others.len() < WHOLE_LIMIT {
             return Self { mates: None, data_centre, cells: BTreeMap::new(), own_cell: 0 };
@@ -69,9 +81,14 @@
         for member in others.iter().chain([own]) {
             *sizes.entry(member.data_centre.clone()).or_default() += 1;
         }
-        let cell_count = |size: usize| ((size + CELL_SIZE / 2) / CELL_SIZE).max(1);
-        let cells: BTreeMap<_, _> =
-            sizes.into_iter().map(|(centre, size)| (centre, cell_count(size))).collect();
+        let most_targets = most_targets(targets);
+        let cell_count = |(centre, size): (DataCentreName, usize)| {
+            let by_size = (size + CELL_SIZE / 2) / CELL_SIZE;
+            // Where no targets are known yet nothing is shared, and the VMs alone decide.
+            let by_targets = most_targets.get(&centre).map_or(by_size, |most| most / CELL_TARGETS);
+            (centre, by_size.min(by_targets).max(1))
+        };
+        let cells: BTreeMap<_, _> = sizes.into_iter().map(cell_count).collect();
         let count = cells.get(&data_centre).copied().unwrap_or(1);
         let near = others.iter().chain([own]).filter(|it| it.data_centre == data_centre);
         let mut names: Vec<&VmName> = near.map(|member| &member.name).collect();
@@ -94,6 +111,11 @@
         self.mates.as_ref().is_none_or(|mates| mates.contains(name))
     }
 
+    /// Returns how many VMs are told everything, of `others` that there are.
+    pub fn mate_count(&self, others: usize) -> usize {
+        self.mates.as_ref().map_or(others, BTreeSet::len)
+    }
+
     /// Returns those of a service's targets that this VM's cell uses.
     ///
     /// The targets of a data centre that has no VM left are dealt among all cells.
@@ -113,6 +135,20 @@
     }
 }
 
+/// Returns for each data centre how many targets it has of the service that has the most there.
+fn most_targets(targets: &[&TargetEntry]) -> BTreeMap<DataCentreName, usize> {
+    let mut counts: BTreeMap<(&DataCentreName, &ServiceName), usize> = BTreeMap::new();
+    for entry in targets {
+        *counts.entry((&entry.data_centre, &entry.service)).or_default() += 1;
+    }
+    let mut most: BTreeMap<DataCentreName, usize> = BTreeMap::new();
+    for ((centre, _), count) in counts {
+        let known = most.entry(centre.clone()).or_default();
+        *known = count.max(*known);
+    }
+    most
+}
+
 /// Returns the part of `cell` when targets are dealt among `count` cells. Neighbouring parts change
 /// by one target at most when one comes or goes.
 fn deal(mut keys: Vec<TargetKey>, count: usize, cell: usize) -> Vec<TargetKey> {
--- a/crates/ryetide-core/src/digest_teller.rs
+++ b/crates/ryetide-core/src/digest_teller.rs
@@ -18,8 +18,6 @@
 /// The time between two digests that tell everything, at the least: what a lost digest told is known after
 /// it, and a peer's mark is believed three times as long.
 const WHOLE_INTERVAL: Duration = Duration::from_millis(400);
-/// For how long a change is told again: in some five digests, at their shortest interval.
-const CHANGE_SPAN: Duration = Duration::from_millis(30);
 
 /// Remembers what has changed since it was told.
 #[derive(Debug, Default)]
@@ -55,9 +53,10 @@
         }
     }
 
-    /// Returns how much the next digest tells; a VM that is leaving tells everything.
-    pub fn next_scope(&mut self, now: Moment, leaving: bool) -> DigestScope {
-        while self.touched.front().is_some_and(|(at, _)| now.since(*at) >= CHANGE_SPAN) {
+    /// Returns how much the next digest tells; a VM that is leaving tells everything. A change is told again for
+    /// `change_span`.
+    pub fn next_scope(&mut self, now: Moment, change_span: Duration, leaving: bool) -> DigestScope {
+        while self.touched.front().is_some_and(|(at, _)| now.since(*at) >= change_span) {
             self.touched.pop_front();
         }
         let due = self.told_whole.is_none_or(|at| now.since(at) >= WHOLE_INTERVAL);
--- a/crates/ryetide-core/src/line_view.rs
+++ b/crates/ryetide-core/src/line_view.rs
@@ -74,16 +74,18 @@
     usable: Vec<&'a TargetLoad>,
     peers: &'a PeerBoard,
     options: &'a SchedulerOptions,
+    turn_span: Duration,
 }
 
 impl<'a> LineView<'a> {
-    /// Looks at a line.
+    /// Looks at a line, at which VMs take turns of `turn_span` at free places.
     pub fn new(
         now: Moment,
         state: &'a ServiceLine,
         targets: &'a BTreeMap<TargetKey, TargetLoad>,
         peers: &'a PeerBoard,
         options: &'a SchedulerOptions,
+        turn_span: Duration,
     ) -> Self {
         let loads = state.targets.iter().filter_map(|key| targets.get(key));
         Self {
@@ -92,6 +94,7 @@
             usable: loads.filter(|load| load.may_get(now)).collect(),
             peers,
             options,
+            turn_span,
         }
     }
 
@@ -176,7 +179,8 @@
     fn is_open(&self, load: &TargetLoad, rank: LineRank, peers: &[PlaceClaimant<'_>]) -> bool {
         let place = OpenPlace { target: load.key(), freed: load.freed() };
         let own = PlaceClaimant { vm: &self.options.name, class: rank.class() };
-        load.free_places(self.now) > 0 && place_turn::is_turn(self.now, place, own, peers)
+        load.free_places(self.now) > 0
+            && place_turn::is_turn(self.now, self.turn_span, place, own, peers)
     }
 
     fn peers_ahead(&self, class: ClaimClass) -> u32 {
--- a/crates/ryetide-core/src/place_turn.rs
+++ b/crates/ryetide-core/src/place_turn.rs
@@ -23,9 +23,6 @@
     units::{Moment, TierRank},
 };
 
-/// How long a VM whose turn has come is left to take a place: a digest goes out at most 6 ms after a
-/// change and needs up to 2 ms between data centres.
-const TURN_SPAN: Duration = Duration::from_millis(8);
 /// The most turns that the VMs of one class take. After them any of the class may take the place, and
 /// after one more those of the next class: the VMs before have no use for it, or are gone.
 const CLASS_TURNS: u32 = 3;
@@ -86,11 +83,13 @@
     pub freed: &'a FreedPlace,
 }
 
-/// Returns whether `own` may take one of the target's free places now.
+/// Returns whether `own` may take one of the target's free places now. A VM whose turn has come is left `span` to
+/// take it: the time within which the others know that it has.
 ///
 /// # Example
 ///
 /// ```
+/// use std::time::Duration;
 /// use ryetide_core::{
 ///     ids::TargetKey,
 ///     place_turn::{self, ClaimClass, FreedPlace, OpenPlace, PlaceClaimant, PlaceGiver},
@@ -102,19 +101,20 @@
 /// let claim = |vm, tier| PlaceClaimant { vm, class: class(tier) };
 /// let freed = FreedPlace { at: Moment::from_millis(1_000), by: PlaceGiver::Own };
 /// let place = OpenPlace { target: TargetKey::of(&"t1".into()), freed: &freed };
-/// let at = Moment::from_millis;
-/// assert!(place_turn::is_turn(at(1_000), place, claim(&e1, 0), &[claim(&e2, 1)]));
-/// assert!(!place_turn::is_turn(at(1_005), place, claim(&e1, 1), &[claim(&e2, 0)]));
-/// assert!(place_turn::is_turn(at(1_016), place, claim(&e1, 1), &[claim(&e2, 0)]));
+/// let (at, span) = (Moment::from_millis, Duration::from_millis(8));
+/// assert!(place_turn::is_turn(at(1_000), span, place, claim(&e1, 0), &[claim(&e2, 1)]));
+/// assert!(!place_turn::is_turn(at(1_005), span, place, claim(&e1, 1), &[claim(&e2, 0)]));
+/// assert!(place_turn::is_turn(at(1_016), span, place, claim(&e1, 1), &[claim(&e2, 0)]));
 /// ```
 pub fn is_turn(
     now: Moment,
+    span: Duration,
     place: OpenPlace<'_>,
     own: PlaceClaimant<'_>,
     peers: &[PlaceClaimant<'_>],
 ) -> bool {
     let passed = now.since(place.freed.at);
-    if passed >= TURN_SPAN * (2 * CLASS_TURNS) {
+    if passed >= span * (2 * CLASS_TURNS) {
         return true;
     }
     let gave = |claimant: &PlaceClaimant<'_>| match &place.freed.by {
@@ -136,5 +136,5 @@
     if better > 0 {
         turn += turns(better) + 1;
     }
-    passed >= TURN_SPAN * turn
+    passed >= span * turn
 }
--- a/crates/ryetide-core/src/scheduler.rs
+++ b/crates/ryetide-core/src/scheduler.rs
@@ -17,6 +17,7 @@
     cell_plan::{CellMember, CellPlan},
     comeback_time::ComebackTime,
     decision::{Decision, PlacingEvidence, RefusalReason, RunEnd},
+    digest_pace::DigestPace,
     digest_teller::DigestTeller,
     ids::{RequestSequence, ServiceName, TargetKey, VmName},
     line_view::{LineChoice, LineView, ServiceLine},
@@ -53,6 +54,7 @@
     verdicts: Vec<QuotaVerdict>,
     retries: RetryBudget,
     teller: DigestTeller,
+    pace: DigestPace,
     decisions: Vec<Decision>,
     changed: bool,
     plan: CellPlan,
@@ -69,7 +71,7 @@
 impl Scheduler {
     /// Creates a scheduler that knows no targets and no peers.
     pub fn new(options: SchedulerOptions) -> Self {
-        let plan = CellPlan::new(&options.member(), &[]);
+        let plan = CellPlan::new(&options.member(), &[], &[]);
         Self {
             comeback: ComebackTime::new(options.seed),
             retries: RetryBudget::new(options.retry),
@@ -83,6 +85,7 @@
             quotas: QuotaDesk::default(),
             verdicts: Vec::new(),
             teller: DigestTeller::default(),
+            pace: DigestPace::of_mates(0),
             decisions: Vec::new(),
             changed: false,
         }
@@ -104,6 +107,7 @@
             self.targets.insert(key, load);
         }
         self.deal_targets();
+        self.plan_cells(now);
         self.advance(now);
     }
 
@@ -125,13 +129,21 @@
         }
     }
 
-    /// Works the cells out anew from the VMs that are heard.
+    /// Works the cells out anew from the VMs that are heard and the targets that are known.
     pub fn plan_cells(&mut self, now: Moment) {
-        let plan = CellPlan::new(&self.options.member(), &self.peers.members(now));
+        let targets: Vec<&TargetEntry> = self.targets.values().map(TargetLoad::entry).collect();
+        let members = self.peers.members(now);
+        let plan = CellPlan::new(&self.options.member(), &members, &targets);
         if plan != self.plan {
             self.plan = plan;
             self.deal_targets();
         }
+        self.pace = DigestPace::of_mates(self.plan.mate_count(members.len()));
+    }
+
+    /// Returns the shortest time between two digests of this VM.
+    pub fn digest_interval(&self) -> Duration {
+        self.pace.interval()
     }
 
     /// Returns whether a peer is told everything.
@@ -351,7 +363,7 @@
         let brief = self.brief_digest(news, leaving);
         let waiting = self.services.keys().filter_map(|name| self.view(now, name));
         let waiting = waiting.flat_map(|view| view.wait_marks()).collect();
-        let scope = self.teller.next_scope(now, leaving);
+        let scope = self.teller.next_scope(now, self.pace.change_span(), leaving);
         let placed = self.teller.placed(scope);
         if scope == DigestScope::Changes {
             let touched = self.teller.touched();
@@ -491,6 +503,7 @@
     /// Returns what can be seen of a service's line and targets.
     fn view(&self, now: Moment, service: &ServiceName) -> Option<LineView<'_>> {
         let state = self.services.get(service)?;
-        Some(LineView::new(now, state, &self.targets, &self.peers, &self.options))
+        let span = self.pace.news_span();
+        Some(LineView::new(now, state, &self.targets, &self.peers, &self.options, span))
     }
 }
--- a/crates/ryetide-core/tests/scheduler_load.rs
+++ b/crates/ryetide-core/tests/scheduler_load.rs
@@ -30,8 +30,7 @@
 /// The part of the requests placed that may find no slot at their engine: 0.04 to 0.05 with turns at the
 /// places that come free; on the first seed 0.098 without.
 const MOST_WITHOUT_SLOT: f64 = 0.08;
-/// The shortest time between two digests of a VM, and how long one travels, in microseconds.
-const DIGEST_PAUSE: u64 = 6_000;
+/// How long a digest travels, in microseconds.
 const DIGEST_TRAVEL: u64 = 500;
 /// How long callers wait for an answer from when they ask first.
 const DEADLINE: Duration = Duration::from_secs(12);
@@ -134,6 +133,8 @@
 
 struct LoadPlay {
     vms: Vec<PlayedVm>,
+    /// Groups of three engines; what comes is in proportion to them.
+    groups: usize,
     rng: SmallRng,
     engines: BTreeMap<String, EngineState>,
     agenda: BinaryHeap<std::cmp::Reverse<(u64, Happening)>>,
@@ -158,7 +159,12 @@
 
     /// Sets up `count` VMs that share three engines for each of them.
     fn with_vms(count: usize, seed: u64) -> Self {
-        let names = (0..count).flat_map(|group| {
+        Self::with_groups(count, count, seed)
+    }
+
+    /// Sets up `count` VMs of one data centre that share `groups` of three engines.
+    fn with_groups(count: usize, groups: usize, seed: u64) -> Self {
+        let names = (0..groups).flat_map(|group| {
             ENGINES.map(|(name, per_token, per_event)| {
                 (
                     format!("{name}-{group}"),
@@ -195,6 +201,7 @@
         };
         Self {
             vms: (0..count).map(start).collect(),
+            groups,
             rng: SmallRng::seed_from_u64(seed),
             engines,
             agenda: BinaryHeap::new(),
@@ -219,7 +226,7 @@
             while at < seconds as f64 {
                 let burst = if (5.0..9.0).contains(&at) { factor } else { 1.0 };
                 let draw: f64 = self.rng.random_range(1e-9..1.0);
-                at += -draw.ln() / (kind.rate * burst * self.vms.len() as f64);
+                at += -draw.ln() / (kind.rate * burst * self.groups as f64);
                 self.plan(1_000 + (at * 1e6) as u64, Happening::Arrival(index));
             }
         }
@@ -268,9 +275,12 @@
             Happening::Hear(vm) => {
                 let Some(digest) = self.vms[vm].told.take() else { return };
                 let envelope = DigestEnvelope { from: vm_name(vm), digest };
-                let others = self.vms.iter_mut().enumerate().filter(|(other, _)| *other != vm);
-                for (_, other) in others {
-                    other.scheduler.take_digest(Moment(now), envelope.clone());
+                let is_told = |other: &usize| {
+                    self.vms[vm].scheduler.is_mate(&vm_name(*other)) && *other != vm
+                };
+                let told: Vec<usize> = (0..self.vms.len()).filter(is_told).collect();
+                for other in told {
+                    self.vms[other].scheduler.take_digest(Moment(now), envelope.clone());
                 }
             }
         }
@@ -327,7 +337,8 @@
         }
         let teller = &mut self.vms[vm];
         if teller.scheduler.take_changed() && !std::mem::replace(&mut teller.tells, true) {
-            let at = now.max(teller.told_at + DIGEST_PAUSE);
+            let interval = teller.scheduler.digest_interval().as_micros() as u64;
+            let at = now.max(teller.told_at + interval);
             self.plan(at, Happening::Tell(vm));
         }
     }
@@ -428,6 +439,27 @@
     }
 }
 
+/// Thirty-two VMs before twelve engines, in calm and in a burst of three times the usual. What a VM places must be
+/// known to all that use the same engines, or they fill places that are taken. With cells of eight VMs that all used
+/// all engines nobody was ever refused, 0.66 of the placements in the burst found no slot, and 0.49 of all callers
+/// were late, the urgent as often as the others: whoever waits inside an engine waits in no order.
+#[test]
+fn more_vms_than_engines_place_as_well_as_few() {
+    for seed in 1..=2 {
+        let calm = LoadPlay::with_groups(32, 4, seed).play(8, 1.0);
+        for tally in calm.tallies {
+            assert!(share(tally.on_time, tally.asked) > 0.97, "seed {seed}: {:?}", calm.tallies);
+        }
+        let play = LoadPlay::with_groups(32, 4, seed).play(12, 3.0);
+        let (without, tallies) = (share(play.stood_in_line, play.placed), play.tallies);
+        let [urgent, middle, last] = tallies;
+        assert!(without < MOST_WITHOUT_SLOT, "seed {seed}: {without:.3}; {tallies:?}");
+        assert!(share(urgent.on_time, urgent.asked) > 0.98, "seed {seed}: {tallies:?}");
+        assert!(share(middle.on_time, middle.asked) > 0.55, "seed {seed}: {tallies:?}");
+        assert!(share(last.on_time, last.asked) > 0.4, "seed {seed}: {tallies:?}");
+    }
+}
+
 /// As before, but callers that are told to come back do so, into the same burst, and have waited longer than
 /// their objective by then. Taken for new ones they get half of the places, and as many that could still be
 /// served on time are sent away, to come back themselves. Known for what they are, they get what is left: 0.614
--- a/crates/ryetide-gateway/src/fleet_duties.rs
+++ b/crates/ryetide-gateway/src/fleet_duties.rs
@@ -28,9 +28,6 @@
 /// The same for news of targets: 1.6 s, more than the feed pauses by itself after them. With less, each
 /// VM that paused was taken for one whose call has gone silent, and asked for all its tables anew.
 const TARGETS_BEHIND: u32 = 8;
-/// The shortest time between two digests: under the time between two VMs' decisions at today's load,
-/// and a bound on what they cost.
-const DIGEST_LEAST: Duration = Duration::from_millis(6);
 /// The longest time between two digests.
 const DIGEST_GREATEST: Duration = Duration::from_millis(400);
 /// The time between two brief digests to peers of other cells; the short one while an organisation is
@@ -106,7 +103,8 @@
         let now = gateway.hub().clock().now();
         let wake = gateway.hub().peek(|scheduler| scheduler.next_wake(now));
         pending |= gateway.hub().peek_mut(Scheduler::take_changed);
-        let wait = if pending { DIGEST_LEAST } else { DIGEST_GREATEST };
+        let least = gateway.hub().peek(Scheduler::digest_interval);
+        let wait = if pending { least } else { DIGEST_GREATEST.max(least) };
         let digest_at = told + wait;
         let line_at = wake.map(|wake| gateway.hub().clock().instant(wake));
         let until = line_at.map_or(digest_at, |line_at| line_at.min(digest_at));
