Pass brief digests on within a data centre

Cause: every VM told each of the 156 VMs in other data centres itself what must be known everywhere, once a second and three times a second while a quota is short.

Ruled out: telling less often (what organisations use must be known within a third of a second, or bursts of one organisation overrun its quota); adding up what a cell has used in one VM (needs an owner for each cell, and what happens at its death has to be shown first).

Change: a digest goes to one VM of each other data centre, which passes it on to the others there. The receivers check the first sender's own hash, so nobody has to believe the VM in between. It is drawn anew for each digest among those that are heard; a data centre of which nobody is heard is told directly, as before. The number of messages that a VM sends and takes stays what it was.

--- a/crates/ryetide-core/src/peer_board.rs
+++ b/crates/ryetide-core/src/peer_board.rs
@@ -152,6 +152,11 @@
         lately.filter_map(member).chain(listed.map(unheard_member)).collect()
     }
 
+    /// Returns whether a peer was heard lately.
+    pub fn is_heard(&self, now: Moment, peer: &VmName) -> bool {
+        self.notes.get(peer).is_some_and(|note| now.since(note.heard) < HEARD_SPAN)
+    }
+
     /// Returns the part of the serving entry VMs that is heard, this one included.
     pub fn heard_part(&self, now: Moment) -> f64 {
         let heard = self.heard(now).filter(|note| !note.leaving).count() + 1;
--- a/crates/ryetide-core/src/scheduler.rs
+++ b/crates/ryetide-core/src/scheduler.rs
@@ -14,6 +14,7 @@
 };
 
 use crate::{
+    brief_route::{BriefRecipients, BriefRoute},
     cell_plan::{CellMember, CellPlan},
     comeback_time::ComebackTime,
     decision::{Decision, PlacingEvidence, RefusalReason, RunEnd},
@@ -55,6 +56,7 @@
     retries: RetryBudget,
     teller: DigestTeller,
     pace: DigestPace,
+    brief_route: BriefRoute,
     decisions: Vec<Decision>,
     changed: bool,
     plan: CellPlan,
@@ -74,6 +76,7 @@
         let plan = CellPlan::new(&options.member(), &[], &[]);
         Self {
             comeback: ComebackTime::new(options.seed),
+            brief_route: BriefRoute::new(options.seed),
             retries: RetryBudget::new(options.retry),
             options,
             plan,
@@ -357,6 +360,15 @@
         }
     }
 
+    /// Draws who of `listed` gets the next brief digest: all that are not of this VM's cell, directly or through
+    /// another.
+    pub fn brief_recipients(&mut self, now: Moment, listed: &[CellMember]) -> BriefRecipients {
+        let is_other = |member: &&CellMember| !self.plan.is_mate(&member.name);
+        let others: Vec<CellMember> = listed.iter().filter(is_other).cloned().collect();
+        let peers = &self.peers;
+        self.brief_route.draw(&self.options.data_centre, &others, |vm| peers.is_heard(now, vm))
+    }
+
     /// Returns what this VM tells the peers of its cell: everything now and then, and what has changed
     /// lately in between.
     pub fn digest(&mut self, now: Moment, news: FleetNews, leaving: bool) -> LoadDigest {
--- a/crates/ryetide-gateway/src/fleet_duties.rs
+++ b/crates/ryetide-gateway/src/fleet_duties.rs
@@ -2,10 +2,7 @@
 
 use std::{cell::Cell, collections::BTreeMap, rc::Rc, time::Duration};
 
-use ryetide_core::{
-    cell_plan::CellMember, ids::VmName, load_digest::LoadDigest, peer_board::FeedLag,
-    scheduler::Scheduler,
-};
+use ryetide_core::{cell_plan::CellMember, ids::VmName, peer_board::FeedLag, scheduler::Scheduler};
 use tokio::{
     sync::{Notify, mpsc},
     time::{self, Instant},
@@ -83,10 +80,6 @@
         let others = listed.into_iter().filter(|peer| peer.name != own);
         let others: BTreeMap<VmName, PeerEntry> =
             others.map(|peer| (peer.name.clone(), peer)).collect();
-        let member = |peer: &PeerEntry| CellMember {
-            name: peer.name.clone(),
-            data_centre: peer.data_centre.clone(),
-        };
         let members: Vec<CellMember> = others.values().map(member).collect();
         self.fleet_size.set(members.len() + 1);
         *self.gateway.peers().borrow_mut() = others;
@@ -118,14 +111,14 @@
         if Instant::now() >= digest_at {
             told = Instant::now();
             pending = false;
-            tell_mates(&gateway, &link, false).await;
+            tell_mates(&gateway, &link, false);
         }
         let short = gateway.hub().peek(Scheduler::is_quota_short);
         let interval = if short { BRIEF_SHORT } else { BRIEF_INTERVAL };
         if told_briefly.elapsed() >= interval {
             told_briefly = Instant::now();
             gateway.hub().with(Scheduler::plan_cells);
-            tell_others(&gateway, &link, false).await;
+            tell_others(&gateway, &link, false);
         }
     }
 }
@@ -194,7 +187,7 @@
         let peers: Vec<PeerEntry> =
             gateway.peers().borrow().values().filter(relies).cloned().collect();
         let from = gateway.settings().borrow().name.clone();
-        link.send(&PeerEnvelope { from, message: PeerMessage::Change(change) }, &peers).await;
+        link.send(&PeerEnvelope { from, message: PeerMessage::Change(change) }, &peers);
     }
 }
 
@@ -213,36 +206,44 @@
 }
 
 /// Tells the peers of this VM's cell everything.
-pub async fn tell_mates(gateway: &Gateway, link: &PeerLink, leaving: bool) {
-    let mates = listed_peers(gateway, true);
+pub fn tell_mates(gateway: &Gateway, link: &PeerLink, leaving: bool) {
+    let peers = gateway.peers().borrow();
+    let is_mate = |peer: &&PeerEntry| gateway.hub().peek(|scheduler| scheduler.is_mate(&peer.name));
+    let mates: Vec<PeerEntry> = peers.values().filter(is_mate).cloned().collect();
+    drop(peers);
     if mates.is_empty() {
         return;
     }
     let (now, news) = (gateway.hub().clock().now(), gateway.news());
     let digest = gateway.hub().peek_mut(|scheduler| scheduler.digest(now, news, leaving));
-    send_digest(gateway, link, digest, &mates).await;
+    send_message(gateway, link, PeerMessage::Digest(digest), &mates);
 }
 
-/// Tells the peers of other cells what must be known everywhere.
-pub async fn tell_others(gateway: &Gateway, link: &PeerLink, leaving: bool) {
-    let others = listed_peers(gateway, false);
-    if others.is_empty() {
+/// Tells the peers of other cells what must be known everywhere, in other data centres through one VM of each.
+pub fn tell_others(gateway: &Gateway, link: &PeerLink, leaving: bool) {
+    let listed: Vec<CellMember> = gateway.peers().borrow().values().map(member).collect();
+    let (now, news) = (gateway.hub().clock().now(), gateway.news());
+    let recipients = gateway.hub().peek_mut(|scheduler| scheduler.brief_recipients(now, &listed));
+    if recipients.direct.is_empty() && recipients.relays.is_empty() {
         return;
     }
-    let news = gateway.news();
     let digest = gateway.hub().peek_mut(|scheduler| scheduler.brief_digest(news, leaving));
-    send_digest(gateway, link, digest, &others).await;
+    let relays = named_peers(gateway, &recipients.relays);
+    send_message(gateway, link, PeerMessage::PassOn(digest.clone()), &relays);
+    let direct = named_peers(gateway, &recipients.direct);
+    send_message(gateway, link, PeerMessage::Digest(digest), &direct);
 }
 
-async fn send_digest(gateway: &Gateway, link: &PeerLink, digest: LoadDigest, peers: &[PeerEntry]) {
+fn send_message(gateway: &Gateway, link: &PeerLink, message: PeerMessage, peers: &[PeerEntry]) {
     let from = gateway.settings().borrow().name.clone();
-    let envelope = PeerEnvelope { from, message: PeerMessage::Digest(digest) };
-    link.send(&envelope, peers).await;
+    link.send(&PeerEnvelope { from, message }, peers);
 }
 
-/// Returns the listed peers that are of this VM's cell, or those that are not.
-fn listed_peers(gateway: &Gateway, mates: bool) -> Vec<PeerEntry> {
+fn named_peers(gateway: &Gateway, names: &[VmName]) -> Vec<PeerEntry> {
     let peers = gateway.peers().borrow();
-    let is_mate = |peer: &&PeerEntry| gateway.hub().peek(|scheduler| scheduler.is_mate(&peer.name));
-    peers.values().filter(|peer| is_mate(peer) == mates).cloned().collect()
+    names.iter().filter_map(|name| peers.get(name)).cloned().collect()
+}
+
+fn member(peer: &PeerEntry) -> CellMember {
+    CellMember { name: peer.name.clone(), data_centre: peer.data_centre.clone() }
 }
--- a/crates/ryetide-gateway/src/gateway.rs
+++ b/crates/ryetide-gateway/src/gateway.rs
@@ -203,8 +203,8 @@
     time::sleep(LAME_SPAN.min(grace / 2)).await;
     accepting.abort();
     gateway.closing().notify_waiters();
-    fleet_duties::tell_mates(&gateway, &link, true).await;
-    fleet_duties::tell_others(&gateway, &link, true).await;
+    fleet_duties::tell_mates(&gateway, &link, true);
+    fleet_duties::tell_others(&gateway, &link, true);
     let until = ordered + grace.saturating_sub(STOP_MARGIN);
     while gateway.connection_count() > 0 && Instant::now() < until {
         time::sleep(STOP_INTERVAL).await;
--- a/crates/ryetide-gateway/src/peer_link.rs
+++ b/crates/ryetide-gateway/src/peer_link.rs
@@ -8,6 +8,7 @@
 
 use std::{cell::Cell, rc::Rc};
 
+use bytes::Bytes;
 use ring::hmac;
 use ryetide_core::{
     ids::VmName,
@@ -34,6 +35,10 @@
     Digest(LoadDigest),
     /// A change that it has heard of from the store.
     Change(RelayedChange),
+    /// Its load, to be passed on to all VMs of the receiver's data centre.
+    PassOn(LoadDigest),
+    /// A datagram with [`PeerMessage::PassOn`] that another VM has sent here. It still bears that VM's hash.
+    PassedOn(Bytes),
 }
 
 /// A message and the VM that sent it.
@@ -116,7 +121,7 @@
     }
 
     /// Sends a message to all of `peers`.
-    pub async fn send(&self, envelope: &PeerEnvelope, peers: &[PeerEntry]) {
+    pub fn send(&self, envelope: &PeerEnvelope, peers: &[PeerEntry]) {
         let datagram = match seal(&self.secret.get(), envelope) {
             Ok(datagram) => datagram,
             Err(error) => {
@@ -144,26 +149,66 @@
                 continue;
             }
         };
-        let secret_of = |name: &VmName| gateway.peers().borrow().get(name).map(|peer| peer.secret);
-        match open(&buffer[..length], secret_of) {
-            Ok(envelope) => take(&gateway, envelope),
+        let datagram = &buffer[..length];
+        match open_listed(&gateway, datagram) {
+            Ok(envelope) => take(&gateway, &link, envelope, datagram),
             Err(fault) => tracing::debug!(event = "message-passed-over", reason = %fault),
         }
     }
 }
 
-fn take(gateway: &Gateway, envelope: PeerEnvelope) {
+fn open_listed(gateway: &Gateway, datagram: &[u8]) -> Result<PeerEnvelope, DatagramFault> {
+    let secret_of = |name: &VmName| gateway.peers().borrow().get(name).map(|peer| peer.secret);
+    open(datagram, secret_of)
+}
+
+fn take(gateway: &Gateway, link: &PeerLink, envelope: PeerEnvelope, datagram: &[u8]) {
     let PeerEnvelope { from, message } = envelope;
     match message {
-        PeerMessage::Digest(digest) => {
-            // Those of other cells pass nothing on here, and may hear of a change before the mates do.
-            let is_mate = gateway.hub().peek(|scheduler| scheduler.is_mate(&from));
-            if let Some(note) = digest.watch.as_ref().filter(|_| is_mate) {
-                gateway.relay().note_peer(note);
-            }
-            let envelope = DigestEnvelope { from, digest };
-            gateway.hub().with(|scheduler, now| scheduler.take_digest(now, envelope));
+        PeerMessage::Digest(digest) => take_digest(gateway, from, digest),
+        PeerMessage::PassOn(digest) => {
+            pass_on(gateway, link, datagram);
+            take_digest(gateway, from, digest);
         }
+        PeerMessage::PassedOn(inner) => take_passed_on(gateway, &inner),
         PeerMessage::Change(change) => gateway.relay().hear(change),
     }
 }
+
+fn take_digest(gateway: &Gateway, from: VmName, digest: LoadDigest) {
+    // Those of other cells pass nothing on here, and may hear of a change before the mates do.
+    let is_mate = gateway.hub().peek(|scheduler| scheduler.is_mate(&from));
+    if let Some(note) = digest.watch.as_ref().filter(|_| is_mate) {
+        gateway.relay().note_peer(note);
+    }
+    let envelope = DigestEnvelope { from, digest };
+    gateway.hub().with(|scheduler, now| scheduler.take_digest(now, envelope));
+}
+
+/// Passes a datagram on to the other VMs of this data centre.
+fn pass_on(gateway: &Gateway, link: &PeerLink, datagram: &[u8]) {
+    let (from, own) = {
+        let settings = gateway.settings().borrow();
+        (settings.name.clone(), settings.data_centre.clone())
+    };
+    let peers = gateway.peers().borrow();
+    let near: Vec<PeerEntry> =
+        peers.values().filter(|peer| peer.data_centre == own).cloned().collect();
+    drop(peers);
+    let message = PeerMessage::PassedOn(Bytes::copy_from_slice(datagram));
+    link.send(&PeerEnvelope { from, message }, &near);
+}
+
+/// Takes what another VM of this data centre has passed on. It is believed by the hash of the VM that said it, and
+/// goes no further.
+fn take_passed_on(gateway: &Gateway, datagram: &[u8]) {
+    match open_listed(gateway, datagram) {
+        Ok(PeerEnvelope { from, message: PeerMessage::PassOn(digest) }) => {
+            take_digest(gateway, from, digest);
+        }
+        Ok(envelope) => {
+            tracing::debug!(event = "message-passed-over", peer = %envelope.from, reason = "not to be passed on");
+        }
+        Err(fault) => tracing::debug!(event = "message-passed-over", reason = %fault),
+    }
+}
--- a/crates/ryetide-gateway/tests/serving/support.rs
+++ b/crates/ryetide-gateway/tests/serving/support.rs
@@ -302,6 +302,8 @@
 pub struct Gateway {
     callers: SocketAddr,
     status: SocketAddr,
+    /// Where it takes datagrams of its peers.
+    pub peers: SocketAddr,
     news: mpsc::Sender<FleetUpdate>,
     orders: mpsc::Sender<GatewayOrder>,
     ended: task::JoinHandle<()>,
@@ -323,6 +325,7 @@
         let sockets = GatewaySockets::bind(&settings).await.expect("free ports");
         let callers = sockets.callers.local_addr().expect("an address");
         let status = sockets.status.local_addr().expect("an address");
+        let peers = sockets.peers.local_addr().expect("an address");
         let (news, receiver) = mpsc::channel(16);
         let parts = GatewayParts {
             settings: settings.clone(),
@@ -335,7 +338,7 @@
         let ended = task::spawn_local(async move {
             gateway::serve(parts, sockets, ordered).await.expect("a gateway that serves");
         });
-        Self { callers, status, news, orders, ended }
+        Self { callers, status, peers, news, orders, ended }
     }
 
     /// Starts a gateway that serves one route by `targets`.
