Pass digests on in large cells too, by VMs with fast links, several in one message

Cause: with one cell for each data centre a VM tells 38 mates of each change, and 194 others its brief digest.

Change: digests to more than twelve mates go to one VM that passes on, drawn anew each time among the first three by a hash that have fast links and are heard; it passes on what came within 20 ms in one message, each datagram under its own sender's hash. Digests of changes lost what they repeat: the data centre, placements (a whole digest tells them), and totals of quotas that have not changed. Turns at free places and repeats of changes follow the way.

Tests: digest_route.rs (the same few pass on for all; few mates are told directly; only fast links; a dead relay; an unheard data centre), digests.rs as before over real sockets, and a_vm_of_a_large_cell_is_told_no_more_often_than_one_of_a_small_cell for fleets that cannot pass on.

--- a/crates/ryetide-core/src/cell_plan.rs
+++ b/crates/ryetide-core/src/cell_plan.rs
@@ -111,11 +111,6 @@
         self.mates.as_ref().is_none_or(|mates| mates.contains(name))
     }
 
-    /// Returns how many VMs are told everything, of `others` that there are.
-    pub fn mate_count(&self, others: usize) -> usize {
-        self.mates.as_ref().map_or(others, BTreeSet::len)
-    }
-
     /// Returns those of a service's targets that this VM's cell uses.
     ///
     /// The targets of a data centre that has no VM left are dealt among all cells.
--- a/crates/ryetide-core/src/digest_teller.rs
+++ b/crates/ryetide-core/src/digest_teller.rs
@@ -11,10 +11,8 @@
     units::{Moment, Tokens},
 };
 
-/// Placements repeated in each digest; more than a VM makes between a few digests.
+/// Placements repeated in each whole digest; more than a VM makes between a few of them.
 const PLACED_REPEATED: usize = 12;
-/// Placements told in a digest of changes.
-const CHANGES_PLACED: usize = 4;
 /// The time between two digests that tell everything, at the least: what a lost digest told is known after
 /// it, and a peer's mark is believed three times as long.
 const WHOLE_INTERVAL: Duration = Duration::from_millis(400);
@@ -72,9 +70,12 @@
         self.touched.iter().map(|(_, key)| *key).collect()
     }
 
-    /// Returns the last placements, as many as a digest of this scope tells.
+    /// Returns the last placements. They are told in whole digests only: what a target holds of prompts is of use for
+    /// seconds, and a third of a digest of changes would be placements.
     pub fn placed(&self, scope: DigestScope) -> Vec<PlacedPrompt> {
-        let told = if scope == DigestScope::Changes { CHANGES_PLACED } else { PLACED_REPEATED };
-        self.placed.iter().rev().take(told).rev().copied().collect()
+        match scope {
+            DigestScope::Whole => self.placed.iter().copied().collect(),
+            DigestScope::Changes | DigestScope::Brief => Vec::new(),
+        }
     }
 }
--- a/crates/ryetide-core/src/lib.rs
+++ b/crates/ryetide-core/src/lib.rs
@@ -31,7 +31,7 @@
 //! | [`route`], [`route_text`], [`quota`], [`quota_desk`], [`retry_budget`], [`comeback_time`] | routed requests: where they go, what they may cost |
 //! | [`scheduler`], [`scheduler_options`], [`line_view`], [`wait_line`], [`deadline_habit`], [`decision`] | the order and refusal of routed requests |
 //! | [`placing`], [`target_load`], [`target_health`], [`pace`], [`prompt_memory`] | where they are placed |
-//! | [`load_digest`], [`peer_board`], [`cell_plan`], [`digest_pace`], [`brief_route`], [`target_registry`] | what entry VMs tell each other, and which targets there are |
+//! | [`load_digest`], [`peer_board`], [`cell_plan`], [`digest_pace`], [`digest_route`], [`target_registry`] | what entry VMs tell each other, and which targets there are |
 //! | [`watch_duty`] | which of them ask the source of routes and targets |
 //! | [`safeguard`] | switches that let tests show what each safeguard prevents |
 //! | [`ids`], [`units`], [`json_form`] | newtypes, and the form in which values are written down |
@@ -39,7 +39,6 @@
 pub mod affinity;
 pub mod arbiter;
 mod arbiter_placing;
-pub mod brief_route;
 pub mod catalog;
 pub mod cell_plan;
 pub mod chart;
@@ -49,6 +48,7 @@
 pub mod deadline_habit;
 pub mod decision;
 pub mod digest_pace;
+pub mod digest_route;
 mod digest_teller;
 pub mod effect;
 pub mod entry;
--- a/crates/ryetide-core/src/load_digest.rs
+++ b/crates/ryetide-core/src/load_digest.rs
@@ -91,7 +91,7 @@
     pub leaving: bool,
     /// How much of what the VM has to say is told.
     pub scope: DigestScope,
-    /// The VM's data centre.
+    /// The VM's data centre; not among changes.
     pub data_centre: Option<DataCentreName>,
     /// The version of the routes in force there.
     pub revision: Revision,
@@ -103,7 +103,7 @@
     pub targets: Vec<TargetMark>,
     /// What waits.
     pub waiting: Vec<WaitMark>,
-    /// Units that each organisation was let through for since the VM started; not among changes.
+    /// Units that each organisation was let through for since the VM started.
     pub spent: Vec<(OrganisationKey, u64)>,
     /// The last prompts placed, newest last.
     pub placed: Vec<PlacedPrompt>,
--- a/crates/ryetide-core/src/peer_board.rs
+++ b/crates/ryetide-core/src/peer_board.rs
@@ -93,13 +93,15 @@
             DigestChange::Newer { placed, .. } => placed,
             DigestChange::Stale | DigestChange::NewLife => 0,
         };
+        // Digests of changes do not say it again.
+        let known_centre = known.and_then(|note| note.data_centre.clone());
         let note = PeerNote {
             incarnation: digest.incarnation,
             sequence: digest.sequence,
             placed: digest.placed.last().map_or(placed, |placed| placed.number),
             heard: now,
             leaving: digest.leaving,
-            data_centre: digest.data_centre.clone(),
+            data_centre: digest.data_centre.clone().or(known_centre),
             revision: digest.revision,
             registry: digest.registry,
             watches: digest.watch.is_some() && !digest.leaving,
--- a/crates/ryetide-core/src/quota.rs
+++ b/crates/ryetide-core/src/quota.rs
@@ -80,6 +80,8 @@
     filled_at: Moment,
     /// Units that this VM has let through since it started.
     spent: u64,
+    /// When that last changed.
+    spent_at: Moment,
 }
 
 /// The buckets of all organisations.
@@ -162,7 +164,7 @@
     ) -> Result<(), Duration> {
         let QuotaCharge { key, units } = charge;
         let (rate, burst) = (rule.rate * self.heard_part, rule.burst * self.heard_part);
-        let new = QuotaBucket { level: burst, burst, filled_at: now, spent: 0 };
+        let new = QuotaBucket { level: burst, burst, filled_at: now, spent: 0, spent_at: now };
         let bucket = self.buckets.entry(key).or_insert(new);
         bucket.fill(now, rate, burst);
         // A request larger than the burst is let through from a full bucket, or it never would be.
@@ -172,6 +174,7 @@
         }
         bucket.level -= units as f64;
         bucket.spent += units;
+        bucket.spent_at = now;
         Ok(())
     }
 
@@ -236,6 +239,12 @@
         self.buckets.values().any(|bucket| bucket.level < bucket.burst * SHORT_PART)
     }
 
+    /// Returns those of this VM's own running totals that have changed since a moment.
+    pub fn totals_since(&self, since: Moment) -> impl Iterator<Item = (OrganisationKey, u64)> + '_ {
+        let changed = self.buckets.iter().filter(move |(_, bucket)| bucket.spent_at >= since);
+        changed.map(|(key, bucket)| (*key, bucket.spent))
+    }
+
     /// Returns this VM's own running totals.
     pub fn totals(&self) -> impl Iterator<Item = (OrganisationKey, u64)> + '_ {
         self.buckets.iter().map(|(key, bucket)| (*key, bucket.spent))
--- a/crates/ryetide-core/src/scheduler.rs
+++ b/crates/ryetide-core/src/scheduler.rs
@@ -14,11 +14,11 @@
 };
 
 use crate::{
-    brief_route::{BriefRecipients, BriefRoute},
     cell_plan::{CellMember, CellPlan},
     comeback_time::ComebackTime,
     decision::{Decision, PlacingEvidence, RefusalReason, RunEnd},
     digest_pace::DigestPace,
+    digest_route::{DigestPeer, DigestRecipients, DigestRoute},
     digest_teller::DigestTeller,
     ids::{RequestSequence, ServiceName, TargetKey, VmName},
     line_view::{LineChoice, LineView, ServiceLine},
@@ -56,7 +56,7 @@
     retries: RetryBudget,
     teller: DigestTeller,
     pace: DigestPace,
-    brief_route: BriefRoute,
+    route: DigestRoute,
     decisions: Vec<Decision>,
     changed: bool,
     plan: CellPlan,
@@ -76,7 +76,7 @@
         let plan = CellPlan::new(&options.member(), &[], &[]);
         Self {
             comeback: ComebackTime::new(options.seed),
-            brief_route: BriefRoute::new(options.seed),
+            route: DigestRoute::new(options.seed),
             retries: RetryBudget::new(options.retry),
             options,
             plan,
@@ -88,7 +88,7 @@
             quotas: QuotaDesk::default(),
             verdicts: Vec::new(),
             teller: DigestTeller::default(),
-            pace: DigestPace::of_mates(0),
+            pace: DigestPace::direct(0),
             decisions: Vec::new(),
             changed: false,
         }
@@ -141,7 +141,6 @@
             self.plan = plan;
             self.deal_targets();
         }
-        self.pace = DigestPace::of_mates(self.plan.mate_count(members.len()));
     }
 
     /// Returns the shortest time between two digests of this VM.
@@ -360,13 +359,24 @@
         }
     }
 
-    /// Draws who of `listed` gets the next brief digest: all that are not of this VM's cell, directly or through
-    /// another.
-    pub fn brief_recipients(&mut self, now: Moment, listed: &[CellMember]) -> BriefRecipients {
-        let is_other = |member: &&CellMember| !self.plan.is_mate(&member.name);
-        let others: Vec<CellMember> = listed.iter().filter(is_other).cloned().collect();
+    /// Draws who of `listed` gets the next digest for this VM's cell.
+    pub fn mate_recipients(&mut self, now: Moment, listed: &[DigestPeer]) -> DigestRecipients {
+        let mates = listed.iter().filter(|peer| self.plan.is_mate(&peer.name));
+        let mates: Vec<DigestPeer> = mates.cloned().collect();
         let peers = &self.peers;
-        self.brief_route.draw(&self.options.data_centre, &others, |vm| peers.is_heard(now, vm))
+        let recipients = self.route.draw_mates(&mates, |vm| peers.is_heard(now, vm));
+        let is_passed_on = !recipients.relays.is_empty();
+        self.pace =
+            if is_passed_on { DigestPace::passed_on() } else { DigestPace::direct(mates.len()) };
+        recipients
+    }
+
+    /// Draws who of `listed` gets the next brief digest: all that are not of this VM's cell are told.
+    pub fn other_recipients(&mut self, now: Moment, listed: &[DigestPeer]) -> DigestRecipients {
+        let others = listed.iter().filter(|peer| !self.plan.is_mate(&peer.name));
+        let others: Vec<DigestPeer> = others.cloned().collect();
+        let peers = &self.peers;
+        self.route.draw_others(&self.options.data_centre, &others, |vm| peers.is_heard(now, vm))
     }
 
     /// Returns what this VM tells the peers of its cell: everything now and then, and what has changed
@@ -378,11 +388,13 @@
         let scope = self.teller.next_scope(now, self.pace.change_span(), leaving);
         let placed = self.teller.placed(scope);
         if scope == DigestScope::Changes {
+            let span = self.pace.change_span();
+            let spent = self.quotas.ledger().totals_since(now.before(span)).collect();
             let touched = self.teller.touched();
             let told = touched.iter().filter_map(|key| self.targets.get(key));
             let targets = told.map(|load| TargetMark { pace: None, ..load.mark(now) }).collect();
-            let spent = if self.quotas.ledger().is_short() { brief.spent } else { Vec::new() };
-            return LoadDigest { scope, targets, waiting, placed, spent, ..brief };
+            let data_centre = None;
+            return LoadDigest { scope, data_centre, targets, waiting, placed, spent, ..brief };
         }
         let told = self.targets.values().filter(|load| load.has_news(now));
         let targets = told.map(|load| load.mark(now)).collect();
--- a/crates/ryetide-core/src/units.rs
+++ b/crates/ryetide-core/src/units.rs
@@ -14,6 +14,10 @@
     /// A size in bytes.
     ByteSize(u64)
 );
+number_type!(
+    /// The speed of a network link, in megabits a second; 0 when it is not known.
+    LinkRate(u32)
+);
 number_type!(
     /// The revision of the services text; it only rises.
     Revision(u64)
--- a/crates/ryetide-core/tests/scheduler.rs
+++ b/crates/ryetide-core/tests/scheduler.rs
@@ -5,6 +5,7 @@
 use ryetide_core::{
     cell_plan::CellMember,
     decision::{Decision, RefusalReason, RunEnd},
+    digest_route::DigestPeer,
     ids::{Incarnation, RequestSequence, ServiceKey, ServiceName, TargetKey, TargetLife},
     load_digest::{DigestEnvelope, DigestScope, FleetNews, LoadDigest, TargetMark, WaitMark},
     pace::{AssumedPace, FadingMean, PaceReport},
@@ -13,7 +14,7 @@
     scheduler::Scheduler,
     scheduler_options::SchedulerOptions,
     target_load::TargetEntry,
-    units::{Moment, TierRank, Tokens},
+    units::{LinkRate, Moment, TierRank, Tokens},
     wait_line::WaitingWork,
 };
 
@@ -436,6 +437,12 @@
     (2..=size).map(member).collect()
 }
 
+/// A VM whose link is too slow to pass anything on.
+fn small_peer(member: &CellMember) -> DigestPeer {
+    let CellMember { name, data_centre } = member.clone();
+    DigestPeer { name, data_centre, link: LinkRate(20) }
+}
+
 fn count_mates(bench: &Bench, listed: &[CellMember]) -> usize {
     listed.iter().filter(|peer| bench.scheduler.is_mate(&peer.name)).count()
 }
@@ -462,6 +469,8 @@
         bench.scheduler.list_peers(at(0), &listed);
         let mates = count_mates(&bench, &listed) as f64;
         assert!(mates >= (size / 3 - 1) as f64, "{mates} of {size} are mates");
+        let peers: Vec<DigestPeer> = listed.iter().map(small_peer).collect();
+        assert_eq!(bench.scheduler.mate_recipients(at(0), &peers).direct.len(), mates as usize);
         let told = mates / bench.scheduler.digest_interval().as_secs_f64();
         assert!(told.floor() <= 7.0 / 0.006, "{size} VMs: told {told} times a second");
     }
--- a/crates/ryetide-core/tests/scheduler_load.rs
+++ b/crates/ryetide-core/tests/scheduler_load.rs
@@ -15,6 +15,7 @@
     cell_plan::CellMember,
     deadline_habit::DeadlineHabit,
     decision::{Decision, RunEnd},
+    digest_route::DigestPeer,
     ids::{Incarnation, RequestSequence, VmName},
     load_digest::{DigestEnvelope, FleetNews, LoadDigest},
     pace::AssumedPace,
@@ -22,7 +23,7 @@
     scheduler::Scheduler,
     scheduler_options::SchedulerOptions,
     target_load::TargetEntry,
-    units::{Moment, TierRank, Tokens},
+    units::{LinkRate, Moment, TierRank, Tokens},
     wait_line::WaitingWork,
 };
 
@@ -184,6 +185,11 @@
             warmup: Duration::ZERO,
         };
         let member = |index| CellMember { name: vm_name(index), data_centre: "hall-a".into() };
+        let peer = |index| DigestPeer {
+            name: vm_name(index),
+            data_centre: "hall-a".into(),
+            link: LinkRate(20),
+        };
         let start = |index: usize| {
             let mut scheduler = Scheduler::new(SchedulerOptions {
                 name: vm_name(index),
@@ -196,6 +202,8 @@
             scheduler.set_targets(Moment(1), engines.keys().map(entry).collect());
             let others = (0..count).filter(|other| *other != index).map(member);
             scheduler.list_peers(Moment(1), &others.collect::<Vec<_>>());
+            let peers: Vec<DigestPeer> = (0..count).filter(|it| *it != index).map(peer).collect();
+            scheduler.mate_recipients(Moment(1), &peers);
             let habits = Default::default();
             PlayedVm { scheduler, told_at: 0, told: None, tells: false, habits }
         };
--- a/crates/ryetide-gateway/src/fleet_duties.rs
+++ b/crates/ryetide-gateway/src/fleet_duties.rs
@@ -2,7 +2,14 @@
 
 use std::{cell::Cell, collections::BTreeMap, rc::Rc, time::Duration};
 
-use ryetide_core::{cell_plan::CellMember, ids::VmName, peer_board::FeedLag, scheduler::Scheduler};
+use ryetide_core::{
+    cell_plan::CellMember,
+    digest_route::{DigestPeer, DigestRecipients},
+    ids::VmName,
+    load_digest::LoadDigest,
+    peer_board::FeedLag,
+    scheduler::Scheduler,
+};
 use tokio::{
     sync::{Notify, mpsc},
     time::{self, Instant},
@@ -207,31 +214,51 @@
 
 /// Tells the peers of this VM's cell everything.
 pub fn tell_mates(gateway: &Gateway, link: &PeerLink, leaving: bool) {
-    let peers = gateway.peers().borrow();
-    let is_mate = |peer: &&PeerEntry| gateway.hub().peek(|scheduler| scheduler.is_mate(&peer.name));
-    let mates: Vec<PeerEntry> = peers.values().filter(is_mate).cloned().collect();
-    drop(peers);
-    if mates.is_empty() {
+    let listed = listed_peers(gateway);
+    let (now, news) = (gateway.hub().clock().now(), gateway.news());
+    let recipients = gateway.hub().peek_mut(|scheduler| scheduler.mate_recipients(now, &listed));
+    if recipients.is_empty() {
         return;
     }
-    let (now, news) = (gateway.hub().clock().now(), gateway.news());
     let digest = gateway.hub().peek_mut(|scheduler| scheduler.digest(now, news, leaving));
-    send_message(gateway, link, PeerMessage::Digest(digest), &mates);
+    send_digest(gateway, link, digest, &recipients);
 }
 
-/// Tells the peers of other cells what must be known everywhere, in other data centres through one VM of each.
+/// Tells the peers of other cells what must be known everywhere.
 pub fn tell_others(gateway: &Gateway, link: &PeerLink, leaving: bool) {
-    let listed: Vec<CellMember> = gateway.peers().borrow().values().map(member).collect();
+    let listed = listed_peers(gateway);
     let (now, news) = (gateway.hub().clock().now(), gateway.news());
-    let recipients = gateway.hub().peek_mut(|scheduler| scheduler.brief_recipients(now, &listed));
-    if recipients.direct.is_empty() && recipients.relays.is_empty() {
+    let recipients = gateway.hub().peek_mut(|scheduler| scheduler.other_recipients(now, &listed));
+    if recipients.is_empty() {
         return;
     }
     let digest = gateway.hub().peek_mut(|scheduler| scheduler.brief_digest(news, leaving));
+    send_digest(gateway, link, digest, &recipients);
+}
+
+fn send_digest(
+    gateway: &Gateway,
+    link: &PeerLink,
+    digest: LoadDigest,
+    recipients: &DigestRecipients,
+) {
     let relays = named_peers(gateway, &recipients.relays);
-    send_message(gateway, link, PeerMessage::PassOn(digest.clone()), &relays);
+    if !relays.is_empty() {
+        send_message(gateway, link, PeerMessage::PassOn(digest.clone()), &relays);
+    }
     let direct = named_peers(gateway, &recipients.direct);
-    send_message(gateway, link, PeerMessage::Digest(digest), &direct);
+    if !direct.is_empty() {
+        send_message(gateway, link, PeerMessage::Digest(digest), &direct);
+    }
+}
+
+fn listed_peers(gateway: &Gateway) -> Vec<DigestPeer> {
+    let digest_peer = |peer: &PeerEntry| DigestPeer {
+        name: peer.name.clone(),
+        data_centre: peer.data_centre.clone(),
+        link: peer.link,
+    };
+    gateway.peers().borrow().values().map(digest_peer).collect()
 }
 
 fn send_message(gateway: &Gateway, link: &PeerLink, message: PeerMessage, peers: &[PeerEntry]) {
--- a/crates/ryetide-gateway/src/gateway.rs
+++ b/crates/ryetide-gateway/src/gateway.rs
@@ -21,7 +21,7 @@
 };
 
 use crate::{
-    caller_listener,
+    caller_listener, digest_relay,
     feed_relay::FeedRelay,
     fleet_duties::{self, FleetNewsTaker},
     gateway_state::Gateway,
@@ -158,6 +158,7 @@
         data_centre: settings.data_centre.clone(),
         address: settings.peers,
         secret: rand::rng().random(),
+        link: settings.link,
     };
     let scheduler = Scheduler::new(SchedulerOptions {
         name: settings.name.clone(),
@@ -190,6 +191,7 @@
     duties.spawn_local(news.run(receiver));
     duties.spawn_local(fleet_duties::schedule(Rc::clone(&gateway), Rc::clone(&link)));
     duties.spawn_local(peer_link::receive(Rc::clone(&gateway), Rc::clone(&link)));
+    duties.spawn_local(digest_relay::pass_on(Rc::clone(&gateway), Rc::clone(&link)));
     let passing_on = fleet_duties::pass_changes_on(Rc::clone(&gateway), Rc::clone(&link), changes);
     duties.spawn_local(passing_on);
     duties.spawn_local(fleet_duties::sweep(Rc::clone(&gateway), nudge));
--- a/crates/ryetide-gateway/src/gateway_text.rs
+++ b/crates/ryetide-gateway/src/gateway_text.rs
@@ -23,6 +23,7 @@
 use ryetide_core::{
     retry_budget::RetryRule,
     text::{self, FaultReader, TextFaults, TextNode, ValueRange},
+    units::LinkRate,
 };
 
 use crate::ports::{GatewaySettings, PeerEntry, PeerSecret};
@@ -31,6 +32,9 @@
 const SPAN_RANGE: ValueRange<Duration> =
     ValueRange { least: Duration::from_millis(100), greatest: Duration::from_secs(600) };
 const SLACK_RANGE: ValueRange<u64> = ValueRange { least: 0, greatest: 1_000_000 };
+const LINK_RANGE: ValueRange<u64> = ValueRange { least: 1, greatest: 1_000_000 };
+/// The slowest link that is usual between VMs of one data centre.
+const DEFAULT_LINK: LinkRate = LinkRate(1_000);
 /// Long enough for today's longest answers.
 const DEFAULT_GRACE: Duration = Duration::from_secs(30);
 
@@ -84,8 +88,18 @@
 }
 
 fn read_root(reader: &mut FaultReader, root: TextNode<'_>) -> Option<GatewayText> {
-    const KEYS: [&str; 9] =
-        ["name", "data-centre", "callers", "status", "peers", "grace", "retry", "routes", "log"];
+    const KEYS: [&str; 10] = [
+        "name",
+        "data-centre",
+        "callers",
+        "status",
+        "peers",
+        "grace",
+        "retry",
+        "link",
+        "routes",
+        "log",
+    ];
     if !reader.mapping(root, &KEYS) {
         return None;
     }
@@ -97,6 +111,7 @@
     let grace = reader
         .optional(root, "grace", DEFAULT_GRACE, |reader, value| reader.span(value, SPAN_RANGE));
     let retry = reader.optional(root, "retry", RetryRule::default(), read_retry);
+    let link = reader.optional(root, "link", DEFAULT_LINK, read_link);
     let routes = reader.required(root, "routes", FaultReader::text);
     let log = reader.optional(root, "log", LogFilter::default(), |reader, value| {
         reader.parsed(value, LogFilter::PERMITTED)
@@ -110,6 +125,7 @@
         peers: address,
         grace: grace?,
         retry: retry?,
+        link: link?,
     };
     Some(GatewayText { settings, routes: routes?.into(), peers: known, log: log? })
 }
@@ -136,11 +152,16 @@
     node: TextNode<'_>,
     secret: PeerSecret,
 ) -> Option<PeerEntry> {
-    reader.mapping(node, &["name", "data-centre", "address"]);
+    reader.mapping(node, &["name", "data-centre", "address", "link"]);
     let name = reader.required(node, "name", FaultReader::name);
     let data_centre = reader.required(node, "data-centre", FaultReader::name);
     let address = reader.required(node, "address", read_address);
-    Some(PeerEntry { name: name?, data_centre: data_centre?, address: address?, secret })
+    let link = reader.optional(node, "link", DEFAULT_LINK, read_link)?;
+    Some(PeerEntry { name: name?, data_centre: data_centre?, address: address?, secret, link })
+}
+
+fn read_link(reader: &mut FaultReader, node: TextNode<'_>) -> Option<LinkRate> {
+    reader.number(node, LINK_RANGE).and_then(|rate| u32::try_from(rate).ok()).map(LinkRate)
 }
 
 fn read_retry(reader: &mut FaultReader, node: TextNode<'_>) -> Option<RetryRule> {
--- a/crates/ryetide-gateway/src/lib.rs
+++ b/crates/ryetide-gateway/src/lib.rs
@@ -20,7 +20,7 @@
 //! | [`call_template`], [`target_pool`], [`target_answer`], [`relay`], [`relay_fault`], [`event_scanner`] | targets |
 //! | [`scheduler_hub`], [`fleet_view`] | the scheduler and what it schedules onto |
 //! | [`store_feed`], [`table_follower`], [`store_table`], [`row_faults`], [`store_outage`], [`feed_relay`] | routes, targets and peers from a platform's store |
-//! | [`peer_link`] | the other entry VMs |
+//! | [`peer_link`], [`digest_relay`] | the other entry VMs, and what is passed on between them |
 //! | [`gateway_text`], [`file_feed`], [`own_headers`] | a gateway without a platform |
 //! | [`status_port`], [`gateway_metrics`], [`decision_log`] | readiness, metrics, logs |
 
@@ -29,6 +29,7 @@
 pub mod caller_listener;
 pub mod caller_service;
 pub mod decision_log;
+pub mod digest_relay;
 pub mod event_scanner;
 pub mod exchange;
 pub mod feed_relay;
--- a/crates/ryetide-gateway/src/peer_link.rs
+++ b/crates/ryetide-gateway/src/peer_link.rs
@@ -18,6 +18,7 @@
 use tokio::net::UdpSocket;
 
 use crate::{
+    digest_relay::DigestRelay,
     feed_relay::RelayedChange,
     gateway_state::Gateway,
     ports::{PeerEntry, PeerSecret},
@@ -35,10 +36,11 @@
     Digest(LoadDigest),
     /// A change that it has heard of from the store.
     Change(RelayedChange),
-    /// Its load, to be passed on to all VMs of the receiver's data centre.
+    /// Its load, to be passed on: a brief digest to all VMs of the receiver's data centre, others to its cell.
     PassOn(LoadDigest),
-    /// A datagram with [`PeerMessage::PassOn`] that another VM has sent here. It still bears that VM's hash.
-    PassedOn(Bytes),
+    /// Datagrams with [`PeerMessage::PassOn`] that other VMs have sent to be passed on. Each still bears the hash
+    /// of its own sender.
+    PassedOn(Vec<Bytes>),
 }
 
 /// A message and the VM that sent it.
@@ -107,12 +109,18 @@
 pub struct PeerLink {
     socket: UdpSocket,
     secret: Cell<PeerSecret>,
+    relay: DigestRelay,
 }
 
 impl PeerLink {
     /// Creates a link that signs as `own`.
     pub fn new(socket: UdpSocket, own: &PeerEntry) -> Self {
-        Self { socket, secret: Cell::new(own.secret) }
+        Self { socket, secret: Cell::new(own.secret), relay: DigestRelay::default() }
+    }
+
+    /// Returns the digests of others that wait to be passed on.
+    pub fn relay(&self) -> &DigestRelay {
+        &self.relay
     }
 
     /// Signs with this key from now on.
@@ -167,10 +175,14 @@
     match message {
         PeerMessage::Digest(digest) => take_digest(gateway, from, digest),
         PeerMessage::PassOn(digest) => {
-            pass_on(gateway, link, datagram);
+            link.relay.take(datagram, digest.scope);
             take_digest(gateway, from, digest);
         }
-        PeerMessage::PassedOn(inner) => take_passed_on(gateway, &inner),
+        PeerMessage::PassedOn(passed) => {
+            for inner in passed {
+                take_passed_on(gateway, &inner);
+            }
+        }
         PeerMessage::Change(change) => gateway.relay().hear(change),
     }
 }
@@ -185,29 +197,16 @@
     gateway.hub().with(|scheduler, now| scheduler.take_digest(now, envelope));
 }
 
-/// Passes a datagram on to the other VMs of this data centre.
-fn pass_on(gateway: &Gateway, link: &PeerLink, datagram: &[u8]) {
-    let (from, own) = {
-        let settings = gateway.settings().borrow();
-        (settings.name.clone(), settings.data_centre.clone())
-    };
-    let peers = gateway.peers().borrow();
-    let near: Vec<PeerEntry> =
-        peers.values().filter(|peer| peer.data_centre == own).cloned().collect();
-    drop(peers);
-    let message = PeerMessage::PassedOn(Bytes::copy_from_slice(datagram));
-    link.send(&PeerEnvelope { from, message }, &near);
-}
-
-/// Takes what another VM of this data centre has passed on. It is believed by the hash of the VM that said it, and
-/// goes no further.
+/// Takes a datagram that another VM has passed on. It is believed by the hash of the VM that speaks in it, and goes no
+/// further.
 fn take_passed_on(gateway: &Gateway, datagram: &[u8]) {
     match open_listed(gateway, datagram) {
         Ok(PeerEnvelope { from, message: PeerMessage::PassOn(digest) }) => {
             take_digest(gateway, from, digest);
         }
-        Ok(envelope) => {
-            tracing::debug!(event = "message-passed-over", peer = %envelope.from, reason = "not to be passed on");
+        Ok(PeerEnvelope { from, .. }) => {
+            let reason = "not to be passed on";
+            tracing::debug!(event = "message-passed-over", peer = %from, reason);
         }
         Err(fault) => tracing::debug!(event = "message-passed-over", reason = %fault),
     }
--- a/crates/ryetide-gateway/src/ports.rs
+++ b/crates/ryetide-gateway/src/ports.rs
@@ -12,7 +12,7 @@
     retry_budget::RetryRule,
     route::RouteTable,
     target_registry::RegistryUpdate,
-    units::Tokens,
+    units::{LinkRate, Tokens},
 };
 use tokio::sync::{Notify, mpsc};
 
@@ -39,6 +39,8 @@
     pub grace: Duration,
     /// How much may be repeated.
     pub retry: RetryRule,
+    /// The speed of this VM's link.
+    pub link: LinkRate,
 }
 
 /// Where the settings are read from, at the start and when they may have changed.
@@ -119,6 +121,8 @@
     pub address: net::SocketAddr,
     /// The key of its digests.
     pub secret: PeerSecret,
+    /// The speed of its link.
+    pub link: LinkRate,
 }
 
 /// News of the fleet.
--- a/crates/ryetide-gateway/src/store_feed.rs
+++ b/crates/ryetide-gateway/src/store_feed.rs
@@ -11,6 +11,7 @@
     route::RouteTable,
     target_load::TargetEntry,
     target_registry::RegistryUpdate,
+    units::LinkRate,
 };
 use serde::{Deserialize, Serialize};
 use tokio::sync::oneshot;
@@ -70,11 +71,16 @@
     address: net::SocketAddr,
     /// The key of its digests.
     secret: PeerSecret,
+    /// The speed of its link; a row that does not tell it is of a VM that passes nothing on.
+    #[serde(default)]
+    link: LinkRate,
 }
 
 impl VmRow {
     fn is_of_same_vm(&self, other: &Self) -> bool {
-        self.data_centre == other.data_centre && self.address == other.address
+        self.data_centre == other.data_centre
+            && self.address == other.address
+            && self.link == other.link
     }
 }
 
@@ -150,8 +156,12 @@
 ) {
     // The feed has ended.
     let Ok(found) = found.await else { return };
-    let row =
-        VmRow { data_centre: own.data_centre.clone(), address: own.address, secret: own.secret };
+    let row = VmRow {
+        data_centre: own.data_centre.clone(),
+        address: own.address,
+        secret: own.secret,
+        link: own.link,
+    };
     if let Some(left) = found.row.filter(|left| left.is_of_same_vm(&row)) {
         tracing::info!(event = "row-kept", step = "announce", version = found.version);
         // The gateway may be ending.
@@ -309,9 +319,9 @@
     fn changed(&mut self, rows: Vec<TableRow>) -> Option<FleetUpdate> {
         for row in rows {
             let decoded = row.value.bytes().map(|value| serde_json::from_slice::<VmRow>(value));
-            if let Some(Ok(VmRow { data_centre, address, secret })) = decoded {
+            if let Some(Ok(VmRow { data_centre, address, secret, link })) = decoded {
                 let name = row.key.as_str().into();
-                let peer = PeerEntry { name, data_centre, address, secret };
+                let peer = PeerEntry { name, data_centre, address, secret, link };
                 self.known.insert(row.key, peer);
                 continue;
             }
--- a/crates/ryetide-gateway/tests/serving/digests.rs
+++ b/crates/ryetide-gateway/tests/serving/digests.rs
@@ -5,6 +5,7 @@
 use ryetide_core::{
     ids::{Incarnation, VmName},
     load_digest::{DigestScope, LoadDigest},
+    units::LinkRate,
 };
 use ryetide_gateway::{
     peer_link::{self, PeerEnvelope, PeerMessage},
@@ -30,7 +31,13 @@
         let socket = UdpSocket::bind("127.0.0.1:0").await.expect("a port");
         let address = socket.local_addr().expect("an address");
         let data_centre = data_centre.into();
-        let entry = PeerEntry { name: name.into(), data_centre, address, secret: [key; 32] };
+        let entry = PeerEntry {
+            name: name.into(),
+            data_centre,
+            address,
+            secret: [key; 32],
+            link: LinkRate(0),
+        };
         Self { entry, socket }
     }
 
@@ -50,8 +57,8 @@
             let Ok(envelope) = peer_link::open(&buffer[..length], |_| Some(OWN_SECRET)) else {
                 continue;
             };
-            if let PeerMessage::PassedOn(inner) = envelope.message {
-                return inner.to_vec();
+            if let PeerMessage::PassedOn(passed) = envelope.message {
+                return passed.first().expect("a datagram").to_vec();
             }
         }
     }
@@ -112,7 +119,7 @@
     support::run(async {
         let (gateway, near, far) = start().await;
         let (sent, _) = pass_through(&gateway, &near, &far).await;
-        near.send(&gateway, PeerMessage::PassedOn(sent.into())).await;
+        near.send(&gateway, PeerMessage::PassedOn(vec![sent.into()])).await;
         assert!(time::timeout(QUIET, near.passed_on()).await.is_err());
     });
 }
--- a/crates/ryetide-gateway/tests/serving/support.rs
+++ b/crates/ryetide-gateway/tests/serving/support.rs
@@ -20,7 +20,7 @@
     route::{KeyHolder, RouteRule, RouteTable, RoutedService, ServiceShare, WorkKind},
     target_load::TargetEntry,
     target_registry::RegistryUpdate,
-    units::{Revision, TierRank, Tokens},
+    units::{LinkRate, Revision, TierRank, Tokens},
 };
 use ryetide_gateway::{
     gateway::{self, GatewayOrder, GatewayParts, GatewaySockets},
@@ -321,6 +321,7 @@
             peers: any,
             grace: Duration::from_secs(3),
             retry: RetryRule { part: 0.2, window: Duration::from_secs(10), slack: 100.0 },
+            link: LinkRate(0),
         };
         let sockets = GatewaySockets::bind(&settings).await.expect("free ports");
         let callers = sockets.callers.local_addr().expect("an address");
