--- a/crates/ryetide-gateway/tests/own_text.rs
+++ b/crates/ryetide-gateway/tests/own_text.rs
@@ -10,7 +10,7 @@
     time::{Duration, Instant},
 };
 
-use ryetide_core::route_text::RouteText;
+use ryetide_core::{route_text::RouteText, units::LinkRate};
 use ryetide_gateway::gateway_text::GatewayText;
 
 const PATIENCE: Duration = Duration::from_secs(10);
@@ -124,6 +124,25 @@
     std::fs::rename(&beside, path).expect("a file");
 }
 
+/// A VM with a slow link says so, and is not asked to pass digests on.
+#[test]
+fn the_speed_of_links_is_checked() {
+    let text = |own: &str, peer: &str| {
+        let known = format!("{{name: e2, data-centre: hall-b, address: '127.0.0.1:4'{peer}}}");
+        GatewayText::parse(&format!(
+            "name: e1\ndata-centre: hall-a\ncallers: 127.0.0.1:1\nstatus: 127.0.0.1:2\n\
+             peers: {{address: '127.0.0.1:3', key: {KEY}, known: [{known}]}}\n\
+             routes: /tmp/routes.yaml\n{own}"
+        ))
+    };
+    let usual = text("", "").expect("a sound text");
+    assert_eq!((usual.settings.link, usual.peers[0].link), (LinkRate(1_000), LinkRate(1_000)));
+    let slow = text("link: 20\n", ", link: 10").expect("a sound text");
+    assert_eq!((slow.settings.link, slow.peers[0].link), (LinkRate(20), LinkRate(10)));
+    let faults = text("link: 0\n", "").expect_err("no link is as slow").to_string();
+    assert!(faults.contains("link") && faults.contains('0'), "{faults}");
+}
+
 #[test]
 fn a_gateway_serves_its_routes_file_and_follows_its_changes() {
     let (callers, status, peers) = (free_address(), free_address(), free_address());
