--- a/crates/ryetide-core/tests/scheduler.rs
+++ b/crates/ryetide-core/tests/scheduler.rs
@@ -3,9 +3,7 @@
 use std::time::Duration;
 
 use ryetide_core::{
-    cell_plan::CellMember,
     decision::{Decision, RefusalReason, RunEnd},
-    digest_route::DigestPeer,
     ids::{Incarnation, RequestSequence, ServiceKey, ServiceName, TargetKey, TargetLife},
     load_digest::{DigestEnvelope, DigestScope, FleetNews, LoadDigest, TargetMark, WaitMark},
     pace::{AssumedPace, FadingMean, PaceReport},
@@ -14,7 +12,7 @@
     scheduler::Scheduler,
     scheduler_options::SchedulerOptions,
     target_load::TargetEntry,
-    units::{LinkRate, Moment, TierRank, Tokens},
+    units::{Moment, TierRank, Tokens},
     wait_line::WaitingWork,
 };
 
@@ -428,54 +426,6 @@
     assert_eq!(bench.placed(), [(late, "t1".to_owned())]);
 }
 
-/// Returns the other VMs of a fleet of this size in three data centres.
-fn listed(size: usize) -> Vec<CellMember> {
-    let member = |index: usize| CellMember {
-        name: format!("e{index}").as_str().into(),
-        data_centre: ["hall-a", "hall-b", "hall-c"][index % 3].into(),
-    };
-    (2..=size).map(member).collect()
-}
-
-/// A VM whose link is too slow to pass anything on.
-fn small_peer(member: &CellMember) -> DigestPeer {
-    let CellMember { name, data_centre } = member.clone();
-    DigestPeer { name, data_centre, link: LinkRate(20) }
-}
-
-fn count_mates(bench: &Bench, listed: &[CellMember]) -> usize {
-    listed.iter().filter(|peer| bench.scheduler.is_mate(&peer.name)).count()
-}
-
-/// Seventy VMs are killed at once and start again. None has heard another yet, nor knows a target; the list says
-/// who they are. Each tells everything to the few of its cell only: to tell 69 others of every change would take
-/// more processor time than a small VM has, and nobody would ever be heard.
-#[test]
-fn a_vm_that_has_heard_nobody_yet_keeps_to_its_cell() {
-    let mut bench = Bench::new(&[]);
-    let listed = listed(70);
-    bench.scheduler.list_peers(at(0), &listed);
-    let mates = count_mates(&bench, &listed);
-    assert!((5..=10).contains(&mates), "{mates} mates");
-}
-
-/// Hundreds of VMs share one target, and so all of a data centre are told what each has there. However many they
-/// are, a VM is told as often as in a cell of eight: more would leave a small one no time to serve anybody.
-#[test]
-fn a_vm_of_a_large_cell_is_told_no_more_often_than_one_of_a_small_cell() {
-    for size in [9, 70, 195, 410] {
-        let mut bench = Bench::new(&[("t1", 2)]);
-        let listed = listed(size);
-        bench.scheduler.list_peers(at(0), &listed);
-        let mates = count_mates(&bench, &listed) as f64;
-        assert!(mates >= (size / 3 - 1) as f64, "{mates} of {size} are mates");
-        let peers: Vec<DigestPeer> = listed.iter().map(small_peer).collect();
-        assert_eq!(bench.scheduler.mate_recipients(at(0), &peers).direct.len(), mates as usize);
-        let told = mates / bench.scheduler.digest_interval().as_secs_f64();
-        assert!(told.floor() <= 7.0 / 0.006, "{size} VMs: told {told} times a second");
-    }
-}
-
 /// A target fails to open connections, and a peer says that all its places are taken. It starts again under its
 /// old name, and the peer's next digest still speaks of the earlier life. Requests must go to the new one at
 /// once: nothing of what was known before holds for it.
--- a/crates/ryetide-lab/src/lib.rs
+++ b/crates/ryetide-lab/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod deployment;
 pub mod engine;
 pub mod engine_batch;
+mod line_fit;
 pub mod overhead;
 pub mod plain_service;
 pub mod platform;
--- a/crates/ryetide-lab/src/slopes.rs
+++ b/crates/ryetide-lab/src/slopes.rs
@@ -26,37 +26,7 @@
     verdict::{AskKey, SlotAsk, VerdictKind},
 };
 
-/// A straight line through measured points, and how far the points lie from it.
-struct LineFit {
-    base: f64,
-    slope: f64,
-    /// The greatest distance of a point from the line, as a part of the greatest value.
-    residual: f64,
-}
-
-fn fit(points: &[(f64, f64)]) -> LineFit {
-    let count = points.len() as f64;
-    let mean = |of: fn(&(f64, f64)) -> f64| points.iter().map(of).sum::<f64>() / count;
-    let (mean_x, mean_y) = (mean(|point| point.0), mean(|point| point.1));
-    let over: f64 = points.iter().map(|(x, y)| (x - mean_x) * (y - mean_y)).sum();
-    let under: f64 = points.iter().map(|(x, _)| (x - mean_x) * (x - mean_x)).sum();
-    let slope = if under > 0.0 { over / under } else { 0.0 };
-    let base = mean_y - slope * mean_x;
-    let greatest = points.iter().map(|point| point.1.abs()).fold(f64::MIN_POSITIVE, f64::max);
-    let distance = |(x, y): &(f64, f64)| (y - (base + slope * x)).abs();
-    let residual = points.iter().map(distance).fold(0.0, f64::max) / greatest;
-    LineFit { base, slope, residual }
-}
-
-fn print_fit(what: &str, unit: &str, points: &[(f64, f64)]) {
-    let LineFit { base, slope, residual } = fit(points);
-    let shown: Vec<String> = points.iter().map(|(x, y)| format!("{x:.0}: {y:.2}")).collect();
-    println!("{what}\n    {}", shown.join(", "));
-    println!(
-        "    = {base:.3} + {slope:.6} x ({unit}); greatest residual {:.1} %",
-        residual * 100.0
-    );
-}
+use crate::line_fit;
 
 /// Measures all slopes and prints them.
 pub fn run() {
@@ -67,11 +37,11 @@
     println!("== a heartbeat by scopes under load");
     let points: Vec<(f64, f64)> =
         [0, 1, 2, 4, 8].map(|loads| (f64::from(loads), heartbeat_bytes(loads))).to_vec();
-    print_fit("heartbeat bytes over loaded scopes", "bytes a scope", &points);
+    line_fit::print_fit("heartbeat bytes over loaded scopes", "bytes a scope", &points);
     println!("== heartbeats that one core sends, by peers");
     let points: Vec<(f64, f64)> =
         [8, 40, 81, 160, 409].map(|peers| (f64::from(peers), heartbeat_rate(peers))).to_vec();
-    print_fit("heartbeats a second over peers", "a second a peer", &points);
+    line_fit::print_fit("heartbeats a second over peers", "a second a peer", &points);
     println!("== decisions of an arbiter");
     for replicas in [8, 30, 60, 120] {
         let times = decision_times(replicas, 100);
@@ -84,19 +54,23 @@
     println!("== processor time of the core for one whole request, arbiter and entry VM in one");
     let points: Vec<(f64, f64)> =
         [500, 1_000, 2_000, 4_000].map(|count| (f64::from(count), requests_time(count))).to_vec();
-    print_fit("milliseconds over requests", "ms a request", &points);
+    line_fit::print_fit("milliseconds over requests", "ms a request", &points);
     println!("== processor time of idle peers");
     let points: Vec<(f64, f64)> =
         [8, 40, 81, 160, 409].map(|peers| (f64::from(peers), peers_time(peers))).to_vec();
-    print_fit("ms of core time a second over peers, each heard at the interval", "ms", &points);
+    line_fit::print_fit(
+        "ms of core time a second over peers, each heard at the interval",
+        "ms",
+        &points,
+    );
     println!("== adopting a services text");
     let points: Vec<(f64, f64)> =
         [100, 1_000, 5_000, 10_000].map(|count| (f64::from(count), adopt_time(count))).to_vec();
-    print_fit("ms over organisations, 600 replicas of 16 services", "ms", &points);
+    line_fit::print_fit("ms over organisations, 600 replicas of 16 services", "ms", &points);
     let points: Vec<(f64, f64)> = [100, 1_000, 5_000, 10_000]
         .map(|count| (f64::from(count), fleet_text(count, 600).len() as f64))
         .to_vec();
-    print_fit("bytes of the text over organisations, 600 replicas", "bytes", &points);
+    line_fit::print_fit("bytes of the text over organisations, 600 replicas", "bytes", &points);
 }
 
 fn profile() -> AskProfile {
@@ -431,7 +405,7 @@
         let grown = resident_bytes().saturating_sub(base) as f64 / f64::from(MEMORY_COPIES);
         points.push((f64::from(peers), grown));
     }
-    print_fit("bytes of a core over peers known", "bytes a peer", &points);
+    line_fit::print_fit("bytes of a core over peers known", "bytes a peer", &points);
     let mut catalogs = Vec::new();
     let mut points = Vec::new();
     for organisations in [100, 1_000, 5_000, 10_000] {
@@ -445,7 +419,7 @@
         let grown = resident_bytes().saturating_sub(base) as f64 / 4.0;
         points.push((f64::from(organisations), grown));
     }
-    print_fit("bytes of a catalog over organisations, 600 replicas", "bytes", &points);
+    line_fit::print_fit("bytes of a catalog over organisations, 600 replicas", "bytes", &points);
     print_waiting_memory();
     black_box((kept, catalogs));
 }
@@ -486,7 +460,7 @@
             points.push((waiting as f64, resident_bytes().saturating_sub(base) as f64));
         }
     }
-    print_fit("bytes over requests waiting at an arbiter", "bytes a request", &points);
+    line_fit::print_fit("bytes over requests waiting at an arbiter", "bytes a request", &points);
     black_box(arbiters);
 }
 
