Name in the log which targets came, left, went and are kept, and from whom news came

An on-call engineer could not tell why a VM placed a request at a target whose leaving the store had taken three seconds before: `targets-changed` told counts, not names or versions; a target that was kept though its entry was missing left no line at all; and a change passed on by a peer was logged at debug only. Now `targets-changed` names who arrived, is leaving and is gone and as of which version, `targets-kept` tells whom a VM keeps in doubt and for how long yet, and `table-news` from whom rows came (the store or a peer), their version, and whether the store was lost not long ago. What a VM decides is the same as before.

next_lapse of the registry, which nothing called, gave way to kept and last_lapse.

--- a/crates/ryetide-core/src/target_registry.rs
+++ b/crates/ryetide-core/src/target_registry.rs
@@ -150,9 +150,15 @@
         self.targets.values().map(|target| target.entry.clone()).collect()
     }
 
-    /// Returns when a target's time is over next.
-    pub fn next_lapse(&self) -> Option<Moment> {
-        self.targets.values().filter_map(|target| target.lapses_at).min()
+    /// Returns the targets that are kept though their entries are missing.
+    pub fn kept(&self) -> impl Iterator<Item = &TargetName> {
+        let kept = self.targets.iter().filter(|(_, target)| target.lapses_at.is_some());
+        kept.map(|(name, _)| name)
+    }
+
+    /// Returns until when the last of the targets is kept whose entries are missing.
+    pub fn last_lapse(&self) -> Option<Moment> {
+        self.targets.values().filter_map(|target| target.lapses_at).max()
     }
 
     /// Returns whether a later life of a target was seen: this one has ended, and whatever ran there with it.
--- a/crates/ryetide-gateway/src/fleet_duties.rs
+++ b/crates/ryetide-gateway/src/fleet_duties.rs
@@ -9,6 +9,7 @@
     load_digest::LoadDigest,
     peer_board::FeedLag,
     scheduler::Scheduler,
+    units::Moment,
 };
 use tokio::{
     sync::{Notify, mpsc},
@@ -20,6 +21,7 @@
     gateway_state::Gateway,
     peer_link::{PeerEnvelope, PeerLink, PeerMessage},
     ports::{FleetUpdate, PeerEntry},
+    target_news::NameList,
 };
 
 /// How often kept connections, entries that lapse and levels are looked at.
@@ -72,6 +74,7 @@
                 let now = gateway.hub().clock().now();
                 gateway.fleet().registry().borrow_mut().take(now, update);
                 gateway.fleet().registry().borrow_mut().note_newest(newest);
+                log_kept(gateway, now);
                 refresh_targets(gateway);
             }
             FleetUpdate::TargetsReached(number) => {
@@ -204,11 +207,29 @@
     gateway.hub().peek(|scheduler| scheduler.feed_lag(now, news))
 }
 
+/// Tells which targets get work though their entries are missing, and for how long yet at the most.
+fn log_kept(gateway: &Gateway, now: Moment) {
+    let registry = gateway.fleet().registry().borrow();
+    let kept = NameList(registry.kept().cloned().collect());
+    let Some(until) = registry.last_lapse() else { return };
+    let left_ms = until.since(now).as_millis();
+    tracing::info!(event = "targets-kept", version = registry.newest(), left_ms, kept = %kept);
+}
+
 fn refresh_targets(gateway: &Gateway) {
     let now = gateway.hub().clock().now();
-    let Some(targets) = gateway.fleet().refresh_targets(now) else { return };
+    let Some((targets, news)) = gateway.fleet().refresh_targets(now) else { return };
     let leaving = targets.iter().filter(|target| target.leaving).count();
-    tracing::info!(event = "targets-changed", targets = targets.len(), leaving);
+    let version = gateway.fleet().registry().borrow().newest();
+    tracing::info!(
+        event = "targets-changed",
+        targets = targets.len(),
+        leaving,
+        version,
+        arrived = %news.arrived,
+        now_leaving = %news.leaving,
+        gone = %news.gone,
+    );
     gateway.hub().with(|scheduler, now| scheduler.set_targets(now, targets));
 }
 
--- a/crates/ryetide-gateway/src/fleet_view.rs
+++ b/crates/ryetide-gateway/src/fleet_view.rs
@@ -8,10 +8,12 @@
     route::{CallerBounds, EngineProfile, RouteTable},
     target_load::TargetEntry,
     target_registry::TargetRegistry,
-    units::Revision,
+    units::{Moment, Revision},
 };
 use tokio::sync::Notify;
 
+use crate::target_news::TargetNews;
+
 /// The routes in force and the targets, as last told.
 #[derive(Default)]
 pub struct FleetView {
@@ -65,15 +67,16 @@
         &self.registry
     }
 
-    /// Replaces the targets by what the registry says now; returns them when something changed.
-    pub fn refresh_targets(&self, now: ryetide_core::units::Moment) -> Option<Vec<TargetEntry>> {
+    /// Replaces the targets by what the registry says now; returns them when something changed, and what did.
+    pub fn refresh_targets(&self, now: Moment) -> Option<(Vec<TargetEntry>, TargetNews)> {
         let found = self.registry.borrow_mut().current(now);
         if *self.current.borrow() == found {
             return None;
         }
-        *self.current.borrow_mut() = found.clone();
+        let before = self.current.replace(found.clone());
         self.changed.notify_waiters();
-        Some(found)
+        let news = TargetNews::between(&before, &found);
+        Some((found, news))
     }
 
     /// Returns whether this life of a target is leaving or gone.
--- a/crates/ryetide-gateway/src/lib.rs
+++ b/crates/ryetide-gateway/src/lib.rs
@@ -22,7 +22,7 @@
 //! | [`store_feed`], [`table_follower`], [`store_table`], [`row_faults`], [`store_outage`], [`feed_relay`] | routes, targets and peers from a platform's store |
 //! | [`peer_link`], [`digest_relay`] | the other entry VMs, and what is passed on between them |
 //! | [`gateway_text`], [`file_feed`], [`own_headers`] | a gateway without a platform |
-//! | [`status_port`], [`gateway_metrics`], [`decision_log`] | readiness, metrics, logs |
+//! | [`status_port`], [`gateway_metrics`], [`decision_log`], [`target_news`] | readiness, metrics, logs |
 
 pub mod call_template;
 pub mod caller_answer;
@@ -56,4 +56,5 @@
 pub mod store_table;
 pub mod table_follower;
 pub mod target_answer;
+pub mod target_news;
 pub mod target_pool;
--- a/crates/ryetide-gateway/src/table_follower.rs
+++ b/crates/ryetide-gateway/src/table_follower.rs
@@ -174,6 +174,9 @@
                 Ok(rows) => {
                     let changed = !rows.rows.is_empty();
                     self.regained().await;
+                    if changed {
+                        self.log_news("store", rows.rows.len(), rows.version);
+                    }
                     if followed && changed {
                         self.pass_on(&rows, self.changed);
                     }
@@ -322,9 +325,8 @@
             }
         }
         let new = rows.iter().filter(|row| row.version > self.version).cloned().collect();
-        let (table, reached) = (self.pace.table, change.reached);
-        tracing::debug!(event = "change-relayed", %table, reached);
-        self.take(TableRows { rows: new, version: reached }, true).await;
+        self.log_news("peer", rows.len(), change.reached);
+        self.take(TableRows { rows: new, version: change.reached }, true).await;
         true
     }
 
@@ -347,6 +349,12 @@
         }
     }
 
+    /// Tells from whom rows have come, and as of which version.
+    fn log_news(&self, from: &'static str, rows: usize, version: u64) {
+        let (table, aftermath) = (self.pace.table, self.is_aftermath());
+        tracing::info!(event = "table-news", %table, from, rows, version, aftermath);
+    }
+
     fn is_aftermath(&self) -> bool {
         self.back_at.is_some_and(|at| at.elapsed() < target_registry::AFTERMATH)
     }
