--- a/crates/ryetide-gateway/tests/table_follower/main.rs
+++ b/crates/ryetide-gateway/tests/table_follower/main.rs
@@ -1,5 +1,7 @@
 //! Following a table of a store that does as it likes; no network, and time that is paused.
 
+mod leaving;
+mod model_store;
 mod rests;
 mod support;
 
--- /dev/null
+++ b/crates/ryetide-gateway/tests/table_follower/model_store.rs
@@ -0,0 +1,354 @@
+//! A store and the entry VMs that follow it, in one process and on a paused clock.
+//!
+//! The store tells the last state of each row that has changed, at once, to every VM that reaches it. Each VM runs
+//! the feed of the product, keeps the registry of the product, and looks at it as the gateway does: at news, and
+//! with each sweep.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::BTreeMap,
+    rc::Rc,
+    time::Duration,
+};
+
+use bytes::Bytes;
+use ryetide::error::StepError;
+use ryetide_core::{
+    route::RouteTable,
+    target_load::TargetEntry,
+    units::{LinkRate, Moment},
+};
+use ryetide_gateway::{
+    feed_relay::{FeedRelay, RelayedChange},
+    fleet_view::FleetView,
+    ports::{FeedLine, FleetFeed, FleetUpdate, LocalFuture, PeerEntry},
+    store_feed::{FeedBounds, FleetStore, StoreFeed},
+    store_table::{FleetTable, RowValue, StoreTable, TableFault, TableRow, TableRows},
+};
+use tokio::{
+    sync::{Notify, mpsc},
+    task,
+    time::{self, Instant},
+};
+
+/// How often the gateway looks which targets' time is over.
+const SWEEP_INTERVAL: Duration = Duration::from_millis(200);
+/// How often a VM tells its mates how far its watch has come.
+const DIGEST_INTERVAL: Duration = Duration::from_millis(400);
+/// The way between two VMs.
+const TRAVEL: Duration = Duration::from_millis(2);
+/// How soon a store that turns a call away says so.
+const ANSWER_TIME: Duration = Duration::from_millis(4);
+
+/// Rows by their tables and keys, each with the version of its last change; nothing for one that was dropped.
+type Rows = BTreeMap<(String, String), (u64, Option<Bytes>)>;
+
+/// The store.
+#[derive(Default)]
+pub struct ModelStore {
+    rows: RefCell<Rows>,
+    version: Cell<u64>,
+    changed: Notify,
+}
+
+impl ModelStore {
+    pub fn put(&self, table: FleetTable, key: &str, value: &[u8]) {
+        self.change(table, key, Some(Bytes::copy_from_slice(value)));
+    }
+
+    /// Writes the entry of a target that takes work.
+    pub fn register(&self, target: &str) {
+        self.put(FleetTable::Targets, target, b"ready");
+    }
+
+    /// Ends the entry of a target that left without a word.
+    pub fn drop_target(&self, target: &str) {
+        self.change(FleetTable::Targets, target, None);
+    }
+
+    fn change(&self, table: FleetTable, key: &str, value: Option<Bytes>) {
+        self.version.set(self.version.get() + 1);
+        self.rows
+            .borrow_mut()
+            .insert((table.to_string(), key.to_owned()), (self.version.get(), value));
+        self.changed.notify_waiters();
+    }
+
+    fn since(&self, table: FleetTable, version: u64) -> TableRows {
+        let (rows, table) = (self.rows.borrow(), table.to_string());
+        let changed = rows.iter().filter(|((of, _), (at, _))| *of == table && *at > version);
+        let row = |((_, key), (at, value)): (&(String, String), &(u64, Option<Bytes>))| {
+            let value = value.clone().map_or(RowValue::Dropped, RowValue::Present);
+            TableRow { key: key.clone(), version: *at, value }
+        };
+        let mut rows: Vec<TableRow> = changed.map(row).collect();
+        rows.sort_by_key(|row| row.version);
+        TableRows { rows, version: self.version.get() }
+    }
+}
+
+/// What stands between one VM and the store.
+#[derive(Default)]
+pub struct StorePath {
+    cut: Cell<Option<CutKind>>,
+    changed: Notify,
+}
+
+/// How a VM is cut off from the store.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum CutKind {
+    /// Calls end at once.
+    Refused,
+    /// Calls stay without an answer; those that are open stay so when the cut has ended.
+    Silent,
+}
+
+impl StorePath {
+    pub fn cut(&self, kind: CutKind) {
+        self.cut.set(Some(kind));
+        self.changed.notify_waiters();
+    }
+
+    pub fn mend(&self) {
+        self.cut.set(None);
+    }
+
+    pub fn is_cut(&self) -> bool {
+        self.cut.get().is_some()
+    }
+
+    /// Returns when a call on this path has failed.
+    async fn fails(&self, limit: Duration) -> TableFault {
+        let until = Instant::now() + limit;
+        loop {
+            let changed = self.changed.notified();
+            match self.cut.get() {
+                Some(CutKind::Refused) => {
+                    time::sleep(ANSWER_TIME).await;
+                    return TableFault::Failed("refused".to_owned());
+                }
+                Some(CutKind::Silent) => {
+                    time::sleep_until(until).await;
+                    return TableFault::Failed("silent".to_owned());
+                }
+                None => changed.await,
+            }
+        }
+    }
+}
+
+struct ModelTable {
+    store: Rc<ModelStore>,
+    path: Rc<StorePath>,
+    table: FleetTable,
+}
+
+impl ModelTable {
+    async fn wait_for_rows(&self, version: u64, wait: Duration) -> TableRows {
+        let until = Instant::now() + wait;
+        time::sleep(ANSWER_TIME).await;
+        loop {
+            let changed = self.store.changed.notified();
+            let found = self.store.since(self.table, version);
+            if !found.rows.is_empty() || Instant::now() >= until {
+                return found;
+            }
+            tokio::select! {
+                () = changed => {}
+                () = time::sleep_until(until) => {}
+            }
+        }
+    }
+}
+
+impl StoreTable for ModelTable {
+    fn read_all(&mut self, limit: Duration) -> LocalFuture<'_, Result<TableRows, TableFault>> {
+        Box::pin(async move {
+            let present = |row: &TableRow| row.value != RowValue::Dropped;
+            tokio::select! {
+                biased;
+                fault = self.path.fails(limit) => Err(fault),
+                () = time::sleep(ANSWER_TIME) => {
+                    let mut found = self.store.since(self.table, 0);
+                    found.rows.retain(present);
+                    Ok(found)
+                }
+            }
+        })
+    }
+
+    fn follow(
+        &mut self,
+        version: u64,
+        wait: Duration,
+        limit: Duration,
+    ) -> LocalFuture<'_, Result<TableRows, TableFault>> {
+        Box::pin(async move {
+            tokio::select! {
+                biased;
+                fault = self.path.fails(limit) => Err(fault),
+                found = self.wait_for_rows(version, wait) => Ok(found),
+            }
+        })
+    }
+
+    fn hang_up(&mut self) {}
+
+    fn write<'a>(
+        &'a mut self,
+        key: &'a str,
+        _expected: u64,
+        value: &'a [u8],
+        _limit: Duration,
+    ) -> LocalFuture<'a, Result<(), TableFault>> {
+        self.store.put(self.table, key, value);
+        Box::pin(async { Ok(()) })
+    }
+}
+
+struct ModelFleet {
+    store: Rc<ModelStore>,
+    path: Rc<StorePath>,
+}
+
+impl FleetStore for ModelFleet {
+    fn open(&self, table: FleetTable) -> Box<dyn StoreTable> {
+        let (store, path) = (Rc::clone(&self.store), Rc::clone(&self.path));
+        Box::new(ModelTable { store, path, table })
+    }
+
+    fn routes(&self, _row: &TableRow) -> Result<Option<RouteTable>, StepError> {
+        Ok(None)
+    }
+
+    fn target(&self, name: &str, _value: &[u8]) -> Result<TargetEntry, StepError> {
+        Ok(TargetEntry {
+            name: name.into(),
+            life: Default::default(),
+            service: "desk".into(),
+            address: std::net::SocketAddr::from(([127, 0, 0, 1], 9)),
+            data_centre: "hall-a".into(),
+            slots: 6,
+            leaving: false,
+            warmup: Duration::ZERO,
+        })
+    }
+}
+
+/// An entry VM: its feed, and what it believes.
+pub struct ModelVm {
+    pub path: Rc<StorePath>,
+    pub relay: Rc<FeedRelay>,
+    fleet: FleetView,
+    started: Instant,
+    /// The targets that get work.
+    in_use: RefCell<Vec<String>>,
+    /// When those that do not any more stopped to.
+    stopped: RefCell<BTreeMap<String, Instant>>,
+}
+
+impl ModelVm {
+    /// Starts a VM that watches the store until it is told to rest, and returns the end from which its changes are
+    /// passed on too.
+    pub fn start(
+        store: &Rc<ModelStore>,
+        name: &str,
+        bounds: FeedBounds,
+    ) -> (Rc<Self>, mpsc::Receiver<RelayedChange>) {
+        let (relay, changes) = FeedRelay::new();
+        let vm = Rc::new(Self {
+            path: Rc::default(),
+            relay: Rc::clone(&relay),
+            fleet: FleetView::default(),
+            started: Instant::now(),
+            in_use: RefCell::default(),
+            stopped: RefCell::default(),
+        });
+        let fleet = ModelFleet { store: Rc::clone(store), path: Rc::clone(&vm.path) };
+        let (updates, news) = mpsc::channel(64);
+        let line = FeedLine {
+            updates,
+            nudge: Rc::new(Notify::new()),
+            fleet_size: Rc::new(Cell::new(65)),
+            relay,
+        };
+        let own = PeerEntry {
+            name: name.into(),
+            data_centre: "hall-a".into(),
+            address: std::net::SocketAddr::from(([10, 1, 0, 25], 7600)),
+            secret: [7; 32],
+            link: LinkRate(0),
+        };
+        task::spawn_local(Box::new(StoreFeed::new(fleet, bounds)).run(own, line));
+        task::spawn_local(Rc::clone(&vm).take_news(news));
+        (vm, changes)
+    }
+
+    async fn take_news(self: Rc<Self>, mut news: mpsc::Receiver<FleetUpdate>) {
+        let mut sweeps = time::interval(SWEEP_INTERVAL);
+        loop {
+            tokio::select! {
+                update = news.recv() => match update {
+                    Some(FleetUpdate::Targets(update, _)) => {
+                        self.fleet.registry().borrow_mut().take(self.now(), update);
+                    }
+                    Some(_) => continue,
+                    None => return,
+                },
+                _ = sweeps.tick() => {}
+            }
+            self.look();
+        }
+    }
+
+    fn look(&self) {
+        let Some((targets, news)) = self.fleet.refresh_targets(self.now()) else { return };
+        let names = targets.iter().map(|target| target.name.to_string());
+        *self.in_use.borrow_mut() = names.collect();
+        for name in news.gone.0 {
+            self.stopped.borrow_mut().insert(name.to_string(), Instant::now());
+        }
+    }
+
+    fn now(&self) -> Moment {
+        Moment(u64::try_from(self.started.elapsed().as_micros()).expect("a short test") + 1)
+    }
+
+    pub fn uses(&self, target: &str) -> bool {
+        self.in_use.borrow().iter().any(|name| name == target)
+    }
+
+    /// Returns when a target stopped to get work: now, if it still does.
+    pub fn last_used(&self, target: &str) -> Instant {
+        if self.uses(target) {
+            return Instant::now();
+        }
+        self.stopped.borrow().get(target).copied().expect("a target that was known")
+    }
+}
+
+/// Passes on what `from` hears to a VM that rests on it, and how far its watch has come. What is sent while that
+/// VM is cut off is lost.
+pub async fn pass_on(
+    from: Rc<ModelVm>,
+    mut changes: mpsc::Receiver<RelayedChange>,
+    to: Rc<ModelVm>,
+) {
+    let mut digests = time::interval(DIGEST_INTERVAL);
+    loop {
+        tokio::select! {
+            change = changes.recv() => {
+                let Some(change) = change else { return };
+                time::sleep(TRAVEL).await;
+                if !to.path.is_cut() {
+                    to.relay.hear(change);
+                }
+            }
+            _ = digests.tick() => {
+                if let Some(note) = from.relay.watch_note().filter(|_| !to.path.is_cut()) {
+                    to.relay.note_peer(&note);
+                }
+            }
+        }
+    }
+}
