Let VMs with fast links watch the store first

The VMs that watch were the first of a cell by a hash; now those with a link that carries a cell's digests (RELAY_LINK) go first, and a hash orders equals. Where no VM has such a link nothing changes.

Test: those_with_fast_links_watch_first.

--- a/crates/ryetide-core/src/scheduler.rs
+++ b/crates/ryetide-core/src/scheduler.rs
@@ -31,7 +31,7 @@
     target_load::{TargetEntry, TargetLoad},
     units::{Moment, Tokens},
     wait_line::WaitingWork,
-    watch_duty,
+    watch_duty::WatchOrder,
 };
 
 /// How often the line is looked at while somebody waits: well under the shortest objective, and under
@@ -60,6 +60,7 @@
     decisions: Vec<Decision>,
     changed: bool,
     plan: CellPlan,
+    watch_order: WatchOrder,
 }
 
 #[derive(Clone, Debug)]
@@ -91,6 +92,7 @@
             pace: DigestPace::direct(0),
             decisions: Vec::new(),
             changed: false,
+            watch_order: WatchOrder::default(),
         }
     }
 
@@ -171,6 +173,11 @@
         self.plan_cells(now);
     }
 
+    /// Replaces the order in which the VMs watch the source of routes and targets.
+    pub fn set_watch_order(&mut self, order: WatchOrder) {
+        self.watch_order = order;
+    }
+
     /// Takes a peer's digest.
     pub fn take_digest(&mut self, now: Moment, envelope: DigestEnvelope) {
         let DigestEnvelope { from, digest } = envelope;
@@ -413,14 +420,14 @@
     /// all do.
     pub fn must_watch(&self, now: Moment) -> bool {
         let mates = self.peers.watching(now).filter(|peer| self.is_mate(peer));
-        !self.plan.is_dealt() || watch_duty::is_first(&self.options.name, mates)
+        !self.plan.is_dealt() || self.watch_order.is_first(&self.options.name, mates)
     }
 
     /// Returns whether this VM tells others the changes it hears of from the source: it is among the first
     /// of those that watch.
     pub fn is_relay(&self, now: Moment) -> bool {
         let mates = self.peers.watching(now).filter(|peer| self.is_mate(peer));
-        watch_duty::is_first(&self.options.name, mates)
+        self.watch_order.is_first(&self.options.name, mates)
     }
 
     /// Returns whether a peer relies on what others tell it of routes and targets.
--- a/crates/ryetide-core/tests/watch_duty.rs
+++ b/crates/ryetide-core/tests/watch_duty.rs
@@ -10,8 +10,8 @@
     retry_budget::RetryRule,
     scheduler::Scheduler,
     scheduler_options::SchedulerOptions,
-    units::Moment,
-    watch_duty::{WATCHER_COUNT, WatchNote},
+    units::{LinkRate, Moment},
+    watch_duty::{WATCHER_COUNT, WatchNote, WatchOrder},
 };
 
 /// VMs that have nothing else to tell send a digest this often.
@@ -97,6 +97,33 @@
     assert_eq!(fleet.watchers().len(), 4 * WATCHER_COUNT);
 }
 
+/// A change is told to all mates of those that watch, and routes with the keys of all organisations are long: over a
+/// slow link most of it was lost, and callers were served by replaced routes for half a second more. Of eleven VMs
+/// that are one cell the three with fast links go first; when they die, others take over all the same.
+#[test]
+fn those_with_fast_links_watch_first() {
+    let mut fleet = Fleet::new(11);
+    let fast = ["e2", "e7", "e9"].map(VmName::from);
+    let link = |name: &VmName| LinkRate(if fast.contains(name) { 200 } else { 20 });
+    let links: Vec<_> = fleet.vms.iter().map(|(name, _)| (name.clone(), link(name))).collect();
+    for (_, scheduler) in &mut fleet.vms {
+        scheduler.set_watch_order(WatchOrder::new(links.clone()));
+    }
+    (0..5).for_each(|_| fleet.tell());
+    let relays = |fleet: &Fleet| -> BTreeSet<VmName> {
+        let now = Moment::from_millis(fleet.now);
+        let heard = fleet.vms.iter().filter(|(name, _)| !fleet.silent.contains(name));
+        let relays = heard.filter(|(_, scheduler)| scheduler.is_relay(now));
+        relays.map(|(name, _)| name.clone()).collect()
+    };
+    let before = relays(&fleet);
+    assert_eq!(before.len(), WATCHER_COUNT);
+    assert!(before.iter().all(|name| fast.contains(name)), "{before:?}");
+    fleet.silent = fast.into();
+    (0..4).for_each(|_| fleet.tell());
+    assert_eq!(relays(&fleet).len(), WATCHER_COUNT, "others pass on");
+}
+
 /// Both VMs of a cell that watch freeze at one moment, and later wake. Callers of the whole cell would be
 /// served by old routes and sent to targets that have left, if nobody took over: others do within 1.2 s.
 #[test]
--- a/crates/ryetide-gateway/src/fleet_duties.rs
+++ b/crates/ryetide-gateway/src/fleet_duties.rs
@@ -10,6 +10,7 @@
     peer_board::FeedLag,
     scheduler::Scheduler,
     units::Moment,
+    watch_duty::WatchOrder,
 };
 use tokio::{
     sync::mpsc,
@@ -80,14 +81,22 @@
     }
 
     fn take_peers(&self, listed: Vec<PeerEntry>) {
-        let own = self.gateway.settings().borrow().name.clone();
+        let (own, link) = {
+            let settings = self.gateway.settings().borrow();
+            (settings.name.clone(), settings.link)
+        };
         let others = listed.into_iter().filter(|peer| peer.name != own);
         let others: BTreeMap<VmName, PeerEntry> =
             others.map(|peer| (peer.name.clone(), peer)).collect();
         let members: Vec<CellMember> = others.values().map(member).collect();
+        let links = others.values().map(|peer| (peer.name.clone(), peer.link));
+        let order = WatchOrder::new(links.chain([(own, link)]));
         self.fleet_size.set(members.len() + 1);
         *self.gateway.peers().borrow_mut() = others;
-        self.gateway.hub().with(|scheduler, now| scheduler.list_peers(now, &members));
+        self.gateway.hub().with(|scheduler, now| {
+            scheduler.set_watch_order(order);
+            scheduler.list_peers(now, &members);
+        });
     }
 }
 
