--- a/crates/ryetide-core/src/watch_duty.rs
+++ b/crates/ryetide-core/src/watch_duty.rs
@@ -4,10 +4,10 @@
 //! 3,000 calls in a calm minute and 7,300 in one in which targets came and went, 0.03 to 0.04 of all worth.
 //! So in a large deployment [`WATCHER_COUNT`] VMs of each cell watch, and tell their mates each change as it
 //! comes. Nobody is elected and nothing is stored: every VM works out from its mates' digests whether it is
-//! among the first: those with fast links go before the others, and a hash orders equals. One that watches and falls silent, is leaving, or has lost the source counts no
-//! more, and the next in order watches within [`WATCH_SPAN`]. Two VMs that see their cell differently for a
-//! moment watch both, which costs calls; a mate that has missed a change sees it in the next digest and asks
-//! the source itself.
+//! among the first, in the order of [`WatchOrder`]. One that watches and falls silent, is leaving, or has lost
+//! the source counts no more, and the next in order watches within [`WATCH_SPAN`]. Two VMs that see their cell
+//! differently for a moment watch both, which costs calls; a mate that has missed a change sees it in the next
+//! digest and asks the source itself.
 
 use std::{collections::BTreeSet, time::Duration};
 
