Say on the lines which attempts are the same request, and what ran at a target that has crashed

For the users' incident of a request that crashes targets: each attempt of its caller has another id, so no line tied them together, and a run that broke off told nothing of whether its target had ended.

placed and target-failed bear a print of the request (organisation, method, host, path, body), the same at every VM. When a run breaks off, one connection to its target tells whether it has crashed: its address refuses from then on. A line target-crashed names each run of this VM that ended with it, and for how long it had been there. explain tells it. Faults of a run are an enum now, where they were texts. No decision has changed.

--- a/crates/ryetide-cli/src/explain.rs
+++ b/crates/ryetide-cli/src/explain.rs
@@ -93,6 +93,13 @@
             of("reason"),
             of("attempts")
         ),
+        "target-crashed" => format!(
+            "{} has crashed after it had run there for {} ms, as had {} request(s) of this VM; known again by {}",
+            of("target"),
+            of("ran_ms"),
+            of("runs"),
+            of("print")
+        ),
         "broken-off" => format!("broken off towards its caller: {}", of("reason")),
         "ended" => format!(
             "ended {} after {} ms and {} attempt(s); first event after {} ms, longest pause {} ms",
--- a/crates/ryetide-core/src/lib.rs
+++ b/crates/ryetide-core/src/lib.rs
@@ -28,6 +28,7 @@
 //! | [`arbiter`], [`verdict`], [`queue`], [`estimate`], [`affinity`], [`retry`] | order and placement |
 //! | [`membership`] | peers, and who arbitrates what |
 //! | [`claim`], [`configuration`], [`request`] | what must not go wrong |
+//! | [`request_print`] | which attempts are the same request |
 //! | [`route`], [`route_text`], [`quota`], [`quota_desk`], [`retry_budget`], [`comeback_time`] | routed requests: where they go, what they may cost |
 //! | [`scheduler`], [`scheduler_options`], [`line_view`], [`wait_line`], [`recent_arrivals`], [`deadline_habit`], [`decision`] | the order and refusal of routed requests |
 //! | [`placing`], [`target_load`], [`target_health`], [`pace`], [`prompt_memory`] | where they are placed |
@@ -78,6 +79,7 @@
 pub mod quota_desk;
 pub mod recent_arrivals;
 pub mod request;
+pub mod request_print;
 pub mod retry;
 pub mod retry_budget;
 pub mod route;
--- a/crates/ryetide-gateway/src/caller_service.rs
+++ b/crates/ryetide-gateway/src/caller_service.rs
@@ -16,6 +16,7 @@
     gateway_state::Gateway,
     relay::StreamRelay,
     relay_fault::RelayFault,
+    run_fault::RunFault,
     target_answer::{self, BodyFault, TargetAnswer},
 };
 
@@ -119,13 +120,13 @@
             }
             Ok(Ok(body)) => {
                 let head = answer.head.clone();
-                exchange.note_target_fault(&answer.target, "failed");
+                exchange.note_target_fault(&answer.target, RunFault::Failed);
                 exchange.keep_connection(answer);
                 failure = Some((head, body));
             }
             Ok(Err(fault)) => {
                 tracing::debug!(event = "answer-broken", peer = %answer.target.name, reason = %fault);
-                exchange.note_target_fault(&answer.target, "broken");
+                exchange.note_target_fault(&answer.target, fault.into());
             }
         }
         let run = exchange.run_again(None).await;
--- a/crates/ryetide-gateway/src/decision_log.rs
+++ b/crates/ryetide-gateway/src/decision_log.rs
@@ -10,12 +10,16 @@
 use ryetide_core::{
     decision::{PlacingEvidence, RunEnd},
     ids::{OrganisationName, RequestSequence, VmName},
+    request_print::RequestPrint,
     target_load::TargetEntry,
     units::Revision,
 };
 use tokio::time::Instant;
 
-use crate::target_pool::{ConnectFault, SendFault};
+use crate::{
+    crash_watch::BrokenRun,
+    target_pool::{ConnectFault, SendFault},
+};
 
 /// Lines a second that may be written on the long run: several for each of today's requests at one
 /// VM, at some 10 microseconds each under 0.3 % of a core.
@@ -32,6 +36,8 @@
     pub id: &'a str,
     /// Its number at this VM.
     pub sequence: RequestSequence,
+    /// By what it is known again when it comes under another id.
+    pub print: RequestPrint,
     /// Its route.
     pub route: &'a str,
     /// For how long its caller had waited before it asked this time.
@@ -91,6 +97,7 @@
             vm = %self.vm,
             request = request.id,
             sequence = request.sequence.0,
+            print = %request.print,
             route = request.route,
             target = %target.name,
             life = %target.life,
@@ -190,6 +197,7 @@
                 vm = %self.vm,
                 request = request.id,
                 sequence = request.sequence.0,
+                print = %request.print,
                 target = %target.name,
                 reason = why,
                 attempts,
@@ -197,6 +205,24 @@
         }
     }
 
+    /// A target has crashed, and with it ended these runs of this VM's.
+    pub fn crashed(&self, target: &TargetEntry, runs: &[BrokenRun]) {
+        for run in runs {
+            if self.permits() {
+                tracing::warn!(
+                    event = "target-crashed",
+                    vm = %self.vm,
+                    request = run.request,
+                    print = %run.print,
+                    target = %target.name,
+                    peer = %target.address,
+                    ran_ms = millis(run.ran),
+                    runs = runs.len(),
+                );
+            }
+        }
+    }
+
     /// A stream was broken off towards its caller.
     pub fn broken_off(&self, request: &LogId<'_>, why: &'static str) {
         if self.permits() {
--- a/crates/ryetide-gateway/src/exchange.rs
+++ b/crates/ryetide-gateway/src/exchange.rs
@@ -13,8 +13,9 @@
 };
 use ryetide_core::{
     decision::{Decision, PlacingEvidence, RunEnd},
-    ids::{ServiceName, TargetKey},
+    ids::{OrganisationName, ServiceName, TargetKey},
     quota::QuotaCharge,
+    request_print::{RequestContent, RequestPrint},
     route::{MatchedRoute, WorkKind},
     target_load::TargetEntry,
     units::{Moment, Tokens},
@@ -25,11 +26,13 @@
 use crate::{
     call_template::{CallTemplate, CallTurn},
     caller_answer::{CallerResponse, OwnAnswer, OwnReason},
+    crash_watch::{BrokenRun, CrashWatch},
     decision_log::{ExchangeSpans, LogId},
     gateway_state::Gateway,
     ports::WorkSize,
     quota_wait,
     relay_fault::RelayFault,
+    run_fault::RunFault,
     scheduler_hub::RequestTicket,
     target_answer::{self, AnswerKind, TargetAnswer},
     target_pool::ConnectionChoice,
@@ -62,7 +65,7 @@
     /// The target said that it did not run.
     TurnedAway,
     /// It may have run.
-    Lost(&'static str),
+    Lost(RunFault),
     /// The route's time is over.
     TimedOut,
 }
@@ -76,6 +79,7 @@
     template: CallTemplate,
     size: WorkSize,
     id: Option<HeaderValue>,
+    print: RequestPrint,
     arrived: Moment,
     /// For how long its caller had waited before, when it has come back.
     waited: Duration,
@@ -87,6 +91,8 @@
     evidence: Option<PlacingEvidence>,
     target: Option<TargetEntry>,
     placed_at: Option<Moment>,
+    /// When it was placed last.
+    sent_at: Moment,
     first_at: Option<Moment>,
     last_at: Option<Moment>,
     longest_pause: Duration,
@@ -118,6 +124,7 @@
         let names = gateway.names();
         let size = gateway.read_size(&head.headers);
         let holder = matched.holder.as_ref().map(|holder| &holder.name);
+        let print = print_of(&head, &body, holder);
         let template = CallTemplate::new(&head, body, names, holder).map_err(|error| {
             tracing::debug!(event = "request-unwritable", step = "read head", reason = %error);
             OwnAnswer::new(OwnReason::BadRequest)
@@ -140,6 +147,7 @@
             template,
             size,
             id,
+            print,
             arrived,
             waited,
             deadline_at: arrived + deadline,
@@ -149,6 +157,7 @@
             evidence: None,
             target: None,
             placed_at: None,
+            sent_at: arrived,
             first_at: None,
             last_at: None,
             longest_pause: Duration::ZERO,
@@ -303,7 +312,7 @@
             Ok(request) => request,
             Err(error) => {
                 tracing::warn!(event = "request-unwritable", target = %target.name, reason = %error);
-                return SendEnd::Lost("unwritable");
+                return SendEnd::Lost(RunFault::Unwritable);
             }
         };
         self.attempts += 1;
@@ -314,14 +323,14 @@
         let sent = tokio::select! {
             biased;
             sent = sending => sent,
-            () = self.gateway.fleet().life_ended(target) => return SendEnd::Lost("restarted"),
+            () = self.gateway.fleet().life_ended(target) => return SendEnd::Lost(RunFault::Restarted),
         };
         let response = match sent {
             Err(_) if until == timeout => return SendEnd::TimedOut,
-            Err(_) => return SendEnd::Lost("silent"),
+            Err(_) => return SendEnd::Lost(RunFault::Silent),
             Ok(Err(fault)) => {
                 self.gateway.log().lost(&self.log_id(), target, &fault, connection.is_kept());
-                return SendEnd::Lost("broken");
+                return SendEnd::Lost(RunFault::Broken);
             }
             Ok(Ok(response)) => response,
         };
@@ -330,8 +339,8 @@
                 self.attempts -= 1;
                 SendEnd::TurnedAway
             }
-            AnswerKind::Foreign => SendEnd::Lost("foreign-answer"),
-            AnswerKind::Unsigned => SendEnd::Lost("unsigned-answer"),
+            AnswerKind::Foreign => SendEnd::Lost(RunFault::ForeignAnswer),
+            AnswerKind::Unsigned => SendEnd::Lost(RunFault::UnsignedAnswer),
             AnswerKind::Own => {
                 let (head, body) = response.into_parts();
                 let target = target.clone();
@@ -386,8 +395,14 @@
     }
 
     /// Notes that a target failed the request, which is then not sent there again.
-    pub fn note_target_fault(&mut self, target: &TargetEntry, why: &'static str) {
-        self.gateway.log().target_failed(&self.log_id(), target, why, self.attempts);
+    pub fn note_target_fault(&mut self, target: &TargetEntry, fault: RunFault) {
+        let log_id = self.log_id();
+        self.gateway.log().target_failed(&log_id, target, fault.name(), self.attempts);
+        if fault.may_be_end() {
+            let ran = self.gateway.hub().clock().now().since(self.sent_at);
+            let run = BrokenRun { request: log_id.id.to_owned(), print: self.print, ran };
+            CrashWatch::note(&self.gateway, target, run);
+        }
         self.excluded.push(target.key());
     }
 
@@ -435,6 +450,7 @@
     fn note_placed(&mut self, target: &TargetEntry, evidence: PlacingEvidence) {
         let now = self.gateway.hub().clock().now();
         self.placed_at = Some(self.placed_at.unwrap_or(now));
+        self.sent_at = now;
         self.evidence = Some(evidence);
         self.target = Some(target.clone());
         let waited = now.since(self.arrived);
@@ -484,12 +500,30 @@
             // An id that is no text is passed on as it is, and cannot be printed.
             id: self.id.as_ref().and_then(|id| id.to_str().ok()).unwrap_or_default(),
             sequence: self.ticket.number(),
+            print: self.print,
             route: &self.matched.route.name,
             waited_before: self.waited,
         }
     }
 }
 
+/// Returns by what the request is known again when it comes anew.
+fn print_of(
+    head: &http::request::Parts,
+    body: &[u8],
+    caller: Option<&OrganisationName>,
+) -> RequestPrint {
+    // A host that is no text is nobody's, and was turned away before.
+    let host = head.headers.get(header::HOST).and_then(|host| host.to_str().ok());
+    RequestPrint::of(&RequestContent {
+        caller,
+        method: head.method.as_str(),
+        host: head.uri.host().or(host).unwrap_or_default(),
+        path: head.uri.path_and_query().map_or("/", http::uri::PathAndQuery::as_str),
+        body,
+    })
+}
+
 impl Drop for Exchange {
     fn drop(&mut self) {
         if !self.ended {
--- a/crates/ryetide-gateway/src/gateway_state.rs
+++ b/crates/ryetide-gateway/src/gateway_state.rs
@@ -16,6 +16,7 @@
 
 use crate::{
     caller_answer::{self, CallerResponse, OwnAnswer},
+    crash_watch::CrashWatch,
     decision_log::DecisionLog,
     feed_relay::FeedRelay,
     fleet_view::FleetView,
@@ -41,6 +42,7 @@
     peers: RefCell<BTreeMap<VmName, PeerEntry>>,
     /// The times that callers of each route begin with.
     habits: RefCell<HashMap<String, DeadlineHabit>>,
+    crashes: CrashWatch,
     metrics: GatewayMetrics,
     log: DecisionLog,
     draining: Cell<bool>,
@@ -67,6 +69,7 @@
             relay,
             peers: RefCell::default(),
             habits: RefCell::default(),
+            crashes: CrashWatch::default(),
             metrics: GatewayMetrics::default(),
             log: DecisionLog::new(settings.name.clone()),
             draining: Cell::new(false),
@@ -121,6 +124,11 @@
         FleetNews { watch: self.relay.watch_note(), ..self.fleet.news() }
     }
 
+    /// Returns what finds out which targets have crashed.
+    pub fn crashes(&self) -> &CrashWatch {
+        &self.crashes
+    }
+
     /// Returns the metrics.
     pub fn metrics(&self) -> &GatewayMetrics {
         &self.metrics
--- a/crates/ryetide-gateway/src/lib.rs
+++ b/crates/ryetide-gateway/src/lib.rs
@@ -17,7 +17,7 @@
 //! | [`ports`] | what a platform must provide, and what it is told |
 //! | [`gateway`], [`gateway_state`], [`fleet_duties`] | a whole gateway: its start and end, what its tasks share, the tasks beside the callers' |
 //! | [`caller_listener`], [`caller_service`], [`exchange`], [`quota_wait`], [`caller_answer`] | callers |
-//! | [`call_template`], [`target_pool`], [`target_answer`], [`relay`], [`relay_fault`], [`event_scanner`] | targets |
+//! | [`call_template`], [`target_pool`], [`target_answer`], [`relay`], [`relay_fault`], [`run_fault`], [`event_scanner`], [`crash_watch`] | targets |
 //! | [`scheduler_hub`], [`fleet_view`] | the scheduler and what it schedules onto |
 //! | [`store_feed`], [`table_follower`], [`store_table`], [`row_faults`], [`store_outage`], [`feed_relay`], [`feed_watch`], [`feed_nudge`] | routes, targets and peers from a platform's store |
 //! | [`peer_link`], [`digest_relay`] | the other entry VMs, and what is passed on between them |
@@ -28,6 +28,7 @@
 pub mod caller_answer;
 pub mod caller_listener;
 pub mod caller_service;
+pub mod crash_watch;
 pub mod decision_log;
 pub mod digest_relay;
 pub mod event_scanner;
@@ -51,6 +52,7 @@
 pub mod relay_fault;
 mod retry_pause;
 pub mod row_faults;
+pub mod run_fault;
 pub mod scheduler_hub;
 pub mod status_port;
 pub mod store_feed;
