Play a request that crashes targets, at two VMs, and list the test as failing

A caller repeats one request, under new ids and at two gateways in turn, and each target that begins to run it crashes and is back 0.6 s later under another name. The attempts made later than 3 s after the third crash go on reaching targets; three are permitted.

--- a/crates/ryetide-gateway/tests/serving/main.rs
+++ b/crates/ryetide-gateway/tests/serving/main.rs
@@ -1,6 +1,7 @@
 //! A whole gateway between callers and scripted targets, over real sockets.
 
 mod answers;
+mod crashes;
 mod digests;
 mod lives;
 mod repeats;
--- a/crates/ryetide-gateway/tests/serving/support.rs
+++ b/crates/ryetide-gateway/tests/serving/support.rs
@@ -312,9 +312,14 @@
 impl Gateway {
     /// Starts a gateway that knows nothing yet.
     pub async fn start() -> Self {
+        Self::start_named("e1").await
+    }
+
+    /// Starts a gateway of this name that knows nothing yet.
+    pub async fn start_named(name: &str) -> Self {
         let any = SocketAddr::from(([127, 0, 0, 1], 0));
         let settings = GatewaySettings {
-            name: "e1".into(),
+            name: name.into(),
             data_centre: "hall-a".into(),
             callers: any,
             status: any,
@@ -379,8 +384,13 @@
 
     /// Sends one request on a connection of its own and returns the answer, if a whole one came.
     pub async fn ask(&self, id: &str, headers: &str) -> Option<Message> {
+        self.ask_with(id, headers, "body").await
+    }
+
+    /// The same with this body.
+    pub async fn ask_with(&self, id: &str, headers: &str, body: &str) -> Option<Message> {
         let mut wire = self.call().await;
-        wire.send(&request("POST", id, headers, "body")).await;
+        wire.send(&request("POST", id, headers, body)).await;
         wire.read_message().await
     }
 
