Send a request that crashes targets to none, at any VM and under any id

What callers saw: one request came again and again, under new ids and at any VM, and crashed each engine that began to run it, 28 to 34 of them; with each, 7 to 11 requests of others broke off, and most classes were not served for seconds.

Cause: harm was remembered for one attempt of a caller only, by the attempt's id. The next attempt was a new request.

Mend: runs that end with a target are noted by what the request is (organisation, method, host, path, body) and told to all VMs; the one to blame is put under quarantine and answered 503 at once. Why it holds: the one to blame is at each of its crashes, those beside it at some; one answered run clears a request; a VM that starts or returns is told everything anew by its peers, and the quarantine stands in the store besides, in the row of the VM that decided.

Ruled out: three crashes alone as proof.

Tests beside it: what ran beside is served, the final answer comes at once, a VM that starts knows, a quarantine outlasts all VMs.

--- a/crates/ryetide-cli/src/explain.rs
+++ b/crates/ryetide-cli/src/explain.rs
@@ -1,13 +1,17 @@
 //! `ryetide explain`: the story of one request, from the logs of all VMs.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     io::{self, BufRead},
 };
 
 /// One line of a log, as its keys and values.
 type LineFields = BTreeMap<String, String>;
 
+/// What is told of other attempts too that bring the same request: it decides what becomes of this one.
+const CRASH_EVENTS: [&str; 4] =
+    ["target-crashed", "quarantine-begun", "quarantine-heard", "quarantine-ended"];
+
 /// The story of one request.
 #[derive(Debug, Default)]
 pub struct RequestStory {
@@ -23,13 +27,20 @@
     /// Returns the error of the reader.
     pub fn read(id: &str, log: impl BufRead) -> io::Result<Self> {
         let mut story = Self::default();
+        let mut prints = BTreeSet::new();
+        let mut of_others = Vec::new();
         for line in log.lines() {
             let fields = fields_of(&line?);
+            let time = fields.get("ts").cloned().unwrap_or_default();
             if fields.get("request").is_some_and(|request| request == id) {
-                let time = fields.get("ts").cloned().unwrap_or_default();
+                prints.extend(fields.get("print").cloned());
                 story.lines.push((time, fields));
+            } else if CRASH_EVENTS.contains(&value(&fields, "event")) {
+                of_others.push((time, fields));
             }
         }
+        let is_same = |fields: &LineFields| prints.contains(value(fields, "print"));
+        story.lines.extend(of_others.into_iter().filter(|(_, fields)| is_same(fields)));
         story.lines.sort_by(|(left, _), (right, _)| left.cmp(right));
         Ok(story)
     }
@@ -94,11 +105,25 @@
             of("attempts")
         ),
         "target-crashed" => format!(
-            "{} has crashed after it had run there for {} ms, as had {} request(s) of this VM; known again by {}",
+            "{} has crashed after attempt {} had run there for {} ms, and {} request(s) of this VM with it",
             of("target"),
+            of("request"),
             of("ran_ms"),
-            of("runs"),
-            of("print")
+            of("runs")
+        ),
+        "quarantine-begun" => format!(
+            "blamed for {} of {} crashes of targets under it, {} others crashed meanwhile, {} there are; by chance: {}",
+            of("blamed"),
+            of("crashes"),
+            of("elsewhere"),
+            of("targets"),
+            of("chance")
+        ),
+        "quarantine-heard" => "heard that it crashes targets".to_owned(),
+        "quarantine-ended" => format!("may be sent to targets again: {}", of("reason")),
+        "quarantined" => format!(
+            "sent to no target, since it crashes them; it may be if nobody asks for it for {} ms",
+            of("retry_ms")
         ),
         "broken-off" => format!("broken off towards its caller: {}", of("reason")),
         "ended" => format!(
--- a/crates/ryetide-cli/tests/explain.rs
+++ b/crates/ryetide-cli/tests/explain.rs
@@ -11,6 +11,10 @@
 ts=2026-03-25T04:18:49.2290Z level=info event=placed vm=e2 request=q1 sequence=16 route=r1 target=i-ec revision=14 waited_ms=0 expected_ms=66 to_read=732 running=1 line=1 late=false on_time=true
 ts=2026-03-25T04:18:49.2300Z level=info event=placed vm=e1 request=q2 sequence=9 route=r1 target=i-aa revision=14 waited_ms=0 expected_ms=6 to_read=0 running=1 line=1 late=false on_time=true
 ts=2026-03-25T04:18:49.2334Z level=info event=own-answer vm=e2 request=q1 status=502 reason=target-failed
+ts=2026-03-25T04:18:51.1000Z level=warn event=target-crashed vm=e1 request=q7 print=5f target=i-ab peer=10.0.0.1:80 ran_ms=80 runs=3
+ts=2026-03-25T04:18:51.2000Z level=warn event=target-crashed vm=e1 request=q8 print=6a target=i-ab peer=10.0.0.1:80 ran_ms=900 runs=3
+ts=2026-03-25T04:18:52.3000Z level=warn event=quarantine-begun vm=e2 print=5f crashes=3 blamed=3 elsewhere=0 targets=12 chance=0.0000001
+ts=2026-03-25T04:18:53.1000Z level=info event=quarantined vm=e1 request=q9 sequence=20 print=5f route=r1 retry_ms=600000
 "#;
 
 fn explain(id: &str) -> Output {
@@ -39,6 +43,20 @@
     assert!(lines[2].contains("answered 502 by the gateway itself: target-failed"), "{text}");
 }
 
+/// An attempt is refused for what earlier ones have done, at other VMs and under other ids.
+#[test]
+fn the_story_tells_what_other_attempts_of_the_request_have_crashed() {
+    let text = String::from_utf8(explain("q9").stdout).expect("text");
+    let lines: Vec<&str> = text.lines().collect();
+    assert_eq!(lines.len(), 3, "{text}");
+    assert!(
+        lines[0].contains("i-ab has crashed after attempt q7 had run there for 80 ms"),
+        "{text}"
+    );
+    assert!(lines[1].contains("blamed for 3 of 3 crashes"), "{text}");
+    assert!(lines[2].contains("sent to no target"), "{text}");
+}
+
 #[test]
 fn a_request_that_no_line_names_is_told_apart() {
     let output = explain("q3");
--- a/crates/ryetide-core/src/lib.rs
+++ b/crates/ryetide-core/src/lib.rs
@@ -28,7 +28,7 @@
 //! | [`arbiter`], [`verdict`], [`queue`], [`estimate`], [`affinity`], [`retry`] | order and placement |
 //! | [`membership`] | peers, and who arbitrates what |
 //! | [`claim`], [`configuration`], [`request`] | what must not go wrong |
-//! | [`request_print`] | which attempts are the same request |
+//! | [`request_print`], [`crash_ledger`], [`crash_blame`] | requests that crash targets |
 //! | [`route`], [`route_text`], [`quota`], [`quota_desk`], [`retry_budget`], [`comeback_time`] | routed requests: where they go, what they may cost |
 //! | [`scheduler`], [`scheduler_options`], [`line_view`], [`wait_line`], [`recent_arrivals`], [`deadline_habit`], [`decision`] | the order and refusal of routed requests |
 //! | [`placing`], [`target_load`], [`target_health`], [`pace`], [`prompt_memory`] | where they are placed |
@@ -46,6 +46,8 @@
 pub mod claim;
 pub mod comeback_time;
 pub mod configuration;
+pub mod crash_blame;
+pub mod crash_ledger;
 pub mod deadline_habit;
 pub mod decision;
 pub mod digest_pace;
--- a/crates/ryetide-core/src/load_digest.rs
+++ b/crates/ryetide-core/src/load_digest.rs
@@ -9,6 +9,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
+    crash_ledger::CrashNews,
     ids::{DataCentreName, Incarnation, OrganisationKey, ServiceKey, TargetKey, VmName},
     pace::PaceReport,
     place_turn::ClaimClass,
@@ -107,6 +108,8 @@
     pub spent: Vec<(OrganisationKey, u64)>,
     /// The last prompts placed, newest last.
     pub placed: Vec<PlacedPrompt>,
+    /// Which requests ended in crashes of targets.
+    pub crashes: CrashNews,
 }
 
 /// A digest and the VM that sent it.
--- a/crates/ryetide-core/src/scheduler.rs
+++ b/crates/ryetide-core/src/scheduler.rs
@@ -16,6 +16,7 @@
 use crate::{
     cell_plan::{CellMember, CellPlan},
     comeback_time::ComebackTime,
+    crash_ledger::{CrashLedger, CrashedRun, RequestStanding},
     decision::{Decision, PlacingEvidence, RefusalReason, RunEnd},
     digest_pace::DigestPace,
     digest_route::{DigestPeer, DigestRecipients, DigestRoute},
@@ -23,9 +24,10 @@
     ids::{RequestSequence, ServiceName, TargetKey, VmName},
     line_view::{LineChoice, LineView, PlaceSharing, ServiceLine},
     load_digest::{DigestEnvelope, DigestScope, FleetNews, LoadDigest, TargetMark},
-    peer_board::{DigestChange, FeedLag, PeerBoard},
+    peer_board::{self, DigestChange, FeedLag, PeerBoard},
     quota::QuotaCharge,
     quota_desk::{QuotaAnswer, QuotaAsk, QuotaDesk, QuotaVerdict},
+    request_print::RequestPrint,
     retry_budget::{RetryBudget, RetryRule},
     scheduler_options::SchedulerOptions,
     target_load::{TargetEntry, TargetLoad},
@@ -54,6 +56,7 @@
     quotas: QuotaDesk,
     verdicts: Vec<QuotaVerdict>,
     retries: RetryBudget,
+    crashes: CrashLedger,
     teller: DigestTeller,
     pace: DigestPace,
     route: DigestRoute,
@@ -90,6 +93,7 @@
             marked: HashMap::new(),
             quotas: QuotaDesk::default(),
             verdicts: Vec::new(),
+            crashes: CrashLedger::default(),
             teller: DigestTeller::default(),
             pace: DigestPace::direct(0),
             decisions: Vec::new(),
@@ -191,9 +195,14 @@
             DigestChange::Newer { placed, unheard } => (placed, unheard),
             DigestChange::NewLife => {
                 self.quotas.forget_peer(&from);
+                self.crashes.retell(now);
                 (digest.placed.last().map_or(0, |placed| placed.number), Duration::ZERO)
             }
         };
+        if unheard >= peer_board::HEARD_SPAN {
+            self.crashes.retell(now);
+        }
+        self.crashes.take(now, &digest.crashes);
         // What a peer that is heard again has used is charged to a bucket that has grown by its part.
         self.note_peers(now);
         self.forget_marks(now, &from, &digest);
@@ -361,7 +370,7 @@
     }
 
     /// Returns what this VM tells all peers that are not of its cell.
-    pub fn brief_digest(&mut self, news: FleetNews, leaving: bool) -> LoadDigest {
+    pub fn brief_digest(&mut self, now: Moment, news: FleetNews, leaving: bool) -> LoadDigest {
         LoadDigest {
             incarnation: self.options.incarnation,
             sequence: self.teller.next_sequence(),
@@ -372,6 +381,7 @@
             registry: news.registry,
             watch: news.watch,
             spent: self.quotas.ledger().totals().collect(),
+            crashes: self.crashes.brief_news(now),
             ..LoadDigest::default()
         }
     }
@@ -399,7 +409,7 @@
     /// Returns what this VM tells the peers of its cell: everything now and then, and what has changed
     /// lately in between.
     pub fn digest(&mut self, now: Moment, news: FleetNews, leaving: bool) -> LoadDigest {
-        let brief = self.brief_digest(news, leaving);
+        let brief = self.brief_digest(now, news, leaving);
         let waiting = self.services.keys().filter_map(|name| self.view(now, name));
         let waiting = waiting.flat_map(|view| view.wait_marks()).collect();
         let scope = self.teller.next_scope(now, self.pace.change_span(), leaving);
@@ -410,12 +420,14 @@
             let touched = self.teller.touched();
             let told = touched.iter().filter_map(|key| self.targets.get(key));
             let targets = told.map(|load| TargetMark { pace: None, ..load.mark(now) }).collect();
-            let data_centre = None;
-            return LoadDigest { scope, data_centre, targets, waiting, placed, spent, ..brief };
+            let (data_centre, crashes) = (None, self.crashes.changed_news(now, span));
+            let told = LoadDigest { scope, data_centre, targets, waiting, ..brief };
+            return LoadDigest { placed, spent, crashes, ..told };
         }
         let told = self.targets.values().filter(|load| load.has_news(now));
         let targets = told.map(|load| load.mark(now)).collect();
-        LoadDigest { scope, targets, waiting, placed, ..brief }
+        let crashes = self.crashes.whole_news(now);
+        LoadDigest { scope, targets, waiting, placed, crashes, ..brief }
     }
 
     /// Returns in what peers have news that this VM has not.
@@ -442,6 +454,36 @@
         self.is_mate(peer) && !self.peers.watching(now).any(|vm| vm == peer)
     }
 
+    /// Returns which requests ended in crashes of targets.
+    pub fn crashes(&self) -> &CrashLedger {
+        &self.crashes
+    }
+
+    /// Returns the same, to take what has happened.
+    pub fn crashes_mut(&mut self) -> &mut CrashLedger {
+        &mut self.crashes
+    }
+
+    /// Notes the runs of this VM that ended when a target crashed.
+    pub fn note_crash(&mut self, now: Moment, target: TargetKey, runs: &[CrashedRun]) {
+        self.crashes.note_crash(now, target, runs);
+        self.changed = true;
+    }
+
+    /// Returns whether a request may be sent to the targets of `service`.
+    pub fn standing(
+        &mut self,
+        now: Moment,
+        print: RequestPrint,
+        service: &ServiceName,
+    ) -> RequestStanding {
+        if !self.crashes.is_suspect(print) {
+            return RequestStanding::Clear;
+        }
+        let of_service = self.targets.values().filter(|load| load.entry().service == *service);
+        self.crashes.standing(now, print, of_service.count())
+    }
+
     /// Returns the targets, for reports.
     pub fn targets(&self) -> impl Iterator<Item = &TargetLoad> {
         self.targets.values()
--- a/crates/ryetide-gateway/src/caller_answer.rs
+++ b/crates/ryetide-gateway/src/caller_answer.rs
@@ -90,6 +90,8 @@
     OutOfTime,
     /// Its target turned it away, and the budget of repeats is used up.
     TurnedAway,
+    /// It crashes the targets that run it.
+    Quarantined,
     /// The target broke off or sent what is no answer; the request may have run.
     TargetFailed,
     /// The route's time is over; the request may have run.
@@ -110,7 +112,8 @@
             | Self::NoTarget
             | Self::Overload
             | Self::OutOfTime
-            | Self::TurnedAway => StatusCode::SERVICE_UNAVAILABLE,
+            | Self::TurnedAway
+            | Self::Quarantined => StatusCode::SERVICE_UNAVAILABLE,
             Self::TargetFailed => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
         }
--- a/crates/ryetide-gateway/src/caller_service.rs
+++ b/crates/ryetide-gateway/src/caller_service.rs
@@ -62,6 +62,9 @@
         Ok(exchange) => exchange,
         Err(answer) => return gateway.answer_own(id.as_ref(), answer),
     };
+    if let Err(answer) = exchange.await_standing().await {
+        return exchange.answer_own(answer);
+    }
     if let Err(answer) = exchange.charge_quota().await {
         return exchange.answer_own(answer);
     }
--- a/crates/ryetide-gateway/src/crash_watch.rs
+++ b/crates/ryetide-gateway/src/crash_watch.rs
@@ -6,7 +6,9 @@
 
 use std::{cell::RefCell, collections::HashMap, io, rc::Rc, time::Duration};
 
-use ryetide_core::{ids::TargetKey, request_print::RequestPrint, target_load::TargetEntry};
+use ryetide_core::{
+    crash_ledger::CrashedRun, ids::TargetKey, request_print::RequestPrint, target_load::TargetEntry,
+};
 use tokio::task;
 
 use crate::{
@@ -55,6 +57,10 @@
     match outcome {
         Err(ConnectFault::Open(error)) if error.kind() == refused => {
             gateway.log().crashed(&target, &runs);
+            gateway.metrics().count_crash();
+            let crashed = runs.iter().map(|run| CrashedRun { print: run.print, ran: run.ran });
+            let crashed: Vec<CrashedRun> = crashed.collect();
+            gateway.hub().with(|scheduler, now| scheduler.note_crash(now, target.key(), &crashed));
         }
         // It lives, or nobody can say.
         Ok(_) | Err(_) => {
--- a/crates/ryetide-gateway/src/decision_log.rs
+++ b/crates/ryetide-gateway/src/decision_log.rs
@@ -223,6 +223,21 @@
         }
     }
 
+    /// A request that crashes targets is sent to none. `life` is how long it must not be asked for, to be sent again.
+    pub fn quarantined(&self, request: &LogId<'_>, life: Duration) {
+        if self.permits() {
+            tracing::info!(
+                event = "quarantined",
+                vm = %self.vm,
+                request = request.id,
+                sequence = request.sequence.0,
+                print = %request.print,
+                route = request.route,
+                retry_ms = millis(life),
+            );
+        }
+    }
+
     /// A stream was broken off towards its caller.
     pub fn broken_off(&self, request: &LogId<'_>, why: &'static str) {
         if self.permits() {
--- a/crates/ryetide-gateway/src/exchange.rs
+++ b/crates/ryetide-gateway/src/exchange.rs
@@ -12,6 +12,7 @@
     http,
 };
 use ryetide_core::{
+    crash_ledger::RequestStanding,
     decision::{Decision, PlacingEvidence, RunEnd},
     ids::{OrganisationName, ServiceName, TargetKey},
     quota::QuotaCharge,
@@ -21,7 +22,7 @@
     units::{Moment, Tokens},
     wait_line::WaitingWork,
 };
-use tokio::time::Instant;
+use tokio::time::{self, Instant};
 
 use crate::{
     call_template::{CallTemplate, CallTurn},
@@ -166,6 +167,34 @@
         })
     }
 
+    /// Waits until it is known whether the request crashes the targets that run it.
+    ///
+    /// # Errors
+    ///
+    /// Returns what to answer when it does, and must be sent to none.
+    pub async fn await_standing(&mut self) -> Result<(), OwnAnswer> {
+        let gateway = Rc::clone(&self.gateway);
+        let (hub, print) = (gateway.hub(), self.print);
+        loop {
+            let service = &self.service;
+            let now = hub.clock().now();
+            match hub.peek_mut(|scheduler| scheduler.standing(now, print, service)) {
+                RequestStanding::Clear => return Ok(()),
+                RequestStanding::Unsettled(until) => {
+                    let timeout = self.timeout_at();
+                    time::sleep_until(hub.clock().instant(until).min(timeout)).await;
+                    if Instant::now() >= timeout {
+                        return Err(OwnAnswer::new(OwnReason::TimedOut));
+                    }
+                }
+                RequestStanding::Quarantined(life) => {
+                    gateway.log().quarantined(&self.log_id(), life);
+                    return Err(OwnAnswer::new(OwnReason::Quarantined).with_retry(life));
+                }
+            }
+        }
+    }
+
     /// Takes what the request costs from its organisation's quota, after a wait where that helps.
     ///
     /// # Errors
@@ -233,6 +262,9 @@
         if !self.may_run_again() {
             return DispatchEnd::Own(OwnAnswer::new(OwnReason::TargetFailed));
         }
+        if let Err(answer) = self.await_standing().await {
+            return DispatchEnd::Own(answer);
+        }
         match self.ticket.enter_again(self.work(), true).await {
             None => DispatchEnd::Own(OwnAnswer::new(OwnReason::TargetFailed)),
             Some(Decision::Refuse { .. }) => {
@@ -318,7 +350,7 @@
         self.attempts += 1;
         let timeout = self.timeout_at();
         let until = self.head_limit().map_or(timeout, |limit| timeout.min(Instant::now() + limit));
-        let sending = tokio::time::timeout_at(until, connection.send(request));
+        let sending = time::timeout_at(until, connection.send(request));
         // An answer that has come is taken, whatever became of the target since.
         let sent = tokio::select! {
             biased;
@@ -398,6 +430,10 @@
     pub fn note_target_fault(&mut self, target: &TargetEntry, fault: RunFault) {
         let log_id = self.log_id();
         self.gateway.log().target_failed(&log_id, target, fault.name(), self.attempts);
+        if fault == RunFault::Failed {
+            // A failure that is the target's own answer shows as well that it has not crashed.
+            self.note_answered();
+        }
         if fault.may_be_end() {
             let ran = self.gateway.hub().clock().now().since(self.sent_at);
             let run = BrokenRun { request: log_id.id.to_owned(), print: self.print, ran };
@@ -420,6 +456,7 @@
         self.ticket.end(end);
         let now = self.gateway.hub().clock().now();
         if end == RunEnd::Whole {
+            self.note_answered();
             self.gateway.metrics().count_outcome("answered");
             let total = now.since(self.arrived);
             self.gateway.metrics().note_total(self.matched.tier(), total);
@@ -447,6 +484,11 @@
         }
     }
 
+    fn note_answered(&self) {
+        let (now, print) = (self.gateway.hub().clock().now(), self.print);
+        self.gateway.hub().peek_mut(|it| it.crashes_mut().note_answered(now, print));
+    }
+
     fn note_placed(&mut self, target: &TargetEntry, evidence: PlacingEvidence) {
         let now = self.gateway.hub().clock().now();
         self.placed_at = Some(self.placed_at.unwrap_or(now));
--- a/crates/ryetide-gateway/src/fleet_duties.rs
+++ b/crates/ryetide-gateway/src/fleet_duties.rs
@@ -24,6 +24,7 @@
     gateway_state::Gateway,
     peer_link::{PeerEnvelope, PeerLink, PeerMessage},
     ports::{FleetUpdate, PeerEntry},
+    quarantine_keeper,
     target_news::NameList,
 };
 
@@ -32,7 +33,8 @@
 /// The longest time between two digests.
 const DIGEST_GREATEST: Duration = Duration::from_millis(400);
 /// The time between two brief digests to peers of other cells; the short one while an organisation is
-/// near the end of its quota, which all VMs must then count together.
+/// near the end of its quota, which all VMs must then count together, and after a crash: what ended with the target at
+/// other VMs must be known before a request is blamed for it.
 const BRIEF_INTERVAL: Duration = Duration::from_millis(1_000);
 const BRIEF_SHORT: Duration = Duration::from_millis(300);
 
@@ -85,6 +87,7 @@
             let settings = self.gateway.settings().borrow();
             (settings.name.clone(), settings.link)
         };
+        quarantine_keeper::take_kept(&self.gateway, &own, &listed);
         let others = listed.into_iter().filter(|peer| peer.name != own);
         let others: BTreeMap<VmName, PeerEntry> =
             others.map(|peer| (peer.name.clone(), peer)).collect();
@@ -126,8 +129,8 @@
             pending = false;
             tell_mates(&gateway, &link, false);
         }
-        let short = gateway.hub().peek(Scheduler::is_quota_short);
-        let interval = if short { BRIEF_SHORT } else { BRIEF_INTERVAL };
+        let hurries = gateway.hub().peek(|it| it.is_quota_short() || it.crashes().has_fresh(now));
+        let interval = if hurries { BRIEF_SHORT } else { BRIEF_INTERVAL };
         if told_briefly.elapsed() >= interval {
             told_briefly = Instant::now();
             gateway.hub().with(Scheduler::plan_cells);
@@ -244,7 +247,7 @@
     if recipients.is_empty() {
         return;
     }
-    let digest = gateway.hub().peek_mut(|scheduler| scheduler.brief_digest(news, leaving));
+    let digest = gateway.hub().peek_mut(|scheduler| scheduler.brief_digest(now, news, leaving));
     send_digest(gateway, link, digest, &recipients);
 }
 
--- a/crates/ryetide-gateway/src/gateway.rs
+++ b/crates/ryetide-gateway/src/gateway.rs
@@ -30,6 +30,7 @@
     ports::{
         FeedLine, FleetFeed, GatewaySettings, HeaderNames, PeerEntry, SettingsSource, WorkReader,
     },
+    quarantine_keeper::QuarantineKeeper,
     status_port,
 };
 
@@ -160,6 +161,7 @@
         address: settings.peers,
         secret: rand::rng().random(),
         link: settings.link,
+        kept: Vec::new(),
     };
     let scheduler = Scheduler::new(SchedulerOptions {
         name: settings.name.clone(),
@@ -185,7 +187,8 @@
     let pauses = feed.pauses();
     let fleet_size = Rc::new(Cell::new(1));
     let (line_nudge, line_size) = (Rc::clone(&nudge), Rc::clone(&fleet_size));
-    let line = FeedLine { updates, nudge: line_nudge, fleet_size: line_size, relay };
+    let (keeper, kept) = QuarantineKeeper::new();
+    let line = FeedLine { updates, nudge: line_nudge, fleet_size: line_size, relay, kept };
     let link = Rc::new(PeerLink::new(socket, &own));
     let mut duties = JoinSet::new();
     duties.spawn_local(feed.run(own, line));
@@ -197,6 +200,7 @@
     let passing_on = fleet_duties::pass_changes_on(Rc::clone(&gateway), Rc::clone(&link), changes);
     duties.spawn_local(passing_on);
     duties.spawn_local(fleet_duties::sweep(Rc::clone(&gateway), nudge, pauses));
+    duties.spawn_local(keeper.run(Rc::clone(&gateway)));
     duties.spawn_local(status_port::serve(Rc::clone(&gateway), status));
     let accepting = duties.spawn_local(caller_listener::accept(Rc::clone(&gateway), callers));
     follow_orders(&gateway, orders, &*source).await;
--- a/crates/ryetide-gateway/src/gateway_metrics.rs
+++ b/crates/ryetide-gateway/src/gateway_metrics.rs
@@ -42,6 +42,8 @@
     running: Gauge,
     revision: Gauge,
     targets: Gauge,
+    crashes: Counter,
+    quarantined: Gauge,
 }
 
 impl Default for GatewayMetrics {
@@ -57,6 +59,8 @@
             running: Gauge::default(),
             revision: Gauge::default(),
             targets: Gauge::default(),
+            crashes: Counter::default(),
+            quarantined: Gauge::default(),
         };
         let registry = &mut metrics.registry;
         registry.register("requests", "Requests taken", metrics.requests.clone());
@@ -68,6 +72,10 @@
         registry.register("running", "Requests at targets", metrics.running.clone());
         registry.register("revision", "Version of the routes in force", metrics.revision.clone());
         registry.register("targets", "Targets known", metrics.targets.clone());
+        let crashes = "Targets that crashed under requests of this VM";
+        registry.register("target_crashes", crashes, metrics.crashes.clone());
+        let quarantined = "Requests that are sent to no target, since they crash them";
+        registry.register("quarantined", quarantined, metrics.quarantined.clone());
         metrics
     }
 }
@@ -98,6 +106,16 @@
         note(&self.total, tier, span);
     }
 
+    /// Counts a target that crashed under requests of this VM.
+    pub fn count_crash(&self) {
+        self.crashes.inc();
+    }
+
+    /// Sets how many requests are quarantined.
+    pub fn set_quarantined(&self, count: usize) {
+        self.quarantined.set(count as i64);
+    }
+
     /// Sets what is held now.
     pub fn set_levels(&self, waiting: usize, running: usize, revision: u64, targets: usize) {
         self.waiting.set(waiting as i64);
--- a/crates/ryetide-gateway/src/gateway_text.rs
+++ b/crates/ryetide-gateway/src/gateway_text.rs
@@ -157,7 +157,14 @@
     let data_centre = reader.required(node, "data-centre", FaultReader::name);
     let address = reader.required(node, "address", read_address);
     let link = reader.optional(node, "link", DEFAULT_LINK, read_link)?;
-    Some(PeerEntry { name: name?, data_centre: data_centre?, address: address?, secret, link })
+    Some(PeerEntry {
+        name: name?,
+        data_centre: data_centre?,
+        address: address?,
+        secret,
+        link,
+        kept: Vec::new(),
+    })
 }
 
 fn read_link(reader: &mut FaultReader, node: TextNode<'_>) -> Option<LinkRate> {
--- a/crates/ryetide-gateway/src/lib.rs
+++ b/crates/ryetide-gateway/src/lib.rs
@@ -17,7 +17,8 @@
 //! | [`ports`] | what a platform must provide, and what it is told |
 //! | [`gateway`], [`gateway_state`], [`fleet_duties`] | a whole gateway: its start and end, what its tasks share, the tasks beside the callers' |
 //! | [`caller_listener`], [`caller_service`], [`exchange`], [`quota_wait`], [`caller_answer`] | callers |
-//! | [`call_template`], [`target_pool`], [`target_answer`], [`relay`], [`relay_fault`], [`run_fault`], [`event_scanner`], [`crash_watch`] | targets |
+//! | [`call_template`], [`target_pool`], [`target_answer`], [`relay`], [`relay_fault`], [`run_fault`], [`event_scanner`] | targets |
+//! | [`crash_watch`], [`quarantine_keeper`] | requests that crash targets |
 //! | [`scheduler_hub`], [`fleet_view`] | the scheduler and what it schedules onto |
 //! | [`store_feed`], [`table_follower`], [`store_table`], [`row_faults`], [`store_outage`], [`feed_relay`], [`feed_watch`], [`feed_nudge`] | routes, targets and peers from a platform's store |
 //! | [`peer_link`], [`digest_relay`] | the other entry VMs, and what is passed on between them |
@@ -47,6 +48,7 @@
 pub mod own_headers;
 pub mod peer_link;
 pub mod ports;
+pub mod quarantine_keeper;
 pub mod quota_wait;
 pub mod relay;
 pub mod relay_fault;
--- a/crates/ryetide-gateway/src/ports.rs
+++ b/crates/ryetide-gateway/src/ports.rs
@@ -9,12 +9,14 @@
 use ryetide::error::StepError;
 use ryetide_core::{
     ids::{DataCentreName, VmName},
+    request_print::RequestPrint,
     retry_budget::RetryRule,
     route::RouteTable,
     target_registry::RegistryUpdate,
     units::{LinkRate, Tokens},
 };
-use tokio::sync::mpsc;
+use serde::{Deserialize, Serialize};
+use tokio::sync::{mpsc, watch};
 
 pub use crate::local_future::LocalFuture;
 use crate::{feed_nudge::FeedNudge, feed_relay::FeedRelay, feed_watch::FeedPauses};
@@ -123,6 +125,19 @@
     pub secret: PeerSecret,
     /// The speed of its link.
     pub link: LinkRate,
+    /// The requests under quarantine that it keeps for all to find.
+    pub kept: Vec<KeptQuarantine>,
+}
+
+/// A request that is sent to no target since it crashes them, as it is kept where it outlasts all VMs.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub struct KeptQuarantine {
+    /// The request.
+    pub print: RequestPrint,
+    /// When it was blamed, in Unix milliseconds.
+    pub since_ms: u64,
+    /// When it was last asked for as far as is kept, in Unix milliseconds.
+    pub asked_ms: u64,
 }
 
 /// News of the fleet.
@@ -153,6 +168,8 @@
     pub fleet_size: Rc<Cell<usize>>,
     /// What this VM and its peers tell each other of changes.
     pub relay: Rc<FeedRelay>,
+    /// The requests under quarantine that this VM keeps for all to find; a feed that has no store passes over them.
+    pub kept: watch::Receiver<Vec<KeptQuarantine>>,
 }
 
 /// Where routes, targets and peers come from.
--- a/crates/ryetide-gateway/src/store_feed.rs
+++ b/crates/ryetide-gateway/src/store_feed.rs
@@ -18,7 +18,8 @@
 
 use crate::{
     feed_watch::FeedPauses,
-    ports::{FeedLine, FleetFeed, FleetUpdate, LocalFuture, PeerEntry, PeerSecret},
+    ports::{FeedLine, FleetFeed, FleetUpdate, KeptQuarantine, LocalFuture, PeerEntry, PeerSecret},
+    quarantine_keeper,
     row_faults::RowFaults,
     store_table::{FleetTable, RowValue, StoreTable, TableRow},
     table_follower::{self, RowReader, TableFollower, TablePace},
@@ -75,6 +76,9 @@
     /// The speed of its link; a row that does not tell it is of a VM that passes nothing on.
     #[serde(default)]
     link: LinkRate,
+    /// Requests under quarantine. They stand here so that they are known after all VMs were killed at once.
+    #[serde(default)]
+    kept: Vec<KeptQuarantine>,
 }
 
 impl VmRow {
@@ -155,31 +159,61 @@
 /// follow the table, and 70 that are restarted in turn would make each other ask for it 70 times each. The
 /// peers then know this VM by the key of that row, which only they can read.
 async fn announce(
-    table: Box<dyn StoreTable>,
+    mut table: Box<dyn StoreTable>,
     own: &PeerEntry,
     found: oneshot::Receiver<FoundRow>,
     line: FeedLine,
 ) {
     // The feed has ended.
     let Ok(found) = found.await else { return };
-    let row = VmRow {
+    let mut row = VmRow {
         data_centre: own.data_centre.clone(),
         address: own.address,
         secret: own.secret,
         link: own.link,
+        kept: Vec::new(),
     };
-    if let Some(left) = found.row.filter(|left| left.is_of_same_vm(&row)) {
-        tracing::info!(event = "row-kept", step = "announce", version = found.version);
-        // The gateway may be ending.
-        let _ = line.updates.send(FleetUpdate::OwnSecret(left.secret)).await;
-        return;
+    let mut version = found.version;
+    match found.row.filter(|left| left.is_of_same_vm(&row)) {
+        Some(left) => {
+            tracing::info!(event = "row-kept", step = "announce", version);
+            // The gateway may be ending.
+            let _ = line.updates.send(FleetUpdate::OwnSecret(left.secret)).await;
+            row = left;
+        }
+        None => version = write_row(&mut *table, own, version, &row).await,
     }
-    match serde_json::to_vec(&row) {
-        Ok(value) => {
-            table_follower::keep_row(table, own.name.as_str(), found.version, &value).await;
+    keep_quarantines(&mut *table, own, version, row, line).await;
+}
+
+/// Writes the row anew whenever this VM has other requests under quarantine to keep.
+async fn keep_quarantines(
+    table: &mut dyn StoreTable,
+    own: &PeerEntry,
+    mut version: u64,
+    mut row: VmRow,
+    mut line: FeedLine,
+) {
+    while line.kept.changed().await.is_ok() {
+        let kept = line.kept.borrow_and_update().clone();
+        // A VM that has started knows what it kept from this very row.
+        if !quarantine_keeper::must_write(&row.kept, &kept) {
+            continue;
         }
+        row.kept = kept;
+        tracing::info!(event = "quarantines-kept", step = "write", count = row.kept.len());
+        version = write_row(table, own, version, &row).await;
+    }
+}
+
+/// Writes this VM's row over the one of this version. Returns the version that it may have now: one that was written since
+/// tells its own, when it is written over next.
+async fn write_row(table: &mut dyn StoreTable, own: &PeerEntry, version: u64, row: &VmRow) -> u64 {
+    match serde_json::to_vec(row) {
+        Ok(value) => table_follower::keep_row(table, own.name.as_str(), version, &value).await,
         Err(error) => tracing::error!(event = "announce-failed", step = "encode", reason = %error),
     }
+    version
 }
 
 /// This VM's own row, as the first reading of the table had it.
@@ -329,9 +363,9 @@
     fn changed(&mut self, rows: Vec<TableRow>) -> Option<FleetUpdate> {
         for row in rows {
             let decoded = row.value.bytes().map(|value| serde_json::from_slice::<VmRow>(value));
-            if let Some(Ok(VmRow { data_centre, address, secret, link })) = decoded {
+            if let Some(Ok(VmRow { data_centre, address, secret, link, kept })) = decoded {
                 let name = row.key.as_str().into();
-                let peer = PeerEntry { name, data_centre, address, secret, link };
+                let peer = PeerEntry { name, data_centre, address, secret, link, kept };
                 self.known.insert(row.key, peer);
                 continue;
             }
--- a/crates/ryetide-gateway/src/table_follower.rs
+++ b/crates/ryetide-gateway/src/table_follower.rs
@@ -433,7 +433,7 @@
 
 /// Writes a row of this VM's own, over the one of its last life, until it is there. `expected` is the
 /// version of the row that is known; 0 for none.
-pub async fn keep_row(mut table: Box<dyn StoreTable>, key: &str, mut expected: u64, value: &[u8]) {
+pub async fn keep_row(table: &mut dyn StoreTable, key: &str, mut expected: u64, value: &[u8]) {
     let mut pause = RetryPause::default();
     loop {
         match table.write(key, expected, value, CALL_LIMIT).await {
--- a/crates/ryetide-gateway/tests/serving/crashes.rs
+++ b/crates/ryetide-gateway/tests/serving/crashes.rs
@@ -4,6 +4,7 @@
     cell::RefCell,
     net::SocketAddr,
     rc::Rc,
+    sync::Arc,
     time::{Duration, Instant},
 };
 
@@ -25,11 +26,17 @@
 /// The body of the request that crashes targets.
 const DEADLY: &str = "deadly";
 const TARGETS: usize = 4;
+/// What a gateway answers that will not send a request to any target.
+const REFUSAL: &str = "quarantined\n";
+/// An answer that needs no target comes within this time, many times over.
+const AT_ONCE: Duration = Duration::from_millis(200);
 /// How long a target needs to crash under the deadly request, and to answer any other.
 const CRASH_SPAN: Duration = Duration::from_millis(30);
 const ANSWER_SPAN: Duration = Duration::from_millis(120);
 /// How long a target that has crashed is away.
 const AWAY_SPAN: Duration = Duration::from_millis(600);
+/// A VM that has started has heard the others after this time.
+const TOLD_SPAN: Duration = Duration::from_secs(1);
 /// What is permitted: no more than this many attempts that a caller makes later than this after the third crash may
 /// reach targets.
 const SETTLED_SPAN: Duration = Duration::from_secs(3);
@@ -140,6 +147,7 @@
         address: gateway.peers,
         secret: [key; 32],
         link: LinkRate(0),
+        kept: Vec::new(),
     }
 }
 
@@ -147,19 +155,26 @@
     RouteRule { timeout: Duration::from_secs(4), ..support::route(WorkKind::Repeatable, 2) }
 }
 
-/// Two gateways that know each other.
-async fn two_gateways() -> Vec<Rc<Gateway>> {
-    let mut gateways = Vec::new();
-    for name in ["e1", "e2"] {
-        gateways.push(Rc::new(Gateway::start_named(name).await));
-    }
+/// Starts a gateway that serves the test's route.
+async fn start(name: &str) -> Rc<Gateway> {
+    let gateway = Rc::new(Gateway::start_named(name).await);
+    let table = support::table(1, route(), Vec::new());
+    gateway.tell(FleetUpdate::Routes(Arc::new(table))).await;
+    gateway
+}
+
+/// Lets two gateways know each other.
+async fn join(gateways: &[Rc<Gateway>]) {
     let peers = vec![peer("e1", &gateways[0], 1), peer("e2", &gateways[1], 2)];
-    for (key, gateway) in [1, 2].into_iter().zip(&gateways) {
+    for (key, gateway) in [1, 2].into_iter().zip(gateways) {
         gateway.tell(FleetUpdate::OwnSecret([key; 32])).await;
         gateway.tell(FleetUpdate::Peers(peers.clone())).await;
-        let table = support::table(1, route(), Vec::new());
-        gateway.tell(FleetUpdate::Routes(std::sync::Arc::new(table))).await;
     }
+}
+
+async fn two_gateways() -> Vec<Rc<Gateway>> {
+    let gateways = vec![start("e1").await, start("e2").await];
+    join(&gateways).await;
     gateways
 }
 
@@ -182,9 +197,23 @@
     answers
 }
 
+/// Asks with the deadly request until a gateway refuses it; returns that answer.
+async fn until_refused(gateways: &[Rc<Gateway>]) -> Message {
+    for (count, gateway) in gateways.iter().cycle().enumerate() {
+        let answer = gateway.ask_with(&format!("deadly{count}"), "", DEADLY).await;
+        let answer = answer.expect("each attempt gets its final answer");
+        if answer.body == REFUSAL {
+            return answer;
+        }
+        time::sleep(Duration::from_millis(50)).await;
+    }
+    unreachable!("the gateways are asked until one refuses")
+}
+
 /// A caller's request crashes each target that begins to run it. It comes again and again, under new ids and at either
 /// of two VMs, and takes targets away from everybody for as long as it does: one after the other crashes, with all that
-/// runs there.
+/// runs there. Nothing tied one attempt to the next: the lines of the VMs show the same print under each id, and each of them
+/// placed like any other request.
 #[test]
 fn a_request_that_crashes_targets_is_soon_sent_to_none() {
     support::run(async {
@@ -198,3 +227,63 @@
         assert!(answers.iter().all(Option::is_some), "each attempt gets its final answer");
     });
 }
+
+/// It is told at once that it will not run, and when it might: the VM holds nobody back who asks in vain.
+#[test]
+fn its_caller_gets_the_final_answer_at_once() {
+    support::run(async {
+        let gateways = two_gateways().await;
+        let fleet = CrashingFleet::start(&gateways).await;
+        until_refused(&gateways).await;
+        let arrived = fleet.deadly_after(fleet.third_crash()).len();
+        let asked = Instant::now();
+        let answer = gateways[0].ask_with("again", "", DEADLY).await.expect("an answer");
+        assert!(asked.elapsed() < AT_ONCE);
+        assert_eq!((answer.status(), answer.body.as_str()), (503, REFUSAL));
+        let retry: f64 = answer.header("retry-after").expect("a time").parse().expect("seconds");
+        assert!(retry >= 60.0, "it would be refused again after {retry} s");
+        assert_eq!(fleet.deadly_after(fleet.third_crash()).len(), arrived);
+    });
+}
+
+/// Other callers' requests run beside it, break off with one target after the other and come again. When the deadly one is
+/// found out, each of them is answered, among them those that were there at three crashes and more.
+#[test]
+fn what_ran_beside_it_is_served_as_before() {
+    support::run(async {
+        let gateways = two_gateways().await;
+        let _fleet = CrashingFleet::start(&gateways).await;
+        let beside = ["a", "b", "c", "d", "e", "f"];
+        let until = Instant::now() + Duration::from_secs(4);
+        let pause = Duration::from_millis(10);
+        let deadly = repeat(&gateways, "deadly", DEADLY, Duration::from_millis(60), until);
+        let asked = beside.map(|body| repeat(&gateways, body, body, pause, until));
+        let (_, answers) = tokio::join!(deadly, futures_util::future::join_all(asked));
+        for answer in answers.iter().flatten().flatten() {
+            assert_ne!(answer.body, REFUSAL);
+        }
+        for (body, gateway) in beside.iter().zip(gateways.iter().cycle()) {
+            let answer = gateway.ask_with("last", "", body).await.expect("an answer");
+            assert_eq!(answer.status(), 200);
+        }
+    });
+}
+
+/// A VM starts when another has found it out. Its first caller brings the deadly request, and no target crashes for that.
+#[test]
+fn a_vm_that_starts_knows_what_the_others_know() {
+    support::run(async {
+        let first = [start("e1").await];
+        let fleet = CrashingFleet::start(&first).await;
+        until_refused(&first).await;
+        let late = start("e2").await;
+        join(&[Rc::clone(&first[0]), Rc::clone(&late)]).await;
+        let entries = fleet.entries.borrow().clone();
+        late.set_targets(entries).await;
+        let crashes = fleet.crashes.borrow().len();
+        time::sleep(TOLD_SPAN).await;
+        let answer = late.ask_with("first", "", DEADLY).await.expect("an answer");
+        assert_eq!(answer.body, REFUSAL);
+        assert_eq!(fleet.crashes.borrow().len(), crashes);
+    });
+}
--- a/crates/ryetide-gateway/tests/serving/digests.rs
+++ b/crates/ryetide-gateway/tests/serving/digests.rs
@@ -37,6 +37,7 @@
             address,
             secret: [key; 32],
             link: LinkRate(0),
+            kept: Vec::new(),
         };
         Self { entry, socket }
     }
--- a/crates/ryetide-gateway/tests/table_follower/main.rs
+++ b/crates/ryetide-gateway/tests/table_follower/main.rs
@@ -102,7 +102,7 @@
         failed(),
         Answer::Fault(TableFault::Conflict(Some(row("e1", 6)))),
     ]);
-    table_follower::keep_row(script.table(), "e1", 0, b"mine").await;
+    table_follower::keep_row(&mut *script.table(), "e1", 0, b"mine").await;
     assert_eq!(script.calls(), [Call::Write(0), Call::Write(5), Call::Write(5)]);
 }
 
@@ -113,7 +113,7 @@
     let conflicts = (0..10).map(|_| Answer::Fault(TableFault::Conflict(None)));
     let script = Script::new(conflicts.chain([Answer::Written]));
     let begun = Instant::now();
-    table_follower::keep_row(script.table(), "e1", 0, b"mine").await;
+    table_follower::keep_row(&mut *script.table(), "e1", 0, b"mine").await;
     assert_eq!(script.calls().len(), 11);
     assert!(begun.elapsed() > Duration::from_secs(2), "{:?}", begun.elapsed());
 }
--- a/crates/ryetide-gateway/tests/table_follower/model_store.rs
+++ b/crates/ryetide-gateway/tests/table_follower/model_store.rs
@@ -27,7 +27,7 @@
     store_table::{FleetTable, RowValue, StoreTable, TableFault, TableRow, TableRows},
 };
 use tokio::{
-    sync::{Notify, mpsc},
+    sync::{Notify, mpsc, watch},
     task,
     time::{self, Instant},
 };
@@ -281,6 +281,7 @@
             nudge: Rc::clone(&vm.nudge),
             fleet_size: Rc::new(Cell::new(65)),
             relay,
+            kept: watch::channel(Vec::new()).1,
         };
         let own = PeerEntry {
             name: name.into(),
@@ -288,6 +289,7 @@
             address: std::net::SocketAddr::from(([10, 1, 0, 25], 7600)),
             secret: [7; 32],
             link: LinkRate(0),
+            kept: Vec::new(),
         };
         task::spawn_local(Box::new(StoreFeed::new(fleet, bounds)).run(own, line));
         task::spawn_local(Rc::clone(&vm).take_news(news));
--- a/crates/ryetide-gateway/tests/table_follower/rests.rs
+++ b/crates/ryetide-gateway/tests/table_follower/rests.rs
@@ -11,7 +11,7 @@
     table_follower::{TableFollower, TablePace},
 };
 use tokio::{
-    sync::mpsc,
+    sync::{mpsc, watch},
     task::{JoinHandle, LocalSet},
     time,
 };
@@ -40,6 +40,7 @@
             nudge: Rc::clone(&nudge),
             fleet_size: Rc::new(Cell::new(70)),
             relay: Rc::clone(&relay),
+            kept: watch::channel(Vec::new()).1,
         };
         let follower = TableFollower::new(script.table(), PACE, CountingReader, line);
         let _follower = tokio::task::spawn_local(follower.run());
@@ -203,7 +204,8 @@
         let (updates, mut told) = mpsc::channel(64);
         let nudge = Rc::new(FeedNudge::default());
         let fleet_size = Rc::new(Cell::new(9));
-        let line = FeedLine { updates, nudge: Rc::clone(&nudge), fleet_size, relay };
+        let kept = watch::channel(Vec::new()).1;
+        let line = FeedLine { updates, nudge: Rc::clone(&nudge), fleet_size, relay, kept };
         let follow = |table| {
             let failures = (0..100).map(|_| failed());
             let answers = [Answer::Rows(3, vec![row("a", 3)])].into_iter().chain(failures);
--- a/crates/ryetide-gateway/tests/table_follower/support.rs
+++ b/crates/ryetide-gateway/tests/table_follower/support.rs
@@ -18,7 +18,7 @@
     table_follower::{RowReader, TableFollower, TablePace},
 };
 use tokio::{
-    sync::mpsc,
+    sync::{mpsc, watch},
     time::{self, Instant},
 };
 
@@ -157,6 +157,7 @@
         nudge: Rc::new(FeedNudge::default()),
         fleet_size,
         relay: FeedRelay::new().0,
+        kept: watch::channel(Vec::new()).1,
     };
     let follower = TableFollower::new(script.table(), PACE, CountingReader, line);
     let used_up = async {
