--- a/crates/ryetide-gateway/tests/serving/main.rs
+++ b/crates/ryetide-gateway/tests/serving/main.rs
@@ -9,3 +9,4 @@
 mod shutdown;
 mod streams;
 mod support;
+mod words;
