Heed what a target's answers say of it: that it leaves, or wants nothing for a time

Cause: an answer was read for what it says of the request only; who leaves was known from the store alone.

Mend: what an answer says of its target is read from every answer first, whatever its kind. Why it holds: the word of a target outlasts older entries of the store, a VM tells it in each digest for as long as the store does not, so that one which starts or comes back hears it, and the time for which a target wants nothing ends by itself and by nothing that is heard meanwhile. Where all targets of a service want nothing, callers who would have left before are refused at once, with that time.

Ruled out: that it was read and forgotten.

--- a/crates/ryetide-cli/src/explain.rs
+++ b/crates/ryetide-cli/src/explain.rs
@@ -111,6 +111,15 @@
             of("ran_ms"),
             of("runs")
         ),
+        "target-word" => format!(
+            "{} says of itself: {}",
+            of("target"),
+            match (of("leaving"), fields.get("hold_off_ms")) {
+                ("true", _) => "it leaves, and gets nothing more".to_owned(),
+                (_, Some(span)) => format!("nothing from here for {span} ms"),
+                _ => "nothing".to_owned(),
+            }
+        ),
         "quarantine-begun" => format!(
             "blamed for {} of {} crashes of targets under it, {} others crashed meanwhile, {} there are; by chance: {}",
             of("blamed"),
--- a/crates/ryetide-core/src/comeback_time.rs
+++ b/crates/ryetide-core/src/comeback_time.rs
@@ -48,6 +48,11 @@
         self.spread(wait.max(LEAST))
     }
 
+    /// Returns the time for a caller of a service whose targets want nothing for `wait`.
+    pub fn after_hold_off(&mut self, wait: Duration) -> Duration {
+        self.spread(wait.max(LEAST))
+    }
+
     /// Returns the time for a caller of a service that has no target.
     pub fn without_target(&mut self) -> Duration {
         self.spread(NO_TARGET)
--- a/crates/ryetide-core/src/decision.rs
+++ b/crates/ryetide-core/src/decision.rs
@@ -10,6 +10,8 @@
 pub enum RefusalReason {
     /// The service has no target.
     NoTarget,
+    /// All targets of the service want nothing until its caller would have left.
+    HeldOff,
     /// The line is so long that its caller would have left before its turn.
     Overload,
     /// Its caller is about to leave, and it still waits.
--- a/crates/ryetide-core/src/lib.rs
+++ b/crates/ryetide-core/src/lib.rs
@@ -32,7 +32,7 @@
 //! | [`route`], [`route_text`], [`quota`], [`quota_desk`], [`retry_budget`], [`comeback_time`] | routed requests: where they go, what they may cost |
 //! | [`scheduler`], [`scheduler_options`], [`line_view`], [`wait_line`], [`recent_arrivals`], [`deadline_habit`], [`decision`] | the order and refusal of routed requests |
 //! | [`placing`], [`target_load`], [`target_health`], [`pace`], [`prompt_memory`] | where they are placed |
-//! | [`load_digest`], [`peer_board`], [`cell_plan`], [`digest_pace`], [`digest_route`], [`target_registry`] | what entry VMs tell each other, and which targets there are |
+//! | [`load_digest`], [`peer_board`], [`cell_plan`], [`digest_pace`], [`digest_route`], [`target_registry`], [`target_word`] | what entry VMs tell each other, which targets there are, and what those say of themselves |
 //! | [`watch_duty`] | which of them ask the source of routes and targets |
 //! | [`safeguard`] | switches that let tests show what each safeguard prevents |
 //! | [`ids`], [`units`], [`json_form`] | newtypes, and the form in which values are written down |
@@ -93,6 +93,7 @@
 pub mod target_health;
 pub mod target_load;
 pub mod target_registry;
+pub mod target_word;
 pub mod text;
 pub mod units;
 mod util;
--- a/crates/ryetide-core/src/line_view.rs
+++ b/crates/ryetide-core/src/line_view.rs
@@ -76,6 +76,8 @@
     now: Moment,
     state: &'a ServiceLine,
     usable: Vec<&'a TargetLoad>,
+    /// Until when the targets that stay want nothing, where none is usable and all of them have said so.
+    held_until: Option<Moment>,
     peers: &'a PeerBoard,
     options: &'a SchedulerOptions,
     sharing: PlaceSharing,
@@ -101,14 +103,14 @@
         sharing: PlaceSharing,
     ) -> Self {
         let loads = state.targets.iter().filter_map(|key| targets.get(key));
-        Self {
-            now,
-            state,
-            usable: loads.filter(|load| load.may_get(now)).collect(),
-            peers,
-            options,
-            sharing,
-        }
+        let (usable, others): (Vec<_>, Vec<_>) = loads.partition(|load| load.may_get(now));
+        let held_until = if usable.is_empty() { first_held_until(now, &others) } else { None };
+        Self { now, state, usable, held_until, peers, options, sharing }
+    }
+
+    /// Returns until when all targets want nothing, if that is why none gets new work.
+    pub fn held_until(&self) -> Option<Moment> {
+        self.held_until
     }
 
     /// Returns how many places are free.
@@ -158,6 +160,10 @@
         if self.now + LEAVE_MARGIN >= work.leave_at {
             return Some(RefusalReason::OutOfTime);
         }
+        // Held in line until then, its caller would be told the same at the end of its patience.
+        if self.held_until.is_some_and(|until| until + LEAVE_MARGIN >= work.leave_at) {
+            return Some(RefusalReason::HeldOff);
+        }
         if self.gives_way(work) {
             return Some(RefusalReason::Overload);
         }
@@ -325,6 +331,13 @@
     }
 }
 
+/// Returns when the first of these targets wants work again; nothing where one that stays gets none for another reason.
+fn first_held_until(now: Moment, loads: &[&TargetLoad]) -> Option<Moment> {
+    let staying = loads.iter().filter(|load| !load.entry().leaving);
+    let held = staying.map(|load| Some(load.health().held_until()).filter(|until| *until > now));
+    held.collect::<Option<Vec<Moment>>>()?.into_iter().min()
+}
+
 fn as_count(requests: usize) -> u32 {
     u32::try_from(requests).unwrap_or(u32::MAX)
 }
--- a/crates/ryetide-core/src/load_digest.rs
+++ b/crates/ryetide-core/src/load_digest.rs
@@ -56,8 +56,8 @@
     pub tokens: u32,
 }
 
-/// How far this VM's knowledge of the fleet reaches.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+/// How far this VM's knowledge of the fleet reaches, and what it knows before the others.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct FleetNews {
     /// The version of the routes in force.
     pub revision: Revision,
@@ -67,6 +67,8 @@
     pub registry_reached: u64,
     /// What this VM tells of its watch; nothing while it rests, or has lost the source.
     pub watch: Option<WatchNote>,
+    /// Targets that have said that they leave, where the registry does not tell.
+    pub leaving_targets: Vec<TargetKey>,
 }
 
 /// How much of what a VM has to say a digest tells.
@@ -110,6 +112,8 @@
     pub placed: Vec<PlacedPrompt>,
     /// Which requests ended in crashes of targets.
     pub crashes: CrashNews,
+    /// Targets that have said in their answers that they leave, where the registry does not tell.
+    pub leaving_targets: Vec<TargetKey>,
 }
 
 /// A digest and the VM that sent it.
--- a/crates/ryetide-core/src/scheduler.rs
+++ b/crates/ryetide-core/src/scheduler.rs
@@ -382,6 +382,7 @@
             watch: news.watch,
             spent: self.quotas.ledger().totals().collect(),
             crashes: self.crashes.brief_news(now),
+            leaving_targets: news.leaving_targets,
             ..LoadDigest::default()
         }
     }
@@ -464,6 +465,13 @@
         &mut self.crashes
     }
 
+    /// Notes that a target wants nothing from this VM for `span`.
+    pub fn hold_off(&mut self, now: Moment, target: TargetKey, span: Duration) {
+        if let Some(load) = self.targets.get_mut(&target) {
+            load.health_mut().hold_off(now, span);
+        }
+    }
+
     /// Notes the runs of this VM that ended when a target crashed.
     pub fn note_crash(&mut self, now: Moment, target: TargetKey, runs: &[CrashedRun]) {
         self.crashes.note_crash(now, target, runs);
@@ -565,10 +573,14 @@
         reason: RefusalReason,
     ) {
         let line = self.services.get(service).map_or(0, |state| state.line.len());
-        let wait = self.view(now, service).map_or(Duration::ZERO, |view| view.expected_wait(None));
+        let view = self.view(now, service);
+        let wait = view.as_ref().map_or(Duration::ZERO, |view| view.expected_wait(None));
+        let held_until = view.and_then(|view| view.held_until());
+        let held = held_until.map_or(Duration::ZERO, |until| until.since(now));
         self.service_state(service).line.remove(ticket);
         let retry_after = match reason {
             RefusalReason::NoTarget => self.comeback.without_target(),
+            RefusalReason::HeldOff => self.comeback.after_hold_off(held),
             RefusalReason::Overload | RefusalReason::OutOfTime => self.comeback.after_line(wait),
         };
         self.decisions.push(Decision::Refuse { ticket, reason, retry_after, line });
--- a/crates/ryetide-core/src/target_health.rs
+++ b/crates/ryetide-core/src/target_health.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use crate::units::Moment;
+use crate::{target_word, units::Moment};
 
 /// The first pause after a connection could not be opened; it doubles with each further one.
 const FIRST_PAUSE: Duration = Duration::from_millis(200);
@@ -25,6 +25,7 @@
     failing: f64,
     judged_at: Moment,
     heard_at: Moment,
+    held_until: Moment,
 }
 
 impl TargetHealth {
@@ -54,6 +55,17 @@
         self.heard_at = now;
     }
 
+    /// Notes that the target wants nothing for `span`. It has said so itself: nothing that is heard of it meanwhile, not even
+    /// good answers, ends that sooner.
+    pub fn hold_off(&mut self, now: Moment, span: Duration) {
+        self.held_until = self.held_until.max(now + span.min(target_word::LONGEST_HOLD_OFF));
+    }
+
+    /// Returns until when the target wants nothing.
+    pub fn held_until(&self) -> Moment {
+        self.held_until
+    }
+
     /// Returns when any byte last came from the target.
     pub fn heard_at(&self) -> Moment {
         self.heard_at
@@ -61,7 +73,7 @@
 
     /// Returns whether the target is passed over for now.
     pub fn is_paused(&self, now: Moment) -> bool {
-        now < self.pause_until
+        now < self.pause_until.max(self.held_until)
     }
 
     /// Returns whether the target could not be reached when it was last tried.
--- a/crates/ryetide-core/src/target_registry.rs
+++ b/crates/ryetide-core/src/target_registry.rs
@@ -5,11 +5,15 @@
 //! about two seconds. An entry that goes missing until then is therefore kept; at any other time a
 //! missing entry is a target that is gone.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use crate::{
-    ids::{TargetLife, TargetName},
+    ids::{TargetKey, TargetLife, TargetName},
     target_load::TargetEntry,
+    target_word::LeavingWords,
     units::Moment,
 };
 
@@ -89,6 +93,8 @@
     targets: BTreeMap<TargetName, RegisteredTarget>,
     /// The last life that was seen of each name, also of targets that are gone.
     lives: BTreeMap<TargetName, TargetLife>,
+    /// Targets that have said that they leave.
+    words: LeavingWords,
     known: bool,
     newest: u64,
     reached: u64,
@@ -153,7 +159,28 @@
     /// Returns the targets that there are, and drops those whose time is over.
     pub fn current(&mut self, now: Moment) -> Vec<TargetEntry> {
         self.targets.retain(|_, target| target.lapses_at.is_none_or(|at| now < at));
-        self.targets.values().map(|target| target.entry.clone()).collect()
+        let named: BTreeSet<TargetKey> =
+            self.targets.values().map(|target| target.entry.key()).collect();
+        self.words.age(now, &named);
+        self.targets.values().map(|target| self.as_it_says(&target.entry)).collect()
+    }
+
+    /// Notes that a target has said in an answer that it leaves, or a peer tells that it has; returns whether that is new.
+    pub fn note_leaving(&mut self, now: Moment, target: TargetKey) -> bool {
+        self.words.note(now, target)
+    }
+
+    /// Returns the targets that have said that they leave, and of which the source does not say it.
+    pub fn leaving_by_word(&self) -> Vec<TargetKey> {
+        let entries = self.targets.values().map(|target| &target.entry);
+        let unsure = entries.filter(|entry| !entry.leaving).map(TargetEntry::key);
+        self.words.told(unsure).collect()
+    }
+
+    /// A reading of the source that is older than what the target has said does not take it back.
+    fn as_it_says(&self, entry: &TargetEntry) -> TargetEntry {
+        let leaving = entry.leaving || self.words.holds(entry.key());
+        TargetEntry { leaving, ..entry.clone() }
     }
 
     /// Returns the targets that are kept though their entries are missing.
--- a/crates/ryetide-gateway/src/caller_answer.rs
+++ b/crates/ryetide-gateway/src/caller_answer.rs
@@ -84,6 +84,8 @@
     OverQuota,
     /// The service has no target.
     NoTarget,
+    /// All targets of the service want nothing for now.
+    HeldOff,
     /// The line is too long for the request to have its turn in time.
     Overload,
     /// The request waited as long as its caller does.
@@ -110,6 +112,7 @@
             Self::OverQuota => StatusCode::TOO_MANY_REQUESTS,
             Self::NoConfiguration
             | Self::NoTarget
+            | Self::HeldOff
             | Self::Overload
             | Self::OutOfTime
             | Self::TurnedAway
@@ -138,6 +141,7 @@
     fn from(reason: RefusalReason) -> Self {
         match reason {
             RefusalReason::NoTarget => Self::NoTarget,
+            RefusalReason::HeldOff => Self::HeldOff,
             RefusalReason::Overload => Self::Overload,
             RefusalReason::OutOfTime => Self::OutOfTime,
         }
--- a/crates/ryetide-gateway/src/decision_log.rs
+++ b/crates/ryetide-gateway/src/decision_log.rs
@@ -12,6 +12,7 @@
     ids::{OrganisationName, RequestSequence, VmName},
     request_print::RequestPrint,
     target_load::TargetEntry,
+    target_word::TargetWord,
     units::Revision,
 };
 use tokio::time::Instant;
@@ -205,6 +206,22 @@
         }
     }
 
+    /// An answer says something of its target.
+    pub fn word(&self, request: &LogId<'_>, target: &TargetEntry, word: TargetWord) {
+        if self.permits() {
+            tracing::info!(
+                event = "target-word",
+                vm = %self.vm,
+                request = request.id,
+                sequence = request.sequence.0,
+                target = %target.name,
+                leaving = word.leaving,
+                known_before = target.leaving,
+                hold_off_ms = word.hold_off.map(millis),
+            );
+        }
+    }
+
     /// A target has crashed, and with it ended these runs of this VM's.
     pub fn crashed(&self, target: &TargetEntry, runs: &[BrokenRun]) {
         for run in runs {
--- a/crates/ryetide-gateway/src/exchange.rs
+++ b/crates/ryetide-gateway/src/exchange.rs
@@ -19,6 +19,7 @@
     request_print::{RequestContent, RequestPrint},
     route::{MatchedRoute, WorkKind},
     target_load::TargetEntry,
+    target_word::TargetWord,
     units::{Moment, Tokens},
     wait_line::WaitingWork,
 };
@@ -29,6 +30,7 @@
     caller_answer::{CallerResponse, OwnAnswer, OwnReason},
     crash_watch::{BrokenRun, CrashWatch},
     decision_log::{ExchangeSpans, LogId},
+    fleet_duties,
     gateway_state::Gateway,
     ports::WorkSize,
     quota_wait,
@@ -366,6 +368,7 @@
             }
             Ok(Ok(response)) => response,
         };
+        self.heed(target, target_answer::word_of(&response, self.gateway.names()));
         match target_answer::kind_of(&response, self.gateway.names(), self.id.as_ref()) {
             AnswerKind::NotRun => {
                 self.attempts -= 1;
@@ -381,6 +384,22 @@
         }
     }
 
+    /// Does what a target's answer says of the target.
+    fn heed(&self, target: &TargetEntry, word: TargetWord) {
+        let gateway = &self.gateway;
+        if word.leaving {
+            fleet_duties::note_leaving(gateway, &[target.key()]);
+        }
+        if let Some(span) = word.hold_off {
+            let key = target.key();
+            gateway.hub().with(|scheduler, now| scheduler.hold_off(now, key, span));
+        }
+        if !word.is_empty() {
+            gateway.metrics().count_word(word);
+            gateway.log().word(&self.log_id(), target, word);
+        }
+    }
+
     /// How long the head of an answer may take before the work is tried elsewhere. There is no limit
     /// where it may not be: giving up an answer that is being made would only lose it.
     fn head_limit(&self) -> Option<Duration> {
--- a/crates/ryetide-gateway/src/fleet_duties.rs
+++ b/crates/ryetide-gateway/src/fleet_duties.rs
@@ -5,7 +5,7 @@
 use ryetide_core::{
     cell_plan::CellMember,
     digest_route::{DigestPeer, DigestRecipients},
-    ids::VmName,
+    ids::{TargetKey, VmName},
     load_digest::LoadDigest,
     peer_board::FeedLag,
     scheduler::Scheduler,
@@ -227,6 +227,17 @@
     gateway.hub().with(|scheduler, now| scheduler.set_targets(now, targets));
 }
 
+/// Notes that targets have said that they leave; they get nothing more from here at once.
+pub fn note_leaving(gateway: &Gateway, targets: &[TargetKey]) {
+    let now = gateway.hub().clock().now();
+    let mut registry = gateway.fleet().registry().borrow_mut();
+    let new = targets.iter().filter(|target| registry.note_leaving(now, **target)).count();
+    drop(registry);
+    if new > 0 {
+        refresh_targets(gateway);
+    }
+}
+
 /// Tells the peers of this VM's cell everything.
 pub fn tell_mates(gateway: &Gateway, link: &PeerLink, leaving: bool) {
     let listed = listed_peers(gateway);
--- a/crates/ryetide-gateway/src/fleet_view.rs
+++ b/crates/ryetide-gateway/src/fleet_view.rs
@@ -49,6 +49,7 @@
             registry: registry.newest(),
             registry_reached: registry.reached(),
             watch: None,
+            leaving_targets: registry.leaving_by_word(),
         }
     }
 
--- a/crates/ryetide-gateway/src/gateway_metrics.rs
+++ b/crates/ryetide-gateway/src/gateway_metrics.rs
@@ -7,7 +7,7 @@
     metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
     registry::Registry,
 };
-use ryetide_core::units::TierRank;
+use ryetide_core::{target_word::TargetWord, units::TierRank};
 
 /// Bounds of the histograms' buckets, in seconds: from a hop between data centres to the longest
 /// deadlines of today's routes.
@@ -19,6 +19,11 @@
     outcome: &'static str,
 }
 
+#[derive(Clone, Debug, Eq, Hash, PartialEq, EncodeLabelSet)]
+struct WordLabels {
+    word: &'static str,
+}
+
 #[derive(Clone, Debug, Eq, Hash, PartialEq, EncodeLabelSet)]
 struct TierLabels {
     tier: u8,
@@ -44,6 +49,7 @@
     targets: Gauge,
     crashes: Counter,
     quarantined: Gauge,
+    words: Family<WordLabels, Counter>,
 }
 
 impl Default for GatewayMetrics {
@@ -61,6 +67,7 @@
             targets: Gauge::default(),
             crashes: Counter::default(),
             quarantined: Gauge::default(),
+            words: Family::default(),
         };
         let registry = &mut metrics.registry;
         registry.register("requests", "Requests taken", metrics.requests.clone());
@@ -76,6 +83,8 @@
         registry.register("target_crashes", crashes, metrics.crashes.clone());
         let quarantined = "Requests that are sent to no target, since they crash them";
         registry.register("quarantined", quarantined, metrics.quarantined.clone());
+        let words = "Answers in which a target says that it leaves, or wants nothing for a time";
+        registry.register("target_words", words, metrics.words.clone());
         metrics
     }
 }
@@ -111,6 +120,14 @@
         self.crashes.inc();
     }
 
+    /// Counts what an answer says of its target.
+    pub fn count_word(&self, word: TargetWord) {
+        let said = [("leaving", word.leaving), ("hold-off", word.hold_off.is_some())];
+        for (word, _) in said.into_iter().filter(|(_, is_said)| *is_said) {
+            self.words.get_or_create(&WordLabels { word }).inc();
+        }
+    }
+
     /// Sets how many requests are quarantined.
     pub fn set_quarantined(&self, count: usize) {
         self.quarantined.set(count as i64);
--- a/crates/ryetide-gateway/src/own_headers.rs
+++ b/crates/ryetide-gateway/src/own_headers.rs
@@ -21,6 +21,7 @@
         target: HeaderName::from_static("ryetide-target"),
         not_run: HeaderName::from_static("ryetide-not-run"),
         signature: HeaderName::from_static("ryetide-answered-by"),
+        leaving: HeaderName::from_static("ryetide-leaving"),
         last_event: HeaderName::from_static("last-event-id"),
         reserved: vec![HeaderName::from_static("ryetide-not-run")],
     }
--- a/crates/ryetide-gateway/src/ports.rs
+++ b/crates/ryetide-gateway/src/ports.rs
@@ -72,6 +72,8 @@
     pub not_run: HeaderName,
     /// Present in every answer that a target made itself.
     pub signature: HeaderName,
+    /// Present in every answer of a target that leaves.
+    pub leaving: HeaderName,
     /// The id of the last event of a stream that was received.
     pub last_event: HeaderName,
     /// Headers that only the gateway may set: they are taken out of callers' requests.
--- a/crates/ryetide-gateway/src/target_answer.rs
+++ b/crates/ryetide-gateway/src/target_answer.rs
@@ -4,8 +4,16 @@
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
-use hyper::{HeaderMap, Response, StatusCode, body::Incoming, header::HeaderValue, http};
-use ryetide_core::target_load::TargetEntry;
+use hyper::{
+    HeaderMap, Response, StatusCode,
+    body::Incoming,
+    header::{self, HeaderValue},
+    http,
+};
+use ryetide_core::{
+    target_load::TargetEntry,
+    target_word::{self, TargetWord},
+};
 
 use crate::{ports::HeaderNames, target_pool::TargetConnection};
 
@@ -58,6 +66,22 @@
     if headers.contains_key(&names.signature) { AnswerKind::Own } else { AnswerKind::Unsigned }
 }
 
+/// Returns what the head of an answer says of its target, whatever request it belongs to.
+pub fn word_of<T>(response: &Response<T>, names: &HeaderNames) -> TargetWord {
+    let headers = response.headers();
+    let leaving = headers.get(&names.leaving).is_some_and(|value| value != "0");
+    let turns_away = response.status() == StatusCode::SERVICE_UNAVAILABLE;
+    let hold_off = if turns_away { retry_after(headers) } else { None };
+    TargetWord { leaving, hold_off }
+}
+
+fn retry_after(headers: &HeaderMap) -> Option<Duration> {
+    // What is no number of seconds names no time.
+    let seconds: f64 = headers.get(header::RETRY_AFTER)?.to_str().ok()?.trim().parse().ok()?;
+    let longest = target_word::LONGEST_HOLD_OFF;
+    Duration::try_from_secs_f64(seconds).ok().map(|span| span.min(longest))
+}
+
 /// Returns how long the target says that it keeps the connection.
 pub fn kept_for(headers: &HeaderMap) -> Option<Duration> {
     // What cannot be read promises nothing: the connection is then kept as long as any other.
--- a/crates/ryetide-gateway/tests/serving/crashes.rs
+++ b/crates/ryetide-gateway/tests/serving/crashes.rs
@@ -12,9 +12,8 @@
     route::{RouteRule, WorkKind},
     target_load::TargetEntry,
     target_registry::RegistryUpdate,
-    units::LinkRate,
 };
-use ryetide_gateway::ports::{FleetUpdate, PeerEntry};
+use ryetide_gateway::ports::FleetUpdate;
 use tokio::{
     net::TcpListener,
     task::{self, JoinSet},
@@ -140,17 +139,6 @@
     }
 }
 
-fn peer(name: &str, gateway: &Gateway, key: u8) -> PeerEntry {
-    PeerEntry {
-        name: name.into(),
-        data_centre: "hall-a".into(),
-        address: gateway.peers,
-        secret: [key; 32],
-        link: LinkRate(0),
-        kept: Vec::new(),
-    }
-}
-
 fn route() -> RouteRule {
     RouteRule { timeout: Duration::from_secs(4), ..support::route(WorkKind::Repeatable, 2) }
 }
@@ -163,18 +151,9 @@
     gateway
 }
 
-/// Lets two gateways know each other.
-async fn join(gateways: &[Rc<Gateway>]) {
-    let peers = vec![peer("e1", &gateways[0], 1), peer("e2", &gateways[1], 2)];
-    for (key, gateway) in [1, 2].into_iter().zip(gateways) {
-        gateway.tell(FleetUpdate::OwnSecret([key; 32])).await;
-        gateway.tell(FleetUpdate::Peers(peers.clone())).await;
-    }
-}
-
 async fn two_gateways() -> Vec<Rc<Gateway>> {
     let gateways = vec![start("e1").await, start("e2").await];
-    join(&gateways).await;
+    support::join(&gateways).await;
     gateways
 }
 
@@ -277,7 +256,7 @@
         let fleet = CrashingFleet::start(&first).await;
         until_refused(&first).await;
         let late = start("e2").await;
-        join(&[Rc::clone(&first[0]), Rc::clone(&late)]).await;
+        support::join(&[Rc::clone(&first[0]), Rc::clone(&late)]).await;
         let entries = fleet.entries.borrow().clone();
         late.set_targets(entries).await;
         let crashes = fleet.crashes.borrow().len();
--- a/crates/ryetide-gateway/tests/serving/support.rs
+++ b/crates/ryetide-gateway/tests/serving/support.rs
@@ -293,6 +293,7 @@
         target: HeaderName::from_static("test-target"),
         not_run: HeaderName::from_static("test-not-run"),
         signature: HeaderName::from_static("test-signature"),
+        leaving: HeaderName::from_static("test-leaving"),
         last_event: HeaderName::from_static("last-event-id"),
         reserved: vec![HeaderName::from_static("test-reserved")],
     }
@@ -412,3 +413,23 @@
          content-length: {length}\r\n\r\n{body}"
     )
 }
+
+fn peer(name: &str, gateway: &Gateway, key: u8) -> PeerEntry {
+    PeerEntry {
+        name: name.into(),
+        data_centre: "hall-a".into(),
+        address: gateway.peers,
+        secret: [key; 32],
+        link: LinkRate(0),
+        kept: Vec::new(),
+    }
+}
+
+/// Lets two gateways know each other.
+pub async fn join(gateways: &[Rc<Gateway>]) {
+    let peers = vec![peer("e1", &gateways[0], 1), peer("e2", &gateways[1], 2)];
+    for (key, gateway) in [1, 2].into_iter().zip(gateways) {
+        gateway.tell(FleetUpdate::OwnSecret([key; 32])).await;
+        gateway.tell(FleetUpdate::Peers(peers.clone())).await;
+    }
+}
--- a/crates/ryetide-gateway/tests/serving/words.rs
+++ b/crates/ryetide-gateway/tests/serving/words.rs
@@ -1,6 +1,10 @@
 //! What targets say of themselves in their answers: that they leave, and for how long they want nothing.
 
-use std::time::{Duration, Instant};
+use std::{
+    rc::Rc,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use futures_util::future;
 use ryetide_core::{
@@ -15,6 +19,8 @@
 
 /// The header by which a target says that it leaves.
 const LEAVING: &str = "test-leaving: 1\r\n";
+/// A VM has heard the other after this time, many times over.
+const HEARD_SPAN: Duration = Duration::from_secs(2);
 /// For how long a target wants nothing, and when it may expect that this is known.
 const HOLD_OFF: Duration = Duration::from_secs(2);
 const HOLD_OFF_KNOWN: Duration = Duration::from_millis(500);
@@ -105,6 +111,34 @@
     }
 }
 
+/// One VM hears from a target that it leaves, and the store is away. The other VM's callers are not sent there either.
+#[test]
+fn a_vm_tells_the_others_which_target_leaves() {
+    support::run(async {
+        let [first, second] = support::names_in_order(["t1", "t2"]);
+        let leaver = Target::start(first, leaving).await;
+        let other = Target::start(second, support::answering).await;
+        let mut gateways = Vec::new();
+        for name in ["e1", "e2"] {
+            let gateway = Rc::new(Gateway::start_named(name).await);
+            let table = support::table(1, route(), Vec::new());
+            gateway.tell(FleetUpdate::Routes(Arc::new(table))).await;
+            gateway.set_targets(vec![leaver.entry.clone(), other.entry.clone()]).await;
+            gateways.push(gateway);
+        }
+        support::join(&gateways).await;
+        while leaver.count() == 0 {
+            gateways[0].ask("q1", "").await.expect("an answer");
+        }
+        let before = leaver.count();
+        time::sleep(HEARD_SPAN).await;
+        for count in 0..10 {
+            gateways[1].ask(&format!("r{count}"), "").await.expect("an answer");
+        }
+        assert_eq!(leaver.count(), before);
+    });
+}
+
 /// Answers well, after a time in which its places are taken.
 fn slow(request: Message, mut wire: Wire) -> LocalFuture<'static, Option<Wire>> {
     Box::pin(async move {
