Play a request that crashes its target before ryetided too, and list the test as failing

Three daemons and one plain service: the request comes at all three for eight seconds. Pauses after refused connections keep the number of crashes low, but each attempt that gets a place crashes the target once more, and the last one is answered 502 where it should not have been sent.

--- a/crates/ryetided/tests/processes/main.rs
+++ b/crates/ryetided/tests/processes/main.rs
@@ -2,6 +2,7 @@
 #![allow(clippy::unwrap_used, reason = "a test that cannot go on fails where it stands")]
 
 mod bad_input;
+mod crashes;
 mod failures;
 mod serving;
 mod support;
