Send a request that crashes targets to none from ryetided either

One request took a plain service's target down each time it got a place, under any key and at any daemon.

Mend: the daemon's core keeps the same ledger; its driver finds out by one connection whether a target that broke off has crashed, daemons tell each other at once and with each heartbeat, and a request that waits for what others know is held before it asks for a slot. Targets keep their names here, so a crash is named by its target and its time: what is told of one target within 250 ms is one crash.

Not in this face: a quarantine is not kept in the table service, so after all daemons were killed at once it is found out anew, by three crashes.

--- a/crates/ryetide-cli/src/explain.rs
+++ b/crates/ryetide-cli/src/explain.rs
@@ -121,12 +121,12 @@
             }
         ),
         "quarantine-begun" => format!(
-            "blamed for {} of {} crashes of targets under it, {} others crashed meanwhile, {} there are; by chance: {}",
+            "blamed for {} of {} crashes of targets under it, {} others crashed meanwhile, {} there are; by chance in {} of a billion",
             of("blamed"),
             of("crashes"),
             of("elsewhere"),
             of("targets"),
-            of("chance")
+            of("chance_ppb")
         ),
         "quarantine-heard" => "heard that it crashes targets".to_owned(),
         "quarantine-ended" => format!("may be sent to targets again: {}", of("reason")),
--- a/crates/ryetide-cli/tests/explain.rs
+++ b/crates/ryetide-cli/tests/explain.rs
@@ -13,7 +13,7 @@
 ts=2026-03-25T04:18:49.2334Z level=info event=own-answer vm=e2 request=q1 status=502 reason=target-failed
 ts=2026-03-25T04:18:51.1000Z level=warn event=target-crashed vm=e1 request=q7 print=5f target=i-ab peer=10.0.0.1:80 ran_ms=80 runs=3
 ts=2026-03-25T04:18:51.2000Z level=warn event=target-crashed vm=e1 request=q8 print=6a target=i-ab peer=10.0.0.1:80 ran_ms=900 runs=3
-ts=2026-03-25T04:18:52.3000Z level=warn event=quarantine-begun vm=e2 print=5f crashes=3 blamed=3 elsewhere=0 targets=12 chance=0.0000001
+ts=2026-03-25T04:18:52.3000Z level=warn event=quarantine-begun vm=e2 print=5f crashes=3 blamed=3 elsewhere=0 targets=12 chance_ppb=100
 ts=2026-03-25T04:18:53.1000Z level=info event=quarantined vm=e1 request=q9 sequence=20 print=5f route=r1 retry_ms=600000
 "#;
 
--- a/crates/ryetide-core/src/crash_blame.rs
+++ b/crates/ryetide-core/src/crash_blame.rs
@@ -14,11 +14,14 @@
 
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 /// Crashes below which nobody is blamed.
 pub const LEAST_CRASHES: usize = 3;
 /// A request is blamed where it would meet as many crashes by chance less often than this: once in a million requests
 /// that are as long.
-const CHANCE_LIMIT: f64 = 1e-6;
+const CHANCE_LIMIT_PPB: u64 = 1_000;
+const BILLION: f64 = 1e9;
 /// The least span over which crashes elsewhere are counted. Crashes come in series, and one that has just begun says
 /// little of how often they come.
 pub const LEAST_SPAN: Duration = Duration::from_secs(10);
@@ -46,7 +49,7 @@
 }
 
 /// What decided about a request.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
 pub struct BlameEvidence {
     /// Crashes under which it ended.
     pub crashes: usize,
@@ -56,14 +59,14 @@
     pub elsewhere: usize,
     /// Targets that could have crashed.
     pub targets: usize,
-    /// How likely it is that a request which is not to blame met as many.
-    pub chance: f64,
+    /// How likely it is that a request which is not to blame met as many, in parts of a billion.
+    pub chance_ppb: u64,
 }
 
 impl BlameEvidence {
     /// Returns whether the request is to blame.
     pub fn is_guilty(&self) -> bool {
-        self.blamed >= LEAST_CRASHES && self.chance <= CHANCE_LIMIT
+        self.blamed >= LEAST_CRASHES && self.chance_ppb <= CHANCE_LIMIT_PPB
     }
 }
 
@@ -92,7 +95,8 @@
             (self.elsewhere + 1) as f64 / (self.targets.max(1) as f64 * self.span.as_secs_f64());
         let chance = chance_of(crashes, crashes_per_second * ran.as_secs_f64());
         let (elsewhere, targets) = (self.elsewhere, self.targets);
-        BlameEvidence { crashes, blamed, elsewhere, targets, chance }
+        let chance_ppb = (chance * BILLION) as u64;
+        BlameEvidence { crashes, blamed, elsewhere, targets, chance_ppb }
     }
 }
 
--- a/crates/ryetide-core/src/crash_ledger.rs
+++ b/crates/ryetide-core/src/crash_ledger.rs
@@ -35,6 +35,9 @@
 const SETTLE_SPAN: Duration = Duration::from_millis(500);
 /// For how long a VM tells what it has noted itself. A peer that has not heard it for this long is told everything.
 const TOLD_SPAN: Duration = Duration::from_secs(4);
+/// What VMs note of one target within this time is one crash: a target that starts again under its old name is not back
+/// sooner, and what is told of a crash comes within it.
+const SAME_CRASH_SPAN: Duration = Duration::from_millis(250);
 /// Crashes that are remembered; the oldest yields. Some 20 bytes for each run that ended in one.
 const CRASHES_LIMIT: usize = 256;
 /// Runs that are remembered of one crash.
@@ -109,7 +112,7 @@
 }
 
 /// How a quarantine began or ended here, for logs.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
 pub enum QuarantineNews {
     /// This VM has blamed the request.
     Blamed(RequestPrint, BlameEvidence),
@@ -133,6 +136,9 @@
     own: bool,
 }
 
+/// One crash: of which target, and when as this VM came to know first.
+type CrashKey = (TargetKey, LedgerTime);
+
 #[derive(Clone, Debug)]
 struct CrashNote {
     at: LedgerTime,
@@ -162,7 +168,7 @@
 /// Remembers which requests ended in crashes.
 #[derive(Debug, Default)]
 pub struct CrashLedger {
-    crashes: BTreeMap<TargetKey, CrashNote>,
+    crashes: BTreeMap<CrashKey, CrashNote>,
     /// How many crashes each request has.
     counts: BTreeMap<RequestPrint, usize>,
     cleared: BTreeMap<RequestPrint, ClearedNote>,
@@ -285,14 +291,14 @@
     /// Forgets what is too old.
     pub fn age(&mut self, now: Moment) {
         let today = time_of(now);
-        let old: Vec<TargetKey> = self
+        let old: Vec<CrashKey> = self
             .crashes
             .iter()
             .filter(|(_, crash)| span_between(crash.at, today) >= CRASH_LIFE)
-            .map(|(target, _)| *target)
+            .map(|(key, _)| *key)
             .collect();
-        for target in old {
-            self.drop_crash(target);
+        for key in old {
+            self.drop_crash(key);
         }
         self.cleared.retain(|_, note| span_between(note.at, today) < CLEARED_LIFE);
         let news = &mut self.news;
@@ -358,8 +364,9 @@
         if is_cleared || span_between(at, time_of(now)) >= CRASH_LIFE {
             return;
         }
+        let key = self.crash_near(target, at).unwrap_or((target, at));
         let crash =
-            self.crashes.entry(target).or_insert_with(|| CrashNote { at, runs: BTreeMap::new() });
+            self.crashes.entry(key).or_insert_with(|| CrashNote { at, runs: BTreeMap::new() });
         if crash.runs.contains_key(&print) || crash.runs.len() >= RUNS_LIMIT {
             return;
         }
@@ -367,14 +374,21 @@
         *self.counts.entry(print).or_default() += 1;
         if self.crashes.len() > CRASHES_LIMIT {
             let oldest = self.crashes.iter().min_by_key(|(_, crash)| crash.at);
-            if let Some(oldest) = oldest.map(|(target, _)| *target) {
+            if let Some(oldest) = oldest.map(|(key, _)| *key) {
                 self.drop_crash(oldest);
             }
         }
     }
 
-    fn drop_crash(&mut self, target: TargetKey) {
-        let Some(crash) = self.crashes.remove(&target) else { return };
+    /// Returns the crash of a target that is known and was at this time.
+    fn crash_near(&self, target: TargetKey, at: LedgerTime) -> Option<CrashKey> {
+        let span = LedgerTime::try_from(SAME_CRASH_SPAN.as_micros()).unwrap_or(LedgerTime::MAX);
+        let near = (target, at.saturating_sub(span))..=(target, at.saturating_add(span));
+        self.crashes.range(near).next().map(|(key, _)| *key)
+    }
+
+    fn drop_crash(&mut self, key: CrashKey) {
+        let Some(crash) = self.crashes.remove(&key) else { return };
         for print in crash.runs.keys() {
             self.uncount(*print);
         }
@@ -397,12 +411,12 @@
         }
         self.cleared.insert(print, note);
         let before = self.crashes.iter().filter(|(_, crash)| crash.at <= at);
-        let ended: Vec<TargetKey> = before
+        let ended: Vec<CrashKey> = before
             .filter(|(_, crash)| crash.runs.contains_key(&print))
-            .map(|(target, _)| *target)
+            .map(|(key, _)| *key)
             .collect();
-        for target in ended {
-            if let Some(crash) = self.crashes.get_mut(&target) {
+        for key in ended {
+            if let Some(crash) = self.crashes.get_mut(&key) {
                 crash.runs.remove(&print);
                 self.uncount(print);
             }
@@ -446,7 +460,7 @@
     fn news_of(&self, now: Moment, span: Duration, all: bool) -> CrashNews {
         let is_told = |own: bool, heard: Moment| all || (own && now.since(heard) < span);
         let mut told: Vec<(Moment, CrashMark)> = Vec::new();
-        for (target, crash) in &self.crashes {
+        for ((target, _), crash) in &self.crashes {
             let age_ms = millis_between(crash.at, now);
             for (print, note) in crash.runs.iter().filter(|(_, note)| is_told(note.own, note.heard))
             {
--- a/crates/ryetide-core/src/effect.rs
+++ b/crates/ryetide-core/src/effect.rs
@@ -6,12 +6,14 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
+    crash_ledger::QuarantineNews,
     event::{AnswerHead, FinalAnswer, TableCommand, TargetOrder, TargetRoute},
     ids::{
         AttemptNumber, OperationId, OrganisationName, RequestId, RequestSequence, ServiceName,
-        TableToken, TargetName, TierName, VmName,
+        TableToken, TargetKey, TargetName, TierName, VmName,
     },
     message::PeerMessage,
+    request_print::RequestPrint,
     units::{Revision, Tokens},
 };
 
@@ -252,4 +254,15 @@
     TargetSuspect(TargetName),
     /// An arbiter did not answer in time; this VM's own share is used.
     ArbiterSilent(VmName),
+    /// A target has crashed under a request.
+    TargetCrashed {
+        /// The target.
+        target: TargetKey,
+        /// What ran there.
+        print: RequestPrint,
+        /// For how long it had, in milliseconds.
+        ran_ms: u32,
+    },
+    /// A quarantine of a request that crashes targets has begun or ended.
+    Quarantine(QuarantineNews),
 }
--- a/crates/ryetide-core/src/entry.rs
+++ b/crates/ryetide-core/src/entry.rs
@@ -22,7 +22,9 @@
     chart::{self, DrainEvent, DrainState, RequestState},
     claim::ClaimKeeper,
     configuration::ConfigurationKeeper,
+    crash_ledger::CrashLedger,
     effect::{Effect, EffectBuffer, Notice},
+    entry_standing::UnsettledRequest,
     event::{Event, ListedVm, TableAnswer},
     ids::{DataCentreName, Incarnation, RequestSequence, ScopeKey, TableToken, TargetKey, VmName},
     membership::PeerTable,
@@ -162,6 +164,10 @@
     pub(crate) elected: BTreeMap<ScopeKey, Option<VmName>>,
     /// Targets that the platform's list says are leaving.
     pub(crate) leaving_targets: BTreeSet<TargetKey>,
+    /// Which requests ended in crashes of targets.
+    pub(crate) crashes: CrashLedger,
+    /// Requests that wait until it is known what they have to do with crashes.
+    pub(crate) unsettled: Vec<UnsettledRequest>,
     pub(crate) watched: Vec<TargetKey>,
     pub(crate) verdicts: Vec<ArbiterVerdict>,
     pub(crate) notices: Vec<Notice>,
@@ -189,6 +195,8 @@
             arbiters: BTreeMap::new(),
             elected: BTreeMap::new(),
             leaving_targets: BTreeSet::new(),
+            crashes: CrashLedger::default(),
+            unsettled: Vec::new(),
             watched: Vec::new(),
             verdicts: Vec::new(),
             notices: Vec::new(),
@@ -207,8 +215,11 @@
     pub fn step(&mut self, now: Moment, event: Event, effects: &mut EffectBuffer) {
         match event {
             Event::Tick => {}
-            Event::Arrived(request) => self.arrive(now, request, effects),
-            Event::CallerGone { sequence } => self.caller_gone(now, sequence, effects),
+            Event::Arrived(request) => self.take_in(now, request, effects),
+            Event::CallerGone { sequence } => {
+                self.forget_unsettled(sequence);
+                self.caller_gone(now, sequence, effects);
+            }
             Event::Connected { sequence, attempt } => {
                 self.connected(now, sequence, attempt, effects);
             }
@@ -227,6 +238,9 @@
             Event::TargetBroken { sequence, attempt } => {
                 self.target_broken(now, sequence, attempt, effects);
             }
+            Event::TargetCrashed { target, print, ran_ms } => {
+                self.target_crashed(now, target, print, ran_ms, effects);
+            }
             Event::TargetRefused { sequence, attempt, leaving } => {
                 self.target_refused(now, sequence, attempt, leaving, effects);
             }
@@ -262,7 +276,9 @@
         }
         let arbiters = self.arbiters.values().filter_map(|arbiter| arbiter.next_wake(now));
         let idle = self.maintained_at + IDLE_INTERVAL;
-        arbiters.chain(self.requests.next_wake()).chain([idle]).min().unwrap_or(idle).max(now)
+        let settled = self.unsettled.iter().map(|waiting| waiting.until).min();
+        let wakes = arbiters.chain(self.requests.next_wake()).chain(settled);
+        wakes.chain([idle]).min().unwrap_or(idle).max(now)
     }
 
     /// Returns what this VM can say of itself.
@@ -330,6 +346,7 @@
     /// Does what has fallen due.
     fn advance(&mut self, now: Moment, effects: &mut EffectBuffer) {
         self.more_due = false;
+        self.settle(now, effects);
         for _ in 0..WAKE_LIMIT {
             if !effects.has_room() {
                 break;
@@ -349,7 +366,8 @@
             }
         }
         self.deliver_verdicts(now, effects);
-        for notice in self.notices.drain(..) {
+        let news = self.crashes.take_news().into_iter().map(Notice::Quarantine);
+        for notice in self.notices.drain(..).chain(news) {
             effects.push(Effect::Note(notice));
         }
         self.more_due = self.requests.next_wake().is_some_and(|at| at <= now);
@@ -374,6 +392,7 @@
         };
         self.configuration.advance(now, vm_count, &mut tokens, effects);
         self.claims.advance(now);
+        self.crashes.age(now);
     }
 
     fn table_replied(
@@ -431,6 +450,10 @@
         if !chart::drain().advance(&mut self.drain, DrainEvent::Shutdown) {
             return;
         }
+        // Taken in again, they are told at once that this VM stops.
+        for waiting in std::mem::take(&mut self.unsettled) {
+            self.arrive(now, waiting.request, waiting.print, effects);
+        }
         let waiting: Vec<RequestSequence> = self
             .requests
             .iter()
--- a/crates/ryetide-core/src/entry_admission.rs
+++ b/crates/ryetide-core/src/entry_admission.rs
@@ -12,11 +12,12 @@
     ids::{AttemptNumber, OrganisationKey, RequestId, RequestSequence, ServiceKey, TableToken},
     message::{AskProfile, AskRef, ClaimOutcome, PeerMessage, RefuseReason},
     request::RequestRecord,
+    request_print::RequestPrint,
     units::{ByteSize, Moment, TierRank},
 };
 
 /// When to come back to a VM that is shutting down: the balancer will have moved on.
-const DRAINING_RETRY: Duration = Duration::from_secs(1);
+pub(crate) const DRAINING_RETRY: Duration = Duration::from_secs(1);
 /// When to come back while no configuration is in force.
 const EMPTY_RETRY: Duration = Duration::from_secs(2);
 /// When to come back while the table service cannot take a claim.
@@ -27,11 +28,12 @@
 const IN_PROGRESS_RETRY: Duration = Duration::from_secs(1);
 
 impl EntryCore {
-    /// Takes a request in.
+    /// Takes a request in that may be sent to targets.
     pub(crate) fn arrive(
         &mut self,
         now: Moment,
         request: CallerRequest,
+        print: RequestPrint,
         effects: &mut EffectBuffer,
     ) {
         let sequence = request.sequence;
@@ -42,6 +44,7 @@
                 let record = RequestRecord {
                     state: chart::request().initial(),
                     profile,
+                    print,
                     call: Some(request.call),
                     deadline: now + request.deadline,
                     arrived: now,
@@ -371,7 +374,7 @@
 
 /// What a request may be told before its key was looked up: "not run" is true of it alone, and its
 /// caller asks about the work.
-fn without_claim(answer: FinalAnswer, has_key: bool) -> FinalAnswer {
+pub(crate) fn without_claim(answer: FinalAnswer, has_key: bool) -> FinalAnswer {
     match answer {
         FinalAnswer::NotRun { retry_after, .. } if has_key => {
             FinalAnswer::Unknown { reason: UnknownReason::KeyUnchecked, retry_after }
--- a/crates/ryetide-core/src/entry_dispatch.rs
+++ b/crates/ryetide-core/src/entry_dispatch.rs
@@ -94,8 +94,8 @@
         }
         record.dispatched = Some(record.dispatched.unwrap_or(now));
         let (attempt, answer_limit) = (record.attempt, record.answer_limit);
-        let not_after = record.deadline;
-        let order = TargetOrder::Dispatch { id, call, answer_limit, not_after };
+        let (print, not_after) = (record.print, record.deadline);
+        let order = TargetOrder::Dispatch { id, call, print, answer_limit, not_after };
         let wake = self.silence_end(now, sequence, wait);
         self.requests.set_wake(sequence, wake);
         effects.push(Effect::Permit { sequence, attempt, order });
--- a/crates/ryetide-core/src/entry_end.rs
+++ b/crates/ryetide-core/src/entry_end.rs
@@ -90,6 +90,9 @@
         let Some(record) = self.requests.get(sequence) else {
             return;
         };
+        if kind == OutcomeKind::Answered {
+            self.crashes.note_answered(now, record.print);
+        }
         let release = match (kind, record.state) {
             (OutcomeKind::Answered, _) => ReleaseOutcome::Completed,
             (OutcomeKind::NotRun, _) => ReleaseOutcome::Unused,
--- a/crates/ryetide-core/src/entry_peer.rs
+++ b/crates/ryetide-core/src/entry_peer.rs
@@ -62,6 +62,7 @@
                     effects.push(Effect::Send { to: sender.name.clone(), message });
                 }
             }
+            PeerMessage::Crashes(news) => self.crashes.take(now, &news),
             PeerMessage::OutcomeReply { ask, outcome } => {
                 let awaited = self.claims.query_until(ask.sequence).is_some();
                 if self.is_for_this_life(ask) && awaited {
@@ -89,6 +90,9 @@
                 arbiter.forget_vm(now, name, &mut self.verdicts);
             }
         }
+        if !known || change.restarted || change.appeared {
+            self.crashes.retell(now);
+        }
         if change.appeared {
             effects.push(Effect::Note(Notice::PeerHeard(name.clone())));
             self.heartbeat_at = now;
@@ -126,6 +130,8 @@
             let message = PeerMessage::Heartbeat(heartbeat.clone());
             effects.push(Effect::Send { to: peer.name.clone(), message });
         }
+        let news = self.crashes.whole_news(now);
+        self.tell_crashes(&news, effects);
     }
 
     /// Gives up what silent peers held, and finds new arbiters for what they ordered.
--- a/crates/ryetide-core/src/event.rs
+++ b/crates/ryetide-core/src/event.rs
@@ -13,6 +13,7 @@
         TableToken, TargetKey, TargetName, VmName,
     },
     message::{KeptAnswer, PeerMessage, RefuseReason},
+    request_print::RequestPrint,
     units::{ByteSize, Moment, Revision, Tokens},
 };
 
@@ -78,6 +79,8 @@
         id: RequestId,
         /// What to send.
         call: TargetCall,
+        /// By what the request is known again when it comes anew.
+        print: RequestPrint,
         /// The largest answer to accept.
         answer_limit: ByteSize,
         /// After this moment nothing may be sent any more: the process may be frozen between the
@@ -240,6 +243,15 @@
         /// Which of its connections.
         attempt: AttemptNumber,
     },
+    /// The connection broke, and its target refuses connections since: it has crashed.
+    TargetCrashed {
+        /// The target.
+        target: TargetKey,
+        /// What ran there.
+        print: RequestPrint,
+        /// For how long it had, in milliseconds.
+        ran_ms: u32,
+    },
     /// The target refused the request with status 503.
     TargetRefused {
         /// The request.
--- a/crates/ryetide-core/src/lib.rs
+++ b/crates/ryetide-core/src/lib.rs
@@ -62,6 +62,7 @@
 mod entry_peer;
 mod entry_resume;
 mod entry_slot;
+mod entry_standing;
 pub mod estimate;
 pub mod event;
 pub mod ids;
--- a/crates/ryetide-core/src/message.rs
+++ b/crates/ryetide-core/src/message.rs
@@ -10,6 +10,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
+    crash_ledger::CrashNews,
     ids::{
         DataCentreKey, DataCentreName, Incarnation, OperationId, OrganisationKey, RequestId,
         RequestSequence, ScopeKey, ServiceKey, TargetKey, VmName,
@@ -123,6 +124,8 @@
     TargetRefused,
     /// A request of a higher tier was shed, and everything that waited below it with it.
     ShedBelow,
+    /// It crashes the targets that run it.
+    Quarantined,
 }
 
 /// An arbiter's refusal.
@@ -293,6 +296,8 @@
         /// What became of the first.
         outcome: ClaimOutcome,
     },
+    /// Tells which requests ended in crashes of targets.
+    Crashes(CrashNews),
 }
 
 /// Encodes `message` as a frame.
--- a/crates/ryetide-core/src/request.rs
+++ b/crates/ryetide-core/src/request.rs
@@ -10,6 +10,7 @@
     event::{TargetCall, TargetRoute},
     ids::{AttemptNumber, RequestSequence, ScopeKey, TargetKey, VmName},
     message::{AskProfile, RefuseReason},
+    request_print::RequestPrint,
     units::{ByteSize, Moment},
 };
 
@@ -42,6 +43,8 @@
     pub state: RequestState,
     /// What its arbiter knows of it.
     pub profile: AskProfile,
+    /// By what it is known again when it comes anew.
+    pub print: RequestPrint,
     /// What goes to its target; emptied once sent.
     pub call: Option<TargetCall>,
     /// The caller's deadline.
--- a/crates/ryetide-core/tests/crash_ledger.rs
+++ b/crates/ryetide-core/tests/crash_ledger.rs
@@ -59,6 +59,25 @@
     );
 }
 
+/// A target that starts again under its old name crashes again, and all of its crashes count; what two VMs tell of one crash
+/// is one.
+#[test]
+fn each_crash_of_a_target_counts_once() {
+    let mut here = CrashLedger::default();
+    let target = TargetKey(7);
+    for second in 1..=3 {
+        here.note_crash(at(second * 1_000), target, &runs(&[DEADLY]));
+        let mut there = CrashLedger::default();
+        there.note_crash(at(second * 1_000 + 20), target, &runs(&[DEADLY, BESIDE]));
+        here.take(at(second * 1_000 + 30), &there.brief_news(at(second * 1_000 + 25)));
+    }
+    crash_at(&mut here, &[3_400, 3_500, 3_600], &[DEADLY]);
+    let now = at(3_600) + SETTLED;
+    assert!(is_quarantined(&mut here, now, DEADLY));
+    let news = here.take_news();
+    assert!(matches!(news[..], [QuarantineNews::Blamed(_, evidence)] if evidence.crashes == 6));
+}
+
 /// Four targets crash. A second request had the bad luck to run at three of them, beside the one that is to blame: it comes
 /// again and is served.
 #[test]
--- a/crates/ryetide-gateway/src/quarantine_keeper.rs
+++ b/crates/ryetide-gateway/src/quarantine_keeper.rs
@@ -123,7 +123,7 @@
             blamed = evidence.blamed,
             elsewhere = evidence.elsewhere,
             targets = evidence.targets,
-            chance = evidence.chance,
+            chance_ppb = evidence.chance_ppb,
         ),
         QuarantineNews::Heard(print) => tracing::info!(event = "quarantine-heard", %vm, %print),
         QuarantineNews::Cleared(print) => {
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -28,6 +28,7 @@
 };
 use rand::Rng;
 use ryetide_core::{
+    crash_ledger::QuarantineNews,
     effect::{ApplyOutcome, Effect, EffectBuffer, Notice},
     entry::{EntryCore, EntryOptions},
     event::{Event, TargetOrder},
@@ -478,8 +479,33 @@
         Notice::TargetSuspect(target) => {
             tracing::warn!(event = "target-suspect", step = "connect", %target);
         }
+        Notice::TargetCrashed { target, print, ran_ms } => {
+            tracing::warn!(event = "target-crashed", %target, %print, ran_ms);
+        }
+        Notice::Quarantine(news) => log_quarantine(news),
         Notice::ArbiterSilent(peer) => {
             tracing::warn!(event = "arbiter-silent", step = "ask", %peer);
         }
     }
 }
+
+fn log_quarantine(news: &QuarantineNews) {
+    match news {
+        QuarantineNews::Blamed(print, evidence) => tracing::warn!(
+            event = "quarantine-begun",
+            %print,
+            crashes = evidence.crashes,
+            blamed = evidence.blamed,
+            elsewhere = evidence.elsewhere,
+            targets = evidence.targets,
+            chance_ppb = evidence.chance_ppb,
+        ),
+        QuarantineNews::Heard(print) => tracing::info!(event = "quarantine-heard", %print),
+        QuarantineNews::Cleared(print) => {
+            tracing::warn!(event = "quarantine-ended", %print, reason = "answered");
+        }
+        QuarantineNews::Expired(print) => {
+            tracing::info!(event = "quarantine-ended", %print, reason = "not asked for");
+        }
+    }
+}
--- a/src/target_client.rs
+++ b/src/target_client.rs
@@ -6,7 +6,7 @@
 //! permits the first byte only after the connection stands, so a failure before that permit is
 //! known to have sent nothing, whatever error a library reports.
 
-use std::{cell::RefCell, collections::HashMap, rc::Rc, time::Duration};
+use std::{cell::RefCell, collections::HashMap, io, rc::Rc, time::Duration};
 
 use ntex::{
     client::{ClientResponse, error::ClientError},
@@ -16,9 +16,10 @@
 use ryetide_core::{
     event::{AnswerHead, Event, LoadReport, TargetOrder, TargetRoute},
     ids::{AttemptNumber, RequestId, RequestSequence},
+    request_print::RequestPrint,
     units::ByteSize,
 };
-use tokio::{sync::oneshot, time::Instant};
+use tokio::{net::TcpStream, sync::oneshot, time::Instant};
 
 use crate::{
     error::StepError,
@@ -138,7 +139,7 @@
 
     /// One connection's life: opened, permitted, read to its end.
     async fn serve(
-        &self,
+        self: &Rc<Self>,
         key: ConnectionKey,
         route: &TargetRoute,
         order: oneshot::Receiver<PermittedOrder>,
@@ -156,7 +157,7 @@
                 tracing::warn!(event = "permit-lapsed", step = "dispatch", peer = %route.name);
                 None
             }
-            TargetOrder::Dispatch { id, call, answer_limit, not_after: _ } => {
+            TargetOrder::Dispatch { id, call, print, answer_limit, not_after: _ } => {
                 let limit = if route.engine { ByteSize(u64::MAX) } else { answer_limit };
                 let asked = if route.engine { "POST" } else { &call.method };
                 // The edge took it from a request that the library had read.
@@ -167,8 +168,14 @@
                     .request(connection, method, &path)
                     .header(REQUEST_ID_HEADER, id.to_string())
                     .header(header::CONTENT_TYPE, call.content_type.as_str());
+                let sent_at = Instant::now();
                 let sent = request.send_body(call.body.to_vec()).await;
-                self.read(key, route, sent, 0, limit).await
+                let end = self.read(key, route, sent, 0, limit).await;
+                if end.is_none() {
+                    let ran = sent_at.elapsed();
+                    ntex::rt::spawn(Rc::clone(self).look_for_crash(route.clone(), print, ran));
+                }
+                end
             }
             TargetOrder::Resume { id, offset } => {
                 let path = format!("{}?offset={offset}", engine_path(&id));
@@ -245,6 +252,21 @@
         let _ = self.events.send(event).await;
     }
 
+    /// Finds out whether a target that broke off has crashed: its address then refuses connections.
+    async fn look_for_crash(
+        self: Rc<Self>,
+        route: TargetRoute,
+        print: RequestPrint,
+        ran: Duration,
+    ) {
+        let connecting = TcpStream::connect(route.address);
+        let Some(Err(error)) = util::within(CONNECT_TIMEOUT, connecting).await else { return };
+        if error.kind() == io::ErrorKind::ConnectionRefused {
+            let ran_ms = u32::try_from(ran.as_millis()).unwrap_or(u32::MAX);
+            self.tell(Event::TargetCrashed { target: route.key, print, ran_ms }).await;
+        }
+    }
+
     async fn cancel(self: Rc<Self>, id: RequestId, route: TargetRoute) {
         let Some(connection) = self.connect(&route).await else { return };
         let request = self.client.request(connection, Method::DELETE, &engine_path(&id));
