--- a/crates/ryetide-lab/src/plain_service.rs
+++ b/crates/ryetide-lab/src/plain_service.rs
@@ -8,11 +8,15 @@
 };
 
 use ntex::{
+    http::header,
     service::cfg::SharedCfg,
     util::Bytes,
     web::{self, App, HttpRequest, HttpResponse, HttpServer},
 };
-use ryetide::{error::StepError, target_client::REQUEST_ID_HEADER};
+use ryetide::{
+    error::StepError,
+    target_client::{LEAVING_HEADER, REQUEST_ID_HEADER},
+};
 use serde::{Deserialize, Serialize};
 
 use crate::server::{self, StandInServer};
@@ -27,6 +31,10 @@
     pub lose_answers: bool,
     /// It refuses calls.
     pub busy: bool,
+    /// It says in its answers that it leaves.
+    pub leaving: bool,
+    /// It says when it refuses a call for how long it wants none, in seconds.
+    pub hold_off_s: Option<u32>,
 }
 
 /// What a plain service has done.
@@ -36,6 +44,8 @@
     pub runs: BTreeMap<String, u32>,
     /// How often each body was run.
     pub bodies: BTreeMap<String, u32>,
+    /// Calls that were refused.
+    pub refused: u32,
 }
 
 #[derive(Debug, Default)]
@@ -108,7 +118,12 @@
     let faults = {
         let mut plain = lock(state.get_ref());
         if plain.faults.busy {
-            return HttpResponse::ServiceUnavailable().finish();
+            plain.record.refused += 1;
+            let mut refusal = HttpResponse::ServiceUnavailable();
+            if let Some(seconds) = plain.faults.hold_off_s {
+                refusal.header(header::RETRY_AFTER, seconds.to_string());
+            }
+            return refusal.finish();
         }
         *plain.record.runs.entry(id).or_default() += 1;
         *plain.record.bodies.entry(text.clone()).or_default() += 1;
@@ -119,7 +134,11 @@
         std::future::pending::<()>().await;
     }
     let answer = format!("{} {} done: {text}\n", request.method(), request.path());
-    HttpResponse::Ok().content_type("text/plain").body(answer)
+    let mut response = HttpResponse::Ok();
+    if faults.leaving {
+        response.header(LEAVING_HEADER, "1");
+    }
+    response.content_type("text/plain").body(answer)
 }
 
 async fn set_faults(body: Bytes, state: PlainData) -> HttpResponse {
--- a/crates/ryetided/tests/processes/main.rs
+++ b/crates/ryetided/tests/processes/main.rs
@@ -6,3 +6,4 @@
 mod failures;
 mod serving;
 mod support;
+mod words;
