Heed what targets' answers say of them in ryetided too

Cause: the word was read from refusals only, and the time not at all. Mend: it is read from every answer's head; all daemons are told at once and with each heartbeat, arbiters give such a target to nobody, and one that wants nothing to nobody until then. Callers who would have left before are told at once, with that time. Why it holds: the word outlasts the platform's list, and ends when the list has had the target gone or leaving and back, or after ten minutes without a word: targets keep their names here. What peers repeat makes no word younger, here and in the gateway, where the same would have kept a target of a fixed name out for ever (words_are_forgotten_while_vms_tell_each_other).

The lines on quarantines are written in one place for both faces; ryetide status tells how many there are.

--- a/crates/ryetide-core/src/arbiter.rs
+++ b/crates/ryetide-core/src/arbiter.rs
@@ -188,6 +188,11 @@
         if !self.has_usable_target() {
             return Err(RefuseReason::NoTarget);
         }
+        // Held in line until then, its caller would be told the same at its end.
+        let latest = deadline.min(now + budget);
+        if self.held_until(now).is_some_and(|until| until >= latest) {
+            return Err(RefuseReason::HeldOff);
+        }
         let need = self.tokens_needed(&profile);
         if self.targets.values().all(|target| target.rule().tokens.0 < need.0) {
             return Err(RefuseReason::TooLarge);
@@ -277,10 +282,20 @@
         let slots: u32 = self.usable().map(|target| target.rule().slots).sum();
         let backlog = self.expected_wait(now, TierRank(u8::MAX));
         let work = self.held.mean_remaining(now) / slots.max(1);
-        let retry = self.promise.next(now, backlog, work, rng);
+        let mut retry = self.promise.next(now, backlog, work, rng);
+        if reason == RefuseReason::HeldOff {
+            let held = self.held_until(now).map_or(Duration::ZERO, |until| until.since(now));
+            retry = retry.max(held);
+        }
         verdicts.push(ArbiterVerdict { key, kind: VerdictKind::Refuse(reason, retry) });
     }
 
+    /// Returns when the first of the targets wants work again, where all that stay want none.
+    fn held_until(&self, now: Moment) -> Option<Moment> {
+        let held = self.usable().map(|target| Some(target.held_until()).filter(|at| *at > now));
+        held.collect::<Option<Vec<Moment>>>()?.into_iter().min()
+    }
+
     /// Takes an ask back: its caller has gone, or it asks elsewhere.
     pub fn withdraw(&mut self, now: Moment, key: &AskKey, verdicts: &mut Vec<ArbiterVerdict>) {
         self.forget_waiting(key);
@@ -325,6 +340,9 @@
                         notices.push(Notice::TargetLeaving(name));
                     }
                 }
+                ReleaseOutcome::HeldOff(span_ms) => {
+                    target.hold_off(now, Duration::from_millis(u64::from(span_ms)));
+                }
                 ReleaseOutcome::Failed | ReleaseOutcome::Unused => {}
             }
         }
--- a/crates/ryetide-core/src/effect.rs
+++ b/crates/ryetide-core/src/effect.rs
@@ -14,6 +14,7 @@
     },
     message::PeerMessage,
     request_print::RequestPrint,
+    target_word::TargetWord,
     units::{Revision, Tokens},
 };
 
@@ -254,6 +255,15 @@
     TargetSuspect(TargetName),
     /// An arbiter did not answer in time; this VM's own share is used.
     ArbiterSilent(VmName),
+    /// A target's answer to a request says something of the target.
+    TargetSaid {
+        /// The request.
+        sequence: RequestSequence,
+        /// The target.
+        target: TargetKey,
+        /// What it says.
+        word: TargetWord,
+    },
     /// A target has crashed under a request.
     TargetCrashed {
         /// The target.
--- a/crates/ryetide-core/src/entry.rs
+++ b/crates/ryetide-core/src/entry.rs
@@ -31,6 +31,7 @@
     message::{LifeMark, MessageSender},
     request::RequestTable,
     safeguard::SafeguardSwitches,
+    target_word::LeavingWords,
     units::{Moment, Revision},
     verdict::ArbiterVerdict,
 };
@@ -119,6 +120,9 @@
     pub silent_peers: Vec<VmName>,
     /// The scopes that it arbitrates, or serves from its own share.
     pub scopes: Vec<ScopeStatus>,
+    /// Requests that are sent to no target, since they crash them.
+    #[serde(default)]
+    pub quarantined: usize,
 }
 
 /// What an arbiter can say of its scope.
@@ -164,6 +168,10 @@
     pub(crate) elected: BTreeMap<ScopeKey, Option<VmName>>,
     /// Targets that the platform's list says are leaving.
     pub(crate) leaving_targets: BTreeSet<TargetKey>,
+    /// Targets that have said in their answers that they leave.
+    pub(crate) words: LeavingWords,
+    /// Those of them that the platform's list did not name when it was read last.
+    pub(crate) unlisted_words: BTreeSet<TargetKey>,
     /// Which requests ended in crashes of targets.
     pub(crate) crashes: CrashLedger,
     /// Requests that wait until it is known what they have to do with crashes.
@@ -195,6 +203,8 @@
             arbiters: BTreeMap::new(),
             elected: BTreeMap::new(),
             leaving_targets: BTreeSet::new(),
+            words: LeavingWords::default(),
+            unlisted_words: BTreeSet::new(),
             crashes: CrashLedger::default(),
             unsettled: Vec::new(),
             watched: Vec::new(),
@@ -238,6 +248,9 @@
             Event::TargetBroken { sequence, attempt } => {
                 self.target_broken(now, sequence, attempt, effects);
             }
+            Event::TargetSaid { sequence, target, word } => {
+                self.target_said(now, sequence, target, word, effects);
+            }
             Event::TargetCrashed { target, print, ran_ms } => {
                 self.target_crashed(now, target, print, ran_ms, effects);
             }
@@ -298,6 +311,7 @@
             peers: alive,
             silent_peers: silent.map(|peer| peer.name.clone()).collect(),
             scopes: self.arbiters.values().map(|arbiter| self.scope_status(arbiter)).collect(),
+            quarantined: self.crashes.quarantine_count(),
         }
     }
 
@@ -315,6 +329,11 @@
         }
     }
 
+    /// Returns the VM's name.
+    pub fn name(&self) -> &VmName {
+        &self.options.name
+    }
+
     /// Returns the configuration, for operators.
     pub fn configuration(&self) -> &ConfigurationKeeper {
         &self.configuration
@@ -393,6 +412,7 @@
         self.configuration.advance(now, vm_count, &mut tokens, effects);
         self.claims.advance(now);
         self.crashes.age(now);
+        self.age_words(now);
     }
 
     fn table_replied(
@@ -426,14 +446,15 @@
         if !self.options.switches.leaving_respected {
             return;
         }
-        let mut leaving = BTreeSet::new();
-        for vm in listed.iter().filter(|vm| vm.peer_address.is_none()) {
-            let key = TargetKey::of(&vm.name.as_str().into());
-            if vm.leaving {
-                leaving.insert(key);
-            }
-        }
-        let stayed: Vec<TargetKey> = self.leaving_targets.difference(&leaving).copied().collect();
+        let targets = listed.iter().filter(|vm| vm.peer_address.is_none());
+        let keyed = targets.map(|vm| (TargetKey::of(&vm.name.as_str().into()), vm.leaving));
+        let keyed: Vec<(TargetKey, bool)> = keyed.collect();
+        let names: BTreeSet<TargetKey> = keyed.iter().map(|(key, _)| *key).collect();
+        let leaving: BTreeSet<TargetKey> =
+            keyed.iter().filter(|(_, leaves)| *leaves).map(|(key, _)| *key).collect();
+        self.take_back_words(&names, &leaving);
+        let stayed = self.leaving_targets.difference(&leaving).copied();
+        let stayed: Vec<TargetKey> = stayed.filter(|key| !self.words.holds(*key)).collect();
         for arbiter in self.arbiters.values_mut() {
             for key in &leaving {
                 arbiter.note_leaving(*key, true, &mut self.notices);
--- a/crates/ryetide-core/src/entry_admission.rs
+++ b/crates/ryetide-core/src/entry_admission.rs
@@ -13,6 +13,7 @@
     message::{AskProfile, AskRef, ClaimOutcome, PeerMessage, RefuseReason},
     request::RequestRecord,
     request_print::RequestPrint,
+    target_word::TargetWord,
     units::{ByteSize, Moment, TierRank},
 };
 
@@ -56,6 +57,7 @@
                     refusal: None,
                     attempt: AttemptNumber(0),
                     route: None,
+                    word: TargetWord::default(),
                     answer_limit: rule_limit,
                     connection_open: false,
                     dispatched: None,
--- a/crates/ryetide-core/src/entry_dispatch.rs
+++ b/crates/ryetide-core/src/entry_dispatch.rs
@@ -70,8 +70,7 @@
             }
             let service = record.profile.service;
             let leaving = target.is_some_and(|key| {
-                self.leaving_targets.contains(&key)
-                    || self.configuration.catalog().target(service, key).is_none()
+                self.is_leaving(key) || self.configuration.catalog().target(service, key).is_none()
             });
             if leaving {
                 self.back_to_asking(now, sequence, ReleaseOutcome::Unused, effects);
--- a/crates/ryetide-core/src/entry_election.rs
+++ b/crates/ryetide-core/src/entry_election.rs
@@ -38,8 +38,9 @@
         let catalog = self.configuration.catalog();
         let switches = self.options.switches;
         let mut arbiter = ScopeArbiter::new(scope, catalog, share, now + pause, switches);
-        for target in &self.leaving_targets {
-            arbiter.note_leaving(*target, true, &mut self.notices);
+        let said = self.words.all();
+        for target in self.leaving_targets.iter().copied().chain(said) {
+            arbiter.note_leaving(target, true, &mut self.notices);
         }
         self.arbiters.insert(scope, arbiter);
         self.watch_targets(effects);
--- a/crates/ryetide-core/src/entry_peer.rs
+++ b/crates/ryetide-core/src/entry_peer.rs
@@ -62,6 +62,7 @@
                     effects.push(Effect::Send { to: sender.name.clone(), message });
                 }
             }
+            PeerMessage::Leaving(marks) => self.take_words(now, &marks),
             PeerMessage::Crashes(news) => self.crashes.take(now, &news),
             PeerMessage::OutcomeReply { ask, outcome } => {
                 let awaited = self.claims.query_until(ask.sequence).is_some();
@@ -132,6 +133,7 @@
         }
         let news = self.crashes.whole_news(now);
         self.tell_crashes(&news, effects);
+        self.tell_words(now, effects);
     }
 
     /// Gives up what silent peers held, and finds new arbiters for what they ordered.
--- a/crates/ryetide-core/src/entry_slot.rs
+++ b/crates/ryetide-core/src/entry_slot.rs
@@ -15,6 +15,7 @@
         ReleaseOutcome, ScopeLoad,
     },
     request::{SlotClaim, SlotSource},
+    target_word::TargetWord,
     units::{Moment, TierRank, Tokens},
     util,
     verdict::{ArbiterVerdict, AskKey, SlotAsk, VerdictKind},
@@ -403,6 +404,12 @@
             self.withdraw_from(now, ask, &slot, effects);
             return;
         }
+        // What the target has said of itself goes before what became of the request.
+        let outcome = match record.word {
+            TargetWord { leaving: true, .. } => ReleaseOutcome::TargetLeaving,
+            TargetWord { hold_off: Some(span), .. } => ReleaseOutcome::HeldOff(util::millis(span)),
+            TargetWord { .. } => outcome,
+        };
         let since_dispatch =
             |at: Option<Moment>| at.zip(record.dispatched).map(|(at, start)| at.since(start));
         let message = ReleaseMessage {
--- a/crates/ryetide-core/src/entry_standing.rs
+++ b/crates/ryetide-core/src/entry_standing.rs
@@ -99,7 +99,7 @@
         ran_ms: u32,
         effects: &mut EffectBuffer,
     ) {
-        if self.leaving_targets.contains(&target) {
+        if self.is_leaving(target) {
             return;
         }
         self.notices.push(Notice::TargetCrashed { target, print, ran_ms });
--- a/crates/ryetide-core/src/estimate.rs
+++ b/crates/ryetide-core/src/estimate.rs
@@ -11,6 +11,7 @@
     chart::{self, TargetEvent, TargetState},
     event::LoadReport,
     ids::TargetKey,
+    target_word,
     units::{Moment, TokenRate, Tokens},
 };
 
@@ -36,6 +37,8 @@
     rule: TargetRule,
     state: TargetState,
     pause_until: Moment,
+    /// Until when the target wants nothing, as it has said itself.
+    held_until: Moment,
     failures: u32,
     running: u32,
     reserved: Tokens,
@@ -58,6 +61,7 @@
             key: TargetKey::of(&rule.name),
             state: chart::target().initial(),
             pause_until: Moment::default(),
+            held_until: Moment::default(),
             failures: 0,
             running: 0,
             reserved: Tokens(0),
@@ -119,9 +123,20 @@
         self.handle(TargetEvent::Answered);
     }
 
-    /// Returns when a suspect target may be tried again.
+    /// Notes that the target wants nothing for `span`. Nothing that is heard of it meanwhile ends that sooner.
+    pub fn hold_off(&mut self, now: Moment, span: Duration) {
+        self.held_until = self.held_until.max(now + span.min(target_word::LONGEST_HOLD_OFF));
+    }
+
+    /// Returns until when the target wants nothing.
+    pub fn held_until(&self) -> Moment {
+        self.held_until
+    }
+
+    /// Returns when a suspect target may be tried again, or one that wants nothing for a time.
     pub fn pause_end(&self) -> Option<Moment> {
-        (self.state == TargetState::Suspect).then_some(self.pause_until)
+        let suspect_until = (self.state == TargetState::Suspect).then_some(self.pause_until);
+        suspect_until.max(Some(self.held_until).filter(|until| *until > Moment::default()))
     }
 
     /// Returns the slots that `fill` of this target leaves, under `share` of it.
@@ -136,7 +151,8 @@
         if self.state == TargetState::Suspect && now >= self.pause_until {
             self.handle(TargetEvent::PauseOver);
         }
-        self.state == TargetState::Usable && self.running < self.slot_limit(now, fill, share)
+        let wants = self.state == TargetState::Usable && now >= self.held_until;
+        wants && self.running < self.slot_limit(now, fill, share)
     }
 
     /// Returns whether `tokens` more can be held; a target with nothing to do takes any request that
--- a/crates/ryetide-core/src/event.rs
+++ b/crates/ryetide-core/src/event.rs
@@ -14,6 +14,7 @@
     },
     message::{KeptAnswer, PeerMessage, RefuseReason},
     request_print::RequestPrint,
+    target_word::TargetWord,
     units::{ByteSize, Moment, Revision, Tokens},
 };
 
@@ -243,6 +244,15 @@
         /// Which of its connections.
         attempt: AttemptNumber,
     },
+    /// A target's answer to a request says something of the target.
+    TargetSaid {
+        /// The request.
+        sequence: RequestSequence,
+        /// The target.
+        target: TargetKey,
+        /// What it says.
+        word: TargetWord,
+    },
     /// The connection broke, and its target refuses connections since: it has crashed.
     TargetCrashed {
         /// The target.
--- a/crates/ryetide-core/src/lib.rs
+++ b/crates/ryetide-core/src/lib.rs
@@ -63,6 +63,7 @@
 mod entry_resume;
 mod entry_slot;
 mod entry_standing;
+mod entry_word;
 pub mod estimate;
 pub mod event;
 pub mod ids;
--- a/crates/ryetide-core/src/load_digest.rs
+++ b/crates/ryetide-core/src/load_digest.rs
@@ -13,6 +13,7 @@
     ids::{DataCentreName, Incarnation, OrganisationKey, ServiceKey, TargetKey, VmName},
     pace::PaceReport,
     place_turn::ClaimClass,
+    target_word::LeavingMark,
     units::Revision,
     watch_duty::WatchNote,
 };
@@ -68,7 +69,7 @@
     /// What this VM tells of its watch; nothing while it rests, or has lost the source.
     pub watch: Option<WatchNote>,
     /// Targets that have said that they leave, where the registry does not tell.
-    pub leaving_targets: Vec<TargetKey>,
+    pub leaving_targets: Vec<LeavingMark>,
 }
 
 /// How much of what a VM has to say a digest tells.
@@ -113,7 +114,7 @@
     /// Which requests ended in crashes of targets.
     pub crashes: CrashNews,
     /// Targets that have said in their answers that they leave, where the registry does not tell.
-    pub leaving_targets: Vec<TargetKey>,
+    pub leaving_targets: Vec<LeavingMark>,
 }
 
 /// A digest and the VM that sent it.
--- a/crates/ryetide-core/src/message.rs
+++ b/crates/ryetide-core/src/message.rs
@@ -15,6 +15,7 @@
         DataCentreKey, DataCentreName, Incarnation, OperationId, OrganisationKey, RequestId,
         RequestSequence, ScopeKey, ServiceKey, TargetKey, VmName,
     },
+    target_word::LeavingMark,
     units::{Revision, TierRank, Tokens},
 };
 
@@ -126,6 +127,8 @@
     ShedBelow,
     /// It crashes the targets that run it.
     Quarantined,
+    /// All targets of the service want nothing for too long.
+    HeldOff,
 }
 
 /// An arbiter's refusal.
@@ -150,8 +153,10 @@
     ConnectFailed,
     /// The slot was not used.
     Unused,
-    /// The target refused because it leaves.
+    /// The target has said that it leaves.
     TargetLeaving,
+    /// The target wants nothing for this long, in milliseconds.
+    HeldOff(u32),
 }
 
 /// The end of a granted slot, with what was observed.
@@ -298,6 +303,8 @@
     },
     /// Tells which requests ended in crashes of targets.
     Crashes(CrashNews),
+    /// Names targets that have said in their answers that they leave.
+    Leaving(Vec<LeavingMark>),
 }
 
 /// Encodes `message` as a frame.
--- a/crates/ryetide-core/src/request.rs
+++ b/crates/ryetide-core/src/request.rs
@@ -11,6 +11,7 @@
     ids::{AttemptNumber, RequestSequence, ScopeKey, TargetKey, VmName},
     message::{AskProfile, RefuseReason},
     request_print::RequestPrint,
+    target_word::TargetWord,
     units::{ByteSize, Moment},
 };
 
@@ -67,6 +68,8 @@
     pub attempt: AttemptNumber,
     /// Where its connections go.
     pub route: Option<TargetRoute>,
+    /// What its target has said of itself.
+    pub word: TargetWord,
     /// The largest answer to accept.
     pub answer_limit: ByteSize,
     /// Whether the connection that counts is open.
--- a/crates/ryetide-core/src/target_registry.rs
+++ b/crates/ryetide-core/src/target_registry.rs
@@ -5,15 +5,12 @@
 //! about two seconds. An entry that goes missing until then is therefore kept; at any other time a
 //! missing entry is a target that is gone.
 
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    time::Duration,
-};
+use std::{collections::BTreeMap, time::Duration};
 
 use crate::{
-    ids::{TargetKey, TargetLife, TargetName},
+    ids::{TargetLife, TargetName},
     target_load::TargetEntry,
-    target_word::LeavingWords,
+    target_word::{LeavingMark, LeavingWords},
     units::Moment,
 };
 
@@ -159,22 +156,20 @@
     /// Returns the targets that there are, and drops those whose time is over.
     pub fn current(&mut self, now: Moment) -> Vec<TargetEntry> {
         self.targets.retain(|_, target| target.lapses_at.is_none_or(|at| now < at));
-        let named: BTreeSet<TargetKey> =
-            self.targets.values().map(|target| target.entry.key()).collect();
-        self.words.age(now, &named);
+        self.words.age(now);
         self.targets.values().map(|target| self.as_it_says(&target.entry)).collect()
     }
 
-    /// Notes that a target has said in an answer that it leaves, or a peer tells that it has; returns whether that is new.
-    pub fn note_leaving(&mut self, now: Moment, target: TargetKey) -> bool {
-        self.words.note(now, target)
+    /// Returns what targets have said in their answers, to note more of it.
+    pub fn words_mut(&mut self) -> &mut LeavingWords {
+        &mut self.words
     }
 
     /// Returns the targets that have said that they leave, and of which the source does not say it.
-    pub fn leaving_by_word(&self) -> Vec<TargetKey> {
+    pub fn leaving_by_word(&self, now: Moment) -> Vec<LeavingMark> {
         let entries = self.targets.values().map(|target| &target.entry);
         let unsure = entries.filter(|entry| !entry.leaving).map(TargetEntry::key);
-        self.words.told(unsure).collect()
+        self.words.told(now, unsure)
     }
 
     /// A reading of the source that is older than what the target has said does not take it back.
--- a/crates/ryetide-gateway/src/exchange.rs
+++ b/crates/ryetide-gateway/src/exchange.rs
@@ -388,7 +388,7 @@
     fn heed(&self, target: &TargetEntry, word: TargetWord) {
         let gateway = &self.gateway;
         if word.leaving {
-            fleet_duties::note_leaving(gateway, &[target.key()]);
+            fleet_duties::note_leaving(gateway, target.key());
         }
         if let Some(span) = word.hold_off {
             let key = target.key();
--- a/crates/ryetide-gateway/src/fleet_duties.rs
+++ b/crates/ryetide-gateway/src/fleet_duties.rs
@@ -9,6 +9,7 @@
     load_digest::LoadDigest,
     peer_board::FeedLag,
     scheduler::Scheduler,
+    target_word::LeavingMark,
     units::Moment,
     watch_duty::WatchOrder,
 };
@@ -227,11 +228,20 @@
     gateway.hub().with(|scheduler, now| scheduler.set_targets(now, targets));
 }
 
-/// Notes that targets have said that they leave; they get nothing more from here at once.
-pub fn note_leaving(gateway: &Gateway, targets: &[TargetKey]) {
+/// Notes that a target has said that it leaves; it gets nothing more from here at once.
+pub fn note_leaving(gateway: &Gateway, target: TargetKey) {
+    let now = gateway.hub().clock().now();
+    let is_new = gateway.fleet().registry().borrow_mut().words_mut().note(now, target);
+    if is_new {
+        refresh_targets(gateway);
+    }
+}
+
+/// Takes what a peer tells of targets that leave.
+pub fn take_leaving(gateway: &Gateway, marks: &[LeavingMark]) {
     let now = gateway.hub().clock().now();
     let mut registry = gateway.fleet().registry().borrow_mut();
-    let new = targets.iter().filter(|target| registry.note_leaving(now, **target)).count();
+    let new = marks.iter().filter(|mark| registry.words_mut().take(now, **mark)).count();
     drop(registry);
     if new > 0 {
         refresh_targets(gateway);
--- a/crates/ryetide-gateway/src/fleet_view.rs
+++ b/crates/ryetide-gateway/src/fleet_view.rs
@@ -42,14 +42,14 @@
     }
 
     /// Returns how far this VM's knowledge of the fleet reaches, but for its watch.
-    pub fn news(&self) -> FleetNews {
+    pub fn news(&self, now: Moment) -> FleetNews {
         let registry = self.registry.borrow();
         FleetNews {
             revision: self.revision(),
             registry: registry.newest(),
             registry_reached: registry.reached(),
             watch: None,
-            leaving_targets: registry.leaving_by_word(),
+            leaving_targets: registry.leaving_by_word(now),
         }
     }
 
--- a/crates/ryetide-gateway/src/gateway_state.rs
+++ b/crates/ryetide-gateway/src/gateway_state.rs
@@ -121,7 +121,8 @@
 
     /// Returns how far this VM's knowledge of the fleet reaches.
     pub fn news(&self) -> FleetNews {
-        FleetNews { watch: self.relay.watch_note(), ..self.fleet.news() }
+        let now = self.hub.clock().now();
+        FleetNews { watch: self.relay.watch_note(), ..self.fleet.news(now) }
     }
 
     /// Returns what finds out which targets have crashed.
--- a/crates/ryetide-gateway/src/peer_link.rs
+++ b/crates/ryetide-gateway/src/peer_link.rs
@@ -194,7 +194,7 @@
     if let Some(note) = digest.watch.as_ref().filter(|_| is_mate) {
         gateway.relay().note_peer(note);
     }
-    fleet_duties::note_leaving(gateway, &digest.leaving_targets);
+    fleet_duties::take_leaving(gateway, &digest.leaving_targets);
     let envelope = DigestEnvelope { from, digest };
     gateway.hub().with(|scheduler, now| scheduler.take_digest(now, envelope));
 }
--- a/crates/ryetide-gateway/src/quarantine_keeper.rs
+++ b/crates/ryetide-gateway/src/quarantine_keeper.rs
@@ -6,8 +6,9 @@
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
+use ryetide::quarantine_log;
 use ryetide_core::{
-    crash_ledger::{QUARANTINE_LIFE, QuarantineMark, QuarantineNews},
+    crash_ledger::{QUARANTINE_LIFE, QuarantineMark},
     ids::VmName,
 };
 use tokio::{sync::watch, time};
@@ -52,8 +53,9 @@
             ledger.age(now);
             (ledger.take_news(), ledger.quarantine_count(), ledger.kept(now))
         });
+        let vm = gateway.settings().borrow().name.clone();
         for change in news {
-            log(gateway, &change);
+            quarantine_log::write(&vm, &change);
         }
         gateway.metrics().set_quarantined(count);
         let today = unix_millis();
@@ -111,26 +113,3 @@
     let today = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     u64::try_from(today.as_millis()).unwrap_or(u64::MAX)
 }
-
-fn log(gateway: &Gateway, change: &QuarantineNews) {
-    let vm = gateway.settings().borrow().name.clone();
-    match change {
-        QuarantineNews::Blamed(print, evidence) => tracing::warn!(
-            event = "quarantine-begun",
-            %vm,
-            %print,
-            crashes = evidence.crashes,
-            blamed = evidence.blamed,
-            elsewhere = evidence.elsewhere,
-            targets = evidence.targets,
-            chance_ppb = evidence.chance_ppb,
-        ),
-        QuarantineNews::Heard(print) => tracing::info!(event = "quarantine-heard", %vm, %print),
-        QuarantineNews::Cleared(print) => {
-            tracing::warn!(event = "quarantine-ended", %vm, %print, reason = "answered");
-        }
-        QuarantineNews::Expired(print) => {
-            tracing::info!(event = "quarantine-ended", %vm, %print, reason = "not asked for");
-        }
-    }
-}
--- a/crates/ryetided/tests/processes/words.rs
+++ b/crates/ryetided/tests/processes/words.rs
@@ -1,6 +1,10 @@
 //! What targets say of themselves in their answers.
 
-use std::{net::SocketAddr, thread, time::Duration};
+use std::{
+    net::SocketAddr,
+    thread,
+    time::{Duration, Instant},
+};
 
 use ntex::http::Method;
 use ryetide_lab::{
@@ -11,6 +15,8 @@
 };
 
 const HOLD_OFF_S: u32 = 3;
+/// Whether an answer comes without waiting.
+const AT_ONCE: Duration = Duration::from_millis(500);
 const PAUSE: Duration = Duration::from_millis(100);
 
 fn call(door: SocketAddr) -> CallResult {
@@ -50,13 +56,20 @@
     assert_eq!(record.runs.len(), 1, "{record:?}");
 }
 
-/// It refuses a call and wants none for three seconds: it gets none for that time, and serves again afterwards.
+/// It refuses a call and wants none for three seconds: it gets none for that time, and serves again afterwards. Callers who
+/// stay for one second are told at once when to come back, true to the target's word.
 #[test]
 fn a_target_that_wants_no_calls_for_a_time_gets_none() {
     let site = crate::support::start(crate::support::fast());
     let faults = PlainFaults { busy: true, hold_off_s: Some(HOLD_OFF_S), ..PlainFaults::default() };
     control::post(records(&site), "/lab/faults", &faults).unwrap();
     call(site.daemons[0].site.callers);
+    let asked = Instant::now();
+    let refused = call(site.daemons[1].site.callers);
+    assert_eq!(refused.outcome, CallOutcome::NotRun);
+    assert!(asked.elapsed() < AT_ONCE, "{:?}", asked.elapsed());
+    let retry = refused.retry_after.expect("a time to come back");
+    assert!(retry > Duration::from_secs(2), "{retry:?}");
     call_in_turn(&site, 6);
     let record: PlainRecord = control::get(records(&site), "/lab/record").unwrap();
     assert!(record.refused <= 3, "{record:?}");
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -28,11 +28,10 @@
 };
 use rand::Rng;
 use ryetide_core::{
-    crash_ledger::QuarantineNews,
     effect::{ApplyOutcome, Effect, EffectBuffer, Notice},
     entry::{EntryCore, EntryOptions},
     event::{Event, TargetOrder},
-    ids::{Incarnation, OperationId},
+    ids::{Incarnation, OperationId, VmName},
     units::Moment,
 };
 use tokio::{
@@ -48,6 +47,7 @@
     peer_keys::PeerKeys,
     peer_link::{self, LinkCommand, LinkOptions, LinkPreface},
     platform_client::{self, PlatformCommand},
+    quarantine_log,
     request_report::{self, ReportCommand, ReportRings},
     ring::{self, RingReceiver, RingSender},
     server_stop,
@@ -448,7 +448,7 @@
             Effect::Record(summary) => {
                 let _ = self.to_report.send(ReportCommand::Record(summary)).await;
             }
-            Effect::Note(notice) => log_notice(&notice),
+            Effect::Note(notice) => log_notice(self.core.name(), &notice),
             Effect::Drained => self.drained = true,
         }
     }
@@ -458,7 +458,7 @@
     }
 }
 
-fn log_notice(notice: &Notice) {
+fn log_notice(vm: &VmName, notice: &Notice) {
     match notice {
         Notice::RevisionInForce { revision, from_peer } => {
             let source = from_peer.as_ref().map_or("table", |name| name.as_str());
@@ -479,33 +479,17 @@
         Notice::TargetSuspect(target) => {
             tracing::warn!(event = "target-suspect", step = "connect", %target);
         }
+        Notice::TargetSaid { sequence, target, word } => {
+            let hold_off_ms = word.hold_off.map(|span| span.as_millis());
+            let leaving = word.leaving;
+            tracing::info!(event = "target-word", %vm, %sequence, %target, leaving, hold_off_ms);
+        }
         Notice::TargetCrashed { target, print, ran_ms } => {
-            tracing::warn!(event = "target-crashed", %target, %print, ran_ms);
+            tracing::warn!(event = "target-crashed", %vm, %target, %print, ran_ms);
         }
-        Notice::Quarantine(news) => log_quarantine(news),
+        Notice::Quarantine(news) => quarantine_log::write(vm, news),
         Notice::ArbiterSilent(peer) => {
             tracing::warn!(event = "arbiter-silent", step = "ask", %peer);
         }
     }
 }
-
-fn log_quarantine(news: &QuarantineNews) {
-    match news {
-        QuarantineNews::Blamed(print, evidence) => tracing::warn!(
-            event = "quarantine-begun",
-            %print,
-            crashes = evidence.crashes,
-            blamed = evidence.blamed,
-            elsewhere = evidence.elsewhere,
-            targets = evidence.targets,
-            chance_ppb = evidence.chance_ppb,
-        ),
-        QuarantineNews::Heard(print) => tracing::info!(event = "quarantine-heard", %print),
-        QuarantineNews::Cleared(print) => {
-            tracing::warn!(event = "quarantine-ended", %print, reason = "answered");
-        }
-        QuarantineNews::Expired(print) => {
-            tracing::info!(event = "quarantine-ended", %print, reason = "not asked for");
-        }
-    }
-}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod peer_keys;
 pub mod peer_link;
 pub mod platform_client;
+pub mod quarantine_log;
 pub mod request_report;
 pub mod ring;
 pub mod server_stop;
--- a/src/target_client.rs
+++ b/src/target_client.rs
@@ -17,6 +17,7 @@
     event::{AnswerHead, Event, LoadReport, TargetOrder, TargetRoute},
     ids::{AttemptNumber, RequestId, RequestSequence},
     request_print::RequestPrint,
+    target_word::TargetWord,
     units::ByteSize,
 };
 use tokio::{net::TcpStream, sync::oneshot, time::Instant};
@@ -36,7 +37,7 @@
 const LOAD_TIMEOUT: Duration = Duration::from_millis(800);
 /// A cancel may take this long.
 const CANCEL_TIMEOUT: Duration = Duration::from_secs(2);
-/// The header by which a refusing target says that it is leaving.
+/// The header by which a target says in an answer that it is leaving.
 pub const LEAVING_HEADER: &str = "x-target-leaving";
 /// The header that carries the request's id to plain services.
 pub const REQUEST_ID_HEADER: &str = "x-request-id";
@@ -211,6 +212,10 @@
                 return None;
             }
         };
+        let word = word_of(&response);
+        if !word.is_empty() {
+            self.tell(Event::TargetSaid { sequence, target: route.key, word }).await;
+        }
         if response.status() == StatusCode::SERVICE_UNAVAILABLE {
             let leaving = response.header(LEAVING_HEADER).is_some();
             return Some(Event::TargetRefused { sequence, attempt, leaving });
@@ -313,6 +318,17 @@
     }
 }
 
+/// Returns what the head of an answer says of its target.
+fn word_of(response: &ClientResponse) -> TargetWord {
+    let leaving = response.header(LEAVING_HEADER).is_some();
+    let turns_away = response.status() == StatusCode::SERVICE_UNAVAILABLE;
+    let named = response.header(header::RETRY_AFTER).filter(|_| turns_away);
+    // What is no number of seconds names no time.
+    let seconds = named.and_then(|value| value.to_str().ok()?.trim().parse().ok());
+    let hold_off = seconds.and_then(|seconds| Duration::try_from_secs_f64(seconds).ok());
+    TargetWord { leaving, hold_off }
+}
+
 fn engine_path(id: &RequestId) -> String {
     format!("/v1/requests/{id}")
 }
