Say how a crash is named in the ledger's page

A target may keep its name when it starts again, so its crash is named by target and time; the page still said that it was by the target's life. No code has changed.

--- a/crates/ryetide-core/src/crash_ledger.rs
+++ b/crates/ryetide-core/src/crash_ledger.rs
@@ -6,9 +6,9 @@
 //! asked for it for [`QUARANTINE_LIFE`]. A run that was answered clears its request at every VM: what crashes targets is
 //! never answered.
 //!
-//! What VMs tell each other may be lost, late or doubled: notes are only ever added, each names one life of one target,
-//! and all VMs come to the same ones. A peer that starts, or was not heard for long, is told everything anew. All of it
-//! ages and is bounded in number.
+//! What VMs tell each other may be lost, late or doubled: notes are only ever added, each names a target and the time of
+//! its crash, and all VMs come to the same ones. A peer that starts, or was not heard for long, is told everything anew. All
+//! of it ages and is bounded in number.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
