Lose no run of a crash under which hundreds ended

Read, not seen: of one crash 32 runs were remembered, and an engine that runs two hundred requests at once takes more with it. The one to blame, not among the first 32 that were noted, was never found out. Its test failed so, and with the runs of requests with the fewest crashes yielding, too. Now the runs of all crashes are bounded together, and the oldest crash yields.

--- a/crates/ryetide-core/src/crash_ledger.rs
+++ b/crates/ryetide-core/src/crash_ledger.rs
@@ -38,10 +38,10 @@
 /// What VMs note of one target within this time is one crash: a target that starts again under its old name is not back
 /// sooner, and what is told of a crash comes within it.
 const SAME_CRASH_SPAN: Duration = Duration::from_millis(250);
-/// Crashes that are remembered; the oldest yields. Some 20 bytes for each run that ended in one.
+/// Crashes that are remembered, and runs that ended in all of them; the oldest crash yields. An engine may run hundreds of
+/// requests at once, and the one to blame must not be lost among those of one crash.
 const CRASHES_LIMIT: usize = 256;
-/// Runs that are remembered of one crash.
-const RUNS_LIMIT: usize = 32;
+const RUNS_LIMIT: usize = 8_192;
 /// Quarantined requests; the one that nobody has asked for the longest yields.
 const QUARANTINES_LIMIT: usize = 64;
 /// Notes in one digest, newest first: a datagram of some 10 KB.
@@ -169,6 +169,8 @@
 #[derive(Debug, Default)]
 pub struct CrashLedger {
     crashes: BTreeMap<CrashKey, CrashNote>,
+    /// How many runs ended in all of them.
+    run_count: usize,
     /// How many crashes each request has.
     counts: BTreeMap<RequestPrint, usize>,
     cleared: BTreeMap<RequestPrint, ClearedNote>,
@@ -367,12 +369,13 @@
         let key = self.crash_near(target, at).unwrap_or((target, at));
         let crash =
             self.crashes.entry(key).or_insert_with(|| CrashNote { at, runs: BTreeMap::new() });
-        if crash.runs.contains_key(&print) || crash.runs.len() >= RUNS_LIMIT {
+        if crash.runs.contains_key(&print) {
             return;
         }
         crash.runs.insert(print, note);
         *self.counts.entry(print).or_default() += 1;
-        if self.crashes.len() > CRASHES_LIMIT {
+        self.run_count += 1;
+        if self.crashes.len() > CRASHES_LIMIT || self.run_count > RUNS_LIMIT {
             let oldest = self.crashes.iter().min_by_key(|(_, crash)| crash.at);
             if let Some(oldest) = oldest.map(|(key, _)| *key) {
                 self.drop_crash(oldest);
@@ -395,6 +398,7 @@
     }
 
     fn uncount(&mut self, print: RequestPrint) {
+        self.run_count -= 1;
         if let Some(count) = self.counts.get_mut(&print) {
             *count -= 1;
             if *count == 0 {
--- a/crates/ryetide-core/tests/crash_ledger.rs
+++ b/crates/ryetide-core/tests/crash_ledger.rs
@@ -221,6 +221,22 @@
     assert!(!is_quarantined(&mut ledger, later + SETTLED, DEADLY));
 }
 
+/// Engines that run two hundred requests at once crash under one of them. It is found out though nobody remembers all of
+/// those that ended with it.
+#[test]
+fn the_one_to_blame_is_not_lost_among_hundreds() {
+    let mut ledger = CrashLedger::default();
+    let mut now = at(0);
+    for crash in 0..8_u32 {
+        now = at(u64::from(crash) * 400);
+        let first = 1_000 + u64::from(crash) * 1_000;
+        let mut prints: Vec<RequestPrint> = (first..first + 200).map(RequestPrint).collect();
+        prints.insert(usize::try_from(crash).expect("a small number") * 20, DEADLY);
+        ledger.note_crash(now, TargetKey(crash), &runs(&prints));
+    }
+    assert!(is_quarantined(&mut ledger, now + SETTLED, DEADLY));
+}
+
 /// Whatever crashes, and whoever asks: what is remembered and told stays small.
 #[test]
 fn what_is_remembered_is_bounded() {
