--- a/crates/ryetide-gateway/src/exchange.rs
+++ b/crates/ryetide-gateway/src/exchange.rs
@@ -12,14 +12,12 @@
     http,
 };
 use ryetide_core::{
-    crash_ledger::RequestStanding,
     decision::{Decision, PlacingEvidence, RunEnd},
-    ids::{OrganisationName, ServiceName, TargetKey},
+    ids::{ServiceName, TargetKey},
     quota::QuotaCharge,
-    request_print::{RequestContent, RequestPrint},
+    request_print::RequestPrint,
     route::{MatchedRoute, WorkKind},
     target_load::TargetEntry,
-    target_word::TargetWord,
     units::{Moment, Tokens},
     wait_line::WaitingWork,
 };
@@ -30,15 +28,16 @@
     caller_answer::{CallerResponse, OwnAnswer, OwnReason},
     crash_watch::{BrokenRun, CrashWatch},
     decision_log::{ExchangeSpans, LogId},
-    fleet_duties,
     gateway_state::Gateway,
     ports::WorkSize,
     quota_wait,
     relay_fault::RelayFault,
     run_fault::RunFault,
     scheduler_hub::RequestTicket,
+    standing_wait::{self, StandingVerdict},
     target_answer::{self, AnswerKind, TargetAnswer},
     target_pool::ConnectionChoice,
+    target_words,
 };
 
 /// Work that may be repeated is tried elsewhere when nothing has come after this long...
@@ -127,7 +126,7 @@
         let names = gateway.names();
         let size = gateway.read_size(&head.headers);
         let holder = matched.holder.as_ref().map(|holder| &holder.name);
-        let print = print_of(&head, &body, holder);
+        let print = standing_wait::print_of(&head, &body, holder);
         let template = CallTemplate::new(&head, body, names, holder).map_err(|error| {
             tracing::debug!(event = "request-unwritable", step = "read head", reason = %error);
             OwnAnswer::new(OwnReason::BadRequest)
@@ -174,25 +173,14 @@
     /// # Errors
     ///
     /// Returns what to answer when it does, and must be sent to none.
-    pub async fn await_standing(&mut self) -> Result<(), OwnAnswer> {
-        let gateway = Rc::clone(&self.gateway);
-        let (hub, print) = (gateway.hub(), self.print);
-        loop {
-            let service = &self.service;
-            let now = hub.clock().now();
-            match hub.peek_mut(|scheduler| scheduler.standing(now, print, service)) {
-                RequestStanding::Clear => return Ok(()),
-                RequestStanding::Unsettled(until) => {
-                    let timeout = self.timeout_at();
-                    time::sleep_until(hub.clock().instant(until).min(timeout)).await;
-                    if Instant::now() >= timeout {
-                        return Err(OwnAnswer::new(OwnReason::TimedOut));
-                    }
-                }
-                RequestStanding::Quarantined(life) => {
-                    gateway.log().quarantined(&self.log_id(), life);
-                    return Err(OwnAnswer::new(OwnReason::Quarantined).with_retry(life));
-                }
+    pub async fn await_standing(&self) -> Result<(), OwnAnswer> {
+        let (print, until) = (self.print, self.timeout_at());
+        match standing_wait::await_standing(&self.gateway, print, &self.service, until).await {
+            StandingVerdict::MaySend => Ok(()),
+            StandingVerdict::TimedOut => Err(OwnAnswer::new(OwnReason::TimedOut)),
+            StandingVerdict::Quarantined(life) => {
+                self.gateway.log().quarantined(&self.log_id(), life);
+                Err(OwnAnswer::new(OwnReason::Quarantined).with_retry(life))
             }
         }
     }
@@ -368,7 +356,8 @@
             }
             Ok(Ok(response)) => response,
         };
-        self.heed(target, target_answer::word_of(&response, self.gateway.names()));
+        let word = target_answer::word_of(&response, self.gateway.names());
+        target_words::heed(&self.gateway, &self.log_id(), target, word);
         match target_answer::kind_of(&response, self.gateway.names(), self.id.as_ref()) {
             AnswerKind::NotRun => {
                 self.attempts -= 1;
@@ -384,22 +373,6 @@
         }
     }
 
-    /// Does what a target's answer says of the target.
-    fn heed(&self, target: &TargetEntry, word: TargetWord) {
-        let gateway = &self.gateway;
-        if word.leaving {
-            fleet_duties::note_leaving(gateway, target.key());
-        }
-        if let Some(span) = word.hold_off {
-            let key = target.key();
-            gateway.hub().with(|scheduler, now| scheduler.hold_off(now, key, span));
-        }
-        if !word.is_empty() {
-            gateway.metrics().count_word(word);
-            gateway.log().word(&self.log_id(), target, word);
-        }
-    }
-
     /// How long the head of an answer may take before the work is tried elsewhere. There is no limit
     /// where it may not be: giving up an answer that is being made would only lose it.
     fn head_limit(&self) -> Option<Duration> {
@@ -568,23 +541,6 @@
     }
 }
 
-/// Returns by what the request is known again when it comes anew.
-fn print_of(
-    head: &http::request::Parts,
-    body: &[u8],
-    caller: Option<&OrganisationName>,
-) -> RequestPrint {
-    // A host that is no text is nobody's, and was turned away before.
-    let host = head.headers.get(header::HOST).and_then(|host| host.to_str().ok());
-    RequestPrint::of(&RequestContent {
-        caller,
-        method: head.method.as_str(),
-        host: head.uri.host().or(host).unwrap_or_default(),
-        path: head.uri.path_and_query().map_or("/", http::uri::PathAndQuery::as_str),
-        body,
-    })
-}
-
 impl Drop for Exchange {
     fn drop(&mut self) {
         if !self.ended {
--- a/crates/ryetide-gateway/src/fleet_duties.rs
+++ b/crates/ryetide-gateway/src/fleet_duties.rs
@@ -5,11 +5,10 @@
 use ryetide_core::{
     cell_plan::CellMember,
     digest_route::{DigestPeer, DigestRecipients},
-    ids::{TargetKey, VmName},
+    ids::VmName,
     load_digest::LoadDigest,
     peer_board::FeedLag,
     scheduler::Scheduler,
-    target_word::LeavingMark,
     units::Moment,
     watch_duty::WatchOrder,
 };
@@ -211,7 +210,8 @@
     tracing::info!(event = "targets-kept", version = registry.newest(), left_ms, kept = %kept);
 }
 
-fn refresh_targets(gateway: &Gateway) {
+/// Lets the scheduler know which targets there are now, and which of them leave.
+pub fn refresh_targets(gateway: &Gateway) {
     let now = gateway.hub().clock().now();
     let Some((targets, news)) = gateway.fleet().refresh_targets(now) else { return };
     let leaving = targets.iter().filter(|target| target.leaving).count();
@@ -228,26 +228,6 @@
     gateway.hub().with(|scheduler, now| scheduler.set_targets(now, targets));
 }
 
-/// Notes that a target has said that it leaves; it gets nothing more from here at once.
-pub fn note_leaving(gateway: &Gateway, target: TargetKey) {
-    let now = gateway.hub().clock().now();
-    let is_new = gateway.fleet().registry().borrow_mut().words_mut().note(now, target);
-    if is_new {
-        refresh_targets(gateway);
-    }
-}
-
-/// Takes what a peer tells of targets that leave.
-pub fn take_leaving(gateway: &Gateway, marks: &[LeavingMark]) {
-    let now = gateway.hub().clock().now();
-    let mut registry = gateway.fleet().registry().borrow_mut();
-    let new = marks.iter().filter(|mark| registry.words_mut().take(now, **mark)).count();
-    drop(registry);
-    if new > 0 {
-        refresh_targets(gateway);
-    }
-}
-
 /// Tells the peers of this VM's cell everything.
 pub fn tell_mates(gateway: &Gateway, link: &PeerLink, leaving: bool) {
     let listed = listed_peers(gateway);
--- a/crates/ryetide-gateway/src/lib.rs
+++ b/crates/ryetide-gateway/src/lib.rs
@@ -17,8 +17,8 @@
 //! | [`ports`] | what a platform must provide, and what it is told |
 //! | [`gateway`], [`gateway_state`], [`fleet_duties`] | a whole gateway: its start and end, what its tasks share, the tasks beside the callers' |
 //! | [`caller_listener`], [`caller_service`], [`exchange`], [`quota_wait`], [`caller_answer`] | callers |
-//! | [`call_template`], [`target_pool`], [`target_answer`], [`relay`], [`relay_fault`], [`run_fault`], [`event_scanner`] | targets |
-//! | [`crash_watch`], [`quarantine_keeper`] | requests that crash targets |
+//! | [`call_template`], [`target_pool`], [`target_answer`], [`relay`], [`relay_fault`], [`run_fault`], [`event_scanner`], [`target_words`] | targets |
+//! | [`crash_watch`], [`standing_wait`], [`quarantine_keeper`] | requests that crash targets |
 //! | [`scheduler_hub`], [`fleet_view`] | the scheduler and what it schedules onto |
 //! | [`store_feed`], [`table_follower`], [`store_table`], [`row_faults`], [`store_outage`], [`feed_relay`], [`feed_watch`], [`feed_nudge`] | routes, targets and peers from a platform's store |
 //! | [`peer_link`], [`digest_relay`] | the other entry VMs, and what is passed on between them |
@@ -56,6 +56,7 @@
 pub mod row_faults;
 pub mod run_fault;
 pub mod scheduler_hub;
+pub mod standing_wait;
 pub mod status_port;
 pub mod store_feed;
 pub mod store_outage;
@@ -64,3 +65,4 @@
 pub mod target_answer;
 pub mod target_news;
 pub mod target_pool;
+pub mod target_words;
--- a/crates/ryetide-gateway/src/peer_link.rs
+++ b/crates/ryetide-gateway/src/peer_link.rs
@@ -20,9 +20,9 @@
 use crate::{
     digest_relay::DigestRelay,
     feed_relay::RelayedChange,
-    fleet_duties,
     gateway_state::Gateway,
     ports::{PeerEntry, PeerSecret},
+    target_words,
 };
 
 /// Bytes of the keyed hash that are sent: 128 bits.
@@ -194,7 +194,7 @@
     if let Some(note) = digest.watch.as_ref().filter(|_| is_mate) {
         gateway.relay().note_peer(note);
     }
-    fleet_duties::take_leaving(gateway, &digest.leaving_targets);
+    target_words::take_marks(gateway, &digest.leaving_targets);
     let envelope = DigestEnvelope { from, digest };
     gateway.hub().with(|scheduler, now| scheduler.take_digest(now, envelope));
 }
--- /dev/null
+++ b/crates/ryetide-gateway/src/target_words.rs
@@ -0,0 +1,37 @@
+//! What is done about what targets say of themselves, here and at peers.
+
+use ryetide_core::{
+    target_load::TargetEntry,
+    target_word::{LeavingMark, TargetWord},
+};
+
+use crate::{decision_log::LogId, fleet_duties, gateway_state::Gateway};
+
+/// Does what an answer to `request` says of its target. One that leaves gets nothing more from here at once.
+pub fn heed(gateway: &Gateway, request: &LogId<'_>, target: &TargetEntry, word: TargetWord) {
+    if word.is_empty() {
+        return;
+    }
+    gateway.metrics().count_word(word);
+    gateway.log().word(request, target, word);
+    let key = target.key();
+    if let Some(span) = word.hold_off {
+        gateway.hub().with(|scheduler, now| scheduler.hold_off(now, key, span));
+    }
+    let now = gateway.hub().clock().now();
+    let registry = gateway.fleet().registry();
+    if word.leaving && registry.borrow_mut().words_mut().note(now, key) {
+        fleet_duties::refresh_targets(gateway);
+    }
+}
+
+/// Takes what a peer tells of targets that leave.
+pub fn take_marks(gateway: &Gateway, marks: &[LeavingMark]) {
+    let now = gateway.hub().clock().now();
+    let mut registry = gateway.fleet().registry().borrow_mut();
+    let new = marks.iter().filter(|mark| registry.words_mut().take(now, **mark)).count();
+    drop(registry);
+    if new > 0 {
+        fleet_duties::refresh_targets(gateway);
+    }
+}
