Bound what is told of answers after crashes

Read, not seen: a VM told all requests that were answered within four seconds after a crash. Thousands of them would not fit into a datagram, and a VM whose digests cannot be sent counts as gone.

--- a/crates/ryetide-core/src/crash_ledger.rs
+++ b/crates/ryetide-core/src/crash_ledger.rs
@@ -38,13 +38,14 @@
 /// What VMs note of one target within this time is one crash: a target that starts again under its old name is not back
 /// sooner, and what is told of a crash comes within it.
 const SAME_CRASH_SPAN: Duration = Duration::from_millis(250);
-/// Crashes that are remembered, and runs that ended in all of them; the oldest crash yields. An engine may run hundreds of
+/// Crashes that are remembered, and runs that ended in all of them, and requests that were answered since; the oldest
+/// yields. An engine may run hundreds of
 /// requests at once, and the one to blame must not be lost among those of one crash.
 const CRASHES_LIMIT: usize = 256;
 const RUNS_LIMIT: usize = 8_192;
 /// Quarantined requests; the one that nobody has asked for the longest yields.
 const QUARANTINES_LIMIT: usize = 64;
-/// Notes in one digest, newest first: a datagram of some 10 KB.
+/// Notes of each kind in one digest: a datagram of some 20 KB.
 const MARKS_LIMIT: usize = 512;
 
 /// A run that ended when its target crashed.
@@ -414,6 +415,12 @@
             return;
         }
         self.cleared.insert(print, note);
+        if self.cleared.len() > RUNS_LIMIT {
+            let oldest = self.cleared.iter().min_by_key(|(_, note)| note.at);
+            if let Some(oldest) = oldest.map(|(print, _)| *print) {
+                self.cleared.remove(&oldest);
+            }
+        }
         let before = self.crashes.iter().filter(|(_, crash)| crash.at <= at);
         let ended: Vec<CrashKey> = before
             .filter(|(_, crash)| crash.runs.contains_key(&print))
@@ -476,6 +483,7 @@
         told.sort_by_key(|(heard, _)| std::cmp::Reverse(*heard));
         told.truncate(MARKS_LIMIT);
         let cleared = self.cleared.iter().filter(|(_, note)| is_told(note.own, note.heard));
+        let cleared = cleared.take(MARKS_LIMIT);
         let cleared_mark = |(print, note): (&RequestPrint, &ClearedNote)| ClearedMark {
             print: *print,
             age_ms: millis_between(note.at, now),
--- a/crates/ryetide-core/tests/crash_ledger.rs
+++ b/crates/ryetide-core/tests/crash_ledger.rs
@@ -251,9 +251,13 @@
             QuarantineMark { print: RequestPrint(1_000_000 + print), age_ms: 1, asked_ms: 1 };
         ledger.take_kept(at(2_000), &mark, true);
     }
+    for print in 0..20_000 {
+        ledger.note_answered(at(2_000), RequestPrint(180_000 + print));
+    }
     ledger.retell(at(2_000));
     let news = ledger.whole_news(at(2_000));
     assert!(news.crashes.len() <= 512, "{} runs are told", news.crashes.len());
+    assert!(news.cleared.len() <= 512, "{} answers are told", news.cleared.len());
     assert!(news.quarantined.len() <= 64 && ledger.kept(at(2_000)).len() <= 64);
     let suspects = (0..200_000).filter(|print| ledger.is_suspect(RequestPrint(*print))).count();
     assert!(suspects <= 256 * 32, "{suspects} requests are remembered");
