--- a/crates/ryetide-core/src/chart.rs
+++ b/crates/ryetide-core/src/chart.rs
@@ -207,6 +207,44 @@
     }
 );
 
+chart_names!(
+    /// The states of a roll-out.
+    RolloutState {
+        /// What became of the order so far is not known.
+        Asked,
+        /// The new version gets a bounded share.
+        Trial,
+        /// It was found good and gets everything new.
+        Moving,
+        /// Nothing is left at the old version.
+        Emptied,
+        /// It was found bad and gets nothing.
+        Condemned,
+        /// The operators were told that it is done.
+        Completed,
+        /// The operators were told that it was taken back.
+        RolledBack,
+    }
+);
+
+chart_names!(
+    /// The events of a roll-out.
+    RolloutEvent {
+        /// It is known that nothing was decided yet.
+        Opened,
+        /// The evidence says that the new version is good.
+        Passed,
+        /// It says that it is bad, or the time is over without any.
+        Failed,
+        /// Nothing runs at the old version, or it cannot be waited for any longer.
+        Emptied,
+        /// The operators' row says that it is done.
+        RowCompleted,
+        /// The operators' row says that it was taken back.
+        RowRolledBack,
+    }
+);
+
 /// A fault in a chart's file.
 #[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
 pub enum ChartError {
@@ -473,3 +511,7 @@
     /// Returns the chart of a shutdown.
     drain: DrainState, DrainEvent, "../../../charts/drain.yaml"
 );
+embedded_chart!(
+    /// Returns the chart of a roll-out.
+    rollout: RolloutState, RolloutEvent, "../../../charts/rollout.yaml"
+);
--- a/crates/ryetide-core/src/ids.rs
+++ b/crates/ryetide-core/src/ids.rs
@@ -45,6 +45,10 @@
     /// The name of a target: one replica of a service.
     TargetName
 );
+name_type!(
+    /// The name of a version of the software that a service's targets run; empty where the registry does not tell.
+    VersionName
+);
 name_type!(
     /// The name of an organisation: a customer with a share of each tier.
     OrganisationName
@@ -80,11 +84,27 @@
     /// Stands for an organisation on the wire.
     OrganisationKey of OrganisationName
 );
+key_type!(
+    /// Stands for a version of a service on the wire.
+    VersionKey of VersionName
+);
 key_type!(
     /// Stands for a data centre on the wire.
     DataCentreKey of DataCentreName
 );
 
+number_type!(
+    /// Stands for a route on the wire.
+    RouteKey(u32)
+);
+
+impl RouteKey {
+    /// Returns the key of the route of this name.
+    pub fn of(name: &str) -> Self {
+        Self(xxh3::xxh3_64(name.as_bytes()) as u32)
+    }
+}
+
 number_type!(
     /// Which life of a target this is: when it started, in Unix milliseconds; 0 where its registry does not tell.
     /// Only compared: a later life has a higher number.
--- a/crates/ryetide-core/src/lib.rs
+++ b/crates/ryetide-core/src/lib.rs
@@ -30,6 +30,7 @@
 //! | [`claim`], [`configuration`], [`request`] | what must not go wrong |
 //! | [`request_print`], [`crash_ledger`], [`crash_blame`] | requests that crash targets |
 //! | [`route`], [`route_text`], [`quota`], [`quota_desk`], [`retry_budget`], [`comeback_time`] | routed requests: where they go, what they may cost |
+//! | [`rollout_order`], [`rollout_desk`], [`service_rollout`], [`rollout_evidence`], [`rollout_judge`] | new versions of a service: what they may get, whether they are good, who says so |
 //! | [`scheduler`], [`scheduler_options`], [`line_view`], [`wait_line`], [`recent_arrivals`], [`deadline_habit`], [`decision`] | the order and refusal of routed requests |
 //! | [`placing`], [`target_load`], [`target_health`], [`pace`], [`prompt_memory`] | where they are placed |
 //! | [`load_digest`], [`peer_board`], [`cell_plan`], [`digest_pace`], [`digest_route`], [`target_registry`], [`target_word`] | what entry VMs tell each other, which targets there are, and what those say of themselves |
@@ -86,11 +87,16 @@
 pub mod request_print;
 pub mod retry;
 pub mod retry_budget;
+pub mod rollout_desk;
+pub mod rollout_evidence;
+pub mod rollout_judge;
+pub mod rollout_order;
 pub mod route;
 pub mod route_text;
 pub mod safeguard;
 pub mod scheduler;
 pub mod scheduler_options;
+pub mod service_rollout;
 mod slot_ledger;
 pub mod target_health;
 pub mod target_load;
--- a/crates/ryetide-core/src/line_view.rs
+++ b/crates/ryetide-core/src/line_view.rs
@@ -31,6 +31,8 @@
     pub line: WaitLine,
     /// The targets that this VM uses.
     pub targets: Vec<TargetKey>,
+    /// Targets of a version on trial, which get a bounded share.
+    pub trial: Vec<TargetKey>,
     /// The mean time that requests hold a place; none before any was observed.
     pub hold: Option<Duration>,
     /// What has come lately.
@@ -44,6 +46,7 @@
             key: ServiceKey::of(service),
             line: WaitLine::default(),
             targets: Vec::new(),
+            trial: Vec::new(),
             hold: None,
             arrivals: RecentArrivals::default(),
         }
@@ -76,6 +79,8 @@
     now: Moment,
     state: &'a ServiceLine,
     usable: Vec<&'a TargetLoad>,
+    /// Targets of a version on trial, when one more request may go there.
+    trial: Vec<&'a TargetLoad>,
     /// Until when the targets that stay want nothing, where none is usable and all of them have said so.
     held_until: Option<Moment>,
     peers: &'a PeerBoard,
@@ -105,7 +110,19 @@
         let loads = state.targets.iter().filter_map(|key| targets.get(key));
         let (usable, others): (Vec<_>, Vec<_>) = loads.partition(|load| load.may_get(now));
         let held_until = if usable.is_empty() { first_held_until(now, &others) } else { None };
-        Self { now, state, usable, held_until, peers, options, sharing }
+        let trial = Vec::new();
+        Self { now, state, usable, trial, held_until, peers, options, sharing }
+    }
+
+    /// Lets one request go to these targets, of a version that is on trial.
+    pub fn with_trial(
+        mut self,
+        keys: &[TargetKey],
+        targets: &'a BTreeMap<TargetKey, TargetLoad>,
+    ) -> Self {
+        let loads = keys.iter().filter_map(|key| targets.get(key));
+        self.trial = loads.filter(|load| load.may_get(self.now)).collect();
+        self
     }
 
     /// Returns until when all targets want nothing, if that is why none gets new work.
@@ -147,10 +164,11 @@
         if let Some(reason) = self.refusal_of(work) {
             return Some(LineChoice::Refuse { ticket, reason });
         }
-        if free == 0 {
+        let on_trial = self.choose_on_trial(rank, work, peers);
+        if on_trial.is_none() && free == 0 {
             return None;
         }
-        let (load, forecast) = self.choose(rank, work, peers)?;
+        let (load, forecast) = on_trial.or_else(|| self.choose(rank, work, peers))?;
         let (running, line) = (load.running(self.now), self.state.line.len());
         let evidence = PlacingEvidence { forecast, running, line, late: rank.late };
         Some(LineChoice::Place { ticket, target: load.key(), evidence })
@@ -231,22 +249,53 @@
         better + equal
     }
 
-    /// Chooses the target for a request, or nothing when it does better to wait.
-    fn choose(
+    /// Chooses a target of the version on trial. A request that was sent before does not go there: one caller is not
+    /// tried on twice.
+    fn choose_on_trial(
         &self,
         rank: LineRank,
         work: &WaitingWork,
         peers: &[PlaceClaimant<'_>],
     ) -> Option<(&'a TargetLoad, PlacingForecast)> {
-        let now = self.now;
-        let need = PlacingNeed {
+        if self.trial.is_empty() || work.begun || !work.excluded.is_empty() {
+            return None;
+        }
+        let open = self.trial.iter().filter(|load| self.is_open(load, rank, peers));
+        self.best_of(open.copied(), &self.need_of(work))
+    }
+
+    fn best_of(
+        &self,
+        loads: impl Iterator<Item = &'a TargetLoad>,
+        need: &PlacingNeed,
+    ) -> Option<(&'a TargetLoad, PlacingForecast)> {
+        let (own, assumed) = (&self.options.data_centre, &self.options.assumed);
+        let forecast = |load| (load, placing::forecast(self.now, load, need, own, assumed));
+        loads
+            .map(forecast)
+            .min_by_key(|(load, it)| (!it.on_time, !it.keeps_pauses, it.cost, load.key()))
+    }
+
+    fn need_of(&self, work: &WaitingWork) -> PlacingNeed {
+        PlacingNeed {
             engine: work.engine,
             prompt: work.prompt,
             part: work.part,
             events: work.events,
-            objective_left: work.objective_at.since(now),
+            objective_left: work.objective_at.since(self.now),
             pause: work.pause,
-        };
+        }
+    }
+
+    /// Chooses the target for a request, or nothing when it does better to wait.
+    fn choose(
+        &self,
+        rank: LineRank,
+        work: &WaitingWork,
+        peers: &[PlaceClaimant<'_>],
+    ) -> Option<(&'a TargetLoad, PlacingForecast)> {
+        let now = self.now;
+        let need = self.need_of(work);
         let (own, assumed) = (&self.options.data_centre, &self.options.assumed);
         let permitted = self.usable.iter().filter(|load| !work.excluded.contains(&load.key()));
         let all = permitted.map(|load| (*load, placing::forecast(now, load, &need, own, assumed)));
--- a/crates/ryetide-core/src/load_digest.rs
+++ b/crates/ryetide-core/src/load_digest.rs
@@ -13,6 +13,7 @@
     ids::{DataCentreName, Incarnation, OrganisationKey, ServiceKey, TargetKey, VmName},
     pace::PaceReport,
     place_turn::ClaimClass,
+    service_rollout::RolloutMark,
     target_word::LeavingMark,
     units::Revision,
     watch_duty::WatchNote,
@@ -115,6 +116,8 @@
     pub crashes: CrashNews,
     /// Targets that have said in their answers that they leave, where the registry does not tell.
     pub leaving_targets: Vec<LeavingMark>,
+    /// How far orders to bring new versions in are.
+    pub rollouts: Vec<RolloutMark>,
 }
 
 /// A digest and the VM that sent it.
--- a/crates/ryetide-core/src/route_text.rs
+++ b/crates/ryetide-core/src/route_text.rs
@@ -26,8 +26,9 @@
 use std::{net, time::Duration};
 
 use crate::{
-    ids::{OrganisationName, ServiceName, TargetLife},
+    ids::{OrganisationName, ServiceName, TargetLife, VersionName},
     quota::{QuotaRule, QuotaUnit},
+    rollout_order::{OrderNumber, RolloutOrder},
     route::{
         CallerBounds, EngineProfile, KeyHolder, RouteRule, RouteTable, RouteTableBuilder,
         RoutedService, ServiceShare, WorkKind,
@@ -47,6 +48,8 @@
 const BODY_RANGE: ValueRange<u64> = ValueRange { least: 1_024, greatest: 64 << 20 };
 const SPAN_RANGE: ValueRange<Duration> =
     ValueRange { least: Duration::from_millis(1), greatest: Duration::from_secs(3_600) };
+const ROLLOUT_RANGE: ValueRange<Duration> =
+    ValueRange { least: Duration::from_secs(5), greatest: Duration::from_secs(86_400) };
 const DEFAULT_CONNECTIONS: u64 = 256;
 
 /// Everything that a routes text says.
@@ -56,6 +59,8 @@
     pub table: RouteTable,
     /// The targets of the services.
     pub targets: Vec<TargetEntry>,
+    /// Orders to bring new versions of services in.
+    pub orders: Vec<RolloutOrder>,
 }
 
 impl RouteText {
@@ -70,7 +75,9 @@
 }
 
 fn read_root(reader: &mut FaultReader, root: TextNode<'_>) -> Option<RouteText> {
-    if !reader.mapping(root, &["revision", "organisations", "services", "routes", "limits"]) {
+    if !reader
+        .mapping(root, &["revision", "organisations", "services", "routes", "rollouts", "limits"])
+    {
         return None;
     }
     let revision =
@@ -85,6 +92,9 @@
     let routes = reader.required(root, "routes", |reader, node| {
         reader.sequence(node, |reader, item| read_route(reader, item, &names))
     });
+    let orders = reader.optional(root, "rollouts", Vec::new(), |reader, node| {
+        reader.sequence(node, |reader, item| read_order(reader, item, &names))
+    });
     let bounds = reader.optional(root, "limits", CallerBounds::default(), read_bounds);
     let mut builder = RouteTable::builder(Revision(revision?)).bounds(bounds?);
     builder = holders?.into_iter().fold(builder, RouteTableBuilder::holder);
@@ -94,7 +104,34 @@
         builder = builder.service(service);
         targets.extend(entries);
     }
-    Some(RouteText { table: builder.build(), targets })
+    Some(RouteText { table: builder.build(), targets, orders: orders? })
+}
+
+fn read_order(
+    reader: &mut FaultReader,
+    node: TextNode<'_>,
+    names: &[ServiceName],
+) -> Option<RolloutOrder> {
+    reader.mapping(node, &["service", "to", "within", "number"]);
+    let service = reader.required(node, "service", |reader, value| {
+        let name: ServiceName = reader.name(value)?;
+        let known = names.contains(&name);
+        if !known {
+            reader.note(value, name.to_string(), "the name of one of the services");
+        }
+        known.then_some(name)
+    });
+    let to = reader.required(node, "to", FaultReader::name);
+    let duration =
+        reader.required(node, "within", |reader, value| reader.span(value, ROLLOUT_RANGE));
+    let number =
+        reader.required(node, "number", |reader, value| reader.number(value, REVISION_RANGE));
+    Some(RolloutOrder {
+        service: service?,
+        to: to?,
+        duration: duration?,
+        number: OrderNumber(number?),
+    })
 }
 
 fn read_holder(reader: &mut FaultReader, node: TextNode<'_>) -> Option<KeyHolder> {
@@ -159,8 +196,10 @@
     node: TextNode<'_>,
     service: &ServiceName,
 ) -> Option<TargetEntry> {
-    reader.mapping(node, &["name", "data-centre", "address", "slots", "leaving"]);
+    reader.mapping(node, &["name", "version", "data-centre", "address", "slots", "leaving"]);
     let name = reader.required(node, "name", FaultReader::name);
+    let unnamed = VersionName::from("");
+    let version = reader.optional(node, "version", unnamed, FaultReader::name);
     let data_centre = reader.required(node, "data-centre", FaultReader::name);
     let address: Option<net::SocketAddr> = reader.required(node, "address", |reader, value| {
         reader.parsed(value, "an IP number and port, such as 127.0.0.1:8080")
@@ -170,6 +209,7 @@
     Some(TargetEntry {
         name: name?,
         service: service.clone(),
+        version: version?,
         address: address?,
         data_centre: data_centre?,
         slots: slots? as u32,
--- a/crates/ryetide-core/src/scheduler.rs
+++ b/crates/ryetide-core/src/scheduler.rs
@@ -29,7 +29,11 @@
     quota_desk::{QuotaAnswer, QuotaAsk, QuotaDesk, QuotaVerdict},
     request_print::RequestPrint,
     retry_budget::{RetryBudget, RetryRule},
+    rollout_desk::{RolloutDesk, TargetUse},
+    rollout_evidence::{RunNote, VersionSide},
+    rollout_order::{RolloutDuty, RolloutRule},
     scheduler_options::SchedulerOptions,
+    service_rollout::RolloutMark,
     target_load::{TargetEntry, TargetLoad},
     units::{Moment, Tokens},
     wait_line::WaitingWork,
@@ -57,6 +61,7 @@
     verdicts: Vec<QuotaVerdict>,
     retries: RetryBudget,
     crashes: CrashLedger,
+    rollouts: RolloutDesk,
     teller: DigestTeller,
     pace: DigestPace,
     route: DigestRoute,
@@ -84,6 +89,7 @@
             comeback: ComebackTime::new(options.seed),
             route: DigestRoute::new(options.seed),
             retries: RetryBudget::new(options.retry),
+            rollouts: RolloutDesk::new(options.name.clone(), options.rollout),
             options,
             plan,
             services: BTreeMap::new(),
@@ -106,6 +112,7 @@
     /// Replaces the targets. What is known of those that stay is kept; what runs at those that are
     /// gone runs on.
     pub fn set_targets(&mut self, now: Moment, entries: Vec<TargetEntry>) {
+        self.rollouts.take_targets(now, &entries);
         let mut known = std::mem::take(&mut self.targets);
         for entry in entries {
             let key = entry.key();
@@ -123,27 +130,96 @@
         self.advance(now);
     }
 
-    /// Finds the targets that this VM's cell uses.
+    /// Finds the targets that this VM's cell uses, those of a version on trial apart.
     fn deal_targets(&mut self) {
-        let mut by_service: BTreeMap<ServiceName, Vec<&TargetEntry>> = BTreeMap::new();
+        let mut by_use: BTreeMap<(ServiceName, bool), Vec<&TargetEntry>> = BTreeMap::new();
         for load in self.targets.values() {
-            by_service.entry(load.entry().service.clone()).or_default().push(load.entry());
+            let entry = load.entry();
+            let on_trial = match self.rollouts.target_use(entry) {
+                TargetUse::Serving => false,
+                TargetUse::Trial => true,
+                TargetUse::Closed => continue,
+            };
+            by_use.entry((entry.service.clone(), on_trial)).or_default().push(entry);
         }
-        let dealt: Vec<(ServiceName, Vec<TargetKey>)> = by_service
-            .into_iter()
-            .map(|(service, entries)| (service, self.plan.targets(&entries)))
-            .collect();
+        let dealt: Vec<((ServiceName, bool), Vec<TargetKey>)> =
+            by_use.into_iter().map(|(of, entries)| (of, self.plan.targets(&entries))).collect();
         for state in self.services.values_mut() {
             state.targets.clear();
+            state.trial.clear();
+        }
+        for ((service, on_trial), keys) in dealt {
+            let state = self.service_state(&service);
+            *(if on_trial { &mut state.trial } else { &mut state.targets }) = keys;
+        }
+    }
+
+    /// Runs something on the versions of services and lets those have work that may have it now.
+    pub fn with_rollouts<T>(
+        &mut self,
+        now: Moment,
+        act: impl FnOnce(&mut RolloutDesk, Moment) -> T,
+    ) -> T {
+        let outcome = act(&mut self.rollouts, now);
+        if self.rollouts.has_changes() {
+            self.deal_targets();
+            self.changed = true;
+            self.pump_all(now);
+        }
+        outcome
+    }
+
+    /// Weighs what is known of new versions.
+    pub fn advance_rollouts(&mut self, now: Moment) {
+        let left = self.left_at_old();
+        let heard_part = self.peers.heard_part(now);
+        self.with_rollouts(now, |desk, now| {
+            desk.advance(now, heard_part, |service| left.get(service).copied().unwrap_or(0));
+        });
+    }
+
+    /// Returns the versions of services and the orders that change them.
+    pub fn rollouts(&self) -> &RolloutDesk {
+        &self.rollouts
+    }
+
+    /// Returns what this VM must do at the operators' rows about orders.
+    pub fn rollout_duties(&self, now: Moment) -> Vec<RolloutDuty> {
+        if self.rollouts.rollouts().next().is_none() {
+            return Vec::new();
+        }
+        let members = self.peers.members(now).into_iter().map(|member| member.name);
+        let heard: Vec<VmName> = members.filter(|vm| self.peers.passes_on(now, vm)).collect();
+        self.rollouts.duties(now, &heard)
+    }
+
+    /// Notes how a run has ended that shows what its target's version is like.
+    pub fn note_run(&mut self, now: Moment, note: RunNote) {
+        if let Some(load) = self.targets.get(&note.target) {
+            self.rollouts.note_run(now, load.entry(), note);
+        }
+    }
+
+    /// Counts the requests of this VM at old targets of the services for which an order is under way.
+    fn left_at_old(&self) -> BTreeMap<ServiceName, u32> {
+        let mut left = BTreeMap::new();
+        if self.rollouts.rollouts().all(|rollout| rollout.is_ended()) {
+            return left;
         }
-        for (service, keys) in dealt {
-            self.service_state(&service).targets = keys;
+        for run in self.runs.values() {
+            let entry = self.targets.get(&run.target).map(TargetLoad::entry);
+            if entry.and_then(|entry| self.rollouts.side(entry)) == Some(VersionSide::Old) {
+                *left.entry(run.service.clone()).or_default() += 1;
+            }
         }
+        left
     }
 
     /// Works the cells out anew from the VMs that are heard and the targets that are known.
     pub fn plan_cells(&mut self, now: Moment) {
-        let targets: Vec<&TargetEntry> = self.targets.values().map(TargetLoad::entry).collect();
+        let entries = self.targets.values().map(TargetLoad::entry);
+        let serving = |entry: &&TargetEntry| self.rollouts.target_use(entry) == TargetUse::Serving;
+        let targets: Vec<&TargetEntry> = entries.filter(serving).collect();
         let members = self.peers.members(now);
         let plan = CellPlan::new(&self.options.member(), &members, &targets);
         if plan != self.plan {
@@ -175,6 +251,11 @@
         self.retries.set_rule(rule);
     }
 
+    /// Replaces how much a version may get that may prove bad; orders under way keep to the rule that they began with.
+    pub fn set_rollout_rule(&mut self, rule: RolloutRule) {
+        self.rollouts.set_rule(rule);
+    }
+
     /// Takes the list of the other entry VMs.
     pub fn list_peers(&mut self, now: Moment, listed: &[CellMember]) {
         self.peers.list(now, listed);
@@ -203,6 +284,11 @@
             self.crashes.retell(now);
         }
         self.crashes.take(now, &digest.crashes);
+        if !digest.rollouts.is_empty() {
+            self.with_rollouts(now, |desk, now| {
+                desk.take_marks(now, &from, digest.incarnation, &digest.rollouts);
+            });
+        }
         // What a peer that is heard again has used is charged to a bucket that has grown by its part.
         self.note_peers(now);
         self.forget_marks(now, &from, &digest);
@@ -383,10 +469,17 @@
             spent: self.quotas.ledger().totals().collect(),
             crashes: self.crashes.brief_news(now),
             leaving_targets: news.leaving_targets,
+            rollouts: self.rollout_marks(now, true),
             ..LoadDigest::default()
         }
     }
 
+    fn rollout_marks(&self, now: Moment, with_tallies: bool) -> Vec<RolloutMark> {
+        let left = self.left_at_old();
+        let left = |service: &ServiceName| left.get(service).copied().unwrap_or(0);
+        self.rollouts.marks(now, with_tallies, left)
+    }
+
     /// Draws who of `listed` gets the next digest for this VM's cell.
     pub fn mate_recipients(&mut self, now: Moment, listed: &[DigestPeer]) -> DigestRecipients {
         let mates = listed.iter().filter(|peer| self.plan.is_mate(&peer.name));
@@ -423,7 +516,8 @@
             let targets = told.map(|load| TargetMark { pace: None, ..load.mark(now) }).collect();
             let (data_centre, crashes) = (None, self.crashes.changed_news(now, span));
             let told = LoadDigest { scope, data_centre, targets, waiting, ..brief };
-            return LoadDigest { placed, spent, crashes, ..told };
+            let rollouts = self.rollout_marks(now, false);
+            return LoadDigest { placed, spent, crashes, rollouts, ..told };
         }
         let told = self.targets.values().filter(|load| load.has_news(now));
         let targets = told.map(|load| load.mark(now)).collect();
@@ -561,6 +655,7 @@
         let run = PlacedRun { service: service.clone(), target, since: now, last_event: None };
         self.runs.insert(ticket, run);
         let target = load.entry().clone();
+        self.rollouts.note_placed(&target);
         self.decisions.push(Decision::Place { ticket, target, evidence });
         self.changed = true;
     }
@@ -599,6 +694,9 @@
     fn view(&self, now: Moment, service: &ServiceName) -> Option<LineView<'_>> {
         let state = self.services.get(service)?;
         let sharing = PlaceSharing { vms: self.cell_size, turn_span: self.pace.news_span() };
-        Some(LineView::new(now, state, &self.targets, &self.peers, &self.options, sharing))
+        let heard_part = self.peers.heard_part(now);
+        let trial = self.rollouts.trial_targets(now, service, heard_part, &state.trial);
+        let view = LineView::new(now, state, &self.targets, &self.peers, &self.options, sharing);
+        Some(view.with_trial(&trial, &self.targets))
     }
 }
--- a/crates/ryetide-core/src/scheduler_options.rs
+++ b/crates/ryetide-core/src/scheduler_options.rs
@@ -5,6 +5,7 @@
     ids::{DataCentreName, Incarnation, VmName},
     pace::AssumedPace,
     retry_budget::RetryRule,
+    rollout_order::RolloutRule,
 };
 
 /// What a scheduler is told when it starts.
@@ -20,6 +21,8 @@
     pub seed: u64,
     /// How much may be repeated.
     pub retry: RetryRule,
+    /// How much a version may get that may prove bad.
+    pub rollout: RolloutRule,
     /// What is assumed of targets before anything was observed.
     pub assumed: AssumedPace,
 }
--- a/crates/ryetide-core/src/target_load.rs
+++ b/crates/ryetide-core/src/target_load.rs
@@ -9,7 +9,8 @@
 
 use crate::{
     ids::{
-        DataCentreName, RequestSequence, ServiceName, TargetKey, TargetLife, TargetName, VmName,
+        DataCentreName, RequestSequence, ServiceName, TargetKey, TargetLife, TargetName,
+        VersionName, VmName,
     },
     load_digest::TargetMark,
     pace::{AssumedPace, PaceEstimate, TargetPace},
@@ -40,6 +41,8 @@
     pub life: TargetLife,
     /// The service it belongs to.
     pub service: ServiceName,
+    /// The version of its software.
+    pub version: VersionName,
     /// Where it listens.
     pub address: net::SocketAddr,
     /// Its data centre.
--- a/crates/ryetide-core/tests/cell_plan.rs
+++ b/crates/ryetide-core/tests/cell_plan.rs
@@ -25,6 +25,7 @@
     let entry = |index: usize| TargetEntry {
         name: format!("t{index}").as_str().into(),
         life: Default::default(),
+        version: "v1".into(),
         service: "drafting".into(),
         address: std::net::SocketAddr::from(([127, 0, 0, 1], 9)),
         data_centre: CENTRES[index % 3].into(),
--- a/crates/ryetide-core/tests/fleet_digests.rs
+++ b/crates/ryetide-core/tests/fleet_digests.rs
@@ -23,11 +23,13 @@
         incarnation: Incarnation(1),
         seed: 1,
         retry: RetryRule::default(),
+        rollout: Default::default(),
         assumed: AssumedPace::default(),
     });
     let entry = |name: &&str| TargetEntry {
         name: (*name).into(),
         life: Default::default(),
+        version: "v1".into(),
         service: "drafting".into(),
         address: std::net::SocketAddr::from(([127, 0, 0, 1], 9)),
         data_centre: "hall-a".into(),
--- /dev/null
+++ b/crates/ryetide-core/tests/rollout/exposure.rs
@@ -0,0 +1,64 @@
+//! A version on trial gets at most its share, whatever the VMs know of each other.
+
+use std::time::Duration;
+
+use rand::{Rng, SeedableRng, rngs::StdRng};
+use ryetide_core::chart::RolloutState;
+
+use crate::{
+    behaviour::{Behaviour, NewVersion},
+    fleet::{Fleet, FleetPlan},
+};
+
+/// VMs are cut off from each other, freeze, die and start anew at random, and the store comes and goes. None knows what the
+/// others have sent.
+#[test]
+fn no_partition_gives_a_version_on_trial_more_than_its_share() {
+    for seed in 0..60 {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let behaviour = Behaviour::of(NewVersion::Good);
+        let duration = Duration::from_secs(20);
+        let vms = rng.random_range(2..12);
+        let mut fleet =
+            Fleet::start(FleetPlan { vms, targets: 6, rate: 200.0, duration, behaviour, seed });
+        while fleet.age() < duration {
+            let vm = rng.random_range(0..vms);
+            match rng.random_range(0..8) {
+                0 => fleet.set_cut(vm, true),
+                1 => fleet.set_cut(vm, false),
+                2 => fleet.kill(vm),
+                3 => fleet.restart(vm),
+                4 => fleet.store_down = rng.random_bool(0.5),
+                5 => fleet.set_frozen(vm, rng.random_bool(0.5)),
+                _ => {}
+            }
+            for _ in 0..6 {
+                fleet.step();
+            }
+            // Each VM may have begun one more request than its share of what it has placed makes whole.
+            let permitted = fleet.placed_on_trial / 10 + 1;
+            assert!(
+                fleet.exposed_on_trial <= permitted,
+                "seed {seed}: {} of {}",
+                fleet.exposed_on_trial,
+                fleet.placed_on_trial
+            );
+        }
+    }
+}
+
+/// A VM hears nobody: what the others find out would not reach it.
+#[test]
+fn a_vm_that_hears_nobody_tries_nothing() {
+    let behaviour = Behaviour::of(NewVersion::Fails(0.5));
+    let duration = Duration::from_secs(20);
+    let plan = FleetPlan { vms: 4, targets: 6, rate: 200.0, duration, behaviour, seed: 3 };
+    let mut fleet = Fleet::start(plan);
+    fleet.run_until(Duration::from_millis(1_200));
+    assert_eq!(fleet.state(0), RolloutState::Trial);
+    (0..4).for_each(|vm| fleet.set_cut(vm, true));
+    fleet.run_until(Duration::from_millis(4_000));
+    let before = fleet.exposed;
+    fleet.run_until(Duration::from_millis(9_000));
+    assert_eq!(fleet.exposed, before);
+}
--- /dev/null
+++ b/crates/ryetide-core/tests/rollout/faults.rs
@@ -0,0 +1,189 @@
+//! Every fault at every step of an order, and what operators and callers then see.
+
+use std::time::Duration;
+
+use ryetide_core::{chart::RolloutState, rollout_order::RolloutWord};
+
+use crate::{
+    behaviour::{Behaviour, NewVersion},
+    fleet::{Fleet, FleetPlan},
+};
+
+const DURATION: Duration = Duration::from_secs(16);
+/// Faults last this long.
+const FAULT_SPAN: Duration = Duration::from_millis(2_500);
+
+#[derive(Clone, Copy, Debug)]
+enum Fault {
+    /// All VMs are killed at once and start again a second later.
+    AllKilled,
+    /// One VM is killed for good.
+    OneGone,
+    /// The VM that has just taken the step is killed and starts again.
+    StepperKilled,
+    /// A third of the VMs cannot be heard.
+    Cut,
+    /// A third of the VMs stand still.
+    Frozen,
+    /// The store is away.
+    StoreDown,
+    /// The store is away and a third of the VMs cannot be heard.
+    StoreDownAndCut,
+}
+
+const FAULTS: [Fault; 7] = [
+    Fault::AllKilled,
+    Fault::OneGone,
+    Fault::StepperKilled,
+    Fault::Cut,
+    Fault::Frozen,
+    Fault::StoreDown,
+    Fault::StoreDownAndCut,
+];
+
+fn begin(fleet: &mut Fleet, fault: Fault) {
+    let third = fleet.vm_count() / 3;
+    match fault {
+        Fault::AllKilled => (0..fleet.vm_count()).for_each(|vm| fleet.kill(vm)),
+        Fault::OneGone | Fault::StepperKilled => fleet.kill(0),
+        Fault::Cut => (0..third).for_each(|vm| fleet.set_cut(vm, true)),
+        Fault::Frozen => (0..third).for_each(|vm| fleet.set_frozen(vm, true)),
+        Fault::StoreDown => fleet.store_down = true,
+        Fault::StoreDownAndCut => {
+            fleet.store_down = true;
+            (0..third).for_each(|vm| fleet.set_cut(vm, true));
+        }
+    }
+}
+
+fn end(fleet: &mut Fleet, fault: Fault) {
+    let third = fleet.vm_count() / 3;
+    match fault {
+        Fault::AllKilled => (0..fleet.vm_count()).for_each(|vm| fleet.restart(vm)),
+        Fault::OneGone => {}
+        Fault::StepperKilled => fleet.restart(0),
+        Fault::Cut => (0..third).for_each(|vm| fleet.set_cut(vm, false)),
+        Fault::Frozen => (0..third).for_each(|vm| fleet.set_frozen(vm, false)),
+        Fault::StoreDown => fleet.store_down = false,
+        Fault::StoreDownAndCut => {
+            fleet.store_down = false;
+            (0..third).for_each(|vm| fleet.set_cut(vm, false));
+        }
+    }
+}
+
+fn play(new: NewVersion, step: RolloutState, fault: Fault) -> Fleet {
+    let plan = FleetPlan {
+        vms: 6,
+        targets: 9,
+        rate: 240.0,
+        duration: DURATION,
+        behaviour: Behaviour::of(new),
+        seed: 11,
+    };
+    let mut fleet = Fleet::start(plan);
+    let name = format!("{new:?}, {fault:?} at {step:?}");
+    while step != RolloutState::Asked && !fleet.steps.iter().any(|(_, to)| *to == step) {
+        fleet.step();
+        assert!(fleet.age() < DURATION + FAULT_SPAN, "{name}: the step is never taken");
+    }
+    begin(&mut fleet, fault);
+    let until = fleet.age() + FAULT_SPAN;
+    fleet.run_until(until);
+    end(&mut fleet, fault);
+    fleet.run_until(DURATION + Duration::from_secs(6));
+    assert!(fleet.is_ended(), "{name}: {:?}", fleet.words);
+    let ends = fleet.words.iter().filter(|word| **word != RolloutWord::Running).count();
+    assert_eq!(ends, 1, "{name}: told two ends: {:?}", fleet.words);
+    for vm in 0..fleet.vm_count() {
+        let expected = match fleet.word() {
+            Some(RolloutWord::Completed) => RolloutState::Completed,
+            _ => RolloutState::RolledBack,
+        };
+        let is_gone = matches!(fault, Fault::OneGone) && vm == 0;
+        assert!(is_gone || fleet.state(vm) == expected, "{name}: VM {vm} is at another end");
+    }
+    fleet
+}
+
+/// The steps of an order for a good version. It may be sent back where a fault left no time to judge it, and only where the
+/// fault came before it was found good.
+#[test]
+fn an_order_for_a_good_version_ends_once_whatever_happens() {
+    let steps = [
+        RolloutState::Asked,
+        RolloutState::Trial,
+        RolloutState::Moving,
+        RolloutState::Emptied,
+        RolloutState::Completed,
+    ];
+    for step in steps {
+        for fault in FAULTS {
+            let fleet = play(NewVersion::Good, step, fault);
+            assert_eq!(fleet.word(), Some(RolloutWord::Completed), "{fault:?} at {step:?}");
+        }
+    }
+}
+
+#[test]
+fn an_order_for_a_bad_version_is_taken_back_whatever_happens() {
+    let steps = [
+        RolloutState::Asked,
+        RolloutState::Trial,
+        RolloutState::Condemned,
+        RolloutState::RolledBack,
+    ];
+    for step in steps {
+        for fault in FAULTS {
+            let fleet = play(NewVersion::Fails(0.5), step, fault);
+            assert_eq!(fleet.word(), Some(RolloutWord::RolledBack), "{fault:?} at {step:?}");
+            assert!(
+                fleet.exposed_after_fiftieth < Duration::from_secs(5),
+                "{fault:?} at {step:?}: sent {:?} after the 50th bad answer",
+                fleet.exposed_after_fiftieth
+            );
+            assert!(fleet.exposed * 10 <= fleet.placed + 10, "{fault:?} at {step:?}");
+        }
+    }
+}
+
+/// Nothing of ours is at the old targets when the operators are told that these may stop.
+#[test]
+fn the_old_targets_are_empty_when_they_may_stop() {
+    for seed in 0..20 {
+        let plan = FleetPlan {
+            vms: 6,
+            targets: 9,
+            rate: 240.0,
+            duration: DURATION,
+            behaviour: Behaviour::of(NewVersion::Good),
+            seed,
+        };
+        let mut fleet = Fleet::start(plan);
+        fleet.run_until(DURATION);
+        assert_eq!(fleet.word(), Some(RolloutWord::Completed), "seed {seed}");
+        assert_eq!(fleet.left_at_end, 0, "seed {seed}");
+    }
+}
+
+/// A VM that was frozen while the others decided wakes, and neither sends to the version nor writes another end.
+#[test]
+fn who_wakes_late_reverses_nothing() {
+    let plan = FleetPlan {
+        vms: 6,
+        targets: 9,
+        rate: 240.0,
+        duration: DURATION,
+        behaviour: Behaviour::of(NewVersion::Fails(0.5)),
+        seed: 5,
+    };
+    let mut fleet = Fleet::start(plan);
+    fleet.run_until(Duration::from_millis(1_500));
+    fleet.set_frozen(0, true);
+    fleet.run_until(Duration::from_secs(9));
+    assert_eq!(fleet.word(), Some(RolloutWord::RolledBack));
+    let before = fleet.exposed;
+    fleet.set_frozen(0, false);
+    fleet.run_until(Duration::from_secs(20));
+    assert_eq!((fleet.exposed, fleet.words.len()), (before, 2));
+}
--- a/crates/ryetide-core/tests/scheduler.rs
+++ b/crates/ryetide-core/tests/scheduler.rs
@@ -27,6 +27,7 @@
     TargetEntry {
         name: name.into(),
         life: Default::default(),
+        version: "v1".into(),
         service: SERVICE.into(),
         address: std::net::SocketAddr::from(([127, 0, 0, 1], 9)),
         data_centre: "hall-a".into(),
@@ -72,6 +73,7 @@
             incarnation: Incarnation(1),
             seed: 1,
             retry: RetryRule::default(),
+            rollout: Default::default(),
             assumed: AssumedPace::default(),
         });
         let entries = targets.iter().map(|(name, slots)| target(name, *slots)).collect();
--- a/crates/ryetide-core/tests/scheduler_load/load_play.rs
+++ b/crates/ryetide-core/tests/scheduler_load/load_play.rs
@@ -183,6 +183,7 @@
         let entry = |name: &String| TargetEntry {
             name: name.as_str().into(),
             life: Default::default(),
+            version: "v1".into(),
             service: "drafting".into(),
             address: std::net::SocketAddr::from(([127, 0, 0, 1], 9)),
             data_centre: "hall-a".into(),
@@ -203,6 +204,7 @@
                 incarnation: Incarnation(1),
                 seed: seed + index as u64,
                 retry: RetryRule::default(),
+                rollout: Default::default(),
                 assumed: AssumedPace::default(),
             });
             scheduler.set_targets(Moment(1), engines.keys().map(entry).collect());
--- a/crates/ryetide-core/tests/target_word.rs
+++ b/crates/ryetide-core/tests/target_word.rs
@@ -26,6 +26,7 @@
     TargetEntry {
         name: name.into(),
         life: Default::default(),
+        version: "v1".into(),
         service: "desk".into(),
         address: std::net::SocketAddr::from(([127, 0, 0, 1], 9)),
         data_centre: "hall-a".into(),
@@ -110,6 +111,7 @@
         incarnation: Incarnation(1),
         seed: 1,
         retry: RetryRule::default(),
+        rollout: Default::default(),
         assumed: AssumedPace::default(),
     });
     scheduler.set_targets(at(1), names.iter().map(|name| entry(name)).collect());
--- a/crates/ryetide-core/tests/watch_duty.rs
+++ b/crates/ryetide-core/tests/watch_duty.rs
@@ -36,6 +36,7 @@
                 incarnation: Incarnation(1),
                 seed: index as u64,
                 retry: RetryRule { part: 0.2, window: Duration::from_secs(10), slack: 50.0 },
+                rollout: Default::default(),
                 assumed: AssumedPace::default(),
             });
             let others: Vec<_> = (0..size).filter(|other| *other != index).map(member).collect();
--- a/crates/ryetide-gateway/src/exchange.rs
+++ b/crates/ryetide-gateway/src/exchange.rs
@@ -13,9 +13,10 @@
 };
 use ryetide_core::{
     decision::{Decision, PlacingEvidence, RunEnd},
-    ids::{ServiceName, TargetKey},
+    ids::{RouteKey, ServiceName, TargetKey},
     quota::QuotaCharge,
     request_print::RequestPrint,
+    rollout_evidence::RunNote,
     route::{MatchedRoute, WorkKind},
     target_load::TargetEntry,
     units::{Moment, Tokens},
@@ -97,6 +98,8 @@
     sent_at: Moment,
     first_at: Option<Moment>,
     last_at: Option<Moment>,
+    /// Pieces of the answer that came.
+    pieces: u32,
     longest_pause: Duration,
     ended: bool,
 }
@@ -162,6 +165,7 @@
             sent_at: arrived,
             first_at: None,
             last_at: None,
+            pieces: 0,
             longest_pause: Duration::ZERO,
             ended: false,
             matched,
@@ -408,6 +412,7 @@
         if self.is_stream() {
             self.ticket.note_event();
         }
+        self.pieces += 1;
         let now = self.gateway.hub().clock().now();
         if let Some(last) = self.last_at.replace(now) {
             self.longest_pause = self.longest_pause.max(now.since(last));
@@ -426,6 +431,9 @@
             // A failure that is the target's own answer shows as well that it has not crashed.
             self.note_answered();
         }
+        if fault.tells_of_version() {
+            self.note_run(target, None);
+        }
         if fault.may_be_end() {
             let ran = self.gateway.hub().clock().now().since(self.sent_at);
             let run = BrokenRun { request: log_id.id.to_owned(), print: self.print, ran };
@@ -449,6 +457,11 @@
         let now = self.gateway.hub().clock().now();
         if end == RunEnd::Whole {
             self.note_answered();
+            if let Some(target) = self.target.as_ref().filter(|_| self.attempts <= 1) {
+                // Long answers take longer than short ones, whatever the version.
+                let pace = now.since(self.sent_at) / self.pieces.saturating_add(1);
+                self.note_run(target, Some(pace));
+            }
             self.gateway.metrics().count_outcome("answered");
             let total = now.since(self.arrived);
             self.gateway.metrics().note_total(self.matched.tier(), total);
@@ -476,6 +489,14 @@
         }
     }
 
+    /// Notes what an answer shows of its target's version.
+    fn note_run(&self, target: &TargetEntry, pace: Option<Duration>) {
+        let route = RouteKey::of(&self.matched.route.name);
+        let note = RunNote { target: target.key(), route, pace };
+        let now = self.gateway.hub().clock().now();
+        self.gateway.hub().peek_mut(|scheduler| scheduler.note_run(now, note));
+    }
+
     fn note_answered(&self) {
         let (now, print) = (self.gateway.hub().clock().now(), self.print);
         self.gateway.hub().peek_mut(|it| it.crashes_mut().note_answered(now, print));
--- a/crates/ryetide-gateway/src/feed_nudge.rs
+++ b/crates/ryetide-gateway/src/feed_nudge.rs
@@ -19,7 +19,9 @@
 impl FeedNudge {
     /// Has the follower of a table ask anew, if it waits.
     pub fn ring(&self, table: FleetTable) {
-        self.bell(table).notify_waiters();
+        if let Some(bell) = self.bell(table) {
+            bell.notify_waiters();
+        }
     }
 
     /// Has all followers ask anew that wait.
@@ -29,16 +31,20 @@
         }
     }
 
-    /// Waits until the follower of a table should ask anew.
+    /// Waits until the follower of a table should ask anew; without end for a table that nobody follows.
     pub async fn rung(&self, table: FleetTable) {
-        self.bell(table).notified().await;
+        match self.bell(table) {
+            Some(bell) => bell.notified().await,
+            None => std::future::pending().await,
+        }
     }
 
-    fn bell(&self, table: FleetTable) -> &Notify {
+    fn bell(&self, table: FleetTable) -> Option<&Notify> {
         match table {
-            FleetTable::Routes => &self.routes,
-            FleetTable::Targets => &self.targets,
-            FleetTable::Vms => &self.vms,
+            FleetTable::Routes => Some(&self.routes),
+            FleetTable::Targets => Some(&self.targets),
+            FleetTable::Vms => Some(&self.vms),
+            FleetTable::RolloutWords | FleetTable::RolloutNotes => None,
         }
     }
 }
--- a/crates/ryetide-gateway/src/feed_relay.rs
+++ b/crates/ryetide-gateway/src/feed_relay.rs
@@ -117,7 +117,9 @@
         match table {
             FleetTable::Routes => self.peers.get().routes,
             FleetTable::Targets => self.peers.get().targets,
-            FleetTable::Vms => FeedMark::default(),
+            FleetTable::Vms | FleetTable::RolloutWords | FleetTable::RolloutNotes => {
+                FeedMark::default()
+            }
         }
     }
 
@@ -126,7 +128,7 @@
         match table {
             FleetTable::Routes => self.own_routes.set(mark),
             FleetTable::Targets => self.own_targets.set(mark),
-            FleetTable::Vms => {}
+            FleetTable::Vms | FleetTable::RolloutWords | FleetTable::RolloutNotes => {}
         }
     }
 
--- a/crates/ryetide-gateway/src/file_feed.rs
+++ b/crates/ryetide-gateway/src/file_feed.rs
@@ -3,7 +3,11 @@
 use std::{path::PathBuf, sync::Arc, time::Duration};
 
 use ryetide::error::StepError;
-use ryetide_core::{route_text::RouteText, target_registry::RegistryUpdate};
+use ryetide_core::{
+    rollout_order::{RolloutDuty, RolloutReport, RolloutTask, RolloutWord},
+    route_text::RouteText,
+    target_registry::RegistryUpdate,
+};
 use tokio::time;
 
 use crate::ports::{FeedLine, FleetFeed, FleetUpdate, LocalFuture, PeerEntry};
@@ -30,7 +34,7 @@
 
     /// Sends what a changed text says; a text with a fault changes nothing.
     async fn tell(&self, text: &str, line: &FeedLine) -> bool {
-        let RouteText { table, targets } = match RouteText::parse(text) {
+        let RouteText { table, targets, orders } = match RouteText::parse(text) {
             Ok(text) => text,
             Err(faults) => {
                 let path = self.path.display();
@@ -39,7 +43,8 @@
             }
         };
         let targets = FleetUpdate::Targets(RegistryUpdate::whole(targets), 0);
-        for update in [FleetUpdate::Routes(Arc::new(table)), targets] {
+        let orders = FleetUpdate::Orders(orders);
+        for update in [orders, FleetUpdate::Routes(Arc::new(table)), targets] {
             // The gateway is ending.
             if line.updates.send(update).await.is_err() {
                 return false;
@@ -51,7 +56,8 @@
 
 impl FleetFeed for FileFeed {
     fn run(self: Box<Self>, _own: PeerEntry, line: FeedLine) -> LocalFuture<'static, ()> {
-        Box::pin(async move {
+        let answering = answer_duties(line.clone());
+        let reading = async move {
             // The gateway may be ending already.
             if line.updates.send(FleetUpdate::Peers(self.peers.clone())).await.is_err() {
                 return;
@@ -73,6 +79,30 @@
                     }
                 }
             }
+        };
+        Box::pin(async move {
+            tokio::join!(reading, answering);
         })
     }
 }
+
+/// Answers what would be done at the operators' rows where there are none: an order that becomes known has only begun, and
+/// what the VMs decide holds. Operators read it from logs and metrics.
+async fn answer_duties(mut line: FeedLine) {
+    while line.duties.changed().await.is_ok() {
+        let duties = line.duties.borrow_and_update().clone();
+        for RolloutDuty { order, task } in duties {
+            let (word, passed) = match task {
+                RolloutTask::Open => (RolloutWord::Running, false),
+                RolloutTask::Remember => (RolloutWord::Running, true),
+                RolloutTask::End(word) => (word, false),
+            };
+            let (service, number) = (order.service, order.number);
+            let report = RolloutReport { service, number, word, age: None, passed };
+            // The gateway is ending.
+            if line.updates.send(FleetUpdate::Rollout(report)).await.is_err() {
+                return;
+            }
+        }
+    }
+}
--- a/crates/ryetide-gateway/src/fleet_duties.rs
+++ b/crates/ryetide-gateway/src/fleet_duties.rs
@@ -77,6 +77,18 @@
             FleetUpdate::TargetsReached(number) => {
                 gateway.fleet().registry().borrow_mut().note_reached(number);
             }
+            FleetUpdate::Orders(orders) => {
+                for order in orders {
+                    let (service, number) = (order.service.clone(), order.number);
+                    tracing::info!(event = "rollout-ordered", %service, %number, to = %order.to);
+                    gateway.hub().with(|scheduler, now| {
+                        scheduler.with_rollouts(now, |desk, now| desk.take_order(now, order));
+                    });
+                }
+            }
+            FleetUpdate::Rollout(report) => gateway.hub().with(|scheduler, now| {
+                scheduler.with_rollouts(now, |desk, now| desk.take_report(now, &report));
+            }),
             FleetUpdate::Peers(listed) => self.take_peers(listed),
             FleetUpdate::OwnSecret(secret) => self.link.set_secret(secret),
         }
--- a/crates/ryetide-gateway/src/gateway.rs
+++ b/crates/ryetide-gateway/src/gateway.rs
@@ -31,6 +31,7 @@
         FeedLine, FleetFeed, GatewaySettings, HeaderNames, PeerEntry, SettingsSource, WorkReader,
     },
     quarantine_keeper::QuarantineKeeper,
+    rollout_keeper::RolloutKeeper,
     status_port,
 };
 
@@ -169,6 +170,7 @@
         incarnation,
         seed: rand::rng().random(),
         retry: settings.retry,
+        rollout: settings.rollout,
         assumed: AssumedPace::default(),
     });
     tracing::info!(
@@ -188,7 +190,15 @@
     let fleet_size = Rc::new(Cell::new(1));
     let (line_nudge, line_size) = (Rc::clone(&nudge), Rc::clone(&fleet_size));
     let (keeper, kept) = QuarantineKeeper::new();
-    let line = FeedLine { updates, nudge: line_nudge, fleet_size: line_size, relay, kept };
+    let (rollout_keeper, rollout_duties) = RolloutKeeper::new();
+    let line = FeedLine {
+        updates,
+        nudge: line_nudge,
+        fleet_size: line_size,
+        relay,
+        kept,
+        duties: rollout_duties,
+    };
     let link = Rc::new(PeerLink::new(socket, &own));
     let mut duties = JoinSet::new();
     duties.spawn_local(feed.run(own, line));
@@ -201,6 +211,7 @@
     duties.spawn_local(passing_on);
     duties.spawn_local(fleet_duties::sweep(Rc::clone(&gateway), nudge, pauses));
     duties.spawn_local(keeper.run(Rc::clone(&gateway)));
+    duties.spawn_local(rollout_keeper.run(Rc::clone(&gateway), Rc::clone(&link)));
     duties.spawn_local(status_port::serve(Rc::clone(&gateway), status));
     let accepting = duties.spawn_local(caller_listener::accept(Rc::clone(&gateway), callers));
     follow_orders(&gateway, orders, &*source).await;
@@ -261,7 +272,11 @@
         && settings.status == found.status
         && settings.peers == found.peers;
     tracing::info!(event = "settings-read", ordered, changed, needs_restart = !same_sockets);
-    gateway.hub().peek_mut(|scheduler| scheduler.set_retry_rule(found.retry));
+    gateway.hub().peek_mut(|scheduler| {
+        scheduler.set_retry_rule(found.retry);
+        scheduler.set_rollout_rule(found.rollout);
+    });
     settings.retry = found.retry;
+    settings.rollout = found.rollout;
     settings.grace = found.grace;
 }
--- a/crates/ryetide-gateway/src/gateway_metrics.rs
+++ b/crates/ryetide-gateway/src/gateway_metrics.rs
@@ -7,7 +7,9 @@
     metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
     registry::Registry,
 };
-use ryetide_core::{target_word::TargetWord, units::TierRank};
+use ryetide_core::{
+    chart::ChartName, service_rollout::ServiceRollout, target_word::TargetWord, units::TierRank,
+};
 
 /// Bounds of the histograms' buckets, in seconds: from a hop between data centres to the longest
 /// deadlines of today's routes.
@@ -29,6 +31,12 @@
     tier: u8,
 }
 
+#[derive(Clone, Debug, Eq, Hash, PartialEq, EncodeLabelSet)]
+struct RolloutLabels {
+    service: String,
+    version: String,
+}
+
 type TierHistograms = Family<TierLabels, Histogram, fn() -> Histogram>;
 
 fn tier_histograms() -> TierHistograms {
@@ -50,6 +58,9 @@
     crashes: Counter,
     quarantined: Gauge,
     words: Family<WordLabels, Counter>,
+    rollout_state: Family<RolloutLabels, Gauge>,
+    rollout_placed: Family<RolloutLabels, Gauge>,
+    rollout_exposed: Family<RolloutLabels, Gauge>,
 }
 
 impl Default for GatewayMetrics {
@@ -68,6 +79,9 @@
             crashes: Counter::default(),
             quarantined: Gauge::default(),
             words: Family::default(),
+            rollout_state: Family::default(),
+            rollout_placed: Family::default(),
+            rollout_exposed: Family::default(),
         };
         let registry = &mut metrics.registry;
         registry.register("requests", "Requests taken", metrics.requests.clone());
@@ -85,11 +99,30 @@
         registry.register("quarantined", quarantined, metrics.quarantined.clone());
         let words = "Answers in which a target says that it leaves, or wants nothing for a time";
         registry.register("target_words", words, metrics.words.clone());
+        let state = "How far an order for a version is: 0 asked, 1 trial, 2 moving, 3 emptied, 4 condemned, 5 completed, \
+                     6 rolled back";
+        registry.register("rollout_state", state, metrics.rollout_state.clone());
+        let placed = "Requests of the service placed here since the order is known";
+        registry.register("rollout_placed", placed, metrics.rollout_placed.clone());
+        let exposed = "Those of them that went to the ordered version";
+        registry.register("rollout_exposed", exposed, metrics.rollout_exposed.clone());
         metrics
     }
 }
 
 impl GatewayMetrics {
+    /// Sets how far an order to bring a version in is.
+    pub fn set_rollout(&self, rollout: &ServiceRollout) {
+        let order = rollout.order();
+        let (service, version) = (order.service.to_string(), order.to.to_string());
+        let labels = RolloutLabels { service, version };
+        let (placed, exposed) = rollout.exposure();
+        let as_level = |count: u64| i64::try_from(count).unwrap_or(i64::MAX);
+        self.rollout_state.get_or_create(&labels).set(rollout.state().index() as i64);
+        self.rollout_placed.get_or_create(&labels).set(as_level(placed));
+        self.rollout_exposed.get_or_create(&labels).set(as_level(exposed));
+    }
+
     /// Counts a request that was taken.
     pub fn count_request(&self) {
         self.requests.inc();
--- a/crates/ryetide-gateway/src/gateway_text.rs
+++ b/crates/ryetide-gateway/src/gateway_text.rs
@@ -22,6 +22,7 @@
 use ryetide::log::LogFilter;
 use ryetide_core::{
     retry_budget::RetryRule,
+    rollout_order::RolloutRule,
     text::{self, FaultReader, TextFaults, TextNode, ValueRange},
     units::LinkRate,
 };
@@ -88,7 +89,7 @@
 }
 
 fn read_root(reader: &mut FaultReader, root: TextNode<'_>) -> Option<GatewayText> {
-    const KEYS: [&str; 10] = [
+    const KEYS: [&str; 11] = [
         "name",
         "data-centre",
         "callers",
@@ -96,6 +97,7 @@
         "peers",
         "grace",
         "retry",
+        "rollout",
         "link",
         "routes",
         "log",
@@ -111,6 +113,7 @@
     let grace = reader
         .optional(root, "grace", DEFAULT_GRACE, |reader, value| reader.span(value, SPAN_RANGE));
     let retry = reader.optional(root, "retry", RetryRule::default(), read_retry);
+    let rollout = reader.optional(root, "rollout", RolloutRule::default(), read_rollout);
     let link = reader.optional(root, "link", DEFAULT_LINK, read_link);
     let routes = reader.required(root, "routes", FaultReader::text);
     let log = reader.optional(root, "log", LogFilter::default(), |reader, value| {
@@ -125,6 +128,7 @@
         peers: address,
         grace: grace?,
         retry: retry?,
+        rollout: rollout?,
         link: link?,
     };
     Some(GatewayText { settings, routes: routes?.into(), peers: known, log: log? })
@@ -182,3 +186,15 @@
     });
     Some(RetryRule { part: part?, window: window?, slack: slack? as f64 })
 }
+
+fn read_rollout(reader: &mut FaultReader, node: TextNode<'_>) -> Option<RolloutRule> {
+    reader.mapping(node, &["share", "rollback", "by-order-only"]);
+    let defaults = RolloutRule::default();
+    let share = reader.optional(node, "share", defaults.share, FaultReader::fraction);
+    let rollback = reader.optional(node, "rollback", defaults.rollback, |reader, value| {
+        reader.span(value, SPAN_RANGE)
+    });
+    let by_order_only =
+        reader.optional(node, "by-order-only", defaults.by_order_only, FaultReader::flag);
+    Some(RolloutRule { share: share?, rollback: rollback?, by_order_only: by_order_only? })
+}
--- a/crates/ryetide-gateway/src/lib.rs
+++ b/crates/ryetide-gateway/src/lib.rs
@@ -19,6 +19,7 @@
 //! | [`caller_listener`], [`caller_service`], [`exchange`], [`quota_wait`], [`caller_answer`] | callers |
 //! | [`call_template`], [`target_pool`], [`target_answer`], [`relay`], [`relay_fault`], [`run_fault`], [`event_scanner`], [`target_words`] | targets |
 //! | [`crash_watch`], [`standing_wait`], [`quarantine_keeper`] | requests that crash targets |
+//! | `rollout_keeper`, `rollout_rows` | orders to bring new versions in, and what operators are told of them |
 //! | [`scheduler_hub`], [`fleet_view`] | the scheduler and what it schedules onto |
 //! | [`store_feed`], [`table_follower`], [`store_table`], [`row_faults`], [`store_outage`], [`feed_relay`], [`feed_watch`], [`feed_nudge`] | routes, targets and peers from a platform's store |
 //! | [`peer_link`], [`digest_relay`] | the other entry VMs, and what is passed on between them |
@@ -53,6 +54,8 @@
 pub mod relay;
 pub mod relay_fault;
 mod retry_pause;
+mod rollout_keeper;
+mod rollout_rows;
 pub mod row_faults;
 pub mod run_fault;
 pub mod scheduler_hub;
--- a/crates/ryetide-gateway/src/ports.rs
+++ b/crates/ryetide-gateway/src/ports.rs
@@ -11,6 +11,7 @@
     ids::{DataCentreName, VmName},
     request_print::RequestPrint,
     retry_budget::RetryRule,
+    rollout_order::{RolloutDuty, RolloutOrder, RolloutReport, RolloutRule},
     route::RouteTable,
     target_registry::RegistryUpdate,
     units::{LinkRate, Tokens},
@@ -41,6 +42,8 @@
     pub grace: Duration,
     /// How much may be repeated.
     pub retry: RetryRule,
+    /// How much a version may get that may prove bad.
+    pub rollout: RolloutRule,
     /// The speed of this VM's link.
     pub link: LinkRate,
 }
@@ -152,6 +155,10 @@
     Targets(RegistryUpdate, u64),
     /// All news of targets up to this number, as their source gives it, have come.
     TargetsReached(u64),
+    /// Orders to bring new versions of services in.
+    Orders(Vec<RolloutOrder>),
+    /// What the operators' row says of an order.
+    Rollout(RolloutReport),
     /// All entry VMs that are listed.
     Peers(Vec<PeerEntry>),
     /// The key by which the peers know this VM already, from an earlier life.
@@ -172,6 +179,8 @@
     pub relay: Rc<FeedRelay>,
     /// The requests under quarantine that this VM keeps for all to find; a feed that has no store passes over them.
     pub kept: watch::Receiver<Vec<KeptQuarantine>>,
+    /// What must be done at the operators' rows about orders, as long as it must.
+    pub duties: watch::Receiver<Vec<RolloutDuty>>,
 }
 
 /// Where routes, targets and peers come from.
--- /dev/null
+++ b/crates/ryetide-gateway/src/rollout_keeper.rs
@@ -0,0 +1,99 @@
+//! What is done about orders to bring new versions in beside the callers' requests: the evidence is weighed, steps are
+//! logged and told at once, and duties at the operators' rows are handed to the feed.
+
+use std::{rc::Rc, time::Duration};
+
+use ryetide_core::{
+    ids::VmName,
+    rollout_judge::{JudgeReason, JudgedRate},
+    rollout_order::RolloutDuty,
+    service_rollout::{RolloutChange, RolloutReason},
+};
+use tokio::{sync::watch, time};
+
+use crate::{fleet_duties, gateway_state::Gateway, peer_link::PeerLink};
+
+/// How often orders are looked at.
+const LOOK_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Looks after the orders at one VM.
+pub struct RolloutKeeper {
+    duties: watch::Sender<Vec<RolloutDuty>>,
+}
+
+impl RolloutKeeper {
+    /// Creates a keeper, and what tells the feed what to do at the operators' rows.
+    pub fn new() -> (Self, watch::Receiver<Vec<RolloutDuty>>) {
+        let (duties, receiver) = watch::channel(Vec::new());
+        (Self { duties }, receiver)
+    }
+
+    /// Looks after them until the task is ended.
+    pub async fn run(self, gateway: Rc<Gateway>, link: Rc<PeerLink>) {
+        let mut ticks = time::interval(LOOK_INTERVAL);
+        ticks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
+        loop {
+            ticks.tick().await;
+            if gateway.hub().peek(|scheduler| scheduler.rollouts().rollouts().next().is_some()) {
+                self.look(&gateway, &link);
+            }
+        }
+    }
+
+    fn look(&self, gateway: &Gateway, link: &PeerLink) {
+        let changes = gateway.hub().with(|scheduler, now| {
+            scheduler.advance_rollouts(now);
+            scheduler.with_rollouts(now, |desk, _| desk.take_changes())
+        });
+        let vm = gateway.settings().borrow().name.clone();
+        for change in &changes {
+            log_change(&vm, change);
+        }
+        gateway.hub().peek(|scheduler| {
+            for rollout in scheduler.rollouts().rollouts() {
+                gateway.metrics().set_rollout(rollout);
+            }
+        });
+        if !changes.is_empty() {
+            // What was found bad must get nothing more anywhere, and whoever waits to write the row need not.
+            fleet_duties::tell_mates(gateway, link, false);
+            fleet_duties::tell_others(gateway, link, false);
+        }
+        let now = gateway.hub().clock().now();
+        let found = gateway.hub().peek(|scheduler| scheduler.rollout_duties(now));
+        self.duties.send_if_modified(|duties| {
+            let changed = *duties != found;
+            *duties = found;
+            changed
+        });
+    }
+}
+
+fn log_change(vm: &VmName, change: &RolloutChange) {
+    let RolloutChange { order, from, to, reason, placed, exposed } = change;
+    let (service, version, number) = (&order.service, &order.to, order.number);
+    let cause: &'static str = reason.into();
+    let judged = match reason {
+        RolloutReason::Evidence(JudgeReason::Failures(rate)) => Some(("failures", *rate)),
+        RolloutReason::Evidence(JudgeReason::Slowness(rate)) => Some(("slowness", *rate)),
+        _ => None,
+    };
+    let (by, JudgedRate { expected, found, answers }) =
+        judged.unwrap_or(("-", JudgedRate { expected: 0.0, found: 0.0, answers: 0 }));
+    tracing::info!(
+        event = "rollout-step",
+        %vm,
+        %service,
+        to_version = %version,
+        %number,
+        from = ?from,
+        to = ?to,
+        reason = cause,
+        by,
+        expected,
+        found,
+        answers,
+        placed,
+        exposed,
+    );
+}
--- a/crates/ryetide-gateway/src/run_fault.rs
+++ b/crates/ryetide-gateway/src/run_fault.rs
@@ -30,6 +30,11 @@
         self.into()
     }
 
+    /// Returns whether it may come from the version that the target runs.
+    pub fn tells_of_version(self) -> bool {
+        !matches!(self, Self::Restarted | Self::Unwritable)
+    }
+
     /// Returns whether the target itself may have ended.
     pub fn may_be_end(self) -> bool {
         matches!(self, Self::Broken | Self::Restarted)
--- a/crates/ryetide-gateway/src/store_feed.rs
+++ b/crates/ryetide-gateway/src/store_feed.rs
@@ -7,7 +7,8 @@
 
 use ryetide::error::StepError;
 use ryetide_core::{
-    ids::{DataCentreName, TargetName, VmName},
+    ids::{DataCentreName, ServiceName, TargetName, VmName},
+    rollout_order::{RolloutOrder, RolloutWord},
     route::RouteTable,
     target_load::TargetEntry,
     target_registry::RegistryUpdate,
@@ -20,6 +21,7 @@
     feed_watch::FeedPauses,
     ports::{FeedLine, FleetFeed, FleetUpdate, KeptQuarantine, LocalFuture, PeerEntry, PeerSecret},
     quarantine_keeper,
+    rollout_rows::RolloutRows,
     row_faults::RowFaults,
     store_table::{FleetTable, RowValue, StoreTable, TableRow},
     table_follower::{self, RowReader, TableFollower, TablePace},
@@ -58,6 +60,30 @@
     /// Returns a [`StepError`] that tells the place at fault.
     fn routes(&self, row: &TableRow) -> Result<Option<RouteTable>, StepError>;
 
+    /// Decodes an order to bring a new version of a service in, or returns nothing for a row that holds none.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`StepError`] that tells the place at fault.
+    fn order(&self, row: &TableRow) -> Result<Option<RolloutOrder>, StepError>;
+
+    /// Returns the key of the row in which operators are told what became of the orders for a service.
+    fn word_key(&self, service: &ServiceName) -> String;
+
+    /// Decodes what operators were told of an order.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`StepError`] that tells the place at fault.
+    fn read_word(&self, value: &[u8]) -> Result<RolloutWord, StepError>;
+
+    /// Encodes what operators are told of an order.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`StepError`] when it cannot be written.
+    fn write_word(&self, order: &RolloutOrder, word: RolloutWord) -> Result<Vec<u8>, StepError>;
+
     /// Decodes the entry that a target wrote of itself.
     ///
     /// # Errors
@@ -133,6 +159,7 @@
         let (routes_pace, targets_pace) = (self.bounds.routes_pace(), self.bounds.targets_pace());
         let store = self.store;
         let faults = RowFaults::default;
+        let rows = RolloutRows::new(Rc::clone(&store), line.clone());
         let routes = RouteReader { store: Rc::clone(&store), faults: faults() };
         let targets = TargetReader { store: Rc::clone(&store), faults: faults() };
         let table = move |kind| store.open(kind);
@@ -150,6 +177,7 @@
                 follow_targets.run(),
                 follow_vms.run(),
                 announce(table(FleetTable::Vms), &own, found, line),
+                rows.run(),
             );
         })
     }
@@ -241,14 +269,26 @@
             }
         }
     }
+
+    fn decode_order(&mut self, row: &TableRow) -> Option<RolloutOrder> {
+        self.store.order(row).unwrap_or_else(|error| {
+            self.faults.note(FleetTable::Routes, row, &error);
+            None
+        })
+    }
 }
 
 impl RowReader for RouteReader {
-    fn whole(&mut self, rows: Vec<TableRow>) -> Option<FleetUpdate> {
-        rows.iter().find_map(|row| self.decode(row))
+    /// Orders go first: once routes are in force callers are served, and a version on trial must be known as one.
+    fn whole(&mut self, rows: Vec<TableRow>) -> Vec<FleetUpdate> {
+        let orders: Vec<RolloutOrder> =
+            rows.iter().filter_map(|row| self.decode_order(row)).collect();
+        let orders = (!orders.is_empty()).then_some(FleetUpdate::Orders(orders));
+        let routes = rows.iter().find_map(|row| self.decode(row));
+        orders.into_iter().chain(routes).collect()
     }
 
-    fn changed(&mut self, rows: Vec<TableRow>) -> Option<FleetUpdate> {
+    fn changed(&mut self, rows: Vec<TableRow>) -> Vec<FleetUpdate> {
         self.whole(rows)
     }
 }
@@ -296,16 +336,16 @@
 }
 
 impl RowReader for TargetReader {
-    fn whole(&mut self, rows: Vec<TableRow>) -> Option<FleetUpdate> {
+    fn whole(&mut self, rows: Vec<TableRow>) -> Vec<FleetUpdate> {
         let TargetRows { entries, unreadable, .. } = self.sort(&rows);
         let update = RegistryUpdate::Snapshot { entries, unreadable };
-        Some(FleetUpdate::Targets(update, newest(&rows)))
+        vec![FleetUpdate::Targets(update, newest(&rows))]
     }
 
-    fn changed(&mut self, rows: Vec<TableRow>) -> Option<FleetUpdate> {
+    fn changed(&mut self, rows: Vec<TableRow>) -> Vec<FleetUpdate> {
         let TargetRows { entries, gone, unreadable } = self.sort(&rows);
         let update = RegistryUpdate::Changed { entries, gone, unreadable };
-        Some(FleetUpdate::Targets(update, newest(&rows)))
+        vec![FleetUpdate::Targets(update, newest(&rows))]
     }
 
     fn reached(&mut self, version: u64) -> Option<FleetUpdate> {
@@ -354,13 +394,13 @@
 }
 
 impl RowReader for VmReader {
-    fn whole(&mut self, rows: Vec<TableRow>) -> Option<FleetUpdate> {
+    fn whole(&mut self, rows: Vec<TableRow>) -> Vec<FleetUpdate> {
         self.tell_own(&rows);
         self.known.clear();
         self.changed(rows)
     }
 
-    fn changed(&mut self, rows: Vec<TableRow>) -> Option<FleetUpdate> {
+    fn changed(&mut self, rows: Vec<TableRow>) -> Vec<FleetUpdate> {
         for row in rows {
             let decoded = row.value.bytes().map(|value| serde_json::from_slice::<VmRow>(value));
             if let Some(Ok(VmRow { data_centre, address, secret, link, kept })) = decoded {
@@ -376,6 +416,6 @@
                 self.faults.note(FleetTable::Vms, &row, &"no bytes");
             }
         }
-        Some(FleetUpdate::Peers(self.known.values().cloned().collect()))
+        vec![FleetUpdate::Peers(self.known.values().cloned().collect())]
     }
 }
--- a/crates/ryetide-gateway/src/store_table.rs
+++ b/crates/ryetide-gateway/src/store_table.rs
@@ -17,6 +17,10 @@
     Targets,
     /// Entry VMs, by their names.
     Vms,
+    /// What operators are told of their orders to bring new versions in, by service.
+    RolloutWords,
+    /// When each of these orders was first seen, by service; for the VMs only.
+    RolloutNotes,
 }
 
 /// What a row holds.
--- a/crates/ryetide-gateway/src/table_follower.rs
+++ b/crates/ryetide-gateway/src/table_follower.rs
@@ -86,10 +86,10 @@
 /// Turns rows of one table into news.
 pub trait RowReader {
     /// Takes the whole table.
-    fn whole(&mut self, rows: Vec<TableRow>) -> Option<FleetUpdate>;
+    fn whole(&mut self, rows: Vec<TableRow>) -> Vec<FleetUpdate>;
 
     /// Takes the last state of each row that has changed.
-    fn changed(&mut self, rows: Vec<TableRow>) -> Option<FleetUpdate>;
+    fn changed(&mut self, rows: Vec<TableRow>) -> Vec<FleetUpdate>;
 
     /// All changes up to a version have come.
     fn reached(&mut self, version: u64) -> Option<FleetUpdate> {
@@ -389,7 +389,7 @@
         let newest = rows.rows.iter().map(|row| row.version).max();
         self.changed = if following { newest.unwrap_or(self.changed) } else { rows.version };
         let update = match following {
-            true if rows.rows.is_empty() => None,
+            true if rows.rows.is_empty() => Vec::new(),
             true => self.reader.changed(last_states(rows.rows)),
             false => self.reader.whole(rows.rows),
         };
@@ -422,11 +422,12 @@
         }
     }
 
-    async fn tell(&self, update: Option<FleetUpdate>) {
-        if let Some(update) = update
-            && self.line.updates.send(update).await.is_err()
-        {
-            tracing::debug!(event = "feed-ended", table = %self.pace.table);
+    async fn tell(&self, updates: impl IntoIterator<Item = FleetUpdate>) {
+        for update in updates {
+            if self.line.updates.send(update).await.is_err() {
+                tracing::debug!(event = "feed-ended", table = %self.pace.table);
+                return;
+            }
         }
     }
 }
--- a/crates/ryetide-gateway/tests/serving/support.rs
+++ b/crates/ryetide-gateway/tests/serving/support.rs
@@ -192,6 +192,7 @@
     TargetEntry {
         name: name.into(),
         life: Default::default(),
+        version: "v1".into(),
         service: SERVICE.into(),
         address,
         data_centre: "hall-a".into(),
@@ -327,6 +328,7 @@
             peers: any,
             grace: Duration::from_secs(3),
             retry: RetryRule { part: 0.2, window: Duration::from_secs(10), slack: 100.0 },
+            rollout: Default::default(),
             link: LinkRate(0),
         };
         let sockets = GatewaySockets::bind(&settings).await.expect("free ports");
--- a/crates/ryetide-gateway/tests/table_follower/model_store.rs
+++ b/crates/ryetide-gateway/tests/table_follower/model_store.rs
@@ -14,6 +14,8 @@
 use bytes::Bytes;
 use ryetide::error::StepError;
 use ryetide_core::{
+    ids::ServiceName,
+    rollout_order::{RolloutOrder, RolloutWord},
     route::RouteTable,
     target_load::TargetEntry,
     units::{LinkRate, Moment},
@@ -226,10 +228,27 @@
         Ok(None)
     }
 
+    fn order(&self, _row: &TableRow) -> Result<Option<RolloutOrder>, StepError> {
+        Ok(None)
+    }
+
+    fn word_key(&self, service: &ServiceName) -> String {
+        service.to_string()
+    }
+
+    fn read_word(&self, _value: &[u8]) -> Result<RolloutWord, StepError> {
+        Err(StepError::new("read word", "this store tells no orders"))
+    }
+
+    fn write_word(&self, _order: &RolloutOrder, _word: RolloutWord) -> Result<Vec<u8>, StepError> {
+        Err(StepError::new("write word", "this store tells no orders"))
+    }
+
     fn target(&self, name: &str, _value: &[u8]) -> Result<TargetEntry, StepError> {
         Ok(TargetEntry {
             name: name.into(),
             life: Default::default(),
+            version: "v1".into(),
             service: "desk".into(),
             address: std::net::SocketAddr::from(([127, 0, 0, 1], 9)),
             data_centre: "hall-a".into(),
@@ -282,6 +301,7 @@
             fleet_size: Rc::new(Cell::new(65)),
             relay,
             kept: watch::channel(Vec::new()).1,
+            duties: watch::channel(Vec::new()).1,
         };
         let own = PeerEntry {
             name: name.into(),
--- a/crates/ryetide-gateway/tests/table_follower/rests.rs
+++ b/crates/ryetide-gateway/tests/table_follower/rests.rs
@@ -41,6 +41,7 @@
             fleet_size: Rc::new(Cell::new(70)),
             relay: Rc::clone(&relay),
             kept: watch::channel(Vec::new()).1,
+            duties: watch::channel(Vec::new()).1,
         };
         let follower = TableFollower::new(script.table(), PACE, CountingReader, line);
         let _follower = tokio::task::spawn_local(follower.run());
@@ -205,7 +206,9 @@
         let nudge = Rc::new(FeedNudge::default());
         let fleet_size = Rc::new(Cell::new(9));
         let kept = watch::channel(Vec::new()).1;
-        let line = FeedLine { updates, nudge: Rc::clone(&nudge), fleet_size, relay, kept };
+        let duties = watch::channel(Vec::new()).1;
+        let nudge_line = Rc::clone(&nudge);
+        let line = FeedLine { updates, nudge: nudge_line, fleet_size, relay, kept, duties };
         let follow = |table| {
             let failures = (0..100).map(|_| failed());
             let answers = [Answer::Rows(3, vec![row("a", 3)])].into_iter().chain(failures);
--- a/crates/ryetide-gateway/tests/table_follower/support.rs
+++ b/crates/ryetide-gateway/tests/table_follower/support.rs
@@ -126,11 +126,11 @@
 pub struct CountingReader;
 
 impl RowReader for CountingReader {
-    fn whole(&mut self, rows: Vec<TableRow>) -> Option<FleetUpdate> {
-        Some(FleetUpdate::TargetsReached(rows.len() as u64))
+    fn whole(&mut self, rows: Vec<TableRow>) -> Vec<FleetUpdate> {
+        vec![FleetUpdate::TargetsReached(rows.len() as u64)]
     }
 
-    fn changed(&mut self, rows: Vec<TableRow>) -> Option<FleetUpdate> {
+    fn changed(&mut self, rows: Vec<TableRow>) -> Vec<FleetUpdate> {
         self.whole(rows)
     }
 
@@ -158,6 +158,7 @@
         fleet_size,
         relay: FeedRelay::new().0,
         kept: watch::channel(Vec::new()).1,
+        duties: watch::channel(Vec::new()).1,
     };
     let follower = TableFollower::new(script.table(), PACE, CountingReader, line);
     let used_up = async {
--- a/crates/ryetide-gateway/tests/target_news.rs
+++ b/crates/ryetide-gateway/tests/target_news.rs
@@ -9,6 +9,7 @@
     TargetEntry {
         name: name.into(),
         life: Default::default(),
+        version: "v1".into(),
         service: "desk".into(),
         address: std::net::SocketAddr::from(([127, 0, 0, 1], 9)),
         data_centre: "hall-a".into(),
