Weigh the times of a version on trial apart from its failures

Cause: what runs before the old times are known counted as fast, and a narrow slice leaves the scheduler no choice. Every second slice is wide now, and only its answers are timed; those held against too few old times count as neither.

--- a/crates/ryetide-core/src/rollout_evidence.rs
+++ b/crates/ryetide-core/src/rollout_evidence.rs
@@ -19,7 +19,7 @@
 const SPANS_KEPT: usize = 48;
 /// Times older than this say nothing about the load of now.
 const SPANS_LIFE: Duration = Duration::from_secs(8);
-/// With fewer times of the old version no answer counts as slow.
+/// With fewer times of the old version no answer is held against them.
 const SPANS_LEAST: usize = 8;
 /// The part of the old version's answers that are faster than one that counts as slow.
 const SLOW_QUANTILE: f64 = 0.8;
@@ -41,7 +41,9 @@
     pub answers: u32,
     /// Those that failed.
     pub failed: u32,
-    /// Whole ones that were slower than most of the old version's on the same route at the same time.
+    /// Whole ones whose times were held against the old version's on the same route at the same time.
+    pub timed: u32,
+    /// Those of them that were slower than most of the old version's.
     pub slow: u32,
 }
 
@@ -51,6 +53,7 @@
         Self {
             answers: self.answers.saturating_add(other.answers),
             failed: self.failed.saturating_add(other.failed),
+            timed: self.timed.saturating_add(other.timed),
             slow: self.slow.saturating_add(other.slow),
         }
     }
@@ -60,14 +63,10 @@
         Self {
             answers: self.answers.saturating_sub(earlier.answers),
             failed: self.failed.saturating_sub(earlier.failed),
+            timed: self.timed.saturating_sub(earlier.timed),
             slow: self.slow.saturating_sub(earlier.slow),
         }
     }
-
-    /// Returns the answers that were whole.
-    pub fn whole(self) -> u32 {
-        self.answers.saturating_sub(self.failed)
-    }
 }
 
 /// Which of a service's versions a target runs.
@@ -84,6 +83,8 @@
 pub struct TallyKey {
     /// The version.
     pub side: VersionSide,
+    /// Whether it ran while few targets got the trial's requests, and so as full as the old ones.
+    pub narrow: bool,
     /// The route, or none for all routes beyond those that are told apart.
     pub route: Option<RouteKey>,
     /// The target.
@@ -106,6 +107,8 @@
     pub target: TargetKey,
     /// The route.
     pub route: RouteKey,
+    /// When it was sent.
+    pub sent: Moment,
     /// The time that its answer took, for each of its pieces; nothing where it failed.
     pub pace: Option<Duration>,
 }
@@ -127,10 +130,12 @@
 }
 
 impl RolloutEvidence {
-    /// Counts a run of this VM.
-    pub fn note(&mut self, now: Moment, side: VersionSide, note: RunNote) {
+    /// Counts a run of this VM. The time of one that ran in a narrow slice of a trial is not held against the old
+    /// version's.
+    pub fn note(&mut self, now: Moment, side: VersionSide, note: RunNote, narrow: bool) {
         let route = self.route_of(note.route);
-        let slow = note.pace.is_some_and(|pace| self.is_slow(now, route, pace));
+        let pace = note.pace.filter(|_| !narrow);
+        let slow = pace.and_then(|pace| self.is_slow(now, route, pace));
         if let (VersionSide::Old, Some(pace)) = (side, note.pace) {
             let spans = self.spans.entry(route).or_default();
             spans.push_back((now, pace));
@@ -138,14 +143,15 @@
                 spans.pop_front();
             }
         }
-        let key = TallyKey { side, route, target: note.target };
-        if self.own.len() >= TARGETS_LIMIT * ROUTES_LIMIT && !self.own.contains_key(&key) {
+        let key = TallyKey { side, narrow, route, target: note.target };
+        if self.own.len() >= TARGETS_LIMIT * ROUTES_LIMIT * 2 && !self.own.contains_key(&key) {
             return;
         }
         let one = AnswerCount {
             answers: 1,
             failed: u32::from(note.pace.is_none()),
-            slow: u32::from(slow),
+            timed: u32::from(slow.is_some()),
+            slow: u32::from(slow == Some(true)),
         };
         add(&mut self.own, key, one);
     }
@@ -200,21 +206,29 @@
         total.iter().filter_map(since).collect()
     }
 
+    /// Returns the sum of one side's answers.
+    pub fn sum_of(&self, side: VersionSide) -> AnswerCount {
+        let total = self.total();
+        let of_side = total.iter().filter(|(key, _)| key.side == side);
+        of_side.fold(AnswerCount::default(), |sum, (_, count)| sum.plus(*count))
+    }
+
     fn route_of(&self, route: RouteKey) -> Option<RouteKey> {
         let known = self.spans.contains_key(&Some(route));
         (known || self.spans.len() < ROUTES_LIMIT).then_some(route)
     }
 
-    /// Whether an answer was slower than most of those that the old version gave to the same route just before.
-    fn is_slow(&mut self, now: Moment, route: Option<RouteKey>, pace: Duration) -> bool {
-        let Some(spans) = self.spans.get_mut(&route) else { return false };
+    /// Whether an answer was slower than most of those that the old version gave to the same route just before; nothing
+    /// when there were too few of these.
+    fn is_slow(&mut self, now: Moment, route: Option<RouteKey>, pace: Duration) -> Option<bool> {
+        let spans = self.spans.get_mut(&route)?;
         spans.retain(|(at, _)| now.since(*at) < SPANS_LIFE);
         if spans.len() < SPANS_LEAST {
-            return false;
+            return None;
         }
         let mut paces: Vec<Duration> = spans.iter().map(|(_, pace)| *pace).collect();
         paces.sort_unstable();
-        pace > paces[(paces.len() as f64 * SLOW_QUANTILE) as usize]
+        Some(pace > paces[(paces.len() as f64 * SLOW_QUANTILE) as usize])
     }
 }
 
--- a/crates/ryetide-core/src/service_rollout.rs
+++ b/crates/ryetide-core/src/service_rollout.rs
@@ -13,6 +13,10 @@
 //! the order's time to the next ones, so that no single target decides. Where one target is more than that part of all,
 //! what may be sent is saved up and sent within the end of each slice, so that it runs as full for that time.
 //!
+//! In every second slice the requests go to [`WIDE`] times as many targets, and the scheduler chooses among them as it does
+//! among the old version's. Only the times of these answers are weighed: a single target may have slow hardware, and gets
+//! more at one moment than a scheduler would have sent there.
+//!
 //! # The end
 //!
 //! A version found bad gets nothing from the moment at which a VM finds it or hears it of another; the operators' row
@@ -28,7 +32,7 @@
 use crate::{
     chart::{self, RolloutEvent, RolloutState},
     ids::{Incarnation, ServiceKey, TargetKey, VmName},
-    rollout_evidence::{AnswerTally, RolloutEvidence, RunNote, VersionSide},
+    rollout_evidence::{AnswerCount, AnswerTally, RolloutEvidence, RunNote, VersionSide},
     rollout_judge::{self, JudgeReason, RolloutVerdict},
     rollout_order::{
         OrderNumber, RolloutDuty, RolloutOrder, RolloutReport, RolloutRule, RolloutTask,
@@ -41,6 +45,8 @@
 const USED_PART: f64 = 0.95;
 /// Slices of an order's time, in each of which the trial's requests go to other targets.
 const SLICES: u32 = 12;
+/// How many times as many targets a wide slice has.
+const WIDE: usize = 3;
 /// The shortest slice that still shows what load does.
 const SLICE_LEAST: Duration = Duration::from_millis(500);
 /// A version is not found good before this part of the order's time, since it may turn bad only after a while.
@@ -95,6 +101,10 @@
     pub placed: u64,
     /// Those of them that went to the new version.
     pub exposed: u64,
+    /// The old version's answers that all VMs have counted, as far as heard.
+    pub old: AnswerCount,
+    /// The new version's.
+    pub new: AnswerCount,
 }
 
 /// Why an order has gone on.
@@ -272,17 +282,24 @@
             return Vec::new();
         }
         let share = count as f64 * self.rule.share;
-        let width = (share as usize).clamp(1, count);
-        let span = (self.order.duration / SLICES).max(SLICE_LEAST).as_secs_f64();
-        let slices = now.since(self.began).as_secs_f64() / span;
-        if slices.fract() < 1.0 - share / width as f64 {
+        let narrow = (share as usize).clamp(1, count);
+        let slices = self.slices(now);
+        let is_wide = is_wide(slices);
+        if !is_wide && slices.fract() < 1.0 - share / narrow as f64 {
             return Vec::new();
         }
         targets.sort_by_key(|key| xxh3::xxh3_64(&key.0.to_le_bytes()));
+        let width = if is_wide { (narrow * WIDE).min(count) } else { narrow };
         let first = slices as usize * width;
         (first..first + width).map(|place| targets[place % count]).collect()
     }
 
+    /// Returns the slices that have passed at a moment.
+    fn slices(&self, at: Moment) -> f64 {
+        let span = (self.order.duration / SLICES).max(SLICE_LEAST).as_secs_f64();
+        at.since(self.began).as_secs_f64() / span
+    }
+
     /// Notes that a request was placed.
     pub fn note_placed(&mut self, side: VersionSide) {
         self.placed += 1;
@@ -292,7 +309,10 @@
     /// Notes how a run has ended.
     pub fn note_run(&mut self, now: Moment, side: VersionSide, note: RunNote) {
         if !self.is_ended() {
-            self.evidence.note(now, side, note);
+            let narrow = side == VersionSide::New
+                && self.state == RolloutState::Trial
+                && !is_wide(self.slices(note.sent));
+            self.evidence.note(now, side, note, narrow);
         }
     }
 
@@ -410,10 +430,17 @@
         self.since = now;
         let (order, to) = (self.order.clone(), self.state);
         let (placed, exposed) = (self.placed, self.exposed);
-        self.changes.push(RolloutChange { order, from, to, reason, placed, exposed });
+        let (old, new) =
+            (self.evidence.sum_of(VersionSide::Old), self.evidence.sum_of(VersionSide::New));
+        self.changes.push(RolloutChange { order, from, to, reason, placed, exposed, old, new });
     }
 }
 
+/// Whether the slice is a wide one in which so many slices have passed.
+fn is_wide(slices: f64) -> bool {
+    slices as u64 % 2 == 1
+}
+
 fn is_moving(state: RolloutState) -> bool {
     matches!(state, RolloutState::Moving | RolloutState::Emptied | RolloutState::Completed)
 }
--- a/crates/ryetide-gateway/src/exchange.rs
+++ b/crates/ryetide-gateway/src/exchange.rs
@@ -492,7 +492,7 @@
     /// Notes what an answer shows of its target's version.
     fn note_run(&self, target: &TargetEntry, pace: Option<Duration>) {
         let route = RouteKey::of(&self.matched.route.name);
-        let note = RunNote { target: target.key(), route, pace };
+        let note = RunNote { target: target.key(), route, sent: self.sent_at, pace };
         let now = self.gateway.hub().clock().now();
         self.gateway.hub().peek_mut(|scheduler| scheduler.note_run(now, note));
     }
--- a/crates/ryetide-gateway/src/rollout_keeper.rs
+++ b/crates/ryetide-gateway/src/rollout_keeper.rs
@@ -70,7 +70,7 @@
 }
 
 fn log_change(vm: &VmName, change: &RolloutChange) {
-    let RolloutChange { order, from, to, reason, placed, exposed } = change;
+    let RolloutChange { order, from, to, reason, placed, exposed, old, new } = change;
     let (service, version, number) = (&order.service, &order.to, order.number);
     let cause: &'static str = reason.into();
     let judged = match reason {
@@ -95,5 +95,13 @@
         answers,
         placed,
         exposed,
+        old_answers = old.answers,
+        old_failed = old.failed,
+        old_timed = old.timed,
+        old_slow = old.slow,
+        new_answers = new.answers,
+        new_failed = new.failed,
+        new_timed = new.timed,
+        new_slow = new.slow,
     );
 }
