Hold a new version against all answers of the old one

A good version was condemned while it moved: the old one had 7 answers in the last 3 s, none failed, where 0.14 of all fail.

--- a/crates/ryetide-core/src/service_rollout.rs
+++ b/crates/ryetide-core/src/service_rollout.rs
@@ -33,7 +33,7 @@
     chart::{self, RolloutEvent, RolloutState},
     ids::{Incarnation, ServiceKey, TargetKey, VmName},
     rollout_evidence::{AnswerCount, AnswerTally, RolloutEvidence, RunNote, VersionSide},
-    rollout_judge::{self, JudgeReason, RolloutVerdict},
+    rollout_judge::{self, JudgeCase, JudgeReason, RolloutVerdict},
     rollout_order::{
         OrderNumber, RolloutDuty, RolloutOrder, RolloutReport, RolloutRule, RolloutTask,
         RolloutWord,
@@ -342,10 +342,12 @@
         self.judged = now;
         let total = self.evidence.total();
         let recent = self.evidence.recent(now, &total);
-        let verdict = match rollout_judge::judge(&recent, scene.new_targets) {
-            RolloutVerdict::Bad(reason) => RolloutVerdict::Bad(reason),
-            _ => rollout_judge::judge(&total, scene.new_targets),
-        };
+        let verdict = rollout_judge::judge(&JudgeCase {
+            total: &total,
+            recent: &recent,
+            new_targets: scene.new_targets,
+            is_moving: self.state != RolloutState::Trial,
+        });
         let (age, duration) = (now.since(self.began), self.order.duration);
         match verdict {
             RolloutVerdict::Bad(reason) => {
