--- a/crates/ryetide-core/src/rollout_desk.rs
+++ b/crates/ryetide-core/src/rollout_desk.rs
@@ -10,7 +10,7 @@
     ids::{Incarnation, ServiceKey, ServiceName, TargetKey, VersionName, VmName},
     rollout_evidence::{RunNote, VersionSide},
     rollout_order::{RolloutDuty, RolloutOrder, RolloutReport, RolloutRule},
-    service_rollout::{self, RolloutChange, RolloutMark, RolloutScene, ServiceRollout},
+    service_rollout::{self, FleetSight, RolloutChange, RolloutMark, RolloutScene, ServiceRollout},
     target_load::TargetEntry,
     units::Moment,
 };
@@ -158,11 +158,11 @@
         &self,
         now: Moment,
         service: &ServiceName,
-        heard_part: f64,
+        sight: &FleetSight,
         targets: &[TargetKey],
     ) -> Vec<TargetKey> {
         let rollout = self.rollout(service);
-        rollout.map_or_else(Vec::new, |it| it.slice(now, heard_part, targets.to_vec()))
+        rollout.map_or_else(Vec::new, |it| it.slice(now, sight, targets.to_vec()))
     }
 
     /// Notes that a request was placed.
@@ -182,11 +182,11 @@
     }
 
     /// Does what has fallen due; `left` tells how many requests of this VM are at old targets of a service.
-    pub fn advance(&mut self, now: Moment, heard_part: f64, left: impl Fn(&ServiceName) -> u32) {
+    pub fn advance(&mut self, now: Moment, sight: &FleetSight, left: impl Fn(&ServiceName) -> u32) {
         for (name, versions) in &mut self.services {
             let new_targets = versions.live_new;
             versions.with_rollout(|rollout| {
-                let scene = RolloutScene { heard_part, new_targets, left: left(name) };
+                let scene = RolloutScene { sight: *sight, new_targets, left: left(name) };
                 rollout.advance(now, &scene);
             });
         }
--- a/crates/ryetide-core/src/rollout_order.rs
+++ b/crates/ryetide-core/src/rollout_order.rs
@@ -32,6 +32,8 @@
 pub struct RolloutRule {
     /// The greatest part of the service's requests.
     pub share: f64,
+    /// Requests beyond that part, over all VMs together.
+    pub slack: f64,
     /// After this time a version that was found bad must get nothing more, on any VM.
     pub rollback: Duration,
     /// Whether a version comes into use by an order only. Otherwise a version that appears beside another is used at
@@ -41,7 +43,7 @@
 
 impl Default for RolloutRule {
     fn default() -> Self {
-        Self { share: 0.1, rollback: Duration::from_secs(5), by_order_only: false }
+        Self { share: 0.1, slack: 0.0, rollback: Duration::from_secs(5), by_order_only: false }
     }
 }
 
--- a/crates/ryetide-core/src/scheduler.rs
+++ b/crates/ryetide-core/src/scheduler.rs
@@ -33,7 +33,7 @@
     rollout_evidence::{RunNote, VersionSide},
     rollout_order::{RolloutDuty, RolloutRule},
     scheduler_options::SchedulerOptions,
-    service_rollout::RolloutMark,
+    service_rollout::{FleetSight, RolloutMark},
     target_load::{TargetEntry, TargetLoad},
     units::{Moment, Tokens},
     wait_line::WaitingWork,
@@ -172,9 +172,9 @@
     /// Weighs what is known of new versions.
     pub fn advance_rollouts(&mut self, now: Moment) {
         let left = self.left_at_old();
-        let heard_part = self.peers.heard_part(now);
+        let sight = self.fleet_sight(now);
         self.with_rollouts(now, |desk, now| {
-            desk.advance(now, heard_part, |service| left.get(service).copied().unwrap_or(0));
+            desk.advance(now, &sight, |service| left.get(service).copied().unwrap_or(0));
         });
     }
 
@@ -200,6 +200,11 @@
         }
     }
 
+    fn fleet_sight(&self, now: Moment) -> FleetSight {
+        let (heard_part, vms) = (self.peers.heard_part(now), self.peers.known_count(now));
+        FleetSight { heard_part, vms }
+    }
+
     /// Counts the requests of this VM at old targets of the services for which an order is under way.
     fn left_at_old(&self) -> BTreeMap<ServiceName, u32> {
         let mut left = BTreeMap::new();
@@ -694,8 +699,8 @@
     fn view(&self, now: Moment, service: &ServiceName) -> Option<LineView<'_>> {
         let state = self.services.get(service)?;
         let sharing = PlaceSharing { vms: self.cell_size, turn_span: self.pace.news_span() };
-        let heard_part = self.peers.heard_part(now);
-        let trial = self.rollouts.trial_targets(now, service, heard_part, &state.trial);
+        let sight = self.fleet_sight(now);
+        let trial = self.rollouts.trial_targets(now, service, &sight, &state.trial);
         let view = LineView::new(now, state, &self.targets, &self.peers, &self.options, sharing);
         Some(view.with_trial(&trial, &self.targets))
     }
--- a/crates/ryetide-core/src/service_rollout.rs
+++ b/crates/ryetide-core/src/service_rollout.rs
@@ -43,6 +43,11 @@
 
 /// The part of the permitted share that is used: a request that was placed may not arrive.
 const USED_PART: f64 = 0.95;
+/// The part of the slack that is used, by VMs that know the order from its beginning, evenly. A VM that starts later gets
+/// none, so that no number of starts uses it up.
+const USED_SLACK: f64 = 0.5;
+/// A VM that learns of an order within this time knows it from its beginning.
+const BEGINNING: Duration = Duration::from_secs(2);
 /// Slices of an order's time, in each of which the trial's requests go to other targets.
 const SLICES: u32 = 12;
 /// How many times as many targets a wide slice has.
@@ -127,11 +132,20 @@
     OnlyVersion,
 }
 
-/// What a VM knows of the fleet that carries out an order.
+/// What a VM sees of the fleet.
 #[derive(Clone, Copy, Debug)]
-pub struct RolloutScene {
+pub struct FleetSight {
     /// The part of the entry VMs that is heard.
     pub heard_part: f64,
+    /// How many entry VMs there are, this one included.
+    pub vms: usize,
+}
+
+/// What a VM knows of the fleet that carries out an order.
+#[derive(Clone, Copy, Debug)]
+pub struct RolloutScene {
+    /// What it sees of the fleet.
+    pub sight: FleetSight,
     /// The new version's targets.
     pub new_targets: usize,
     /// Requests of this VM at the old version.
@@ -145,6 +159,8 @@
     rule: RolloutRule,
     state: RolloutState,
     began: Moment,
+    /// When this VM learnt of it.
+    learnt: Moment,
     evidence: RolloutEvidence,
     /// What peers have left at the old version, and when they said so.
     left: BTreeMap<VmName, (Moment, u32)>,
@@ -166,6 +182,7 @@
             rule,
             state: chart::rollout().initial(),
             began: now,
+            learnt: now,
             evidence: RolloutEvidence::default(),
             left: BTreeMap::new(),
             placed: 0,
@@ -263,10 +280,13 @@
     }
 
     /// Returns whether the share of the new version, which is on trial, permits one more request there.
-    fn may_expose(&self, heard_part: f64) -> bool {
-        let permitted = self.rule.share * USED_PART * (self.placed + 1) as f64;
+    fn may_expose(&self, sight: &FleetSight) -> bool {
+        let knows_beginning = self.learnt.since(self.began) < BEGINNING;
+        let slack = if knows_beginning { self.rule.slack * USED_SLACK } else { 0.0 };
+        let slack = (slack / sight.vms.max(1) as f64).floor();
+        let permitted = self.rule.share * USED_PART * (self.placed + 1) as f64 + slack;
         self.state == RolloutState::Trial
-            && heard_part >= LEAST_HEARD
+            && sight.heard_part >= LEAST_HEARD
             && (self.exposed + 1) as f64 <= permitted
     }
 
@@ -274,11 +294,11 @@
     pub fn slice(
         &self,
         now: Moment,
-        heard_part: f64,
+        sight: &FleetSight,
         mut targets: Vec<TargetKey>,
     ) -> Vec<TargetKey> {
         let count = targets.len();
-        if count == 0 || !self.may_expose(heard_part) {
+        if count == 0 || !self.may_expose(sight) {
             return Vec::new();
         }
         let share = count as f64 * self.rule.share;
@@ -370,7 +390,7 @@
     fn look_for_end(&mut self, now: Moment, scene: &RolloutScene) {
         let left = self.left.values().filter(|(at, _)| now.since(*at) < LEFT_LIFE);
         let left = left.fold(scene.left, |sum, (_, left)| sum.saturating_add(*left));
-        let heard = scene.heard_part >= LEAST_HEARD;
+        let heard = scene.sight.heard_part >= LEAST_HEARD;
         // What was sent just before the others moved is told within a digest.
         let settled = now.since(self.since) >= Duration::from_secs(1);
         if left == 0 && heard && settled {
