Give the slack to the timed answers of a trial

The slack was spent in the first narrow slice: services with 33 requests a second had 55 answers instead of 30, and 10 timed ones as before, so that 7 of 16 good versions were sent back for want of evidence. Narrow slices now use half of the share at the most; what is left and the slack goes to the wide ones. Old times count for 12 s, since on a route with half a request a second each VM never had enough of them.

--- a/crates/ryetide-core/src/rollout_desk.rs
+++ b/crates/ryetide-core/src/rollout_desk.rs
@@ -166,10 +166,10 @@
     }
 
     /// Notes that a request was placed.
-    pub fn note_placed(&mut self, entry: &TargetEntry) {
+    pub fn note_placed(&mut self, now: Moment, entry: &TargetEntry) {
         let Some(side) = self.side(entry) else { return };
         if let Some(versions) = self.services.get_mut(&entry.service) {
-            versions.with_rollout(|rollout| rollout.note_placed(side));
+            versions.with_rollout(|rollout| rollout.note_placed(now, side));
         }
     }
 
--- a/crates/ryetide-core/src/rollout_evidence.rs
+++ b/crates/ryetide-core/src/rollout_evidence.rs
@@ -18,9 +18,9 @@
 /// Times of the old version's answers that are remembered for each route.
 const SPANS_KEPT: usize = 48;
 /// Times older than this say nothing about the load of now.
-const SPANS_LIFE: Duration = Duration::from_secs(8);
+const SPANS_LIFE: Duration = Duration::from_secs(12);
 /// With fewer times of the old version no answer is held against them.
-const SPANS_LEAST: usize = 8;
+const SPANS_LEAST: usize = 6;
 /// The part of the old version's answers that are faster than one that counts as slow.
 const SLOW_QUANTILE: f64 = 0.8;
 /// What counts as lately: long enough for enough answers, short enough that what came before does not outweigh them.
--- a/crates/ryetide-core/src/scheduler.rs
+++ b/crates/ryetide-core/src/scheduler.rs
@@ -660,7 +660,7 @@
         let run = PlacedRun { service: service.clone(), target, since: now, last_event: None };
         self.runs.insert(ticket, run);
         let target = load.entry().clone();
-        self.rollouts.note_placed(&target);
+        self.rollouts.note_placed(now, &target);
         self.decisions.push(Decision::Place { ticket, target, evidence });
         self.changed = true;
     }
--- a/crates/ryetide-core/src/service_rollout.rs
+++ b/crates/ryetide-core/src/service_rollout.rs
@@ -50,6 +50,8 @@
 const BEGINNING: Duration = Duration::from_secs(2);
 /// Slices of an order's time, in each of which the trial's requests go to other targets.
 const SLICES: u32 = 12;
+/// The part of the share that is used in narrow slices; what is left, and the slack, show times.
+const NARROW_PART: f64 = 0.5;
 /// How many times as many targets a wide slice has.
 const WIDE: usize = 3;
 /// The shortest slice that still shows what load does.
@@ -166,6 +168,8 @@
     left: BTreeMap<VmName, (Moment, u32)>,
     placed: u64,
     exposed: u64,
+    /// Those of them that ran in narrow slices.
+    exposed_narrow: u64,
     judged: Moment,
     /// Whether it is written down that the version was found good.
     remembered: bool,
@@ -187,6 +191,7 @@
             left: BTreeMap::new(),
             placed: 0,
             exposed: 0,
+            exposed_narrow: 0,
             judged: now,
             remembered: false,
             since: now,
@@ -280,14 +285,14 @@
     }
 
     /// Returns whether the share of the new version, which is on trial, permits one more request there.
-    fn may_expose(&self, sight: &FleetSight) -> bool {
+    fn may_expose(&self, sight: &FleetSight, is_wide: bool) -> bool {
         let knows_beginning = self.learnt.since(self.began) < BEGINNING;
         let slack = if knows_beginning { self.rule.slack * USED_SLACK } else { 0.0 };
         let slack = (slack / sight.vms.max(1) as f64).floor();
-        let permitted = self.rule.share * USED_PART * (self.placed + 1) as f64 + slack;
-        self.state == RolloutState::Trial
-            && sight.heard_part >= LEAST_HEARD
-            && (self.exposed + 1) as f64 <= permitted
+        let permitted = self.rule.share * USED_PART * (self.placed + 1) as f64;
+        let has_room = (self.exposed + 1) as f64 <= permitted + slack
+            && (is_wide || (self.exposed_narrow + 1) as f64 <= permitted * NARROW_PART);
+        self.state == RolloutState::Trial && sight.heard_part >= LEAST_HEARD && has_room
     }
 
     /// Returns those of the new version's `targets` that may get one more request now.
@@ -298,13 +303,13 @@
         mut targets: Vec<TargetKey>,
     ) -> Vec<TargetKey> {
         let count = targets.len();
-        if count == 0 || !self.may_expose(sight) {
+        let slices = self.slices(now);
+        let is_wide = is_wide(slices);
+        if count == 0 || !self.may_expose(sight, is_wide) {
             return Vec::new();
         }
         let share = count as f64 * self.rule.share;
         let narrow = (share as usize).clamp(1, count);
-        let slices = self.slices(now);
-        let is_wide = is_wide(slices);
         if !is_wide && slices.fract() < 1.0 - share / narrow as f64 {
             return Vec::new();
         }
@@ -321,9 +326,12 @@
     }
 
     /// Notes that a request was placed.
-    pub fn note_placed(&mut self, side: VersionSide) {
+    pub fn note_placed(&mut self, now: Moment, side: VersionSide) {
         self.placed += 1;
-        self.exposed += u64::from(side == VersionSide::New);
+        if side == VersionSide::New {
+            self.exposed += 1;
+            self.exposed_narrow += u64::from(!is_wide(self.slices(now)));
+        }
     }
 
     /// Notes how a run has ended.
