Play roll-outs on real processes, on a scheduler, and on a gateway's own texts

A gateway without a platform takes back a failing version that its text orders. `ryetide explain SERVICE` tells an order's story; placements name the version.

--- a/crates/ryetide-cli/src/explain.rs
+++ b/crates/ryetide-cli/src/explain.rs
@@ -1,4 +1,4 @@
-//! `ryetide explain`: the story of one request, from the logs of all VMs.
+//! `ryetide explain`: the story of one request, or of the orders for a service, from the logs of all VMs.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -20,7 +20,7 @@
 }
 
 impl RequestStory {
-    /// Picks the lines about the request `id` out of a log.
+    /// Picks the lines about the request `id`, or about the orders for the service of that name, out of a log.
     ///
     /// # Errors
     ///
@@ -32,7 +32,9 @@
         for line in log.lines() {
             let fields = fields_of(&line?);
             let time = fields.get("ts").cloned().unwrap_or_default();
-            if fields.get("request").is_some_and(|request| request == id) {
+            if value(&fields, "event").starts_with("rollout") && value(&fields, "service") == id {
+                story.lines.push((time, fields));
+            } else if fields.get("request").is_some_and(|request| request == id) {
                 prints.extend(fields.get("print").cloned());
                 story.lines.push((time, fields));
             } else if CRASH_EVENTS.contains(&value(&fields, "event")) {
@@ -70,9 +72,10 @@
     let of = |key| value(fields, key);
     match of("event") {
         "placed" => format!(
-            "sent to {} after waiting {} ms, {} others running there and {} in line here; first event \
+            "sent to {}{} after waiting {} ms, {} others running there and {} in line here; first event \
              expected in {} ms{}; routes {}",
             of("target"),
+            fields.get("version").map(|version| format!(" ({version})")).unwrap_or_default(),
             of("waited_ms"),
             of("running"),
             of("line"),
@@ -134,6 +137,34 @@
             "sent to no target, since it crashes them; it may be if nobody asks for it for {} ms",
             of("retry_ms")
         ),
+        "rollout-ordered" => format!("order {}: move to {}", of("number"), of("to")),
+        "rollout-row" => format!("order {}: its row says {}", of("number"), of("word")),
+        "rollout-row-failed" => {
+            format!("order {}: {} could not be done: {}", of("number"), of("task"), of("reason"))
+        }
+        "rollout-step" => format!(
+            "order {} for {}: {} after {}, by {}{}; {} of {} requests of this VM went there; of {} answers {} failed \
+             and {} of {} timed were slow, of the old version's {}: {}, and {} of {}",
+            of("number"),
+            of("to_version"),
+            of("to"),
+            of("from"),
+            of("reason"),
+            match of("by") {
+                "-" => String::new(),
+                by => format!(" ({by}: {} found, {} expected)", of("found"), of("expected")),
+            },
+            of("exposed"),
+            of("placed"),
+            of("new_answers"),
+            of("new_failed"),
+            of("new_slow"),
+            of("new_timed"),
+            of("old_answers"),
+            of("old_failed"),
+            of("old_slow"),
+            of("old_timed"),
+        ),
         "broken-off" => format!("broken off towards its caller: {}", of("reason")),
         "ended" => format!(
             "ended {} after {} ms and {} attempt(s); first event after {} ms, longest pause {} ms",
--- a/crates/ryetide-cli/tests/explain.rs
+++ b/crates/ryetide-cli/tests/explain.rs
@@ -15,6 +15,9 @@
 ts=2026-03-25T04:18:51.2000Z level=warn event=target-crashed vm=e1 request=q8 print=6a target=i-ab peer=10.0.0.1:80 ran_ms=900 runs=3
 ts=2026-03-25T04:18:52.3000Z level=warn event=quarantine-begun vm=e2 print=5f crashes=3 blamed=3 elsewhere=0 targets=12 chance_ppb=100
 ts=2026-03-25T04:18:53.1000Z level=info event=quarantined vm=e1 request=q9 sequence=20 print=5f route=r1 retry_ms=600000
+ts=2026-03-25T04:19:01.1000Z level=info event=rollout-ordered service=desk number=17 to=v2
+ts=2026-03-25T04:19:09.2000Z level=info event=rollout-step vm=e2 service=desk to_version=v2 number=17 from=Trial to=Condemned reason=evidence by=failures expected=0.01 found=0.5 answers=20 placed=300 exposed=24 old_answers=276 old_failed=1 old_timed=200 old_slow=41 new_answers=20 new_failed=10 new_timed=6 new_slow=1
+ts=2026-03-25T04:19:09.3000Z level=info event=rollout-row service=desk number=17 word=rolled-back
 "#;
 
 fn explain(id: &str) -> Output {
@@ -43,6 +46,18 @@
     assert!(lines[2].contains("answered 502 by the gateway itself: target-failed"), "{text}");
 }
 
+#[test]
+fn the_story_of_a_rollout_is_told_by_its_service() {
+    let text = String::from_utf8(explain("desk").stdout).expect("text");
+    let lines: Vec<&str> = text.lines().collect();
+    assert_eq!(lines.len(), 3, "{text}");
+    assert!(lines[0].contains("order 17: move to v2"), "{text}");
+    let expected = "Condemned after Trial, by evidence (failures: 0.5 found, 0.01 expected)";
+    assert!(lines[1].contains(expected), "{text}");
+    assert!(lines[1].contains("24 of 300 requests"), "{text}");
+    assert!(lines[2].contains("its row says rolled-back"), "{text}");
+}
+
 /// An attempt is refused for what earlier ones have done, at other VMs and under other ids.
 #[test]
 fn the_story_tells_what_other_attempts_of_the_request_have_crashed() {
--- a/crates/ryetide-core/tests/rollout/main.rs
+++ b/crates/ryetide-core/tests/rollout/main.rs
@@ -6,4 +6,5 @@
 mod faults;
 mod fleet;
 mod judging;
+mod placing;
 mod versions;
--- /dev/null
+++ b/crates/ryetide-core/tests/rollout/placing.rs
@@ -0,0 +1,136 @@
+//! Where one VM's scheduler sends requests while an order is under way.
+
+use std::time::Duration;
+
+use ryetide_core::{
+    decision::{Decision, RunEnd},
+    ids::{Incarnation, RequestSequence},
+    pace::AssumedPace,
+    rollout_evidence::VersionSide,
+    rollout_order::{OrderNumber, RolloutOrder, RolloutReport, RolloutWord},
+    scheduler::Scheduler,
+    scheduler_options::SchedulerOptions,
+    target_load::TargetEntry,
+    units::{Moment, TierRank, Tokens},
+    wait_line::WaitingWork,
+};
+
+use crate::fleet;
+
+const TARGETS: usize = 4;
+
+fn at(millis: u64) -> Moment {
+    Moment::from_millis(1_000 + millis)
+}
+
+fn work(ticket: u64, now: Moment) -> WaitingWork {
+    WaitingWork {
+        ticket: RequestSequence(ticket),
+        service: fleet::service(),
+        tier: TierRank(1),
+        route_tier: TierRank(1),
+        engine: false,
+        prompt: Tokens(0),
+        part: None,
+        events: 1,
+        arrived: now,
+        came_back: false,
+        objective_at: now + Duration::from_millis(500),
+        leave_at: now + Duration::from_secs(3),
+        pause: None,
+        begun: false,
+        excluded: Vec::new(),
+    }
+}
+
+/// A VM before four targets of each version, with an order that has just become known.
+fn ordered() -> Scheduler {
+    let mut scheduler = Scheduler::new(SchedulerOptions {
+        name: "e1".into(),
+        data_centre: "hall-a".into(),
+        incarnation: Incarnation(1),
+        seed: 1,
+        retry: Default::default(),
+        rollout: fleet::rule(),
+        assumed: AssumedPace::default(),
+    });
+    // It has read the list of VMs, and is the only one.
+    scheduler.list_peers(Moment(1), &[]);
+    let of = |side| (0..TARGETS).map(move |place| fleet::entry(side, place));
+    scheduler.set_targets(Moment(1), of(VersionSide::Old).collect());
+    let (service, number) = (fleet::service(), OrderNumber(1));
+    let order =
+        RolloutOrder { service, to: "v2".into(), duration: Duration::from_secs(60), number };
+    scheduler.with_rollouts(at(0), |desk, now| desk.take_order(now, order));
+    let all: Vec<TargetEntry> = of(VersionSide::Old).chain(of(VersionSide::New)).collect();
+    scheduler.set_targets(at(0), all);
+    scheduler
+}
+
+fn report(scheduler: &mut Scheduler, now: Moment, word: RolloutWord, passed: bool) {
+    let (service, number) = (fleet::service(), OrderNumber(1));
+    let report = RolloutReport { service, number, word, age: None, passed };
+    scheduler.with_rollouts(now, |desk, now| desk.take_report(now, &report));
+}
+
+/// Takes requests in, one each 10 ms, and returns how many went to each version.
+fn serve(scheduler: &mut Scheduler, from: u64, count: u64, as_repeat: bool) -> (u64, u64) {
+    let (mut old, mut new) = (0, 0);
+    for number in from..from + count {
+        let now = at(10 * number);
+        let mut asked = work(number, now);
+        if as_repeat {
+            asked.excluded = vec![fleet::entry(VersionSide::Old, 0).key()];
+        }
+        scheduler.enter(now, asked);
+        for decision in scheduler.take_decisions() {
+            let Decision::Place { ticket, target, .. } = decision else { continue };
+            let is_new = target.version.as_str() == "v2";
+            (old, new) = (old + u64::from(!is_new), new + u64::from(is_new));
+            scheduler.end(now + Duration::from_millis(5), ticket, RunEnd::Whole);
+        }
+    }
+    (old, new)
+}
+
+#[test]
+fn nothing_goes_to_a_version_until_its_order_is_open() {
+    let mut scheduler = ordered();
+    assert_eq!(serve(&mut scheduler, 1, 200, false), (200, 0));
+}
+
+/// The share is kept, and used: without answers nobody would know.
+#[test]
+fn a_version_on_trial_gets_its_share() {
+    let mut scheduler = ordered();
+    report(&mut scheduler, at(0), RolloutWord::Running, false);
+    let (old, new) = serve(&mut scheduler, 1, 1_000, false);
+    let permitted = (old + new) / 10 + 25;
+    assert!((60..=permitted).contains(&new), "{new} of {}", old + new);
+}
+
+/// A caller whose request has failed once is not tried on again.
+#[test]
+fn a_request_that_was_sent_before_does_not_go_to_a_version_on_trial() {
+    let mut scheduler = ordered();
+    report(&mut scheduler, at(0), RolloutWord::Running, false);
+    assert_eq!(serve(&mut scheduler, 1, 500, true).1, 0);
+}
+
+#[test]
+fn a_version_that_was_found_good_gets_everything_new() {
+    let mut scheduler = ordered();
+    report(&mut scheduler, at(0), RolloutWord::Running, true);
+    assert_eq!(serve(&mut scheduler, 1, 200, false), (0, 200));
+    report(&mut scheduler, at(2_000), RolloutWord::Completed, true);
+    assert_eq!(serve(&mut scheduler, 300, 200, false), (0, 200));
+}
+
+#[test]
+fn a_version_that_was_taken_back_gets_nothing() {
+    let mut scheduler = ordered();
+    report(&mut scheduler, at(0), RolloutWord::Running, false);
+    serve(&mut scheduler, 1, 200, false);
+    report(&mut scheduler, at(2_000), RolloutWord::RolledBack, false);
+    assert_eq!(serve(&mut scheduler, 300, 200, false), (200, 0));
+}
--- a/crates/ryetide-gateway/src/decision_log.rs
+++ b/crates/ryetide-gateway/src/decision_log.rs
@@ -102,6 +102,7 @@
             route = request.route,
             target = %target.name,
             life = %target.life,
+            version = %target.version,
             %revision,
             waited_ms = millis(waited),
             waited_before_ms = millis(request.waited_before),
--- a/crates/ryetide-gateway/tests/own_text.rs
+++ b/crates/ryetide-gateway/tests/own_text.rs
@@ -65,6 +65,11 @@
 
 /// A target that answers each request with its own name, once on each connection.
 fn start_target(name: &'static str) -> SocketAddr {
+    start_answering(name, "200 OK")
+}
+
+/// A target that answers each request with `status` and its own name.
+fn start_answering(name: &'static str, status: &'static str) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
     let address = listener.local_addr().expect("an address");
     thread::spawn(move || {
@@ -75,7 +80,7 @@
             let text = String::from_utf8_lossy(&head[..length]).into_owned();
             let id = text.lines().find_map(|line| line.strip_prefix("ryetide-request-id: "));
             let answer = format!(
-                "HTTP/1.1 200 OK\r\nryetide-request-id: {}\r\nryetide-answered-by: {name}\r\n\
+                "HTTP/1.1 {status}\r\nryetide-request-id: {}\r\nryetide-answered-by: {name}\r\n\
                  connection: close\r\ncontent-length: {}\r\n\r\n{name}",
                 id.unwrap_or_default(),
                 name.len()
@@ -143,6 +148,67 @@
     assert!(faults.contains("link") && faults.contains('0'), "{faults}");
 }
 
+/// Operators order a version in their text, read from the log that it was taken back, and its target gets nothing more.
+#[test]
+fn a_failing_version_that_the_text_orders_is_taken_back() {
+    let (callers, status, peers) = (free_address(), free_address(), free_address());
+    let folder = std::env::temp_dir().join(format!("ryetide-rollout-{}", callers.port()));
+    std::fs::create_dir_all(&folder).expect("a folder");
+    let (routes_path, settings_path): (PathBuf, PathBuf) =
+        (folder.join("routes.yaml"), folder.join("settings.yaml"));
+    let old = start_target("old");
+    write(&routes_path, &routes(1, old).replace("name: t1", "name: v1, version: v1"));
+    let settings = format!(
+        "name: e1\ndata-centre: hall-a\ncallers: {callers}\nstatus: {status}\n\
+         peers: {{address: '{peers}', key: {KEY}}}\nroutes: {}\n\
+         rollout: {{share: 0.2, slack: 0, rollback: 5s, by-order-only: true}}\n",
+        routes_path.display()
+    );
+    write(&settings_path, &settings);
+    let process = Process::start(&settings_path);
+    process.wait_for(&["event=targets-changed"]);
+    let new = start_answering("new", "500 Internal Server Error");
+    let target = |name, address| {
+        format!(
+            "{{name: {name}, version: {name}, data-centre: hall-a, address: '{address}', slots: 4}}"
+        )
+    };
+    let both = format!("[{}, {}]", target("v1", old), target("v2", new));
+    let text = routes(2, old);
+    let line = text.lines().find(|line| line.contains("targets:")).expect("targets");
+    let text = text.replace(line, &format!("    targets: {both}"));
+    let order = "rollouts: [{service: desk, to: v2, within: 30s, number: 1}]\n";
+    write(&routes_path, &format!("{text}{order}"));
+    process.wait_for(&["event=rollout-step", "to=Trial"]);
+    let asking = thread::spawn(move || {
+        let mut failed = 0;
+        for _ in 0..1_500 {
+            let answer = ask(callers).unwrap_or_default();
+            failed += u32::from(answer.ends_with("new"));
+            thread::sleep(Duration::from_millis(4));
+        }
+        failed
+    });
+    process.wait_for(&["event=rollout-step", "to=Condemned", "by=failures"]);
+    process.wait_for(&["event=rollout-step", "to=RolledBack"]);
+    let failed = asking.join().expect("a caller that ends");
+    assert!((12..=60).contains(&failed), "{failed} of 1,500 callers met the failing version");
+    assert!((0..40).all(|_| ask(callers).is_some_and(|answer| answer.ends_with("old"))));
+    std::fs::remove_dir_all(&folder).expect("a folder of our own");
+}
+
+#[test]
+fn orders_and_their_rule_are_checked() {
+    let text = routes(1, free_address());
+    let order = "rollouts: [{service: desk, to: v2, within: 30s, number: 4}]\n";
+    let orders = RouteText::parse(&format!("{text}{order}")).expect("a sound text").orders;
+    assert_eq!((orders.len(), orders[0].number.0), (1, 4));
+    let unknown = order.replace("desk", "nobody").replace("30s", "1s");
+    let faults = RouteText::parse(&format!("{text}{unknown}")).expect_err("two faults");
+    let told = faults.to_string();
+    assert!(told.contains("2 fault(s)") && told.contains("nobody"), "{told}");
+}
+
 #[test]
 fn a_gateway_serves_its_routes_file_and_follows_its_changes() {
     let (callers, status, peers) = (free_address(), free_address(), free_address());
