Let VMs of two releases hear each other while a fleet is rolled

What happened: a digest had no version, and one that lacked a field could not be read; while a fleet was rolled to a release that adds one, VMs of the two heard only their own, each side with half of the fleet's quota and none of the other's load. The release that brings roll-outs adds one field, at the end. What a release adds now comes after all else and is empty where its bytes are zero: older VMs pass over it, as the codec does, newer ones read what is missing as zeros. The hash covers what was sent; a message that is cut short is still refused, at every length. a_digest_of_the_release_before_is_read was seen to fail without the change; the other two hold without it.

--- a/crates/ryetide-gateway/src/peer_link.rs
+++ b/crates/ryetide-gateway/src/peer_link.rs
@@ -5,6 +5,10 @@
 //! what to believe, and there is nothing to hand out; a VM that starts again goes on with the key that it
 //! finds there. Datagrams need no connection to each of many
 //! peers, and one that is lost is made good by the next.
+//!
+//! While a fleet is rolled to a new release, VMs of two releases hear each other: what a release adds to a digest comes
+//! after all else and is empty where its bytes are zero. An older VM passes over bytes that it does not know, and a newer
+//! one reads the bytes that an older has not sent as zeros. A release that changes anything before them breaks that.
 
 use std::{cell::Cell, rc::Rc};
 
@@ -27,6 +31,8 @@
 
 /// Bytes of the keyed hash that are sent: 128 bits.
 const TAG_LENGTH: usize = 16;
+/// Fields at the end of a digest that VMs of an earlier release do not send.
+const ADDED_FIELDS: usize = 1;
 /// The largest datagram that is read; a digest of 140 targets has some 5 KB.
 const DATAGRAM_LIMIT: usize = 60_000;
 
@@ -93,7 +99,7 @@
     secret_of: impl FnOnce(&VmName) -> Option<PeerSecret>,
 ) -> Result<PeerEnvelope, DatagramFault> {
     let (tag, body) = datagram.split_at_checked(TAG_LENGTH).ok_or(DatagramFault::Short)?;
-    let envelope: PeerEnvelope = postcard::from_bytes(body)?;
+    let envelope = read(body)?;
     let from = envelope.from.clone();
     let secret = secret_of(&from).ok_or_else(|| DatagramFault::Unlisted(from.clone()))?;
     let key = hmac::Key::new(hmac::HMAC_SHA256, &secret);
@@ -106,6 +112,18 @@
     Ok(envelope)
 }
 
+/// Reads a message of this release or of an earlier one, which lacks what has been added at the end since.
+fn read(body: &[u8]) -> Result<PeerEnvelope, postcard::Error> {
+    match postcard::from_bytes(body) {
+        Err(postcard::Error::DeserializeUnexpectedEnd) => {
+            let mut padded = body.to_vec();
+            padded.extend_from_slice(&[0; ADDED_FIELDS]);
+            postcard::from_bytes(&padded)
+        }
+        read => read,
+    }
+}
+
 /// This VM's socket for messages.
 pub struct PeerLink {
     socket: UdpSocket,
--- /dev/null
+++ b/crates/ryetide-gateway/tests/releases.rs
@@ -0,0 +1,97 @@
+//! VMs of two releases hear each other while a fleet is rolled from one to the other.
+
+use ring::hmac;
+use ryetide_core::{
+    crash_ledger::CrashNews,
+    ids::{DataCentreName, Incarnation, OrganisationKey, VmName},
+    load_digest::{DigestScope, LoadDigest, PlacedPrompt, TargetMark, WaitMark},
+    target_word::LeavingMark,
+    units::Revision,
+    watch_duty::WatchNote,
+};
+use ryetide_gateway::peer_link::{self, PeerEnvelope, PeerMessage};
+use serde::{Deserialize, Serialize};
+
+const SECRET: [u8; 32] = [7; 32];
+const TAG_LENGTH: usize = 16;
+
+/// A digest as the release before roll-outs writes and reads it.
+#[derive(Debug, Default, Deserialize, PartialEq, Serialize)]
+struct EarlierDigest {
+    incarnation: Incarnation,
+    sequence: u64,
+    leaving: bool,
+    scope: DigestScope,
+    data_centre: Option<DataCentreName>,
+    revision: Revision,
+    registry: u64,
+    watch: Option<WatchNote>,
+    targets: Vec<TargetMark>,
+    waiting: Vec<WaitMark>,
+    spent: Vec<(OrganisationKey, u64)>,
+    placed: Vec<PlacedPrompt>,
+    crashes: CrashNews,
+    leaving_targets: Vec<LeavingMark>,
+}
+
+#[derive(Debug, Deserialize, PartialEq, Serialize)]
+enum EarlierMessage {
+    Digest(EarlierDigest),
+}
+
+#[derive(Debug, Deserialize, PartialEq, Serialize)]
+struct EarlierEnvelope {
+    from: VmName,
+    message: EarlierMessage,
+}
+
+fn earlier() -> EarlierEnvelope {
+    let digest = EarlierDigest {
+        incarnation: Incarnation(3),
+        sequence: 9,
+        data_centre: Some("hall-a".into()),
+        revision: Revision(14),
+        ..EarlierDigest::default()
+    };
+    EarlierEnvelope { from: "e1".into(), message: EarlierMessage::Digest(digest) }
+}
+
+#[test]
+fn a_digest_of_the_release_before_is_read() {
+    let body = postcard::to_allocvec(&earlier()).expect("a message");
+    let key = hmac::Key::new(hmac::HMAC_SHA256, &SECRET);
+    let mut datagram = hmac::sign(&key, &body).as_ref()[..TAG_LENGTH].to_vec();
+    datagram.extend_from_slice(&body);
+    let PeerEnvelope { from, message } =
+        peer_link::open(&datagram, |_| Some(SECRET)).expect("a message that is understood");
+    let PeerMessage::Digest(digest) = message else { panic!("no digest: {message:?}") };
+    assert_eq!((from.as_str(), digest.sequence), ("e1", 9));
+    assert_eq!((digest.revision, digest.rollouts.len()), (Revision(14), 0));
+}
+
+#[test]
+fn a_digest_of_this_release_is_read_by_the_one_before() {
+    let digest = LoadDigest {
+        incarnation: Incarnation(3),
+        sequence: 9,
+        data_centre: Some("hall-a".into()),
+        revision: Revision(14),
+        ..LoadDigest::default()
+    };
+    let envelope = PeerEnvelope { from: "e1".into(), message: PeerMessage::Digest(digest) };
+    let datagram = peer_link::seal(&SECRET, &envelope).expect("a message");
+    let read: EarlierEnvelope =
+        postcard::from_bytes(&datagram[TAG_LENGTH..]).expect("a message that is understood");
+    assert_eq!(read, earlier());
+}
+
+/// A datagram that was cut short on its way, or is somebody else's, must not be taken for an earlier release's.
+#[test]
+fn a_message_that_is_cut_short_is_not_believed() {
+    let digest = LoadDigest { spent: vec![(OrganisationKey(1), 700)], ..LoadDigest::default() };
+    let envelope = PeerEnvelope { from: "e1".into(), message: PeerMessage::Digest(digest) };
+    let datagram = peer_link::seal(&SECRET, &envelope).expect("a message");
+    for length in 0..datagram.len() {
+        assert!(peer_link::open(&datagram[..length], |_| Some(SECRET)).is_err(), "{length} bytes");
+    }
+}
