Move digests and roll-outs out of the scheduler's file

The sight of the fleet is worked out only while a version is on trial: it goes through all peers, and a line is looked at for each placement.

--- a/crates/ryetide-core/src/scheduler.rs
+++ b/crates/ryetide-core/src/scheduler.rs
@@ -19,23 +19,20 @@
     crash_ledger::{CrashLedger, CrashedRun, RequestStanding},
     decision::{Decision, PlacingEvidence, RefusalReason, RunEnd},
     digest_pace::DigestPace,
-    digest_route::{DigestPeer, DigestRecipients, DigestRoute},
+    digest_route::DigestRoute,
     digest_teller::DigestTeller,
     ids::{RequestSequence, ServiceName, TargetKey, VmName},
     line_view::{LineChoice, LineView, PlaceSharing, ServiceLine},
-    load_digest::{DigestEnvelope, DigestScope, FleetNews, LoadDigest, TargetMark},
-    peer_board::{self, DigestChange, FeedLag, PeerBoard},
+    load_digest::FleetNews,
+    peer_board::{FeedLag, PeerBoard},
     quota::QuotaCharge,
     quota_desk::{QuotaAnswer, QuotaAsk, QuotaDesk, QuotaVerdict},
     request_print::RequestPrint,
     retry_budget::{RetryBudget, RetryRule},
     rollout_desk::{RolloutDesk, TargetUse},
-    rollout_evidence::{RunNote, VersionSide},
-    rollout_order::{RolloutDuty, RolloutRule},
     scheduler_options::SchedulerOptions,
-    service_rollout::{FleetSight, RolloutMark},
     target_load::{TargetEntry, TargetLoad},
-    units::{Moment, Tokens},
+    units::Moment,
     wait_line::WaitingWork,
     watch_duty::WatchOrder,
 };
@@ -49,34 +46,34 @@
 /// Schedules the requests of one entry VM onto the targets that all share.
 #[derive(Debug)]
 pub struct Scheduler {
-    options: SchedulerOptions,
+    pub(crate) options: SchedulerOptions,
     comeback: ComebackTime,
-    services: BTreeMap<ServiceName, ServiceLine>,
-    targets: BTreeMap<TargetKey, TargetLoad>,
-    runs: HashMap<RequestSequence, PlacedRun>,
-    peers: PeerBoard,
+    pub(crate) services: BTreeMap<ServiceName, ServiceLine>,
+    pub(crate) targets: BTreeMap<TargetKey, TargetLoad>,
+    pub(crate) runs: HashMap<RequestSequence, PlacedRun>,
+    pub(crate) peers: PeerBoard,
     /// The targets of which each peer's last digest told.
-    marked: HashMap<VmName, BTreeSet<TargetKey>>,
-    quotas: QuotaDesk,
+    pub(crate) marked: HashMap<VmName, BTreeSet<TargetKey>>,
+    pub(crate) quotas: QuotaDesk,
     verdicts: Vec<QuotaVerdict>,
     retries: RetryBudget,
-    crashes: CrashLedger,
-    rollouts: RolloutDesk,
-    teller: DigestTeller,
-    pace: DigestPace,
-    route: DigestRoute,
+    pub(crate) crashes: CrashLedger,
+    pub(crate) rollouts: RolloutDesk,
+    pub(crate) teller: DigestTeller,
+    pub(crate) pace: DigestPace,
+    pub(crate) route: DigestRoute,
     decisions: Vec<Decision>,
-    changed: bool,
-    plan: CellPlan,
+    pub(crate) changed: bool,
+    pub(crate) plan: CellPlan,
     watch_order: WatchOrder,
     /// VMs that use the same targets, this one included.
     cell_size: u32,
 }
 
 #[derive(Clone, Debug)]
-struct PlacedRun {
-    service: ServiceName,
-    target: TargetKey,
+pub(crate) struct PlacedRun {
+    pub(crate) service: ServiceName,
+    pub(crate) target: TargetKey,
     since: Moment,
     last_event: Option<Moment>,
 }
@@ -131,7 +128,7 @@
     }
 
     /// Finds the targets that this VM's cell uses, those of a version on trial apart.
-    fn deal_targets(&mut self) {
+    pub(crate) fn deal_targets(&mut self) {
         let mut by_use: BTreeMap<(ServiceName, bool), Vec<&TargetEntry>> = BTreeMap::new();
         for load in self.targets.values() {
             let entry = load.entry();
@@ -154,72 +151,6 @@
         }
     }
 
-    /// Runs something on the versions of services and lets those have work that may have it now.
-    pub fn with_rollouts<T>(
-        &mut self,
-        now: Moment,
-        act: impl FnOnce(&mut RolloutDesk, Moment) -> T,
-    ) -> T {
-        let outcome = act(&mut self.rollouts, now);
-        if self.rollouts.has_changes() {
-            self.deal_targets();
-            self.changed = true;
-            self.pump_all(now);
-        }
-        outcome
-    }
-
-    /// Weighs what is known of new versions.
-    pub fn advance_rollouts(&mut self, now: Moment) {
-        let left = self.left_at_old();
-        let sight = self.fleet_sight(now);
-        self.with_rollouts(now, |desk, now| {
-            desk.advance(now, &sight, |service| left.get(service).copied().unwrap_or(0));
-        });
-    }
-
-    /// Returns the versions of services and the orders that change them.
-    pub fn rollouts(&self) -> &RolloutDesk {
-        &self.rollouts
-    }
-
-    /// Returns what this VM must do at the operators' rows about orders.
-    pub fn rollout_duties(&self, now: Moment) -> Vec<RolloutDuty> {
-        if self.rollouts.rollouts().next().is_none() {
-            return Vec::new();
-        }
-        let members = self.peers.members(now).into_iter().map(|member| member.name);
-        let heard: Vec<VmName> = members.filter(|vm| self.peers.passes_on(now, vm)).collect();
-        self.rollouts.duties(now, &heard)
-    }
-
-    /// Notes how a run has ended that shows what its target's version is like.
-    pub fn note_run(&mut self, now: Moment, note: RunNote) {
-        if let Some(load) = self.targets.get(&note.target) {
-            self.rollouts.note_run(now, load.entry(), note);
-        }
-    }
-
-    fn fleet_sight(&self, now: Moment) -> FleetSight {
-        let (heard_part, vms) = (self.peers.heard_part(now), self.peers.known_count(now));
-        FleetSight { heard_part, vms }
-    }
-
-    /// Counts the requests of this VM at old targets of the services for which an order is under way.
-    fn left_at_old(&self) -> BTreeMap<ServiceName, u32> {
-        let mut left = BTreeMap::new();
-        if self.rollouts.rollouts().all(|rollout| rollout.is_ended()) {
-            return left;
-        }
-        for run in self.runs.values() {
-            let entry = self.targets.get(&run.target).map(TargetLoad::entry);
-            if entry.and_then(|entry| self.rollouts.side(entry)) == Some(VersionSide::Old) {
-                *left.entry(run.service.clone()).or_default() += 1;
-            }
-        }
-        left
-    }
-
     /// Works the cells out anew from the VMs that are heard and the targets that are known.
     pub fn plan_cells(&mut self, now: Moment) {
         let entries = self.targets.values().map(TargetLoad::entry);
@@ -256,11 +187,6 @@
         self.retries.set_rule(rule);
     }
 
-    /// Replaces how much a version may get that may prove bad; orders under way keep to the rule that they began with.
-    pub fn set_rollout_rule(&mut self, rule: RolloutRule) {
-        self.rollouts.set_rule(rule);
-    }
-
     /// Takes the list of the other entry VMs.
     pub fn list_peers(&mut self, now: Moment, listed: &[CellMember]) {
         self.peers.list(now, listed);
@@ -273,68 +199,6 @@
         self.watch_order = order;
     }
 
-    /// Takes a peer's digest.
-    pub fn take_digest(&mut self, now: Moment, envelope: DigestEnvelope) {
-        let DigestEnvelope { from, digest } = envelope;
-        let (placed_before, unheard) = match self.peers.take(now, &from, &digest) {
-            DigestChange::Stale => return,
-            DigestChange::Newer { placed, unheard } => (placed, unheard),
-            DigestChange::NewLife => {
-                self.quotas.forget_peer(&from);
-                self.crashes.retell(now);
-                (digest.placed.last().map_or(0, |placed| placed.number), Duration::ZERO)
-            }
-        };
-        if unheard >= peer_board::HEARD_SPAN {
-            self.crashes.retell(now);
-        }
-        self.crashes.take(now, &digest.crashes);
-        if !digest.rollouts.is_empty() {
-            self.with_rollouts(now, |desk, now| {
-                desk.take_marks(now, &from, digest.incarnation, &digest.rollouts);
-            });
-        }
-        // What a peer that is heard again has used is charged to a bucket that has grown by its part.
-        self.note_peers(now);
-        self.forget_marks(now, &from, &digest);
-        for mark in &digest.targets {
-            if let Some(load) = self.targets.get_mut(&mark.target) {
-                load.take_mark(now, &from, *mark);
-                load.refresh(now, &self.options.assumed);
-            }
-        }
-        for placed in digest.placed.iter().filter(|placed| placed.number > placed_before) {
-            if let Some(load) = self.targets.get_mut(&placed.target) {
-                load.memory_mut().note(now, placed.part, Tokens(u64::from(placed.tokens)));
-            }
-        }
-        for (key, total) in &digest.spent {
-            self.quotas.ledger_mut().note_peer(now, &from, *key, *total, unheard);
-        }
-        if digest.scope != DigestScope::Changes {
-            self.quotas.ledger_mut().note_whole(&from);
-        }
-        self.pump_all(now);
-    }
-
-    /// Forgets what a peer said before of targets of which a whole digest says nothing any more.
-    fn forget_marks(&mut self, now: Moment, from: &VmName, digest: &LoadDigest) {
-        let told = digest.targets.iter().map(|mark| mark.target);
-        if digest.scope != DigestScope::Whole {
-            self.marked.entry(from.clone()).or_default().extend(told);
-            return;
-        }
-        let told: BTreeSet<TargetKey> = told.collect();
-        let before = self.marked.get(from).into_iter().flatten();
-        let ended: Vec<TargetKey> = before.filter(|key| !told.contains(key)).copied().collect();
-        self.marked.insert(from.clone(), told);
-        for key in &ended {
-            if let Some(load) = self.targets.get_mut(key) {
-                load.forget_mark(now, from);
-            }
-        }
-    }
-
     /// Takes what a request costs from its organisation's quota, lets it wait for that, or says when to come
     /// back.
     pub fn ask_quota(&mut self, now: Moment, ask: QuotaAsk) -> QuotaAnswer {
@@ -460,76 +324,6 @@
         std::mem::take(&mut self.changed)
     }
 
-    /// Returns what this VM tells all peers that are not of its cell.
-    pub fn brief_digest(&mut self, now: Moment, news: FleetNews, leaving: bool) -> LoadDigest {
-        LoadDigest {
-            incarnation: self.options.incarnation,
-            sequence: self.teller.next_sequence(),
-            leaving,
-            scope: DigestScope::Brief,
-            data_centre: Some(self.options.data_centre.clone()),
-            revision: news.revision,
-            registry: news.registry,
-            watch: news.watch,
-            spent: self.quotas.ledger().totals().collect(),
-            crashes: self.crashes.brief_news(now),
-            leaving_targets: news.leaving_targets,
-            rollouts: self.rollout_marks(now, true),
-            ..LoadDigest::default()
-        }
-    }
-
-    fn rollout_marks(&self, now: Moment, with_tallies: bool) -> Vec<RolloutMark> {
-        let left = self.left_at_old();
-        let left = |service: &ServiceName| left.get(service).copied().unwrap_or(0);
-        self.rollouts.marks(now, with_tallies, left)
-    }
-
-    /// Draws who of `listed` gets the next digest for this VM's cell.
-    pub fn mate_recipients(&mut self, now: Moment, listed: &[DigestPeer]) -> DigestRecipients {
-        let mates = listed.iter().filter(|peer| self.plan.is_mate(&peer.name));
-        let mates: Vec<DigestPeer> = mates.cloned().collect();
-        let peers = &self.peers;
-        let recipients = self.route.draw_mates(&mates, |vm| peers.passes_on(now, vm));
-        let is_passed_on = !recipients.relays.is_empty();
-        self.pace =
-            if is_passed_on { DigestPace::passed_on() } else { DigestPace::direct(mates.len()) };
-        recipients
-    }
-
-    /// Draws who of `listed` gets the next brief digest: all that are not of this VM's cell are told.
-    pub fn other_recipients(&mut self, now: Moment, listed: &[DigestPeer]) -> DigestRecipients {
-        let others = listed.iter().filter(|peer| !self.plan.is_mate(&peer.name));
-        let others: Vec<DigestPeer> = others.cloned().collect();
-        let peers = &self.peers;
-        self.route.draw_others(&self.options.data_centre, &others, |vm| peers.passes_on(now, vm))
-    }
-
-    /// Returns what this VM tells the peers of its cell: everything now and then, and what has changed
-    /// lately in between.
-    pub fn digest(&mut self, now: Moment, news: FleetNews, leaving: bool) -> LoadDigest {
-        let brief = self.brief_digest(now, news, leaving);
-        let waiting = self.services.keys().filter_map(|name| self.view(now, name));
-        let waiting = waiting.flat_map(|view| view.wait_marks()).collect();
-        let scope = self.teller.next_scope(now, self.pace.change_span(), leaving);
-        let placed = self.teller.placed(scope);
-        if scope == DigestScope::Changes {
-            let span = self.pace.change_span();
-            let spent = self.quotas.ledger().totals_since(now.before(span)).collect();
-            let touched = self.teller.touched();
-            let told = touched.iter().filter_map(|key| self.targets.get(key));
-            let targets = told.map(|load| TargetMark { pace: None, ..load.mark(now) }).collect();
-            let (data_centre, crashes) = (None, self.crashes.changed_news(now, span));
-            let told = LoadDigest { scope, data_centre, targets, waiting, ..brief };
-            let rollouts = self.rollout_marks(now, false);
-            return LoadDigest { placed, spent, crashes, rollouts, ..told };
-        }
-        let told = self.targets.values().filter(|load| load.has_news(now));
-        let targets = told.map(|load| load.mark(now)).collect();
-        let crashes = self.crashes.whole_news(now);
-        LoadDigest { scope, targets, waiting, placed, crashes, ..brief }
-    }
-
     /// Returns in what peers have news that this VM has not.
     pub fn feed_lag(&self, now: Moment, news: FleetNews) -> FeedLag {
         self.peers.feed_lag(now, news)
@@ -615,12 +409,12 @@
         self.services.entry(service.clone()).or_insert_with(|| ServiceLine::new(service))
     }
 
-    fn note_peers(&mut self, now: Moment) {
+    pub(crate) fn note_peers(&mut self, now: Moment) {
         self.quotas.ledger_mut().set_heard_part(self.peers.heard_part(now));
         self.retries.set_vm_count(self.peers.known_count(now));
     }
 
-    fn pump_all(&mut self, now: Moment) {
+    pub(crate) fn pump_all(&mut self, now: Moment) {
         let waits = self.services.iter().filter(|(_, state)| !state.line.is_empty());
         let names: Vec<ServiceName> = waits.map(|(name, _)| name.clone()).collect();
         for name in names {
@@ -696,12 +490,15 @@
     }
 
     /// Returns what can be seen of a service's line and targets.
-    fn view(&self, now: Moment, service: &ServiceName) -> Option<LineView<'_>> {
+    pub(crate) fn view(&self, now: Moment, service: &ServiceName) -> Option<LineView<'_>> {
         let state = self.services.get(service)?;
         let sharing = PlaceSharing { vms: self.cell_size, turn_span: self.pace.news_span() };
+        let view = LineView::new(now, state, &self.targets, &self.peers, &self.options, sharing);
+        if state.trial.is_empty() {
+            return Some(view);
+        }
         let sight = self.fleet_sight(now);
         let trial = self.rollouts.trial_targets(now, service, &sight, &state.trial);
-        let view = LineView::new(now, state, &self.targets, &self.peers, &self.options, sharing);
         Some(view.with_trial(&trial, &self.targets))
     }
 }
