Take out a setting that nothing read, and put the judge's bounds in order

RolloutRule.rollback was read from the settings and used by nobody: a version that is found bad gets nothing from the next look on, well within every time that operators set.

--- a/crates/ryetide-core/src/rollout_judge.rs
+++ b/crates/ryetide-core/src/rollout_judge.rs
@@ -1,8 +1,9 @@
 //! Whether a new version of a service is as good as the old one, by the answers of both.
 //!
-//! Two sequential tests on each route, and on all routes together (on these also by what ran at full targets alone): one on answers that failed, one on whole answers that
-//! were slower than most of the old version's. Each weighs how likely the new version's answers are if it is as good as
-//! the old one against how likely they are if it is worse by a lift that callers would notice.
+//! Two sequential tests on each route, and on all routes together: one on answers that failed, one on whole answers that
+//! were slower than most of the old version's. Failures are weighed once more for what ran at full targets alone. Each test
+//! weighs how likely the new version's answers are if it is as good as the old one against how likely they are if it is
+//! worse by a lift that callers would notice.
 //!
 //! * What strikes both versions, such as a cut or an overload of the whole service, raises the old version's rate, and
 //!   with it what is expected of the new one.
@@ -35,16 +36,16 @@
 const BAD_SLOW_MOVING: f64 = 30.0;
 /// A version is good when its answers are this many times likelier of a good one, as a logarithm: 20 times.
 const GOOD_ODDS: f64 = -3.0;
-/// Slowness is weighed when so many targets of the new version have answered, where there are so many: with fewer, one
-/// whose hardware is slow would make the version look so.
-const LEAST_SLOW_TARGETS: usize = 5;
-/// The same of its times: 400 times.
+/// The same by the times of its answers: 400 times.
 const GOOD_SLOW: f64 = -6.0;
-/// The same of its times where there is no more time to wait for others.
+/// The same by their times where no time is left to wait for more answers.
 const LEAN_SLOW: f64 = -1.5;
 /// What ran at full targets must speak for the version this plainly, as a logarithm, or it does not move.
 const LOADED_ODDS: f64 = -1.0;
-/// The part of the targets with the worst answers that is left out.
+/// Slowness is weighed when so many targets of the new version have answered, where there are so many: with fewer, one
+/// whose hardware is slow would make the version look so.
+const LEAST_SLOW_TARGETS: usize = 5;
+/// One in so many targets is left out, those that fail most.
 const LEFT_OUT: usize = 4;
 /// Answers without which nothing is decided.
 const LEAST_ANSWERS: u32 = 12;
--- a/crates/ryetide-core/src/rollout_order.rs
+++ b/crates/ryetide-core/src/rollout_order.rs
@@ -34,8 +34,6 @@
     pub share: f64,
     /// Requests beyond that part, over all VMs together.
     pub slack: f64,
-    /// After this time a version that was found bad must get nothing more, on any VM.
-    pub rollback: Duration,
     /// Whether a version comes into use by an order only. Otherwise a version that appears beside another is used at
     /// once, unless an order names it.
     pub by_order_only: bool,
@@ -43,7 +41,7 @@
 
 impl Default for RolloutRule {
     fn default() -> Self {
-        Self { share: 0.1, slack: 0.0, rollback: Duration::from_secs(5), by_order_only: false }
+        Self { share: 0.1, slack: 0.0, by_order_only: false }
     }
 }
 
--- a/crates/ryetide-core/tests/rollout/fleet.rs
+++ b/crates/ryetide-core/tests/rollout/fleet.rs
@@ -47,7 +47,7 @@
 }
 
 pub fn rule() -> RolloutRule {
-    RolloutRule { share: 0.1, slack: 50.0, rollback: Duration::from_secs(5), by_order_only: true }
+    RolloutRule { share: 0.1, slack: 50.0, by_order_only: true }
 }
 
 /// How large the fleet is, and what its service does.
--- a/crates/ryetide-gateway/src/gateway_text.rs
+++ b/crates/ryetide-gateway/src/gateway_text.rs
@@ -188,21 +188,13 @@
 }
 
 fn read_rollout(reader: &mut FaultReader, node: TextNode<'_>) -> Option<RolloutRule> {
-    reader.mapping(node, &["share", "slack", "rollback", "by-order-only"]);
+    reader.mapping(node, &["share", "slack", "by-order-only"]);
     let defaults = RolloutRule::default();
     let share = reader.optional(node, "share", defaults.share, FaultReader::fraction);
     let slack = reader.optional(node, "slack", defaults.slack as u64, |reader, value| {
         reader.number(value, SLACK_RANGE)
     });
-    let rollback = reader.optional(node, "rollback", defaults.rollback, |reader, value| {
-        reader.span(value, SPAN_RANGE)
-    });
     let by_order_only =
         reader.optional(node, "by-order-only", defaults.by_order_only, FaultReader::flag);
-    Some(RolloutRule {
-        share: share?,
-        slack: slack? as f64,
-        rollback: rollback?,
-        by_order_only: by_order_only?,
-    })
+    Some(RolloutRule { share: share?, slack: slack? as f64, by_order_only: by_order_only? })
 }
--- a/crates/ryetide-gateway/tests/own_text.rs
+++ b/crates/ryetide-gateway/tests/own_text.rs
@@ -161,7 +161,7 @@
     let settings = format!(
         "name: e1\ndata-centre: hall-a\ncallers: {callers}\nstatus: {status}\n\
          peers: {{address: '{peers}', key: {KEY}}}\nroutes: {}\n\
-         rollout: {{share: 0.2, slack: 0, rollback: 5s, by-order-only: true}}\n",
+         rollout: {{share: 0.2, slack: 0, by-order-only: true}}\n",
         routes_path.display()
     );
     write(&settings_path, &settings);
