--- a/crates/ryetide-core/src/line_view.rs
+++ b/crates/ryetide-core/src/line_view.rs
@@ -301,10 +301,7 @@
         let all = permitted.map(|load| (*load, placing::forecast(now, load, &need, own, assumed)));
         let (open, taken): (Vec<_>, Vec<_>) =
             all.partition(|(load, _)| self.is_open(load, rank, peers));
-        let order = |(load, it): &(&TargetLoad, PlacingForecast)| {
-            (!it.on_time, !it.keeps_pauses, it.cost, load.key())
-        };
-        let best = open.into_iter().min_by_key(order)?;
+        let best = open.into_iter().min_by_key(place_order)?;
         let (_, forecast) = best;
         let in_time = forecast.keeps_pauses && forecast.first < need.objective_left;
         if forecast.on_time || (in_time && !forecast.doubtful) {
@@ -387,6 +384,11 @@
     held.collect::<Option<Vec<Moment>>>()?.into_iter().min()
 }
 
+/// How good a place is; the least is the best.
+fn place_order((load, it): &(&TargetLoad, PlacingForecast)) -> (bool, bool, Duration, TargetKey) {
+    (!it.on_time, !it.keeps_pauses, it.cost, load.key())
+}
+
 fn as_count(requests: usize) -> u32 {
     u32::try_from(requests).unwrap_or(u32::MAX)
 }
--- a/crates/ryetide-gateway/src/lib.rs
+++ b/crates/ryetide-gateway/src/lib.rs
@@ -69,3 +69,4 @@
 pub mod target_news;
 pub mod target_pool;
 pub mod target_words;
+mod unix_time;
--- a/crates/ryetide-gateway/src/quarantine_keeper.rs
+++ b/crates/ryetide-gateway/src/quarantine_keeper.rs
@@ -1,10 +1,7 @@
 //! What is done about quarantines beside the callers' requests: they age, their begin and end are logged, and they are kept
 //! where they outlast all VMs.
 
-use std::{
-    rc::Rc,
-    time::{Duration, SystemTime, UNIX_EPOCH},
-};
+use std::{rc::Rc, time::Duration};
 
 use ryetide::quarantine_log;
 use ryetide_core::{
@@ -16,6 +13,7 @@
 use crate::{
     gateway_state::Gateway,
     ports::{KeptQuarantine, PeerEntry},
+    unix_time,
 };
 
 /// How often quarantines are looked at.
@@ -58,7 +56,7 @@
             quarantine_log::write(&vm, &change);
         }
         gateway.metrics().set_quarantined(count);
-        let today = unix_millis();
+        let today = unix_time::millis();
         let kept: Vec<KeptQuarantine> = kept.iter().map(|mark| kept_of(mark, today)).collect();
         self.kept.send_if_modified(|before| {
             let changed = must_write(before, &kept);
@@ -73,7 +71,7 @@
 /// Takes the quarantines that VMs keep, among them this one's from an earlier life.
 pub fn take_kept(gateway: &Gateway, own: &VmName, listed: &[PeerEntry]) {
     let now = gateway.hub().clock().now();
-    let today = unix_millis();
+    let today = unix_time::millis();
     for peer in listed {
         for kept in &peer.kept {
             let mark = mark_of(kept, today);
@@ -107,9 +105,3 @@
     let (age_ms, asked_ms) = (age(kept.since_ms), age(kept.asked_ms));
     QuarantineMark { print: kept.print, age_ms, asked_ms }
 }
-
-fn unix_millis() -> u64 {
-    // A clock that stands before 1970 makes everything that is kept look recent.
-    let today = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    u64::try_from(today.as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/ryetide-gateway/src/rollout_rows.rs
+++ b/crates/ryetide-gateway/src/rollout_rows.rs
@@ -3,10 +3,7 @@
 //! Whoever writes one does so under the version that it has read. Of two VMs that decide differently one yields: it finds
 //! the row written after the order, and takes what it says. A row that is older than the order speaks of an earlier one.
 
-use std::{
-    rc::Rc,
-    time::{Duration, SystemTime, UNIX_EPOCH},
-};
+use std::{rc::Rc, time::Duration};
 
 use ryetide::error::StepError;
 use ryetide_core::rollout_order::{
@@ -19,6 +16,7 @@
     ports::{FeedLine, FleetUpdate},
     store_feed::FleetStore,
     store_table::{FleetTable, StoreTable, TableFault, TableRow},
+    unix_time,
 };
 
 /// A call that the store answers at once may take this long.
@@ -41,7 +39,7 @@
 
 impl OrderNote {
     fn age(&self) -> Duration {
-        Duration::from_millis(unix_millis().saturating_sub(self.began_ms))
+        Duration::from_millis(unix_time::millis().saturating_sub(self.began_ms))
     }
 }
 
@@ -156,7 +154,7 @@
             if let Some(note) = found.filter(|note| note.passed || !passed) {
                 return Ok(note);
             }
-            let began_ms = found.map_or_else(unix_millis, |note| note.began_ms);
+            let began_ms = found.map_or_else(unix_time::millis, |note| note.began_ms);
             let note = OrderNote { number: order.number, began_ms, passed };
             let value = serde_json::to_vec(&note)
                 .map_err(|error| StepError::new("encode note of an order", error))?;
@@ -223,11 +221,9 @@
 
 /// A note that cannot be read is written over.
 fn read_note(row: &TableRow) -> Option<OrderNote> {
-    serde_json::from_slice(row.value.bytes()?).ok()
-}
-
-fn unix_millis() -> u64 {
-    // A clock that stands before 1970 makes every order look new.
-    let today = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    u64::try_from(today.as_millis()).unwrap_or(u64::MAX)
+    let read = serde_json::from_slice(row.value.bytes()?);
+    read.inspect_err(|error| {
+        tracing::warn!(event = "rollout-note-unreadable", key = row.key, reason = %error);
+    })
+    .ok()
 }
