Tell in logs and metrics which limit a target names in its answers

No line told whether an answer named a limit, so the hypotheses could not be told apart by the lines. Nothing is decided by it yet.

A limit is kept in thousandths of a request a second, rounded down; of several the least holds, and one that cannot be read is not taken for the end of a limit.

--- a/crates/ryetide-core/src/target_word.rs
+++ b/crates/ryetide-core/src/target_word.rs
@@ -8,7 +8,10 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{ids::TargetKey, units::Moment};
+use crate::{
+    ids::TargetKey,
+    units::{Moment, RequestRate},
+};
 
 /// A target's word is remembered for this long after it was said last, which is longer than targets take to leave. Where they
 /// keep their names when they start again, one that is back under its name gets work again after this time at the latest.
@@ -27,6 +30,45 @@
     pub leaving: bool,
     /// For this long the target wants nothing from this VM.
     pub hold_off: Option<Duration>,
+    /// What it says of a limit.
+    pub limit: LimitWord,
+}
+
+/// What one answer says of the requests a second that its target takes from all VMs together.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+pub enum LimitWord {
+    /// It names no limit.
+    #[default]
+    Unnamed,
+    /// It takes no more than this.
+    Named(RequestRate),
+    /// It names one that cannot be read: whatever was known before holds on.
+    Unreadable,
+}
+
+impl LimitWord {
+    /// Reads the values of a header that names a limit. The least of several holds.
+    pub fn read<'a>(values: impl Iterator<Item = Option<&'a str>>) -> Self {
+        let mut word = Self::Unnamed;
+        for value in values {
+            let Some(rate) = value.and_then(|text| text.parse::<RequestRate>().ok()) else {
+                return Self::Unreadable;
+            };
+            word = match word {
+                Self::Named(least) => Self::Named(rate.min(least)),
+                Self::Unnamed | Self::Unreadable => Self::Named(rate),
+            };
+        }
+        word
+    }
+
+    /// Returns the limit, if one is named.
+    pub fn rate(self) -> Option<RequestRate> {
+        match self {
+            Self::Named(rate) => Some(rate),
+            Self::Unnamed | Self::Unreadable => None,
+        }
+    }
 }
 
 impl TargetWord {
--- a/crates/ryetide-core/src/units.rs
+++ b/crates/ryetide-core/src/units.rs
@@ -60,6 +60,45 @@
     }
 }
 
+/// A rate in requests a second, kept in thousandths of one and rounded down.
+#[derive(
+    Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize,
+)]
+#[serde(transparent)]
+pub struct RequestRate(pub u32);
+
+impl RequestRate {
+    /// The thousandths of a request a second in one request a second.
+    const UNIT: f64 = 1_000.0;
+
+    /// Returns the requests a second.
+    pub fn per_second(self) -> f64 {
+        f64::from(self.0) / Self::UNIT
+    }
+}
+
+impl fmt::Display for RequestRate {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{}", self.per_second())
+    }
+}
+
+/// A text that is no rate.
+#[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
+#[error("{0:?} is no number of requests a second, 0 or more")]
+pub struct RequestRateError(String);
+
+impl std::str::FromStr for RequestRate {
+    type Err = RequestRateError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let rate = text.trim().parse::<f64>().ok().filter(|rate| rate.is_finite() && *rate >= 0.0);
+        let rate = rate.ok_or_else(|| RequestRateError(text.to_owned()))?;
+        // What is beyond the type's range is as good as no bound.
+        Ok(Self((rate * Self::UNIT) as u32))
+    }
+}
+
 /// A point on the driver's monotonic clock, in microseconds since it started.
 ///
 /// The core never reads a clock: each event comes with the moment at which it happened.
--- a/crates/ryetide-core/tests/target_word.rs
+++ b/crates/ryetide-core/tests/target_word.rs
@@ -11,7 +11,8 @@
     scheduler_options::SchedulerOptions,
     target_load::TargetEntry,
     target_registry::{RegistryUpdate, TargetRegistry},
-    units::{Moment, TierRank, Tokens},
+    target_word::LimitWord,
+    units::{Moment, RequestRate, TierRank, Tokens},
     wait_line::WaitingWork,
 };
 
@@ -104,6 +105,24 @@
     assert!(known <= 1_024, "{known} words are remembered");
 }
 
+/// A limit that is no number, or none that holds, must not be taken for the end of one; of several the least holds.
+#[test]
+fn a_limit_is_read_as_it_is_named() {
+    let read = |values: &[&str]| LimitWord::read(values.iter().map(|value| Some(*value)));
+    let named = |thousandths| LimitWord::Named(RequestRate(thousandths));
+    assert_eq!(read(&[]), LimitWord::Unnamed);
+    assert_eq!(read(&["1.9"]), named(1_900));
+    assert_eq!(read(&[" 0 "]), named(0));
+    assert_eq!(read(&["0.0009"]), named(0));
+    assert_eq!(read(&["1e300"]), named(u32::MAX));
+    assert_eq!(read(&["3", "1.5", "2"]), named(1_500));
+    for unreadable in ["", "soon", "-1", "NaN", "inf"] {
+        assert_eq!(read(&[unreadable]), LimitWord::Unreadable, "{unreadable:?}");
+        assert_eq!(read(&["2", unreadable]), LimitWord::Unreadable, "{unreadable:?}");
+    }
+    assert_eq!(LimitWord::read([None].into_iter()), LimitWord::Unreadable, "no text");
+}
+
 fn scheduler(names: &[&str]) -> Scheduler {
     let mut scheduler = Scheduler::new(SchedulerOptions {
         name: "e1".into(),
--- a/crates/ryetide-gateway/src/decision_log.rs
+++ b/crates/ryetide-gateway/src/decision_log.rs
@@ -219,6 +219,7 @@
                 leaving = word.leaving,
                 known_before = target.leaving,
                 hold_off_ms = word.hold_off.map(millis),
+                limit = word.limit.rate().map(tracing::field::display),
             );
         }
     }
--- a/crates/ryetide-gateway/src/gateway_metrics.rs
+++ b/crates/ryetide-gateway/src/gateway_metrics.rs
@@ -8,7 +8,10 @@
     registry::Registry,
 };
 use ryetide_core::{
-    chart::ChartName, service_rollout::ServiceRollout, target_word::TargetWord, units::TierRank,
+    chart::ChartName,
+    service_rollout::ServiceRollout,
+    target_word::{LimitWord, TargetWord},
+    units::TierRank,
 };
 
 /// Bounds of the histograms' buckets, in seconds: from a hop between data centres to the longest
@@ -155,7 +158,11 @@
 
     /// Counts what an answer says of its target.
     pub fn count_word(&self, word: TargetWord) {
-        let said = [("leaving", word.leaving), ("hold-off", word.hold_off.is_some())];
+        let said = [
+            ("leaving", word.leaving),
+            ("hold-off", word.hold_off.is_some()),
+            ("limit", word.limit != LimitWord::Unnamed),
+        ];
         for (word, _) in said.into_iter().filter(|(_, is_said)| *is_said) {
             self.words.get_or_create(&WordLabels { word }).inc();
         }
--- a/crates/ryetide-gateway/src/own_headers.rs
+++ b/crates/ryetide-gateway/src/own_headers.rs
@@ -22,6 +22,7 @@
         not_run: HeaderName::from_static("ryetide-not-run"),
         signature: HeaderName::from_static("ryetide-answered-by"),
         leaving: HeaderName::from_static("ryetide-leaving"),
+        limit: HeaderName::from_static("ryetide-limit"),
         last_event: HeaderName::from_static("last-event-id"),
         reserved: vec![HeaderName::from_static("ryetide-not-run")],
     }
--- a/crates/ryetide-gateway/src/ports.rs
+++ b/crates/ryetide-gateway/src/ports.rs
@@ -77,6 +77,8 @@
     pub signature: HeaderName,
     /// Present in every answer of a target that leaves.
     pub leaving: HeaderName,
+    /// The requests a second that a target takes from all VMs together, in each of its answers while it names them.
+    pub limit: HeaderName,
     /// The id of the last event of a stream that was received.
     pub last_event: HeaderName,
     /// Headers that only the gateway may set: they are taken out of callers' requests.
--- a/crates/ryetide-gateway/src/target_answer.rs
+++ b/crates/ryetide-gateway/src/target_answer.rs
@@ -12,7 +12,7 @@
 };
 use ryetide_core::{
     target_load::TargetEntry,
-    target_word::{self, TargetWord},
+    target_word::{self, LimitWord, TargetWord},
 };
 
 use crate::{ports::HeaderNames, target_pool::TargetConnection};
@@ -72,7 +72,9 @@
     let leaving = headers.get(&names.leaving).is_some_and(|value| value != "0");
     let turns_away = response.status() == StatusCode::SERVICE_UNAVAILABLE;
     let hold_off = if turns_away { retry_after(headers) } else { None };
-    TargetWord { leaving, hold_off }
+    let limits = headers.get_all(&names.limit).iter();
+    let limit = LimitWord::read(limits.map(|value| value.to_str().ok()));
+    TargetWord { leaving, hold_off, limit }
 }
 
 fn retry_after(headers: &HeaderMap) -> Option<Duration> {
--- a/crates/ryetide-gateway/tests/serving/support.rs
+++ b/crates/ryetide-gateway/tests/serving/support.rs
@@ -295,6 +295,7 @@
         not_run: HeaderName::from_static("test-not-run"),
         signature: HeaderName::from_static("test-signature"),
         leaving: HeaderName::from_static("test-leaving"),
+        limit: HeaderName::from_static("test-limit"),
         last_event: HeaderName::from_static("last-event-id"),
         reserved: vec![HeaderName::from_static("test-reserved")],
     }
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -482,7 +482,8 @@
         Notice::TargetSaid { sequence, target, word } => {
             let hold_off_ms = word.hold_off.map(|span| span.as_millis());
             let leaving = word.leaving;
-            tracing::info!(event = "target-word", %vm, %sequence, %target, leaving, hold_off_ms);
+            let limit = word.limit.rate().map(tracing::field::display);
+            tracing::info!(event = "target-word", %vm, %sequence, %target, leaving, hold_off_ms, limit);
         }
         Notice::TargetCrashed { target, print, ran_ms } => {
             tracing::warn!(event = "target-crashed", %vm, %target, %print, ran_ms);
--- a/src/target_client.rs
+++ b/src/target_client.rs
@@ -17,7 +17,7 @@
     event::{AnswerHead, Event, LoadReport, TargetOrder, TargetRoute},
     ids::{AttemptNumber, RequestId, RequestSequence},
     request_print::RequestPrint,
-    target_word::TargetWord,
+    target_word::{LimitWord, TargetWord},
     units::ByteSize,
 };
 use tokio::{net::TcpStream, sync::oneshot, time::Instant};
@@ -39,6 +39,8 @@
 const CANCEL_TIMEOUT: Duration = Duration::from_secs(2);
 /// The header by which a target says in an answer that it is leaving.
 pub const LEAVING_HEADER: &str = "x-target-leaving";
+/// The header by which a target names, in each answer, the requests a second that it takes from all VMs together.
+pub const LIMIT_HEADER: &str = "x-target-limit";
 /// The header that carries the request's id to plain services.
 pub const REQUEST_ID_HEADER: &str = "x-request-id";
 
@@ -326,7 +328,9 @@
     // What is no number of seconds names no time.
     let seconds = named.and_then(|value| value.to_str().ok()?.trim().parse().ok());
     let hold_off = seconds.and_then(|seconds| Duration::try_from_secs_f64(seconds).ok());
-    TargetWord { leaving, hold_off }
+    let limits = response.headers().get_all(LIMIT_HEADER);
+    let limit = LimitWord::read(limits.map(|value| value.to_str().ok()));
+    TargetWord { leaving, hold_off, limit }
 }
 
 fn engine_path(id: &RequestId) -> String {
