Play targets that name a limit, which fails on the code as it is, and list both tests

Two VMs before a target that names 2 requests a second, over real sockets, sent it 6,118 in 4 s; an entry VM that arbitrates such a target granted it 200 in 4 s, of virtual time. 9 are permitted by these tests: the limit itself and one for where a window begins, well under the rule's one and a half times and five.

--- a/crates/ryetide-gateway/tests/serving/main.rs
+++ b/crates/ryetide-gateway/tests/serving/main.rs
@@ -3,6 +3,7 @@
 mod answers;
 mod crashes;
 mod digests;
+mod limits;
 mod lives;
 mod repeats;
 mod routes;
