Keep to the limits that targets name in ryetided too

The arbiter of a scope grants the limit's part of the VMs that it hears; a VM that hears no arbiter its own one; and a VM whose arbiter lives and is only slow to answer nothing, since that one has the whole.

Found by the test on the way: with all of a second's grants used up by a limit, each went to the request that had waited longest, which had no time left to be sent: nothing was served at all. Where limits are what a request waits for, how long is known without any speed, and a request that would get its turn too late is refused at once.

--- a/crates/ryetide-core/src/arbiter.rs
+++ b/crates/ryetide-core/src/arbiter.rs
@@ -20,12 +20,14 @@
     estimate::TargetModel,
     event::LoadReport,
     ids::{OrganisationKey, ScopeKey, TargetKey, VmName},
+    limit_part::{self, TargetLimit},
     message::{AskProfile, RefuseReason, ReleaseMessage, ReleaseOutcome, ScopeLoad},
     output_guess::OutputGuess,
     queue::{FairQueue, QueuePlace, QueueTicket},
     retry::RetryPromise,
     safeguard::SafeguardSwitches,
     slot_ledger::{HeldSlot, SlotLedger},
+    target_limit::LimitBook,
     units::{Moment, ShareWeight, TierRank},
     util,
     verdict::{ArbiterVerdict, AskKey, SlotAsk, VerdictKind},
@@ -33,6 +35,8 @@
 
 /// The most prompt work at an engine ahead of a new grant, for all but the most urgent tier.
 pub(crate) const BACKLOG_LIMIT: Duration = Duration::from_millis(100);
+/// The time that a request is taken to need when it waits for a limit and no speed is known.
+const LEAST_WORK: Duration = Duration::from_millis(150);
 /// The most requests that may wait at one arbiter; beyond it the last in order is shed.
 const WAITING_LIMIT: usize = 8_192;
 
@@ -190,7 +194,7 @@
         }
         // Held in line until then, its caller would be told the same at its end.
         let latest = deadline.min(now + budget);
-        if self.held_until(now).is_some_and(|until| until >= latest) {
+        if self.held_until(now).is_some_and(|until| until >= latest) || self.is_elsewhere() {
             return Err(RefuseReason::HeldOff);
         }
         let need = self.tokens_needed(&profile);
@@ -205,7 +209,11 @@
         }
         let wait =
             self.wait_behind(now, tier, self.queue.work_ahead_of(tier, profile.organisation));
-        if speed_known && (wait > budget || wait + work > left) {
+        // How long limits take is known from the limits alone. Granted at the end of its time, a request would use up what
+        // the target takes and never be sent.
+        let is_limited = self.limited_wait(now, tier).is_some();
+        let work = if is_limited { work.max(LEAST_WORK) } else { work };
+        if (speed_known || is_limited) && (wait > budget || wait + work > left) {
             let first_in_line = self.queue.work_ahead_of(tier, profile.organisation).is_zero();
             let unreachable = first_in_line && wait + work > left && wait <= budget;
             return Err(if unreachable {
@@ -290,9 +298,38 @@
         verdicts.push(ArbiterVerdict { key, kind: VerdictKind::Refuse(reason, retry) });
     }
 
+    /// Tells which limits targets have named, and the part of them that may be granted here; nothing where another arbiter
+    /// has them whole.
+    pub fn set_limits(&mut self, now: Moment, limits: &LimitBook, part: Option<f64>) {
+        for (key, target) in &mut self.targets {
+            match limits.rate(*key) {
+                Some(rate) => {
+                    target.limit_mut().set(now, part.map(|part| part * rate.per_second()));
+                }
+                None => *target.limit_mut() = TargetLimit::None,
+            }
+        }
+    }
+
+    /// Whether all targets have named limits of which another arbiter has all.
+    fn is_elsewhere(&self) -> bool {
+        self.usable().all(|target| *target.limit() == TargetLimit::Elsewhere)
+    }
+
+    /// The time until those that wait in `tier` and before it are granted, where all targets have named limits.
+    fn limited_wait(&self, now: Moment, tier: TierRank) -> Option<Duration> {
+        let is_limited = self.usable().all(|target| *target.limit() != TargetLimit::None);
+        if !is_limited || !self.has_usable_target() {
+            return None;
+        }
+        let ahead = self.waiting.values().filter(|ask| ask.profile.tier <= tier).count();
+        let first = self.held_until(now).map_or(Duration::ZERO, |until| until.since(now));
+        Some(first + limit_part::time_for(ahead, self.usable().map(TargetModel::limit)))
+    }
+
     /// Returns when the first of the targets wants work again, where all that stay want none.
     fn held_until(&self, now: Moment) -> Option<Moment> {
-        let held = self.usable().map(|target| Some(target.held_until()).filter(|at| *at > now));
+        let held = self.usable().map(|target| Some(target.held_until(now)).filter(|at| *at > now));
         held.collect::<Option<Vec<Moment>>>()?.into_iter().min()
     }
 
@@ -443,7 +480,7 @@
         }
         let expiry = self.by_latest_start.first().map(|(at, _)| *at + Duration::from_micros(1));
         let start = (now < self.grant_from).then_some(self.grant_from);
-        let pauses = self.targets.values().filter_map(TargetModel::pause_end);
+        let pauses = self.targets.values().filter_map(|target| target.pause_end(now));
         let pause = pauses.filter(|end| *end > now).min();
         let backlogs = self.targets.values().map(|target| target.prefill_backlog(now));
         let backlog = backlogs.filter(|backlog| *backlog > BACKLOG_LIMIT).min();
@@ -468,6 +505,9 @@
     }
 
     fn wait_behind(&self, now: Moment, tier: TierRank, ahead: Duration) -> Duration {
+        if let Some(wait) = self.limited_wait(now, tier) {
+            return wait;
+        }
         let fill = self.fill_of(tier);
         let slots: u32 = self.usable().map(|target| target.slot_limit(now, fill, self.share)).sum();
         let free =
--- a/crates/ryetide-core/src/effect.rs
+++ b/crates/ryetide-core/src/effect.rs
@@ -15,7 +15,7 @@
     message::PeerMessage,
     request_print::RequestPrint,
     target_word::TargetWord,
-    units::{Revision, Tokens},
+    units::{RequestRate, Revision, Tokens},
 };
 
 /// Something for the driver to do.
@@ -264,6 +264,15 @@
         /// What it says.
         word: TargetWord,
     },
+    /// A target has named another limit in its answer to a request, or none any more.
+    TargetLimit {
+        /// The request.
+        sequence: RequestSequence,
+        /// The target.
+        target: TargetKey,
+        /// What it takes from all VMs together.
+        limit: Option<RequestRate>,
+    },
     /// A target has crashed under a request.
     TargetCrashed {
         /// The target.
--- a/crates/ryetide-core/src/entry.rs
+++ b/crates/ryetide-core/src/entry.rs
@@ -31,6 +31,7 @@
     message::{LifeMark, MessageSender},
     request::RequestTable,
     safeguard::SafeguardSwitches,
+    target_limit::LimitBook,
     target_word::LeavingWords,
     units::{Moment, Revision},
     verdict::ArbiterVerdict,
@@ -170,6 +171,8 @@
     pub(crate) leaving_targets: BTreeSet<TargetKey>,
     /// Targets that have said in their answers that they leave.
     pub(crate) words: LeavingWords,
+    /// What targets have said of their limits.
+    pub(crate) limits: LimitBook,
     /// Those of them that the platform's list did not name when it was read last.
     pub(crate) unlisted_words: BTreeSet<TargetKey>,
     /// Which requests ended in crashes of targets.
@@ -204,6 +207,7 @@
             elected: BTreeMap::new(),
             leaving_targets: BTreeSet::new(),
             words: LeavingWords::default(),
+            limits: LimitBook::default(),
             unlisted_words: BTreeSet::new(),
             crashes: CrashLedger::default(),
             unsettled: Vec::new(),
@@ -413,6 +417,7 @@
         self.claims.advance(now);
         self.crashes.age(now);
         self.age_words(now);
+        self.age_limits(now);
     }
 
     fn table_replied(
--- a/crates/ryetide-core/src/entry_dispatch.rs
+++ b/crates/ryetide-core/src/entry_dispatch.rs
@@ -191,6 +191,7 @@
         }
         let (gone, claim_key) = (record.caller_gone, record.claim_key.clone());
         let bound = first_silence(record);
+        self.note_head(now, sequence, effects);
         if let Some(key) = claim_key {
             self.claims.keep_head(&key, head.status, &head.content_type);
         }
@@ -296,6 +297,7 @@
         };
         record.connection_open = false;
         let (service, route) = (record.profile.service, record.route.clone());
+        self.note_head(now, sequence, effects);
         let rule = route.and_then(|it| self.configuration.catalog().target(service, it.key));
         let ran_nothing = trusting || rule.is_some_and(|rule| rule.refusal_ran_nothing);
         let outcome = if leaving { ReleaseOutcome::TargetLeaving } else { ReleaseOutcome::Failed };
--- a/crates/ryetide-core/src/entry_election.rs
+++ b/crates/ryetide-core/src/entry_election.rs
@@ -43,6 +43,7 @@
             arbiter.note_leaving(target, true, &mut self.notices);
         }
         self.arbiters.insert(scope, arbiter);
+        self.deal_limits(now);
         self.watch_targets(effects);
     }
 
@@ -86,6 +87,7 @@
             let elected = self.elected.get(scope).and_then(Option::as_ref) == Some(&own);
             arbiter.set_share(if elected { 1.0 } else { share });
         }
+        self.deal_limits(now);
         self.watch_targets(effects);
     }
 
--- a/crates/ryetide-core/src/entry_peer.rs
+++ b/crates/ryetide-core/src/entry_peer.rs
@@ -63,6 +63,7 @@
                 }
             }
             PeerMessage::Leaving(marks) => self.take_words(now, &marks),
+            PeerMessage::Limits(marks) => self.take_limits(now, &marks),
             PeerMessage::Crashes(news) => self.crashes.take(now, &news),
             PeerMessage::OutcomeReply { ask, outcome } => {
                 let awaited = self.claims.query_until(ask.sequence).is_some();
@@ -134,6 +135,7 @@
         let news = self.crashes.whole_news(now);
         self.tell_crashes(&news, effects);
         self.tell_words(now, effects);
+        self.tell_limits(now, effects);
     }
 
     /// Gives up what silent peers held, and finds new arbiters for what they ordered.
--- a/crates/ryetide-core/src/entry_word.rs
+++ b/crates/ryetide-core/src/entry_word.rs
@@ -26,6 +26,7 @@
         if let Some(record) = self.requests.get_mut(sequence) {
             record.word = word;
         }
+        self.note_limit(now, sequence, target, word.limit, effects);
         if word.leaving && self.words.note(now, target) {
             self.note_leaving(target);
             self.tell_words(now, effects);
--- a/crates/ryetide-core/src/estimate.rs
+++ b/crates/ryetide-core/src/estimate.rs
@@ -11,6 +11,7 @@
     chart::{self, TargetEvent, TargetState},
     event::LoadReport,
     ids::TargetKey,
+    limit_part::TargetLimit,
     target_word,
     units::{Moment, TokenRate, Tokens},
 };
@@ -39,6 +40,8 @@
     pause_until: Moment,
     /// Until when the target wants nothing, as it has said itself.
     held_until: Moment,
+    /// How much of what it takes this arbiter may grant.
+    limit: TargetLimit,
     failures: u32,
     running: u32,
     reserved: Tokens,
@@ -62,6 +65,7 @@
             state: chart::target().initial(),
             pause_until: Moment::default(),
             held_until: Moment::default(),
+            limit: TargetLimit::None,
             failures: 0,
             running: 0,
             reserved: Tokens(0),
@@ -128,15 +132,25 @@
         self.held_until = self.held_until.max(now + span.min(target_word::LONGEST_HOLD_OFF));
     }
 
+    /// Returns how much of what the target takes this arbiter may grant.
+    pub fn limit(&self) -> &TargetLimit {
+        &self.limit
+    }
+
+    /// Returns the same, to change it.
+    pub fn limit_mut(&mut self) -> &mut TargetLimit {
+        &mut self.limit
+    }
+
     /// Returns until when the target wants nothing.
-    pub fn held_until(&self) -> Moment {
-        self.held_until
+    pub fn held_until(&self, now: Moment) -> Moment {
+        self.held_until.max(self.limit.wants_at(now))
     }
 
     /// Returns when a suspect target may be tried again, or one that wants nothing for a time.
-    pub fn pause_end(&self) -> Option<Moment> {
+    pub fn pause_end(&self, now: Moment) -> Option<Moment> {
         let suspect_until = (self.state == TargetState::Suspect).then_some(self.pause_until);
-        suspect_until.max(Some(self.held_until).filter(|until| *until > Moment::default()))
+        suspect_until.max(Some(self.held_until(now)).filter(|until| *until > now))
     }
 
     /// Returns the slots that `fill` of this target leaves, under `share` of it.
@@ -152,7 +166,7 @@
             self.handle(TargetEvent::PauseOver);
         }
         let wants = self.state == TargetState::Usable && now >= self.held_until;
-        wants && self.running < self.slot_limit(now, fill, share)
+        wants && self.limit.permits(now) && self.running < self.slot_limit(now, fill, share)
     }
 
     /// Returns whether `tokens` more can be held; a target with nothing to do takes any request that
@@ -167,6 +181,7 @@
     pub fn reserve(&mut self, now: Moment, tokens: Tokens, prefill: Tokens) {
         self.running += 1;
         self.reserved.0 += tokens.0;
+        self.limit.take(now);
         self.prefill_end = self.prefill_end.max(now) + self.prefill_rate.time_for(prefill);
         self.remember(now);
     }
--- a/crates/ryetide-core/src/lib.rs
+++ b/crates/ryetide-core/src/lib.rs
@@ -61,6 +61,7 @@
 mod entry_dispatch;
 mod entry_election;
 mod entry_end;
+mod entry_limit;
 mod entry_peer;
 mod entry_resume;
 mod entry_slot;
--- a/crates/ryetide-core/src/message.rs
+++ b/crates/ryetide-core/src/message.rs
@@ -15,6 +15,7 @@
         DataCentreKey, DataCentreName, Incarnation, OperationId, OrganisationKey, RequestId,
         RequestSequence, ScopeKey, ServiceKey, TargetKey, VmName,
     },
+    target_limit::LimitMark,
     target_word::LeavingMark,
     units::{Revision, TierRank, Tokens},
 };
@@ -305,6 +306,8 @@
     Crashes(CrashNews),
     /// Names targets that have said in their answers that they leave.
     Leaving(Vec<LeavingMark>),
+    /// Tells what targets have said last of their limits.
+    Limits(Vec<LimitMark>),
 }
 
 /// Encodes `message` as a frame.
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -485,6 +485,10 @@
             let limit = word.limit.rate().map(tracing::field::display);
             tracing::info!(event = "target-word", %vm, %sequence, %target, leaving, hold_off_ms, limit);
         }
+        Notice::TargetLimit { sequence, target, limit } => {
+            let limit = limit.map(tracing::field::display);
+            tracing::info!(event = "target-limit", %vm, %sequence, %target, limit);
+        }
         Notice::TargetCrashed { target, print, ran_ms } => {
             tracing::warn!(event = "target-crashed", %vm, %target, %print, ran_ms);
         }
