Believe a store that has come back from a copy, at once

What callers saw: requests were sent to a target up to 2.82 s after the store had taken its leaving, where 2.0 s are permitted, and served by routes of four seconds before.

Versions were compared as if a store numbered its changes for ever. After the drill they went from 55 to 51; every VM passed all readings over until they came to 55 again. Its class: a number that is compared outside of where it was given out.

Mend: a version that is kept or told holds its era, joined into one number with the era first (era_version). Changes since a version of another era are a history that is gone, so the table is read whole; entries that the copy lacks are in doubt for 1.6 s from when the store is found back, also at a VM that had not noticed that it was away; whoever finds another era makes its other tables ask at once. A peer that watches a store of an earlier era is not relied on.

--- a/crates/ryetide-core/src/lib.rs
+++ b/crates/ryetide-core/src/lib.rs
@@ -35,7 +35,7 @@
 //! | [`placing`], [`target_load`], [`target_health`], [`pace`], [`prompt_memory`] | where they are placed |
 //! | [`load_digest`], [`peer_board`], [`cell_plan`], [`digest_pace`], [`digest_route`], [`target_registry`], [`target_word`] | what entry VMs tell each other, which targets there are, and what those say of themselves |
 //! | [`target_limit`], [`limit_part`] | how much targets in need take, and which part of that a VM may send |
-//! | [`watch_duty`] | which of them ask the source of routes and targets |
+//! | [`watch_duty`], [`era_version`] | which of them ask the source of routes and targets, and how its versions compare |
 //! | [`safeguard`] | switches that let tests show what each safeguard prevents |
 //! | [`ids`], [`units`], [`json_form`] | newtypes, and the form in which values are written down |
 
@@ -67,6 +67,7 @@
 mod entry_slot;
 mod entry_standing;
 mod entry_word;
+pub mod era_version;
 pub mod estimate;
 pub mod event;
 pub mod ids;
--- a/crates/ryetide-gateway/src/fleet_duties.rs
+++ b/crates/ryetide-gateway/src/fleet_duties.rs
@@ -5,6 +5,7 @@
 use ryetide_core::{
     cell_plan::CellMember,
     digest_route::{DigestPeer, DigestRecipients},
+    era_version::EraVersion,
     ids::VmName,
     load_digest::LoadDigest,
     peer_board::FeedLag,
@@ -221,7 +222,7 @@
     let kept = NameList(registry.kept().cloned().collect());
     let Some(until) = registry.last_lapse() else { return };
     let left_ms = until.since(now).as_millis();
-    tracing::info!(event = "targets-kept", version = registry.newest(), left_ms, kept = %kept);
+    tracing::info!(event = "targets-kept", version = %EraVersion::of(registry.newest()), left_ms, kept = %kept);
 }
 
 /// Lets the scheduler know which targets there are now, and which of them leave.
@@ -229,12 +230,12 @@
     let now = gateway.hub().clock().now();
     let Some((targets, news)) = gateway.fleet().refresh_targets(now) else { return };
     let leaving = targets.iter().filter(|target| target.leaving).count();
-    let version = gateway.fleet().registry().borrow().newest();
+    let version = EraVersion::of(gateway.fleet().registry().borrow().newest());
     tracing::info!(
         event = "targets-changed",
         targets = targets.len(),
         leaving,
-        version,
+        %version,
         arrived = %news.arrived,
         now_leaving = %news.leaving,
         gone = %news.gone,
--- a/crates/ryetide-gateway/src/peer_link.rs
+++ b/crates/ryetide-gateway/src/peer_link.rs
@@ -15,8 +15,10 @@
 use bytes::Bytes;
 use ring::hmac;
 use ryetide_core::{
+    era_version::EraVersion,
     ids::VmName,
     load_digest::{DigestEnvelope, LoadDigest},
+    watch_duty::WatchNote,
 };
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
@@ -206,7 +208,11 @@
     }
 }
 
-fn take_digest(gateway: &Gateway, from: VmName, digest: LoadDigest) {
+fn take_digest(gateway: &Gateway, from: VmName, mut digest: LoadDigest) {
+    let era_here = EraVersion::of(gateway.fleet().registry().borrow().reached()).era;
+    let watches_now = |note: &WatchNote| EraVersion::of(note.targets.reached).era >= era_here;
+    // One that has not found out yet that the store came back from a copy has nothing to pass on.
+    digest.watch = digest.watch.filter(watches_now);
     // Those of other cells pass nothing on here, and may hear of a change before the mates do.
     let is_mate = gateway.hub().peek(|scheduler| scheduler.is_mate(&from));
     if let Some(note) = digest.watch.as_ref().filter(|_| is_mate) {
--- a/crates/ryetide-gateway/src/row_faults.rs
+++ b/crates/ryetide-gateway/src/row_faults.rs
@@ -5,6 +5,8 @@
 
 use std::{collections::HashMap, fmt};
 
+use ryetide_core::era_version::EraVersion;
+
 use crate::store_table::{FleetTable, TableRow};
 
 /// Rows whose last fault is remembered, at some 100 bytes each. Beyond this, faults are told anew: there are
@@ -30,8 +32,9 @@
             self.told.clear();
         }
         self.told.insert(row.key.clone(), row.version);
+        let version = EraVersion::of(row.version);
         let key: String = row.key.chars().take(KEY_LENGTH).collect();
-        tracing::warn!(event = "row-unreadable", %table, key, version = row.version, %reason);
+        tracing::warn!(event = "row-unreadable", %table, key, %version, %reason);
         true
     }
 }
--- a/crates/ryetide-gateway/src/store_table.rs
+++ b/crates/ryetide-gateway/src/store_table.rs
@@ -49,7 +49,7 @@
 pub struct TableRow {
     /// Its key.
     pub key: String,
-    /// Its version.
+    /// Its version, joined with its era where the store has eras ([`ryetide_core::era_version`]).
     pub version: u64,
     /// What it holds.
     pub value: RowValue,
@@ -61,14 +61,14 @@
     /// The rows. Changes come in the order in which they were made, and a row that changed twice
     /// comes twice.
     pub rows: Vec<TableRow>,
-    /// The version to follow from.
+    /// The version to follow from, joined with its era.
     pub version: u64,
 }
 
 /// Why a call on a table did not do what was asked.
 #[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
 pub enum TableFault {
-    /// The changes since the given version are no longer to be had.
+    /// The changes since the given version are no longer to be had, or the store has come back from a copy since.
     #[error("the history is gone")]
     HistoryGone,
     /// The row has another version than the write expected; this is the row, if it is there.
--- a/crates/ryetide-gateway/src/table_follower.rs
+++ b/crates/ryetide-gateway/src/table_follower.rs
@@ -2,7 +2,8 @@
 //!
 //! A table whose history is gone is read whole again. A reading that is older than what was seen
 //! before is passed over, since after a loss of history a store may answer from the past for some
-//! seconds.
+//! seconds. One of a later era is not older, whatever its number: the store has come back from a copy, and what it says
+//! now holds.
 //!
 //! A VM that need not watch the store itself rests: it asks nothing, and takes the changes that its peers pass
 //! on. It asks when it has missed one, or must watch again.
@@ -10,7 +11,7 @@
 use std::{rc::Rc, time::Duration};
 
 use rand::Rng;
-use ryetide_core::{target_registry, watch_duty::FeedMark};
+use ryetide_core::{era_version::EraVersion, target_registry, watch_duty::FeedMark};
 use tokio::{
     sync::{broadcast, watch},
     time::{self, Instant},
@@ -176,14 +177,17 @@
             };
             match outcome {
                 Ok(rows) if rows.version < self.version => {
-                    let (table, found) = (self.pace.table, rows.version);
-                    let seen = self.version;
-                    tracing::info!(event = "reading-passed-over", %table, found, seen);
+                    let (table, found) = (self.pace.table, EraVersion::of(rows.version));
+                    let seen = EraVersion::of(self.version);
+                    tracing::info!(event = "reading-passed-over", %table, %found, %seen);
                     self.pause.wait().await;
                 }
                 Ok(rows) => {
                     let changed = !rows.rows.is_empty();
                     self.regained().await;
+                    if EraVersion::of(rows.version).era > EraVersion::of(self.version).era {
+                        self.restored(rows.version).await;
+                    }
                     if changed {
                         self.log_news("store", rows.rows.len(), rows.version);
                     }
@@ -202,8 +206,11 @@
                 }
                 Err(TableFault::HistoryGone) => {
                     let table = self.pace.table;
-                    tracing::warn!(event = "history-gone", %table, since = self.version);
+                    let since = EraVersion::of(self.version);
+                    tracing::warn!(event = "history-gone", %table, %since);
                     followed = false;
+                    // The store is back; what is in doubt is so from now, not from when it has been read.
+                    self.regained().await;
                     self.pause.wait().await;
                 }
                 Err(fault) => {
@@ -366,7 +373,8 @@
     /// Tells from whom rows have come, and as of which version.
     fn log_news(&self, from: &'static str, rows: usize, version: u64) {
         let (table, doubt_ms) = (self.pace.table, self.doubt_left().as_millis());
-        tracing::info!(event = "table-news", %table, from, rows, version, doubt_ms);
+        let version = EraVersion::of(version);
+        tracing::info!(event = "table-news", %table, from, rows, %version, doubt_ms);
     }
 
     fn is_aftermath(&self) -> bool {
@@ -398,6 +406,25 @@
         self.tell(reached).await;
     }
 
+    /// The store has come back from a copy. What was written in its last seconds is missing, and is written again.
+    async fn restored(&mut self, version: u64) {
+        let known = std::mem::replace(&mut self.version, version);
+        if known == 0 {
+            return;
+        }
+        let (table, found) = (self.pace.table, EraVersion::of(version));
+        let seen = EraVersion::of(known);
+        tracing::warn!(event = "store-restored", peer = "store", %table, %found, %seen);
+        if self.doubt_left().is_zero() {
+            self.back_at = Some(Instant::now());
+            self.doubt_for(target_registry::DOUBT_SPAN);
+            let update = self.reader.doubt(target_registry::DOUBT_SPAN);
+            self.tell(update).await;
+        }
+        // The other tables' calls may hang, or wait for versions that are far off.
+        self.line.nudge.ring_all();
+    }
+
     async fn regained(&mut self) {
         self.pause = RetryPause::default();
         self.line.relay.outage().end();
--- a/crates/ryetide-gateway/tests/table_follower/main.rs
+++ b/crates/ryetide-gateway/tests/table_follower/main.rs
@@ -1,5 +1,6 @@
 //! Following a table of a store that does as it likes; no network, and time that is paused.
 
+mod eras;
 mod leaving;
 mod model_store;
 mod nudges;
--- a/crates/ryetide-gateway/tests/table_follower/model_store.rs
+++ b/crates/ryetide-gateway/tests/table_follower/model_store.rs
@@ -14,6 +14,7 @@
 use bytes::Bytes;
 use ryetide::error::StepError;
 use ryetide_core::{
+    era_version::EraVersion,
     ids::ServiceName,
     rollout_order::{RolloutOrder, RolloutWord},
     route::RouteTable,
@@ -51,10 +52,32 @@
 pub struct ModelStore {
     rows: RefCell<Rows>,
     version: Cell<u64>,
+    era: Cell<u64>,
     changed: Notify,
 }
 
+/// The store as it was at one moment.
+pub struct StoreCopy {
+    rows: Rows,
+    version: u64,
+}
+
 impl ModelStore {
+    pub fn copy(&self) -> StoreCopy {
+        StoreCopy { rows: self.rows.borrow().clone(), version: self.version.get() }
+    }
+
+    /// Comes back as the copy has it, in another era.
+    pub fn restore(&self, copy: &StoreCopy) {
+        *self.rows.borrow_mut() = copy.rows.clone();
+        self.version.set(copy.version);
+        self.era.set(self.era.get() + 1);
+    }
+
+    fn joined(&self, number: u64) -> u64 {
+        EraVersion { era: self.era.get(), number }.joined()
+    }
+
     pub fn put(&self, table: FleetTable, key: &str, value: &[u8]) {
         self.change(table, key, Some(Bytes::copy_from_slice(value)));
     }
@@ -82,11 +105,11 @@
         let changed = rows.iter().filter(|((of, _), (at, _))| *of == table && *at > version);
         let row = |((_, key), (at, value)): (&(String, String), &(u64, Option<Bytes>))| {
             let value = value.clone().map_or(RowValue::Dropped, RowValue::Present);
-            TableRow { key: key.clone(), version: *at, value }
+            TableRow { key: key.clone(), version: self.joined(*at), value }
         };
         let mut rows: Vec<TableRow> = changed.map(row).collect();
         rows.sort_by_key(|row| row.version);
-        TableRows { rows, version: self.version.get() }
+        TableRows { rows, version: self.joined(self.version.get()) }
     }
 }
 
@@ -150,14 +173,18 @@
 }
 
 impl ModelTable {
-    async fn wait_for_rows(&self, version: u64, wait: Duration) -> TableRows {
+    async fn wait_for_rows(&self, since: u64, wait: Duration) -> Result<TableRows, TableFault> {
+        let EraVersion { era, number } = EraVersion::of(since);
         let until = Instant::now() + wait;
         time::sleep(ANSWER_TIME).await;
         loop {
             let changed = self.store.changed.notified();
-            let found = self.store.since(self.table, version);
+            if era != self.store.era.get() || number > self.store.version.get() {
+                return Err(TableFault::HistoryGone);
+            }
+            let found = self.store.since(self.table, number);
             if !found.rows.is_empty() || Instant::now() >= until {
-                return found;
+                return Ok(found);
             }
             tokio::select! {
                 () = changed => {}
@@ -193,7 +220,7 @@
             tokio::select! {
                 biased;
                 fault = self.path.fails(limit) => Err(fault),
-                found = self.wait_for_rows(version, wait) => Ok(found),
+                found = self.wait_for_rows(version, wait) => found,
             }
         })
     }
