Let no copy of the store bring targets back that leave, or have gone

What callers would have seen: after a drill the store tells a copy some seconds old, in which a target that has begun to leave takes work still, and one that has gone is there; they are sent to it until its entry is written again, or lapses.

Cause: an entry of the registry is believed because it was read last, which is true within an era only.

Mend: when the source comes back from a copy, targets that were known to leave go on leaving as if they had said so themselves, and what the copy says of targets that have gone within the last minute is passed over, for 10 s, or until the entry is written anew; both memories are bounded. A target that the copy lacks is in doubt as after an outage.

--- a/crates/ryetide-core/src/target_registry.rs
+++ b/crates/ryetide-core/src/target_registry.rs
@@ -8,7 +8,7 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use crate::{
-    ids::{TargetLife, TargetName},
+    ids::{TargetKey, TargetLife, TargetName},
     target_load::TargetEntry,
     target_word::{LeavingMark, LeavingWords},
     units::Moment,
@@ -26,6 +26,14 @@
 /// this only those of the targets that there are stay.
 const LIVES_LIMIT: usize = 4_096;
 
+/// Targets that have gone lately are remembered for this long, which is longer than a copy of the source is old.
+const GONE_LIFE: Duration = Duration::from_secs(60);
+/// For how long an entry that a copy has brought back is passed over: within this time a target that lives has written it
+/// again, or changed it, and that of one that is gone has lapsed.
+const GHOST_SPAN: Duration = Duration::from_secs(10);
+/// Targets that have gone which are remembered; the one that went first yields.
+const GONE_LIMIT: usize = 1_024;
+
 /// What a registry's source says.
 #[derive(Clone, Debug, PartialEq)]
 pub enum RegistryUpdate {
@@ -52,6 +60,9 @@
     /// The source was lost by the peer that passes news on: for this long yet, entries may be missing of targets
     /// that live.
     SourceDoubtful(Duration),
+    /// The source has come back from a copy some seconds old. What it tells next may be from before what is known, until
+    /// the targets have written their entries again.
+    SourceRestored,
 }
 
 impl RegistryUpdate {
@@ -92,6 +103,11 @@
     lives: BTreeMap<TargetName, TargetLife>,
     /// Targets that have said that they leave.
     words: LeavingWords,
+    /// Targets that have gone lately, and when.
+    gone: BTreeMap<TargetKey, Moment>,
+    /// Targets that had gone before the source came back from a copy, and until when what the copy says of them is
+    /// passed over.
+    ghosts: BTreeMap<TargetKey, Moment>,
     known: bool,
     newest: u64,
     reached: u64,
@@ -104,8 +120,10 @@
     /// Takes what the source says.
     pub fn take(&mut self, now: Moment, update: RegistryUpdate) {
         match update {
-            RegistryUpdate::Snapshot { entries, unreadable } => {
+            RegistryUpdate::Snapshot { mut entries, unreadable } => {
                 self.known = true;
+                self.ghosts.retain(|_, until| now < *until);
+                entries.retain(|entry| !self.ghosts.contains_key(&entry.key()));
                 self.drop_unreadable(&unreadable);
                 let names: Vec<TargetName> =
                     entries.iter().map(|entry| entry.name.clone()).collect();
@@ -114,6 +132,10 @@
                 self.change(now, entries, &missing);
             }
             RegistryUpdate::Changed { entries, gone, unreadable } => {
+                // What has been written since is no copy.
+                for entry in &entries {
+                    self.ghosts.remove(&entry.key());
+                }
                 self.drop_unreadable(&unreadable);
                 self.change(now, entries, &gone);
             }
@@ -124,6 +146,7 @@
                 }
             }
             RegistryUpdate::SourceDoubtful(left) => self.doubt_for(now, left.min(DOUBT_SPAN)),
+            RegistryUpdate::SourceRestored => self.distrust_copy(now),
         }
     }
 
@@ -155,7 +178,10 @@
 
     /// Returns the targets that there are, and drops those whose time is over.
     pub fn current(&mut self, now: Moment) -> Vec<TargetEntry> {
-        self.targets.retain(|_, target| target.lapses_at.is_none_or(|at| now < at));
+        let lapsed = |target: &RegisteredTarget| target.lapses_at.is_some_and(|at| now >= at);
+        let ended: Vec<RegisteredTarget> =
+            self.targets.extract_if(.., |_, target| lapsed(target)).map(|(_, it)| it).collect();
+        ended.iter().for_each(|target| self.note_gone(now, target.entry.key()));
         self.words.age(now);
         self.targets.values().map(|target| self.as_it_says(&target.entry)).collect()
     }
@@ -230,12 +256,31 @@
             let Some(target) = self.targets.get_mut(name) else { continue };
             if kept_until.is_some() && !target.entry.leaving {
                 target.lapses_at = target.lapses_at.or(kept_until);
-            } else {
-                self.targets.remove(name);
+            } else if let Some(ended) = self.targets.remove(name) {
+                self.note_gone(now, ended.entry.key());
             }
         }
     }
 
+    /// A copy may tell of targets that have begun to leave, or have gone, that they take work.
+    fn distrust_copy(&mut self, now: Moment) {
+        let leaving = self.targets.values().filter(|target| target.entry.leaving);
+        for target in leaving {
+            self.words.note(now, target.entry.key());
+        }
+        let lately = self.gone.iter().filter(|(_, at)| now.since(**at) < GONE_LIFE);
+        self.ghosts.extend(lately.map(|(key, _)| (*key, now + GHOST_SPAN)));
+    }
+
+    fn note_gone(&mut self, now: Moment, target: TargetKey) {
+        self.gone.retain(|_, at| now.since(*at) < GONE_LIFE);
+        self.gone.insert(target, now);
+        if self.gone.len() > GONE_LIMIT {
+            let oldest = self.gone.iter().min_by_key(|(_, at)| **at).map(|(key, _)| *key);
+            oldest.and_then(|oldest| self.gone.remove(&oldest));
+        }
+    }
+
     fn doubt_for(&mut self, now: Moment, span: Duration) {
         self.doubt_until = self.doubt_until.max(Some(now + span));
     }
--- a/crates/ryetide-core/tests/target_registry.rs
+++ b/crates/ryetide-core/tests/target_registry.rs
@@ -149,3 +149,55 @@
     registry.take(Moment::from_millis(5_010), update);
     assert_eq!(names(&mut registry, 5_020), ["b"]);
 }
+
+/// Returns a registry of which the source came back at 5 s, from a copy that has both targets as they were.
+fn restored_after(update: RegistryUpdate) -> TargetRegistry {
+    let mut registry = with_two();
+    registry.take(Moment::from_millis(1_000), update);
+    names(&mut registry, 1_000);
+    registry.take(Moment::from_millis(5_000), RegistryUpdate::SourceRestored);
+    let copy = RegistryUpdate::whole(vec![entry("a"), entry("b")]);
+    registry.take(Moment::from_millis(5_010), copy);
+    registry
+}
+
+/// Guards against a copy of the source that makes callers go on to a target whose leaving it does not have yet.
+#[test]
+fn a_copy_takes_no_targets_leaving_back() {
+    let leaving = TargetEntry { leaving: true, ..entry("a") };
+    let mut registry = restored_after(RegistryUpdate::changed(vec![leaving]));
+    let current = registry.current(Moment::from_millis(5_020));
+    let leaving: Vec<bool> = current.iter().map(|target| target.leaving).collect();
+    assert_eq!(leaving, [true, false]);
+}
+
+/// Guards against a copy of the source that brings a target back which has gone.
+#[test]
+fn a_copy_brings_no_target_back() {
+    let mut registry = restored_after(gone("a"));
+    assert_eq!(names(&mut registry, 5_020), ["b"]);
+    registry.take(Moment::from_millis(6_000), RegistryUpdate::whole(vec![entry("a"), entry("b")]));
+    assert_eq!(names(&mut registry, 6_000), ["b"], "a whole reading may still be of the copy");
+}
+
+/// Guards against a target that lives and is passed over for good, because it had been taken for gone before.
+#[test]
+fn a_target_that_writes_its_entry_after_the_copy_is_back() {
+    let mut registry = restored_after(gone("a"));
+    registry.take(Moment::from_millis(6_000), RegistryUpdate::changed(vec![entry("a")]));
+    assert_eq!(names(&mut registry, 6_000), ["a", "b"]);
+    let mut registry = restored_after(gone("a"));
+    let whole = RegistryUpdate::whole(vec![entry("a"), entry("b")]);
+    registry.take(Moment::from_millis(16_000), whole);
+    assert_eq!(names(&mut registry, 16_000), ["a", "b"], "one that was not changed, later");
+}
+
+/// Guards against a memory that grows with every target that goes.
+#[test]
+fn targets_that_have_gone_are_forgotten() {
+    let mut registry = restored_after(gone("a"));
+    registry.take(Moment::from_millis(70_000), RegistryUpdate::SourceRestored);
+    let whole = RegistryUpdate::whole(vec![entry("a"), entry("b")]);
+    registry.take(Moment::from_millis(70_010), whole);
+    assert_eq!(names(&mut registry, 70_010), ["a", "b"]);
+}
--- a/crates/ryetide-gateway/src/store_feed.rs
+++ b/crates/ryetide-gateway/src/store_feed.rs
@@ -357,6 +357,10 @@
         Some(FleetUpdate::Targets(update, 0))
     }
 
+    fn restored(&mut self) -> Option<FleetUpdate> {
+        Some(FleetUpdate::Targets(RegistryUpdate::SourceRestored, 0))
+    }
+
     fn doubt(&mut self, left: Duration) -> Option<FleetUpdate> {
         Some(FleetUpdate::Targets(RegistryUpdate::SourceDoubtful(left), 0))
     }
--- a/crates/ryetide-gateway/src/table_follower.rs
+++ b/crates/ryetide-gateway/src/table_follower.rs
@@ -104,6 +104,11 @@
         None
     }
 
+    /// The store has come back from a copy; a whole reading of it follows.
+    fn restored(&mut self) -> Option<FleetUpdate> {
+        None
+    }
+
     /// A peer that passes rows on had lost the store: for `left` yet, rows may be missing that will be back.
     fn doubt(&mut self, left: Duration) -> Option<FleetUpdate> {
         let _ = left;
@@ -421,6 +426,8 @@
             let update = self.reader.doubt(target_registry::DOUBT_SPAN);
             self.tell(update).await;
         }
+        let update = self.reader.restored();
+        self.tell(update).await;
         // The other tables' calls may hang, or wait for versions that are far off.
         self.line.nudge.ring_all();
     }
