Write a VM's row again that a copy of the store lacks

What callers would have seen: a VM that started, or put a request under quarantine, in the seconds before the copy has no row in it, or an older one. Its peers drop it from their lists and believe none of its messages: it counts in no quota and no limit, and after the loss of all VMs its quarantines are forgotten.

Cause: a VM looked for its row at its start, and then took it for written once and for all.

Mend: each whole reading of the table tells what it has of this VM's row; one that is not as it was written last is written again, under the version that was found. The follower of that table waits up to 20 s for a change, and a store holds a call for changes since a version of another era as it would any other: so followers that know of a later era read their table whole instead of asking (is_of_past), and the first that finds it out makes the others look.

The new test had no row back after 4 s without the mend, and the second copy of it none after 10 s without is_of_past.

--- a/crates/ryetide-gateway/src/feed_relay.rs
+++ b/crates/ryetide-gateway/src/feed_relay.rs
@@ -7,7 +7,10 @@
 use std::{cell::Cell, rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use ryetide_core::watch_duty::{FeedMark, WatchNote};
+use ryetide_core::{
+    era_version::EraVersion,
+    watch_duty::{FeedMark, WatchNote},
+};
 use serde::{Deserialize, Serialize};
 use tokio::sync::{broadcast, mpsc, watch};
 
@@ -59,6 +62,8 @@
     own_routes: Cell<Option<FeedMark>>,
     own_targets: Cell<Option<FeedMark>>,
     outage: StoreOutage,
+    /// The latest era of the store that any table was read in.
+    era: Cell<u64>,
 }
 
 impl FeedRelay {
@@ -74,6 +79,7 @@
             own_routes: Cell::default(),
             own_targets: Cell::default(),
             outage: StoreOutage::default(),
+            era: Cell::new(0),
         };
         (Rc::new(relay), receiver)
     }
@@ -93,6 +99,17 @@
         &self.outage
     }
 
+    /// Notes the era of a version that was read.
+    pub fn note_era(&self, version: u64) {
+        self.era.set(self.era.get().max(EraVersion::of(version).era));
+    }
+
+    /// Returns whether a version is of an era before the store came back from a copy. Asked for changes since, the store
+    /// would not know that, and wait for one.
+    pub fn is_of_past(&self, version: u64) -> bool {
+        EraVersion::of(version).era < self.era.get()
+    }
+
     /// Takes a change that a peer has passed on.
     pub fn hear(&self, change: RelayedChange) {
         // Without followers there is nobody to tell.
--- a/crates/ryetide-gateway/src/store_feed.rs
+++ b/crates/ryetide-gateway/src/store_feed.rs
@@ -7,6 +7,7 @@
 
 use ryetide::error::StepError;
 use ryetide_core::{
+    era_version::EraVersion,
     ids::{DataCentreName, ServiceName, TargetName, VmName},
     rollout_order::{RolloutOrder, RolloutWord},
     route::RouteTable,
@@ -15,7 +16,7 @@
     units::LinkRate,
 };
 use serde::{Deserialize, Serialize};
-use tokio::sync::oneshot;
+use tokio::sync::watch;
 
 use crate::{
     feed_watch::FeedPauses,
@@ -93,7 +94,7 @@
 }
 
 /// What an entry VM says of itself in the store.
-#[derive(Debug, Deserialize, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 struct VmRow {
     data_centre: DataCentreName,
     address: net::SocketAddr,
@@ -168,7 +169,7 @@
                 TableFollower::new(table(FleetTable::Routes), routes_pace, routes, line.clone());
             let follow_targets =
                 TableFollower::new(table(FleetTable::Targets), targets_pace, targets, line.clone());
-            let (tell_own, found) = oneshot::channel();
+            let (tell_own, found) = watch::channel(None);
             let peers = VmReader::new(&own, tell_own);
             let follow_vms =
                 TableFollower::new(table(FleetTable::Vms), VMS_PACE, peers, line.clone());
@@ -189,11 +190,10 @@
 async fn announce(
     mut table: Box<dyn StoreTable>,
     own: &PeerEntry,
-    found: oneshot::Receiver<FoundRow>,
+    mut found: watch::Receiver<Option<FoundRow>>,
     line: FeedLine,
 ) {
-    // The feed has ended.
-    let Ok(found) = found.await else { return };
+    let Some(FoundRow { mut version, row: left }) = next_found(&mut found).await else { return };
     let mut row = VmRow {
         data_centre: own.data_centre.clone(),
         address: own.address,
@@ -201,8 +201,7 @@
         link: own.link,
         kept: Vec::new(),
     };
-    let mut version = found.version;
-    match found.row.filter(|left| left.is_of_same_vm(&row)) {
+    match left.filter(|left| left.is_of_same_vm(&row)) {
         Some(left) => {
             tracing::info!(event = "row-kept", step = "announce", version);
             // The gateway may be ending.
@@ -211,26 +210,68 @@
         }
         None => version = write_row(&mut *table, own, version, &row).await,
     }
-    keep_quarantines(&mut *table, own, version, row, line).await;
+    OwnRow { table, own, version, row }.keep(found, line).await;
 }
 
-/// Writes the row anew whenever this VM has other requests under quarantine to keep.
-async fn keep_quarantines(
-    table: &mut dyn StoreTable,
-    own: &PeerEntry,
-    mut version: u64,
-    mut row: VmRow,
-    mut line: FeedLine,
-) {
-    while line.kept.changed().await.is_ok() {
-        let kept = line.kept.borrow_and_update().clone();
+/// Waits until this VM's row was looked for, again; returns nothing when the feed has ended.
+async fn next_found(found: &mut watch::Receiver<Option<FoundRow>>) -> Option<FoundRow> {
+    found.changed().await.ok()?;
+    found.borrow_and_update().clone()
+}
+
+/// This VM's own row, as it must be.
+struct OwnRow<'a> {
+    table: Box<dyn StoreTable>,
+    own: &'a PeerEntry,
+    version: u64,
+    row: VmRow,
+}
+
+impl OwnRow<'_> {
+    /// Writes the row anew whenever this VM has other requests under quarantine to keep, and when a whole reading of the
+    /// table does not have it as it was written: the store has come back from a copy.
+    async fn keep(mut self, mut found: watch::Receiver<Option<FoundRow>>, mut line: FeedLine) {
+        loop {
+            tokio::select! {
+                changed = line.kept.changed() => match changed {
+                    Ok(()) => {
+                        let kept = line.kept.borrow_and_update().clone();
+                        self.keep_quarantines(kept).await;
+                    }
+                    // The gateway is ending.
+                    Err(_) => return,
+                },
+                found = next_found(&mut found) => match found {
+                    Some(found) => self.write_again(found).await,
+                    // The feed has ended.
+                    None => return,
+                },
+            }
+        }
+    }
+
+    async fn keep_quarantines(&mut self, kept: Vec<KeptQuarantine>) {
         // A VM that has started knows what it kept from this very row.
-        if !quarantine_keeper::must_write(&row.kept, &kept) {
-            continue;
+        if !quarantine_keeper::must_write(&self.row.kept, &kept) {
+            return;
         }
-        row.kept = kept;
-        tracing::info!(event = "quarantines-kept", step = "write", count = row.kept.len());
-        version = write_row(table, own, version, &row).await;
+        self.row.kept = kept;
+        tracing::info!(event = "quarantines-kept", step = "write", count = self.row.kept.len());
+        self.write().await;
+    }
+
+    async fn write_again(&mut self, found: FoundRow) {
+        if found.row.as_ref() == Some(&self.row) {
+            return;
+        }
+        let version = EraVersion::of(found.version);
+        tracing::info!(event = "row-missing", step = "announce", %version);
+        self.version = found.version;
+        self.write().await;
+    }
+
+    async fn write(&mut self) {
+        self.version = write_row(&mut *self.table, self.own, self.version, &self.row).await;
     }
 }
 
@@ -244,8 +285,8 @@
     version
 }
 
-/// This VM's own row, as the first reading of the table had it.
-#[derive(Debug, Default)]
+/// This VM's own row, as a whole reading of the table had it.
+#[derive(Clone, Debug, Default)]
 struct FoundRow {
     /// Its version; 0 for none.
     version: u64,
@@ -368,32 +409,30 @@
 
 struct VmReader {
     own: VmName,
-    /// Takes this VM's own row once it was looked for.
-    tell_own: Option<oneshot::Sender<FoundRow>>,
+    /// Takes this VM's own row whenever it was looked for.
+    tell_own: watch::Sender<Option<FoundRow>>,
     known: BTreeMap<String, PeerEntry>,
     faults: RowFaults,
 }
 
 impl VmReader {
-    fn new(own: &PeerEntry, tell_own: oneshot::Sender<FoundRow>) -> Self {
+    fn new(own: &PeerEntry, tell_own: watch::Sender<Option<FoundRow>>) -> Self {
         Self {
             own: own.name.clone(),
-            tell_own: Some(tell_own),
+            tell_own,
             known: BTreeMap::new(),
             faults: RowFaults::default(),
         }
     }
 
     fn tell_own(&mut self, rows: &[TableRow]) {
-        let Some(tell_own) = self.tell_own.take() else { return };
         let own = rows.iter().find(|row| row.key == self.own.as_str());
         let found = own.map(|row| FoundRow {
             version: row.version,
             // One that cannot be read is written over; it is logged below.
             row: row.value.bytes().and_then(|value| serde_json::from_slice(value).ok()),
         });
-        // The feed has ended if nobody waits for it.
-        let _ = tell_own.send(found.unwrap_or_default());
+        self.tell_own.send_replace(Some(found.unwrap_or_default()));
     }
 }
 
--- a/crates/ryetide-gateway/src/table_follower.rs
+++ b/crates/ryetide-gateway/src/table_follower.rs
@@ -174,6 +174,7 @@
     pub async fn run(mut self) {
         let mut followed = false;
         while !self.line.updates.is_closed() {
+            followed &= !self.line.relay.is_of_past(self.version);
             let outcome = if followed {
                 let Some(outcome) = self.follow().await else { continue };
                 outcome
@@ -414,6 +415,7 @@
     /// The store has come back from a copy. What was written in its last seconds is missing, and is written again.
     async fn restored(&mut self, version: u64) {
         let known = std::mem::replace(&mut self.version, version);
+        self.line.relay.note_era(version);
         if known == 0 {
             return;
         }
