Take connections that fail together for one absence of their target

What callers saw: a target that was back after 0.3 s got nothing for up to 8 s. ryetided doubles the pause of a target with each connection that fails, and four that had been granted at one moment failed at one moment: 2 s instead of 0.25 s, and 8 s after six.

Mend: a failure while the target is paused counts no more. The next one after the pause still doubles it. The new test of the arbiter failed before (the target was passed over at 270 ms). In the other face such a pause ends after 1.6 s at the latest; unchanged.

--- a/crates/ryetide-core/src/estimate.rs
+++ b/crates/ryetide-core/src/estimate.rs
@@ -113,8 +113,12 @@
         before != self.state
     }
 
-    /// Notes a failed connection; returns whether the target became suspect by it.
+    /// Notes a failed connection; returns whether the target became suspect by it. Connections that fail while the target
+    /// is paused tell of the same absence: each counted, a few at one moment would pause it for seconds.
     pub fn note_failure(&mut self, now: Moment) -> bool {
+        if now < self.pause_until {
+            return false;
+        }
         let pause = FIRST_PAUSE.saturating_mul(1 << self.failures.min(5)).min(LONGEST_PAUSE);
         self.failures += 1;
         self.pause_until = now + pause;
--- a/crates/ryetide-core/tests/arbiter.rs
+++ b/crates/ryetide-core/tests/arbiter.rs
@@ -356,3 +356,20 @@
     }
     assert_eq!(refused(&bench), 0);
 }
+
+/// Guards against a target that is back and gets nothing for seconds: several connections had failed at one moment, and
+/// each made the pause twice as long, though all of them tell of one absence.
+#[test]
+fn connections_that_fail_together_make_one_pause() {
+    let mut bench = Bench::new(TEXT);
+    let asks: Vec<u64> = (0..4).map(|_| bench.ask(at(1), 0, 100, 10, 10_000)).collect();
+    for (number, late) in asks.iter().zip([10, 11, 40, 200]) {
+        assert_eq!(bench.verdict(*number), Some(&VerdictKind::Grant(target("fast"))));
+        bench.release(at(late), *number, ReleaseOutcome::ConnectFailed);
+    }
+    let next = bench.ask(at(270), 0, 100, 10, 10_000);
+    assert_eq!(bench.verdict(next), Some(&VerdictKind::Grant(target("fast"))));
+    bench.release(at(280), next, ReleaseOutcome::ConnectFailed);
+    let again = bench.ask(at(600), 0, 100, 10, 10_000);
+    assert_eq!(bench.verdict(again), Some(&VerdictKind::Grant(target("slow"))), "twice as long");
+}
