--- a/crates/ryetide-core/src/scheduler_limits.rs
+++ b/crates/ryetide-core/src/scheduler_limits.rs
@@ -66,8 +66,8 @@
 
     /// Finds which part of each limit is this VM's.
     pub(crate) fn deal_limits(&mut self, now: Moment) {
-        let is_due = self.limits_dealt.is_none_or(|dealt| now.since(dealt) >= DEAL_INTERVAL);
-        if self.limits.is_empty() || !is_due {
+        let is_due = |dealt: Moment| now.since(dealt) >= DEAL_INTERVAL;
+        if self.limits.is_empty() || !self.limits_dealt.is_none_or(is_due) {
             return;
         }
         self.limits_dealt = Some(now);
