Deal the parts of limits for the targets that a VM uses, and less often

Found by reading.

Change: parts are dealt four times a second, at once after a change, for the targets that this VM uses, and the lists of VMs are made once for all of them. Whether a service's targets are dealt among the cells is noted when they are dealt (UsedTargets). A target that leaves a VM's cell loses its part there, and begins anew should it come back; a cell that has none of its own and uses all shares the parts with all.

--- a/crates/ryetide-core/src/limit_part.rs
+++ b/crates/ryetide-core/src/limit_part.rs
@@ -43,18 +43,18 @@
 /// assert_eq!(parts, [1.9]);
 /// ```
 pub fn rate_of(rate: RequestRate, target: TargetKey, own: &VmName, vms: &[&VmName]) -> Option<f64> {
-    let order = |vm: &VmName| {
-        let drawn = xxh3::xxh3_64_with_seed(vm.as_str().as_bytes(), u64::from(target.0));
-        (drawn, vm.clone())
-    };
-    let own_order = order(own);
+    let own_order = order(target, own);
     let others = vms.iter().filter(|vm| **vm != own);
-    let before = others.clone().filter(|vm| order(vm) < own_order).count();
+    let before = others.clone().filter(|vm| order(target, vm) < own_order).count();
     let whole = rate.per_second().floor() as usize;
     let holders = whole.clamp(1, others.count() + 1);
     (before < holders).then(|| rate.per_second() / holders as f64)
 }
 
+fn order(target: TargetKey, vm: &VmName) -> (u64, &VmName) {
+    (xxh3::xxh3_64_with_seed(vm.as_str().as_bytes(), u64::from(target.0)), vm)
+}
+
 /// How much of what a target takes is this VM's.
 ///
 /// # Example
--- a/crates/ryetide-core/src/line_view.rs
+++ b/crates/ryetide-core/src/line_view.rs
@@ -23,6 +23,15 @@
 /// Time that an answer needs to reach a caller before it leaves.
 const LEAVE_MARGIN: Duration = Duration::from_millis(150);
 
+/// Targets of a service that a VM uses.
+#[derive(Clone, Debug, Default)]
+pub struct UsedTargets {
+    /// The targets.
+    pub keys: Vec<TargetKey>,
+    /// Whether only the VMs of this VM's cell use them.
+    pub is_dealt: bool,
+}
+
 /// The line of a service and how long its places are held.
 #[derive(Debug)]
 pub struct ServiceLine {
@@ -31,9 +40,9 @@
     /// Who waits.
     pub line: WaitLine,
     /// The targets that this VM uses.
-    pub targets: Vec<TargetKey>,
+    pub targets: UsedTargets,
     /// Targets of a version on trial, which get a bounded share.
-    pub trial: Vec<TargetKey>,
+    pub trial: UsedTargets,
     /// The mean time that requests hold a place; none before any was observed.
     pub hold: Option<Duration>,
     /// What has come lately.
@@ -46,8 +55,8 @@
         Self {
             key: ServiceKey::of(service),
             line: WaitLine::default(),
-            targets: Vec::new(),
-            trial: Vec::new(),
+            targets: UsedTargets::default(),
+            trial: UsedTargets::default(),
             hold: None,
             arrivals: RecentArrivals::default(),
         }
@@ -111,7 +120,7 @@
         sharing: PlaceSharing,
     ) -> Self {
         let loads: Vec<&TargetLoad> =
-            state.targets.iter().filter_map(|key| targets.get(key)).collect();
+            state.targets.keys.iter().filter_map(|key| targets.get(key)).collect();
         let limits = limits_of(&loads);
         let (usable, others): (Vec<_>, Vec<_>) = loads.iter().partition(|load| load.may_get(now));
         let held_until = if usable.is_empty() { first_held_until(now, &others) } else { None };
@@ -196,7 +205,7 @@
         if self.gives_way(work) {
             return Some(RefusalReason::Overload);
         }
-        self.state.targets.is_empty().then_some(RefusalReason::NoTarget)
+        self.state.targets.keys.is_empty().then_some(RefusalReason::NoTarget)
     }
 
     fn ordered(&self) -> Vec<(LineRank, &'a WaitingWork)> {
--- a/crates/ryetide-core/src/scheduler.rs
+++ b/crates/ryetide-core/src/scheduler.rs
@@ -22,7 +22,7 @@
     digest_route::DigestRoute,
     digest_teller::DigestTeller,
     ids::{RequestSequence, ServiceName, TargetKey, VmName},
-    line_view::{LineChoice, LineView, PlaceSharing, ServiceLine},
+    line_view::{LineChoice, LineView, PlaceSharing, ServiceLine, UsedTargets},
     load_digest::FleetNews,
     peer_board::{FeedLag, PeerBoard},
     quota::QuotaCharge,
@@ -152,16 +152,23 @@
             };
             by_use.entry((entry.service.clone(), on_trial)).or_default().push(entry);
         }
-        let dealt: Vec<((ServiceName, bool), Vec<TargetKey>)> =
-            by_use.into_iter().map(|(of, entries)| (of, self.plan.targets(&entries))).collect();
+        let deal = |entries: &[&TargetEntry]| {
+            let keys = self.plan.targets(entries);
+            // A cell that has none of its own uses all.
+            let is_dealt = self.plan.deals(entries) && keys.len() < entries.len();
+            UsedTargets { keys, is_dealt }
+        };
+        let dealt: Vec<((ServiceName, bool), UsedTargets)> =
+            by_use.into_iter().map(|(of, entries)| (of, deal(&entries))).collect();
         for state in self.services.values_mut() {
-            state.targets.clear();
-            state.trial.clear();
+            state.targets = UsedTargets::default();
+            state.trial = UsedTargets::default();
         }
-        for ((service, on_trial), keys) in dealt {
+        for ((service, on_trial), used) in dealt {
             let state = self.service_state(&service);
-            *(if on_trial { &mut state.trial } else { &mut state.targets }) = keys;
+            *(if on_trial { &mut state.trial } else { &mut state.targets }) = used;
         }
+        self.limits_dealt = None;
     }
 
     /// Works the cells out anew from the VMs that are heard and the targets that are known.
@@ -508,11 +515,11 @@
         let state = self.services.get(service)?;
         let sharing = PlaceSharing { vms: self.cell_size, turn_span: self.pace.news_span() };
         let view = LineView::new(now, state, &self.targets, &self.peers, &self.options, sharing);
-        if state.trial.is_empty() {
+        if state.trial.keys.is_empty() {
             return Some(view);
         }
         let sight = self.fleet_sight(now);
-        let trial = self.rollouts.trial_targets(now, service, &sight, &state.trial);
+        let trial = self.rollouts.trial_targets(now, service, &sight, &state.trial.keys);
         Some(view.with_trial(&trial, &self.targets))
     }
 }
--- a/crates/ryetide-core/src/scheduler_limits.rs
+++ b/crates/ryetide-core/src/scheduler_limits.rs
@@ -1,19 +1,21 @@
 //! How a scheduler keeps to the limits that targets name.
 
-use std::{collections::BTreeSet, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use crate::{
     ids::{TargetKey, VmName},
     limit_part::{self, TargetLimit},
     scheduler::Scheduler,
     target_limit::LimitMark,
-    target_load::TargetEntry,
     target_word::LimitWord,
     units::{Moment, RequestRate},
 };
 
 /// How often parts are dealt anew: VMs come and go.
-const DEAL_INTERVAL: Duration = Duration::from_millis(100);
+const DEAL_INTERVAL: Duration = Duration::from_millis(250);
 /// For this long after a change of a limit all VMs are told of it soon.
 const FRESH_SPAN: Duration = Duration::from_millis(1_000);
 
@@ -73,52 +75,65 @@
         self.limits_dealt = Some(now);
         let targets = &self.targets;
         self.limits.age(now, |target| targets.contains_key(&target));
-        let limited: Vec<(TargetKey, RequestRate)> = self.limits.limited().collect();
-        let parts: Vec<(TargetKey, Option<f64>)> =
-            limited.iter().map(|(key, rate)| (*key, self.part_of(now, *key, *rate))).collect();
-        let limited: BTreeSet<TargetKey> = limited.into_iter().map(|(key, _)| key).collect();
+        let mut parts = self.limit_parts(now);
         for (key, load) in &mut self.targets {
-            if !limited.contains(key) {
-                *load.limit_mut() = TargetLimit::None;
-            }
-        }
-        for (key, rate) in parts {
-            if let Some(load) = self.targets.get_mut(&key) {
-                load.limit_mut().set(now, rate);
+            match parts.remove(key) {
+                Some(rate) => load.limit_mut().set(now, rate),
+                // One that this VM does not use is another cell's; should it come back, its part begins anew.
+                None => *load.limit_mut() = TargetLimit::None,
             }
         }
     }
 
-    /// The requests a second that this VM may send to a target which takes `rate` from all.
-    fn part_of(&self, now: Moment, target: TargetKey, rate: RequestRate) -> Option<f64> {
+    /// The requests a second that this VM may send to each of the limited targets that it uses; nothing where other VMs
+    /// have all.
+    fn limit_parts(&self, now: Moment) -> BTreeMap<TargetKey, Option<f64>> {
+        let (all, cell) = (self.known_vms(now), self.cell_vms(now));
+        let groups = self.services.values().flat_map(|state| [&state.targets, &state.trial]);
+        let parts = groups.flat_map(|used| {
+            let vms = if used.is_dealt { &cell } else { &all };
+            used.keys.iter().filter_map(|key| {
+                let rate = self.limits.rate(*key)?;
+                Some((*key, self.part_of(now, *key, rate, vms.as_deref())))
+            })
+        });
+        parts.collect()
+    }
+
+    /// The requests a second that this VM may send to a target which takes `rate` from `vms`; nothing is known of these
+    /// before the list of them was read.
+    fn part_of(
+        &self,
+        now: Moment,
+        target: TargetKey,
+        rate: RequestRate,
+        vms: Option<&[&VmName]>,
+    ) -> Option<f64> {
         if self.leaving {
             return None;
         }
-        let Some(known) = self.peers.known(now) else {
-            // Who there is has not been read yet.
+        let Some(vms) = vms else {
             return Some(rate.per_second() / self.peers.known_count(now) as f64);
         };
-        let is_dealt = self.is_dealt(target);
-        let members: BTreeSet<VmName> =
-            self.peers.members(now).into_iter().map(|member| member.name).collect();
-        // One that is silent may still be of this cell, and send.
-        let may_use = |vm: &&VmName| !is_dealt || self.plan.is_mate(vm) || !members.contains(*vm);
-        let mut vms: Vec<&VmName> = known.into_iter().filter(may_use).collect();
-        vms.push(&self.options.name);
         // Those that are not heard may have heard of others, and deal the parts otherwise.
         let heard = self.peers.heard_part(now);
-        Some(limit_part::rate_of(rate, target, &self.options.name, &vms)? * heard)
+        Some(limit_part::rate_of(rate, target, &self.options.name, vms)? * heard)
     }
 
-    /// Whether only the VMs of this cell use a target.
-    fn is_dealt(&self, target: TargetKey) -> bool {
-        let Some(entry) = self.targets.get(&target).map(|load| load.entry()) else { return false };
-        let used = self.rollouts.target_use(entry);
-        let alike = |other: &&TargetEntry| {
-            other.service == entry.service && self.rollouts.target_use(other) == used
-        };
-        let entries = self.targets.values().map(|load| load.entry());
-        let alike: Vec<&TargetEntry> = entries.filter(alike).collect();
-        self.plan.deals(&alike)
+    /// The VMs that there are, this one included.
+    fn known_vms(&self, now: Moment) -> Option<Vec<&VmName>> {
+        let mut vms = self.peers.known(now)?;
+        vms.push(&self.options.name);
+        Some(vms)
+    }
+
+    /// Those of this VM's cell. One that is silent may still be of it, and send.
+    fn cell_vms(&self, now: Moment) -> Option<Vec<&VmName>> {
+        let members: BTreeSet<VmName> =
+            self.peers.members(now).into_iter().map(|member| member.name).collect();
+        let own = &self.options.name;
+        let may_be_mate =
+            |vm: &&VmName| *vm == own || self.plan.is_mate(vm) || !members.contains(*vm);
+        Some(self.known_vms(now)?.into_iter().filter(may_be_mate).collect())
     }
 }
