Begin with a short pause when a target that was reached fails again

What callers saw: ryetided passed a target over for longer each time that it crashed, though it was back after 0.3 s: 0.25 s, 1, 2, 4, up to 8 s. Only an answer ended the row of failed connections, and a request that crashes its target gets none.

Mend: a request that has reached the target ends the row; pauses still double while connections fail one after the other.

--- a/crates/ryetide-core/src/arbiter.rs
+++ b/crates/ryetide-core/src/arbiter.rs
@@ -380,7 +380,8 @@
                 ReleaseOutcome::HeldOff(span_ms) => {
                     target.hold_off(now, Duration::from_millis(u64::from(span_ms)));
                 }
-                ReleaseOutcome::Failed | ReleaseOutcome::Unused => {}
+                ReleaseOutcome::Failed => target.note_reached(),
+                ReleaseOutcome::Unused => {}
             }
         }
         self.pump(now, verdicts);
--- a/crates/ryetide-core/src/estimate.rs
+++ b/crates/ryetide-core/src/estimate.rs
@@ -125,6 +125,11 @@
         self.handle(TargetEvent::ConnectFailed)
     }
 
+    /// Notes that a request reached the target, whatever became of it: the next failed connection begins a new absence.
+    pub fn note_reached(&mut self) {
+        self.failures = 0;
+    }
+
     /// Notes that the target answered.
     pub fn note_answer(&mut self) {
         self.failures = 0;
--- a/crates/ryetide-core/tests/arbiter.rs
+++ b/crates/ryetide-core/tests/arbiter.rs
@@ -31,6 +31,18 @@
          prefill-rate: 1000, decode-rate: 10}
 ";
 
+const ONE_TARGET: &str = "
+tiers:
+  - {name: urgent, wait: 30s}
+organisations:
+  - {name: heavy, share: 1}
+services:
+  - name: records
+    kind: plain
+    targets:
+      - {name: only, data-centre: here, address: '127.0.0.1:1', slots: 8, tokens: 100000}
+";
+
 struct Bench {
     arbiter: ScopeArbiter,
     rng: SmallRng,
@@ -373,3 +385,47 @@
     let again = bench.ask(at(600), 0, 100, 10, 10_000);
     assert_eq!(bench.verdict(again), Some(&VerdictKind::Grant(target("slow"))), "twice as long");
 }
+
+/// Plays a target that crashes under each request and is away for 300 ms each time, and at first for `away`; returns when
+/// requests have reached it.
+fn play_crashing_target(away: u64) -> Vec<u64> {
+    let mut bench = Bench::new(ONE_TARGET);
+    let (mut back, mut reached) = (away, Vec::new());
+    let mut running: Vec<(u64, u64)> = Vec::new();
+    for millis in (1..8_000).step_by(10) {
+        bench.advance(at(millis));
+        if millis % 60 == 1 {
+            running.push((bench.ask(at(millis), 0, 10, 10, 30_000), 0));
+        }
+        let crashes = running.iter().any(|(_, end)| *end != 0 && *end <= millis);
+        if crashes {
+            back = millis + 300;
+        }
+        for (number, end) in std::mem::take(&mut running) {
+            let granted = matches!(bench.verdict(number), Some(VerdictKind::Grant(_)));
+            if end != 0 && crashes {
+                bench.release(at(millis), number, ReleaseOutcome::Failed);
+            } else if end == 0 && granted && millis < back {
+                bench.release(at(millis), number, ReleaseOutcome::ConnectFailed);
+            } else if end == 0 && granted {
+                reached.push(millis);
+                running.push((number, millis + 30));
+            } else if bench.verdict(number) == Some(&VerdictKind::Queued) || end != 0 {
+                running.push((number, end));
+            }
+        }
+    }
+    reached
+}
+
+/// Guards against a target that is passed over for longer each time it crashes, though it is soon back: that a request has
+/// reached it ends the row of failures.
+#[test]
+fn a_target_that_is_reached_again_begins_with_a_short_pause() {
+    for away in (1..2_000).step_by(150) {
+        let reached = play_crashing_target(away);
+        let gaps = reached.windows(2).map(|pair| pair[1] - pair[0]);
+        let longest = gaps.max().expect("it is reached more than once");
+        assert!(longest < 1_000, "away for {away} ms: {reached:?}");
+    }
+}
