Add switches and digest fields for the policies against uneven load

Cause: two deployments have load that the scheduler serves badly, and four parts are to be built side by side: ejection, overflow, return times, fair shares (docs/design/uneven-load.md).

Change: SchedulingPolicy holds a switch for each part, read from the section 'scheduling' of the settings text; 'auto' puts a part in effect for services whose targets announce incarnations. LoadDigest ends with PolicyUpdate, which messages leave out while it is empty.

Nothing uses the switches yet.

--- a/crates/ryetide-core/src/lib.rs
+++ b/crates/ryetide-core/src/lib.rs
@@ -34,6 +34,7 @@
 //! | [`rollout_order`], [`rollout_manager`], [`service_rollout`], [`rollout_evidence`], [`rollout_evaluation`] | rollouts of new versions: their traffic, evaluation and outcome |
 //! | [`scheduler`], [`scheduler_options`], [`queue_view`], [`wait_queue`], [`recent_arrivals`], [`deadline_tracker`], [`decision`] | queueing and refusal of routed requests |
 //! | [`placement`], [`target_load`], [`target_health`], [`target_speed`], [`prompt_cache`] | placement of routed requests |
+//! | [`scheduling_policy`], [`policy_update`] | the optional policies for uneven load, and what VMs report for them |
 //! | [`load_digest`], [`peer_digests`], [`cell_plan`], [`digest_timing`], [`digest_route`] | load reports between entry VMs |
 //! | [`target_registry`], [`target_notice`] | the existing targets, and the notices in their answers |
 //! | [`target_limit`], [`limit_share`] | request rate limits that targets announce, and each VM's share of them |
@@ -79,6 +80,7 @@
 mod output_estimate;
 pub mod peer_digests;
 pub mod placement;
+pub mod policy_update;
 pub mod prompt_cache;
 pub mod queue;
 pub mod queue_view;
@@ -102,6 +104,7 @@
 mod scheduler_limits;
 pub mod scheduler_options;
 mod scheduler_rollouts;
+pub mod scheduling_policy;
 pub mod service_rollout;
 mod slot_ledger;
 pub mod slot_request;
--- a/crates/ryetide-core/src/load_digest.rs
+++ b/crates/ryetide-core/src/load_digest.rs
@@ -12,6 +12,7 @@
 use crate::{
     crash_ledger::CrashUpdate,
     ids::{DataCentreName, Incarnation, OrganisationKey, ServiceKey, TargetKey, VmName},
+    policy_update::PolicyUpdate,
     service_rollout::RolloutProgress,
     slot_turn::UrgencyClass,
     target_limit::LimitReport,
@@ -130,6 +131,9 @@
     pub rollouts: Vec<RolloutProgress>,
     /// The limits that targets have last announced.
     pub limits: Vec<LimitReport>,
+    /// What the optional scheduling policies report. It is the last field, because VMs leave it out
+    /// of a message while it is empty.
+    pub policies: PolicyUpdate,
 }
 
 /// A digest and the VM that sent it.
--- a/crates/ryetide-core/src/queue_view.rs
+++ b/crates/ryetide-core/src/queue_view.rs
@@ -15,6 +15,7 @@
     placement::{self, PlacementForecast, PlacementNeed},
     recent_arrivals::{self, RecentArrivals},
     scheduler_options::SchedulerOptions,
+    scheduling_policy::ServicePolicy,
     slot_turn::{self, FreeSlot, SlotClaimant, UrgencyClass},
     target_load::TargetLoad,
     units::Moment,
@@ -48,6 +49,10 @@
     pub slot_time: Option<Duration>,
     /// Recent arrivals.
     pub arrivals: RecentArrivals,
+    /// Whether a target of the service has announced its incarnation.
+    pub announces_incarnations: bool,
+    /// The optional policies in effect.
+    pub policy: ServicePolicy,
 }
 
 impl ServiceQueue {
@@ -60,6 +65,8 @@
             trial: UsedTargets::default(),
             slot_time: None,
             arrivals: RecentArrivals::default(),
+            announces_incarnations: false,
+            policy: ServicePolicy::default(),
         }
     }
 }
--- a/crates/ryetide-core/src/scheduler.rs
+++ b/crates/ryetide-core/src/scheduler.rs
@@ -21,7 +21,7 @@
     digest_route::DigestRouter,
     digest_timing::DigestTiming,
     digest_tracker::DigestTracker,
-    ids::{RequestSequence, ServiceName, TargetKey, VmName},
+    ids::{RequestSequence, ServiceName, TargetIncarnation, TargetKey, VmName},
     load_digest::FleetState,
     peer_digests::{FeedLag, PeerDigests},
     queue_view::{QueueAction, QueueView, ServiceQueue, SlotSharing, UsedTargets},
@@ -32,6 +32,7 @@
     retry_delay::RetryDelay,
     rollout_manager::{RolloutManager, TargetUse},
     scheduler_options::SchedulerOptions,
+    scheduling_policy::SchedulingPolicy,
     target_limit::LimitTable,
     target_load::{TargetEntry, TargetLoad},
     units::Moment,
@@ -137,6 +138,7 @@
         }
         self.shares_updated_at = None;
         self.update_used_targets();
+        self.update_policies();
         self.plan_cells(now);
         self.advance(now);
     }
@@ -208,6 +210,12 @@
         self.retry_budget.set_rule(rule);
     }
 
+    /// Replaces the switches of the optional policies.
+    pub fn set_policy(&mut self, policy: SchedulingPolicy) {
+        self.options.policy = policy;
+        self.update_policies();
+    }
+
     /// Replaces the list of the other entry VMs.
     pub fn list_peers(&mut self, now: Moment, listed: &[CellMember]) {
         self.peers.list(now, listed);
@@ -517,6 +525,20 @@
         }
     }
 
+    /// Determines which optional policies are in effect for each service.
+    fn update_policies(&mut self) {
+        let entries = self.targets.values().map(TargetLoad::entry);
+        let announced: BTreeSet<ServiceName> = entries
+            .filter(|entry| entry.incarnation != TargetIncarnation::default())
+            .map(|entry| entry.service.clone())
+            .collect();
+        for (name, state) in &mut self.services {
+            // A service whose targets are all gone for a moment keeps its policies.
+            state.announces_incarnations |= announced.contains(name);
+            state.policy = self.options.policy.for_service(state.announces_incarnations);
+        }
+    }
+
     /// Returns the current view of a service's queue and targets.
     pub(crate) fn view(&self, now: Moment, service: &ServiceName) -> Option<QueueView<'_>> {
         let state = self.services.get(service)?;
--- a/crates/ryetide-core/src/scheduler_options.rs
+++ b/crates/ryetide-core/src/scheduler_options.rs
@@ -5,6 +5,7 @@
     ids::{DataCentreName, Incarnation, VmName},
     retry_budget::RetryRule,
     rollout_order::RolloutRule,
+    scheduling_policy::SchedulingPolicy,
     target_speed::AssumedSpeed,
 };
 
@@ -25,6 +26,8 @@
     pub rollout: RolloutRule,
     /// The speed assumed of targets before anything was observed.
     pub assumed: AssumedSpeed,
+    /// Which optional scheduling policies are in effect.
+    pub policy: SchedulingPolicy,
 }
 
 impl SchedulerOptions {
--- a/crates/ryetide-core/tests/fleet_digests.rs
+++ b/crates/ryetide-core/tests/fleet_digests.rs
@@ -25,6 +25,7 @@
         retry: RetryRule::default(),
         rollout: Default::default(),
         assumed: AssumedSpeed::default(),
+        policy: Default::default(),
     });
     let entry = |name: &&str| TargetEntry {
         name: (*name).into(),
--- a/crates/ryetide-core/tests/rollout/placement.rs
+++ b/crates/ryetide-core/tests/rollout/placement.rs
@@ -53,6 +53,7 @@
         retry: Default::default(),
         rollout: fleet::rule(),
         assumed: AssumedSpeed::default(),
+        policy: Default::default(),
     });
     // It has read the list of VMs and is the only one.
     scheduler.list_peers(Moment(1), &[]);
--- a/crates/ryetide-core/tests/scheduler.rs
+++ b/crates/ryetide-core/tests/scheduler.rs
@@ -75,6 +75,7 @@
             retry: RetryRule::default(),
             rollout: Default::default(),
             assumed: AssumedSpeed::default(),
+            policy: Default::default(),
         });
         let entries = targets.iter().map(|(name, slots)| target(name, *slots)).collect();
         // The targets were added well before a test begins, so no turns apply at their slots.
--- a/crates/ryetide-core/tests/scheduler_load/load_simulation.rs
+++ b/crates/ryetide-core/tests/scheduler_load/load_simulation.rs
@@ -207,6 +207,7 @@
                 retry: RetryRule::default(),
                 rollout: Default::default(),
                 assumed: AssumedSpeed::default(),
+                policy: Default::default(),
             });
             scheduler.set_targets(Moment(1), engines.keys().map(entry).collect());
             let others = (0..count).filter(|other| *other != index).map(member);
--- a/crates/ryetide-core/tests/target_limit/fleet.rs
+++ b/crates/ryetide-core/tests/target_limit/fleet.rs
@@ -152,6 +152,7 @@
         retry: RetryRule::default(),
         rollout: Default::default(),
         assumed: AssumedSpeed::default(),
+        policy: Default::default(),
     });
     scheduler.set_targets(now, (0..targets).map(entry).collect());
     SimulatedVm {
--- a/crates/ryetide-core/tests/target_notice.rs
+++ b/crates/ryetide-core/tests/target_notice.rs
@@ -138,6 +138,7 @@
         retry: RetryRule::default(),
         rollout: Default::default(),
         assumed: AssumedSpeed::default(),
+        policy: Default::default(),
     });
     scheduler.set_targets(at(1), names.iter().map(|name| entry(name)).collect());
     scheduler
--- a/crates/ryetide-core/tests/watcher_selection.rs
+++ b/crates/ryetide-core/tests/watcher_selection.rs
@@ -38,6 +38,7 @@
                 retry: RetryRule { share: 0.2, window: Duration::from_secs(10), slack: 50.0 },
                 rollout: Default::default(),
                 assumed: AssumedSpeed::default(),
+                policy: Default::default(),
             });
             let others: Vec<_> = (0..size).filter(|other| *other != index).map(member).collect();
             scheduler.list_peers(Moment::from_millis(1), &others);
--- a/crates/ryetide-gateway/src/gateway.rs
+++ b/crates/ryetide-gateway/src/gateway.rs
@@ -175,6 +175,7 @@
         retry: settings.retry,
         rollout: settings.rollout,
         assumed: AssumedSpeed::default(),
+        policy: settings.policy,
     });
     tracing::info!(
         event = "started",
@@ -280,8 +281,10 @@
     gateway.hub().peek_mut(|scheduler| {
         scheduler.set_retry_rule(found.retry);
         scheduler.set_rollout_rule(found.rollout);
+        scheduler.set_policy(found.policy);
     });
     settings.retry = found.retry;
     settings.rollout = found.rollout;
+    settings.policy = found.policy;
     settings.grace = found.grace;
 }
--- a/crates/ryetide-gateway/src/gateway_text.rs
+++ b/crates/ryetide-gateway/src/gateway_text.rs
@@ -23,6 +23,7 @@
 use ryetide_core::{
     retry_budget::RetryRule,
     rollout_order::RolloutRule,
+    scheduling_policy::{PolicySwitch, SchedulingPolicy},
     text::{self, ValidationErrors, ValueRange, YamlNode, YamlReader},
     units::LinkRate,
 };
@@ -90,7 +91,7 @@
 }
 
 fn read_root(reader: &mut YamlReader, root: YamlNode<'_>) -> Option<GatewayText> {
-    const KEYS: [&str; 11] = [
+    const KEYS: [&str; 12] = [
         "name",
         "data-centre",
         "callers",
@@ -99,6 +100,7 @@
         "grace",
         "retry",
         "rollout",
+        "scheduling",
         "link",
         "routes",
         "log",
@@ -115,6 +117,7 @@
         .optional(root, "grace", DEFAULT_GRACE, |reader, value| reader.duration(value, SPAN_RANGE));
     let retry = reader.optional(root, "retry", RetryRule::default(), read_retry);
     let rollout = reader.optional(root, "rollout", RolloutRule::default(), read_rollout);
+    let policy = reader.optional(root, "scheduling", SchedulingPolicy::default(), read_scheduling);
     let link = reader.optional(root, "link", DEFAULT_LINK, read_link);
     let routes = reader.required(root, "routes", YamlReader::text);
     let log = reader.optional(root, "log", LogFilter::default(), |reader, value| {
@@ -130,6 +133,7 @@
         grace: grace?,
         retry: retry?,
         rollout: rollout?,
+        policy: policy?,
         link: link?,
     };
     Some(GatewayText { settings, routes: routes?.into(), peers: known, log: log? })
@@ -196,3 +200,20 @@
         reader.optional(node, "by-order-only", defaults.by_order_only, YamlReader::flag);
     Some(RolloutRule { share: share?, slack: slack? as f64, by_order_only: by_order_only? })
 }
+
+fn read_scheduling(reader: &mut YamlReader, node: YamlNode<'_>) -> Option<SchedulingPolicy> {
+    reader.mapping(node, &["ejection", "overflow", "return-times", "fair-shares"]);
+    let mut switch = |key| {
+        reader.optional(node, key, PolicySwitch::default(), |reader, value| {
+            reader.parsed(value, PolicySwitch::PERMITTED)
+        })
+    };
+    let (ejection, overflow) = (switch("ejection"), switch("overflow"));
+    let (return_times, fair_shares) = (switch("return-times"), switch("fair-shares"));
+    Some(SchedulingPolicy {
+        ejection: ejection?,
+        overflow: overflow?,
+        return_times: return_times?,
+        fair_shares: fair_shares?,
+    })
+}
--- a/crates/ryetide-gateway/src/peer_link.rs
+++ b/crates/ryetide-gateway/src/peer_link.rs
@@ -19,6 +19,7 @@
     era_version::EraVersion,
     ids::VmName,
     load_digest::{DigestEnvelope, LoadDigest},
+    policy_update::PolicyUpdate,
     watcher_selection::WatchReport,
 };
 use serde::{Deserialize, Serialize};
@@ -35,7 +36,7 @@
 /// Length of the truncated keyed hash in bytes (128 bits).
 const TAG_LENGTH: usize = 16;
 /// Number of fields at the end of a digest that VMs of an earlier release do not send.
-const ADDED_FIELDS: usize = 2;
+const ADDED_FIELDS: usize = 2 + PolicyUpdate::LISTS;
 /// The largest datagram that is read, in bytes. A digest of 140 targets takes about 5 KB.
 const DATAGRAM_LIMIT: usize = 60_000;
 
@@ -54,6 +55,16 @@
     Relayed(Vec<Bytes>),
 }
 
+impl PeerMessage {
+    /// Returns the digest in the message.
+    fn digest(&self) -> Option<&LoadDigest> {
+        match self {
+            Self::Digest(digest) | Self::RelayRequest(digest) => Some(digest),
+            Self::Change(_) | Self::Relayed(_) => None,
+        }
+    }
+}
+
 /// A message and the VM that sent it.
 #[derive(Debug, Deserialize, Serialize)]
 pub struct PeerEnvelope {
@@ -87,7 +98,11 @@
 ///
 /// Returns the codec's error when the message cannot be encoded.
 pub fn seal(secret: &PeerSecret, envelope: &PeerEnvelope) -> Result<Vec<u8>, postcard::Error> {
-    let body = postcard::to_allocvec(envelope)?;
+    let mut body = postcard::to_allocvec(envelope)?;
+    if envelope.message.digest().is_some_and(|digest| digest.policies.is_empty()) {
+        // The receiver reads missing bytes as zeros, and an empty list is a zero byte.
+        body.truncate(body.len() - PolicyUpdate::LISTS);
+    }
     let key = hmac::Key::new(hmac::HMAC_SHA256, secret);
     let mut datagram = hmac::sign(&key, &body).as_ref()[..TAG_LENGTH].to_vec();
     datagram.extend_from_slice(&body);
--- a/crates/ryetide-gateway/src/ports.rs
+++ b/crates/ryetide-gateway/src/ports.rs
@@ -13,6 +13,7 @@
     retry_budget::RetryRule,
     rollout_order::{RolloutDuty, RolloutOrder, RolloutReport, RolloutRule},
     route::RouteTable,
+    scheduling_policy::SchedulingPolicy,
     target_registry::RegistryUpdate,
     units::{LinkRate, Tokens},
 };
@@ -44,6 +45,8 @@
     pub retry: RetryRule,
     /// The limit on the traffic of a version that has not passed its trial yet.
     pub rollout: RolloutRule,
+    /// Which optional scheduling policies are in effect.
+    pub policy: SchedulingPolicy,
     /// The speed of this VM's link.
     pub link: LinkRate,
 }
--- a/crates/ryetide-gateway/tests/own_text.rs
+++ b/crates/ryetide-gateway/tests/own_text.rs
@@ -275,8 +275,8 @@
 fn every_error_in_a_settings_text_is_reported() {
     let text = "name: e1\ndata-centre: hall-a\ncallers: here\nstatus: 127.0.0.1:1\n\
                 peers: {address: 127.0.0.1:2, key: short}\nroutes: r.yaml\nretry: {part: 2}\n\
-                log: ryetide=loud\n";
+                scheduling: {overflow: sometimes}\nlog: ryetide=loud\n";
     let faults = GatewayText::parse(text).expect_err("invalid settings").0;
     let paths: Vec<&str> = faults.iter().map(|fault| fault.path.as_str()).collect();
-    assert_eq!(paths, ["callers", "peers.key", "retry.part", "log"]);
+    assert_eq!(paths, ["callers", "peers.key", "retry.part", "scheduling.overflow", "log"]);
 }
--- a/crates/ryetide-gateway/tests/serving/support.rs
+++ b/crates/ryetide-gateway/tests/serving/support.rs
@@ -338,6 +338,7 @@
             grace: Duration::from_secs(3),
             retry: RetryRule { share: 0.2, window: Duration::from_secs(10), slack: 100.0 },
             rollout: Default::default(),
+            policy: Default::default(),
             link: LinkRate(0),
         };
         let sockets = GatewaySockets::bind(&settings).await.expect("free ports");
