Eject targets that fail requests

Cause: a target that fails requests within milliseconds frees its slots at once, so under full load it is the only one with a free slot and gets several times the mean traffic. Requests with a single attempt are lost there.

Change: outlier_detector gathers evidence on each target as a sequential likelihood ratio test of this VM's outcomes and the peers' reports. target_ejection holds a target after a surprising failure, ejects it with enough evidence, probes it with one request per interval for the fleet, and readmits it with a ramp. Ejected targets are no capacity in QueueView. The gateway logs the changes and has metrics for them. RunEnd::TimedOut tells deadlines from failures, since a request sent shortly before its deadline says nothing about its target.

--- a/crates/ryetide-core/src/decision.rs
+++ b/crates/ryetide-core/src/decision.rs
@@ -25,6 +25,8 @@
     Whole,
     /// The target failed the request.
     Failed,
+    /// The request's deadline passed before the target had answered.
+    TimedOut,
     /// The target was full or leaving, and reported that the request did not run.
     TurnedAway,
     /// The target could not be reached; nothing was sent.
--- a/crates/ryetide-core/src/lib.rs
+++ b/crates/ryetide-core/src/lib.rs
@@ -35,6 +35,7 @@
 //! | [`scheduler`], [`scheduler_options`], [`queue_view`], [`wait_queue`], [`recent_arrivals`], [`deadline_tracker`], [`decision`] | queueing and refusal of routed requests |
 //! | [`placement`], [`target_load`], [`target_health`], [`target_speed`], [`prompt_cache`] | placement of routed requests |
 //! | [`scheduling_policy`], [`policy_update`] | the optional policies for uneven load, and what VMs report for them |
+//! | [`outlier_detector`], [`target_ejection`] | ejection of targets that fail requests |
 //! | [`load_digest`], [`peer_digests`], [`cell_plan`], [`digest_timing`], [`digest_route`] | load reports between entry VMs |
 //! | [`target_registry`], [`target_notice`] | the existing targets, and the notices in their answers |
 //! | [`target_limit`], [`limit_share`] | request rate limits that targets announce, and each VM's share of them |
@@ -77,6 +78,7 @@
 pub mod load_digest;
 pub mod membership;
 pub mod message;
+pub mod outlier_detector;
 mod output_estimate;
 pub mod peer_digests;
 pub mod placement;
@@ -101,6 +103,7 @@
 pub mod safeguard;
 pub mod scheduler;
 mod scheduler_digests;
+mod scheduler_ejection;
 mod scheduler_limits;
 pub mod scheduler_options;
 mod scheduler_rollouts;
@@ -109,6 +112,7 @@
 mod slot_ledger;
 pub mod slot_request;
 pub mod slot_turn;
+pub mod target_ejection;
 pub mod target_estimate;
 pub mod target_health;
 pub mod target_limit;
--- a/crates/ryetide-core/src/peer_digests.rs
+++ b/crates/ryetide-core/src/peer_digests.rs
@@ -182,6 +182,11 @@
         recent.filter_map(member).chain(listed.map(listed_member)).collect()
     }
 
+    /// Returns a peer's data centre, if it is known.
+    pub fn data_centre(&self, peer: &VmName) -> Option<&DataCentreName> {
+        self.records.get(peer)?.data_centre.as_ref()
+    }
+
     /// Returns whether a peer is reachable and not shutting down, so that it can relay digests.
     pub fn is_available(&self, now: Moment, peer: &VmName) -> bool {
         let is_available =
--- a/crates/ryetide-core/src/queue_view.rs
+++ b/crates/ryetide-core/src/queue_view.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     decision::{PlacementEvidence, RefusalReason},
-    ids::{RequestSequence, ServiceKey, ServiceName, TargetKey},
+    ids::{RequestSequence, ServiceKey, ServiceName, TargetKey, VmName},
     limit_share::{self, LimitShare},
     load_digest::QueueReport,
     peer_digests::{AheadCount, PeerDigests},
@@ -17,6 +17,7 @@
     scheduler_options::SchedulerOptions,
     scheduling_policy::ServicePolicy,
     slot_turn::{self, FreeSlot, SlotClaimant, UrgencyClass},
+    target_ejection::TargetEjection,
     target_load::TargetLoad,
     units::Moment,
     wait_queue::{QueueRank, WaitQueue, WaitingRequest},
@@ -53,6 +54,8 @@
     pub announces_incarnations: bool,
     /// The optional policies in effect.
     pub policy: ServicePolicy,
+    /// Which targets are ejected.
+    pub ejection: TargetEjection,
 }
 
 impl ServiceQueue {
@@ -67,6 +70,7 @@
             arrivals: RecentArrivals::default(),
             announces_incarnations: false,
             policy: ServicePolicy::default(),
+            ejection: TargetEjection::default(),
         }
     }
 }
@@ -107,6 +111,8 @@
     peers: &'a PeerDigests,
     options: &'a SchedulerOptions,
     sharing: SlotSharing,
+    /// Ejected targets, while other targets can be reached.
+    ejected: Vec<&'a TargetLoad>,
 }
 
 /// How the VMs of a cell share the slots of their targets.
@@ -130,13 +136,25 @@
     ) -> Self {
         let loads: Vec<&TargetLoad> =
             state.targets.keys.iter().filter_map(|key| targets.get(key)).collect();
+        let (loads, ejected) = without_ejected(&state.ejection, loads);
         let limits = limits_of(&loads);
         let (usable, others): (Vec<_>, Vec<_>) =
             loads.iter().partition(|load| load.accepts_work(now));
         let backed_off_until =
             if usable.is_empty() { first_back_off_end(now, &others) } else { None };
         let trial = Vec::new();
-        Self { now, state, usable, trial, backed_off_until, limits, peers, options, sharing }
+        Self {
+            now,
+            state,
+            usable,
+            trial,
+            backed_off_until,
+            limits,
+            peers,
+            options,
+            sharing,
+            ejected,
+        }
     }
 
     /// Allows one request to go to these targets, which run a version on trial.
@@ -158,7 +176,18 @@
 
     /// Returns the number of free slots.
     pub fn free_slots(&self) -> u32 {
-        self.usable.iter().map(|load| load.free_slots(self.now)).sum()
+        self.usable.iter().map(|load| self.open_slots(load)).sum()
+    }
+
+    /// The number of a target's slots that may be used; fewer than it has while it returns from an
+    /// ejection.
+    fn slots_of(&self, load: &TargetLoad) -> u32 {
+        self.state.ejection.permitted_slots(self.now, load.key(), load.entry().slots)
+    }
+
+    fn open_slots(&self, load: &TargetLoad) -> u32 {
+        let taken = load.entry().slots.saturating_sub(self.slots_of(load));
+        load.free_slots(self.now).saturating_sub(taken)
     }
 
     /// Returns the action for the first waiting request for which one is possible.
@@ -191,6 +220,7 @@
             return Some(QueueAction::Refuse { ticket, reason });
         }
         let on_trial = self.choose_trial_target(rank, work, peers);
+        let on_trial = on_trial.or_else(|| self.choose_ejected(rank, work));
         if on_trial.is_none() && free_slots == 0 {
             return None;
         }
@@ -283,7 +313,35 @@
         // A target that sets a limit gives each VM its own share, so no turns are needed.
         let is_turn = load.limit() != LimitShare::Unlimited
             || slot_turn::is_turn(self.now, self.sharing.turn_span, slot, own, peers);
-        load.free_slots(self.now) > 0 && is_turn
+        self.open_slots(load) > 0 && is_turn
+    }
+
+    /// Whether a target that has just failed a request is not to get this one.
+    fn is_held(&self, load: &TargetLoad, rank: QueueRank, work: &WaitingRequest) -> bool {
+        self.state.ejection.is_held(self.now, load.key(), work.may_rerun || rank.late)
+    }
+
+    /// Chooses an ejected target to which the request is sent as a probe. A request that may not run
+    /// again is sent there only if it is late and no other target can take it.
+    fn choose_ejected(
+        &self,
+        rank: QueueRank,
+        work: &WaitingRequest,
+    ) -> Option<(&'a TargetLoad, PlacementForecast)> {
+        let can_take = |load: &&TargetLoad| !work.excluded.contains(&load.key());
+        let is_last_resort = || rank.late && !self.usable.iter().any(can_take);
+        if self.ejected.is_empty() || work.begun || !(work.may_rerun || is_last_resort()) {
+            return None;
+        }
+        let is_available = |vm: &VmName| self.peers.is_available(self.now, vm);
+        let is_due = |load: &&&TargetLoad| {
+            let (ejection, own) = (&self.state.ejection, &self.options.name);
+            load.accepts_work(self.now)
+                && load.free_slots(self.now) > 0
+                && ejection.is_probe_due(self.now, load.key(), own, is_available)
+        };
+        let due = self.ejected.iter().filter(|load| can_take(load)).filter(is_due);
+        self.best_of(due.copied(), &self.need_of(work))
     }
 
     fn peers_ahead(&self, class: UrgencyClass) -> u32 {
@@ -351,8 +409,9 @@
         let permitted = self.usable.iter().filter(|load| !work.excluded.contains(&load.key()));
         let all =
             permitted.map(|load| (*load, placement::forecast(now, load, &need, own, assumed)));
-        let (open, busy): (Vec<_>, Vec<_>) =
-            all.partition(|(load, _)| self.has_open_slot(load, rank, peers));
+        let (open, busy): (Vec<_>, Vec<_>) = all.partition(|(load, _)| {
+            self.has_open_slot(load, rank, peers) && !self.is_held(load, rank, work)
+        });
         let best = open.into_iter().min_by_key(preference_order)?;
         let (_, forecast) = best;
         let in_time = forecast.keeps_pauses && forecast.first < need.objective_left;
@@ -412,7 +471,7 @@
     /// The time until slots were assigned to `ahead` requests and to the more urgent ones that
     /// arrive meanwhile.
     fn wait_behind(&self, ahead: u32, rank: Option<QueueRank>) -> Duration {
-        let slots: u32 = self.usable.iter().map(|load| load.entry().slots).sum();
+        let slots: u32 = self.usable.iter().map(|load| self.slots_of(load)).sum();
         let slot_time = self.state.slot_time.unwrap_or_default();
         if let Some(limits) = &self.limits {
             let first = self.backed_off_until.map_or(Duration::ZERO, |until| until.since(self.now));
@@ -438,6 +497,23 @@
     }
 }
 
+/// Separates the ejected targets from the others. They count as usual targets if no other can be
+/// reached.
+fn without_ejected<'a>(
+    ejection: &TargetEjection,
+    loads: Vec<&'a TargetLoad>,
+) -> (Vec<&'a TargetLoad>, Vec<&'a TargetLoad>) {
+    if ejection.ejected_count() == 0 {
+        return (loads, Vec::new());
+    }
+    let can_serve = |load: &TargetLoad| !load.entry().leaving && !load.health().is_suspect();
+    let is_other = |load: &&TargetLoad| !ejection.is_ejected(load.key());
+    if !loads.iter().any(|load| is_other(load) && can_serve(load)) {
+        return (loads, Vec::new());
+    }
+    loads.into_iter().partition(is_other)
+}
+
 /// Returns this VM's limits for the targets that are not leaving, or `None` unless all of them set
 /// a limit.
 fn limits_of(loads: &[&TargetLoad]) -> Option<Vec<LimitShare>> {
--- a/crates/ryetide-core/src/scheduler.rs
+++ b/crates/ryetide-core/src/scheduler.rs
@@ -84,8 +84,12 @@
 pub(crate) struct PlacedRun {
     pub(crate) service: ServiceName,
     pub(crate) target: TargetKey,
-    since: Moment,
-    last_event: Option<Moment>,
+    pub(crate) since: Moment,
+    pub(crate) last_event: Option<Moment>,
+    /// The expected time from sending to the first event.
+    pub(crate) expected_first: Duration,
+    /// Whether the request was sent to an ejected target.
+    pub(crate) is_probe: bool,
 }
 
 impl Scheduler {
@@ -171,6 +175,7 @@
             let state = self.service_state(&service);
             *(if on_trial { &mut state.trial } else { &mut state.targets }) = used;
         }
+        self.update_ejections();
         self.shares_updated_at = None;
     }
 
@@ -302,6 +307,7 @@
             None => {
                 load.record_first(now, &self.options.assumed, ticket);
                 load.refresh(now, &self.options.assumed);
+                self.record_probe_answer(now, ticket);
             }
             Some(last) => load.record_event(now, now.since(last)),
         }
@@ -315,12 +321,13 @@
             load.end(now, ticket, end == RunEnd::Whole);
             match end {
                 RunEnd::Whole => load.health_mut().record_success(now),
-                RunEnd::Failed => load.health_mut().record_failure(now),
+                RunEnd::Failed | RunEnd::TimedOut => load.health_mut().record_failure(now),
                 RunEnd::Unreachable => load.health_mut().record_unreachable(now),
                 RunEnd::TurnedAway | RunEnd::Abandoned => {}
             }
             load.refresh(now, &self.options.assumed);
         }
+        self.record_outcome(now, ticket, &run, end);
         if end == RunEnd::Whole {
             let state = self.service_state(&run.service);
             let taken = now.since(run.since);
@@ -400,6 +407,7 @@
     /// Records the requests of this VM that were running when a target crashed.
     pub fn record_crash(&mut self, now: Moment, target: TargetKey, runs: &[CrashedRun]) {
         self.crashes.record_crash(now, target, runs);
+        self.forget_failures(target);
         self.changed = true;
     }
 
@@ -485,9 +493,17 @@
             load.prompt_cache_mut().record(now, prompt_hash, work.prompt);
             self.digest_tracker.record_placement(target, prompt_hash, work.prompt);
         }
-        let run = PlacedRun { service: service.clone(), target, since: now, last_event: None };
+        let run = PlacedRun {
+            service: service.clone(),
+            target,
+            since: now,
+            last_event: None,
+            expected_first: evidence.forecast.first,
+            is_probe: false,
+        };
         self.runs.insert(ticket, run);
         let target = load.entry().clone();
+        self.record_probe(now, ticket);
         self.rollouts.record_placed(now, &target);
         self.decisions.push(Decision::Place { ticket, target, evidence });
         self.changed = true;
@@ -537,6 +553,7 @@
             state.announces_incarnations |= announced.contains(name);
             state.policy = self.options.policy.for_service(state.announces_incarnations);
         }
+        self.update_ejections();
     }
 
     /// Returns the current view of a service's queue and targets.
--- a/crates/ryetide-core/src/scheduler_digests.rs
+++ b/crates/ryetide-core/src/scheduler_digests.rs
@@ -8,6 +8,7 @@
     ids::{TargetKey, VmName},
     load_digest::{DigestEnvelope, DigestScope, FleetState, LoadDigest, TargetReport},
     peer_digests::{self, DigestChange},
+    policy_update::PolicyUpdate,
     scheduler::Scheduler,
     units::{Moment, Tokens},
 };
@@ -41,10 +42,15 @@
         self.forget_dropped_reports(now, &from, &digest);
         for report in &digest.targets {
             if let Some(load) = self.targets.get_mut(&report.target) {
+                let running = load.running(now);
                 load.store_report(now, &from, *report);
                 load.refresh(now, &self.options.assumed);
+                if load.running(now) > running {
+                    self.record_peer_run(now, report.target, &from);
+                }
             }
         }
+        self.merge_outcome_reports(now, &from, &digest.policies.outcomes);
         for placed in digest.placed.iter().filter(|placed| placed.number > last_placement) {
             if let Some(load) = self.targets.get_mut(&placed.target) {
                 load.prompt_cache_mut().record(
@@ -98,6 +104,10 @@
             leaving_targets: state.leaving_targets,
             rollouts: self.rollout_progress(now, true),
             limits: self.limits.reports(now),
+            policies: PolicyUpdate {
+                outcomes: self.outcome_reports(now, DigestScope::Brief),
+                ..PolicyUpdate::default()
+            },
             ..LoadDigest::default()
         }
     }
@@ -127,11 +137,12 @@
     /// Returns the digest for the peers in this VM's cell: periodically a full one, in between one
     /// with the recent changes.
     pub fn digest(&mut self, now: Moment, state: FleetState, leaving: bool) -> LoadDigest {
-        let brief = self.brief_digest(now, state, leaving);
+        let mut brief = self.brief_digest(now, state, leaving);
         let views = self.services.keys().filter_map(|name| self.view(now, name));
         let waiting = views.flat_map(|view| view.queue_reports()).collect();
         let scope = self.digest_tracker.next_scope(now, self.digest_timing.repeat_span(), leaving);
         let placed = self.digest_tracker.placed(scope);
+        brief.policies.outcomes = self.outcome_reports(now, scope);
         if scope == DigestScope::Changes {
             let span = self.digest_timing.repeat_span();
             let spent = self.quotas.ledger().totals_since(now.before(span)).collect();
--- a/crates/ryetide-core/src/wait_queue.rs
+++ b/crates/ryetide-core/src/wait_queue.rs
@@ -50,6 +50,8 @@
     pub begun: bool,
     /// Targets that the request must not be sent to again.
     pub excluded: Vec<TargetKey>,
+    /// Whether the request may run again if the target that it is sent to next fails it.
+    pub may_rerun: bool,
 }
 
 /// A request's position in the queue; the smallest rank goes first.
--- a/crates/ryetide-core/tests/rollout/placement.rs
+++ b/crates/ryetide-core/tests/rollout/placement.rs
@@ -9,6 +9,7 @@
     rollout_order::{OrderNumber, RolloutOrder, RolloutReport, RolloutStatus},
     scheduler::Scheduler,
     scheduler_options::SchedulerOptions,
+    scheduling_policy::{PolicySwitch, SchedulingPolicy},
     target_load::TargetEntry,
     target_speed::AssumedSpeed,
     units::{Moment, TierRank, Tokens},
@@ -40,6 +41,7 @@
         pause: None,
         begun: false,
         excluded: Vec::new(),
+        may_rerun: false,
     }
 }
 
@@ -110,6 +112,29 @@
     assert!((60..=permitted).contains(&new), "{new} of {}", old + new);
 }
 
+/// Guards against a version on trial losing its targets to ejection before the rollout has evaluated
+/// it.
+#[test]
+fn a_target_on_trial_is_not_ejected() {
+    let mut scheduler = ordered_scheduler();
+    let policy = SchedulingPolicy { ejection: PolicySwitch::On, ..Default::default() };
+    scheduler.set_policy(policy);
+    report(&mut scheduler, at(0), RolloutStatus::Running, false);
+    let mut failed = 0;
+    for number in 1..=1_000 {
+        let now = at(10 * number);
+        scheduler.enter(now, work(number, now));
+        for decision in scheduler.take_decisions() {
+            let Decision::Place { ticket, target, .. } = decision else { continue };
+            let is_new = target.version.as_str() == "v2";
+            failed += u64::from(is_new);
+            let end = if is_new { RunEnd::Failed } else { RunEnd::Whole };
+            scheduler.end(now + Duration::from_millis(5), ticket, end);
+        }
+    }
+    assert!(failed > 10 && scheduler.take_ejection_changes().is_empty(), "{failed} failed");
+}
+
 /// Guards against a retried request that fails a second time because it goes to a version on trial.
 #[test]
 fn a_retried_request_does_not_go_to_a_version_on_trial() {
--- a/crates/ryetide-core/tests/scheduler_load/load_simulation.rs
+++ b/crates/ryetide-core/tests/scheduler_load/load_simulation.rs
@@ -405,5 +405,6 @@
         pause: Some(Duration::from_millis(400)),
         begun: false,
         excluded: Vec::new(),
+        may_rerun: false,
     }
 }
--- a/crates/ryetide-core/tests/target_limit/fleet.rs
+++ b/crates/ryetide-core/tests/target_limit/fleet.rs
@@ -245,6 +245,7 @@
             pause: None,
             begun: false,
             excluded: Vec::new(),
+            may_rerun: false,
         };
         self.vms[vm].scheduler.enter(now, work);
         self.apply_decisions(vm);
--- a/crates/ryetide-gateway/src/decision_log.rs
+++ b/crates/ryetide-gateway/src/decision_log.rs
@@ -354,7 +354,7 @@
 fn end_name(end: RunEnd) -> &'static str {
     match end {
         RunEnd::Whole => "answered",
-        RunEnd::Failed => "failed",
+        RunEnd::Failed | RunEnd::TimedOut => "failed",
         RunEnd::TurnedAway => "turned-away",
         RunEnd::Unreachable => "unreachable",
         RunEnd::Abandoned => "caller-left",
--- a/crates/ryetide-gateway/src/exchange.rs
+++ b/crates/ryetide-gateway/src/exchange.rs
@@ -432,7 +432,8 @@
         {
             self.gateway.hub().with(|scheduler, _| scheduler.refund(charge));
         }
-        self.finish(RunEnd::Failed);
+        let is_late = matches!(answer.reason, OwnReason::TimedOut | OwnReason::OutOfTime);
+        self.finish(if is_late { RunEnd::TimedOut } else { RunEnd::Failed });
         self.gateway.answer_own(self.id.as_ref(), answer)
     }
 
@@ -578,6 +579,7 @@
             pause: route.pause,
             begun: self.last_at.is_some(),
             excluded: self.excluded.clone(),
+            may_rerun: self.is_repeatable() && self.attempts + 1 < route.attempts,
         }
     }
 
--- a/crates/ryetide-gateway/src/fleet_tasks.rs
+++ b/crates/ryetide-gateway/src/fleet_tasks.rs
@@ -20,6 +20,7 @@
 };
 
 use crate::{
+    ejection_report,
     feed_relay::RelayedChange,
     gateway_state::Gateway,
     lag_monitor::{FeedPauses, LagMonitor},
@@ -40,7 +41,8 @@
 ///
 /// It applies while an organisation has nearly used up its quota, because all VMs must then add up
 /// its use; after a crash, because a VM attributes it to a request only once it knows which
-/// requests the target was running for other VMs; and after a target has changed its limit.
+/// requests the target was running for other VMs; after a target has changed its limit; and after a
+/// target that VMs of all cells use was ejected.
 const URGENT_BRIEF_INTERVAL: Duration = Duration::from_millis(300);
 
 /// Applies updates from the fleet feed to the routes, the target registry, the scheduler and the
@@ -148,7 +150,10 @@
             send_cell_digest(&gateway, &link, false);
         }
         let urgent = gateway.hub().peek(|it| {
-            it.is_quota_short() || it.crashes().has_fresh(now) || it.has_fresh_limit(now)
+            it.is_quota_short()
+                || it.crashes().has_fresh(now)
+                || it.has_fresh_limit(now)
+                || it.has_fresh_ejection(now)
         });
         let interval = if urgent { URGENT_BRIEF_INTERVAL } else { BRIEF_INTERVAL };
         if brief_sent.elapsed() >= interval {
@@ -168,6 +173,7 @@
     loop {
         ticks.tick().await;
         gateway.pool().sweep();
+        ejection_report::report(&gateway);
         refresh_targets(&gateway);
         update_watch_duty(&gateway);
         for table in watch.due(feed_lag(&gateway)) {
--- a/crates/ryetide-gateway/src/gateway_metrics.rs
+++ b/crates/ryetide-gateway/src/gateway_metrics.rs
@@ -64,6 +64,9 @@
     rollout_state: Family<RolloutLabels, Gauge>,
     rollout_placed: Family<RolloutLabels, Gauge>,
     rollout_exposed: Family<RolloutLabels, Gauge>,
+    ejected_targets: Gauge,
+    ejections: Counter,
+    probes: Counter,
 }
 
 impl Default for GatewayMetrics {
@@ -85,6 +88,9 @@
             rollout_state: Family::default(),
             rollout_placed: Family::default(),
             rollout_exposed: Family::default(),
+            ejected_targets: Gauge::default(),
+            ejections: Counter::default(),
+            probes: Counter::default(),
         };
         let registry = &mut metrics.registry;
         registry.register("requests", "Requests taken", metrics.requests.clone());
@@ -109,6 +115,11 @@
         registry.register("rollout_placed", placed, metrics.rollout_placed.clone());
         let exposed = "Those of them that went to the ordered version";
         registry.register("rollout_exposed", exposed, metrics.rollout_exposed.clone());
+        let ejected = "Targets that get only probes because they fail requests";
+        registry.register("ejected_targets", ejected, metrics.ejected_targets.clone());
+        let ejections = "Ejections of targets that fail requests";
+        registry.register("ejections", ejections, metrics.ejections.clone());
+        registry.register("probes", "Requests sent to ejected targets", metrics.probes.clone());
         metrics
     }
 }
@@ -168,6 +179,17 @@
         }
     }
 
+    /// Counts an ejection of a target.
+    pub fn count_ejection(&self) {
+        self.ejections.inc();
+    }
+
+    /// Sets the number of ejected targets, and counts probes.
+    pub fn set_ejected(&self, targets: usize, new_probes: u64) {
+        self.ejected_targets.set(targets as i64);
+        self.probes.inc_by(new_probes);
+    }
+
     /// Sets the number of requests in quarantine.
     pub fn set_quarantined(&self, count: usize) {
         self.quarantined.set(count as i64);
--- a/crates/ryetide-gateway/src/lib.rs
+++ b/crates/ryetide-gateway/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod crash_detector;
 pub mod decision_log;
 pub mod digest_relay;
+mod ejection_report;
 pub mod event_scanner;
 pub mod exchange;
 pub mod feed_relay;
--- a/crates/ryetide-gateway/src/relay.rs
+++ b/crates/ryetide-gateway/src/relay.rs
@@ -139,7 +139,11 @@
         if let Some(answer) = self.answer.take() {
             self.exchange.record_target_fault(&answer.target, fault.into());
         }
-        if fault == RelayFault::TimedOut || !self.exchange.is_repeatable() {
+        if fault == RelayFault::TimedOut {
+            self.exchange.finish(RunEnd::TimedOut);
+            return Err(fault);
+        }
+        if !self.exchange.is_repeatable() {
             self.exchange.finish(RunEnd::Failed);
             return Err(fault);
         }
