--- a/crates/ryetide-core/src/queue_view.rs
+++ b/crates/ryetide-core/src/queue_view.rs
@@ -329,7 +329,8 @@
         work: &WaitingRequest,
     ) -> Option<(&'a TargetLoad, PlacementForecast)> {
         let can_take = |load: &&TargetLoad| !work.excluded.contains(&load.key());
-        let is_last_resort = || rank.late && !self.usable.iter().any(can_take);
+        let is_free = |load: &&TargetLoad| can_take(load) && self.open_slots(load) > 0;
+        let is_last_resort = || rank.late && !self.usable.iter().any(is_free);
         if self.ejected.is_empty() || work.begun || !(work.may_rerun || is_last_resort()) {
             return None;
         }
--- a/crates/ryetide-core/src/scheduler_ejection.rs
+++ b/crates/ryetide-core/src/scheduler_ejection.rs
@@ -56,9 +56,11 @@
     /// Tells each service's ejection which targets this VM uses, or drops what it knows if ejection
     /// is not in effect.
     pub(crate) fn update_ejections(&mut self) {
+        let is_partitioned = self.plan.is_partitioned();
         for state in self.services.values_mut() {
             if state.policy.ejection {
-                state.ejection.set_targets(&state.targets.keys);
+                let is_shared = is_partitioned && !state.targets.is_partitioned;
+                state.ejection.set_targets(&state.targets.keys, is_shared);
             } else {
                 state.ejection = TargetEjection::default();
             }
@@ -146,17 +148,17 @@
         scope: DigestScope,
     ) -> Vec<OutcomeReport> {
         let touched = self.digest_tracker.touched();
-        let is_wanted = |state: &ServiceQueue, key| match scope {
-            DigestScope::Whole => true,
-            DigestScope::Changes => touched.contains(&key),
-            DigestScope::Brief => self.plan.is_partitioned() && !state.targets.is_partitioned,
-        };
         let mut reports = Vec::new();
         for state in self.services.values_mut().filter(|state| state.policy.ejection) {
             let free = policy_update::MAX_ENTRIES - reports.len();
-            let wanted: Vec<TargetKey> = state.ejection.reported_targets(now).collect();
-            let wanted: Vec<TargetKey> =
-                wanted.into_iter().filter(|key| is_wanted(state, *key)).collect();
+            let is_shared = self.plan.is_partitioned() && !state.targets.is_partitioned;
+            let wanted: Vec<TargetKey> = match scope {
+                DigestScope::Changes => touched.iter().copied().collect(),
+                DigestScope::Brief if !is_shared => continue,
+                DigestScope::Whole | DigestScope::Brief => {
+                    state.ejection.observed_targets().collect()
+                }
+            };
             reports.extend(state.ejection.reports(now, free, &wanted));
         }
         reports
--- a/crates/ryetide-core/src/target_ejection.rs
+++ b/crates/ryetide-core/src/target_ejection.rs
@@ -42,16 +42,23 @@
 const ONCE_ONLY_HOLD: Duration = Duration::from_millis(300);
 /// The time from an ejection to the first probe, and between probes of a target that fails them. It
 /// doubles with each failed probe.
-const PROBE_INTERVAL: Duration = Duration::from_secs(1);
+const PROBE_INTERVAL: Duration = Duration::from_millis(500);
 /// The longest such time of a target that was not ejected repeatedly.
-const LONGEST_PROBE_INTERVAL: Duration = Duration::from_secs(2);
+const LONGEST_PROBE_INTERVAL: Duration = Duration::from_millis(1_500);
 /// The longest such time.
 const LONGEST_REPEATED_INTERVAL: Duration = Duration::from_secs(8);
 /// The time between two probes of a target that has answered the last one.
 const NEXT_PROBE_INTERVAL: Duration = Duration::from_millis(150);
-/// How long each VM waits for the VM before it in the order to send the probe. Longer than the
-/// interval of brief digests between data centres while these are urgent.
+/// How long each VM waits for the VM before it in the order to send the probe: longer than the
+/// interval of full digests, so that it learns of the probe.
 const PROBE_TURN: Duration = Duration::from_millis(500);
+/// The same time for targets that VMs of several cells use: longer than the interval of brief
+/// digests.
+const SHARED_PROBE_TURN: Duration = Duration::from_millis(1_200);
+/// After this long without a probe by any VM, no request may be one, and the target is readmitted with
+/// a ramp. Otherwise a service whose requests may not run again would never get the target back. The
+/// time doubles with each repeated ejection.
+const LONGEST_UNPROBED_SPAN: Duration = Duration::from_secs(20);
 /// The number of successful probes after which a target is readmitted.
 const READMITTING_PROBES: u32 = 3;
 /// The number by which this grows with each ejection soon after the last. A target that fails 0.45 of
@@ -167,6 +174,8 @@
     readmitted: BTreeMap<TargetKey, ReadmittedTarget>,
     /// The number of targets that this VM uses.
     target_count: usize,
+    /// Whether VMs of other cells use the same targets.
+    is_shared: bool,
     suspended_until: Moment,
     changes: Vec<EjectionChange>,
     probes: u64,
@@ -191,8 +200,10 @@
 
 impl TargetEjection {
     /// Replaces the targets that this VM uses. What is known of others is forgotten, so a new
-    /// incarnation of a target starts without evidence.
-    pub fn set_targets(&mut self, used: &[TargetKey]) {
+    /// incarnation of a target starts without evidence. `is_shared` tells whether VMs of other cells
+    /// use the same targets.
+    pub fn set_targets(&mut self, used: &[TargetKey], is_shared: bool) {
+        self.is_shared = is_shared;
         self.target_count = used.len();
         let is_used = |key: &TargetKey| used.contains(key);
         self.detectors.retain(|key, _| is_used(key));
@@ -263,8 +274,9 @@
         let peers = self.detectors.get(&target).into_iter();
         let peers = peers.flat_map(|detector| detector.reporting_peers(now));
         let before = peers.filter(|peer| is_available(peer) && rank(peer) < own_rank).count();
+        let turn = if self.is_shared { SHARED_PROBE_TURN } else { PROBE_TURN };
         let turns = u32::try_from(before).unwrap_or(u32::MAX);
-        passed >= state.interval().saturating_add(PROBE_TURN.saturating_mul(turns))
+        passed >= state.interval().saturating_add(turn.saturating_mul(turns))
     }
 
     /// Records that this VM sends a request to a target. Returns whether it is a probe.
@@ -301,6 +313,7 @@
 
     /// Records the outcome of a request of this VM.
     pub fn record(&mut self, now: Moment, outcome: RunOutcome) {
+        self.readmit_unprobed(now);
         let target = outcome.target;
         if let Some(state) = self.ejected.get_mut(&target) {
             // Requests sent before the ejection say nothing about the target now.
@@ -355,18 +368,19 @@
     pub fn forget(&mut self, target: TargetKey) {
         self.detectors.remove(&target);
         self.holds.remove(&target);
-        self.ejected.remove(&target);
         self.readmitted.remove(&target);
+        if self.ejected.remove(&target).is_some() {
+            self.changes.push(EjectionChange::Readmitted(target, 0));
+        }
     }
 
-    /// Returns the targets on which there is something to report: those that are ejected or suspect
-    /// here, or were readmitted a short time ago.
-    pub fn reported_targets(&self, now: Moment) -> impl Iterator<Item = TargetKey> {
-        self.detectors.keys().copied().filter(move |key| self.report(now, *key).is_some())
+    /// Returns the targets with known outcomes.
+    pub fn observed_targets(&self) -> impl Iterator<Item = TargetKey> {
+        self.detectors.keys().copied()
     }
 
-    /// Returns the reports on at most `limit` of the `wanted` targets. If there are more, the next
-    /// call begins with the ones left out.
+    /// Returns reports on those `wanted` targets that are ejected or suspect here, or were readmitted
+    /// a short time ago. If there are more than `limit`, the next call begins with the ones left out.
     pub fn reports(
         &mut self,
         now: Moment,
@@ -486,6 +500,18 @@
         self.changes.push(EjectionChange::Ejected(target, evidence));
     }
 
+    fn readmit_unprobed(&mut self, now: Moment) {
+        let is_unprobed = |state: &EjectedTarget| {
+            let span = LONGEST_UNPROBED_SPAN.saturating_mul(1 << state.repetitions);
+            state.probe.is_none() && now.since(state.probed_at) >= span
+        };
+        let unprobed = self.ejected.iter().filter(|(_, state)| is_unprobed(state));
+        let unprobed: Vec<TargetKey> = unprobed.map(|(key, _)| *key).collect();
+        for key in unprobed {
+            self.readmit(now, key);
+        }
+    }
+
     fn readmit_if_recovered(&mut self, now: Moment, target: TargetKey) {
         let has_recovered = |state: &EjectedTarget| state.successes >= state.required;
         if self.ejected.get(&target).is_some_and(has_recovered) {
--- a/crates/ryetide-core/tests/outlier_ejection/decisions.rs
+++ b/crates/ryetide-core/tests/outlier_ejection/decisions.rs
@@ -4,12 +4,13 @@
 
 use ryetide_core::{
     decision::{Decision, RunEnd},
-    ids::{Incarnation, TargetIncarnation, TargetKey},
+    ids::{Incarnation, RequestSequence, TargetIncarnation, TargetKey},
     load_digest::{DigestEnvelope, DigestScope, LoadDigest},
     policy_update::{OutcomeReport, PolicyUpdate},
     scheduler::Scheduler,
     target_load::TargetEntry,
     units::Moment,
+    wait_queue::WaitingRequest,
 };
 
 use crate::failing_fleet::{self, FailingFleet};
@@ -26,13 +27,24 @@
 
 /// Applies a peer's report on the first target.
 fn hear(scheduler: &mut Scheduler, now: Moment, peer: &str, sequence: u64, counts: (u16, u16)) {
+    hear_from("hall-a", scheduler, now, peer, sequence, counts);
+}
+
+fn hear_from(
+    data_centre: &str,
+    scheduler: &mut Scheduler,
+    now: Moment,
+    peer: &str,
+    sequence: u64,
+    counts: (u16, u16),
+) {
     let target = failing_fleet::first_key(7);
     let report = OutcomeReport { target, answered: counts.0, failed: counts.1 };
     let digest = LoadDigest {
         incarnation: Incarnation(1),
         sequence,
         scope: DigestScope::Whole,
-        data_centre: Some("hall-a".into()),
+        data_centre: Some(data_centre.into()),
         policies: PolicyUpdate { outcomes: vec![report], ..Default::default() },
         ..Default::default()
     };
@@ -81,6 +93,25 @@
     assert_eq!(scheduler.ejected_targets(), 0);
 }
 
+/// Guards against a target that fails only the requests of another data centre being ejected here.
+#[test]
+fn failures_in_another_data_centre_eject_no_target_here() {
+    let (mut scheduler, _) = new_vm();
+    for peer in ["x1", "x2", "x3"] {
+        hear_from("hall-b", &mut scheduler, at(10), peer, 1, (0, 50));
+    }
+    assert_eq!(scheduler.ejected_targets(), 0);
+}
+
+/// Guards against a target that has crashed under a request and stays without requests.
+#[test]
+fn a_crash_ends_the_ejection() {
+    let (mut scheduler, entries) = new_vm();
+    eject_first(&mut scheduler, at(10));
+    scheduler.record_crash(at(20), entries[0].key(), &[]);
+    assert_eq!(scheduler.ejected_targets(), 0);
+}
+
 /// Guards against a request being lost as a probe because it may not run again.
 #[test]
 fn a_request_that_may_not_run_again_is_no_probe() {
@@ -103,13 +134,25 @@
     eject_first(&mut scheduler, at(10));
     let excluded = vec![entries[1].key(), entries[2].key()];
     let request = failing_fleet::work(1, false, at(5_000));
-    scheduler.enter(at(5_000), ryetide_core::wait_queue::WaitingRequest { excluded, ..request });
+    scheduler.enter(at(5_000), WaitingRequest { excluded, ..request });
     scheduler.advance(at(5_500));
     assert_eq!(placed(&mut scheduler), None);
     scheduler.advance(at(6_100));
     assert_eq!(placed(&mut scheduler), Some(entries[0].key()));
 }
 
+/// Guards against a target that stays out for good where no request may run again.
+#[test]
+fn a_target_that_cannot_be_probed_returns_after_a_while() {
+    let (mut scheduler, _) = new_vm();
+    eject_first(&mut scheduler, at(10));
+    for (ticket, (now, ejected)) in (1..).zip([(15_000, 1), (20_100, 0)]) {
+        place(&mut scheduler, at(now), ticket, false);
+        scheduler.end(at(now + 100), RequestSequence(ticket), RunEnd::Whole);
+        assert_eq!(scheduler.ejected_targets(), ejected, "{now} ms");
+    }
+}
+
 /// Guards against a failure of the earlier process being charged to the next one.
 #[test]
 fn a_new_incarnation_starts_without_evidence() {
@@ -156,7 +199,7 @@
         }
         for ticket in tickets {
             let now = at(10) + Duration::from_millis(ran);
-            scheduler.end(now, ryetide_core::ids::RequestSequence(ticket), RunEnd::TimedOut);
+            scheduler.end(now, RequestSequence(ticket), RunEnd::TimedOut);
         }
         assert_eq!(scheduler.ejected_targets() == 1, is_ejected, "{ran} ms");
     }
--- a/crates/ryetide-gateway/tests/serving/main.rs
+++ b/crates/ryetide-gateway/tests/serving/main.rs
@@ -3,6 +3,7 @@
 mod answers;
 mod crashes;
 mod digests;
+mod ejection;
 mod limits;
 mod lives;
 mod repeats;
