Name a private constant without a link

Cause: cargo doc warned about a link from public to private documentation. Change: the constant is named as code. Measured: ryetide-core builds.

--- a/crates/ryetide-core/src/outlier_detector.rs
+++ b/crates/ryetide-core/src/outlier_detector.rs
@@ -1,7 +1,7 @@
 //! Evidence that one target fails more requests than the other targets of its service.
 //!
 //! The evidence is a sequential likelihood ratio test. Each failure makes it more probable that the
-//! target fails [`OUTLIER_SHARE`] of its requests rather than the share that the other targets fail,
+//! target fails `OUTLIER_SHARE` of its requests rather than the share that the other targets fail,
 //! and each answer makes it less probable. A stretch of outcomes begins with a failure and ends once
 //! the answers outweigh the failures, so that earlier answers do not delay the detection of a target
 //! that has just failed. The test finds a target that fails everything after a few requests, and one
