--- a/crates/ryetide-lab/src/server.rs
+++ b/crates/ryetide-lab/src/server.rs
@@ -45,7 +45,7 @@
                 // Whoever starts it waits for this; dropping the handle is an order to stop as well.
                 let _ = ready_sender.send(Ok(()));
                 let _ = stopped.await;
-                server_stop::stop_at_once("stand-in", &server).await;
+                server_stop::stop_immediately("stand-in", &server).await;
             });
         };
         let thread =
--- a/crates/ryetide-lab/src/site.rs
+++ b/crates/ryetide-lab/src/site.rs
@@ -10,7 +10,7 @@
 
 use ntex::rt::{DefaultRuntime, System};
 use ryetide::{
-    daemon::{self, DaemonSockets, ShutdownSwitch},
+    daemon::{self, DaemonSockets, ShutdownHandle},
     deployment_keys,
     error::StepError,
     fresh_client::FreshClient,
@@ -81,7 +81,7 @@
 #[derive(Debug)]
 struct LocalDaemon {
     site: EntrySite,
-    switch: ShutdownSwitch,
+    shutdown: ShutdownHandle,
     thread: thread::JoinHandle<Result<(), StepError>>,
 }
 
@@ -169,7 +169,7 @@
     /// Returns the first [`StepError`] with which a daemon ended.
     pub fn stop(self) -> Result<(), StepError> {
         for daemon in &self.daemons {
-            daemon.switch.shut_down();
+            daemon.shutdown.shut_down();
         }
         for daemon in self.daemons {
             let ended = daemon.thread.join();
@@ -191,13 +191,13 @@
     let addresses = sockets.addresses()?;
     (site.callers, site.operators, site.peers) =
         (addresses.callers, addresses.operators, addresses.peers);
-    let switch = ShutdownSwitch::default();
-    let own = switch.clone();
+    let shutdown = ShutdownHandle::default();
+    let own = shutdown.clone();
     let thread = thread::Builder::new()
         .name(site.name.clone())
         .spawn(move || daemon::run(settings, sockets, own))
         .map_err(|error| StepError::new("start daemon", error))?;
-    Ok(LocalDaemon { site, switch, thread })
+    Ok(LocalDaemon { site, shutdown, thread })
 }
 
 /// Waits until each daemon has a configuration in force and hears `others` peers.
--- a/crates/ryetided/src/main.rs
+++ b/crates/ryetided/src/main.rs
@@ -6,7 +6,7 @@
 use std::{process::ExitCode, thread};
 
 use ryetide::{
-    daemon::{self, DaemonSockets, ShutdownSwitch},
+    daemon::{self, DaemonSockets, ShutdownHandle},
     error::StepError,
     log,
     settings::DaemonSettings,
@@ -58,13 +58,13 @@
 
 fn run(settings: DaemonSettings) -> Result<(), StepError> {
     let sockets = DaemonSockets::bind(&settings)?;
-    let switch = ShutdownSwitch::default();
-    listen_for_signals(switch.clone())?;
-    daemon::run(settings, sockets, switch)
+    let shutdown = ShutdownHandle::default();
+    listen_for_signals(shutdown.clone())?;
+    daemon::run(settings, sockets, shutdown)
 }
 
 /// Shuts down on SIGTERM or SIGINT. The thread ends with the process.
-fn listen_for_signals(switch: ShutdownSwitch) -> Result<(), StepError> {
+fn listen_for_signals(shutdown: ShutdownHandle) -> Result<(), StepError> {
     let fault = |error: std::io::Error| StepError::new("listen for signals", error);
     let runtime =
         tokio::runtime::Builder::new_current_thread().enable_io().build().map_err(fault)?;
@@ -79,7 +79,7 @@
                     _ = terminate.recv() => {}
                     _ = interrupt.recv() => {}
                 }
-                switch.shut_down();
+                shutdown.shut_down();
             }
         });
     };
--- a/src/answer_slot.rs
+++ b/src/answer_buffer.rs
@@ -1,5 +1,5 @@
-//! Where a caller's answer waits until the caller reads it: bounded, so that one who reads slowly
-//! holds neither memory without end nor an engine's slot.
+//! The bounded buffer between a target's answer and its caller. The bound keeps a slow reader from
+//! holding unlimited memory or an engine's slot.
 
 use std::{
     cell::RefCell,
@@ -17,65 +17,66 @@
 };
 use tokio::time::Instant;
 
-/// A reader that has taken nothing for this long has stalled.
-const STALL_LIMIT: Duration = Duration::from_secs(1);
-/// How many times its limit a slot holds for a reader that reads on.
-const HARD_FACTOR: u64 = 4;
+/// A reader that has read nothing for this long has stalled.
+const STALL_TIMEOUT: Duration = Duration::from_secs(1);
+/// The capacity for a reader that has not stalled, as a multiple of the buffer's limit. An engine
+/// may be faster than a caller for a moment.
+const ACTIVE_READER_FACTOR: u64 = 4;
 
-/// A part of an answer.
+/// One part of an answer, in the order of sending.
 #[derive(Clone, Debug, PartialEq)]
 pub enum AnswerPart {
-    /// The head.
+    /// The status and content type.
     Head(AnswerHead),
-    /// A piece of the body.
+    /// A chunk of the body.
     Piece(Bytes),
-    /// The end. Nothing follows.
+    /// The outcome. No parts follow.
     Final(FinalAnswer),
 }
 
-/// More of an answer waits than the caller may leave unread.
+/// The unread part of an answer exceeds the buffer's limit.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
 #[error("the caller reads too slowly")]
-pub struct SlotOverflow;
+pub struct AnswerOverflow;
 
 #[derive(Debug, Default)]
-struct SlotState {
+struct BufferState {
     parts: VecDeque<AnswerPart>,
     bytes: usize,
     overflowed: bool,
-    /// When the reader last took something.
-    taken: Option<Instant>,
+    /// When the reader last took a part.
+    last_read: Option<Instant>,
     waker: Option<Waker>,
 }
 
-/// One caller's answer; clones share it within a thread.
+/// The buffer of one caller's answer. Clones share it within a thread.
 #[derive(Clone, Debug)]
-pub struct AnswerSlot {
-    state: Rc<RefCell<SlotState>>,
+pub struct AnswerBuffer {
+    state: Rc<RefCell<BufferState>>,
     limit: ByteSize,
 }
 
-impl AnswerSlot {
-    /// Creates an empty slot that holds `limit` bytes for a reader that has stalled, and four times
-    /// that for one that reads on: an engine may be faster than a caller for a moment.
+impl AnswerBuffer {
+    /// Creates an empty buffer that holds `limit` bytes for a reader that has stalled, and four
+    /// times as many for one that has not.
     pub fn new(limit: ByteSize) -> Self {
-        let state = SlotState { taken: Some(Instant::now()), ..SlotState::default() };
+        let state = BufferState { last_read: Some(Instant::now()), ..BufferState::default() };
         Self { state: Rc::new(RefCell::new(state)), limit }
     }
 
-    /// Adds a part.
+    /// Appends a part.
     ///
     /// # Errors
     ///
-    /// Returns [`SlotOverflow`] once too much is unread; the reader then finds the answer cut off.
-    pub fn push(&self, part: AnswerPart) -> Result<(), SlotOverflow> {
+    /// Returns [`AnswerOverflow`] once too much is unread. The reader then gets the same error.
+    pub fn push(&self, part: AnswerPart) -> Result<(), AnswerOverflow> {
         let mut state = self.state.borrow_mut();
         if let AnswerPart::Piece(bytes) = &part {
             state.bytes += bytes.len();
             let unread = state.bytes as u64;
-            let stalled = state.taken.is_none_or(|at| at.elapsed() > STALL_LIMIT);
+            let stalled = state.last_read.is_none_or(|at| at.elapsed() > STALL_TIMEOUT);
             let over = unread > self.limit.0 && stalled;
-            state.overflowed |= over || unread > self.limit.0 * HARD_FACTOR;
+            state.overflowed |= over || unread > self.limit.0 * ACTIVE_READER_FACTOR;
         }
         if state.overflowed {
             state.parts.clear();
@@ -85,20 +86,20 @@
         if let Some(waker) = state.waker.take() {
             waker.wake();
         }
-        if state.overflowed { Err(SlotOverflow) } else { Ok(()) }
+        if state.overflowed { Err(AnswerOverflow) } else { Ok(()) }
     }
 
-    /// Takes the next part, or the fact that the answer was cut off.
-    pub fn poll_next(&self, context: &mut Context<'_>) -> Poll<Result<AnswerPart, SlotOverflow>> {
+    /// Polls for the next part. Returns [`AnswerOverflow`] when the answer was cut off.
+    pub fn poll_next(&self, context: &mut Context<'_>) -> Poll<Result<AnswerPart, AnswerOverflow>> {
         let mut state = self.state.borrow_mut();
         if state.overflowed {
-            return Poll::Ready(Err(SlotOverflow));
+            return Poll::Ready(Err(AnswerOverflow));
         }
         let Some(part) = state.parts.pop_front() else {
             state.waker = Some(context.waker().clone());
             return Poll::Pending;
         };
-        state.taken = Some(Instant::now());
+        state.last_read = Some(Instant::now());
         if let AnswerPart::Piece(bytes) = &part {
             state.bytes -= bytes.len();
         }
@@ -109,8 +110,8 @@
     ///
     /// # Errors
     ///
-    /// Returns [`SlotOverflow`] when the answer was cut off.
-    pub async fn next(&self) -> Result<AnswerPart, SlotOverflow> {
+    /// Returns [`AnswerOverflow`] when the answer was cut off.
+    pub async fn next(&self) -> Result<AnswerPart, AnswerOverflow> {
         poll_fn(|context| self.poll_next(context)).await
     }
 }
--- a/src/caller_answer.rs
+++ b/src/caller_answer.rs
@@ -1,8 +1,8 @@
-//! Turning answers into HTTP: every final answer says which of three it is.
+//! Conversion of answers to HTTP responses.
 //!
-//! The header `ryetide-outcome` is `answered`, `not-run` or `unknown`. A stream has sent its headers
-//! before its outcome is known, so there the last event says it: a comment line that existing
-//! clients skip, or an `error` event when the answer is not whole.
+//! The header `ryetide-outcome` is `answered`, `not-run` or `unknown`. The headers of a stream are
+//! sent before its outcome is known, so the outcome follows at its end: in a comment line, which
+//! existing clients skip, preceded by an `error` event when the answer is incomplete.
 
 use std::time::Duration;
 
@@ -19,51 +19,51 @@
 
 use crate::{caller_request::ReadFault, util};
 
-/// The header that says which of three the final answer is.
+/// The header with the outcome: [`ANSWERED`], [`NOT_RUN`] or [`UNKNOWN`].
 pub const OUTCOME_HEADER: &str = "ryetide-outcome";
-/// The header that gives the request's id.
+/// The header with the request's id.
 pub const REQUEST_HEADER: &str = "ryetide-request";
-/// The header that says when to come back, in milliseconds; `retry-after` has whole seconds.
+/// The header with the retry delay in milliseconds; `retry-after` has whole seconds.
 pub const RETRY_HEADER: &str = "ryetide-retry-after-ms";
-/// The value of an outcome that is a whole answer.
+/// The outcome of a request that was answered completely.
 pub const ANSWERED: &str = "answered";
-/// The value of an outcome that really did not run.
+/// The outcome of a request that did not run and will not run.
 pub const NOT_RUN: &str = "not-run";
-/// The value of an outcome that may have run.
+/// The outcome of a request that may have run.
 pub const UNKNOWN: &str = "unknown";
 
-/// The body of an answer that is not the target's own.
+/// The body of a response that does not come from a target.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct ErrorBody {
     /// The error.
     pub error: ErrorDetail,
 }
 
-/// An error as existing clients read it.
+/// An error in the form that existing clients read.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct ErrorDetail {
-    /// A sentence for people.
+    /// A description for humans.
     pub message: String,
     /// `not-run`, `unknown` or `rejected`.
     pub r#type: String,
-    /// The reason, for programs.
+    /// The reason in machine-readable form.
     pub code: String,
 }
 
-/// What a final answer that is not the target's own means in HTTP.
+/// The HTTP form of a final answer that does not come from a target.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct FinalStatus {
-    /// The status.
+    /// The status code.
     pub status: u16,
     /// The outcome header's value.
     pub outcome: &'static str,
-    /// The reason, for programs.
+    /// The reason in machine-readable form.
     pub code: String,
-    /// When to come back.
+    /// The delay after which the caller may retry.
     pub retry_after: Option<Duration>,
 }
 
-/// Returns the status of a final answer, or nothing for one that is the target's own.
+/// Returns the status of a final answer, or `None` if the target's own answer is passed on.
 pub fn final_status(answer: &FinalAnswer) -> Option<FinalStatus> {
     let status = match answer {
         FinalAnswer::Answered | FinalAnswer::Replayed(_) => return None,
@@ -115,12 +115,12 @@
     }
 }
 
-/// The name of a reason as it is serialised.
+/// Returns the serialised name of a reason.
 fn code_of(reason: &impl Serialize) -> String {
     json_form::encode(reason).trim_matches('"').to_owned()
 }
 
-/// Builds the response for a final answer that is not the target's own.
+/// Builds the response for a final answer that does not come from a target.
 pub fn final_response(status: &FinalStatus, id: &str) -> HttpResponse {
     let mut builder = builder(status.status, status.outcome, id);
     if let Some(after) = status.retry_after {
@@ -140,12 +140,12 @@
         code: code.to_owned(),
     };
     let mut builder = builder(status, NOT_RUN, "");
-    // What is left of an unread body must not be taken for the next request.
+    // The rest of an unread body must not be parsed as the next request.
     builder.force_close();
     builder.json(&ErrorBody { error })
 }
 
-/// Returns the body that tells of a final answer.
+/// Returns the error body for a final answer.
 pub fn error_body(status: &FinalStatus) -> ErrorBody {
     let message = match status.outcome {
         NOT_RUN => "the request did not run",
@@ -160,9 +160,9 @@
     }
 }
 
-/// Begins a response.
+/// Creates a response builder with the outcome and the request's id, each omitted when empty.
 pub fn builder(status: u16, outcome: &str, id: &str) -> HttpResponseBuilder {
-    // The library reads no status of a target that it could not write, and ours are all known to it.
+    // The fallback is not reached: the status was parsed by the same library or is a constant.
     let status = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
     let mut builder = HttpResponse::build(status);
     if !outcome.is_empty() {
@@ -174,7 +174,7 @@
     builder
 }
 
-/// Returns the last lines of a stream.
+/// Returns the lines that end a stream and state its outcome.
 pub fn stream_end(answer: &FinalAnswer) -> String {
     match final_status(answer) {
         None => format!(": {OUTCOME_HEADER} {ANSWERED}\n\n"),
@@ -206,7 +206,7 @@
     content: Option<String>,
 }
 
-/// A whole answer, as callers that do not stream expect it.
+/// A complete answer in the form that callers without streaming expect.
 #[derive(Debug, Serialize)]
 pub struct WholeAnswer {
     id: String,
@@ -228,11 +228,11 @@
     content: String,
 }
 
-/// Puts the events of an engine's stream together into one body.
+/// Assembles the events of an engine's stream into one body.
 ///
 /// # Errors
 ///
-/// Returns what does not parse.
+/// Returns a description of the first event that does not parse.
 pub fn assemble(id: &str, stream: &[u8]) -> Result<WholeAnswer, String> {
     let text = std::str::from_utf8(stream).map_err(|error| error.to_string())?;
     let mut content = String::new();
--- a/src/caller_edge.rs
+++ b/src/caller_edge.rs
@@ -1,4 +1,4 @@
-//! The thread that callers connect to.
+//! The HTTP server for callers.
 
 use std::{
     cell::{Cell, RefCell},
@@ -27,7 +27,7 @@
 };
 
 use crate::{
-    answer_slot::{AnswerPart, AnswerSlot, SlotOverflow},
+    answer_buffer::{AnswerBuffer, AnswerOverflow, AnswerPart},
     caller_answer::{self, ANSWERED},
     caller_request::{self, CallerHeaders, ModelRequest, ReadFault},
     error::StepError,
@@ -37,31 +37,31 @@
     util,
 };
 
-/// The most connections of callers at once.
+/// The maximum number of simultaneous connections from callers.
 const CONNECTION_LIMIT: usize = 20_000;
-/// A caller's headers may take this long.
+/// The time within which a caller's headers must arrive.
 const HEADER_TIMEOUT: Seconds = Seconds(5);
-/// An idle connection of a caller is kept this long.
+/// The time for which an idle connection of a caller is kept open.
 const KEEP_ALIVE: Seconds = Seconds(30);
 /// Connections that wait to be accepted.
 const BACKLOG: i32 = 4_096;
 /// The content type of a stream of events.
 const EVENT_STREAM: &str = "text/event-stream";
-/// The first part of a plain service's path.
+/// The path prefix of plain services.
 const PLAIN_PREFIX: &str = "/services/";
-/// The paths on which models answer.
+/// The paths of model services.
 const MODEL_PATHS: [&str; 2] = ["/v1/completions", "/v1/chat/completions"];
 
-/// A part of a caller's answer, from the core.
+/// A part of a caller's answer, sent by the core.
 #[derive(Debug)]
 pub struct EdgeCommand {
-    /// The request.
+    /// The request that is answered.
     pub sequence: RequestSequence,
-    /// The part.
+    /// The part of its answer.
     pub part: AnswerPart,
 }
 
-/// The edge's ends of its rings.
+/// The ring ends that belong to the edge.
 pub struct EdgeRings {
     /// To the core.
     pub events: RingSender<Event>,
@@ -71,25 +71,25 @@
     pub reports: RingSender<ReportCommand>,
 }
 
-/// Whose requests these are.
+/// The VM that serves the requests, and its limits.
 #[derive(Clone, Debug)]
 pub struct EdgeIdentity {
-    /// The VM.
+    /// The VM's name.
     pub vm: VmName,
-    /// This life of it.
+    /// The incarnation of its daemon.
     pub incarnation: Incarnation,
-    /// What callers may take up.
+    /// The limits for callers.
     pub limits: CallerLimits,
-    /// Calls whose answers have not left yet; a shutdown waits for them.
+    /// The number of calls whose answers are not sent completely. A shutdown waits for them.
     pub open_calls: Arc<AtomicUsize>,
 }
 
-/// What the edge's tasks share.
+/// The state that the edge's tasks share.
 struct CallerEdge {
     identity: EdgeIdentity,
     events: RingSender<Event>,
     reports: RingSender<ReportCommand>,
-    slots: RefCell<HashMap<RequestSequence, AnswerSlot>>,
+    buffers: RefCell<HashMap<RequestSequence, AnswerBuffer>>,
     next_sequence: Cell<u64>,
 }
 
@@ -105,8 +105,8 @@
     identity: EdgeIdentity,
     rings: EdgeRings,
 ) -> Result<Server, StepError> {
-    // The server clones its factory for each worker; there is one worker, which takes the rings. Where
-    // there are none to take, callers are told 503.
+    // The server clones its factory for each worker. There is one worker, which takes the rings; any
+    // other would answer 503.
     let rings = Arc::new(Mutex::new(Some(rings)));
     let factory = move || {
         let taken = rings.lock().ok().and_then(|mut rings| rings.take());
@@ -136,7 +136,7 @@
         identity,
         events,
         reports,
-        slots: RefCell::default(),
+        buffers: RefCell::default(),
         next_sequence: Cell::new(1),
     });
     let receiving = Rc::clone(&edge);
@@ -156,7 +156,7 @@
     let Some(edge) = edge.get_ref().clone() else {
         return HttpResponse::ServiceUnavailable().finish();
     };
-    match edge.take(&request, payload).await {
+    match edge.serve(&request, payload).await {
         Ok(response) => response,
         Err(fault) => {
             let (_, code) = fault.status();
@@ -170,7 +170,7 @@
 
 impl CallerEdge {
     /// Serves one request to its answer.
-    async fn take(
+    async fn serve(
         self: &Rc<Self>,
         request: &HttpRequest,
         payload: web::types::Payload,
@@ -192,21 +192,21 @@
             let (service, call) = plain_call(request, body)?;
             (caller_request::plain_request(sequence, headers, &service, call), false)
         };
-        let slot = AnswerSlot::new(self.identity.limits.answer_buffer);
-        self.slots.borrow_mut().insert(sequence, slot.clone());
+        let buffer = AnswerBuffer::new(self.identity.limits.answer_buffer);
+        self.buffers.borrow_mut().insert(sequence, buffer.clone());
         self.identity.open_calls.fetch_add(1, Ordering::SeqCst);
-        let call = OpenCall { edge: Rc::clone(self), sequence, slot, ended: Cell::new(false) };
+        let call = OpenCall { edge: Rc::clone(self), sequence, buffer, ended: Cell::new(false) };
         if self.events.send(Event::Arrived(caller_request)).await.is_err() {
             return Ok(HttpResponse::ServiceUnavailable().finish());
         }
-        let gone = request.io().map(|io| io.on_disconnect());
+        let disconnected = request.io().map(|io| io.on_disconnect());
         let answer = respond(call, is_model, stream);
-        match gone {
+        match disconnected {
             None => Ok(answer.await),
-            Some(gone) => tokio::select! {
+            Some(disconnected) => tokio::select! {
                 response = answer => Ok(response),
-                // Dropping the call tells the core.
-                () = gone => Ok(HttpResponse::ServiceUnavailable().finish()),
+                // Dropping the call notifies the core.
+                () = disconnected => Ok(HttpResponse::ServiceUnavailable().finish()),
             },
         }
     }
@@ -218,7 +218,7 @@
     ) -> Result<Bytes, ReadFault> {
         let limits = self.identity.limits;
         let limit = limits.body.0;
-        // A length that cannot be read was refused by the library already.
+        // The library has already rejected a length that does not parse.
         let declared = request
             .headers()
             .get(header::CONTENT_LENGTH)
@@ -241,24 +241,24 @@
         read.ok_or(ReadFault::BodyTooSlow(limits.body_timeout))?
     }
 
-    /// Passes a part of an answer on, or cuts off a caller that leaves too much unread.
+    /// Buffers a part of an answer, or cuts off a caller that leaves too much unread.
     fn deliver(self: &Rc<Self>, command: EdgeCommand) {
         let EdgeCommand { sequence, part } = command;
         let ends = matches!(part, AnswerPart::Final(_));
-        let slot = self.slots.borrow().get(&sequence).cloned();
-        let Some(slot) = slot else { return };
-        if slot.push(part).is_err() {
+        let buffer = self.buffers.borrow().get(&sequence).cloned();
+        let Some(buffer) = buffer else { return };
+        if buffer.push(part).is_err() {
             tracing::warn!(event = "caller-too-slow", step = "answer", sequence = sequence.0);
             self.count_reject("caller-too-slow");
-            self.forget(sequence);
+            self.notify_caller_gone(sequence);
         } else if ends {
-            self.slots.borrow_mut().remove(&sequence);
+            self.buffers.borrow_mut().remove(&sequence);
         }
     }
 
-    /// Tells the core, once, that a caller has gone.
-    fn forget(self: &Rc<Self>, sequence: RequestSequence) {
-        if self.slots.borrow_mut().remove(&sequence).is_none() {
+    /// Notifies the core once that a caller has disconnected.
+    fn notify_caller_gone(self: &Rc<Self>, sequence: RequestSequence) {
+        if self.buffers.borrow_mut().remove(&sequence).is_none() {
             return;
         }
         let edge = Rc::clone(self);
@@ -269,7 +269,7 @@
     }
 
     fn count_reject(&self, code: &'static str) {
-        // A full ring loses a count, never a request.
+        // A full ring loses a count. Waiting for room would delay requests.
         let _ = self.reports.try_send(ReportCommand::Reject(code));
     }
 
@@ -279,18 +279,19 @@
     }
 }
 
-/// A call whose caller waits. Dropping it before its end tells the core that the caller has gone.
+/// A call that waits for its answer. Dropping it before the end notifies the core that the caller has
+/// disconnected.
 struct OpenCall {
     edge: SharedEdge,
     sequence: RequestSequence,
-    slot: AnswerSlot,
+    buffer: AnswerBuffer,
     ended: Cell<bool>,
 }
 
 impl Drop for OpenCall {
     fn drop(&mut self) {
         if !self.ended.get() {
-            self.edge.forget(self.sequence);
+            self.edge.notify_caller_gone(self.sequence);
         }
         self.edge.identity.open_calls.fetch_sub(1, Ordering::SeqCst);
     }
@@ -321,12 +322,12 @@
     Ok((service.to_owned(), call))
 }
 
-/// Waits for an answer's beginning and builds the response.
+/// Waits for the start of an answer and builds the response.
 async fn respond(call: OpenCall, is_model: bool, stream: bool) -> HttpResponse {
     let mut head = AnswerHead { status: 200, content_type: String::new() };
     let mut body = Vec::new();
     loop {
-        match call.slot.next().await {
+        match call.buffer.next().await {
             Ok(AnswerPart::Head(found)) if stream && found.content_type == EVENT_STREAM => {
                 return begin_stream(call, &found);
             }
@@ -336,7 +337,7 @@
                 call.ended.set(true);
                 return whole_response(&call, answer, head, body, is_model && !stream);
             }
-            Err(SlotOverflow) => return HttpResponse::BadGateway().finish(),
+            Err(AnswerOverflow) => return HttpResponse::BadGateway().finish(),
         }
     }
 }
@@ -346,7 +347,7 @@
     answer: FinalAnswer,
     mut head: AnswerHead,
     mut body: Vec<u8>,
-    assembles: bool,
+    needs_assembly: bool,
 ) -> HttpResponse {
     let id = call.id();
     if let Some(status) = caller_answer::final_status(&answer) {
@@ -361,12 +362,12 @@
         }
         return caller_answer::final_response(&status, &id);
     }
-    if let FinalAnswer::Replayed(kept) = answer {
-        head = AnswerHead { status: kept.status, content_type: kept.content_type };
-        body = kept.body.to_vec();
+    if let FinalAnswer::Replayed(stored) = answer {
+        head = AnswerHead { status: stored.status, content_type: stored.content_type };
+        body = stored.body.to_vec();
     }
     let mut builder = caller_answer::builder(head.status, ANSWERED, &id);
-    if assembles && head.content_type == EVENT_STREAM {
+    if needs_assembly && head.content_type == EVENT_STREAM {
         return match caller_answer::assemble(&id, &body) {
             Ok(whole) => builder.json(&whole),
             Err(error) => {
@@ -388,7 +389,7 @@
     builder.streaming(AnswerStream { call, done: false })
 }
 
-/// An answer on its way to a caller that streams.
+/// The body of a streamed response.
 struct AnswerStream {
     call: OpenCall,
     done: bool,
@@ -402,7 +403,7 @@
             return Poll::Ready(None);
         }
         loop {
-            let part = match self.call.slot.poll_next(context) {
+            let part = match self.call.buffer.poll_next(context) {
                 Poll::Pending => return Poll::Pending,
                 Poll::Ready(part) => part,
             };
--- a/src/caller_request.rs
+++ b/src/caller_request.rs
@@ -1,4 +1,4 @@
-//! Reading a caller's request: headers, body, and what the core needs to know of the prompt.
+//! Parsing of callers' requests: headers, body, and the properties of the prompt that the core uses.
 
 use std::time::Duration;
 
@@ -17,28 +17,28 @@
 pub const ORGANISATION_HEADER: &str = "ryetide-organisation";
 /// The header that names the tier.
 pub const TIER_HEADER: &str = "ryetide-tier";
-/// The header that gives the milliseconds until the caller's deadline.
+/// The header with the milliseconds until the caller's deadline.
 pub const DEADLINE_HEADER: &str = "ryetide-deadline-ms";
 /// The header that marks a request that may run at most once: `true` or `false`.
 pub const NON_IDEMPOTENT_HEADER: &str = "ryetide-non-idempotent";
-/// The header that carries the caller's idempotency key.
+/// The header with the caller's idempotency key.
 pub const KEY_HEADER: &str = "idempotency-key";
 
-/// The deadline of a request that names none.
+/// The deadline of a request without [`DEADLINE_HEADER`].
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(60);
-/// The longest deadline that is kept; a longer one is taken as this.
+/// The maximum deadline; a longer one is reduced to this.
 const LONGEST_DEADLINE: Duration = Duration::from_secs(3_600);
-/// The longest idempotency key.
+/// The maximum length of an idempotency key, in bytes.
 const KEY_LIMIT: usize = 255;
-/// The output limit of a prompt that names none.
+/// The output limit of a prompt without `max_tokens`, in tokens.
 const DEFAULT_OUTPUT: u64 = 256;
-/// The bytes of a token, for estimates.
+/// The assumed mean length of a token, for estimates.
 const BYTES_PER_TOKEN: u64 = 4;
 
-/// What is wrong with a request as it was read.
+/// The reason why a request was rejected before it reached the core.
 #[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
 pub enum ReadFault {
-    /// A header that is needed is missing.
+    /// A required header is missing.
     #[error("the header {0} is missing")]
     HeaderMissing(&'static str),
     /// A header's value is not permitted.
@@ -51,7 +51,7 @@
         /// What is permitted.
         permitted: &'static str,
     },
-    /// The deadline has passed already.
+    /// The time until the deadline is zero or negative.
     #[error("the deadline has passed already")]
     DeadlinePast,
     /// The body is larger than permitted.
@@ -60,19 +60,19 @@
     /// The body took too long to arrive.
     #[error("the body took longer than {0:?} to arrive")]
     BodyTooSlow(Duration),
-    /// The body broke off.
+    /// The connection failed before the end of the body.
     #[error("the body broke off")]
     BodyBroken,
-    /// The body is not the JSON that is needed.
+    /// The body is not a valid prompt in JSON.
     #[error("the body does not parse: {0}")]
     BodyMalformed(String),
-    /// No service answers on the path.
+    /// The path belongs to no service.
     #[error("no service answers on this path")]
     PathUnknown,
 }
 
 impl ReadFault {
-    /// Returns the status and the name under which the fault is counted.
+    /// Returns the HTTP status and the code under which the fault is reported and counted.
     pub fn status(&self) -> (u16, &'static str) {
         match self {
             Self::HeaderMissing(_) => (400, "header-missing"),
@@ -87,7 +87,7 @@
     }
 }
 
-/// What the headers say.
+/// The parsed headers of a request.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct CallerHeaders {
     organisation: String,
@@ -98,7 +98,7 @@
 }
 
 impl CallerHeaders {
-    /// Reads the headers.
+    /// Parses the headers.
     ///
     /// # Errors
     ///
@@ -114,8 +114,8 @@
     }
 }
 
-/// Returns a header's text. One that is no text is a fault and not the same as none: a request whose
-/// idempotency key was passed over would run twice.
+/// Returns a header's text. A value that is not visible ASCII is an error rather than treated as
+/// absent: a request whose idempotency key is ignored could run twice.
 fn value<'a>(headers: &'a HeaderMap, name: &'static str) -> Result<Option<&'a str>, ReadFault> {
     let Some(found) = headers.get(name) else { return Ok(None) };
     found.to_str().map(Some).map_err(|_| ReadFault::HeaderValue {
@@ -167,7 +167,7 @@
     Ok(Some(found.to_owned()))
 }
 
-/// What is read of a prompt's body; the rest passes through.
+/// The fields of a prompt's body that are parsed. The body itself is passed on unchanged.
 #[derive(Debug, Deserialize)]
 struct PromptBody {
     model: String,
@@ -187,20 +187,20 @@
     content: String,
 }
 
-/// A request to a model, with whether its caller wants the answer as a stream.
+/// A request to a model service.
 #[derive(Debug)]
 pub struct ModelRequest {
-    /// The request.
+    /// The request for the core.
     pub request: CallerRequest,
-    /// Whether the caller wants server-sent events.
+    /// Whether the caller expects server-sent events.
     pub stream: bool,
 }
 
-/// Reads a prompt's body.
+/// Parses a prompt's body.
 ///
 /// # Errors
 ///
-/// Returns [`ReadFault::BodyMalformed`] when it is not the JSON that is needed.
+/// Returns [`ReadFault::BodyMalformed`] when it is not a valid prompt in JSON.
 pub fn read_model_request(
     sequence: RequestSequence,
     headers: CallerHeaders,
@@ -232,7 +232,7 @@
     Ok(ModelRequest { request, stream: prompt.stream })
 }
 
-/// Builds the request for a plain service, whose body passes through unread.
+/// Builds the request for a plain service, whose body is not parsed.
 pub fn plain_request(
     sequence: RequestSequence,
     headers: CallerHeaders,
@@ -254,7 +254,7 @@
     }
 }
 
-/// Hashes the whole leading blocks of a prompt, each together with all before it.
+/// Hashes the complete leading blocks of a prompt. Each hash covers its block and all earlier ones.
 pub fn prefix_hashes(text: &[u8]) -> Vec<u32> {
     let mut seed = 0;
     let blocks = text.chunks_exact(BLOCK_BYTES).take(BLOCK_LIMIT);
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -1,8 +1,8 @@
-//! A whole daemon: the core and the threads around it, joined by bounded rings.
+//! The daemon: the core and the threads around it, connected by bounded rings.
 //!
-//! | thread | duty |
+//! | thread | task |
 //! |---|---|
-//! | `core` | runs the decision core; every other thread only carries out what it decides |
+//! | `core` | runs the decision core; every other thread only executes its effects |
 //! | `callers` | HTTP to callers |
 //! | `targets` | HTTP to targets |
 //! | `peers` | QUIC to the other entry VMs |
@@ -40,7 +40,7 @@
 };
 
 use crate::{
-    answer_slot::AnswerPart,
+    answer_buffer::AnswerPart,
     caller_edge::{self, EdgeCommand, EdgeIdentity, EdgeRings},
     error::StepError,
     operator_port::{self, OperatorCommand, OperatorRings},
@@ -56,26 +56,26 @@
     util,
 };
 
-/// Room in each ring.
+/// The capacity of each ring, in values.
 const RING_CAPACITY: usize = 8_192;
-/// Events taken from one ring before the next one has its turn.
+/// The number of events processed from one ring before the next ring is polled.
 const EVENTS_PER_TURN: usize = 256;
-/// Effects after which a step leaves the rest for the next.
-const EFFECT_BOUND: usize = 2_048;
-/// Answers that the core has finished are given this long to be read by their callers.
-const ANSWER_LIMIT: Duration = Duration::from_secs(60);
-/// The pause between two looks whether they have been.
-const ANSWER_PAUSE: Duration = Duration::from_millis(10);
-/// The edge is given this long to take the core's last commands from its ring.
-const FLUSH_SPAN: Duration = Duration::from_millis(100);
+/// The number of effects after which a step defers the rest to the next step.
+const EFFECT_LIMIT: usize = 2_048;
+/// The time that callers have to read the remaining answers after the core has finished.
+const ANSWER_DRAIN_TIMEOUT: Duration = Duration::from_secs(60);
+/// The interval at which remaining answers are counted during a shutdown.
+const ANSWER_POLL_INTERVAL: Duration = Duration::from_millis(10);
+/// The time that the edge has to process the core's last commands before the servers stop.
+const FLUSH_DELAY: Duration = Duration::from_millis(100);
 
 /// The sockets of a daemon, bound before its threads start.
 pub struct DaemonSockets {
-    /// For callers.
+    /// The HTTP listener for callers.
     pub callers: TcpListener,
-    /// For operators.
+    /// The HTTP listener for operators.
     pub operators: TcpListener,
-    /// For peers.
+    /// The QUIC socket for peers.
     pub peers: UdpSocket,
 }
 
@@ -101,23 +101,24 @@
     }
 }
 
-/// Where a daemon listens, once its sockets are bound.
+/// The addresses to which a daemon's sockets are bound.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct DaemonAddresses {
-    /// For callers.
+    /// The address for callers.
     pub callers: SocketAddr,
-    /// For operators.
+    /// The address for operators.
     pub operators: SocketAddr,
-    /// For peers.
+    /// The address for peers.
     pub peers: SocketAddr,
 }
 
 impl DaemonSockets {
-    /// Returns where the sockets are bound, which the settings leave open with port 0.
+    /// Returns the addresses to which the sockets are bound. They differ from the settings where
+    /// those have port 0.
     ///
     /// # Errors
     ///
-    /// Returns a [`StepError`] when the system cannot tell.
+    /// Returns a [`StepError`] when an address cannot be read from its socket.
     pub fn addresses(&self) -> Result<DaemonAddresses, StepError> {
         let fault = |error: io::Error| StepError::new("read socket address", error);
         Ok(DaemonAddresses {
@@ -128,20 +129,20 @@
     }
 }
 
-/// Tells a running daemon to shut down.
+/// A handle with which a running daemon is shut down.
 #[derive(Clone, Debug, Default)]
-pub struct ShutdownSwitch {
+pub struct ShutdownHandle {
     notify: Arc<Notify>,
 }
 
-impl ShutdownSwitch {
-    /// Begins the shutdown: nothing new is taken, and what runs is finished.
+impl ShutdownHandle {
+    /// Begins the shutdown: new requests are refused, and running requests are finished.
     pub fn shut_down(&self) {
         self.notify.notify_one();
     }
 }
 
-/// Runs a daemon until it was shut down and everything it held is finished.
+/// Runs a daemon until it is shut down and all of its requests are finished.
 ///
 /// # Errors
 ///
@@ -149,20 +150,20 @@
 pub fn run(
     settings: DaemonSettings,
     sockets: DaemonSockets,
-    switch: ShutdownSwitch,
+    shutdown: ShutdownHandle,
 ) -> Result<(), StepError> {
     let keys = PeerKeys::load(&settings.peers)?;
     let incarnation = Incarnation(rand::rng().random());
-    let bell = Arc::new(Notify::new());
-    let report_bell = Arc::new(Notify::new());
-    let input = || ring::ring_with_bell(RING_CAPACITY, Arc::clone(&bell));
-    let report_ring = || ring::ring_with_bell(RING_CAPACITY, Arc::clone(&report_bell));
+    let inputs_ready = Arc::new(Notify::new());
+    let reports_ready = Arc::new(Notify::new());
+    let input = || ring::ring_with_notify(RING_CAPACITY, Arc::clone(&inputs_ready));
+    let report_ring = || ring::ring_with_notify(RING_CAPACITY, Arc::clone(&reports_ready));
     let (edge_events, from_edge) = input();
     let (target_events, from_targets) = input();
     let (peer_events, from_peers) = input();
     let (platform_events, from_platform) = input();
     let (operator_commands, from_operators) =
-        ring::ring_with_bell(RING_CAPACITY, Arc::clone(&bell));
+        ring::ring_with_notify(RING_CAPACITY, Arc::clone(&inputs_ready));
     let (to_edge, edge_commands) = ring::ring(RING_CAPACITY);
     let (to_targets, target_commands) = ring::ring(RING_CAPACITY);
     let (to_peers, peer_commands) = ring::ring(RING_CAPACITY);
@@ -170,10 +171,10 @@
     let (to_report, core_reports) = report_ring();
     let (edge_reports_sender, edge_reports) = report_ring();
     let (operator_reports_sender, operator_reports) = report_ring();
-    let (serving, served) = ring::ring_with_bell(1, Arc::clone(&report_bell));
+    let (servers_alive, servers_ended) = ring::ring_with_notify(1, Arc::clone(&reports_ready));
     let report_rings =
-        ReportRings::new(vec![core_reports, edge_reports, operator_reports], report_bell)
-            .until(served);
+        ReportRings::new(vec![core_reports, edge_reports, operator_reports], reports_ready)
+            .until(servers_ended);
 
     let addresses = sockets.addresses()?;
     let preface = LinkPreface {
@@ -197,7 +198,7 @@
     let stop_servers = Arc::new(Notify::new());
     let stop = Arc::clone(&stop_servers);
 
-    let duties = vec![
+    let workers = vec![
         spawn("targets", move || target_client::run(target_commands, target_events))?,
         spawn("peers", move || peer_link::run(link_options, peer_commands, peer_events))?,
         spawn("platform", move || {
@@ -215,16 +216,16 @@
             let edge = caller_edge::start(sockets.callers, identity, edge_rings)?;
             let operators = operator_port::start(sockets.operators, operator_rings)?;
             stop.notified().await;
-            stop_serving(&open_calls, &edge, &operators).await;
-            drop(serving);
+            stop_servers_after_answers(&open_calls, &edge, &operators).await;
+            drop(servers_alive);
             Ok(())
         })?,
     ];
     let driver = CoreDriver {
         core: EntryCore::new(options),
-        effects: EffectBuffer::new(EFFECT_BOUND),
+        effects: EffectBuffer::new(EFFECT_LIMIT),
         started: None,
-        bell,
+        inputs_ready,
         inputs: vec![from_edge, from_targets, from_peers, from_platform],
         operators: from_operators,
         to_edge,
@@ -233,50 +234,50 @@
         to_platform,
         to_report,
         edits: HashMap::new(),
-        drained: false,
+        is_drained: false,
     };
     let DaemonAddresses { callers, operators, peers } = addresses;
     tracing::info!(event = "listening", vm = %settings.name, %callers, %operators, %peers);
     let core = thread::Builder::new()
         .name("core".to_owned())
-        .spawn(move || run_core(driver, &switch, &stop_servers))
+        .spawn(move || run_core(driver, &shutdown, &stop_servers))
         .map_err(|error| StepError::new("start core", error))?;
     let finished = core.join().map_err(|_| StepError::new("run core", "the thread panicked"))?;
-    for duty in duties {
-        let ended = duty.join().map_err(|_| StepError::new("join", "a thread panicked"))?;
+    for worker in workers {
+        let ended = worker.join().map_err(|_| StepError::new("join", "a thread panicked"))?;
         ended?;
     }
     tracing::info!(event = "stopped", vm = %settings.name);
     finished
 }
 
-/// Lets the answers of a finished core leave, and then closes both ports.
-async fn stop_serving(open_calls: &AtomicUsize, edge: &Server, operators: &Server) {
+/// Waits until the remaining answers are sent, and then closes both ports.
+async fn stop_servers_after_answers(open_calls: &AtomicUsize, edge: &Server, operators: &Server) {
     let answers_left = async {
         while open_calls.load(Ordering::SeqCst) > 0 {
-            tokio::time::sleep(ANSWER_PAUSE).await;
+            tokio::time::sleep(ANSWER_POLL_INTERVAL).await;
         }
     };
-    if util::within(ANSWER_LIMIT, answers_left).await.is_none() {
+    if util::within(ANSWER_DRAIN_TIMEOUT, answers_left).await.is_none() {
         let left = open_calls.load(Ordering::SeqCst);
         tracing::warn!(event = "answers-abandoned", step = "shutdown", left);
     }
-    server_stop::stop_orderly("callers", edge).await;
-    server_stop::stop_at_once("operators", operators).await;
+    server_stop::stop_gracefully("callers", edge).await;
+    server_stop::stop_immediately("operators", operators).await;
 }
 
-type DutyHandle = thread::JoinHandle<Result<(), StepError>>;
+type WorkerHandle = thread::JoinHandle<Result<(), StepError>>;
 
-/// Starts a thread with a runtime of its own and runs a duty on it to its end.
-fn spawn<F, D>(name: &'static str, duty: F) -> Result<DutyHandle, StepError>
+/// Runs `task` to its end on a new thread with its own runtime.
+fn spawn<F, T>(name: &'static str, task: F) -> Result<WorkerHandle, StepError>
 where
-    F: FnOnce() -> D + Send + 'static,
-    D: Future<Output = Result<(), StepError>> + 'static,
+    F: FnOnce() -> T + Send + 'static,
+    T: Future<Output = Result<(), StepError>> + 'static,
 {
     let run = move || {
         let system = System::new(name, DefaultRuntime);
         system.block_on(async move {
-            let outcome = duty().await;
+            let outcome = task().await;
             if let Err(error) = &outcome {
                 tracing::error!(event = "duty-failed", step = name, reason = %error);
             }
@@ -291,7 +292,7 @@
 
 fn run_core(
     mut driver: CoreDriver,
-    switch: &ShutdownSwitch,
+    shutdown: &ShutdownHandle,
     stop_servers: &Notify,
 ) -> Result<(), StepError> {
     let runtime = tokio::runtime::Builder::new_current_thread()
@@ -299,19 +300,19 @@
         .build()
         .map_err(|error: io::Error| StepError::new("build core runtime", error))?;
     runtime.block_on(async {
-        driver.run(switch).await;
-        tokio::time::sleep(FLUSH_SPAN).await;
+        driver.run(shutdown).await;
+        tokio::time::sleep(FLUSH_DELAY).await;
     });
     stop_servers.notify_one();
     Ok(())
 }
 
-/// Runs the core: takes events from the rings, and hands its effects on.
+/// The event loop of the core: receives events from the rings and executes the core's effects.
 struct CoreDriver {
     core: EntryCore,
     effects: EffectBuffer,
     started: Option<Instant>,
-    bell: Arc<Notify>,
+    inputs_ready: Arc<Notify>,
     inputs: Vec<RingReceiver<Event>>,
     operators: RingReceiver<OperatorCommand>,
     to_edge: RingSender<EdgeCommand>,
@@ -320,36 +321,36 @@
     to_platform: RingSender<PlatformCommand>,
     to_report: RingSender<ReportCommand>,
     edits: HashMap<OperationId, oneshot::Sender<ApplyOutcome>>,
-    drained: bool,
+    is_drained: bool,
 }
 
 impl CoreDriver {
-    async fn run(&mut self, switch: &ShutdownSwitch) {
+    async fn run(&mut self, shutdown: &ShutdownHandle) {
         self.started = Some(Instant::now());
         self.step(Event::Tick).await;
-        while !self.drained {
+        while !self.is_drained {
             let now = self.now();
             let wake = self.core.next_wake(now);
             let sleep = tokio::time::sleep(wake.since(now));
             tokio::select! {
-                () = self.bell.notified() => {}
+                () = self.inputs_ready.notified() => {}
                 () = sleep => self.step(Event::Tick).await,
-                () = switch.notify.notified() => {
+                () = shutdown.notify.notified() => {
                     tracing::info!(event = "shutdown-begun");
                     self.step(Event::Shutdown).await;
                 }
             }
-            self.take_inputs().await;
+            self.process_inputs().await;
         }
     }
 
     fn now(&self) -> Moment {
         let passed = self.started.map_or(Duration::ZERO, |started| started.elapsed());
-        // The clock starts at one: moment 0 stands for "never".
+        // The clock starts at one because moment 0 means "never".
         Moment(u64::try_from(passed.as_micros()).unwrap_or(u64::MAX).saturating_add(1))
     }
 
-    /// Returns the clock's time of an order's last moment.
+    /// Returns the time until which an order may be sent.
     fn instant_of(&self, order: &TargetOperation) -> Instant {
         let start = self.started.unwrap_or_else(Instant::now);
         match order {
@@ -358,9 +359,9 @@
         }
     }
 
-    async fn take_inputs(&mut self) {
+    async fn process_inputs(&mut self) {
         let mut more = true;
-        while more && !self.drained {
+        while more && !self.is_drained {
             more = false;
             for index in 0..self.inputs.len() {
                 for _ in 0..EVENTS_PER_TURN {
@@ -370,7 +371,7 @@
                 }
             }
             while let Some(command) = self.operators.try_recv() {
-                self.operate(command).await;
+                self.run_command(command).await;
             }
         }
     }
@@ -380,12 +381,12 @@
         self.core.step(now, event, &mut self.effects);
         let effects: Vec<Effect> = self.effects.drain().collect();
         for effect in effects {
-            self.carry_out(effect).await;
+            self.execute(effect).await;
         }
     }
 
-    async fn operate(&mut self, command: OperatorCommand) {
-        // The operator who asked may have gone.
+    async fn run_command(&mut self, command: OperatorCommand) {
+        // Sending fails when the operator has disconnected.
         match command {
             OperatorCommand::Status(reply) => drop(reply.send(self.core.status())),
             OperatorCommand::Configuration(reply) => {
@@ -399,9 +400,9 @@
         }
     }
 
-    async fn carry_out(&mut self, effect: Effect) {
-        // A closed ring means that its thread has failed, which it has logged; the core goes on,
-        // and its time limits give up what depended on that thread.
+    async fn execute(&mut self, effect: Effect) {
+        // A closed ring means that its thread has failed and has logged the error. The core
+        // continues, and requests that depend on that thread time out.
         let answer = |sequence, part| EdgeCommand { sequence, part };
         match effect {
             Effect::BeginAnswer { sequence, head } => {
@@ -414,21 +415,21 @@
                 let _ = self.to_edge.send(answer(sequence, AnswerPart::Final(ended))).await;
             }
             Effect::Connect { sequence, attempt, route } => {
-                self.tell_targets(TargetCommand::Connect(sequence, attempt, route)).await;
+                self.send_to_targets(TargetCommand::Connect(sequence, attempt, route)).await;
             }
             Effect::Permit { sequence, attempt, order } => {
                 let not_after = self.instant_of(&order);
                 let permitted = PermittedOrder { order, not_after };
-                self.tell_targets(TargetCommand::Permit(sequence, attempt, permitted)).await;
+                self.send_to_targets(TargetCommand::Permit(sequence, attempt, permitted)).await;
             }
             Effect::Abandon { sequence, attempt } => {
-                self.tell_targets(TargetCommand::Abandon(sequence, attempt)).await;
+                self.send_to_targets(TargetCommand::Abandon(sequence, attempt)).await;
             }
             Effect::Cancel { id, route } => {
-                self.tell_targets(TargetCommand::Cancel(id, route)).await;
+                self.send_to_targets(TargetCommand::Cancel(id, route)).await;
             }
             Effect::WatchTargets(routes) => {
-                self.tell_targets(TargetCommand::Watch(routes)).await;
+                self.send_to_targets(TargetCommand::Watch(routes)).await;
             }
             Effect::Send { to, message } => {
                 let _ = self.to_peers.send(LinkCommand::Send(to, message)).await;
@@ -441,7 +442,7 @@
             }
             Effect::ApplyDone { operation, outcome } => {
                 if let Some(reply) = self.edits.remove(&operation) {
-                    // The operator may have gone.
+                    // Sending fails when the operator has disconnected.
                     let _ = reply.send(outcome);
                 }
             }
@@ -449,11 +450,11 @@
                 let _ = self.to_report.send(ReportCommand::Record(summary)).await;
             }
             Effect::Note(notice) => log_notice(self.core.name(), &notice),
-            Effect::Drained => self.drained = true,
+            Effect::Drained => self.is_drained = true,
         }
     }
 
-    async fn tell_targets(&self, command: TargetCommand) {
+    async fn send_to_targets(&self, command: TargetCommand) {
         let _ = self.to_targets.send(command).await;
     }
 }
@@ -492,7 +493,7 @@
         OperatorNotice::TargetCrashed { target, fingerprint, ran_ms } => {
             tracing::warn!(event = "target-crashed", %vm, %target, print = %fingerprint, ran_ms);
         }
-        OperatorNotice::Quarantine(news) => quarantine_log::write(vm, news),
+        OperatorNotice::Quarantine(change) => quarantine_log::write(vm, change),
         OperatorNotice::ArbiterSilent(peer) => {
             tracing::warn!(event = "arbiter-silent", step = "ask", %peer);
         }
--- a/src/deployment_keys.rs
+++ b/src/deployment_keys.rs
@@ -1,8 +1,8 @@
-//! A deployment's own keys: an authority, and a certificate that it signed for the daemons.
+//! Generation of a deployment's keys: a certificate authority, and a certificate for the daemons.
 //!
-//! Daemons meet each other only with a certificate that the deployment's own authority signed. The
-//! authority's key is not kept: whoever needs new certificates makes a new authority, and hands both out
-//! to all entry VMs together.
+//! Daemons accept only peers with a certificate that the deployment's authority has signed. The
+//! authority's key is not stored: new certificates need a new authority, and both are distributed to
+//! all entry VMs together.
 
 use std::{fs, path::Path};
 
@@ -13,7 +13,7 @@
 ///
 /// # Errors
 ///
-/// Returns a [`StepError`] when a key cannot be made or a file not written.
+/// Returns a [`StepError`] when a key cannot be generated or a file cannot be written.
 pub fn write_keys(directory: &Path) -> Result<(), StepError> {
     let fault = |error: rcgen::Error| StepError::new("make keys", error);
     let authority_key = KeyPair::generate().map_err(fault)?;
--- a/src/error.rs
+++ b/src/error.rs
@@ -1,8 +1,8 @@
-//! The error of this library: what was being done, with whom, and why it failed.
+//! The error type of this library: the step that failed, the peer involved, and the cause.
 
 use std::{error, fmt};
 
-/// A step failed, perhaps with a peer.
+/// The failure of a step, with the peer if one was involved.
 ///
 /// # Example
 ///
@@ -19,18 +19,18 @@
 }
 
 impl StepError {
-    /// Creates an error that arose in `step`.
+    /// Creates an error for `step`.
     pub fn new(step: &'static str, cause: impl Into<Box<dyn error::Error + Send + Sync>>) -> Self {
         Self { step, peer: None, cause: cause.into() }
     }
 
-    /// Names the peer with whom it arose.
+    /// Adds the peer, file or process that was involved.
     pub fn with_peer(mut self, peer: impl fmt::Display) -> Self {
         self.peer = Some(peer.to_string());
         self
     }
 
-    /// Returns the step.
+    /// Returns the step that failed.
     pub fn step(&self) -> &'static str {
         self.step
     }
--- a/src/fresh_client.rs
+++ b/src/fresh_client.rs
@@ -1,9 +1,9 @@
-//! An HTTP client whose every request has a connection of its own, opened before and closed after.
+//! An HTTP client that opens a new connection for each request and closes it afterwards.
 //!
-//! A pooled connection may be dead without a sign, and a library with a pool may send a request
-//! twice. Here a connection is opened first; its handshake proves it live just now, and a failure up
-//! to then is known to have sent nothing, whatever error a library would report. The library's
-//! client only borrows the connection: it opens none itself and keeps none.
+//! A pooled connection may be dead without notice, and a library with a pool may send a request
+//! twice. Here the connection is opened first, and its handshake shows that the peer is reachable. A
+//! failure up to that point is known to have sent nothing, whatever error a library would report.
+//! The library's client uses only the given connection; it opens and keeps none itself.
 
 use std::{
     cell::RefCell,
@@ -23,27 +23,27 @@
 
 use crate::{error::StepError, util};
 
-/// Connections that stand, by address; all to one address are alike, so any of them serves.
+/// Open connections by address. Those to one address are interchangeable.
 type HandoverMap = Rc<RefCell<HashMap<net::SocketAddr, VecDeque<Io>>>>;
 
-/// A connection that stands and on which nothing was sent.
+/// An open connection on which nothing has been sent.
 pub struct FreshConnection {
     address: net::SocketAddr,
     io: Io,
 }
 
-/// The client. It belongs to one thread.
+/// An HTTP client without a connection pool, for use on one thread.
 pub struct FreshClient {
     client: Client,
     handover: HandoverMap,
 }
 
 impl FreshClient {
-    /// Creates a client; `name` tells its connections apart in logs.
+    /// Creates a client. `name` identifies its connections in logs.
     ///
     /// # Errors
     ///
-    /// Returns a [`StepError`] when the library's client cannot be built.
+    /// Returns a [`StepError`] when the HTTP client cannot be built.
     pub async fn new(name: &'static str) -> Result<Self, StepError> {
         let handover = HandoverMap::default();
         let source = Rc::clone(&handover);
@@ -56,7 +56,7 @@
             }
         }))
         .map_init_err(|()| StepError::new("build client", "the connector failed"));
-        // A followed redirect would be a second request.
+        // Following a redirect would send a second request.
         let client = Client::builder()
             .connector::<()>(Connector::new().connector(connector).limit(0))
             .disable_redirects()
@@ -67,7 +67,7 @@
         Ok(Self { client, handover })
     }
 
-    /// Opens a connection, or returns nothing when that fails: then nothing was sent.
+    /// Opens a connection. Returns `None` when that fails; nothing has been sent then.
     pub async fn connect(
         &self,
         address: net::SocketAddr,
@@ -84,7 +84,8 @@
         None
     }
 
-    /// Begins a request on `connection`, which must be sent right away.
+    /// Creates a request on `connection`. It must be sent immediately: until then the connection stays in
+    /// the hand-over map.
     pub fn request(
         &self,
         connection: FreshConnection,
@@ -107,7 +108,7 @@
     io
 }
 
-/// Returns the address in a URI that [`FreshClient::request`] has built from one.
+/// Returns the address in a URI built by [`FreshClient::request`].
 fn address_of(uri: &Uri) -> Option<net::SocketAddr> {
     uri.authority()?.as_str().parse().ok()
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,22 +1,24 @@
-//! Ryetide: a request scheduler for unlike engines.
+//! Ryetide: a request scheduler for model engines of different speeds.
 //!
-//! This library holds everything of a daemon but its decisions, which are in [`ryetide_core`]. The
-//! binaries are thin: `ryetided` runs [`daemon::run`], and `ryetide` talks to the operators' port.
+//! This library implements the daemon's input and output; the scheduling decisions are made in
+//! [`ryetide_core`]. The binaries are thin: `ryetided` runs [`daemon::run`], and `ryetide` sends
+//! requests to the operators' port.
 //!
 //! # Contents
 //!
-//! | module | what it is |
+//! | module | contents |
 //! |---|---|
-//! | [`daemon`], [`server_stop`] | a whole daemon: the core and its threads, and their end |
-//! | [`settings`], [`text_report`], [`log`], [`error`] | settings, faults, logs, errors |
-//! | [`caller_edge`], [`caller_request`], [`caller_answer`], [`answer_slot`] | callers |
-//! | [`target_client`], [`fresh_client`] | targets |
-//! | [`peer_link`], [`peer_keys`], [`deployment_keys`] | the other entry VMs |
+//! | [`daemon`], [`server_stop`] | the daemon: the core, its threads and their shutdown |
+//! | [`settings`], [`text_report`], [`log`], [`error`] | settings, validation reports, logs, errors |
+//! | [`caller_edge`], [`caller_request`], [`caller_answer`], [`answer_buffer`] | HTTP to callers |
+//! | [`target_client`], [`fresh_client`] | HTTP to targets |
+//! | [`peer_link`], [`peer_keys`], [`deployment_keys`] | connections to the other entry VMs |
 //! | [`platform_client`] | the table service and the list of VMs |
-//! | [`operator_port`], [`request_report`] | operators |
-//! | [`ring`] | the bounded rings between the threads |
+//! | [`operator_port`], [`request_report`] | the operators' port and its report |
+//! | [`quarantine_log`] | log lines on requests that crash targets |
+//! | [`ring`] | bounded ring buffers between the threads |
 
-pub mod answer_slot;
+pub mod answer_buffer;
 pub mod caller_answer;
 pub mod caller_edge;
 pub mod caller_request;
--- a/src/log.rs
+++ b/src/log.rs
@@ -1,8 +1,8 @@
-//! Logs: one line of key=value pairs for each event.
+//! Logging: one line of key=value pairs for each event.
 //!
-//! A daemon's lines go to standard output through a bounded buffer and a thread of their own, so that
-//! a reader who stalls costs lines and never holds up a request. A command's go to standard error,
-//! since its output is its own.
+//! A daemon writes its lines to standard output through a bounded buffer and a separate thread. When
+//! the reader stalls, lines are dropped and requests are not delayed. A command logs to standard
+//! error because standard output carries its result.
 
 use std::{fmt, str::FromStr};
 
@@ -11,10 +11,10 @@
     EnvFilter, fmt::MakeWriter, layer::SubscriberExt, util::SubscriberInitExt,
 };
 
-/// Lines that wait to be written; more are dropped.
+/// The capacity of the log buffer, in lines. Further lines are dropped.
 const LINES_BUFFERED: usize = 2_000;
 
-/// What is logged, such as `info` or `ryetide=debug`.
+/// A log filter, such as `info` or `ryetide=debug`.
 ///
 /// # Example
 ///
@@ -27,22 +27,22 @@
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct LogFilter(String);
 
-/// A text is no log filter.
+/// The error for a text that is not a log filter.
 #[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
-#[error("no log filter: {0}")]
+#[error("not a log filter: {0}")]
 pub struct LogFilterError(String);
 
 impl LogFilter {
-    /// What describes a filter to operators.
+    /// A description of the permitted values, for operators.
     pub const PERMITTED: &str = "a log filter, such as info or ryetide=debug";
 
-    /// Returns the filter that lets warnings and errors through.
+    /// Returns the filter that passes warnings and errors.
     pub fn warnings() -> Self {
         Self("warn".to_owned())
     }
 
     fn filter(&self) -> EnvFilter {
-        // The text was read once already, so nothing is left out.
+        // The text was validated by `from_str`, so no directive is ignored.
         EnvFilter::new(&self.0)
     }
 }
@@ -70,8 +70,8 @@
     }
 }
 
-/// Starts a daemon's log. Later calls change nothing. The guard writes out what is left when it is
-/// dropped.
+/// Starts logging for a daemon. Later calls have no effect. Dropping the guard writes the buffered
+/// lines.
 pub fn start_daemon(filter: &LogFilter) -> WorkerGuard {
     let (writer, guard) = NonBlockingBuilder::default()
         .lossy(true)
@@ -81,7 +81,7 @@
     guard
 }
 
-/// Starts a command's log. Later calls change nothing.
+/// Starts logging for a command. Later calls have no effect.
 pub fn start_command(filter: &LogFilter) {
     start(filter, std::io::stderr);
 }
--- a/src/operator_port.rs
+++ b/src/operator_port.rs
@@ -1,4 +1,4 @@
-//! The thread that operators connect to, on an address apart from the callers'.
+//! The HTTP server for operators, on a separate address from the callers' server.
 
 use std::{
     num::ParseIntError,
@@ -27,37 +27,37 @@
     util,
 };
 
-/// An answer from the other threads may take this long; an edit's outcome takes the longest.
+/// The timeout for replies of the other threads. The outcome of an edit takes the longest.
 const REPLY_TIMEOUT: Duration = Duration::from_secs(15);
-/// The largest services text.
+/// The maximum size of a services text, in bytes.
 pub const TEXT_LIMIT: usize = 2 << 20;
 
-/// What an operator wants of the core.
+/// A command from an operator to the core.
 #[derive(Debug)]
 pub enum OperatorCommand {
-    /// The VM's status.
+    /// Returns the VM's status.
     Status(oneshot::Sender<EntryStatus>),
-    /// The services text in force.
+    /// Returns the services text in force.
     Configuration(oneshot::Sender<Option<ConfigurationText>>),
-    /// An edit, with the revision that it was made from.
+    /// Applies an edited services text that is based on the given revision.
     Apply(Option<Revision>, String, oneshot::Sender<ApplyOutcome>),
 }
 
-/// The answer to an edit.
+/// The reply to an edit.
 #[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum ApplyReply {
-    /// The text is at fault; nothing was written.
+    /// The text is invalid; nothing was written.
     Faulty(Vec<ValidationError>),
-    /// How the edit ended.
+    /// The outcome of an edit whose text is valid.
     Ended(ApplyOutcome),
 }
 
-/// The port's ends of its rings.
+/// The ring ends that belong to the operators' port.
 pub struct OperatorRings {
-    /// To the core.
+    /// Commands to the core.
     pub commands: RingSender<OperatorCommand>,
-    /// To the report.
+    /// Commands to the report.
     pub reports: RingSender<ReportCommand>,
 }
 
@@ -69,8 +69,8 @@
 ///
 /// Returns a [`StepError`] when the listener cannot be used.
 pub fn start(listener: std::net::TcpListener, rings: OperatorRings) -> Result<Server, StepError> {
-    // The server clones its factory for each worker; there is one worker, which takes the rings. Where
-    // there are none to take, operators are told 503.
+    // The server clones its factory for each worker. There is one worker, which takes the rings; any
+    // other would answer 503.
     let rings = Arc::new(Mutex::new(Some(rings)));
     let factory = move || {
         let taken = rings.lock().ok().and_then(|mut rings| rings.take());
@@ -97,9 +97,9 @@
 
 type RingsState = web::types::State<Option<SharedRings>>;
 
-/// Sends the core a command and waits for its answer; nothing is returned while the daemon stops, or
-/// when the answer takes too long.
-async fn ask<T>(
+/// Sends a command to the core and waits for its reply. Returns `None` while the daemon stops, or
+/// when the reply takes too long.
+async fn query_core<T>(
     rings: &RingsState,
     command: impl FnOnce(oneshot::Sender<T>) -> OperatorCommand,
 ) -> Option<T> {
@@ -116,9 +116,9 @@
     }
 }
 
-/// Healthy means that a configuration is in force and requests are taken.
+/// Reports the daemon as healthy if a configuration is in force and requests are accepted.
 async fn health(rings: RingsState) -> HttpResponse {
-    let status = ask(&rings, OperatorCommand::Status).await;
+    let status = query_core(&rings, OperatorCommand::Status).await;
     let serving = |status: &EntryStatus| {
         status.revision.0 > 0 && status.drain == ryetide_core::chart::DrainState::Serving
     };
@@ -130,11 +130,11 @@
 }
 
 async fn status(rings: RingsState) -> HttpResponse {
-    json(ask(&rings, OperatorCommand::Status).await)
+    json(query_core(&rings, OperatorCommand::Status).await)
 }
 
 async fn configuration(rings: RingsState) -> HttpResponse {
-    json(ask(&rings, OperatorCommand::Configuration).await)
+    json(query_core(&rings, OperatorCommand::Configuration).await)
 }
 
 async fn report(rings: RingsState) -> HttpResponse {
@@ -146,7 +146,7 @@
     json(util::within(REPLY_TIMEOUT, receiver).await.and_then(Result::ok))
 }
 
-/// Checks a services text whole and, if it is sound, has it accepted.
+/// Validates a services text and, if it is valid, applies it.
 async fn apply(request: HttpRequest, body: Bytes, rings: RingsState) -> HttpResponse {
     let Ok(text) = String::from_utf8(body.to_vec()) else {
         return HttpResponse::BadRequest().body("the services text is not UTF-8\n");
@@ -157,15 +157,15 @@
     let Ok(base) = read_base(request.query_string()) else {
         return HttpResponse::BadRequest().body("expected no query, or base=REVISION\n");
     };
-    let outcome = ask(&rings, |sender| OperatorCommand::Apply(base, text, sender)).await;
-    // The outcome of an edit that was handed over and not answered is not known.
+    let outcome = query_core(&rings, |sender| OperatorCommand::Apply(base, text, sender)).await;
+    // The edit may have taken effect although the core did not reply.
     let outcome = outcome.unwrap_or(ApplyOutcome::Uncertain);
     tracing::info!(event = "edit-ended", step = "apply", outcome = ?outcome_name(&outcome));
     HttpResponse::Ok().json(&ApplyReply::Ended(outcome))
 }
 
-/// Reads the revision that an edit was made from, where one is named. A base that cannot be read is
-/// not the same as none: the edit would write over whatever was accepted meanwhile.
+/// Parses the base revision of an edit, if the query has one. A base that does not parse is an error:
+/// treated as absent, it would let the edit overwrite revisions accepted in the meantime.
 fn read_base(query: &str) -> Result<Option<Revision>, ParseIntError> {
     if query.is_empty() {
         return Ok(None);
--- a/src/peer_keys.rs
+++ b/src/peer_keys.rs
@@ -1,5 +1,5 @@
-//! Keys and certificates between the daemons: both sides show one signed by the deployment's own
-//! authority, and a peer without is refused in the handshake.
+//! TLS configuration for connections between daemons. Both sides present a certificate signed by the
+//! deployment's authority; a peer without one is refused in the handshake.
 
 use std::{fs, path::Path, sync::Arc, time::Duration};
 
@@ -9,25 +9,25 @@
 
 use crate::{error::StepError, settings::PeerSettings};
 
-/// The name that every daemon's certificate carries: membership of the deployment is what is
-/// checked, and the preface of a connection says which VM it is.
+/// The server name in every daemon's certificate. The certificate proves membership of the
+/// deployment; the preface of a connection names the VM.
 pub const PEER_SERVER_NAME: &str = "ryetide-peer";
-/// The protocol name agreed in the handshake.
+/// The protocol name for ALPN.
 const PROTOCOL: &[u8] = b"ryetide/1";
-/// A connection without a sign of life for this long is closed and opened anew. Peers count as
-/// silent before that, so what was in flight has been given up by then.
+/// The idle time after which a connection is closed and reopened. A peer is considered silent before
+/// that, so the requests in flight have been abandoned by then.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// The two sides' configurations.
+/// The QUIC configurations for both directions.
 pub struct PeerKeys {
-    /// For connections that are accepted.
+    /// The configuration for incoming connections.
     pub server: quinn::ServerConfig,
-    /// For connections that are opened.
+    /// The configuration for outgoing connections.
     pub client: quinn::ClientConfig,
 }
 
 impl PeerKeys {
-    /// Loads the keys that the settings name.
+    /// Loads the keys from the files in the settings.
     ///
     /// # Errors
     ///
@@ -102,7 +102,7 @@
 fn transport() -> quinn::TransportConfig {
     let mut transport = quinn::TransportConfig::default();
     let idle = quinn::IdleTimeout::try_from(IDLE_TIMEOUT);
-    transport.max_idle_timeout(Some(idle.expect("a time far under the library's greatest")));
+    transport.max_idle_timeout(Some(idle.expect("the timeout is below the library's maximum")));
     transport.max_concurrent_bidi_streams(0_u32.into());
     transport.max_concurrent_uni_streams(4_u32.into());
     transport.datagram_receive_buffer_size(None);
--- a/src/peer_link.rs
+++ b/src/peer_link.rs
@@ -1,11 +1,10 @@
-//! The thread that meets the other entry VMs over QUIC.
+//! The connections to the other entry VMs over QUIC.
 //!
-//! Each daemon opens one connection to each peer and sends on it; what it receives comes over the
-//! connections that the peers open. A connection begins with a preface (JSON, so that later fields
-//! do not trouble older daemons) that says whose it is, then
-//! carries frames, each with its length before it. Messages for a peer that cannot be reached are
-//! dropped: heartbeats follow, and whatever else was lost is given up when the peer counts as
-//! silent.
+//! Each daemon opens one connection to each peer and only sends on it; it receives on the connections
+//! that the peers open. A connection starts with a preface that identifies the sender. The preface is
+//! JSON, so that older daemons ignore fields added later. Frames follow, each preceded by its length.
+//! Messages to a peer that cannot be reached are dropped: heartbeats are repeated, and whatever
+//! depends on another lost message is abandoned when the peer is considered silent.
 
 use std::{collections::HashMap, net, sync::Arc, time::Duration};
 
@@ -27,50 +26,51 @@
     util,
 };
 
-/// Frames larger than this are refused; a services text and a kept answer fit.
+/// The maximum size of a frame, in bytes. A services text and a stored answer fit.
 const FRAME_LIMIT: usize = 4 << 20;
-/// Messages that wait for one peer; the connection is slow or down when it is full.
-const LINE_LIMIT: usize = 4_096;
-/// Opening a connection may take this long.
-const OPEN_TIMEOUT: Duration = Duration::from_secs(1);
-/// The pause after a failed connection.
-const REOPEN_PAUSE: Duration = Duration::from_millis(200);
-/// The bytes before a frame.
+/// The capacity of the send queue of one peer, in messages. It is full only when the connection is
+/// slow or down.
+const SEND_QUEUE_LIMIT: usize = 4_096;
+/// The timeout for opening a connection, and for closing one.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// The delay before a failed connection is reopened.
+const RECONNECT_DELAY: Duration = Duration::from_millis(200);
+/// The length of the prefix of each frame.
 const LENGTH_BYTES: usize = 4;
 
-/// What the core tells this thread.
+/// A command from the core to this thread.
 #[derive(Debug)]
 pub enum LinkCommand {
-    /// Replaces the set of peers to keep connections to.
+    /// Replaces the set of connected peers.
     Connect(Vec<PeerAddress>),
-    /// Sends a message.
+    /// Sends a message to a peer.
     Send(VmName, PeerMessage),
 }
 
-/// Whose connection it is.
+/// The first frame of a connection, which identifies its sender.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct LinkPreface {
-    /// The VM.
+    /// The VM's name.
     pub name: VmName,
-    /// This life of it.
+    /// The incarnation of its daemon.
     pub incarnation: Incarnation,
-    /// Its data centre.
+    /// The VM's data centre.
     pub data_centre: DataCentreName,
-    /// Where it listens.
+    /// The address on which it accepts peers.
     pub address: net::SocketAddr,
 }
 
-/// What this thread needs to begin.
+/// The options for [`run`].
 pub struct LinkOptions {
-    /// The socket on which peers are met.
+    /// The socket for all connections.
     pub socket: net::UdpSocket,
-    /// The keys.
+    /// The TLS configuration.
     pub keys: PeerKeys,
-    /// Whose connections this daemon opens.
+    /// The preface that this daemon sends.
     pub preface: LinkPreface,
 }
 
-/// Runs the links until the command ring closes.
+/// Runs the connections until the command ring closes.
 ///
 /// # Errors
 ///
@@ -98,44 +98,44 @@
             });
         }
     });
-    let mut lines: HashMap<VmName, PeerLine> = HashMap::new();
+    let mut senders: HashMap<VmName, PeerSender> = HashMap::new();
     while let Some(command) = commands.recv().await {
         match command {
             LinkCommand::Connect(peers) => {
-                let keep = |name: &VmName, line: &mut PeerLine| {
-                    peers.iter().any(|peer| peer.name == *name && peer.address == line.address)
+                let keep = |name: &VmName, sender: &mut PeerSender| {
+                    peers.iter().any(|peer| peer.name == *name && peer.address == sender.address)
                 };
-                lines.retain(keep);
+                senders.retain(keep);
                 for peer in peers {
-                    lines
-                        .entry(peer.name.clone())
-                        .or_insert_with(|| PeerLine::open(endpoint.clone(), peer, preface.clone()));
+                    senders.entry(peer.name.clone()).or_insert_with(|| {
+                        PeerSender::open(endpoint.clone(), peer, preface.clone())
+                    });
                 }
             }
             LinkCommand::Send(to, message) => {
-                if let Some(line) = lines.get(&to) {
-                    line.send(&to, &message);
+                if let Some(sender) = senders.get(&to) {
+                    sender.send(&to, &message);
                 }
             }
         }
     }
-    drop(lines);
+    drop(senders);
     endpoint.close(0_u32.into(), b"stopped");
-    util::within(OPEN_TIMEOUT, endpoint.wait_idle()).await;
+    util::within(CONNECT_TIMEOUT, endpoint.wait_idle()).await;
     Ok(())
 }
 
-/// The messages that wait for one peer; dropping it ends the task that sends them.
-struct PeerLine {
+/// The send queue of one peer. Dropping it ends the task that sends its messages.
+struct PeerSender {
     address: net::SocketAddr,
     sender: mpsc::Sender<Vec<u8>>,
 }
 
-impl PeerLine {
+impl PeerSender {
     fn open(endpoint: Endpoint, peer: PeerAddress, preface: LinkPreface) -> Self {
-        let (sender, receiver) = mpsc::channel(LINE_LIMIT);
+        let (sender, receiver) = mpsc::channel(SEND_QUEUE_LIMIT);
         let address = peer.address;
-        tokio::task::spawn_local(keep_sending(endpoint, peer, preface, receiver));
+        tokio::task::spawn_local(run_sender(endpoint, peer, preface, receiver));
         Self { address, sender }
     }
 
@@ -146,23 +146,23 @@
     }
 }
 
-/// Keeps a connection to one peer open and sends what waits for it.
-async fn keep_sending(
+/// Keeps a connection to one peer open and sends the queued messages.
+async fn run_sender(
     endpoint: Endpoint,
     peer: PeerAddress,
     preface: LinkPreface,
     mut frames: mpsc::Receiver<Vec<u8>>,
 ) {
     loop {
-        let sent = send_on_one(&endpoint, &peer, &preface, &mut frames).await;
+        let sent = send_until_closed(&endpoint, &peer, &preface, &mut frames).await;
         match sent {
             Ok(()) => return,
             Err(error) => {
                 tracing::debug!(event = "peer-unreachable", peer = %peer.name, reason = %error);
             }
         }
-        tokio::time::sleep(REOPEN_PAUSE).await;
-        // What waited is stale by now; the newest heartbeat follows.
+        tokio::time::sleep(RECONNECT_DELAY).await;
+        // The queued messages are stale, and the next heartbeat follows.
         while frames.try_recv().is_ok() {}
         if frames.is_closed() {
             return;
@@ -170,7 +170,7 @@
     }
 }
 
-async fn send_on_one(
+async fn send_until_closed(
     endpoint: &Endpoint,
     peer: &PeerAddress,
     preface: &LinkPreface,
@@ -182,7 +182,7 @@
     let connecting = endpoint
         .connect(peer.address, PEER_SERVER_NAME)
         .map_err(|error| fault("connect", error.into()))?;
-    let connection = util::within(OPEN_TIMEOUT, connecting)
+    let connection = util::within(CONNECT_TIMEOUT, connecting)
         .await
         .ok_or_else(|| fault("connect", "timed out".into()))?
         .map_err(|error| fault("connect", error.into()))?;
@@ -199,15 +199,16 @@
             reason = closed => return Err(fault("wait", reason.into())),
         };
         let Some(frame) = frame else {
-            // The peer may have closed its end first, and need not say that it has read the last.
+            // Errors are ignored: the peer may have closed its end first, and need not acknowledge
+            // the last frame.
             let _ = stream.finish();
-            let _ = util::within(OPEN_TIMEOUT, stream.stopped()).await;
+            let _ = util::within(CONNECT_TIMEOUT, stream.stopped()).await;
             return Ok(());
         };
         append_frame(&mut buffer, &frame);
-        // Whatever else waits goes in the same packet.
+        // All queued frames are sent with one write.
         while buffer.len() < FRAME_LIMIT {
-            // Empty, or closed, which the next turn finds.
+            // The queue is empty, or closed, which the next iteration detects.
             let Ok(frame) = frames.try_recv() else { break };
             append_frame(&mut buffer, &frame);
         }
@@ -219,7 +220,7 @@
     buffer.extend_from_slice(frame);
 }
 
-/// Receives one peer's connection until it ends.
+/// Receives messages on one peer's connection until it ends.
 async fn receive(incoming: quinn::Incoming, events: &RingSender<Event>) -> Result<(), StepError> {
     let remote = incoming.remote_address();
     let fault = |step, cause: Box<dyn std::error::Error + Send + Sync>| {
@@ -240,7 +241,7 @@
         let message = match message::decode(&frame) {
             Ok(message) => message,
             Err(error) => {
-                // A newer daemon may send what this one does not know; the rest is still good.
+                // A newer daemon may send unknown messages; the other frames are still valid.
                 let peer = &preface.name;
                 tracing::warn!(event = "frame-skipped", step = "decode", %peer, reason = %error);
                 continue;
@@ -266,7 +267,7 @@
     stream.read_exact(&mut length).await?;
     let length = u32::from_le_bytes(length) as usize;
     if length > FRAME_LIMIT {
-        return Err(format!("frame of {length} bytes; at most {FRAME_LIMIT}").into());
+        return Err(format!("frame of {length} bytes exceeds the limit of {FRAME_LIMIT}").into());
     }
     let mut frame = vec![0; length];
     stream.read_exact(&mut frame).await?;
--- a/src/platform_client.rs
+++ b/src/platform_client.rs
@@ -1,4 +1,4 @@
-//! The thread that talks to the platform: the table service and the list of VMs.
+//! The client of the platform: the table service and the list of VMs.
 
 use std::{net, rc::Rc, time::Duration};
 
@@ -18,21 +18,21 @@
     util,
 };
 
-/// Opening a connection may take this long.
+/// The timeout for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
-/// An answer may take this long; after that it counts as lost.
+/// The timeout for an answer. A later answer is considered lost.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// How often the list is read.
+/// The interval at which the list is read.
 const LIST_INTERVAL: Duration = Duration::from_secs(1);
-/// Commands under way at once; the rest wait, so that an outage does not pile up connections.
+/// The maximum number of concurrent commands. It bounds the connections opened during an outage.
 const COMMANDS_AT_ONCE: usize = 64;
 
-/// What the core tells this thread.
+/// A command from the core to this thread.
 #[derive(Debug)]
 pub struct PlatformCommand {
-    /// Ties the answer to the command.
+    /// The token that matches the answer to the command.
     pub token: TableToken,
-    /// The command.
+    /// The command for the table service.
     pub command: TableCommand,
 }
 
@@ -78,12 +78,12 @@
         loop {
             ticks.tick().await;
             let address = self.settings.list;
-            let Sending::Answered(body) = self.ask(address, "/vms", None).await else {
+            let ExchangeOutcome::Answered(body) = self.exchange(address, "/vms", None).await else {
                 tracing::debug!(event = "list-unread", step = "read list", peer = %address);
                 continue;
             };
             match serde_json::from_slice::<Vec<ListedVm>>(&body) {
-                Ok(listed) => self.tell(Event::ListRead(listed)).await,
+                Ok(listed) => self.send_event(Event::ListRead(listed)).await,
                 Err(error) => {
                     let reason = error.to_string();
                     tracing::warn!(event = "list-unreadable", peer = %address, %reason);
@@ -93,31 +93,38 @@
     }
 
     async fn run_command(self: Rc<Self>, command: PlatformCommand) {
-        let _permit = self.permits.acquire().await.expect("permits that nobody closes");
+        let _permit = self.permits.acquire().await.expect("the semaphore is never closed");
         let token = command.token;
         let body = json_form::encode(&command.command).into_bytes();
         let table = self.settings.table;
-        let sent = self.ask(table, "/table", Some(body)).await;
+        let sent = self.exchange(table, "/table", Some(body)).await;
         let answer = match sent {
-            Sending::Answered(body) => serde_json::from_slice(&body).unwrap_or_else(|error| {
-                tracing::warn!(event = "table-unreadable", peer = %table, reason = %error);
-                TableAnswer::Lost
-            }),
-            Sending::NotSent => TableAnswer::Unavailable,
-            Sending::Lost => TableAnswer::Lost,
+            ExchangeOutcome::Answered(body) => {
+                serde_json::from_slice(&body).unwrap_or_else(|error| {
+                    tracing::warn!(event = "table-unreadable", peer = %table, reason = %error);
+                    TableAnswer::Lost
+                })
+            }
+            ExchangeOutcome::NotSent => TableAnswer::Unavailable,
+            ExchangeOutcome::Lost => TableAnswer::Lost,
         };
-        self.tell(Event::TableReplied { token, answer }).await;
+        self.send_event(Event::TableReplied { token, answer }).await;
     }
 
-    async fn tell(&self, event: Event) {
+    async fn send_event(&self, event: Event) {
         // A closed ring means that the daemon is stopping.
         let _ = self.events.send(event).await;
     }
 
-    /// Sends one request on a connection of its own.
-    async fn ask(&self, address: net::SocketAddr, path: &str, body: Option<Vec<u8>>) -> Sending {
+    /// Sends one request on a new connection.
+    async fn exchange(
+        &self,
+        address: net::SocketAddr,
+        path: &str,
+        body: Option<Vec<u8>>,
+    ) -> ExchangeOutcome {
         let Some(connection) = self.client.connect(address, CONNECT_TIMEOUT).await else {
-            return Sending::NotSent;
+            return ExchangeOutcome::NotSent;
         };
         let exchange = async {
             let response = match body {
@@ -134,21 +141,21 @@
         };
         let answered = util::within(ANSWER_TIMEOUT, exchange).await;
         match answered.unwrap_or_else(|| Err("silent".to_owned())) {
-            Ok(body) => Sending::Answered(body),
+            Ok(body) => ExchangeOutcome::Answered(body),
             Err(reason) => {
                 tracing::info!(event = "platform-unheard", step = "ask", peer = %address, path, reason);
-                Sending::Lost
+                ExchangeOutcome::Lost
             }
         }
     }
 }
 
-/// How far a request to the platform came.
-enum Sending {
-    /// It was answered.
+/// The outcome of a request to the platform.
+enum ExchangeOutcome {
+    /// The request was answered with this body.
     Answered(Bytes),
-    /// Nothing was sent.
+    /// The request was not sent.
     NotSent,
-    /// It was sent, and no answer came.
+    /// The request was sent, and no valid answer arrived.
     Lost,
 }
--- a/src/quarantine_log.rs
+++ b/src/quarantine_log.rs
@@ -1,10 +1,10 @@
-//! The lines that tell how quarantines of requests that crash targets begin and end.
+//! Log lines on the quarantine of requests that crash targets.
 
 use ryetide_core::{crash_ledger::QuarantineChange, ids::VmName};
 
-/// Writes the line for `news` of the VM `vm`.
-pub fn write(vm: &VmName, news: &QuarantineChange) {
-    match news {
+/// Logs `change`, which the VM `vm` has made or received.
+pub fn write(vm: &VmName, change: &QuarantineChange) {
+    match change {
         QuarantineChange::Started(fingerprint, evidence) => tracing::warn!(
             event = "quarantine-begun",
             %vm,
--- a/src/request_report.rs
+++ b/src/request_report.rs
@@ -1,4 +1,4 @@
-//! The thread that counts: histograms for each tier and each organisation, and statsd lines.
+//! Request statistics: histograms for each tier and each organisation, and statsd metrics.
 
 use std::{collections::BTreeMap, convert::Infallible, net, sync::Arc, time::Duration};
 
@@ -10,100 +10,101 @@
 
 use crate::{error::StepError, ring::RingReceiver, util};
 
-/// Times are kept up to an hour, in microseconds, with this many digits.
-const GREATEST_MICROS: u64 = 3_600_000_000;
+/// The greatest recorded time: one hour.
+const MAX_MICROS: u64 = 3_600_000_000;
+/// The precision of recorded times, in significant digits.
 const PRECISION: u8 = 2;
-/// Organisations with histograms of their own; the rest are counted together.
+/// The maximum number of organisations with separate histograms.
 const ORGANISATION_LIMIT: usize = 1_000;
-/// The name under which further organisations are counted.
+/// The name under which all further organisations are counted.
 const OTHER_ORGANISATIONS: &str = "(others)";
-/// The prefix of all statsd lines.
-const PREFIX: &str = "ryetide";
+/// The prefix of all statsd metrics.
+const STATSD_PREFIX: &str = "ryetide";
 
-/// What this thread is told.
+/// A command to this thread.
 #[derive(Debug)]
 pub enum ReportCommand {
-    /// A request has ended.
+    /// Records a request that has ended.
     Record(RequestSummary),
-    /// A request could not be read, or its caller was cut off; this is what it is counted as.
+    /// Counts a request that could not be read, or whose caller was cut off, under this reason.
     Reject(&'static str),
-    /// An operator wants the report.
+    /// Returns the report.
     Read(oneshot::Sender<RequestReport>),
 }
 
-/// Quantiles of one kind of time, in microseconds.
+/// Quantiles of one time measure, in microseconds.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
 pub struct TimeQuantiles {
-    /// How many times were observed.
+    /// The number of observations.
     pub count: u64,
-    /// Half are at most this long.
+    /// The median.
     pub p50: u64,
-    /// 95 in 100 are at most this long.
+    /// The 95th percentile.
     pub p95: u64,
-    /// 99 in 100 are at most this long.
+    /// The 99th percentile.
     pub p99: u64,
-    /// The longest.
+    /// The maximum.
     pub max: u64,
 }
 
-/// Counts and times of one tier or organisation.
+/// Counts and times for one tier or organisation.
 #[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
 pub struct ClassReport {
-    /// Answered whole within the deadline.
+    /// Requests answered completely within the deadline.
     pub answered: u64,
-    /// Answered whole after the deadline.
+    /// Requests answered completely after the deadline.
     pub late: u64,
-    /// Not run.
+    /// Requests that did not run.
     pub not_run: u64,
-    /// May have run.
+    /// Requests that may have run.
     pub unknown: u64,
     /// Prompt tokens of all requests that were dispatched or refused.
     pub prompt_tokens: u64,
-    /// Prompt tokens worked on and thrown away.
+    /// Prompt tokens processed for answers that were not used.
     pub wasted_prompt_tokens: u64,
-    /// From arrival to dispatch.
+    /// Times from arrival to dispatch.
     pub queued: TimeQuantiles,
-    /// From arrival to the first piece.
+    /// Times from arrival to the first piece of the answer.
     pub first_piece: TimeQuantiles,
-    /// Between pieces, the mean of each request.
+    /// Mean times between pieces, one for each request.
     pub between_pieces: TimeQuantiles,
-    /// From arrival to the end.
+    /// Times from arrival to the end.
     pub total: TimeQuantiles,
 }
 
-/// What one daemon has counted since it started.
+/// The statistics of one daemon since its start.
 #[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
 pub struct RequestReport {
-    /// By tier.
+    /// Statistics by tier.
     pub tiers: BTreeMap<String, ClassReport>,
-    /// By organisation.
+    /// Statistics by organisation.
     pub organisations: BTreeMap<String, ClassReport>,
-    /// Requests that could not be read and callers that were cut off, by reason.
+    /// Requests that could not be read and callers that were cut off, counted by reason.
     pub rejects: BTreeMap<String, u64>,
 }
 
-/// The rings that lead to the report: from the core, the edge and the operators' port.
+/// The receiving ends of the rings from the core, the edge and the operators' port.
 pub struct ReportRings {
     rings: Vec<RingReceiver<ReportCommand>>,
-    bell: Arc<sync::Notify>,
+    ready: Arc<sync::Notify>,
     end: Option<RingReceiver<Infallible>>,
 }
 
 impl ReportRings {
-    /// Joins rings that share `bell`.
-    pub fn new(rings: Vec<RingReceiver<ReportCommand>>, bell: Arc<sync::Notify>) -> Self {
-        Self { rings, bell, end: None }
+    /// Combines rings that all notify `ready`.
+    pub fn new(rings: Vec<RingReceiver<ReportCommand>>, ready: Arc<sync::Notify>) -> Self {
+        Self { rings, ready, end: None }
     }
 
-    /// Ends the counting also when `end` closes: a server that does not stop keeps its ring open.
-    /// It must share the bell.
+    /// Ends reception also when `end` closes, since a server that does not stop keeps its ring open.
+    /// `end` must notify the same `ready`.
     pub fn until(mut self, end: RingReceiver<Infallible>) -> Self {
         self.end = Some(end);
         self
     }
 
-    /// Takes the next command, or nothing once every ring is empty and the end has come or every
-    /// sender is gone.
+    /// Receives the next command. Returns `None` once every ring is empty, and either `end` or every
+    /// ring is closed.
     async fn recv(&mut self) -> Option<ReportCommand> {
         loop {
             let ended = self.end.as_ref().is_some_and(RingReceiver::is_closed);
@@ -114,7 +115,7 @@
             if closed {
                 return None;
             }
-            self.bell.notified().await;
+            self.ready.notified().await;
         }
     }
 }
@@ -127,7 +128,7 @@
     total: Histogram<u32>,
 }
 
-/// Counts until the command ring closes.
+/// Records statistics until the command rings close.
 ///
 /// # Errors
 ///
@@ -152,11 +153,11 @@
                 record(&mut tiers, summary.tier.as_str(), &summary);
                 let name = summary.organisation.as_str();
                 let known = organisations.contains_key(name);
-                let crowded = organisations.len() >= ORGANISATION_LIMIT;
-                let name = if known || !crowded { name } else { OTHER_ORGANISATIONS };
+                let is_full = organisations.len() >= ORGANISATION_LIMIT;
+                let name = if known || !is_full { name } else { OTHER_ORGANISATIONS };
                 record(&mut organisations, name, &summary);
                 if let Some(client) = &client {
-                    emit(client, &summary);
+                    send_statsd(client, &summary);
                 }
             }
             ReportCommand::Read(reply) => {
@@ -168,7 +169,7 @@
                     organisations: read(&organisations),
                     rejects: rejects.clone(),
                 };
-                // The operator may have gone.
+                // Sending fails when the operator has disconnected.
                 let _ = reply.send(report);
             }
         }
@@ -182,10 +183,10 @@
     socket.set_nonblocking(true).map_err(|error| fault(error.to_string()))?;
     let sink = cadence::BufferedUdpMetricSink::from(address, socket)
         .map_err(|error| fault(error.to_string()))?;
-    Ok(StatsdClient::from_sink(PREFIX, sink))
+    Ok(StatsdClient::from_sink(STATSD_PREFIX, sink))
 }
 
-fn emit(client: &StatsdClient, summary: &RequestSummary) {
+fn send_statsd(client: &StatsdClient, summary: &RequestSummary) {
     let outcome = match summary.outcome {
         OutcomeKind::Answered if summary.late => "late",
         OutcomeKind::Answered => "answered",
@@ -193,7 +194,7 @@
         OutcomeKind::Unknown => "unknown",
     };
     let (tier, service) = (summary.tier.as_str(), summary.service.as_str());
-    // Lines are sent over UDP: one that cannot be sent is lost, and nothing waits for it.
+    // Metrics are sent over UDP. One that cannot be sent is lost, without delaying the caller.
     let tags =
         |name| client.count_with_tags(name, 1).with_tag("tier", tier).with_tag("service", service);
     tags("requests").with_tag("outcome", outcome).send();
@@ -221,7 +222,7 @@
 impl ClassHistograms {
     fn new() -> Self {
         let histogram = || {
-            Histogram::new_with_max(GREATEST_MICROS, PRECISION)
+            Histogram::new_with_max(MAX_MICROS, PRECISION)
                 .expect("the bound and the precision are within the library's limits")
         };
         Self {
--- a/src/ring.rs
+++ b/src/ring.rs
@@ -1,8 +1,8 @@
-//! Bounded rings between the threads of a daemon.
+//! Bounded single-producer, single-consumer rings between the threads of a daemon.
 //!
-//! Each duty has a thread, and two threads are joined by a lock-free single-producer ring. A sender
-//! that finds the ring full waits; a receiver never waits while it holds something to send, so two
-//! full rings cannot block each other. Dropping the sender ends the receiving loop.
+//! Two threads are connected by a lock-free ring. A sender waits while the ring is full. A receiver
+//! never waits while it has a value to send, so two full rings cannot block each other. Dropping the
+//! sender ends the receiving loop.
 //!
 //! # Example
 //!
@@ -28,80 +28,80 @@
 
 use tokio::sync;
 
-/// The other end of a ring is gone.
+/// The error for a ring whose other end was dropped.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
 #[error("the other end of the ring is closed")]
 pub struct RingClosed;
 
 #[derive(Debug)]
 struct RingShared {
-    /// Rung when something was sent, and when the sender is dropped.
-    bell: Arc<sync::Notify>,
-    /// Rung when room was made, and when the receiver is dropped.
-    space: sync::Notify,
-    sender_gone: AtomicBool,
-    receiver_gone: AtomicBool,
+    /// Notified when a value was sent, and when the sender is dropped.
+    not_empty: Arc<sync::Notify>,
+    /// Notified when a value was received, and when the receiver is dropped.
+    not_full: sync::Notify,
+    sender_dropped: AtomicBool,
+    receiver_dropped: AtomicBool,
 }
 
-/// The sending end. It belongs to one thread, whose tasks share it by reference.
+/// The sending end of a ring. It belongs to one thread, whose tasks share it by reference.
 #[derive(Debug)]
 pub struct RingSender<T> {
     producer: RefCell<rtrb::Producer<T>>,
     shared: Arc<RingShared>,
 }
 
-/// The receiving end.
+/// The receiving end of a ring.
 #[derive(Debug)]
 pub struct RingReceiver<T> {
     consumer: rtrb::Consumer<T>,
     shared: Arc<RingShared>,
 }
 
-/// Creates a ring with room for `capacity` values.
+/// Creates a ring that holds up to `capacity` values.
 pub fn ring<T>(capacity: usize) -> (RingSender<T>, RingReceiver<T>) {
-    ring_with_bell(capacity, Arc::new(sync::Notify::new()))
+    ring_with_notify(capacity, Arc::new(sync::Notify::new()))
 }
 
-/// Creates a ring that rings `bell`, for a thread that receives from several rings.
-pub fn ring_with_bell<T>(
+/// Creates a ring that notifies `not_empty`, for a thread that receives from several rings.
+pub fn ring_with_notify<T>(
     capacity: usize,
-    bell: Arc<sync::Notify>,
+    not_empty: Arc<sync::Notify>,
 ) -> (RingSender<T>, RingReceiver<T>) {
     let (producer, consumer) = rtrb::RingBuffer::new(capacity);
     let shared = Arc::new(RingShared {
-        bell,
-        space: sync::Notify::new(),
-        sender_gone: AtomicBool::new(false),
-        receiver_gone: AtomicBool::new(false),
+        not_empty,
+        not_full: sync::Notify::new(),
+        sender_dropped: AtomicBool::new(false),
+        receiver_dropped: AtomicBool::new(false),
     });
     let sender = RingSender { producer: RefCell::new(producer), shared: Arc::clone(&shared) };
     (sender, RingReceiver { consumer, shared })
 }
 
 impl<T> RingSender<T> {
-    /// Sends `value`, waiting for room.
+    /// Sends `value`, and waits while the ring is full.
     ///
     /// # Errors
     ///
-    /// Returns [`RingClosed`] when the receiver is gone.
+    /// Returns [`RingClosed`] when the receiver was dropped.
     pub async fn send(&self, value: T) -> Result<(), RingClosed> {
         let mut value = value;
         loop {
-            // Listening starts before the try, or room made in between would go unnoticed.
-            let mut room = pin!(self.shared.space.notified());
+            // The wait is registered before the attempt, so that no notification in between is lost.
+            let mut room = pin!(self.shared.not_full.notified());
             room.as_mut().enable();
             match self.try_send(value) {
                 Ok(()) => return Ok(()),
                 Err(returned) => value = returned,
             }
-            if self.shared.receiver_gone.load(Ordering::Acquire) {
+            if self.shared.receiver_dropped.load(Ordering::Acquire) {
                 return Err(RingClosed);
             }
             room.await;
         }
     }
 
-    /// Sends `value` if there is room.
+    /// Sends `value` if the ring is not full.
     ///
     /// # Errors
     ///
@@ -109,20 +109,20 @@
     pub fn try_send(&self, value: T) -> Result<(), T> {
         let pushed = self.producer.borrow_mut().push(value);
         pushed.map_err(|rtrb::PushError::Full(value)| value)?;
-        self.shared.bell.notify_one();
+        self.shared.not_empty.notify_one();
         Ok(())
     }
 }
 
 impl<T> RingReceiver<T> {
-    /// Takes the next value if there is one.
+    /// Receives the next value if there is one.
     pub fn try_recv(&mut self) -> Option<T> {
         let value = self.consumer.pop().ok()?;
-        self.shared.space.notify_waiters();
+        self.shared.not_full.notify_waiters();
         Some(value)
     }
 
-    /// Takes the next value, or nothing once the sender is gone and the ring is empty.
+    /// Receives the next value. Returns `None` once the sender was dropped and the ring is empty.
     pub async fn recv(&mut self) -> Option<T> {
         loop {
             if let Some(value) = self.try_recv() {
@@ -131,26 +131,26 @@
             if self.is_closed() {
                 return self.try_recv();
             }
-            self.shared.bell.notified().await;
+            self.shared.not_empty.notified().await;
         }
     }
 
-    /// Returns whether the sender is gone.
+    /// Returns whether the sender was dropped.
     pub fn is_closed(&self) -> bool {
-        self.shared.sender_gone.load(Ordering::Acquire)
+        self.shared.sender_dropped.load(Ordering::Acquire)
     }
 }
 
 impl<T> Drop for RingSender<T> {
     fn drop(&mut self) {
-        self.shared.sender_gone.store(true, Ordering::Release);
-        self.shared.bell.notify_one();
+        self.shared.sender_dropped.store(true, Ordering::Release);
+        self.shared.not_empty.notify_one();
     }
 }
 
 impl<T> Drop for RingReceiver<T> {
     fn drop(&mut self) {
-        self.shared.receiver_gone.store(true, Ordering::Release);
-        self.shared.space.notify_waiters();
+        self.shared.receiver_dropped.store(true, Ordering::Release);
+        self.shared.not_full.notify_waiters();
     }
 }
--- a/src/server_stop.rs
+++ b/src/server_stop.rs
@@ -1,10 +1,10 @@
-//! Stops HTTP servers without waiting for one that does not answer.
+//! Stops HTTP servers with bounded waits.
 //!
-//! An order to stop is answered when the server's threads have ended. Now and then that answer does
-//! not come: of 900 servers without a connection that were told to stop in an orderly way, 3 answered
-//! neither that within 2 s nor the order to stop at once that followed. A daemon that waits for it
-//! never ends, nor does whoever joins it. With both waits bounded all 900 ended; what such a server
-//! still holds ends with the process.
+//! The future of a stop request completes when the server's threads have ended, and sometimes it
+//! never does: of 900 servers without connections, 3 completed neither a graceful stop within 2 s nor
+//! the immediate stop that followed. Without a timeout, the daemon and every thread that joins it
+//! would wait forever; with both waits bounded, all 900 ended. The resources of a server that does
+//! not stop are released when the process exits.
 
 use std::{pin::Pin, time::Duration};
 
@@ -12,18 +12,18 @@
 
 use crate::util;
 
-/// Bytes already written are given this long to leave.
-const CLOSE_LIMIT: Duration = Duration::from_secs(2);
-/// A server that is told to drop what it holds has nothing to wait for: one that takes longer than
-/// this does not answer at all.
-const FORCE_LIMIT: Duration = Duration::from_secs(1);
+/// The timeout for a graceful stop, in which written responses are still sent.
+const GRACEFUL_STOP_TIMEOUT: Duration = Duration::from_secs(2);
+/// The timeout for an immediate stop. It closes all connections without waiting, so a server that
+/// takes longer does not complete it at all.
+const FORCED_STOP_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// An order to stop on its way.
+/// A future that completes when a server has stopped.
 pub type StopFuture = Pin<Box<dyn Future<Output = ()>>>;
 
-/// A server that can be told to stop.
+/// A server that can be stopped.
 pub trait ServerHandle {
-    /// Tells it to stop, after its connections have ended or at once. The future ends when it has.
+    /// Stops the server, either after its connections have ended or immediately.
     fn stop(&self, graceful: bool) -> StopFuture;
 }
 
@@ -33,31 +33,31 @@
     }
 }
 
-/// How a server came to its end.
+/// The outcome of a stop request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum ServerEnd {
-    /// Its connections ended first.
-    Orderly,
-    /// It dropped what it held.
+pub enum StopOutcome {
+    /// The server stopped after its connections had ended.
+    Graceful,
+    /// The server stopped and closed its connections.
     Forced,
-    /// It did not say that it has ended.
-    Unanswered,
+    /// The server did not report that it has stopped.
+    TimedOut,
 }
 
-/// Stops a server once what it has written has left, or at once when that takes long.
-pub async fn stop_orderly(name: &'static str, server: &dyn ServerHandle) -> ServerEnd {
-    if util::within(CLOSE_LIMIT, server.stop(true)).await.is_some() {
-        return ServerEnd::Orderly;
+/// Stops a server after its responses are sent, or immediately when that takes too long.
+pub async fn stop_gracefully(name: &'static str, server: &dyn ServerHandle) -> StopOutcome {
+    if util::within(GRACEFUL_STOP_TIMEOUT, server.stop(true)).await.is_some() {
+        return StopOutcome::Graceful;
     }
     tracing::warn!(event = "server-hurried", step = "stop", server = name);
-    stop_at_once(name, server).await
+    stop_immediately(name, server).await
 }
 
-/// Stops a server, whatever it holds.
-pub async fn stop_at_once(name: &'static str, server: &dyn ServerHandle) -> ServerEnd {
-    if util::within(FORCE_LIMIT, server.stop(false)).await.is_some() {
-        return ServerEnd::Forced;
+/// Stops a server and closes its connections.
+pub async fn stop_immediately(name: &'static str, server: &dyn ServerHandle) -> StopOutcome {
+    if util::within(FORCED_STOP_TIMEOUT, server.stop(false)).await.is_some() {
+        return StopOutcome::Forced;
     }
     tracing::warn!(event = "server-left", step = "stop", server = name);
-    ServerEnd::Unanswered
+    StopOutcome::TimedOut
 }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -1,4 +1,4 @@
-//! The settings of one daemon: who it is, where it listens, and where the platform is.
+//! The settings of one daemon: its identity, its addresses, and the addresses of the platform.
 //!
 //! # Example
 //!
@@ -42,70 +42,70 @@
 const DEFAULT_BODY_TIMEOUT: Duration = Duration::from_secs(10);
 const DEFAULT_ANSWER_BUFFER: u64 = 4 << 20;
 
-/// Where peers are met, and with what keys.
+/// The address and keys for connections to peers.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct PeerSettings {
-    /// The UDP address on which this daemon meets its peers.
+    /// The UDP address for connections to peers.
     pub address: net::SocketAddr,
-    /// The certificate of the deployment's own authority, PEM.
+    /// The certificate of the deployment's authority, a PEM file.
     pub authority: PathBuf,
-    /// This daemon's certificate, signed by that authority, PEM.
+    /// This daemon's certificate, signed by that authority, a PEM file.
     pub certificate: PathBuf,
-    /// The certificate's private key, PEM.
+    /// The certificate's private key, a PEM file.
     pub key: PathBuf,
-    /// Peers to meet while the platform's list cannot be read.
+    /// The peers to connect to while the platform's list cannot be read.
     pub known: Vec<ConfiguredPeer>,
 }
 
-/// Where the platform's services are.
+/// The addresses of the platform's services.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct PlatformSettings {
-    /// The table service.
+    /// The address of the table service.
     pub table: net::SocketAddr,
-    /// The list of VMs.
+    /// The address of the list of VMs.
     pub list: net::SocketAddr,
 }
 
-/// What callers may take up.
+/// The limits for callers.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct CallerLimits {
-    /// The largest request body.
+    /// The maximum size of a request body.
     pub body: ByteSize,
-    /// The longest time that a body may take to arrive.
+    /// The time within which a body must arrive.
     pub body_timeout: Duration,
-    /// How much of an answer is held for a caller that reads slowly.
+    /// The maximum size of the unread part of an answer.
     pub answer_buffer: ByteSize,
 }
 
 /// The settings of one daemon.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct DaemonSettings {
-    /// The VM's name, as the platform's list has it.
+    /// The VM's name, as in the platform's list.
     pub name: VmName,
     /// The VM's data centre.
     pub data_centre: DataCentreName,
-    /// Where callers connect.
+    /// The address on which callers connect.
     pub callers: net::SocketAddr,
-    /// Where operators connect.
+    /// The address on which operators connect.
     pub operators: net::SocketAddr,
-    /// The peers' side.
+    /// The connections to peers.
     pub peers: PeerSettings,
-    /// The platform's side.
+    /// The platform's services.
     pub platform: PlatformSettings,
-    /// Where statsd lines go, if anywhere.
+    /// The address to which statsd metrics are sent, if any.
     pub metrics: Option<net::SocketAddr>,
-    /// What callers may take up.
+    /// The limits for callers.
     pub limits: CallerLimits,
-    /// What is logged.
+    /// The log filter.
     pub log: LogFilter,
 }
 
 impl DaemonSettings {
-    /// Reads and checks the settings whole.
+    /// Parses and validates the settings.
     ///
     /// # Errors
     ///
-    /// Returns every fault, each with its place, the value found and what is permitted.
+    /// Returns all errors, each with its position, the value found and the permitted values.
     pub fn parse(text: &str) -> Result<Self, ValidationErrors> {
         text::read_text(text, read_settings)
     }
@@ -195,7 +195,7 @@
     Some(PlatformSettings { table: table?, list: list? })
 }
 
-/// Returns the limits that hold when the settings name none.
+/// Returns the limits that apply when the settings have none.
 pub fn default_limits() -> CallerLimits {
     CallerLimits {
         body: ByteSize(DEFAULT_BODY_LIMIT),
--- a/src/target_client.rs
+++ b/src/target_client.rs
@@ -1,10 +1,10 @@
-//! The thread that talks to targets.
+//! The HTTP client for targets.
 //!
-//! Every dispatch and every resume has a connection of its own, opened for it and closed after it.
-//! A pooled connection may be dead without a sign, and a client library with a pool may send a
-//! request twice; a connection that was opened just now is proven live by its handshake. The core
-//! permits the first byte only after the connection stands, so a failure before that permit is
-//! known to have sent nothing, whatever error a library reports.
+//! Every dispatch and every resume uses a new connection, which is closed afterwards. A pooled
+//! connection may be dead without notice, and a client library with a pool may send a request twice.
+//! The handshake of a new connection shows that the target is reachable. The core permits the first
+//! byte only after the connection is open, so a failure before that permit is known to have sent
+//! nothing, whatever error a library reports.
 
 use std::{cell::RefCell, collections::HashMap, io, rc::Rc, time::Duration};
 
@@ -29,48 +29,48 @@
     util,
 };
 
-/// Opening a connection may take this long.
+/// The timeout for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(800);
-/// How often a watched engine's load is queried.
+/// The interval at which the load of watched engines is queried.
 const LOAD_INTERVAL: Duration = Duration::from_millis(500);
-/// A load query may take this long.
+/// The timeout for a load query.
 const LOAD_TIMEOUT: Duration = Duration::from_millis(800);
-/// A cancel may take this long.
+/// The timeout for a cancel request.
 const CANCEL_TIMEOUT: Duration = Duration::from_secs(2);
-/// The header by which a target says in an answer that it is leaving.
+/// The answer header with which a target announces that it is leaving.
 pub const LEAVING_HEADER: &str = "x-target-leaving";
-/// The header by which a target names, in each answer, the requests a second that it takes from all VMs together.
+/// The answer header with the number of requests per second that a target accepts from all VMs together.
 pub const LIMIT_HEADER: &str = "x-target-limit";
-/// The header that carries the request's id to plain services.
+/// The request header with the request's id.
 pub const REQUEST_ID_HEADER: &str = "x-request-id";
 
-/// What the core tells this thread.
+/// A command from the core to this thread.
 #[derive(Debug)]
 pub enum TargetCommand {
-    /// Opens a connection and sends nothing on it yet.
+    /// Opens a connection without sending on it.
     Connect(RequestSequence, AttemptNumber, TargetRoute),
     /// Sends an order on an open connection.
     Permit(RequestSequence, AttemptNumber, PermittedOrder),
-    /// Closes a connection, whatever its state.
+    /// Closes a connection in any state.
     Abandon(RequestSequence, AttemptNumber),
-    /// Tells an engine that nobody wants an answer any more.
+    /// Asks an engine to cancel a request.
     Cancel(RequestId, TargetRoute),
     /// Replaces the set of engines whose load is queried.
     Watch(Vec<TargetRoute>),
 }
 
-/// An order, and the time after which a dispatch may not be sent any more.
+/// An order that the core permits to be sent.
 #[derive(Debug)]
 pub struct PermittedOrder {
-    /// The order.
+    /// The operation.
     pub order: TargetOperation,
-    /// The time limit of a dispatch.
+    /// The time after which a dispatch must not be sent.
     pub not_after: Instant,
 }
 
 type ConnectionKey = (RequestSequence, AttemptNumber);
 
-/// An open connection as its task is reached. Dropping it ends the task.
+/// A handle to the task of a connection. Dropping it ends the task.
 struct ConnectionHandle {
     order: Option<oneshot::Sender<PermittedOrder>>,
     _alive: oneshot::Sender<()>,
@@ -103,7 +103,7 @@
                 let mut connections = pool.connections.borrow_mut();
                 let handle = connections.get_mut(&(sequence, attempt));
                 if let Some(sender) = handle.and_then(|handle| handle.order.take()) {
-                    // The connection has ended meanwhile, which its own event tells.
+                    // Sending fails when the connection has ended, which its task reports.
                     let _ = sender.send(order);
                 }
             }
@@ -140,7 +140,7 @@
         });
     }
 
-    /// One connection's life: opened, permitted, read to its end.
+    /// Opens a connection, waits for the permit, sends the order and reads the answer to its end.
     async fn serve(
         self: &Rc<Self>,
         key: ConnectionKey,
@@ -149,11 +149,11 @@
     ) {
         let (sequence, attempt) = key;
         let Some(connection) = self.connect(route).await else {
-            self.tell(Event::ConnectFailed { sequence, attempt }).await;
+            self.send_event(Event::ConnectFailed { sequence, attempt }).await;
             return;
         };
-        self.tell(Event::Connected { sequence, attempt }).await;
-        // Abandoned before it was permitted.
+        self.send_event(Event::Connected { sequence, attempt }).await;
+        // The channel is closed when the attempt is abandoned before it is permitted.
         let Ok(PermittedOrder { order, not_after }) = order.await else { return };
         let end = match order {
             TargetOperation::Dispatch { .. } if Instant::now() >= not_after => {
@@ -163,8 +163,8 @@
             TargetOperation::Dispatch { id, call, fingerprint, answer_limit, not_after: _ } => {
                 let limit = if route.engine { ByteSize(u64::MAX) } else { answer_limit };
                 let asked = if route.engine { "POST" } else { &call.method };
-                // The edge took it from a request that the library had read.
-                let method = asked.parse().expect("a method that was read before");
+                // The method comes from a request that the same library has parsed.
+                let method = asked.parse().expect("the method was parsed before");
                 let path = if route.engine { engine_path(&id) } else { call.path.clone() };
                 let request = self
                     .client
@@ -176,11 +176,7 @@
                 let end = self.read(key, route, sent, 0, limit).await;
                 if end.is_none() {
                     let ran = sent_at.elapsed();
-                    ntex::rt::spawn(Rc::clone(self).look_for_crash(
-                        route.clone(),
-                        fingerprint,
-                        ran,
-                    ));
+                    ntex::rt::spawn(Rc::clone(self).detect_crash(route.clone(), fingerprint, ran));
                 }
                 end
             }
@@ -194,14 +190,14 @@
                 }
             }
         };
-        self.tell(end.unwrap_or(Event::TargetBroken { sequence, attempt })).await;
+        self.send_event(end.unwrap_or(Event::TargetBroken { sequence, attempt })).await;
     }
 
     async fn connect(&self, route: &TargetRoute) -> Option<FreshConnection> {
         self.client.connect(route.address, CONNECT_TIMEOUT).await
     }
 
-    /// Reads an answer to its end; nothing is returned when it broke off.
+    /// Reads an answer to its end. Returns `None` when it is incomplete or too large.
     async fn read(
         &self,
         (sequence, attempt): ConnectionKey,
@@ -218,9 +214,9 @@
                 return None;
             }
         };
-        let word = word_of(&response);
-        if !word.is_empty() {
-            self.tell(Event::TargetSaid { sequence, target: route.key, word }).await;
+        let notice = notice_of(&response);
+        if !notice.is_empty() {
+            self.send_event(Event::TargetSaid { sequence, target: route.key, word: notice }).await;
         }
         if response.status() == StatusCode::SERVICE_UNAVAILABLE {
             let leaving = response.header(LEAVING_HEADER).is_some();
@@ -229,12 +225,12 @@
         if start > 0 && response.status() != StatusCode::OK {
             return None;
         }
-        // A type that is no text cannot be passed on.
+        // A content type that is not text cannot be passed on.
         let content_type = response.header(header::CONTENT_TYPE);
         let content_type =
             content_type.and_then(|value| value.to_str().ok()).unwrap_or_default().to_owned();
         let head = AnswerHead { status: response.status().as_u16(), content_type };
-        self.tell(Event::TargetHead { sequence, attempt, head }).await;
+        self.send_event(Event::TargetHead { sequence, attempt, head }).await;
         let mut offset = start;
         while let Some(piece) = stream_recv(&mut response).await {
             let piece = match piece {
@@ -252,19 +248,19 @@
                 return None;
             }
             let bytes = bytes::Bytes::copy_from_slice(&piece);
-            self.tell(Event::TargetPiece { sequence, attempt, offset, bytes }).await;
+            self.send_event(Event::TargetPiece { sequence, attempt, offset, bytes }).await;
             offset += length;
         }
         Some(Event::TargetEnd { sequence, attempt, length: offset })
     }
 
-    async fn tell(&self, event: Event) {
-        // A closed ring means that the daemon is stopping; its receiver decides what that means.
+    async fn send_event(&self, event: Event) {
+        // A closed ring means that the daemon is stopping.
         let _ = self.events.send(event).await;
     }
 
-    /// Finds out whether a target that broke off has crashed: its address then refuses connections.
-    async fn look_for_crash(
+    /// Reports a crash if the target, whose answer failed, refuses a new connection.
+    async fn detect_crash(
         self: Rc<Self>,
         route: TargetRoute,
         fingerprint: RequestFingerprint,
@@ -274,7 +270,7 @@
         let Some(Err(error)) = util::within(CONNECT_TIMEOUT, connecting).await else { return };
         if error.kind() == io::ErrorKind::ConnectionRefused {
             let ran_ms = u32::try_from(ran.as_millis()).unwrap_or(u32::MAX);
-            self.tell(Event::TargetCrashed { target: route.key, fingerprint, ran_ms }).await;
+            self.send_event(Event::TargetCrashed { target: route.key, fingerprint, ran_ms }).await;
         }
     }
 
@@ -315,8 +311,8 @@
         };
         let answered = util::within(LOAD_TIMEOUT, query).await;
         match answered.unwrap_or_else(|| Err("silent".to_owned())) {
-            Ok(report) => self.tell(Event::LoadReported { target: route.key, report }).await,
-            // What is known of the engine ages, and is believed less; no request depends on this call.
+            Ok(report) => self.send_event(Event::LoadReported { target: route.key, report }).await,
+            // No request depends on this query: the core gives less weight to an older report.
             Err(reason) => {
                 tracing::debug!(event = "load-unread", step = "read load", peer = %route.name, reason);
             }
@@ -324,13 +320,13 @@
     }
 }
 
-/// Returns what the head of an answer says of its target.
-fn word_of(response: &ClientResponse) -> TargetNotice {
+/// Returns the notice about the target itself in the head of its answer.
+fn notice_of(response: &ClientResponse) -> TargetNotice {
     let leaving = response.header(LEAVING_HEADER).is_some();
-    let turns_away = response.status() == StatusCode::SERVICE_UNAVAILABLE;
-    let named = response.header(header::RETRY_AFTER).filter(|_| turns_away);
-    // What is no number of seconds names no time.
-    let seconds = named.and_then(|value| value.to_str().ok()?.trim().parse().ok());
+    let is_refusal = response.status() == StatusCode::SERVICE_UNAVAILABLE;
+    let retry_after = response.header(header::RETRY_AFTER).filter(|_| is_refusal);
+    // A value that is not a number of seconds is ignored.
+    let seconds = retry_after.and_then(|value| value.to_str().ok()?.trim().parse().ok());
     let hold_off = seconds.and_then(|seconds| Duration::try_from_secs_f64(seconds).ok());
     let limits = response.headers().get_all(LIMIT_HEADER);
     let limit = LimitNotice::read(limits.map(|value| value.to_str().ok()));
--- a/src/text_report.rs
+++ b/src/text_report.rs
@@ -1,5 +1,5 @@
-//! Faults of an operator's text as `miette` reports: the place underlined, what was found there, and
-//! what is permitted.
+//! Validation errors of an operator's text as `miette` reports: the position, the value found there,
+//! and the permitted values.
 
 use std::{fs, path::Path};
 
@@ -8,7 +8,7 @@
 
 use crate::error::StepError;
 
-/// One fault, placed in its text.
+/// One validation error with the text that it refers to.
 #[derive(Debug)]
 struct PlacedFault {
     fault: ValidationError,
@@ -39,7 +39,7 @@
     }
 }
 
-/// All faults of one text.
+/// All validation errors of one text.
 #[derive(Debug)]
 pub struct TextReport {
     file: String,
@@ -47,7 +47,7 @@
 }
 
 impl TextReport {
-    /// Places `faults` in `text`, which was read from `file`.
+    /// Creates a report of `faults` in `text`, which was read from `file`.
     pub fn new(file: &str, text: &str, faults: ValidationErrors) -> Self {
         let place = |fault| PlacedFault { fault, source: NamedSource::new(file, text.to_owned()) };
         Self { file: file.to_owned(), faults: faults.0.into_iter().map(place).collect() }
@@ -68,11 +68,11 @@
     }
 }
 
-/// Reads the text at `path` with `parse`.
+/// Reads the file at `path` and parses it with `parse`.
 ///
 /// # Errors
 ///
-/// Returns a report when the file cannot be read, or of all faults of its text.
+/// Returns a report when the file cannot be read, or a report of all errors in its text.
 pub fn read_checked<T>(
     path: &Path,
     parse: impl FnOnce(&str) -> Result<T, ValidationErrors>,
--- a/tests/bounds.rs
+++ b/tests/bounds.rs
@@ -1,11 +1,11 @@
-//! Rings and answer slots are bounded, and their ends end each other.
-#![allow(clippy::unwrap_used, reason = "a test that cannot go on fails where it stands")]
+//! Rings and answer buffers are bounded, and closing one end of a ring is reported at the other.
+#![allow(clippy::unwrap_used, reason = "a panic fails the test")]
 
 use std::time::Duration;
 
 use bytes::Bytes;
 use ryetide::{
-    answer_slot::{AnswerPart, AnswerSlot, SlotOverflow},
+    answer_buffer::{AnswerBuffer, AnswerOverflow, AnswerPart},
     ring::{self, RingClosed},
     settings::DaemonSettings,
 };
@@ -15,6 +15,7 @@
     AnswerPart::Piece(Bytes::from(vec![b'x'; length]))
 }
 
+/// Guards against values that are lost or reordered when a ring is full.
 #[tokio::test(start_paused = true)]
 async fn a_full_ring_makes_its_sender_wait() {
     let (sender, mut receiver) = ring::ring(2);
@@ -28,35 +29,38 @@
     assert_eq!(receiver.recv().await, None);
 }
 
+/// Guards against a sender that waits forever for room after its receiver was dropped.
 #[tokio::test(start_paused = true)]
 async fn a_sender_is_told_that_its_receiver_has_gone() {
     let (sender, receiver) = ring::ring(1);
     sender.try_send(1).unwrap();
-    let gone = async { drop(receiver) };
-    let (sent, ()) = tokio::join!(sender.send(2), gone);
+    let dropping = async { drop(receiver) };
+    let (sent, ()) = tokio::join!(sender.send(2), dropping);
     assert_eq!(sent, Err(RingClosed));
 }
 
-/// A caller has read nothing for a second and more than its buffer waits: it is cut off. One that is
-/// only slower than its engine for a moment is not.
+/// Guards against cutting off a caller that is only briefly slower than its engine, and against
+/// buffering without bound for one that has read nothing for a second.
 #[tokio::test(start_paused = true)]
 async fn only_a_stalled_reader_is_cut_off() {
-    let slot = AnswerSlot::new(ByteSize(100));
-    assert_eq!(slot.push(piece(150)), Ok(()));
-    assert_eq!(slot.next().await, Ok(piece(150)));
-    assert_eq!(slot.push(piece(150)), Ok(()));
+    let buffer = AnswerBuffer::new(ByteSize(100));
+    assert_eq!(buffer.push(piece(150)), Ok(()));
+    assert_eq!(buffer.next().await, Ok(piece(150)));
+    assert_eq!(buffer.push(piece(150)), Ok(()));
     tokio::time::advance(Duration::from_millis(1_100)).await;
-    assert_eq!(slot.push(piece(1)), Err(SlotOverflow));
-    assert_eq!(slot.next().await, Err(SlotOverflow));
+    assert_eq!(buffer.push(piece(1)), Err(AnswerOverflow));
+    assert_eq!(buffer.next().await, Err(AnswerOverflow));
 }
 
+/// Guards against an active reader that holds more than four times the buffer limit.
 #[tokio::test(start_paused = true)]
 async fn no_reader_holds_more_than_four_buffers() {
-    let slot = AnswerSlot::new(ByteSize(100));
-    assert_eq!(slot.push(piece(400)), Ok(()));
-    assert_eq!(slot.push(piece(1)), Err(SlotOverflow));
+    let buffer = AnswerBuffer::new(ByteSize(100));
+    assert_eq!(buffer.push(piece(400)), Ok(()));
+    assert_eq!(buffer.push(piece(1)), Err(AnswerOverflow));
 }
 
+/// Guards against a settings check that reports only the first error.
 #[test]
 fn all_faults_of_settings_are_found_in_one_run() {
     let text = "name: 'bad name'\ndata-centre: hall\ncallers: 127.0.0.1:80\noperators: \
--- a/tests/report.rs
+++ b/tests/report.rs
@@ -1,5 +1,5 @@
-//! Histograms for each tier and organisation, and statsd lines.
-#![allow(clippy::unwrap_used, reason = "a test that cannot go on fails where it stands")]
+//! Request statistics for each tier and organisation, and statsd metrics.
+#![allow(clippy::unwrap_used, reason = "a panic fails the test")]
 
 use std::{net::UdpSocket, sync::Arc, time::Duration};
 
@@ -35,13 +35,13 @@
     tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap()
 }
 
-/// Counts `summaries` and returns the report.
+/// Records `summaries` and returns the report.
 fn report(summaries: Vec<RequestSummary>, statsd: Option<std::net::SocketAddr>) -> RequestReport {
-    let bell = Arc::new(Notify::new());
-    let (sender, receiver) = ring::ring_with_bell(64, Arc::clone(&bell));
-    let rings = ReportRings::new(vec![receiver], bell);
+    let ready = Arc::new(Notify::new());
+    let (sender, receiver) = ring::ring_with_notify(64, Arc::clone(&ready));
+    let rings = ReportRings::new(vec![receiver], ready);
     runtime().block_on(async move {
-        let asking = async move {
+        let recording = async move {
             for summary in summaries {
                 sender.send(ReportCommand::Record(summary)).await.unwrap();
             }
@@ -50,13 +50,14 @@
             sender.send(ReportCommand::Read(reply)).await.unwrap();
             report.await.unwrap()
         };
-        // Dropping the sender ends the counting.
-        let (ended, report) = tokio::join!(request_report::run(rings, statsd), asking);
+        // Dropping the sender ends `run`.
+        let (ended, report) = tokio::join!(request_report::run(rings, statsd), recording);
         ended.unwrap();
         report
     })
 }
 
+/// Guards against a request that is missing from a report or counted under a wrong outcome.
 #[test]
 fn requests_are_counted_by_tier_and_organisation() {
     let summaries = vec![
@@ -70,18 +71,19 @@
         assert_eq!((class.answered, class.late, class.not_run, class.unknown), (1, 1, 1, 1));
         assert_eq!((class.prompt_tokens, class.wasted_prompt_tokens), (280, 70));
         assert_eq!(class.total.count, 4);
-        // Two digits are kept.
+        // The histograms keep two significant digits.
         assert!((99_000..=101_000).contains(&class.total.p99), "{:?}", class.total);
     }
     assert_eq!(report.rejects["body-too-large"], 1);
 }
 
+/// Guards against metrics that are not sent, or are sent under another name or tag.
 #[test]
 fn statsd_lines_go_out() {
     let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
     socket.set_read_timeout(Some(Duration::from_secs(10))).unwrap();
     let address = socket.local_addr().unwrap();
-    // Lines are sent together once enough have gathered.
+    // Metrics are buffered and sent once a packet is full.
     report(vec![summary(OutcomeKind::Answered, false); 40], Some(address));
     let mut packet = [0; 2_048];
     let (length, _) = socket.recv_from(&mut packet).unwrap();
