Reword ryetide-cli and its tests

Cause: the command's help, the sentences of `ryetide explain` and several names were figurative: a "story" that is "told", a request that is "blamed", an edit that "stands".

Change: help texts, error messages and the sentences of `explain` use the terms of the glossary (queued, retry after, quarantined, attributed). RequestStory is now RequestTimeline; the private items are renamed alike. Event and field names that `explain` reads, exit codes, flags and JSON are unchanged, and so is the output of `check`, `show`, `status` and `report`. Six assertions of tests/explain.rs match the new sentences; each checks the same event and the same figures as before. Each test says which failure it guards against.

--- a/crates/ryetide-cli/src/explain.rs
+++ b/crates/ryetide-cli/src/explain.rs
@@ -1,63 +1,67 @@
-//! `ryetide explain`: the story of one request, or of the orders for a service, from the logs of all VMs.
+//! `ryetide explain`: the timeline of one request, or of a service's rollout orders, from the logs of
+//! all VMs.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
     io::{self, BufRead},
 };
 
-/// One line of a log, as its keys and values.
+/// The key=value pairs of one log line.
 type LineFields = BTreeMap<String, String>;
 
-/// What is told of other attempts too that bring the same request: it decides what becomes of this one.
+/// Events that also belong to the timeline when they concern other attempts with the same
+/// fingerprint, because they decide whether this attempt is sent to a target.
 const CRASH_EVENTS: [&str; 4] =
     ["target-crashed", "quarantine-begun", "quarantine-heard", "quarantine-ended"];
 
-/// The story of one request.
+/// The timeline of one request, or of a service's rollout orders.
 #[derive(Debug, Default)]
-pub struct RequestStory {
-    /// The lines that concern it, by time.
+pub struct RequestTimeline {
+    /// The relevant log lines with their times, in order of time.
     lines: Vec<(String, LineFields)>,
 }
 
-impl RequestStory {
-    /// Picks the lines about the request `id`, or about the orders for the service of that name, out of a log.
+impl RequestTimeline {
+    /// Reads the log lines on the request `id`, or on the rollout orders for the service `id`.
     ///
     /// # Errors
     ///
-    /// Returns the error of the reader.
+    /// Returns an error when the log cannot be read.
     pub fn read(id: &str, log: impl BufRead) -> io::Result<Self> {
-        let mut story = Self::default();
-        let mut prints = BTreeSet::new();
-        let mut of_others = Vec::new();
+        let mut timeline = Self::default();
+        let mut fingerprints = BTreeSet::new();
+        let mut other_attempts = Vec::new();
         for line in log.lines() {
-            let fields = fields_of(&line?);
+            let fields = parse_fields(&line?);
             let time = fields.get("ts").cloned().unwrap_or_default();
             if value(&fields, "event").starts_with("rollout") && value(&fields, "service") == id {
-                story.lines.push((time, fields));
+                timeline.lines.push((time, fields));
             } else if fields.get("request").is_some_and(|request| request == id) {
-                prints.extend(fields.get("print").cloned());
-                story.lines.push((time, fields));
+                fingerprints.extend(fields.get("print").cloned());
+                timeline.lines.push((time, fields));
             } else if CRASH_EVENTS.contains(&value(&fields, "event")) {
-                of_others.push((time, fields));
+                other_attempts.push((time, fields));
             }
         }
-        let is_same = |fields: &LineFields| prints.contains(value(fields, "print"));
-        story.lines.extend(of_others.into_iter().filter(|(_, fields)| is_same(fields)));
-        story.lines.sort_by(|(left, _), (right, _)| left.cmp(right));
-        Ok(story)
+        let has_fingerprint = |fields: &LineFields| fingerprints.contains(value(fields, "print"));
+        timeline
+            .lines
+            .extend(other_attempts.into_iter().filter(|(_, fields)| has_fingerprint(fields)));
+        timeline.lines.sort_by(|(left, _), (right, _)| left.cmp(right));
+        Ok(timeline)
     }
 
-    /// Returns whether the log says anything of the request.
+    /// Returns whether the log has no relevant lines.
     pub fn is_empty(&self) -> bool {
         self.lines.is_empty()
     }
 
-    /// Returns the story, a line for each decision.
-    pub fn tell(&self) -> String {
+    /// Returns the timeline as text, with one line for each event.
+    pub fn render(&self) -> String {
         let mut text = String::new();
         for (time, fields) in &self.lines {
             let vm = value(fields, "vm");
-            text.push_str(&format!("{time}  {vm}  {}\n", sentence(fields)));
+            text.push_str(&format!("{time}  {vm}  {}\n", describe(fields)));
         }
         text
     }
@@ -67,120 +71,127 @@
     fields.get(key).map_or("?", String::as_str)
 }
 
-/// Says what one line means.
-fn sentence(fields: &LineFields) -> String {
-    let of = |key| value(fields, key);
-    match of("event") {
+/// Returns a description of one log line.
+fn describe(fields: &LineFields) -> String {
+    let field = |key| value(fields, key);
+    match field("event") {
         "placed" => format!(
-            "sent to {}{} after waiting {} ms, {} others running there and {} in line here; first event \
-             expected in {} ms{}; routes {}",
-            of("target"),
+            "sent to {}{} after waiting {} ms, {} others running there and {} queued here; first event \
+             expected in {} ms{}; routes revision {}",
+            field("target"),
             fields.get("version").map(|version| format!(" ({version})")).unwrap_or_default(),
-            of("waited_ms"),
-            of("running"),
-            of("line"),
-            of("expected_ms"),
-            if of("late") == "true" { ", too late already" } else { "" },
-            of("revision"),
+            field("waited_ms"),
+            field("running"),
+            field("line"),
+            field("expected_ms"),
+            if field("late") == "true" { ", already late" } else { "" },
+            field("revision"),
         ),
         "refused" => format!(
-            "told to come back in {} ms, not run: {} ({} in line)",
-            of("retry_ms"),
-            of("reason"),
-            of("line")
+            "refused, not run, retry after {} ms: {} ({} queued)",
+            field("retry_ms"),
+            field("reason"),
+            field("line")
         ),
         "own-answer" => {
-            format!("answered {} by the gateway itself: {}", of("status"), of("reason"))
+            format!("answered {} by the gateway: {}", field("status"), field("reason"))
         }
         "target-unreachable" => {
-            format!("no connection to {} at {}: {}", of("target"), of("peer"), of("reason"))
+            format!(
+                "no connection to {} at {}: {}",
+                field("target"),
+                field("peer"),
+                field("reason")
+            )
         }
         "answer-lost" => format!(
-            "no answer from {}, where it may have run: {} (kept connection: {})",
-            of("target"),
-            of("reason"),
-            of("kept_connection")
+            "no answer from {}, where it may have run: {} (reused connection: {})",
+            field("target"),
+            field("reason"),
+            field("kept_connection")
         ),
         "target-failed" => format!(
             "failed by {}: {}, after {} attempt(s)",
-            of("target"),
-            of("reason"),
-            of("attempts")
+            field("target"),
+            field("reason"),
+            field("attempts")
         ),
         "target-crashed" => format!(
-            "{} has crashed after attempt {} had run there for {} ms, and {} request(s) of this VM with it",
-            of("target"),
-            of("request"),
-            of("ran_ms"),
-            of("runs")
+            "{} crashed after attempt {} had run there for {} ms; {} request(s) of this VM were running there",
+            field("target"),
+            field("request"),
+            field("ran_ms"),
+            field("runs")
         ),
         "target-word" => format!(
-            "{} says of itself: {}",
-            of("target"),
-            match (of("leaving"), fields.get("hold_off_ms")) {
-                ("true", _) => "it leaves, and gets nothing more".to_owned(),
-                (_, Some(span)) => format!("nothing from here for {span} ms"),
-                _ => "nothing".to_owned(),
+            "notice from {}: {}",
+            field("target"),
+            match (field("leaving"), fields.get("hold_off_ms")) {
+                ("true", _) => "it is leaving and gets no more requests".to_owned(),
+                (_, Some(span)) => format!("no requests from this VM for {span} ms"),
+                _ => "no change".to_owned(),
             }
         ),
         "quarantine-begun" => format!(
-            "blamed for {} of {} crashes of targets under it, {} others crashed meanwhile, {} there are; by chance in {} of a billion",
-            of("blamed"),
-            of("crashes"),
-            of("elsewhere"),
-            of("targets"),
-            of("chance_ppb")
+            "quarantined: {} of {} crashes of targets running it are attributed to it, {} other crashes meanwhile, \
+             {} targets in all; probability by chance {} in a billion",
+            field("blamed"),
+            field("crashes"),
+            field("elsewhere"),
+            field("targets"),
+            field("chance_ppb")
         ),
-        "quarantine-heard" => "heard that it crashes targets".to_owned(),
-        "quarantine-ended" => format!("may be sent to targets again: {}", of("reason")),
+        "quarantine-heard" => "quarantine received from another VM".to_owned(),
+        "quarantine-ended" => format!("quarantine ended: {}", field("reason")),
         "quarantined" => format!(
-            "sent to no target, since it crashes them; it may be if nobody asks for it for {} ms",
-            of("retry_ms")
+            "refused because it crashes targets; the quarantine ends after {} ms without attempts",
+            field("retry_ms")
         ),
-        "rollout-ordered" => format!("order {}: move to {}", of("number"), of("to")),
-        "rollout-row" => format!("order {}: its row says {}", of("number"), of("word")),
+        "rollout-ordered" => format!("order {}: move to {}", field("number"), field("to")),
+        "rollout-row" => format!("order {}: status {}", field("number"), field("word")),
         "rollout-row-failed" => {
-            format!("order {}: {} could not be done: {}", of("number"), of("task"), of("reason"))
+            format!("order {}: {} failed: {}", field("number"), field("task"), field("reason"))
         }
         "rollout-step" => format!(
-            "order {} for {}: {} after {}, by {}{}; {} of {} requests of this VM went there; of {} answers {} failed \
-             and {} of {} timed were slow, of the old version's {}: {}, and {} of {}",
-            of("number"),
-            of("to_version"),
-            of("to"),
-            of("from"),
-            of("reason"),
-            match of("by") {
+            "order {} for {}: {} after {}, by {}{}; {} of {} requests of this VM sent to the new version; of its {} \
+             answers {} failed and {} of {} timed answers were slow; of the old version's {} answers {} failed and \
+             {} of {} timed answers were slow",
+            field("number"),
+            field("to_version"),
+            field("to"),
+            field("from"),
+            field("reason"),
+            match field("by") {
                 "-" => String::new(),
-                by => format!(" ({by}: {} found, {} expected)", of("found"), of("expected")),
+                by => format!(" ({by}: {} found, {} expected)", field("found"), field("expected")),
             },
-            of("exposed"),
-            of("placed"),
-            of("new_answers"),
-            of("new_failed"),
-            of("new_slow"),
-            of("new_timed"),
-            of("old_answers"),
-            of("old_failed"),
-            of("old_slow"),
-            of("old_timed"),
+            field("exposed"),
+            field("placed"),
+            field("new_answers"),
+            field("new_failed"),
+            field("new_slow"),
+            field("new_timed"),
+            field("old_answers"),
+            field("old_failed"),
+            field("old_slow"),
+            field("old_timed"),
         ),
-        "broken-off" => format!("broken off towards its caller: {}", of("reason")),
+        "broken-off" => format!("answer to the caller aborted: {}", field("reason")),
         "ended" => format!(
             "ended {} after {} ms and {} attempt(s); first event after {} ms, longest pause {} ms",
-            of("outcome"),
-            of("total_ms"),
-            of("attempts"),
-            of("first_ms"),
-            of("longest_pause_ms")
+            field("outcome"),
+            field("total_ms"),
+            field("attempts"),
+            field("first_ms"),
+            field("longest_pause_ms")
         ),
         other => format!("{other}: {fields:?}"),
     }
 }
 
-/// Reads a line of key=value pairs; values with spaces stand in quotes. What stands before the first
-/// pair, as a collector may add it, is passed over.
-fn fields_of(line: &str) -> LineFields {
+/// Parses a line of key=value pairs; values with spaces are quoted. Text before the first pair, which
+/// a log collector may add, is ignored.
+fn parse_fields(line: &str) -> LineFields {
     let mut fields = LineFields::new();
     let mut rest = line;
     while let Some((before, after)) = rest.split_once('=') {
--- a/crates/ryetide-cli/src/flags.rs
+++ b/crates/ryetide-cli/src/flags.rs
@@ -1,17 +1,17 @@
-//! The command line's grammar.
-#![allow(missing_docs, reason = "the macro writes the structs, and its help says what each is")]
+//! The command-line interface.
+#![allow(missing_docs, reason = "the macro generates the structs, whose help texts document them")]
 
 use std::{net::SocketAddr, path::PathBuf};
 
 xflags::xflags! {
-    /// Checks, applies and shows ryetide's configuration, and reads what was measured.
-    /// Exit codes: 0 done, 1 failed, 2 wrong usage, 3 the text is at fault, 4 the edit collided with
-    /// another, 5 it cannot be said whether the edit took effect.
+    /// Validates, applies and shows ryetide's configuration, and reads its statistics.
+    /// Exit codes: 0 success, 1 failure, 2 wrong usage, 3 the text is invalid, 4 the edit conflicts
+    /// with another, 5 it is not known whether the edit took effect.
     cmd ryetide {
-        /// Prints JSON, for scripts.
+        /// Prints JSON for scripts.
         optional --json
 
-        /// Checks a services text, a routes text, or a daemon's settings, whole.
+        /// Validates a services text, a routes text, or a daemon's settings, and reports all errors.
         cmd check {
             /// The file.
             required file: PathBuf
@@ -20,25 +20,25 @@
             /// The file holds a gateway's routes.
             optional --routes
         }
-        /// Makes the keys by which a deployment's daemons know each other: authority.pem, peer.pem and
-        /// peer.key, to be put on every entry VM.
+        /// Generates the keys for connections between a deployment's daemons: authority.pem, peer.pem
+        /// and peer.key, to be installed on every entry VM.
         cmd keys {
-            /// Where the files go; it must exist.
+            /// The existing directory for the files.
             required directory: PathBuf
         }
-        /// Tells the story of one request from a gateway's logs, read from standard input; logs of
-        /// several VMs may be put together.
+        /// Shows the timeline of one request from gateway logs on standard input. The logs of several
+        /// VMs may be concatenated.
         cmd explain {
-            /// The request's id, as its caller gave it.
+            /// The request's id as given by its caller, or the name of a service for its rollout orders.
             required id: String
         }
-        /// Has a services text accepted. It is then in force everywhere within seconds.
+        /// Applies a services text. It is in force on all VMs within seconds.
         cmd apply {
             /// The file.
             required file: PathBuf
             /// The operators' address of any daemon.
             required --daemon address: SocketAddr
-            /// The revision that the text was made from; without it, the one in force now.
+            /// The revision on which the text is based. The default is the revision in force.
             optional --base revision: u64
         }
         /// Shows the services text in force, and the revision on each entry VM.
@@ -46,7 +46,7 @@
             /// The operators' address of any daemon.
             required --daemon address: SocketAddr
         }
-        /// Shows what a daemon holds now.
+        /// Shows a daemon's current state.
         cmd status {
             /// The operators' address of the daemon.
             required --daemon address: SocketAddr
@@ -56,7 +56,7 @@
             /// The operators' address of the daemon.
             required --daemon address: SocketAddr
         }
-        /// Plays a small deployment on embedded stand-ins and prints what its callers got.
+        /// Runs a small deployment on embedded stand-ins and prints the outcomes of its requests.
         cmd demo {}
     }
 }
--- a/crates/ryetide-cli/src/main.rs
+++ b/crates/ryetide-cli/src/main.rs
@@ -1,7 +1,8 @@
-//! The operators' command line: `ryetide check`, `explain`, `apply`, `show`, `status`, `report`, `demo`.
+//! The operators' command-line tool: `ryetide check`, `keys`, `explain`, `apply`, `show`, `status`,
+//! `report` and `demo`.
 //!
-//! Exit codes: 0 done, 1 failed, 2 wrong usage, 3 the text is at fault, 4 the edit collided with
-//! another, 5 it cannot be said whether the edit took effect.
+//! Exit codes: 0 success, 1 failure, 2 wrong usage, 3 the text is invalid, 4 the edit conflicts with
+//! another, 5 it is not known whether the edit took effect.
 
 mod explain;
 mod flags;
@@ -10,7 +11,7 @@
 
 use std::{fs, net::SocketAddr, path::Path, process::ExitCode};
 
-use explain::RequestStory;
+use explain::RequestTimeline;
 use flags::{Ryetide, RyetideCmd};
 use miette::Report;
 use operator_client::OperatorClient;
@@ -79,7 +80,7 @@
             println!("{}: sound", file.display());
             Ok(ExitCode::SUCCESS)
         }
-        Err(faults) => Ok(tell_faults(file, &text, faults)),
+        Err(faults) => Ok(print_faults(file, &text, faults)),
     }
 }
 
@@ -90,17 +91,17 @@
 }
 
 fn run_explain(id: &str) -> Result<ExitCode, Report> {
-    let story = RequestStory::read(id, std::io::stdin().lock())
+    let timeline = RequestTimeline::read(id, std::io::stdin().lock())
         .map_err(|error| Report::new(StepError::new("read log", error)))?;
-    if story.is_empty() {
-        eprintln!("the log says nothing of request {id}");
+    if timeline.is_empty() {
+        eprintln!("the log has no entries for request {id}");
         return Ok(ExitCode::from(FAILED));
     }
-    print!("{}", story.tell());
+    print!("{}", timeline.render());
     Ok(ExitCode::SUCCESS)
 }
 
-fn tell_faults(file: &Path, text: &str, faults: ValidationErrors) -> ExitCode {
+fn print_faults(file: &Path, text: &str, faults: ValidationErrors) -> ExitCode {
     let report = TextReport::new(&file.display().to_string(), text, faults);
     eprintln!("{:?}", Report::new(report));
     ExitCode::from(FAULTY_TEXT)
@@ -109,11 +110,11 @@
 fn run_apply(apply: flags::Apply, json: bool) -> Result<ExitCode, Report> {
     let text = read(&apply.file)?;
     if let Err(faults) = ServiceCatalog::parse(&text) {
-        return Ok(tell_faults(&apply.file, &text, faults));
+        return Ok(print_faults(&apply.file, &text, faults));
     }
     let client = OperatorClient::new(apply.daemon);
-    // Without --base the edit is made from what is in force now, so that of two edits made at the
-    // same moment one collides instead of silently undoing the other.
+    // Without --base the edit is based on the revision in force, so that one of two simultaneous
+    // edits conflicts instead of silently undoing the other.
     let base = match apply.base {
         Some(base) => Revision(base),
         None => client.configuration()?.map_or(Revision(0), |text| text.revision),
@@ -124,22 +125,24 @@
     }
     let outcome = match reply {
         ApplyReply::Faulty(faults) => {
-            return Ok(tell_faults(&apply.file, &text, ValidationErrors(faults)));
+            return Ok(print_faults(&apply.file, &text, ValidationErrors(faults)));
         }
         ApplyReply::Ended(outcome) => outcome,
     };
-    Ok(tell_outcome(&outcome, base, &text))
+    Ok(print_outcome(&outcome, base, &text))
 }
 
-fn tell_outcome(outcome: &ApplyOutcome, base: Revision, own: &str) -> ExitCode {
+fn print_outcome(outcome: &ApplyOutcome, base: Revision, edited: &str) -> ExitCode {
     match outcome {
         ApplyOutcome::Accepted(revision) => {
             eprintln!("accepted as revision {revision}");
             ExitCode::SUCCESS
         }
         ApplyOutcome::Collided { revision, text } => {
-            eprintln!("not accepted: it was made from revision {base}, and {revision} stands now");
-            eprint!("{}", table::difference(text, own));
+            eprintln!(
+                "not accepted: based on revision {base}, but revision {revision} is in force"
+            );
+            eprint!("{}", table::difference(text, edited));
             ExitCode::from(COLLIDED)
         }
         ApplyOutcome::NotWritten => {
@@ -149,13 +152,13 @@
             ExitCode::from(FAILED)
         }
         ApplyOutcome::Busy => {
-            eprintln!(
-                "not accepted: another edit is under way through this daemon; nothing was written"
-            );
+            eprintln!("not accepted: this daemon is processing another edit; nothing was written");
             ExitCode::from(FAILED)
         }
         ApplyOutcome::Uncertain => {
-            eprintln!("not known: the table did not answer; `ryetide show` will tell once it does");
+            eprintln!(
+                "outcome unknown: the table did not answer; run `ryetide show` once it is available"
+            );
             ExitCode::from(UNCERTAIN)
         }
     }
@@ -212,9 +215,9 @@
 }
 
 fn run_demo() -> Result<ExitCode, Report> {
-    println!("Playing the harness association's floor and quoting desk for about 25 s ...");
+    println!("Running the demo deployment for about 25 s ...");
     let report = ryetide_lab::demo::run().map_err(Report::new)?;
     println!("{report}");
-    let sound = report.doubled == 0 && report.tiers.values().all(|tally| tally.wrong == 0);
-    Ok(if sound { ExitCode::SUCCESS } else { ExitCode::from(FAILED) })
+    let passed = report.doubled == 0 && report.tiers.values().all(|tally| tally.wrong == 0);
+    Ok(if passed { ExitCode::SUCCESS } else { ExitCode::from(FAILED) })
 }
--- a/crates/ryetide-cli/src/operator_client.rs
+++ b/crates/ryetide-cli/src/operator_client.rs
@@ -1,4 +1,4 @@
-//! Calls to a daemon's operators' port.
+//! A blocking client for a daemon's operators' port.
 
 use std::{net::SocketAddr, time::Duration};
 
@@ -16,20 +16,20 @@
 use ryetide_core::{entry::EntryStatus, message::ConfigurationText, units::Revision};
 use serde::de::DeserializeOwned;
 
-/// Connecting may take this long.
+/// The timeout for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(3);
-/// An answer may take this long; the port itself gives up an edit before.
+/// The timeout for an answer. It exceeds the port's own timeout for an edit.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(20);
-/// The largest answer: a services text with its escapes.
-const ANSWER_LIMIT: usize = 4 * TEXT_LIMIT;
+/// The maximum size of an answer in bytes: a services text with JSON escapes.
+const ANSWER_SIZE_LIMIT: usize = 4 * TEXT_LIMIT;
 
-/// A daemon's operators' port.
+/// A client for a daemon's operators' port.
 pub struct OperatorClient {
     address: SocketAddr,
 }
 
 impl OperatorClient {
-    /// Creates a client of the daemon at `address`.
+    /// Creates a client for the daemon at `address`.
     pub fn new(address: SocketAddr) -> Self {
         Self { address }
     }
@@ -40,7 +40,7 @@
     ///
     /// Returns a report when the daemon does not answer.
     pub fn configuration(&self) -> Result<Option<ConfigurationText>, Report> {
-        self.ask(Method::GET, "/v1/configuration", None)
+        self.call(Method::GET, "/v1/configuration", None)
     }
 
     /// Returns the daemon's status.
@@ -49,28 +49,28 @@
     ///
     /// Returns a report when the daemon does not answer.
     pub fn status(&self) -> Result<EntryStatus, Report> {
-        self.ask(Method::GET, "/v1/status", None)
+        self.call(Method::GET, "/v1/status", None)
     }
 
-    /// Returns the daemon's counts and times.
+    /// Returns the daemon's request statistics.
     ///
     /// # Errors
     ///
     /// Returns a report when the daemon does not answer.
     pub fn report(&self) -> Result<RequestReport, Report> {
-        self.ask(Method::GET, "/v1/report", None)
+        self.call(Method::GET, "/v1/report", None)
     }
 
-    /// Has a services text accepted.
+    /// Applies a services text that is based on the revision `base`.
     ///
     /// # Errors
     ///
     /// Returns a report when the daemon does not answer.
     pub fn apply(&self, base: Revision, text: String) -> Result<ApplyReply, Report> {
-        self.ask(Method::POST, &format!("/v1/apply?base={base}"), Some(text))
+        self.call(Method::POST, &format!("/v1/apply?base={base}"), Some(text))
     }
 
-    fn ask<T: DeserializeOwned + 'static>(
+    fn call<T: DeserializeOwned + 'static>(
         &self,
         method: Method,
         path: &str,
@@ -81,13 +81,14 @@
             let fault = |step, cause: String| StepError::new(step, cause).with_peer(address);
             let client = FreshClient::new("operator").await?;
             let connection = client.connect(address, CONNECT_TIMEOUT).await;
-            let connection =
-                connection.ok_or_else(|| fault("connect", "no daemon answers there".to_owned()))?;
+            let connection = connection.ok_or_else(|| {
+                fault("connect", "no daemon accepts connections at this address".to_owned())
+            })?;
             let request = client.request(connection, method, &path);
             let sent = request.send_body(body.unwrap_or_default()).await;
             let response = sent.map_err(|error| fault("ask", error.to_string()))?;
             let status = response.status();
-            let read = response.body().limit(ANSWER_LIMIT).await;
+            let read = response.body().limit(ANSWER_SIZE_LIMIT).await;
             let bytes = read.map_err(|error| fault("read answer", error.to_string()))?;
             serde_json::from_slice(&bytes)
                 .map_err(|error| fault("read answer", format!("status {status}: {error}")))
--- a/crates/ryetide-cli/src/table.rs
+++ b/crates/ryetide-cli/src/table.rs
@@ -1,11 +1,11 @@
-//! What the commands print for people.
+//! Human-readable output of the commands.
 
 use std::collections::BTreeMap;
 
 use ryetide::request_report::{ClassReport, RequestReport, TimeQuantiles};
 use ryetide_core::entry::EntryStatus;
 
-/// Returns a status as lines.
+/// Formats a status as lines.
 pub fn status(status: &EntryStatus) -> String {
     let mut lines = vec![
         format!("vm         {}", status.name),
@@ -28,7 +28,7 @@
     joined(lines)
 }
 
-/// Returns a report as two tables and the rejects.
+/// Formats a report as two tables and the rejects.
 pub fn report(report: &RequestReport) -> String {
     let mut lines = classes("tier", &report.tiers);
     lines.extend(classes("organisation", &report.organisations));
@@ -69,10 +69,12 @@
     format!("{:.1}/{:.1}/{:.1}", millis(*p50), millis(*p95), millis(*p99))
 }
 
-/// Returns the lines that differ between the text that stands and an operator's own.
-pub fn difference(standing: &str, own: &str) -> String {
-    let lacks = |text: &str, line: &str| !text.lines().any(|other| other == line);
-    let gone = standing.lines().filter(|line| lacks(own, line)).map(|line| format!("- {line}"));
-    let new = own.lines().filter(|line| lacks(standing, line)).map(|line| format!("+ {line}"));
-    joined(gone.chain(new).collect())
+/// Returns the lines that differ between the current text and an edited one.
+pub fn difference(current: &str, edited: &str) -> String {
+    let is_missing = |text: &str, line: &str| !text.lines().any(|other| other == line);
+    let removed =
+        current.lines().filter(|line| is_missing(edited, line)).map(|line| format!("- {line}"));
+    let added =
+        edited.lines().filter(|line| is_missing(current, line)).map(|line| format!("+ {line}"));
+    joined(removed.chain(added).collect())
 }
--- a/crates/ryetide-cli/tests/commands.rs
+++ b/crates/ryetide-cli/tests/commands.rs
@@ -1,4 +1,4 @@
-//! The operators' commands, run as operators run them, against daemons on embedded stand-ins.
+//! The operators' commands, run as processes against daemons on embedded stand-ins.
 
 use std::{
     net::SocketAddr,
@@ -48,7 +48,7 @@
     text_of(&ryetide(&["show", "--daemon", &daemon.to_string()]))
 }
 
-/// Writes a text that adds an organisation to the one in force.
+/// Writes a services text that adds the organisation `name` to the text in force.
 fn edited(directory: &ScratchDirectory, name: &str, daemon: SocketAddr) -> PathBuf {
     let text = show(daemon)
         .replace("organisations:\n", &format!("organisations:\n  - {{name: {name}, share: 2}}\n"));
@@ -60,13 +60,13 @@
 fn wait_until(what: &str, mut holds: impl FnMut() -> bool) {
     let end = Instant::now() + Duration::from_secs(10);
     while !holds() {
-        assert!(Instant::now() < end, "not in time: {what}");
+        assert!(Instant::now() < end, "timed out: {what}");
         std::thread::park_timeout(Duration::from_millis(20));
     }
 }
 
-/// An edit is accepted, in force on every daemon, and stays; of two edits made from the same
-/// revision the second is told what it collided with; one whose answer was lost is told the truth.
+/// Guards against an edit that is not in force on every daemon, a conflicting edit that overwrites
+/// another, and an edit whose outcome is reported wrongly when the table's answer is lost.
 #[test]
 fn edits_are_accepted_once_and_everywhere() {
     let site = LocalSite::start(&plan()).expect("the site starts");
@@ -88,16 +88,19 @@
 
     let collided = apply(&second, daemons[1]);
     assert_eq!(collided.status.code(), Some(4), "{}", text_of(&collided));
-    let told = text_of(&collided);
-    assert!(told.contains("- ") && told.contains("bharat") && told.contains("+ "), "{told}");
+    let printed = text_of(&collided);
+    assert!(
+        printed.contains("- ") && printed.contains("bharat") && printed.contains("+ "),
+        "{printed}"
+    );
 
     site.platform()
         .set_faults(PlatformFaults { lose_write_answers: 1, ..PlatformFaults::default() });
-    let third = edited(&directory, "dwarka", daemons[2]);
-    let file = third.display().to_string();
-    let settled = ryetide(&["apply", &file, "--daemon", &daemons[2].to_string()]);
-    assert_eq!(settled.status.code(), Some(0), "{}", text_of(&settled));
-    assert!(text_of(&settled).contains("revision 3"), "{}", text_of(&settled));
+    let third_edit = edited(&directory, "dwarka", daemons[2]);
+    let file = third_edit.display().to_string();
+    let resolved = ryetide(&["apply", &file, "--daemon", &daemons[2].to_string()]);
+    assert_eq!(resolved.status.code(), Some(0), "{}", text_of(&resolved));
+    assert!(text_of(&resolved).contains("revision 3"), "{}", text_of(&resolved));
     wait_until("revision 3 on every daemon", || {
         daemons.iter().all(|daemon| show(*daemon).contains("# revision 3\n"))
     });
@@ -109,6 +112,7 @@
     site.stop().expect("the site stops");
 }
 
+/// Guards against a check that stops at the first error, or omits positions or permitted values.
 #[test]
 fn faults_are_all_told_with_their_places() {
     let directory = ScratchDirectory::create().expect("a directory");
@@ -119,14 +123,15 @@
     let file = path.display().to_string();
     let output = ryetide(&["check", &file]);
     assert_eq!(output.status.code(), Some(3));
-    let told = text_of(&output);
+    let printed = text_of(&output);
     for part in
         ["2:21", "\"2x\"", "10ms to 1h", "bogus", "modle", "one of model, plain", "at least one"]
     {
-        assert!(told.contains(part), "{part} is missing:\n{told}");
+        assert!(printed.contains(part), "{part} is missing:\n{printed}");
     }
 }
 
+/// Guards against `--json` output that does not parse, and against success when no daemon answers.
 #[test]
 fn status_and_report_can_be_read_by_scripts() {
     let site = LocalSite::start(&plan()).expect("the site starts");
@@ -144,7 +149,7 @@
     assert_eq!(output.status.code(), Some(1), "{}", text_of(&output));
 }
 
-/// A new operator makes the keys that the settings ask for, and a daemon accepts them.
+/// Guards against generated keys that a daemon cannot load.
 #[test]
 fn keys_are_made_that_daemons_accept() {
     let directory = ScratchDirectory::create().expect("a directory");
--- a/crates/ryetide-cli/tests/explain.rs
+++ b/crates/ryetide-cli/tests/explain.rs
@@ -1,11 +1,11 @@
-//! `ryetide explain` on lines as gateways write them.
+//! `ryetide explain` on log lines in the gateways' format.
 
 use std::{
     io::Write,
     process::{Command, Output, Stdio},
 };
 
-/// Lines of two VMs, out of order, with lines of another request between them.
+/// Log lines of two VMs, not in order of time, mixed with lines of another request.
 const LOG: &str = r#"
 ts=2026-03-25T04:18:49.2333Z level=warn event=answer-lost vm=e2 request=q1 sequence=16 target=i-ec kept_connection=false reason="send: connection error"
 ts=2026-03-25T04:18:49.2290Z level=info event=placed vm=e2 request=q1 sequence=16 route=r1 target=i-ec revision=14 waited_ms=0 expected_ms=66 to_read=732 running=1 line=1 late=false on_time=true
@@ -28,14 +28,15 @@
         .stderr(Stdio::piped())
         .spawn()
         .expect("ryetide runs");
-    let mut input = child.stdin.take().expect("its input");
-    input.write_all(LOG.as_bytes()).expect("an input that takes bytes");
+    let mut input = child.stdin.take().expect("standard input is piped");
+    input.write_all(LOG.as_bytes()).expect("ryetide reads the log");
     drop(input);
-    child.wait_with_output().expect("an end")
+    child.wait_with_output().expect("ryetide exits")
 }
 
+/// Guards against a timeline with lines that are missing, unrelated or not in order of time.
 #[test]
-fn the_story_of_a_request_is_told_in_order() {
+fn the_timeline_of_a_request_is_in_order() {
     let output = explain("q1");
     assert!(output.status.success());
     let text = String::from_utf8(output.stdout).expect("text");
@@ -43,11 +44,12 @@
     assert_eq!(lines.len(), 3, "{text}");
     assert!(lines[0].contains("e2  sent to i-ec after waiting 0 ms"), "{text}");
     assert!(lines[1].contains("may have run: send: connection error"), "{text}");
-    assert!(lines[2].contains("answered 502 by the gateway itself: target-failed"), "{text}");
+    assert!(lines[2].contains("answered 502 by the gateway: target-failed"), "{text}");
 }
 
+/// Guards against rollout events that are missing from the timeline of their service.
 #[test]
-fn the_story_of_a_rollout_is_told_by_its_service() {
+fn the_timeline_of_a_rollout_is_found_by_its_service() {
     let text = String::from_utf8(explain("desk").stdout).expect("text");
     let lines: Vec<&str> = text.lines().collect();
     assert_eq!(lines.len(), 3, "{text}");
@@ -55,26 +57,25 @@
     let expected = "Condemned after Trial, by evidence (failures: 0.5 found, 0.01 expected)";
     assert!(lines[1].contains(expected), "{text}");
     assert!(lines[1].contains("24 of 300 requests"), "{text}");
-    assert!(lines[2].contains("its row says rolled-back"), "{text}");
+    assert!(lines[2].contains("status rolled-back"), "{text}");
 }
 
-/// An attempt is refused for what earlier ones have done, at other VMs and under other ids.
+/// Guards against a timeline that omits why an attempt was refused: earlier attempts at other VMs and
+/// under other ids have crashed targets.
 #[test]
-fn the_story_tells_what_other_attempts_of_the_request_have_crashed() {
+fn the_timeline_shows_crashes_under_other_attempts_of_the_request() {
     let text = String::from_utf8(explain("q9").stdout).expect("text");
     let lines: Vec<&str> = text.lines().collect();
     assert_eq!(lines.len(), 3, "{text}");
-    assert!(
-        lines[0].contains("i-ab has crashed after attempt q7 had run there for 80 ms"),
-        "{text}"
-    );
-    assert!(lines[1].contains("blamed for 3 of 3 crashes"), "{text}");
-    assert!(lines[2].contains("sent to no target"), "{text}");
+    assert!(lines[0].contains("i-ab crashed after attempt q7 had run there for 80 ms"), "{text}");
+    assert!(lines[1].contains("quarantined: 3 of 3 crashes"), "{text}");
+    assert!(lines[2].contains("refused because it crashes targets"), "{text}");
 }
 
+/// Guards against an empty timeline with exit code 0 for an unknown request.
 #[test]
-fn a_request_that_no_line_names_is_told_apart() {
+fn a_request_that_is_not_in_the_log_is_reported() {
     let output = explain("q3");
     assert_eq!(output.status.code(), Some(1));
-    assert!(String::from_utf8_lossy(&output.stderr).contains("nothing of request q3"));
+    assert!(String::from_utf8_lossy(&output.stderr).contains("no entries for request q3"));
 }
