Reword ryetided and its tests with processes

Cause: the tests used private names ("door", "words", SOON, PAUSE) and long introductions that did not say which failure a test guards against.

--- a/crates/ryetided/src/main.rs
+++ b/crates/ryetided/src/main.rs
@@ -1,7 +1,7 @@
-//! The entry daemon: one on each entry VM, all equal.
+//! The entry daemon. One runs on each entry VM, and all have the same role.
 //!
-//! Exit codes: 0 after a shutdown that finished everything, 1 when the daemon failed, 2 for wrong
-//! usage, 3 when the settings are at fault.
+//! Exit codes: 0 after a shutdown that finished all requests, 1 when the daemon failed, 2 for wrong
+//! usage, 3 when the settings are invalid.
 
 use std::{process::ExitCode, thread};
 
@@ -15,16 +15,16 @@
 use tokio::signal::unix::{self, SignalKind};
 
 mod flags {
-    #![allow(missing_docs, reason = "the macro writes the struct, and its help says what each is")]
+    #![allow(missing_docs, reason = "the macro generates the struct, whose help texts document it")]
     use std::path::PathBuf;
 
     xflags::xflags! {
-        /// Runs an entry daemon until SIGTERM or SIGINT. Exit codes: 0 everything finished, 1 failed,
-        /// 2 wrong usage, 3 the settings are at fault.
+        /// Runs an entry daemon until SIGTERM or SIGINT. Exit codes: 0 all requests finished, 1 failure,
+        /// 2 wrong usage, 3 the settings are invalid.
         cmd ryetided {
             /// The settings file.
             required settings: PathBuf
-            /// Checks the settings and exits.
+            /// Validates the settings and exits.
             optional --check
         }
     }
@@ -46,7 +46,7 @@
         println!("{}: sound", flags.settings.display());
         return ExitCode::SUCCESS;
     }
-    let _written = log::start_daemon(&settings.log);
+    let _log_guard = log::start_daemon(&settings.log);
     match run(settings) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
@@ -63,7 +63,7 @@
     daemon::run(settings, sockets, shutdown)
 }
 
-/// Shuts down on SIGTERM or SIGINT. The thread ends with the process.
+/// Starts a thread that shuts the daemon down on SIGTERM or SIGINT. It ends with the process.
 fn listen_for_signals(shutdown: ShutdownHandle) -> Result<(), StepError> {
     let fault = |error: std::io::Error| StepError::new("listen for signals", error);
     let runtime =
--- a/crates/ryetided/tests/processes/failures.rs
+++ b/crates/ryetided/tests/processes/failures.rs
@@ -1,12 +1,13 @@
-//! Failures among separate processes: kills, freezes, broken and silent streams, lost answers.
+//! Failures of separate processes: kills, freezes, broken and silent streams, lost answers.
 
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
 use nix::sys::signal::Signal;
 use ntex::http::Method;
 use ryetide::{deployment_keys, operator_port::ApplyReply};
-use ryetide_core::entry::EntryStatus;
-use ryetide_core::{effect::ApplyOutcome, message::ConfigurationText};
+use ryetide_core::{
+    chart::RequestState, effect::ApplyOutcome, entry::EntryStatus, message::ConfigurationText,
+};
 use ryetide_lab::{
     caller::{CallOutcome, CallResult, CallTerms, TestCaller},
     control,
@@ -22,16 +23,17 @@
     site::ScratchDirectory,
 };
 
-const SOON: Duration = Duration::from_secs(10);
+/// The time within which an expected change must be visible.
+const WAIT_LIMIT: Duration = Duration::from_secs(10);
 
-fn prompt_through(door: SocketAddr, prompt: EnginePrompt) -> CallResult {
+fn prompt_through(entry: SocketAddr, prompt: EnginePrompt) -> CallResult {
     control::block_on(async move {
         let caller = TestCaller::new().await.unwrap();
-        caller.prompt(door, &crate::support::terms(), &prompt).await
+        caller.prompt(entry, &crate::support::terms(), &prompt).await
     })
 }
 
-fn order_through(door: SocketAddr, key: &str, body: &str) -> CallResult {
+fn order_through(entry: SocketAddr, key: &str, body: &str) -> CallResult {
     let terms = CallTerms {
         key: Some(key.to_owned()),
         non_idempotent: true,
@@ -41,11 +43,11 @@
     let body = body.as_bytes().to_vec();
     control::block_on(async move {
         let caller = TestCaller::new().await.unwrap();
-        caller.call(door, Method::POST, "/services/records/orders", &terms, body).await
+        caller.call(entry, Method::POST, "/services/records/orders", &terms, body).await
     })
 }
 
-fn door(site: &ProcessSite, index: usize) -> SocketAddr {
+fn entry(site: &ProcessSite, index: usize) -> SocketAddr {
     site.daemons[index].site.callers
 }
 
@@ -53,13 +55,13 @@
     control::get(site.daemons[index].site.operators, "/v1/status").unwrap()
 }
 
-/// Returns the daemon that arbitrates `service`.
+/// Returns the index of the daemon that is the arbiter of `service`.
 fn arbiter(site: &ProcessSite, service: &str) -> usize {
     let elected = |index: &usize| {
         let scopes = status(site, *index).scopes;
         scopes.iter().any(|scope| scope.service == service && scope.elected)
     };
-    (0..site.daemons.len()).find(elected).expect("some daemon arbitrates")
+    (0..site.daemons.len()).find(elected).expect("a daemon is the arbiter")
 }
 
 fn records(site: &ProcessSite) -> PlainRecord {
@@ -85,9 +87,9 @@
     total
 }
 
-/// A caller's stream breaks off in the middle, or the engine stops sending and no reset comes.
-/// The entry VM opens a new connection and asks for the rest by request id; the caller sees one
-/// whole answer, and the engine counts one dispatch.
+/// Guards against an answer that is cut off when the engine's connection fails, or falls silent without
+/// a reset. The entry VM must resume it over a new connection by request id: the caller gets one
+/// complete answer, and the engine counts one dispatch.
 #[test]
 fn a_broken_or_silent_stream_is_resumed() {
     let site = crate::support::start(crate::support::fast());
@@ -99,55 +101,53 @@
     ];
     for fault in faults {
         set_engine_faults(&site, &fault);
-        let result = prompt_through(door(&site, 0), prompt.clone());
+        let result = prompt_through(entry(&site, 0), prompt.clone());
         assert_eq!(result.outcome, CallOutcome::Answered, "{fault:?}");
         assert_eq!(result.body, prompt.expected_stream().as_bytes(), "{fault:?}");
     }
     assert_eq!(check_single_dispatch(&site).resumes, 3);
 }
 
-/// The engine restarts and forgets what it was doing.
-/// Asked for the rest it answers 404: the request may have run, so the caller is told "unknown", and
-/// it is not dispatched again.
+/// Guards against a second dispatch of a request that its engine no longer knows after a restart. The
+/// engine answers the resume with 404; the request may have run, so its outcome is "unknown".
 #[test]
 fn a_forgotten_request_is_unknown_and_not_run_again() {
     let site = crate::support::start(crate::support::fast());
     let fault = EngineFaults { break_after: Some(300), forgetful: true, ..EngineFaults::default() };
     set_engine_faults(&site, &fault);
-    let result = prompt_through(door(&site, 0), crate::support::prompt("forgotten", 100));
+    let result = prompt_through(entry(&site, 0), crate::support::prompt("forgotten", 100));
     assert_eq!(result.outcome, CallOutcome::Unknown);
     assert_eq!(check_single_dispatch(&site).dispatches.len(), 1);
 }
 
-/// An engine refuses: busy, or leaving.
-/// Its contract says that a refusal ran nothing, so the caller is told "not run" and when to come
-/// back; the request was dispatched once all the same and goes to no other engine.
+/// Guards against a refused request that is sent to another engine, or whose caller gets no retry
+/// delay. By the engine's contract a refused request has not run, so its outcome is "not run"; the
+/// refusal still counts as its one dispatch.
 #[test]
 fn a_refusal_is_not_run_and_goes_nowhere_else() {
     let site = crate::support::start(crate::support::fast());
     set_engine_faults(&site, &EngineFaults { busy: true, ..EngineFaults::default() });
-    let result = prompt_through(door(&site, 0), crate::support::prompt("refused", 10));
+    let result = prompt_through(entry(&site, 0), crate::support::prompt("refused", 10));
     assert_eq!(result.outcome, CallOutcome::NotRun);
     assert!(result.retry_after.is_some());
     assert!(check_single_dispatch(&site).dispatches.is_empty());
 }
 
-/// The VM that orders everybody's requests is killed.
-/// The others hear nothing from it, find a new arbiter, and go on; until then each uses its own
-/// share. No caller of another VM may be cut off.
+/// Guards against callers of other VMs that are cut off when the arbiter is killed. Each of the others
+/// must use its own share of the slots until another VM is the arbiter.
 #[test]
 fn the_arbiter_is_killed() {
     let mut site = crate::support::start(crate::support::fast());
-    let dead = arbiter(&site, "drafting");
-    site.daemons[dead].process.signal(Signal::SIGKILL).unwrap();
-    let others: Vec<usize> = (0..3).filter(|index| *index != dead).collect();
+    let killed = arbiter(&site, "drafting");
+    site.daemons[killed].process.signal(Signal::SIGKILL).unwrap();
+    let others: Vec<usize> = (0..3).filter(|index| *index != killed).collect();
     for number in 0..20 {
         let prompt = crate::support::prompt(&format!("after the kill {number}"), 10);
-        let result = prompt_through(door(&site, others[number % 2]), prompt.clone());
+        let result = prompt_through(entry(&site, others[number % 2]), prompt.clone());
         assert_eq!(result.outcome, CallOutcome::Answered);
         assert_eq!(result.body, prompt.expected_stream().as_bytes());
     }
-    crate::support::wait_until("another VM is elected", SOON, || {
+    crate::support::wait_until("another VM is elected", WAIT_LIMIT, || {
         let elected = |index: &usize| {
             let scopes = status(&site, *index).scopes;
             scopes.iter().any(|scope| scope.service == "drafting" && scope.elected)
@@ -155,107 +155,108 @@
         others.iter().any(elected)
     });
     check_single_dispatch(&site);
-    assert!(site.daemons[dead].process.wait_exit(SOON).is_some());
+    assert!(site.daemons[killed].process.wait_exit(WAIT_LIMIT).is_some());
 }
 
-/// The arbiter is alive and does not answer: it is frozen, longer than any time limit, and thaws.
-/// An ask that is not answered within its bound goes to the VM's own share; what the thawed arbiter
-/// says late is not wanted any more. Requests must neither wait for it nor run twice.
+/// Guards against requests that wait for a frozen arbiter, or run twice because it answers late after
+/// it resumes. A slot request without an answer in time must be served from the VM's own share, and
+/// late answers must be ignored.
 #[test]
-fn the_arbiter_is_frozen_and_thaws() {
+fn the_arbiter_is_frozen_and_resumed() {
     let site = crate::support::start(crate::support::fast());
     let frozen = arbiter(&site, "drafting");
     let others: Vec<usize> = (0..3).filter(|index| *index != frozen).collect();
     site.daemons[frozen].process.signal(Signal::SIGSTOP).unwrap();
     for number in 0..10 {
         let prompt = crate::support::prompt(&format!("while frozen {number}"), 10);
-        let result = prompt_through(door(&site, others[number % 2]), prompt.clone());
+        let result = prompt_through(entry(&site, others[number % 2]), prompt.clone());
         assert_eq!(result.body, prompt.expected_stream().as_bytes());
         assert!(result.total < Duration::from_secs(1), "waited {:?}", result.total);
     }
     site.daemons[frozen].process.signal(Signal::SIGCONT).unwrap();
     for number in 0..10 {
-        let prompt = crate::support::prompt(&format!("after the thaw {number}"), 10);
-        let result = prompt_through(door(&site, number % 3), prompt.clone());
+        let prompt = crate::support::prompt(&format!("after it resumed {number}"), 10);
+        let result = prompt_through(entry(&site, number % 3), prompt.clone());
         assert_eq!(result.body, prompt.expected_stream().as_bytes());
     }
     assert_eq!(check_single_dispatch(&site).dispatches.len(), 20);
     site.wait_ready().unwrap();
 }
 
-/// A shop's batch order is sent again through another VM after the first one was killed while the
-/// order ran. The first VM may have dispatched it (it has), so the repeat must not run: its caller is
-/// told "unknown". A shop that is told "not run" would cut two batches.
+/// Guards against a non-idempotent order that runs twice when it is retried through another VM after
+/// the first VM was killed while the order ran. The first VM has dispatched it, so the retry must not
+/// run and its outcome is "unknown": after "not run" the caller would order a second batch.
 #[test]
 fn a_repeated_order_never_runs_twice_when_its_vm_dies() {
     let site = crate::support::start(crate::support::fast());
     let target = site.targets.iter().find(|target| target.name == "records-1").unwrap();
     let faults = PlainFaults { delay_ms: 2_000, ..PlainFaults::default() };
     control::post(target.address, "/lab/faults", &faults).unwrap();
-    let first = door(&site, 0);
+    let first = entry(&site, 0);
     let order = std::thread::spawn(move || order_through(first, "batch-1", "cut 40 harnesses"));
-    crate::support::wait_until("the order runs", SOON, || !records(&site).bodies.is_empty());
+    crate::support::wait_until("the order runs", WAIT_LIMIT, || !records(&site).bodies.is_empty());
     site.daemons[0].process.signal(Signal::SIGKILL).unwrap();
     assert_eq!(order.join().unwrap().outcome, CallOutcome::Cut);
     for index in [1, 2, 1] {
-        let repeat = order_through(door(&site, index), "batch-1", "cut 40 harnesses");
-        assert_eq!(repeat.outcome, CallOutcome::Unknown, "{}", repeat.status);
+        let retry = order_through(entry(&site, index), "batch-1", "cut 40 harnesses");
+        assert_eq!(retry.outcome, CallOutcome::Unknown, "{}", retry.status);
     }
     assert_eq!(records(&site).bodies, BTreeMap::from([("cut 40 harnesses".to_owned(), 1)]));
 }
 
-/// An order's answer is asked for again through another VM: it is the first answer, and the order
-/// ran once. Other keys are other orders.
+/// Guards against an order that runs again when it is retried through another VM after its answer: the
+/// retry must get the first answer. An order with another key must run.
 #[test]
 fn a_repeated_order_gets_the_first_answer() {
     let site = crate::support::start(crate::support::fast());
-    let first = order_through(door(&site, 0), "batch-2", "cut 10 harnesses");
+    let first = order_through(entry(&site, 0), "batch-2", "cut 10 harnesses");
     assert_eq!(first.outcome, CallOutcome::Answered);
     for index in 0..3 {
-        let repeat = order_through(door(&site, index), "batch-2", "cut 10 harnesses");
-        assert_eq!((repeat.outcome, &repeat.body), (CallOutcome::Answered, &first.body));
+        let retry = order_through(entry(&site, index), "batch-2", "cut 10 harnesses");
+        assert_eq!((retry.outcome, &retry.body), (CallOutcome::Answered, &first.body));
     }
-    let other = order_through(door(&site, 1), "batch-3", "cut 10 harnesses");
+    let other = order_through(entry(&site, 1), "batch-3", "cut 10 harnesses");
     assert_eq!(other.outcome, CallOutcome::Answered);
     assert_eq!(records(&site).bodies["cut 10 harnesses"], 2);
 }
 
-/// The table service does the write of a claim and loses its answer; then it is down.
-/// In the first case the order runs once. In the second its key cannot be looked up: it does not run,
-/// but an earlier one with the same key may have, so its caller is told "unknown" at once, with when to
-/// ask again; told "not run", a shop would order anew.
+/// Guards against orders that run twice, or get a wrong outcome, when the table service fails. When the
+/// answer to a claim's write is lost, the order must run once. When the table is down, the key cannot
+/// be looked up: the order must not run, but an earlier one with the same key may have run, so its
+/// outcome is "unknown" with a retry delay; after "not run" the caller would order again.
 #[test]
 fn claims_meet_a_failing_table() {
     let site = crate::support::start(crate::support::fast());
     let lose = PlatformFaults { lose_write_answers: 1, ..PlatformFaults::default() };
     control::post(site.platform.address, "/lab/faults", &lose).unwrap();
-    let result = order_through(door(&site, 0), "batch-4", "cut 7 harnesses");
+    let result = order_through(entry(&site, 0), "batch-4", "cut 7 harnesses");
     assert_eq!(result.outcome, CallOutcome::Answered);
     assert_eq!(records(&site).bodies["cut 7 harnesses"], 1);
     let down = PlatformFaults { down: true, ..PlatformFaults::default() };
     control::post(site.platform.address, "/lab/faults", &down).unwrap();
-    let result = order_through(door(&site, 0), "batch-5", "cut 8 harnesses");
+    let result = order_through(entry(&site, 0), "batch-5", "cut 8 harnesses");
     assert_eq!((result.outcome, result.status), (CallOutcome::Unknown, 503));
     assert!(result.retry_after.is_some());
     assert!(!records(&site).bodies.contains_key("cut 8 harnesses"));
-    // Work that may be repeated needs no table.
+    // An idempotent request needs no claim in the table.
     let prompt = crate::support::prompt("in the outage", 10);
-    assert_eq!(prompt_through(door(&site, 1), prompt).outcome, CallOutcome::Answered);
+    assert_eq!(prompt_through(entry(&site, 1), prompt).outcome, CallOutcome::Answered);
 }
 
-/// A VM is started while the platform is away. Its settings name a peer, whose revision it takes; a VM
-/// that knows no peer has nothing to serve and says so.
+/// Guards against a VM that cannot serve because it starts while the platform is down. It must take the
+/// revision of a peer in its settings; a VM without such a peer must refuse requests as not run.
 #[test]
 fn a_vm_started_in_an_outage_takes_its_peers_revision() {
     let site = crate::support::start(crate::support::fast());
     let down = PlatformFaults { down: true, ..PlatformFaults::default() };
     control::post(site.platform.address, "/lab/faults", &down).unwrap();
-    let alone = site.start_daemon("e4", "hall", &[]).unwrap();
-    let result = prompt_through(alone.site.callers, crate::support::prompt("nothing in force", 5));
+    let isolated = site.start_daemon("e4", "hall", &[]).unwrap();
+    let result =
+        prompt_through(isolated.site.callers, crate::support::prompt("nothing in force", 5));
     assert_eq!(result.outcome, CallOutcome::NotRun);
     let known = [&site.daemons[0].site];
     let new = site.start_daemon("e5", "hall", &known).unwrap();
-    crate::support::wait_until("the peer's revision is in force", SOON, || {
+    crate::support::wait_until("the peer's revision is in force", WAIT_LIMIT, || {
         let status: EntryStatus = control::get(new.site.operators, "/v1/status").unwrap();
         status.revision.0 == 1
     });
@@ -263,27 +264,30 @@
     assert_eq!(result.outcome, CallOutcome::Answered);
 }
 
-/// A caller goes away while its work waits or runs: the engine is told to stop.
+/// Guards against an engine that keeps running a request whose caller has disconnected.
 #[test]
 fn the_work_of_a_caller_that_has_gone_is_cancelled() {
     let slow = EngineSpeed { decode_rate: 30.0, ..crate::support::fast() };
     let site = crate::support::start(slow);
-    let door = door(&site, 0);
+    let entry = entry(&site, 0);
     let prompt = crate::support::prompt("nobody waits for this", 600);
     control::block_on(async move {
         let caller = TestCaller::new().await.unwrap();
         let terms = crate::support::terms();
-        let call = caller.prompt(door, &terms, &prompt);
+        let call = caller.prompt(entry, &terms, &prompt);
         let _ = tokio::time::timeout(Duration::from_millis(700), call).await;
     });
-    crate::support::wait_until("the engine is told", SOON, || {
+    crate::support::wait_until("the request is cancelled", WAIT_LIMIT, || {
         check_single_dispatch(&site).cancelled == 1
     });
-    crate::support::wait_until("nothing is held", SOON, || status(&site, 0).requests.is_empty());
+    crate::support::wait_until("the daemon has no requests", WAIT_LIMIT, || {
+        status(&site, 0).requests.is_empty()
+    });
 }
 
-/// A connection between daemon and engine passes nothing more, without a reset, while new ones work:
-/// something between them has lost track of it. The open stream is resumed over a new connection.
+/// Guards against a stream that hangs when a device between daemon and engine loses its connection
+/// state: the connection passes no more data and is not reset, while new ones work. The stream must be
+/// resumed over a new connection.
 #[test]
 fn a_connection_that_goes_silent_for_good_is_replaced() {
     let slow = EngineSpeed { decode_rate: 200.0, ..crate::support::fast() };
@@ -307,15 +311,15 @@
         control::call(operators, Method::POST, "/v1/apply?base=1", text.into_bytes()).unwrap();
     let reply: ApplyReply = serde_json::from_slice(&reply).unwrap();
     assert!(matches!(reply, ApplyReply::Ended(ApplyOutcome::Accepted(_))), "{reply:?}");
-    crate::support::wait_until("the relays are in force everywhere", SOON, || {
+    crate::support::wait_until("the relays are in force everywhere", WAIT_LIMIT, || {
         (0..3).all(|index| status(&site, index).revision.0 == 2)
     });
-    let (first, prompt) = (door(&site, 0), crate::support::prompt("through a hole", 300));
+    let (first, prompt) =
+        (entry(&site, 0), crate::support::prompt("over a silent connection", 300));
     let expected = prompt.expected_stream();
     let call = std::thread::spawn(move || prompt_through(first, prompt));
-    crate::support::wait_until("the stream runs", SOON, || {
-        let running = ryetide_core::chart::RequestState::Running;
-        status(&site, 0).requests.contains_key(&running)
+    crate::support::wait_until("the stream runs", WAIT_LIMIT, || {
+        status(&site, 0).requests.contains_key(&RequestState::Running)
     });
     for relay in &relays {
         relay.silence_open();
@@ -326,8 +330,8 @@
     assert!(check_single_dispatch(&site).resumes >= 1);
 }
 
-/// A daemon with keys of another deployment knocks: it is refused in the handshake, and nobody counts
-/// it as a peer.
+/// Guards against a daemon with another deployment's keys that is accepted as a peer. It must be refused
+/// in the handshake.
 #[test]
 fn a_peer_without_the_deployments_keys_is_refused() {
     let site = crate::support::start(crate::support::fast());
@@ -341,7 +345,7 @@
     let program = crate::support::programs().daemon;
     let process = TestProcess::start(&program, &[path.display().to_string()]).unwrap();
     process.wait_address("peers").unwrap();
-    let refused = site.daemons[0].process.wait_line("event=peer-refused", SOON);
+    let refused = site.daemons[0].process.wait_line("event=peer-refused", WAIT_LIMIT);
     assert!(refused.is_some(), "{:?}", site.daemons[0].process.lines());
     let seen = status(&site, 0);
     assert!(!seen.peers.keys().any(|name| name.as_str() == "intruder"), "{:?}", seen.peers);
--- a/crates/ryetided/tests/processes/main.rs
+++ b/crates/ryetided/tests/processes/main.rs
@@ -1,9 +1,9 @@
 //! Tests of whole deployments as separate processes on loopback.
-#![allow(clippy::unwrap_used, reason = "a test that cannot go on fails where it stands")]
+#![allow(clippy::unwrap_used, reason = "a panic fails the test")]
 
 mod bad_input;
 mod crashes;
 mod failures;
+mod notices;
 mod serving;
 mod support;
-mod words;
--- a/crates/ryetided/tests/processes/support.rs
+++ b/crates/ryetided/tests/processes/support.rs
@@ -1,4 +1,4 @@
-//! What the tests with real processes share.
+//! Helpers for the tests with separate processes.
 
 use std::{
     path::PathBuf,
@@ -13,7 +13,7 @@
     site::SitePlan,
 };
 
-/// Returns the programs. The lab's is built beside the daemon's by `cargo test --workspace`.
+/// Returns the paths of the programs. `cargo test --workspace` builds both in the same directory.
 pub fn programs() -> SitePrograms {
     let daemon = PathBuf::from(env!("CARGO_BIN_EXE_ryetided"));
     let lab = daemon.with_file_name("ryetide-lab");
@@ -21,7 +21,8 @@
     SitePrograms { daemon, lab }
 }
 
-/// Three entry VMs and three engines of unlike speed in one data centre, and a plain service.
+/// Returns a deployment with three entry VMs, three engines of different speeds and a plain service in
+/// one data centre.
 pub fn plan(speed: EngineSpeed) -> SitePlan {
     let engine = |number: usize| TargetSite {
         name: format!("engine-{number}"),
@@ -56,7 +57,7 @@
     }
 }
 
-/// Engines that are fast enough for tests.
+/// Returns the speed of engines that do not slow down a test.
 pub fn fast() -> EngineSpeed {
     EngineSpeed { slots: 64, tokens: 10_000_000, decode_rate: 20_000.0, ..EngineSpeed::default() }
 }
@@ -66,7 +67,7 @@
     ProcessSite::start(&plan(speed), &programs()).expect("the deployment starts")
 }
 
-/// Terms of a call that may be repeated.
+/// Returns the terms of an idempotent call.
 pub fn terms() -> CallTerms {
     CallTerms {
         organisation: "asha".to_owned(),
@@ -77,7 +78,7 @@
     }
 }
 
-/// A prompt that generates `output` tokens.
+/// Returns a prompt for `output` tokens.
 pub fn prompt(text: &str, output: u64) -> EnginePrompt {
     EnginePrompt {
         model: "drafting".to_owned(),
@@ -88,7 +89,7 @@
     }
 }
 
-/// Waits until `holds` does, or fails.
+/// Waits until `holds` returns true, and fails the test after `limit`.
 pub fn wait_until(what: &str, limit: Duration, mut holds: impl FnMut() -> bool) {
     let end = Instant::now() + limit;
     while !holds() {
