--- a/crates/ryetide-cli/src/main.rs
+++ b/crates/ryetide-cli/src/main.rs
@@ -218,6 +218,6 @@
     println!("Running the demo deployment for about 25 s ...");
     let report = ryetide_lab::demo::run().map_err(Report::new)?;
     println!("{report}");
-    let passed = report.doubled == 0 && report.tiers.values().all(|tally| tally.wrong == 0);
+    let passed = report.duplicates == 0 && report.tiers.values().all(|tally| tally.wrong == 0);
     Ok(if passed { ExitCode::SUCCESS } else { ExitCode::from(FAILED) })
 }
--- a/crates/ryetide-cli/tests/commands.rs
+++ b/crates/ryetide-cli/tests/commands.rs
@@ -9,7 +9,7 @@
 
 use ryetide::{peer_keys::PeerKeys, settings::PeerSettings};
 use ryetide_lab::{
-    deployment::{ServiceSite, TargetSite, TextFrame},
+    deployment::{ServiceSite, SharingPolicy, TargetSite},
     engine_batch::EngineSpeed,
     platform::PlatformFaults,
     site::{LocalSite, ScratchDirectory, SitePlan},
@@ -29,7 +29,7 @@
             targets: vec![target],
             depends_on: Vec::new(),
         }],
-        frame: TextFrame {
+        policy: SharingPolicy {
             tiers: vec![("floor".to_owned(), "2s".to_owned(), 1.0)],
             organisations: vec![("asha".to_owned(), 1)],
         },
--- a/crates/ryetide-lab/src/caller.rs
+++ b/crates/ryetide-lab/src/caller.rs
@@ -1,4 +1,4 @@
-//! Callers: they send prompts and check that what comes back is whole and their own.
+//! A caller for tests and measurements, which classifies the outcome of each call.
 
 use std::{
     net::SocketAddr,
@@ -23,13 +23,13 @@
 
 use crate::engine_batch::EnginePrompt;
 
-/// A caller waits at most this long past its deadline.
-const PATIENCE: Duration = Duration::from_secs(20);
+/// The time after its deadline for which a caller still waits for an answer.
+const ANSWER_GRACE: Duration = Duration::from_secs(20);
 
-/// Opening a connection may take this long.
-const CONNECT_LIMIT: Duration = Duration::from_secs(3);
+/// The timeout for opening a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(3);
 
-/// Who calls, and how.
+/// The properties of a call that its headers carry.
 #[derive(Clone, Debug)]
 pub struct CallTerms {
     /// The organisation.
@@ -44,40 +44,40 @@
     pub non_idempotent: bool,
 }
 
-/// What a caller was told.
+/// The outcome of a call as the caller sees it.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum CallOutcome {
-    /// A whole answer.
+    /// The answer is complete.
     Answered,
-    /// It did not run.
+    /// The call did not run.
     NotRun,
-    /// It may have run.
+    /// The call may have run.
     Unknown,
-    /// The connection failed: the caller knows nothing.
-    Cut,
+    /// The connection failed or timed out before an outcome was received.
+    Disconnected,
 }
 
-/// What a caller received.
+/// The result of a call.
 #[derive(Clone, Debug)]
 pub struct CallResult {
-    /// What it was told.
+    /// The outcome.
     pub outcome: CallOutcome,
-    /// The status.
+    /// The HTTP status, or 0 without a response.
     pub status: u16,
     /// The body.
     pub body: Vec<u8>,
-    /// When to come back.
+    /// The delay after which the caller may retry.
     pub retry_after: Option<Duration>,
-    /// From sending to the first byte of the body.
+    /// The time from sending to the first byte of the body.
     pub first_byte: Option<Duration>,
-    /// From sending to the end.
+    /// The time from sending to the end.
     pub total: Duration,
 }
 
-/// A caller on one thread.
+/// A caller for use on one thread.
 ///
-/// Each call has a connection of its own: with the library's pool about one call in 15,000 stalled for
-/// up to 30 s, also against an engine without a daemon between, and the stall was counted as ours.
+/// Each call opens a new connection. With the library's pool, about one call in 15,000 stalled for up
+/// to 30 s, even when sent to an engine directly, and the stall was attributed to the daemon.
 #[derive(Clone)]
 pub struct TestCaller {
     client: Rc<FreshClient>,
@@ -88,7 +88,7 @@
     ///
     /// # Errors
     ///
-    /// Returns a [`StepError`] when its client cannot be built.
+    /// Returns a [`StepError`] when the HTTP client cannot be built.
     pub async fn new() -> Result<Self, StepError> {
         let client = Rc::new(FreshClient::new("caller").await?);
         Ok(Self { client })
@@ -105,7 +105,7 @@
         self.call(address, Method::POST, "/v1/completions", terms, body).await
     }
 
-    /// Sends any call.
+    /// Sends a call.
     pub async fn call(
         &self,
         address: SocketAddr,
@@ -115,8 +115,8 @@
         body: Vec<u8>,
     ) -> CallResult {
         let started = Instant::now();
-        let Some(connection) = self.client.connect(address, CONNECT_LIMIT).await else {
-            return cut(started);
+        let Some(connection) = self.client.connect(address, CONNECT_TIMEOUT).await else {
+            return disconnected(started);
         };
         let mut request = self
             .client
@@ -131,19 +131,19 @@
         if terms.non_idempotent {
             request = request.header(NON_IDEMPOTENT_HEADER, "true");
         }
-        // Whatever breaks or takes too long, the caller is cut off: that is its outcome.
+        // Every failure and timeout has the outcome `Disconnected`.
         let exchange = async {
             let response = request.send_body(body).await.ok()?;
             Some(read(response, started).await)
         };
-        let done = tokio::time::timeout(terms.deadline + PATIENCE, exchange).await;
-        done.ok().flatten().unwrap_or_else(|| cut(started))
+        let done = tokio::time::timeout(terms.deadline + ANSWER_GRACE, exchange).await;
+        done.ok().flatten().unwrap_or_else(|| disconnected(started))
     }
 }
 
-fn cut(started: Instant) -> CallResult {
+fn disconnected(started: Instant) -> CallResult {
     CallResult {
-        outcome: CallOutcome::Cut,
+        outcome: CallOutcome::Disconnected,
         status: 0,
         body: Vec::new(),
         retry_after: None,
@@ -157,7 +157,7 @@
         let value = response.header(name)?;
         value.to_str().ok().map(str::to_owned)
     };
-    let named = header(OUTCOME_HEADER);
+    let outcome_name = header(OUTCOME_HEADER);
     let retry_after = header(RETRY_HEADER).and_then(|text| text.parse().ok());
     let status = response.status().as_u16();
     let mut body = Vec::new();
@@ -176,8 +176,8 @@
             }
         }
     }
-    let outcome = match named.as_deref() {
-        _ if !whole => CallOutcome::Cut,
+    let outcome = match outcome_name.as_deref() {
+        _ if !whole => CallOutcome::Disconnected,
         Some(name) => outcome_of(name),
         None => stream_outcome(&mut body),
     };
@@ -196,16 +196,16 @@
         ANSWERED => CallOutcome::Answered,
         NOT_RUN => CallOutcome::NotRun,
         UNKNOWN => CallOutcome::Unknown,
-        _ => CallOutcome::Cut,
+        _ => CallOutcome::Disconnected,
     }
 }
 
-/// Finds the outcome at a stream's end, and takes it off.
+/// Removes the outcome from the end of a stream and returns it.
 fn stream_outcome(body: &mut Vec<u8>) -> CallOutcome {
-    let mark = format!(": {OUTCOME_HEADER} ");
+    let prefix = format!(": {OUTCOME_HEADER} ");
     let text = String::from_utf8_lossy(body).into_owned();
-    let Some(at) = text.rfind(&mark) else { return CallOutcome::Cut };
-    let outcome = outcome_of(text[at + mark.len()..].trim());
+    let Some(at) = text.rfind(&prefix) else { return CallOutcome::Disconnected };
+    let outcome = outcome_of(text[at + prefix.len()..].trim());
     body.truncate(at);
     outcome
 }
--- a/crates/ryetide-lab/src/control.rs
+++ b/crates/ryetide-lab/src/control.rs
@@ -1,4 +1,4 @@
-//! Blocking calls, for tests: to stand-ins' controls and to operators' ports.
+//! Blocking calls for tests: to the control interfaces of stand-ins and to operators' ports.
 
 use std::{net::SocketAddr, time::Duration};
 
@@ -10,17 +10,17 @@
 use ryetide_core::json_form;
 use serde::{Serialize, de::DeserializeOwned};
 
-/// A call may take this long.
-const CALL_LIMIT: Duration = Duration::from_secs(20);
-/// The largest answer.
-const ANSWER_LIMIT: usize = 64 << 20;
+/// The timeout for a call.
+const CALL_TIMEOUT: Duration = Duration::from_secs(20);
+/// The maximum size of an answer, in bytes.
+const ANSWER_SIZE_LIMIT: usize = 64 << 20;
 
-/// Runs a future that belongs to one thread, with a runtime of its own.
+/// Runs a future to completion on a new single-threaded runtime.
 pub fn block_on<T: 'static>(future: impl Future<Output = T> + 'static) -> T {
     System::new("control", DefaultRuntime).block_on(future)
 }
 
-/// Calls `path` and returns the answer's body.
+/// Calls `path` and returns the body of the answer.
 ///
 /// # Errors
 ///
@@ -35,17 +35,17 @@
     let exchange = async move {
         let fault = |cause: String| StepError::new("call", cause).with_peer(address);
         let client = FreshClient::new("control").await?;
-        let connection = client.connect(address, CALL_LIMIT).await;
-        let connection = connection.ok_or_else(|| fault("nobody listens".to_owned()))?;
+        let connection = client.connect(address, CALL_TIMEOUT).await;
+        let connection = connection.ok_or_else(|| fault("no connection".to_owned()))?;
         let sent = client.request(connection, method, &path).send_body(body).await;
         let response = sent.map_err(|error| fault(error.to_string()))?;
         let status = response.status();
-        let read = response.body().limit(ANSWER_LIMIT).await;
+        let read = response.body().limit(ANSWER_SIZE_LIMIT).await;
         let body = read.map_err(|error| fault(error.to_string()))?;
         if status.is_success() { Ok(body.to_vec()) } else { Err(fault(format!("status {status}"))) }
     };
     block_on(async move {
-        let done = tokio::time::timeout(CALL_LIMIT, exchange).await;
+        let done = tokio::time::timeout(CALL_TIMEOUT, exchange).await;
         done.unwrap_or_else(|_| Err(StepError::new("call", "timed out").with_peer(address)))
     })
 }
--- a/crates/ryetide-lab/src/demo.rs
+++ b/crates/ryetide-lab/src/demo.rs
@@ -1,9 +1,8 @@
-//! The demo: the harness association's floor and quoting desk, on embedded stand-ins.
+//! The demo: a deployment on embedded stand-ins with two tiers of very different requests.
 //!
-//! Three data centres with three entry VMs and three replicas of the drafting model each, of unlike
-//! speed, and a plain service for shop-floor records. Supervisors ask for short colour checks while
-//! planners upload long drawings, a hundredfold apart; for a while the drawings alone are more than
-//! the replicas can do.
+//! It has three data centres, each with three entry VMs and three replicas of a model service of
+//! different speeds. The urgent tier has short prompts and the other tier prompts that are up to a
+//! hundred times as long, whose load alone temporarily exceeds the capacity of the replicas.
 
 use std::{
     collections::BTreeMap,
@@ -18,56 +17,56 @@
 
 use crate::{
     caller::{CallOutcome, CallTerms, TestCaller},
-    deployment::{ServiceSite, TargetSite, TextFrame},
+    deployment::{ServiceSite, SharingPolicy, TargetSite},
     engine_batch::{EnginePrompt, EngineSpeed},
     site::{LocalSite, SitePlan},
     workload::{self, WorkArrival, WorkClass},
 };
 
-/// How long arrivals last.
-const SPAN: Duration = Duration::from_secs(10);
+/// The time during which requests arrive.
+const ARRIVAL_TIME: Duration = Duration::from_secs(10);
 /// The seed of the arrivals.
 const SEED: u64 = 20_261_202;
-/// Times that a caller comes back after it was told when.
-const COMEBACKS: u32 = 1;
+/// The number of retries of a caller whose request did not run.
+const MAX_RETRIES: u32 = 1;
 const DATA_CENTRES: [&str; 3] = ["rajkot-hall", "ahd-hall", "morbi-hall"];
 const SERVICE: &str = "drafting";
 
-/// What the callers of one tier were told.
+/// The outcomes of the requests of one tier.
 #[derive(Clone, Debug, Default)]
 pub struct TierTally {
-    /// Requests.
+    /// All requests.
     pub offered: u64,
-    /// Whole answers within the deadline.
+    /// Requests answered completely within the deadline.
     pub answered: u64,
-    /// Whole answers after the deadline.
+    /// Requests answered completely after the deadline.
     pub late: u64,
-    /// Not run, after coming back.
+    /// Requests that did not run, after all retries.
     pub not_run: u64,
-    /// May have run.
+    /// Requests that may have run.
     pub unknown: u64,
-    /// Connections that failed.
-    pub cut: u64,
-    /// Answers that were not what the caller must receive.
+    /// Requests whose connection failed.
+    pub disconnected: u64,
+    /// Requests with a wrong answer.
     pub wrong: u64,
-    /// Tokens of answers within the deadline.
+    /// Tokens of the answers within the deadline.
     pub tokens: u64,
-    /// Comebacks after "not run".
-    pub comebacks: u64,
+    /// Retries of requests that did not run.
+    pub retries: u64,
 }
 
-/// The demo's result.
+/// The results of the demo.
 #[derive(Clone, Debug, Default)]
 pub struct DemoReport {
-    /// By tier.
+    /// Outcomes by tier.
     pub tiers: BTreeMap<String, TierTally>,
-    /// Prompt tokens that the engines worked on.
+    /// Prompt tokens that the engines processed.
     pub prefilled: u64,
-    /// Prompt tokens worked on for answers that were not received in time.
+    /// Prompt tokens processed for answers that were not received in time.
     pub wasted: u64,
-    /// Requests dispatched more than once, as the engines count.
-    pub doubled: u64,
-    /// How long it took.
+    /// Requests that the engines received more than once.
+    pub duplicates: u64,
+    /// The duration of the demo.
     pub took: Duration,
 }
 
@@ -75,32 +74,32 @@
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         writeln!(
             formatter,
-            "{:<8} {:>8} {:>9} {:>6} {:>8} {:>8} {:>4} {:>6} {:>10} {:>10}",
+            "{:<8} {:>8} {:>9} {:>6} {:>8} {:>8} {:>12} {:>6} {:>10} {:>10}",
             "tier",
             "offered",
             "answered",
             "late",
             "not-run",
             "unknown",
-            "cut",
+            "disconnected",
             "wrong",
             "tokens/s",
-            "comebacks"
+            "retries"
         )?;
         for (tier, tally) in &self.tiers {
             writeln!(
                 formatter,
-                "{:<8} {:>8} {:>9} {:>6} {:>8} {:>8} {:>4} {:>6} {:>10.0} {:>10}",
+                "{:<8} {:>8} {:>9} {:>6} {:>8} {:>8} {:>12} {:>6} {:>10.0} {:>10}",
                 tier,
                 tally.offered,
                 tally.answered,
                 tally.late,
                 tally.not_run,
                 tally.unknown,
-                tally.cut,
+                tally.disconnected,
                 tally.wrong,
-                tally.tokens as f64 / SPAN.as_secs_f64(),
-                tally.comebacks
+                tally.tokens as f64 / ARRIVAL_TIME.as_secs_f64(),
+                tally.retries
             )?;
         }
         let share = 100.0 * self.wasted as f64 / self.prefilled.max(1) as f64;
@@ -109,7 +108,7 @@
             "wasted prefill: {} of {} prompt tokens ({share:.2} %)",
             self.wasted, self.prefilled
         )?;
-        writeln!(formatter, "dispatched more than once: {}", self.doubled)?;
+        writeln!(formatter, "dispatched more than once: {}", self.duplicates)?;
         write!(formatter, "took {:.1} s", self.took.as_secs_f64())
     }
 }
@@ -122,15 +121,15 @@
 pub fn run() -> Result<DemoReport, StepError> {
     let started = Instant::now();
     let site = LocalSite::start(&plan())?;
-    let arrivals = workload::draw(&classes(), SPAN, SEED);
-    let doors = site.doors();
+    let arrivals = workload::draw(&classes(), ARRIVAL_TIME, SEED);
+    let caller_addresses = site.caller_addresses();
     let results = System::new("callers", DefaultRuntime)
-        .block_on(async move { play(arrivals, doors).await })?;
+        .block_on(async move { run_arrivals(arrivals, caller_addresses).await })?;
     let mut report = DemoReport { tiers: results.tiers, ..DemoReport::default() };
     for engine in site.engines() {
         let record = engine.record();
         report.prefilled += record.prefilled;
-        report.doubled += record.dispatches.values().filter(|count| **count > 1).count() as u64;
+        report.duplicates += record.dispatches.values().filter(|count| **count > 1).count() as u64;
     }
     report.wasted = results.wasted;
     site.stop()?;
@@ -138,15 +137,15 @@
     Ok(report)
 }
 
-/// The association's deployment: nine replicas of three speeds.
+/// Returns the deployment: nine replicas of three speeds.
 fn plan() -> SitePlan {
     let speeds = [1.0, 0.7, 0.4];
     let mut targets = Vec::new();
-    for (index, centre) in DATA_CENTRES.iter().enumerate() {
+    for (index, data_centre) in DATA_CENTRES.iter().enumerate() {
         for (replica, factor) in speeds.iter().enumerate() {
             targets.push(TargetSite {
                 name: format!("drafting-{index}-{replica}"),
-                data_centre: (*centre).to_owned(),
+                data_centre: (*data_centre).to_owned(),
                 address: SocketAddr::from(([127, 0, 0, 1], 0)),
                 speed: Some(EngineSpeed {
                     slots: 8,
@@ -162,12 +161,14 @@
         entries: DATA_CENTRES
             .iter()
             .enumerate()
-            .flat_map(|(index, centre)| {
-                (0..3).map(move |number| (format!("entry-{index}-{number}"), (*centre).to_owned()))
+            .flat_map(|(index, data_centre)| {
+                (0..3).map(move |number| {
+                    (format!("entry-{index}-{number}"), (*data_centre).to_owned())
+                })
             })
             .collect(),
         services: vec![ServiceSite { name: SERVICE.to_owned(), targets, depends_on: Vec::new() }],
-        frame: TextFrame {
+        policy: SharingPolicy {
             tiers: vec![
                 ("floor".to_owned(), "2s".to_owned(), 1.0),
                 ("desk".to_owned(), "10s".to_owned(), 0.8),
@@ -205,26 +206,26 @@
 }
 
 #[derive(Default)]
-struct PlayResults {
+struct CallResults {
     tiers: BTreeMap<String, TierTally>,
     wasted: u64,
 }
 
-/// Plays the arrivals at their times, each through the next entry VM in turn, as a balancer would.
-async fn play(
+/// Sends the requests at their arrival times, to the entry VMs in turn, as a load balancer would.
+async fn run_arrivals(
     arrivals: Vec<WorkArrival>,
-    doors: Vec<SocketAddr>,
-) -> Result<PlayResults, StepError> {
+    caller_addresses: Vec<SocketAddr>,
+) -> Result<CallResults, StepError> {
     let caller = TestCaller::new().await?;
-    let results = Rc::new(std::cell::RefCell::new(PlayResults::default()));
+    let results = Rc::new(std::cell::RefCell::new(CallResults::default()));
     let start = tokio::time::Instant::now();
     let mut calls = Vec::new();
     for (index, arrival) in arrivals.into_iter().enumerate() {
         tokio::time::sleep_until(start + arrival.at).await;
-        let door = doors[index % doors.len()];
+        let entry = caller_addresses[index % caller_addresses.len()];
         let (caller, results) = (caller.clone(), Rc::clone(&results));
         calls.push(ntex::rt::spawn(async move {
-            call(&caller, door, &arrival, &results).await;
+            call(&caller, entry, &arrival, &results).await;
         }));
     }
     for one in calls {
@@ -235,9 +236,9 @@
 
 async fn call(
     caller: &TestCaller,
-    door: SocketAddr,
+    entry: SocketAddr,
     arrival: &WorkArrival,
-    results: &std::cell::RefCell<PlayResults>,
+    results: &std::cell::RefCell<CallResults>,
 ) {
     let prompt = EnginePrompt {
         model: arrival.service.clone(),
@@ -254,15 +255,15 @@
         non_idempotent: false,
     };
     let started = Instant::now();
-    let mut comebacks = 0;
+    let mut retries = 0;
     let result = loop {
         terms.deadline = arrival.deadline.saturating_sub(started.elapsed());
-        let result = caller.prompt(door, &terms, &prompt).await;
-        let again =
+        let result = caller.prompt(entry, &terms, &prompt).await;
+        let retry_delay =
             result.retry_after.filter(|after| started.elapsed() + *after < arrival.deadline);
-        match again {
-            Some(after) if result.outcome == CallOutcome::NotRun && comebacks < COMEBACKS => {
-                comebacks += 1;
+        match retry_delay {
+            Some(after) if result.outcome == CallOutcome::NotRun && retries < MAX_RETRIES => {
+                retries += 1;
                 tokio::time::sleep(after).await;
             }
             _ => break result,
@@ -273,7 +274,7 @@
     let wrong = result.body != prompt.expected_stream().as_bytes();
     let tally = results.tiers.entry(arrival.tier.clone()).or_default();
     tally.offered += 1;
-    tally.comebacks += u64::from(comebacks);
+    tally.retries += u64::from(retries);
     match result.outcome {
         CallOutcome::Answered if wrong => tally.wrong += 1,
         CallOutcome::Answered if late => tally.late += 1,
@@ -283,11 +284,11 @@
         }
         CallOutcome::NotRun => tally.not_run += 1,
         CallOutcome::Unknown => tally.unknown += 1,
-        CallOutcome::Cut => tally.cut += 1,
+        CallOutcome::Disconnected => tally.disconnected += 1,
     }
-    let useless =
+    let is_wasted =
         result.outcome != CallOutcome::NotRun && (late || result.outcome != CallOutcome::Answered);
-    if useless {
+    if is_wasted {
         results.wasted += prompt.prompt_tokens();
     }
 }
--- a/crates/ryetide-lab/src/deployment.rs
+++ b/crates/ryetide-lab/src/deployment.rs
@@ -1,4 +1,4 @@
-//! Deployments on loopback: the settings of daemons, their services text, and the list of VMs.
+//! Descriptions of deployments on loopback: daemon settings, the services text, the list of VMs.
 
 use std::{
     net::{Ipv4Addr, SocketAddr},
@@ -16,20 +16,20 @@
 /// An entry VM of a deployment.
 #[derive(Clone, Debug)]
 pub struct EntrySite {
-    /// Its name.
+    /// The VM's name.
     pub name: String,
-    /// Its data centre.
+    /// The VM's data centre.
     pub data_centre: String,
-    /// Where callers connect.
+    /// The address on which callers connect.
     pub callers: SocketAddr,
-    /// Where operators connect.
+    /// The address on which operators connect.
     pub operators: SocketAddr,
-    /// Where peers connect.
+    /// The address on which peers connect.
     pub peers: SocketAddr,
 }
 
 impl EntrySite {
-    /// Creates a VM whose daemon is to bind free ports; the addresses are filled in once it has.
+    /// Creates a VM whose daemon binds free ports. The addresses are set after it has started.
     pub fn unbound(name: &str, data_centre: &str) -> Self {
         let free = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
         Self {
@@ -41,7 +41,7 @@
         }
     }
 
-    /// Returns the VM's settings, with keys from `directory` and the peers in `known`.
+    /// Returns the settings of the VM's daemon, with keys from `directory` and the peers in `known`.
     pub fn settings(&self, directory: &Path, platform: SocketAddr, known: &[&EntrySite]) -> String {
         let directory = directory.display();
         let known: Vec<String> = known.iter().map(|peer| peer.known()).collect();
@@ -64,7 +64,7 @@
         format!("{{name: {name}, data-centre: {data_centre}, address: '{peers}'}}")
     }
 
-    /// Returns the VM's line in the platform's list.
+    /// Returns the VM's entry in the platform's list.
     pub fn listed(&self) -> ListedVm {
         ListedVm {
             name: self.name.clone(),
@@ -78,49 +78,49 @@
 /// A target of a deployment.
 #[derive(Clone, Debug)]
 pub struct TargetSite {
-    /// Its name.
+    /// The target's name.
     pub name: String,
-    /// Its data centre.
+    /// The target's data centre.
     pub data_centre: String,
-    /// Where it listens.
+    /// The address on which it listens.
     pub address: SocketAddr,
-    /// Its speed; none for plain services.
+    /// The speed of an engine, or `None` for a plain service.
     pub speed: Option<EngineSpeed>,
 }
 
 /// A service of a deployment.
 #[derive(Clone, Debug)]
 pub struct ServiceSite {
-    /// Its name.
+    /// The service's name.
     pub name: String,
-    /// Its targets.
+    /// The service's targets.
     pub targets: Vec<TargetSite>,
-    /// What it depends on.
+    /// The services on which it depends.
     pub depends_on: Vec<String>,
 }
 
-/// What a services text declares besides services.
+/// The tiers and organisations of a services text.
 #[derive(Clone, Debug)]
-pub struct TextFrame {
-    /// Tiers with the longest wait and the part of each target they may fill.
+pub struct SharingPolicy {
+    /// The tiers, each with its maximum wait and the share of each target that it may fill.
     pub tiers: Vec<(String, String, f64)>,
-    /// Organisations with their shares.
+    /// The organisations with their shares.
     pub organisations: Vec<(String, u32)>,
 }
 
-/// Slots of a plain service's target.
+/// The number of slots of a plain service's target.
 const PLAIN_SLOTS: usize = 32;
-/// Tokens of a plain service's target.
+/// The token limit of a plain service's target, high enough to have no effect.
 const PLAIN_TOKENS: u64 = 10_000_000;
 
-/// Writes a services text.
-pub fn services_text(frame: &TextFrame, services: &[ServiceSite]) -> String {
+/// Returns a services text.
+pub fn services_text(policy: &SharingPolicy, services: &[ServiceSite]) -> String {
     let mut text = "tiers:\n".to_owned();
-    for (name, wait, fill) in &frame.tiers {
+    for (name, wait, fill) in &policy.tiers {
         text += &format!("  - {{name: {name}, wait: {wait}, fill: {fill}}}\n");
     }
     text.push_str("organisations:\n");
-    for (name, share) in &frame.organisations {
+    for (name, share) in &policy.organisations {
         text += &format!("  - {{name: {name}, share: {share}}}\n");
     }
     text.push_str("services:\n");
@@ -153,17 +153,17 @@
     text.push_str("}\n");
 }
 
-/// Puts a services text into the platform's table as revision 1, as an earlier `apply` would have.
+/// Writes a services text to the platform's table as revision 1, like an earlier `apply`.
 ///
 /// # Errors
 ///
-/// Returns a [`StepError`] when the table holds a text already.
+/// Returns a [`StepError`] when the table already has a text.
 pub fn install_text(platform: &PlatformStandIn, text: &str) -> Result<(), StepError> {
     let row = serde_json::json!({"revision": 1, "operation": 1, "text": text});
     let key = CONFIGURATION_KEY.to_owned();
     let command = TableCommand::Write { key, expected: 0, value: row.to_string() };
     match platform.run(&command) {
         TableAnswer::Written(_) => Ok(()),
-        _ => Err(StepError::new("install text", "the table holds a text already")),
+        _ => Err(StepError::new("install text", "the table already has a text")),
     }
 }
--- a/crates/ryetide-lab/src/engine.rs
+++ b/crates/ryetide-lab/src/engine.rs
@@ -1,13 +1,13 @@
-//! A model engine over HTTP.
+//! The stand-in for a model engine over HTTP.
 //!
-//! | call | what it does |
+//! | call | effect |
 //! |---|---|
 //! | `POST /v1/requests/{id}` | runs a prompt and streams the answer |
 //! | `GET /v1/requests/{id}?offset=N` | streams the answer from byte N; 404 for an unknown id |
-//! | `DELETE /v1/requests/{id}` | stops work on it |
-//! | `GET /v1/load` | the load as it was some time ago, and cache events, late and with gaps |
-//! | `POST /v1/orders` | takes an order; with a fencing check, refuses an old number with 412 |
-//! | `POST /lab/faults`, `GET /lab/record` | for tests |
+//! | `DELETE /v1/requests/{id}` | cancels the request |
+//! | `GET /v1/load` | returns the load with a delay, and cache events with a delay and losses |
+//! | `POST /v1/orders` | accepts an order; with a fencing check, refuses an old number with 412 |
+//! | `POST /lab/faults`, `GET /lab/record` | sets faults and returns the record, for tests |
 
 use std::{
     collections::{HashMap, VecDeque},
@@ -33,34 +33,34 @@
     server::{self, StandInServer},
 };
 
-/// The turn of the batch.
-const TURN: Duration = Duration::from_millis(2);
-/// How often the load is noted for later reports.
-const REPORT_STEP: Duration = Duration::from_millis(100);
-/// Every so many cache events one is lost.
-const CACHE_EVENT_GAP: usize = 5;
-/// Requests that may wait at the engine before it refuses more.
+/// The interval between two steps of the batch.
+const BATCH_INTERVAL: Duration = Duration::from_millis(2);
+/// The interval at which the load is recorded for delayed reports.
+const LOAD_INTERVAL: Duration = Duration::from_millis(100);
+/// One in this number of cache events is lost.
+const CACHE_EVENT_LOSS_INTERVAL: usize = 5;
+/// The number of queued requests at which the engine refuses more.
 const QUEUE_LIMIT: usize = 256;
 
 /// The faults of an engine.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(default)]
 pub struct EngineFaults {
-    /// It works this many times slower.
+    /// The factor by which the engine is slower than its speed.
     pub slowdown: f64,
-    /// It refuses new requests and says that it leaves.
+    /// Whether the engine refuses new requests and announces that it is leaving.
     pub leaving: bool,
-    /// It refuses new requests as busy.
+    /// Whether the engine refuses new requests as busy.
     pub busy: bool,
-    /// Streams are broken off after this many bytes, once each.
+    /// The number of bytes after which each stream is aborted once.
     pub break_after: Option<usize>,
-    /// Streams fall silent after this many bytes, without a reset, once each.
+    /// The number of bytes after which each stream stops once, without a reset.
     pub silent_after: Option<usize>,
-    /// It refuses orders whose fencing number is below the highest it has seen.
+    /// Whether the engine refuses orders with a fencing number below the highest seen.
     pub checks_fencing: bool,
-    /// It forgets every request that it knows.
+    /// Whether the engine answers resumes as if it did not know the request.
     pub forgetful: bool,
-    /// Load reports are this old.
+    /// The age of load reports, in milliseconds.
     pub report_lag_ms: u64,
 }
 
@@ -85,8 +85,8 @@
     faults: EngineFaults,
     wakers: HashMap<String, Vec<Waker>>,
     reports: VecDeque<(Instant, LoadReport)>,
-    /// Requests whose stream was broken off or silenced already.
-    spoilt: Vec<String>,
+    /// Requests whose stream was already aborted or silenced.
+    faulted: Vec<String>,
     stopped: bool,
 }
 
@@ -112,7 +112,7 @@
             faults: EngineFaults::default(),
             wakers: HashMap::new(),
             reports: VecDeque::new(),
-            spoilt: Vec::new(),
+            faulted: Vec::new(),
             stopped: false,
         }));
         let working = Arc::clone(&state);
@@ -151,17 +151,17 @@
         Ok(Self { state, server, worker: Some(worker) })
     }
 
-    /// Returns where the engine listens.
+    /// Returns the address on which the engine listens.
     pub fn address(&self) -> SocketAddr {
         self.server.address()
     }
 
-    /// Switches faults.
+    /// Sets the faults.
     pub fn set_faults(&self, faults: EngineFaults) {
         apply_faults(&self.state, faults);
     }
 
-    /// Returns what the engine has done.
+    /// Returns the record of what the engine has done.
     pub fn record(&self) -> EngineRecord {
         lock(&self.state).batch.record.clone()
     }
@@ -171,7 +171,7 @@
     fn drop(&mut self) {
         lock(&self.state).stopped = true;
         if let Some(worker) = self.worker.take() {
-            // A worker that panicked has said so.
+            // A panic of the worker has already been printed.
             let _ = worker.join();
         }
     }
@@ -181,35 +181,36 @@
     state.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
 }
 
-/// Works the batch until the engine is stopped.
+/// Advances the batch until the engine is stopped.
 fn work(state: &SharedEngine) {
     let mut last = Instant::now();
     let mut reported = last;
     loop {
-        thread::park_timeout(TURN);
+        thread::park_timeout(BATCH_INTERVAL);
         let now = Instant::now();
         let mut engine = lock(state);
         if engine.stopped {
             return;
         }
         let slowdown = engine.faults.slowdown;
-        let moved = engine.batch.work((now - last).as_secs_f64(), slowdown);
-        for id in moved {
+        let advanced = engine.batch.work((now - last).as_secs_f64(), slowdown);
+        for id in advanced {
             for waker in engine.wakers.remove(&id).unwrap_or_default() {
                 waker.wake();
             }
         }
-        if now - reported >= REPORT_STEP {
+        if now - reported >= LOAD_INTERVAL {
             reported = now;
-            note_load(&mut engine, now);
+            record_load(&mut engine, now);
         }
         last = now;
     }
 }
 
-fn note_load(engine: &mut EngineState, now: Instant) {
+fn record_load(engine: &mut EngineState, now: Instant) {
     let events = engine.batch.cached().enumerate();
-    let kept = events.filter(|(index, _)| index % CACHE_EVENT_GAP != CACHE_EVENT_GAP - 1);
+    let kept = events
+        .filter(|(index, _)| index % CACHE_EVENT_LOSS_INTERVAL != CACHE_EVENT_LOSS_INTERVAL - 1);
     let report = LoadReport {
         age_ms: 0,
         running: engine.batch.load(),
@@ -251,7 +252,7 @@
     state: EngineData,
 ) -> HttpResponse {
     let query = request.query_string();
-    // A resume that cannot be read is a fault of whoever sent it: read leniently, it would hide there.
+    // An invalid resume is rejected, so that an error of its sender is not hidden.
     let offset = if query.is_empty() { Some(0) } else { read_offset(query) };
     let Some(offset) = offset else { return HttpResponse::BadRequest().finish() };
     let shared = state.get_ref().clone();
@@ -280,7 +281,7 @@
     let lagging = engine.reports.front();
     let mut report = lagging.map(|(_, report)| report.clone()).unwrap_or_default();
     report.age_ms = lagging.map_or(0, |(at, _)| (now - *at).as_millis() as u64);
-    // Leaving is the one thing that an engine says without delay.
+    // The engine announces without delay that it is leaving.
     report.leaving = engine.faults.leaving;
     HttpResponse::Ok().json(&report)
 }
@@ -289,7 +290,7 @@
     query.strip_prefix("offset=")?.parse().ok()
 }
 
-/// The header that carries an order's fencing number.
+/// The header with an order's fencing number.
 pub const FENCING_HEADER: &str = "x-fencing-number";
 
 async fn order(request: HttpRequest, body: Bytes, state: EngineData) -> HttpResponse {
@@ -308,7 +309,7 @@
 }
 
 async fn set_faults(body: Bytes, state: EngineData) -> HttpResponse {
-    server::take_json(&body, |faults| apply_faults(state.get_ref(), faults))
+    server::apply_json(&body, |faults| apply_faults(state.get_ref(), faults))
 }
 
 async fn record(state: EngineData) -> HttpResponse {
@@ -318,7 +319,7 @@
 fn apply_faults(state: &SharedEngine, faults: EngineFaults) {
     let mut engine = lock(state);
     engine.faults = faults;
-    engine.spoilt.clear();
+    engine.faulted.clear();
 }
 
 fn stream(state: SharedEngine, id: String, offset: usize) -> HttpResponse {
@@ -326,7 +327,7 @@
     HttpResponse::Ok().content_type("text/event-stream").streaming(stream)
 }
 
-/// An answer on its way out of the engine.
+/// The body of a streamed answer.
 struct EngineStream {
     state: SharedEngine,
     id: String,
@@ -349,13 +350,13 @@
         };
         let (mut bytes, done) = request.stream_from(self.offset);
         let whole = request.is_done();
-        let spoil = engine.faults.break_after.or(engine.faults.silent_after);
-        let fresh = self.start == 0 && !engine.spoilt.contains(&self.id);
-        if let Some(limit) = spoil.filter(|_| fresh) {
-            let room = limit.saturating_sub(self.offset);
-            bytes.truncate(room);
+        let fault_limit = engine.faults.break_after.or(engine.faults.silent_after);
+        let is_unfaulted = self.start == 0 && !engine.faulted.contains(&self.id);
+        if let Some(limit) = fault_limit.filter(|_| is_unfaulted) {
+            let remaining = limit.saturating_sub(self.offset);
+            bytes.truncate(remaining);
             if bytes.is_empty() && self.offset >= limit {
-                engine.spoilt.push(self.id.clone());
+                engine.faulted.push(self.id.clone());
                 if engine.faults.break_after.is_some() {
                     return Poll::Ready(Some(Err(std::io::Error::other("broken off"))));
                 }
@@ -363,7 +364,7 @@
             }
         } else if bytes.is_empty() && done {
             self.ended = true;
-            // A cancelled answer is cut off rather than ended, so that nobody takes it for whole.
+            // The answer to a cancelled request is aborted, so that it is not taken for complete.
             let cut = (!whole).then(|| Err(std::io::Error::other("cancelled")));
             return Poll::Ready(cut);
         }
--- a/crates/ryetide-lab/src/engine_batch.rs
+++ b/crates/ryetide-lab/src/engine_batch.rs
@@ -1,8 +1,8 @@
-//! The inside of the engine stand-in: a continuous batch under a token budget, and a prefix cache.
+//! The model behind the engine stand-in: continuous batching with a token limit, and a prefix cache.
 //!
-//! Requests join the batch in the order of arrival while slots and tokens last. In each turn the
-//! prefill budget goes to the prompts in order, and every request past its prefill generates at the
-//! decode rate. Nothing is preempted, and nothing is known of tiers.
+//! Requests join the batch in order of arrival while slots and tokens are available. In each step the
+//! prefill budget is spent on the prompts in order, and every request after its prefill generates
+//! tokens at the decode rate. No request is preempted, and tiers are unknown to the engine.
 
 use std::collections::{BTreeMap, VecDeque};
 
@@ -12,18 +12,18 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-/// The speeds and sizes of an engine.
+/// The speed and capacity of an engine.
 #[derive(Clone, Copy, Debug, Deserialize, Serialize)]
 pub struct EngineSpeed {
-    /// Requests worked on at once.
+    /// The maximum number of requests in the batch.
     pub slots: usize,
-    /// Tokens held at once.
+    /// The maximum number of tokens in the batch.
     pub tokens: u64,
-    /// Prompt tokens worked on a second, shared by the batch.
+    /// The prompt tokens processed per second, over the whole batch.
     pub prefill_rate: f64,
-    /// Tokens generated a second by each stream.
+    /// The tokens generated per second for each request.
     pub decode_rate: f64,
-    /// Prefix blocks held in the cache.
+    /// The capacity of the prefix cache, in blocks.
     pub cache_blocks: usize,
 }
 
@@ -39,28 +39,28 @@
     }
 }
 
-/// What a prompt's body says to the engine.
+/// The body of a prompt.
 #[derive(Clone, Debug, Default, Deserialize, Serialize)]
 pub struct EnginePrompt {
-    /// The model, which ryetide takes as the service.
+    /// The model, which is the name of the service in ryetide.
     pub model: String,
     /// The prompt.
     pub prompt: String,
-    /// The most tokens to generate.
+    /// The maximum number of tokens to generate.
     pub max_tokens: u64,
-    /// Whether the caller wants a stream.
+    /// Whether the caller expects a stream.
     #[serde(default)]
     pub stream: bool,
-    /// For tests: how many tokens to generate, at most `max_tokens`.
+    /// For tests: the number of tokens to generate, at most `max_tokens`.
     #[serde(default)]
     pub lab_output: Option<u64>,
-    /// For tests: the length of each token's text.
+    /// For tests: the length of each token's text, in bytes.
     #[serde(default)]
     pub lab_token_bytes: Option<usize>,
 }
 
 impl EnginePrompt {
-    /// Returns how many tokens will be generated.
+    /// Returns the number of tokens to generate.
     pub fn output(&self) -> u64 {
         self.lab_output.unwrap_or(self.max_tokens).min(self.max_tokens)
     }
@@ -70,8 +70,8 @@
         (self.prompt.len() as u64 / 4).max(1)
     }
 
-    /// Returns the text of the token at `index`: a function of the prompt, so that a caller can tell
-    /// its own answer from every other.
+    /// Returns the text of the token at `index`. It depends on the prompt, so that a caller can
+    /// distinguish its own answer from any other.
     pub fn token(&self, index: u64) -> String {
         let hash = xxh3_64_with_seed(self.prompt.as_bytes(), index);
         let mut text = format!("{hash:016x} ");
@@ -88,12 +88,12 @@
         format!("data: {{\"choices\":[{{\"index\":0,\"text\":\"{}\"}}]}}\n\n", self.token(index))
     }
 
-    /// Returns the whole text that is generated.
+    /// Returns the complete generated text.
     pub fn expected_text(&self) -> String {
         (0..self.output()).map(|index| self.token(index)).collect()
     }
 
-    /// Returns the whole stream that is sent.
+    /// Returns the complete stream.
     pub fn expected_stream(&self) -> String {
         let events: String = (0..self.output()).map(|index| self.event(index)).collect();
         events + STREAM_END
@@ -103,14 +103,14 @@
 /// The last event of a stream.
 pub const STREAM_END: &str = "data: [DONE]\n\n";
 
-/// One request at the engine.
+/// The state of one request at the engine.
 #[derive(Debug)]
 pub struct EngineRequest {
     prompt: EnginePrompt,
     prefill_left: f64,
     generated: u64,
     credit: f64,
-    /// The stream so far, kept for resumes.
+    /// The stream generated so far, stored for resumes.
     stream: Vec<u8>,
     done: bool,
     cancelled: bool,
@@ -123,7 +123,7 @@
         (Bytes::copy_from_slice(&self.stream[start..]), self.done || self.cancelled)
     }
 
-    /// Returns whether the whole stream was generated.
+    /// Returns whether the complete stream was generated.
     pub fn is_done(&self) -> bool {
         self.done
     }
@@ -133,30 +133,30 @@
     }
 }
 
-/// What the engine has done, for tests to judge by.
+/// The record of what the engine has done, for tests.
 #[derive(Clone, Debug, Default, Deserialize, Serialize)]
 pub struct EngineRecord {
-    /// How often each request id was dispatched here.
+    /// The number of dispatches of each request id.
     pub dispatches: BTreeMap<String, u32>,
-    /// How often a stream was resumed.
+    /// The number of resumed streams.
     pub resumes: u64,
-    /// Requests that ran to their end.
+    /// The number of completed requests.
     pub completed: u64,
-    /// Requests that were cancelled.
+    /// The number of cancelled requests.
     pub cancelled: u64,
-    /// Requests that were refused.
+    /// The number of refused requests.
     pub refused: u64,
-    /// Prompt tokens worked on.
+    /// The number of prompt tokens processed.
     pub prefilled: u64,
-    /// Prompt tokens found in the cache.
+    /// The number of prompt tokens found in the cache.
     pub cached: u64,
-    /// Orders taken, with their fencing numbers.
+    /// The accepted orders with their fencing numbers.
     pub orders: Vec<(u64, String)>,
-    /// Prompts of the requests dispatched here, hashed, in order of arrival.
+    /// The hashes of the prompts dispatched to this engine, in order of arrival.
     pub prompts: Vec<u64>,
 }
 
-/// The batch, the queue before it, and the cache.
+/// An engine's batch, queue and prefix cache.
 #[derive(Debug)]
 pub struct EngineBatch {
     speed: EngineSpeed,
@@ -165,12 +165,12 @@
     running: Vec<String>,
     ended: VecDeque<String>,
     cache: VecDeque<u32>,
-    /// What the engine has done.
+    /// The record for tests.
     pub record: EngineRecord,
     generated: u64,
 }
 
-/// Ended requests kept for resumes.
+/// The number of completed requests that are stored for resumes.
 const ENDED_LIMIT: usize = 10_000;
 
 impl EngineBatch {
@@ -188,7 +188,7 @@
         }
     }
 
-    /// Takes a request; one whose id is known is counted again but not run again.
+    /// Accepts a request. A request with a known id is counted again but does not run again.
     pub fn dispatch(&mut self, id: &str, prompt: EnginePrompt) {
         *self.record.dispatches.entry(id.to_owned()).or_default() += 1;
         self.record.prompts.push(xxh3_64_with_seed(prompt.prompt.as_bytes(), 0));
@@ -213,7 +213,7 @@
         self.requests.get(id)
     }
 
-    /// Stops work on a request.
+    /// Cancels a request. Returns whether it was found and not completed.
     pub fn cancel(&mut self, id: &str) -> bool {
         let Some(request) = self.requests.get_mut(id).filter(|request| !request.done) else {
             return false;
@@ -225,17 +225,17 @@
         true
     }
 
-    /// Returns how many requests are in the batch or wait for it.
+    /// Returns the number of requests in the batch and the queue.
     pub fn load(&self) -> u32 {
         (self.running.len() + self.queue.len()) as u32
     }
 
-    /// Returns how many requests wait.
+    /// Returns the number of queued requests.
     pub fn queued(&self) -> usize {
         self.queue.len()
     }
 
-    /// Returns how many tokens were generated since the start.
+    /// Returns the number of tokens generated since the start.
     pub fn generated(&self) -> u64 {
         self.generated
     }
@@ -245,18 +245,19 @@
         self.cache.iter().copied()
     }
 
-    /// Works for `seconds`, `slowdown` times slower than usual; returns the requests that moved.
+    /// Advances the batch by `seconds` at a speed reduced by the factor `slowdown`. Returns the
+    /// requests with new output.
     pub fn work(&mut self, seconds: f64, slowdown: f64) -> Vec<String> {
         self.fill();
         let seconds = seconds / slowdown.max(1.0);
         let mut prefill = self.speed.prefill_rate * seconds;
-        let mut moved = Vec::new();
+        let mut advanced = Vec::new();
         let mut finished = Vec::new();
         for id in &self.running {
             let Some(request) = self.requests.get_mut(id) else { continue };
-            let part = request.prefill_left.min(prefill);
-            request.prefill_left -= part;
-            prefill -= part;
+            let processed = request.prefill_left.min(prefill);
+            request.prefill_left -= processed;
+            prefill -= processed;
             if request.prefill_left > 0.0 {
                 continue;
             }
@@ -275,17 +276,17 @@
                 finished.push(id.clone());
             }
             if request.generated > before || request.done {
-                moved.push(id.clone());
+                advanced.push(id.clone());
             }
         }
         self.running.retain(|id| !finished.contains(id));
         for id in finished {
             self.end(id);
         }
-        moved
+        advanced
     }
 
-    /// Lets waiting requests join the batch while slots and tokens last.
+    /// Moves queued requests into the batch while slots and tokens are available.
     fn fill(&mut self) {
         while self.running.len() < self.speed.slots {
             let Some(id) = self.queue.front() else { return };
@@ -304,10 +305,10 @@
                 return;
             }
             let prefixes = prefix_hashes(request.prompt.prompt.as_bytes());
-            let known = self.use_cache(&prefixes);
+            let hits = self.use_cache(&prefixes);
             let Some(id) = self.queue.pop_front() else { return };
             if let Some(request) = self.requests.get_mut(&id) {
-                let saved = (known as u64 * BLOCK_TOKENS).min(need);
+                let saved = (hits as u64 * BLOCK_TOKENS).min(need);
                 request.prefill_left = (need - saved) as f64;
                 self.record.cached += saved;
                 self.record.prefilled += need - saved;
@@ -316,15 +317,15 @@
         }
     }
 
-    /// Returns how many leading blocks were in the cache, and puts all of them there.
+    /// Returns the number of leading blocks found in the cache, and adds all blocks to it.
     fn use_cache(&mut self, prefixes: &[u32]) -> usize {
-        let known = prefixes.iter().take_while(|prefix| self.cache.contains(prefix)).count();
+        let hits = prefixes.iter().take_while(|prefix| self.cache.contains(prefix)).count();
         self.cache.retain(|held| !prefixes.contains(held));
         self.cache.extend(prefixes);
         while self.cache.len() > self.speed.cache_blocks {
             self.cache.pop_front();
         }
-        known
+        hits
     }
 
     fn end(&mut self, id: String) {
--- a/crates/ryetide-lab/src/lib.rs
+++ b/crates/ryetide-lab/src/lib.rs
@@ -1,18 +1,18 @@
-//! Small stand-ins for what ryetide meets, and a load tool. Never shipped; the `demo` of the
-//! operators' command line plays on them.
+//! Stand-ins for the systems around ryetide, and load tools. They are not part of a release; the
+//! operators' command `ryetide demo` runs on them.
 //!
-//! Each stand-in is a fake at one interface: it keeps its own record of what it was asked to do,
-//! which is what the tests judge by, and its faults are switched over `POST /lab/faults`.
+//! Each stand-in implements one interface. It records the requests it received, which the tests
+//! check, and its faults are set with `POST /lab/faults`.
 //!
-//! | module | what it is |
+//! | module | contents |
 //! |---|---|
 //! | [`engine`], [`engine_batch`] | a model engine: continuous batching, prefix cache, resume, cancel |
-//! | [`plain_service`] | a plain service with calls that may not be repeated |
+//! | [`plain_service`] | a plain service that counts how often each call ran |
 //! | [`platform`] | the table service, the object store and the lagging list of VMs |
-//! | [`relay`] | a TCP relay that can fall silent without a reset |
-//! | [`deployment`] | whole deployments on loopback |
-//! | [`site`], [`process_site`] | a whole deployment, in one process or in many |
-//! | [`process`], [`control`] | processes, and calls to stand-ins and daemons |
+//! | [`relay`] | a TCP relay that can stop forwarding without a reset |
+//! | [`deployment`] | descriptions of deployments: settings, services text, list of VMs |
+//! | [`site`], [`process_site`] | running deployments, in one process or in several |
+//! | [`server`], [`process`], [`control`] | HTTP servers, processes, and calls to them |
 //! | [`caller`], [`workload`] | callers, and seeded arrivals |
 //! | [`demo`], [`overhead`], [`slopes`] | the demo and the measurements |
 
--- a/crates/ryetide-lab/src/main.rs
+++ b/crates/ryetide-lab/src/main.rs
@@ -1,4 +1,4 @@
-//! The stand-ins as processes, and the measurements.
+//! The command-line tool that runs stand-ins and measurements.
 
 use std::{
     net::{SocketAddr, TcpListener},
@@ -12,54 +12,57 @@
 };
 
 mod flags {
-    #![allow(missing_docs, reason = "the macro writes the structs, and its help says what each is")]
+    #![allow(
+        missing_docs,
+        reason = "the macro generates the structs, whose help texts document them"
+    )]
     use std::{net::SocketAddr, path::PathBuf};
 
     xflags::xflags! {
-        /// Stand-ins for what ryetide meets, and measurements. Never shipped.
+        /// Stand-ins for the systems around ryetide, and measurements. Not part of a release.
         cmd ryetide-lab {
             /// Runs a model engine until it is killed.
             cmd engine {
-                /// Where it listens.
+                /// The address on which it listens.
                 required listen: SocketAddr
-                /// Requests worked on at once.
+                /// The maximum number of requests in the batch.
                 optional --slots slots: usize
-                /// Tokens held at once.
+                /// The maximum number of tokens in the batch.
                 optional --tokens tokens: u64
-                /// Prompt tokens a second.
+                /// Prompt tokens per second.
                 optional --prefill-rate rate: f64
-                /// Tokens a second of each stream.
+                /// Tokens per second of each stream.
                 optional --decode-rate rate: f64
             }
             /// Runs a plain service until it is killed.
             cmd plain {
-                /// Where it listens.
+                /// The address on which it listens.
                 required listen: SocketAddr
             }
             /// Runs a platform until it is killed.
             cmd platform {
-                /// Where it listens.
+                /// The address on which it listens.
                 required listen: SocketAddr
             }
             /// Runs a relay until it is killed.
             cmd relay {
-                /// Where it listens.
+                /// The address on which it listens.
                 required listen: SocketAddr
-                /// Where it leads.
+                /// The address to which it forwards.
                 required target: SocketAddr
             }
-            /// Measures what the way through a daemon adds.
+            /// Measures the latency that a daemon adds.
             cmd overhead {
                 /// The ryetided binary.
                 required daemon: PathBuf
-                /// Streams a second.
+                /// Streams per second.
                 optional --rate rate: u32
                 /// Seconds of each run.
                 optional --seconds seconds: u32
-                /// Runs of each way, in turn.
+                /// Runs of each path, alternating.
                 optional --runs runs: u32
             }
-            /// Measures the slopes from which docs/CAPACITY.md is worked out.
+            /// Measures the slopes on which docs/CAPACITY.md is based.
             cmd slopes {}
         }
     }
@@ -87,19 +90,19 @@
                 ..defaults
             };
             let stand_in = EngineStandIn::start(bind(engine.listen)?, speed)?;
-            stay(stand_in.address(), &stand_in)
+            wait_forever(stand_in.address(), &stand_in)
         }
         flags::RyetideLabCmd::Plain(plain) => {
             let stand_in = PlainStandIn::start(bind(plain.listen)?)?;
-            stay(stand_in.address(), &stand_in)
+            wait_forever(stand_in.address(), &stand_in)
         }
         flags::RyetideLabCmd::Platform(platform) => {
             let stand_in = PlatformStandIn::start(bind(platform.listen)?)?;
-            stay(stand_in.address(), &stand_in)
+            wait_forever(stand_in.address(), &stand_in)
         }
         flags::RyetideLabCmd::Relay(relay) => {
             let stand_in = RelayStandIn::start(bind(relay.listen)?, relay.target)?;
-            stay(stand_in.address(), &stand_in)
+            wait_forever(stand_in.address(), &stand_in)
         }
         flags::RyetideLabCmd::Overhead(options) => overhead::run(&overhead::OverheadOptions {
             daemon: options.daemon,
@@ -118,8 +121,8 @@
     TcpListener::bind(address).map_err(|error| StepError::new("bind", error).with_peer(address))
 }
 
-/// Says where a stand-in listens, and keeps it alive until the process is killed.
-fn stay<T>(address: SocketAddr, stand_in: &T) -> Result<(), StepError> {
+/// Prints a stand-in's address, and keeps it alive until the process is killed.
+fn wait_forever<T>(address: SocketAddr, stand_in: &T) -> Result<(), StepError> {
     println!("event=listening address={address}");
     loop {
         std::thread::park();
--- a/crates/ryetide-lab/src/overhead.rs
+++ b/crates/ryetide-lab/src/overhead.rs
@@ -1,8 +1,8 @@
-//! What the way through a daemon adds: the same load sent to an engine directly and through one
-//! `ryetided`, in turn, in one run.
+//! Measures the latency that a daemon adds: the same load is sent alternately to the engines directly
+//! and through one `ryetided`.
 //!
-//! The daemon, the engine and the platform are processes of their own. Arrivals are evenly spaced at
-//! the given rate, and each stream is short, so that the engine's own time is small and steady.
+//! The daemon, the engines and the platform are separate processes. Arrivals are evenly spaced at the
+//! given rate, and each stream is short, so that the engines' own time is small and constant.
 
 use std::{
     net::SocketAddr,
@@ -19,33 +19,33 @@
 use crate::{
     caller::{CallOutcome, CallTerms, TestCaller},
     control,
-    deployment::{ServiceSite, TargetSite, TextFrame},
+    deployment::{ServiceSite, SharingPolicy, TargetSite},
     engine_batch::{EnginePrompt, EngineSpeed},
     process_site::{ProcessSite, SitePrograms},
     site::SitePlan,
 };
 
-/// How to measure.
+/// The options of the measurement.
 #[derive(Clone, Debug)]
 pub struct OverheadOptions {
-    /// The ryetided binary; the lab's is this program.
+    /// The path of the ryetided binary.
     pub daemon: PathBuf,
-    /// Streams a second.
+    /// The streams per second.
     pub rate: u32,
-    /// Seconds of each run.
+    /// The duration of each run, in seconds.
     pub seconds: u32,
-    /// Runs of each way, in turn.
+    /// The number of runs of each path, direct and through the daemon.
     pub runs: u32,
 }
 
-/// The time that a kernel's clock tick stands for; Linux has 100 in a second.
-const TICK: Duration = Duration::from_millis(10);
-/// Engines behind the daemon.
+/// The duration of a clock tick in `/proc`; Linux has 100 per second.
+const CLOCK_TICK: Duration = Duration::from_millis(10);
+/// The number of engines behind the daemon.
 const ENGINES: usize = 6;
-/// Tokens of each answer.
+/// The length of each answer, in tokens.
 const OUTPUT: u64 = 8;
 
-struct WayResult {
+struct PathResult {
     total: Histogram<u64>,
     first: Histogram<u64>,
     answered: u64,
@@ -53,7 +53,7 @@
     took: Duration,
 }
 
-/// Measures and prints.
+/// Measures, and prints the results.
 ///
 /// # Errors
 ///
@@ -64,31 +64,31 @@
     let site = ProcessSite::start(&plan(), &programs)?;
     let daemon = &site.daemons[0];
     let engines: Vec<SocketAddr> = site.targets.iter().map(|target| target.address).collect();
-    let door = vec![daemon.site.callers];
+    let entries = vec![daemon.site.callers];
     let id = daemon.process.id();
     println!(
-        "way      run  streams/s  first p50  first p99  total p50  total p99  answered  core-ms/stream"
+        "path     run  streams/s  first p50  first p99  total p50  total p99  answered  core-ms/stream"
     );
     let mut added = Vec::new();
     for number in 1..=options.runs {
         let direct = measure(options, &engines, true, None)?;
-        let through = measure(options, &door, false, Some(id))?;
-        print_way("direct", number, &direct);
-        print_way("through", number, &through);
+        let through = measure(options, &entries, false, Some(id))?;
+        print_path("direct", number, &direct);
+        print_path("through", number, &through);
         let difference = |quantile: f64| {
-            let micros = |way: &WayResult| way.total.value_at_quantile(quantile) as f64 / 1_000.0;
+            let micros =
+                |result: &PathResult| result.total.value_at_quantile(quantile) as f64 / 1_000.0;
             micros(&through) - micros(&direct)
         };
         let busy = through.cpu.as_secs_f64().max(0.001);
         added.push((difference(0.5), difference(0.99), through.answered as f64 / busy));
     }
-    for (name, of) in [("p50", 0), ("p99", 1)] {
+    for (name, column) in [("p50", 0), ("p99", 1)] {
         let mut values: Vec<f64> =
-            added.iter().map(|(p50, p99, _)| if of == 0 { *p50 } else { *p99 }).collect();
+            added.iter().map(|(p50, p99, _)| if column == 0 { *p50 } else { *p99 }).collect();
         values.sort_by(f64::total_cmp);
-        let (least, middle, greatest) =
-            (values[0], values[values.len() / 2], values[values.len() - 1]);
-        println!("added at {name}: median {middle:.3} ms (min {least:.3}, max {greatest:.3})");
+        let (min, median, max) = (values[0], values[values.len() / 2], values[values.len() - 1]);
+        println!("added at {name}: median {median:.3} ms (min {min:.3}, max {max:.3})");
     }
     let mut rates: Vec<f64> = added.iter().map(|(_, _, rate)| *rate).collect();
     rates.sort_by(f64::total_cmp);
@@ -97,8 +97,8 @@
 }
 
 fn plan() -> SitePlan {
-    // Several engines, since every dispatch opens a connection of its own: one address would run out
-    // of ports that are not in TIME_WAIT after 28,000 connections within a minute.
+    // Every dispatch opens a new connection. With one engine, all ports to its address would be in
+    // TIME_WAIT after 28,000 connections within a minute.
     let engine = |number: usize| TargetSite {
         name: format!("engine-{number}"),
         data_centre: "hall".to_owned(),
@@ -118,7 +118,7 @@
             targets: (0..ENGINES).map(engine).collect(),
             depends_on: Vec::new(),
         }],
-        frame: TextFrame {
+        policy: SharingPolicy {
             tiers: vec![("floor".to_owned(), "5s".to_owned(), 1.0)],
             organisations: vec![("asha".to_owned(), 1)],
         },
@@ -130,32 +130,32 @@
     addresses: &[SocketAddr],
     direct: bool,
     process: Option<u32>,
-) -> Result<WayResult, StepError> {
+) -> Result<PathResult, StepError> {
     let used = || process.map_or(Ok(Duration::ZERO), cpu_time);
     let before = used()?;
     let started = Instant::now();
-    let (count, gap) =
+    let (count, interval) =
         (options.rate * options.seconds, Duration::from_secs(1) / options.rate.max(1));
     let addresses = addresses.to_vec();
     let (total, first, answered) =
-        control::block_on(async move { play(&addresses, direct, count, gap).await })?;
+        control::block_on(async move { send_all(&addresses, direct, count, interval).await })?;
     let took = started.elapsed();
     let cpu = used()?.saturating_sub(before);
-    Ok(WayResult { total, first, answered, cpu, took })
+    Ok(PathResult { total, first, answered, cpu, took })
 }
 
-async fn play(
+async fn send_all(
     addresses: &[SocketAddr],
     direct: bool,
     count: u32,
-    gap: Duration,
+    interval: Duration,
 ) -> Result<(Histogram<u64>, Histogram<u64>, u64), StepError> {
     let histogram = || Histogram::<u64>::new(3).expect("three digits are permitted");
     let caller = Rc::new(TestCaller::new().await?);
     let start = tokio::time::Instant::now();
     let mut calls = Vec::new();
     for number in 0..count {
-        tokio::time::sleep_until(start + gap * number).await;
+        tokio::time::sleep_until(start + interval * number).await;
         let caller = Rc::clone(&caller);
         let address = addresses[number as usize % addresses.len()];
         calls.push(ntex::rt::spawn(async move {
@@ -174,7 +174,7 @@
             };
             let result = caller.call(address, Method::POST, &path, &terms(), body).await;
             let whole = result.body == prompt.expected_stream().as_bytes();
-            // A direct answer carries no outcome; its bytes say that it is whole.
+            // A direct answer has no outcome, so only its bytes show that it is complete.
             let good = whole && (direct || result.outcome == CallOutcome::Answered);
             (good, result.first_byte, result.total)
         }));
@@ -184,7 +184,7 @@
         let (good, first_byte, took) =
             call.await.map_err(|error| StepError::new("call", error.to_string()))?;
         answered += u64::from(good);
-        // These histograms grow by themselves; saturating would cut off at their first size.
+        // These histograms resize on `record`; `saturating_record` would clip at their initial range.
         let fault = |error| StepError::new("count", error);
         total.record(took.as_micros() as u64).map_err(fault)?;
         if let Some(first_byte) = first_byte {
@@ -204,19 +204,19 @@
     }
 }
 
-fn print_way(name: &str, number: u32, way: &WayResult) {
+fn print_path(name: &str, number: u32, result: &PathResult) {
     let millis = |histogram: &Histogram<u64>, quantile: f64| {
         histogram.value_at_quantile(quantile) as f64 / 1_000.0
     };
     println!(
         "{name:<8} {number:>3}  {:>9.0}  {:>6.3} ms  {:>6.3} ms  {:>6.3} ms  {:>6.3} ms  {:>8}  {:>14.3}",
-        way.total.len() as f64 / way.took.as_secs_f64(),
-        millis(&way.first, 0.5),
-        millis(&way.first, 0.99),
-        millis(&way.total, 0.5),
-        millis(&way.total, 0.99),
-        way.answered,
-        way.cpu.as_secs_f64() * 1_000.0 / way.answered.max(1) as f64,
+        result.total.len() as f64 / result.took.as_secs_f64(),
+        millis(&result.first, 0.5),
+        millis(&result.first, 0.99),
+        millis(&result.total, 0.5),
+        millis(&result.total, 0.99),
+        result.answered,
+        result.cpu.as_secs_f64() * 1_000.0 / result.answered.max(1) as f64,
     );
 }
 
@@ -224,8 +224,7 @@
 ///
 /// # Errors
 ///
-/// Returns a [`StepError`] where the system does not tell: a measurement that cannot be taken is not
-/// zero.
+/// Returns a [`StepError`] when the system does not provide the time, which must not count as zero.
 pub fn cpu_time(id: u32) -> Result<Duration, StepError> {
     let fault = |cause: String| StepError::new("read processor time", cause).with_peer(id);
     let stat = std::fs::read_to_string(format!("/proc/{id}/stat"))
@@ -234,7 +233,7 @@
     let fields: Vec<&str> = after_name.split_whitespace().collect();
     let ticks = |index: usize| -> Result<u32, StepError> {
         let field = fields.get(index).ok_or_else(|| fault(format!("no field {index}")))?;
-        field.parse().map_err(|_| fault(format!("{field} is no number")))
+        field.parse().map_err(|_| fault(format!("{field} is not a number")))
     };
-    Ok(TICK * (ticks(11)? + ticks(12)?))
+    Ok(CLOCK_TICK * (ticks(11)? + ticks(12)?))
 }
--- a/crates/ryetide-lab/src/plain_service.rs
+++ b/crates/ryetide-lab/src/plain_service.rs
@@ -1,4 +1,4 @@
-//! A plain service over HTTP: it does what a call says, once for each time it is called, and counts.
+//! The stand-in for a plain service over HTTP. It runs each call that it receives, and counts them.
 
 use std::{
     collections::BTreeMap,
@@ -25,26 +25,26 @@
 #[derive(Clone, Debug, Default, Deserialize, Serialize)]
 #[serde(default)]
 pub struct PlainFaults {
-    /// Each call takes this long.
+    /// The duration of each call, in milliseconds.
     pub delay_ms: u64,
-    /// It does the work and then answers nothing.
+    /// Whether it runs calls without answering them.
     pub lose_answers: bool,
-    /// It refuses calls.
+    /// Whether it refuses calls.
     pub busy: bool,
-    /// It says in its answers that it leaves.
+    /// Whether it announces in its answers that it is leaving.
     pub leaving: bool,
-    /// It says when it refuses a call for how long it wants none, in seconds.
+    /// The back-off that it announces with a refusal, in seconds.
     pub hold_off_s: Option<u32>,
 }
 
-/// What a plain service has done.
+/// The record of what a plain service has done.
 #[derive(Clone, Debug, Default, Deserialize, Serialize)]
 pub struct PlainRecord {
-    /// How often each request id was run.
+    /// The number of runs of each request id.
     pub runs: BTreeMap<String, u32>,
-    /// How often each body was run.
+    /// The number of runs of each body.
     pub bodies: BTreeMap<String, u32>,
-    /// Calls that were refused.
+    /// The number of refused calls.
     pub refused: u32,
 }
 
@@ -89,17 +89,17 @@
         Ok(Self { state, server })
     }
 
-    /// Returns where the service listens.
+    /// Returns the address on which the service listens.
     pub fn address(&self) -> SocketAddr {
         self.server.address()
     }
 
-    /// Switches faults.
+    /// Sets the faults.
     pub fn set_faults(&self, faults: PlainFaults) {
         lock(&self.state).faults = faults;
     }
 
-    /// Returns what the service has done.
+    /// Returns the record of what the service has done.
     pub fn record(&self) -> PlainRecord {
         lock(&self.state).record.clone()
     }
@@ -142,7 +142,7 @@
 }
 
 async fn set_faults(body: Bytes, state: PlainData) -> HttpResponse {
-    server::take_json(&body, |faults| lock(state.get_ref()).faults = faults)
+    server::apply_json(&body, |faults| lock(state.get_ref()).faults = faults)
 }
 
 async fn record(state: PlainData) -> HttpResponse {
--- a/crates/ryetide-lab/src/platform.rs
+++ b/crates/ryetide-lab/src/platform.rs
@@ -1,11 +1,12 @@
-//! The platform: a table service, an object store and a lagging list of VMs, behind one listener.
+//! The stand-in for the platform: a table service, an object store and a delayed list of VMs, behind
+//! one listener.
 //!
-//! | call | what it does |
+//! | call | effect |
 //! |---|---|
 //! | `POST /table` | one read or conditional write |
 //! | `GET`/`PUT /objects/{key}` | reads or writes an object |
-//! | `GET /vms` | the list as it was some time ago |
-//! | `POST /lab/vms`, `POST /lab/faults`, `GET /lab/record` | for tests |
+//! | `GET /vms` | returns the list with a delay |
+//! | `POST /lab/vms`, `POST /lab/faults`, `GET /lab/record` | control interface for tests |
 
 use std::{
     collections::{BTreeMap, VecDeque},
@@ -29,30 +30,30 @@
 #[derive(Clone, Debug, Default, Deserialize, Serialize)]
 #[serde(default)]
 pub struct PlatformFaults {
-    /// Everything is refused, and nothing is done.
+    /// Whether all calls are refused without effect.
     pub down: bool,
-    /// Each call takes this long.
+    /// The duration of each call, in milliseconds.
     pub delay_ms: u64,
-    /// Writes take effect, and their answers are lost; this many of them.
+    /// The number of next writes that take effect without being answered.
     pub lose_write_answers: u32,
-    /// The list is this old.
+    /// The age of the list, in milliseconds.
     pub list_lag_ms: u64,
 }
 
-/// What the platform has done.
+/// The record of what the platform has done.
 #[derive(Clone, Debug, Default, Deserialize, Serialize)]
 pub struct PlatformRecord {
-    /// Reads of the table.
+    /// The number of reads of the table.
     pub reads: u64,
-    /// Writes that took effect.
+    /// The number of writes that took effect.
     pub writes: u64,
-    /// Writes that met another version.
+    /// The number of writes that failed because of another version.
     pub conflicts: u64,
-    /// Reads of the list.
+    /// The number of reads of the list.
     pub list_reads: u64,
 }
 
-/// The table's rows. A row's version starts at 1 and rises with each write.
+/// The rows of the table. The version of a row starts at 1 and increases with each write.
 #[derive(Debug, Default)]
 pub struct TableRows {
     rows: BTreeMap<String, TableRow>,
@@ -83,7 +84,7 @@
 struct PlatformState {
     table: TableRows,
     objects: BTreeMap<String, Vec<u8>>,
-    /// The list's past, the oldest first.
+    /// The versions of the list with the times of their changes, oldest first.
     lists: VecDeque<(Option<Instant>, Vec<ListedVm>)>,
     faults: PlatformFaults,
     record: PlatformRecord,
@@ -132,27 +133,27 @@
         Ok(Self { state, server })
     }
 
-    /// Returns where the platform listens.
+    /// Returns the address on which the platform listens.
     pub fn address(&self) -> SocketAddr {
         self.server.address()
     }
 
-    /// Switches faults.
+    /// Sets the faults.
     pub fn set_faults(&self, faults: PlatformFaults) {
         lock(&self.state).faults = faults;
     }
 
-    /// Changes the list of VMs; readers see it after the lag.
+    /// Replaces the list of VMs. Readers see the change after the delay.
     pub fn set_list(&self, listed: Vec<ListedVm>) {
         change_list(&self.state, listed);
     }
 
-    /// Runs a table command directly, past all faults.
+    /// Runs a table command directly, unaffected by faults.
     pub fn run(&self, command: &TableCommand) -> TableAnswer {
         lock(&self.state).table.run(command)
     }
 
-    /// Returns what the platform has done.
+    /// Returns the record of what the platform has done.
     pub fn record(&self) -> PlatformRecord {
         lock(&self.state).record.clone()
     }
@@ -164,22 +165,22 @@
 
 fn change_list(state: &SharedPlatform, listed: Vec<ListedVm>) {
     let mut platform = lock(state);
-    // The first list is there from the start; only changes lag.
+    // The first list is visible at once; only changes are delayed.
     let at = (!platform.lists.is_empty()).then(Instant::now);
     platform.lists.push_back((at, listed));
 }
 
 type PlatformData = web::types::State<SharedPlatform>;
 
-/// Waits as the faults say; returns whether the platform is down.
-async fn meet_faults(state: &PlatformData) -> bool {
+/// Waits for the configured delay, and returns whether the platform is down.
+async fn wait_for_faults(state: &PlatformData) -> bool {
     let faults = lock(state.get_ref()).faults.clone();
     tokio::time::sleep(Duration::from_millis(faults.delay_ms)).await;
     faults.down
 }
 
 async fn table(body: Bytes, state: PlatformData) -> HttpResponse {
-    if meet_faults(&state).await {
+    if wait_for_faults(&state).await {
         return HttpResponse::ServiceUnavailable().finish();
     }
     let Ok(command) = serde_json::from_slice::<TableCommand>(&body) else {
@@ -188,7 +189,7 @@
     let (answer, lost) = {
         let mut platform = lock(state.get_ref());
         let answer = platform.table.run(&command);
-        let lost = count(&mut platform, &command, &answer);
+        let lost = record_command(&mut platform, &command, &answer);
         (answer, lost)
     };
     if lost {
@@ -197,8 +198,12 @@
     HttpResponse::Ok().json(&answer)
 }
 
-/// Counts a command; returns whether its answer is to be lost.
-fn count(platform: &mut PlatformState, command: &TableCommand, answer: &TableAnswer) -> bool {
+/// Records a command, and returns whether its answer must be lost.
+fn record_command(
+    platform: &mut PlatformState,
+    command: &TableCommand,
+    answer: &TableAnswer,
+) -> bool {
     if matches!(command, TableCommand::Read { .. }) {
         platform.record.reads += 1;
         return false;
@@ -214,7 +219,7 @@
 }
 
 async fn read_object(key: web::types::Path<String>, state: PlatformData) -> HttpResponse {
-    if meet_faults(&state).await {
+    if wait_for_faults(&state).await {
         return HttpResponse::ServiceUnavailable().finish();
     }
     match lock(state.get_ref()).objects.get(key.as_str()) {
@@ -228,7 +233,7 @@
     body: Bytes,
     state: PlatformData,
 ) -> HttpResponse {
-    if meet_faults(&state).await {
+    if wait_for_faults(&state).await {
         return HttpResponse::ServiceUnavailable().finish();
     }
     lock(state.get_ref()).objects.insert(key.into_inner(), body.to_vec());
@@ -236,7 +241,7 @@
 }
 
 async fn list(state: PlatformData) -> HttpResponse {
-    if meet_faults(&state).await {
+    if wait_for_faults(&state).await {
         return HttpResponse::ServiceUnavailable().finish();
     }
     let mut platform = lock(state.get_ref());
@@ -251,11 +256,11 @@
 }
 
 async fn set_list(body: Bytes, state: PlatformData) -> HttpResponse {
-    server::take_json(&body, |listed| change_list(state.get_ref(), listed))
+    server::apply_json(&body, |listed| change_list(state.get_ref(), listed))
 }
 
 async fn set_faults(body: Bytes, state: PlatformData) -> HttpResponse {
-    server::take_json(&body, |faults| lock(state.get_ref()).faults = faults)
+    server::apply_json(&body, |faults| lock(state.get_ref()).faults = faults)
 }
 
 async fn record(state: PlatformData) -> HttpResponse {
--- a/crates/ryetide-lab/src/process.rs
+++ b/crates/ryetide-lab/src/process.rs
@@ -1,4 +1,4 @@
-//! Processes of a test: started, read, signalled and ended by their own id.
+//! Processes of a test. They are signalled and ended only by their own id.
 
 use std::{
     io::{BufRead, BufReader, Read},
@@ -16,15 +16,15 @@
 };
 use ryetide::error::StepError;
 
-/// A process must say where it listens within this long.
-const START_LIMIT: Duration = Duration::from_secs(20);
-/// The pause between two looks whether a process has ended.
-const EXIT_PAUSE: Duration = Duration::from_millis(10);
+/// The time within which a process must print its addresses.
+const START_TIMEOUT: Duration = Duration::from_secs(20);
+/// The interval at which the end of a process is polled.
+const EXIT_POLL_INTERVAL: Duration = Duration::from_millis(10);
 
 #[derive(Debug, Default)]
 struct OutputLines {
     lines: Mutex<Vec<String>>,
-    grown: Condvar,
+    line_added: Condvar,
 }
 
 impl OutputLines {
@@ -33,7 +33,7 @@
     }
 }
 
-/// A process that was started here; dropping it kills it.
+/// A child process. Dropping it kills the process.
 #[derive(Debug)]
 pub struct TestProcess {
     name: String,
@@ -42,7 +42,7 @@
 }
 
 impl TestProcess {
-    /// Starts `program`; the lines of its output are kept.
+    /// Starts `program` and collects the lines of its output.
     ///
     /// # Errors
     ///
@@ -59,10 +59,10 @@
             .map_err(fault)?;
         let output = Arc::new(OutputLines::default());
         if let Some(stdout) = child.stdout.take() {
-            keep_lines(stdout, &output);
+            collect_lines(stdout, &output);
         }
         if let Some(stderr) = child.stderr.take() {
-            keep_lines(stderr, &output);
+            collect_lines(stderr, &output);
         }
         Ok(Self { name, child, output })
     }
@@ -72,12 +72,12 @@
         self.child.id()
     }
 
-    /// Returns what it has printed.
+    /// Returns the output so far.
     pub fn lines(&self) -> Vec<String> {
         self.output.lock().clone()
     }
 
-    /// Waits for a line that holds `text`.
+    /// Waits for a line that contains `text`.
     pub fn wait_line(&self, text: &str, limit: Duration) -> Option<String> {
         let end = Instant::now() + limit;
         let mut lines = self.output.lock();
@@ -86,18 +86,18 @@
                 return Some(line.clone());
             }
             let left = end.checked_duration_since(Instant::now())?;
-            let waited = self.output.grown.wait_timeout(lines, left);
+            let waited = self.output.line_added.wait_timeout(lines, left);
             lines = waited.unwrap_or_else(PoisonError::into_inner).0;
         }
     }
 
-    /// Waits until the process says where it listens, and returns the address called `field`.
+    /// Waits until the process has printed its addresses, and returns the one named `field`.
     ///
     /// # Errors
     ///
-    /// Returns a [`StepError`] with the process's output when it does not.
+    /// Returns a [`StepError`] with the process's output when it is not printed in time.
     pub fn wait_address(&self, field: &str) -> Result<SocketAddr, StepError> {
-        let line = self.wait_line("event=listening", START_LIMIT);
+        let line = self.wait_line("event=listening", START_TIMEOUT);
         let prefix = format!("{field}=");
         let found = line.as_deref().and_then(|line| {
             let word = line.split_whitespace().find_map(|word| word.strip_prefix(&prefix))?;
@@ -112,21 +112,21 @@
     ///
     /// # Errors
     ///
-    /// Returns a [`StepError`] when it has ended already.
+    /// Returns a [`StepError`] when the process has already ended.
     pub fn signal(&self, signal: Signal) -> Result<(), StepError> {
         let id = Pid::from_raw(self.child.id() as i32);
         signal::kill(id, signal)
             .map_err(|error| StepError::new("signal", error).with_peer(&self.name))
     }
 
-    /// Waits for the process's end.
+    /// Waits until the process has ended. Returns `None` after `limit`.
     pub fn wait_exit(&mut self, limit: Duration) -> Option<ExitStatus> {
         let end = Instant::now() + limit;
         while Instant::now() < end {
             if let Ok(Some(status)) = self.child.try_wait() {
                 return Some(status);
             }
-            thread::park_timeout(EXIT_PAUSE);
+            thread::park_timeout(EXIT_POLL_INTERVAL);
         }
         None
     }
@@ -134,18 +134,18 @@
 
 impl Drop for TestProcess {
     fn drop(&mut self) {
-        // It may have ended already; either way nothing is left behind.
+        // Errors are ignored: the process may have already ended.
         let _ = self.child.kill();
         let _ = self.child.wait();
     }
 }
 
-fn keep_lines(stream: impl Read + Send + 'static, output: &Arc<OutputLines>) {
+fn collect_lines(stream: impl Read + Send + 'static, output: &Arc<OutputLines>) {
     let output = Arc::clone(output);
     thread::spawn(move || {
         for line in BufReader::new(stream).lines().map_while(Result::ok) {
             output.lock().push(line);
-            output.grown.notify_all();
+            output.line_added.notify_all();
         }
     });
 }
--- a/crates/ryetide-lab/src/process_site.rs
+++ b/crates/ryetide-lab/src/process_site.rs
@@ -1,4 +1,4 @@
-//! A whole deployment as separate processes on loopback.
+//! A deployment of separate processes on loopback.
 
 use std::{
     net::SocketAddr,
@@ -19,32 +19,32 @@
     site::{self, ScratchDirectory, SitePlan},
 };
 
-/// The programs to start.
+/// The paths of the programs.
 #[derive(Clone, Debug)]
 pub struct SitePrograms {
-    /// The daemon.
+    /// The path of ryetided.
     pub daemon: PathBuf,
-    /// The stand-ins.
+    /// The path of ryetide-lab, which runs the stand-ins.
     pub lab: PathBuf,
 }
 
-/// A daemon and where it listens.
+/// The process of a daemon.
 #[derive(Debug)]
 pub struct DaemonProcess {
-    /// Where it listens.
+    /// The VM with its addresses.
     pub site: EntrySite,
-    /// The process.
+    /// The child process.
     pub process: TestProcess,
 }
 
-/// A stand-in and where it listens.
+/// The process of a stand-in.
 #[derive(Debug)]
 pub struct StandInProcess {
-    /// Its name.
+    /// The stand-in's name.
     pub name: String,
-    /// Where it listens.
+    /// The address on which it listens.
     pub address: SocketAddr,
-    /// The process.
+    /// The child process.
     pub process: TestProcess,
 }
 
@@ -62,11 +62,11 @@
 }
 
 impl ProcessSite {
-    /// Starts everything and waits until each daemon serves and has heard every other.
+    /// Starts all processes, and waits until each daemon is serving and connected to all others.
     ///
     /// # Errors
     ///
-    /// Returns a [`StepError`] that names what could not be started.
+    /// Returns a [`StepError`] that names the part that could not be started.
     pub fn start(plan: &SitePlan, programs: &SitePrograms) -> Result<Self, StepError> {
         let directory = ScratchDirectory::create()?;
         deployment_keys::write_keys(directory.path())?;
@@ -82,15 +82,15 @@
             target.address = stand_in.address;
             targets.push(stand_in);
         }
-        let text = deployment::services_text(&plan.frame, &services);
+        let text = deployment::services_text(&plan.policy, &services);
         let row = serde_json::json!({"revision": 1, "operation": 1, "text": text});
         let key = CONFIGURATION_KEY.to_owned();
         let command = TableCommand::Write { key, expected: 0, value: row.to_string() };
         control::post(platform.address, "/table", &command)?;
         let mut site =
             Self { daemons: Vec::new(), targets, platform, programs: programs.clone(), directory };
-        for (name, centre) in &plan.entries {
-            let daemon = site.start_daemon(name, centre, &[])?;
+        for (name, data_centre) in &plan.entries {
+            let daemon = site.start_daemon(name, data_centre, &[])?;
             site.daemons.push(daemon);
         }
         site.publish_list()?;
@@ -98,7 +98,8 @@
         Ok(site)
     }
 
-    /// Starts a daemon whose settings name the peers in `known`; it is not yet in the platform's list.
+    /// Starts a daemon with the peers in `known` in its settings. It is not added to the platform's
+    /// list.
     ///
     /// # Errors
     ///
@@ -106,10 +107,10 @@
     pub fn start_daemon(
         &self,
         name: &str,
-        centre: &str,
+        data_centre: &str,
         known: &[&EntrySite],
     ) -> Result<DaemonProcess, StepError> {
-        let mut site = EntrySite::unbound(name, centre);
+        let mut site = EntrySite::unbound(name, data_centre);
         let text = site.settings(self.directory.path(), self.platform.address, known);
         let path = self.directory.path().join(format!("{name}.yaml"));
         std::fs::write(&path, text).map_err(|error| StepError::new("write settings", error))?;
@@ -121,7 +122,7 @@
         Ok(DaemonProcess { site, process })
     }
 
-    /// Puts the daemons into the platform's list.
+    /// Publishes the daemons in the platform's list.
     ///
     /// # Errors
     ///
@@ -132,7 +133,7 @@
         control::post(self.platform.address, "/lab/vms", &listed).map(drop)
     }
 
-    /// Waits until each daemon serves and has heard every other.
+    /// Waits until each daemon is serving and connected to all others.
     ///
     /// # Errors
     ///
@@ -145,13 +146,13 @@
 }
 
 fn engine_arguments(speed: &EngineSpeed) -> Vec<String> {
-    let figures = [
+    let options = [
         ("--slots", speed.slots.to_string()),
         ("--tokens", speed.tokens.to_string()),
         ("--prefill-rate", speed.prefill_rate.to_string()),
         ("--decode-rate", speed.decode_rate.to_string()),
     ];
-    figures.into_iter().flat_map(|(flag, figure)| [flag.to_owned(), figure]).collect()
+    options.into_iter().flat_map(|(flag, value)| [flag.to_owned(), value]).collect()
 }
 
 fn start_stand_in(
--- a/crates/ryetide-lab/src/relay.rs
+++ b/crates/ryetide-lab/src/relay.rs
@@ -1,6 +1,5 @@
-//! A TCP relay between two parties that can fall silent: open connections pass nothing more and are
-//! not reset, while new ones work. It stands for a device between the ends that has lost track of
-//! its connections.
+//! A TCP relay that can stop forwarding on its open connections without a reset, while new ones work.
+//! It simulates a network device that has lost its connection state.
 
 use std::{
     net::{SocketAddr, TcpListener},
@@ -18,12 +17,12 @@
     sync::Notify,
 };
 
-/// Bytes passed on at once.
-const CHUNK: usize = 16 << 10;
+/// The maximum number of bytes forwarded at once.
+const CHUNK_SIZE: usize = 16 << 10;
 
 #[derive(Debug, Default)]
 struct RelayState {
-    /// Connections numbered below this pass nothing more.
+    /// Connections with a lower number forward no more data.
     silenced_below: AtomicU64,
     accepted: AtomicU64,
     refusing: AtomicBool,
@@ -39,7 +38,7 @@
 }
 
 impl RelayStandIn {
-    /// Starts a relay on `listener` that leads to `target`.
+    /// Starts a relay on `listener` that forwards to `target`.
     ///
     /// # Errors
     ///
@@ -65,23 +64,23 @@
         Ok(Self { address, state, thread: Some(thread) })
     }
 
-    /// Returns where the relay listens.
+    /// Returns the address on which the relay listens.
     pub fn address(&self) -> SocketAddr {
         self.address
     }
 
-    /// Silences every connection that is open now.
+    /// Stops forwarding on all connections that are currently open.
     pub fn silence_open(&self) {
         let next = self.state.accepted.load(Ordering::SeqCst);
         self.state.silenced_below.store(next, Ordering::SeqCst);
     }
 
-    /// Closes new connections at once, or accepts them again.
+    /// Sets whether new connections are closed at once.
     pub fn refuse_new(&self, refusing: bool) {
         self.state.refusing.store(refusing, Ordering::SeqCst);
     }
 
-    /// Returns how many connections were accepted.
+    /// Returns the number of accepted connections.
     pub fn accepted(&self) -> u64 {
         self.state.accepted.load(Ordering::SeqCst)
     }
@@ -91,7 +90,7 @@
     fn drop(&mut self) {
         self.state.stop.notify_one();
         if let Some(thread) = self.thread.take() {
-            // A thread that panicked has said so.
+            // A panic of the thread has already been printed.
             let _ = thread.join();
         }
     }
@@ -105,26 +104,26 @@
         let number = state.accepted.fetch_add(1, Ordering::SeqCst);
         let state = Arc::clone(state);
         tokio::spawn(async move {
-            // A target that cannot be reached is a connection that closes.
+            // When the target cannot be reached, the connection is closed.
             let Ok(outbound) = TcpStream::connect(target).await else { return };
             let (inbound_read, inbound_write) = inbound.into_split();
             let (outbound_read, outbound_write) = outbound.into_split();
             tokio::join!(
-                pass(inbound_read, outbound_write, &state, number),
-                pass(outbound_read, inbound_write, &state, number),
+                forward(inbound_read, outbound_write, &state, number),
+                forward(outbound_read, inbound_write, &state, number),
             );
         });
     }
 }
 
-/// Passes bytes on until the end, or until the connection is silenced: then for ever nothing.
-async fn pass(
+/// Forwards bytes until the connection ends. Once it is silenced, the future never completes.
+async fn forward(
     mut from: tokio::net::tcp::OwnedReadHalf,
     mut to: tokio::net::tcp::OwnedWriteHalf,
     state: &RelayState,
     number: u64,
 ) {
-    let mut chunk = vec![0; CHUNK];
+    let mut chunk = vec![0; CHUNK_SIZE];
     loop {
         let read = from.read(&mut chunk).await;
         if number < state.silenced_below.load(Ordering::SeqCst) {
@@ -132,7 +131,7 @@
         }
         match read {
             Ok(length) if length > 0 => {
-                // The other side has closed: so does this one.
+                // When the other side is closed, this one is closed too.
                 if to.write_all(&chunk[..length]).await.is_err() {
                     return;
                 }
--- a/crates/ryetide-lab/src/server.rs
+++ b/crates/ryetide-lab/src/server.rs
@@ -1,4 +1,4 @@
-//! How stand-ins serve HTTP: each on a thread of its own, stopped when its handle is dropped.
+//! HTTP servers for stand-ins. Each runs on its own thread and stops when its handle is dropped.
 
 use std::{
     net::{SocketAddr, TcpListener},
@@ -14,7 +14,7 @@
 use ryetide::{error::StepError, server_stop};
 use serde::de::DeserializeOwned;
 
-/// A running server; dropping it stops the server and joins its thread.
+/// A running server. Dropping it stops the server and joins its thread.
 #[derive(Debug)]
 pub struct StandInServer {
     address: SocketAddr,
@@ -23,7 +23,7 @@
 }
 
 impl StandInServer {
-    /// Runs the server that `build` makes of `listener`.
+    /// Runs the server that `build` creates on `listener`.
     ///
     /// # Errors
     ///
@@ -42,7 +42,7 @@
                     Ok(server) => server,
                     Err(error) => return drop(ready_sender.send(Err(error))),
                 };
-                // Whoever starts it waits for this; dropping the handle is an order to stop as well.
+                // `start` waits for this message. Dropping the handle also stops the server.
                 let _ = ready_sender.send(Ok(()));
                 let _ = stopped.await;
                 server_stop::stop_immediately("stand-in", &server).await;
@@ -54,7 +54,7 @@
         Ok(Self { address, stop: Some(stop), thread: Some(thread) })
     }
 
-    /// Returns where the server listens.
+    /// Returns the address on which the server listens.
     pub fn address(&self) -> SocketAddr {
         self.address
     }
@@ -63,7 +63,7 @@
 impl Drop for StandInServer {
     fn drop(&mut self) {
         if let Some(stop) = self.stop.take() {
-            // A thread that has ended needs no order, and has said why it panicked.
+            // Sending fails when the thread has already ended; a panic has been printed.
             let _ = stop.send(());
         }
         if let Some(thread) = self.thread.take() {
@@ -72,8 +72,9 @@
     }
 }
 
-/// Answers a control call whose body is JSON: applies it, or says what does not parse.
-pub fn take_json<T: DeserializeOwned>(body: &[u8], apply: impl FnOnce(T)) -> HttpResponse {
+/// Applies the JSON body of a control call and returns the response, with the error if the body does
+/// not parse.
+pub fn apply_json<T: DeserializeOwned>(body: &[u8], apply: impl FnOnce(T)) -> HttpResponse {
     match serde_json::from_slice(body) {
         Ok(value) => {
             apply(value);
--- a/crates/ryetide-lab/src/site.rs
+++ b/crates/ryetide-lab/src/site.rs
@@ -1,4 +1,4 @@
-//! A whole deployment in one process: stand-ins and daemons on threads, on loopback.
+//! A deployment in one process on loopback, with stand-ins and daemons on threads.
 
 use std::{
     net::SocketAddr,
@@ -19,35 +19,35 @@
 use ryetide_core::entry::EntryStatus;
 
 use crate::{
-    deployment::{self, EntrySite, ServiceSite, TextFrame},
+    deployment::{self, EntrySite, ServiceSite, SharingPolicy},
     engine::EngineStandIn,
     plain_service::PlainStandIn,
     platform::PlatformStandIn,
     server,
 };
 
-/// Daemons must be ready within this long.
-const READY_LIMIT: Duration = Duration::from_secs(20);
-/// The pause between two looks whether they are.
-const READY_PAUSE: Duration = Duration::from_millis(20);
+/// The time within which all daemons must be ready.
+const READY_TIMEOUT: Duration = Duration::from_secs(20);
+/// The interval at which the daemons are polled.
+const READY_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
-/// What to start.
+/// The description of a deployment to start.
 #[derive(Clone, Debug)]
 pub struct SitePlan {
-    /// Entry VMs: name and data centre.
+    /// The names and data centres of the entry VMs.
     pub entries: Vec<(String, String)>,
-    /// Services; the addresses of their targets are filled in.
+    /// The services. The addresses of their targets are set when these are started.
     pub services: Vec<ServiceSite>,
-    /// Tiers and organisations.
-    pub frame: TextFrame,
+    /// The tiers and organisations.
+    pub policy: SharingPolicy,
 }
 
-/// A directory that is removed with its contents when dropped.
+/// A temporary directory that is removed with its contents when dropped.
 #[derive(Debug)]
 pub struct ScratchDirectory(PathBuf);
 
 impl ScratchDirectory {
-    /// Creates a directory under the system's directory for temporary files.
+    /// Creates a directory in the system's directory for temporary files.
     ///
     /// # Errors
     ///
@@ -62,7 +62,7 @@
         Ok(Self(path))
     }
 
-    /// Returns its path.
+    /// Returns the path of the directory.
     pub fn path(&self) -> &Path {
         &self.0
     }
@@ -77,7 +77,7 @@
     }
 }
 
-/// A daemon on a thread of its own.
+/// A daemon on its own thread.
 #[derive(Debug)]
 struct LocalDaemon {
     site: EntrySite,
@@ -96,11 +96,11 @@
 }
 
 impl LocalSite {
-    /// Starts everything and waits until each daemon serves and has heard every other.
+    /// Starts all parts, and waits until each daemon is serving and connected to all others.
     ///
     /// # Errors
     ///
-    /// Returns a [`StepError`] that names what could not be started.
+    /// Returns a [`StepError`] that names the part that could not be started.
     pub fn start(plan: &SitePlan) -> Result<Self, StepError> {
         let directory = ScratchDirectory::create()?;
         deployment_keys::write_keys(directory.path())?;
@@ -119,10 +119,10 @@
                 plain.push(service);
             }
         }
-        deployment::install_text(&platform, &deployment::services_text(&plan.frame, &services))?;
+        deployment::install_text(&platform, &deployment::services_text(&plan.policy, &services))?;
         let mut daemons = Vec::new();
-        for (name, centre) in &plan.entries {
-            let site = EntrySite::unbound(name, centre);
+        for (name, data_centre) in &plan.entries {
+            let site = EntrySite::unbound(name, data_centre);
             daemons.push(start_daemon(site, directory.path(), platform.address())?);
         }
         platform.set_list(daemons.iter().map(|daemon| daemon.site.listed()).collect());
@@ -131,12 +131,12 @@
         Ok(site)
     }
 
-    /// Returns where callers connect, by entry VM.
-    pub fn doors(&self) -> Vec<SocketAddr> {
+    /// Returns the callers' address of each entry VM.
+    pub fn caller_addresses(&self) -> Vec<SocketAddr> {
         self.daemons.iter().map(|daemon| daemon.site.callers).collect()
     }
 
-    /// Returns the operators' ports, by entry VM.
+    /// Returns the operators' address of each entry VM.
     pub fn operators(&self) -> Vec<SocketAddr> {
         self.daemons.iter().map(|daemon| daemon.site.operators).collect()
     }
@@ -158,11 +158,11 @@
 
     fn wait_ready(&self) -> Result<(), StepError> {
         let operators = self.operators();
-        let others = operators.len() - 1;
-        wait_until_ready(&operators, others)
+        let peer_count = operators.len() - 1;
+        wait_until_ready(&operators, peer_count)
     }
 
-    /// Shuts every daemon down and waits until it has finished.
+    /// Shuts down all daemons and waits until they have finished.
     ///
     /// # Errors
     ///
@@ -192,20 +192,20 @@
     (site.callers, site.operators, site.peers) =
         (addresses.callers, addresses.operators, addresses.peers);
     let shutdown = ShutdownHandle::default();
-    let own = shutdown.clone();
+    let thread_shutdown = shutdown.clone();
     let thread = thread::Builder::new()
         .name(site.name.clone())
-        .spawn(move || daemon::run(settings, sockets, own))
+        .spawn(move || daemon::run(settings, sockets, thread_shutdown))
         .map_err(|error| StepError::new("start daemon", error))?;
     Ok(LocalDaemon { site, shutdown, thread })
 }
 
-/// Waits until each daemon has a configuration in force and hears `others` peers.
+/// Waits until each daemon has a configuration in force and is connected to `peer_count` peers.
 ///
 /// # Errors
 ///
 /// Returns a [`StepError`] when that takes too long.
-pub fn wait_until_ready(operators: &[SocketAddr], others: usize) -> Result<(), StepError> {
+pub fn wait_until_ready(operators: &[SocketAddr], peer_count: usize) -> Result<(), StepError> {
     let operators = operators.to_vec();
     System::new("ready", DefaultRuntime).block_on(async move {
         let client = FreshClient::new("ready").await?;
@@ -213,23 +213,24 @@
         for address in operators {
             loop {
                 let status = read_status(&client, address).await;
-                let ready =
-                    |status: &EntryStatus| status.revision.0 > 0 && status.peers.len() >= others;
+                let ready = |status: &EntryStatus| {
+                    status.revision.0 > 0 && status.peers.len() >= peer_count
+                };
                 if status.as_ref().is_some_and(ready) {
                     break;
                 }
-                if started.elapsed() > READY_LIMIT {
+                if started.elapsed() > READY_TIMEOUT {
                     let state = format!("not ready: {status:?}");
                     return Err(StepError::new("wait for daemons", state).with_peer(address));
                 }
-                tokio::time::sleep(READY_PAUSE).await;
+                tokio::time::sleep(READY_POLL_INTERVAL).await;
             }
         }
         Ok(())
     })
 }
 
-/// Reads a daemon's status, or returns nothing while it does not tell.
+/// Reads a daemon's status. Returns `None` when it does not answer.
 pub async fn read_status(client: &FreshClient, address: SocketAddr) -> Option<EntryStatus> {
     let connection = client.connect(address, Duration::from_secs(1)).await?;
     let request = client.request(connection, ntex::http::Method::GET, "/v1/status");
--- a/crates/ryetide-lab/src/slopes.rs
+++ b/crates/ryetide-lab/src/slopes.rs
@@ -1,5 +1,5 @@
-//! The slopes from which docs/CAPACITY.md is worked out: how what a node holds, sends and spends
-//! grows, measured on the bare core and on frames of the wire encoding, at four sizes or more.
+//! Measurements for docs/CAPACITY.md: how memory, traffic and processor time grow with the size of a
+//! deployment. Each is measured on the core alone, or on encoded frames, at several sizes.
 
 use std::{
     hint::black_box,
@@ -28,7 +28,7 @@
 
 use crate::line_fit;
 
-/// Measures all slopes and prints them.
+/// Runs all measurements and prints the results.
 pub fn run() {
     println!("== resident memory");
     print_memory();
@@ -84,11 +84,11 @@
     }
 }
 
-fn ask_ref() -> RequestRef {
+fn request_ref() -> RequestRef {
     RequestRef { incarnation: IncarnationTag(0xbeef), sequence: RequestSequence(1_000_000) }
 }
 
-/// The length that goes before each frame on a link.
+/// The length of the prefix of each frame on a peer connection.
 const FRAME_LENGTH: usize = 4;
 
 fn frame_bytes(message: &PeerMessage) -> usize {
@@ -102,14 +102,14 @@
     );
     let target = TargetKey::of(&TargetName::from("target-1"));
     let ask = PeerMessage::Ask(SlotRequestMessage {
-        ask: ask_ref(),
+        ask: request_ref(),
         data_centre: scope.data_centre,
         profile: profile(),
         deadline_ms: 30_000,
         waited_ms: 0,
     });
     let release = PeerMessage::Release(ReleaseMessage {
-        ask: ask_ref(),
+        ask: request_ref(),
         scope,
         outcome: ReleaseOutcome::Completed,
         first_piece_ms: 400,
@@ -117,7 +117,7 @@
         output: Tokens(400),
     });
     let holding = PeerMessage::Holding(HeldSlotMessage {
-        ask: ask_ref(),
+        ask: request_ref(),
         data_centre: scope.data_centre,
         target,
         profile: profile(),
@@ -125,8 +125,8 @@
     });
     let rows = [
         ("ask", ask),
-        ("grant", PeerMessage::Grant { ask: ask_ref(), target }),
-        ("queued", PeerMessage::Queued { ask: ask_ref() }),
+        ("grant", PeerMessage::Grant { ask: request_ref(), target }),
+        ("queued", PeerMessage::Queued { ask: request_ref() }),
         ("release", release),
         ("holding", holding),
         ("heartbeat, idle", PeerMessage::Heartbeat(HeartbeatMessage::default())),
@@ -162,7 +162,7 @@
     core
 }
 
-/// Answers the first read of the table, whose token is the first that a core takes.
+/// Puts a services text in force by answering the core's first read of the table.
 fn adopt(core: &mut EntryCore, text: &str, effects: &mut EffectBuffer) {
     let value = serde_json::json!({"revision": 1, "operation": 1, "text": text}).to_string();
     let answer = TableAnswer::Row(Some(TableRow { version: 1, value }));
@@ -180,7 +180,7 @@
     (1..=peers).map(vm).collect()
 }
 
-/// Counts the heartbeats that a core sends in 60 s.
+/// Returns the heartbeats per second that a core sends, over 60 s.
 fn heartbeat_rate(peers: u32) -> f64 {
     let mut core = core_with_peers(peers);
     let mut effects = EffectBuffer::new(usize::MAX);
@@ -195,11 +195,12 @@
     sent as f64 / 60.0
 }
 
-/// Measures what hearing and beating costs in one second at the interval that the core itself keeps.
+/// Returns the processor time per second, in milliseconds, for receiving the heartbeats of `peers` at
+/// the interval at which the core sends them.
 fn peers_time(peers: u32) -> f64 {
     let mut core = core_with_peers(peers);
     let mut effects = EffectBuffer::new(usize::MAX);
-    // As in the membership module: 150 bytes a heartbeat within 3,000 bytes a second.
+    // The core's interval: heartbeats of 150 bytes within a budget of 3,000 bytes per second.
     let interval = Duration::from_millis(250).max(Duration::from_millis(u64::from(peers) * 50));
     let rounds = 20;
     let started = Instant::now();
@@ -221,7 +222,7 @@
     spent / (interval.as_secs_f64() * f64::from(rounds))
 }
 
-/// A services text of the size of letter 1.
+/// Returns a services text with 16 services in five data centres.
 fn fleet_text(organisations: u32, replicas: u32) -> String {
     let mut text = "tiers:\n".to_owned();
     for tier in 0..5 {
@@ -246,7 +247,7 @@
     text
 }
 
-/// Measures how long a core takes to put a services text in force.
+/// Returns the median time that a core takes to put a services text in force, in milliseconds.
 fn adopt_time(organisations: u32) -> f64 {
     let text = fleet_text(organisations, 600);
     let mut times = Vec::new();
@@ -262,7 +263,7 @@
     times[times.len() / 2]
 }
 
-/// One scope with `replicas` targets, and a catalog of `organisations`.
+/// Returns a services text with one service of `replicas` targets in one data centre.
 fn scope_text(replicas: u32, organisations: u32) -> String {
     let mut text = "tiers:\n".to_owned();
     for tier in 0..5 {
@@ -282,10 +283,10 @@
     text
 }
 
-/// Measures asks and releases at a scope that is kept at its capacity with a line before it.
+/// Measures slot requests and releases at an arbiter whose slots are all in use, with a queue.
 fn decision_times(replicas: u32, organisations: u32) -> String {
     let catalog = ServiceCatalog::parse(&scope_text(replicas, organisations));
-    let catalog = catalog.expect("a sound text of our own");
+    let catalog = catalog.expect("the generated text is valid");
     let scope = catalog.scopes()[0];
     let switches = SafeguardSwitches::default();
     let mut arbiter = ScopeArbiter::new(scope, &catalog, 1.0, Moment(1), switches);
@@ -311,9 +312,9 @@
         let started = Instant::now();
         arbiter.request_slot(now, ask, &mut rng, &mut verdicts);
         times.push(started.elapsed());
-        let granted = verdicts.drain(..).filter(|it| matches!(it.kind, VerdictKind::Grant(_)));
-        held.extend(granted.map(|verdict| verdict.key));
-        // Slots come back at the rate at which a full scope ends its requests.
+        let grants = verdicts.drain(..).filter(|it| matches!(it.kind, VerdictKind::Grant(_)));
+        held.extend(grants.map(|verdict| verdict.key));
+        // Slots are released at the rate at which a fully used scope completes its requests.
         if held.len() >= replicas as usize * 12 {
             let Some(key) = held.pop_front() else { continue };
             let release = ReleaseMessage {
@@ -327,8 +328,8 @@
             let started = Instant::now();
             arbiter.release(now, &vm, &release, &mut verdicts, &mut notices);
             times.push(started.elapsed());
-            let granted = verdicts.drain(..).filter(|it| matches!(it.kind, VerdictKind::Grant(_)));
-            held.extend(granted.map(|verdict| verdict.key));
+            let grants = verdicts.drain(..).filter(|it| matches!(it.kind, VerdictKind::Grant(_)));
+            held.extend(grants.map(|verdict| verdict.key));
         }
     }
     times.sort();
@@ -336,7 +337,8 @@
     format!("p50 {:.2} us, p99 {:.2} us over {} decisions", at(0.5), at(0.99), times.len())
 }
 
-/// Measures whole requests through one core that arbitrates for itself, from arrival to end.
+/// Returns the processor time of `count` requests from arrival to end, in milliseconds, on a core that
+/// is its own arbiter.
 fn requests_time(count: u32) -> f64 {
     let mut core = core_with_peers(0);
     let mut effects = EffectBuffer::new(usize::MAX);
@@ -352,7 +354,7 @@
     spent
 }
 
-/// One request with 32 pieces, through every step.
+/// Runs one request with an answer of 32 pieces through all steps of the core.
 fn run_request(
     core: &mut EntryCore,
     now: Moment,
@@ -395,8 +397,8 @@
     effects.drain();
 }
 
-/// Prints how the resident memory of this process grows with what a core holds. It comes first, and
-/// what was measured is kept until the end: freed memory that is used again would hide the growth.
+/// Prints how the resident memory of this process grows with the state of a core. It must run first,
+/// and the state is kept until the end, because reuse of freed memory would hide the growth.
 fn print_memory() {
     let mut kept: Vec<Vec<EntryCore>> = Vec::new();
     let mut points = Vec::new();
@@ -414,7 +416,7 @@
         let base = resident_bytes();
         catalogs.push(
             (0..4)
-                .map(|_| ServiceCatalog::parse(&text).expect("a sound text of our own"))
+                .map(|_| ServiceCatalog::parse(&text).expect("the generated text is valid"))
                 .collect::<Vec<_>>(),
         );
         let grown = resident_bytes().saturating_sub(base) as f64 / 4.0;
@@ -425,11 +427,11 @@
     black_box((kept, catalogs));
 }
 
-/// Copies of a core, so that its memory is more than a few pages.
+/// The number of copies of a core, so that their memory is much larger than a page.
 const MEMORY_COPIES: u32 = 50;
 
 fn print_waiting_memory() {
-    let catalog = ServiceCatalog::parse(&scope_text(1, 10)).expect("a sound text of our own");
+    let catalog = ServiceCatalog::parse(&scope_text(1, 10)).expect("the generated text is valid");
     let (scope, switches) = (catalog.scopes()[0], SafeguardSwitches::default());
     let later = Moment(u64::MAX / 2);
     let mut arbiters: Vec<ScopeArbiter> =
@@ -470,9 +472,9 @@
 ///
 /// # Panics
 ///
-/// Where the system does not tell: a measurement that cannot be taken is not zero.
+/// Panics when the system does not provide the figure, which must not count as zero.
 pub fn resident_bytes() -> u64 {
-    let statm = std::fs::read_to_string("/proc/self/statm").expect("a system that tells");
+    let statm = std::fs::read_to_string("/proc/self/statm").expect("/proc/self/statm is readable");
     let pages = statm.split_whitespace().nth(1).and_then(|word| word.parse::<u64>().ok());
-    pages.expect("pages as the second word") * 4_096
+    pages.expect("the second field is a number of pages") * 4_096
 }
--- a/crates/ryetide-lab/src/workload.rs
+++ b/crates/ryetide-lab/src/workload.rs
@@ -1,33 +1,33 @@
-//! Seeded arrivals: who asks for what, when.
+//! Seeded generation of request arrivals.
 
 use std::time::Duration;
 
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use serde::{Deserialize, Serialize};
 
-/// A class of requests: one kind of work of one tier.
+/// A class of similar requests of one tier.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct WorkClass {
     /// The tier.
     pub tier: String,
     /// The service.
     pub service: String,
-    /// The organisations it comes from, with equal chances.
+    /// The organisations, chosen with equal probability.
     pub organisations: Vec<String>,
-    /// Arrivals a second.
+    /// The arrivals per second.
     pub rate: f64,
-    /// The shortest and longest prompt, in bytes.
+    /// The minimum and maximum length of a prompt, in bytes.
     pub prompt_bytes: (usize, usize),
-    /// The fewest and most tokens generated.
+    /// The minimum and maximum number of tokens to generate.
     pub output: (u64, u64),
     /// The time until the deadline.
     pub deadline: Duration,
 }
 
-/// One arrival.
+/// The arrival of one request.
 #[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
 pub struct WorkArrival {
-    /// When it comes, from the start.
+    /// The time of the arrival, from the start.
     pub at: Duration,
     /// The tier.
     pub tier: String,
@@ -37,30 +37,30 @@
     pub organisation: String,
     /// The prompt.
     pub prompt: String,
-    /// The tokens to generate.
+    /// The number of tokens to generate.
     pub output: u64,
     /// The time until the deadline.
     pub deadline: Duration,
 }
 
-/// Draws the arrivals of `classes` over `span`, in order of time. The same seed gives the same
+/// Generates the arrivals of `classes` over `span`, in order of time. The same seed gives the same
 /// arrivals.
 pub fn draw(classes: &[WorkClass], span: Duration, seed: u64) -> Vec<WorkArrival> {
     let mut arrivals = Vec::new();
     for (index, class) in classes.iter().enumerate() {
         let mut rng = SmallRng::seed_from_u64(seed.wrapping_add(index as u64));
-        let mut at = gap(&mut rng, class.rate);
+        let mut at = interarrival_time(&mut rng, class.rate);
         while at < span {
             arrivals.push(draw_one(&mut rng, class, at));
-            at += gap(&mut rng, class.rate);
+            at += interarrival_time(&mut rng, class.rate);
         }
     }
     arrivals.sort_by_key(|arrival| arrival.at);
     arrivals
 }
 
-/// An exponential gap, so that arrivals are as irregular as independent callers are.
-fn gap(rng: &mut SmallRng, rate: f64) -> Duration {
+/// Returns an exponentially distributed time, as for a Poisson process of independent callers.
+fn interarrival_time(rng: &mut SmallRng, rate: f64) -> Duration {
     let uniform: f64 = rng.random_range(f64::EPSILON..1.0);
     Duration::from_secs_f64((-uniform.ln() / rate.max(0.001)).min(3_600.0))
 }
@@ -81,12 +81,12 @@
     }
 }
 
-/// Lengths spread evenly over their orders of magnitude.
-fn log_uniform(rng: &mut SmallRng, least: f64, greatest: f64) -> f64 {
-    if greatest <= least {
-        return least;
+/// Returns a log-uniformly distributed value, so that all orders of magnitude are equally likely.
+fn log_uniform(rng: &mut SmallRng, min: f64, max: f64) -> f64 {
+    if max <= min {
+        return min;
     }
-    rng.random_range(least.ln()..greatest.ln()).exp()
+    rng.random_range(min.ln()..max.ln()).exp()
 }
 
 fn prompt_text(rng: &mut SmallRng, length: usize) -> String {
--- a/crates/ryetide-lab/tests/engine_batch.rs
+++ b/crates/ryetide-lab/tests/engine_batch.rs
@@ -1,4 +1,4 @@
-//! The engine stand-in batches as an engine does.
+//! The batching, prefix cache, cancellation and fencing of the engine stand-in.
 
 use ryetide_lab::engine_batch::{EngineBatch, EnginePrompt, EngineSpeed, STREAM_END};
 
@@ -21,6 +21,7 @@
     }
 }
 
+/// Guards against a stream that differs from the one that callers compare their answers with.
 #[test]
 fn the_stream_is_what_the_caller_expects() {
     let mut batch = EngineBatch::new(speed());
@@ -35,7 +36,8 @@
     assert!(wanted.expected_stream().ends_with(STREAM_END));
 }
 
-/// A short request waits for the prompts before it: what makes placement matter.
+/// Guards against an engine that serves short prompts before long ones, with which the choice of a
+/// target would make no difference.
 #[test]
 fn prompts_are_worked_on_in_order() {
     let mut batch = EngineBatch::new(speed());
@@ -47,6 +49,7 @@
     assert!(batch.request("short").unwrap().is_done());
 }
 
+/// Guards against prefill of a prefix that is in the cache.
 #[test]
 fn a_known_prefix_is_not_worked_on_again() {
     let mut batch = EngineBatch::new(speed());
@@ -59,6 +62,7 @@
     assert_eq!((batch.record.prefilled, batch.record.cached), (1_024, 1_024));
 }
 
+/// Guards against a cancelled request that still occupies its slot.
 #[test]
 fn cancelled_work_frees_its_slot() {
     let mut batch = EngineBatch::new(speed());
@@ -72,8 +76,8 @@
     assert!(batch.request("c").unwrap().is_done());
 }
 
-/// An engine that checks fencing refuses an order from a holder whose number is old; another kind of
-/// engine takes it.
+/// Guards against an engine with a fencing check that accepts an order with an old number, and one
+/// without the check that refuses it.
 #[test]
 fn old_fencing_numbers_are_refused_where_checked() {
     use ryetide_lab::{
--- a/crates/ryetided/tests/processes/failures.rs
+++ b/crates/ryetided/tests/processes/failures.rs
@@ -196,7 +196,7 @@
     let order = std::thread::spawn(move || order_through(first, "batch-1", "cut 40 harnesses"));
     crate::support::wait_until("the order runs", WAIT_LIMIT, || !records(&site).bodies.is_empty());
     site.daemons[0].process.signal(Signal::SIGKILL).unwrap();
-    assert_eq!(order.join().unwrap().outcome, CallOutcome::Cut);
+    assert_eq!(order.join().unwrap().outcome, CallOutcome::Disconnected);
     for index in [1, 2, 1] {
         let retry = order_through(entry(&site, index), "batch-1", "cut 40 harnesses");
         assert_eq!(retry.outcome, CallOutcome::Unknown, "{}", retry.status);
--- a/crates/ryetided/tests/processes/support.rs
+++ b/crates/ryetided/tests/processes/support.rs
@@ -7,7 +7,7 @@
 
 use ryetide_lab::{
     caller::CallTerms,
-    deployment::{ServiceSite, TargetSite, TextFrame},
+    deployment::{ServiceSite, SharingPolicy, TargetSite},
     engine_batch::{EnginePrompt, EngineSpeed},
     process_site::{ProcessSite, SitePrograms},
     site::SitePlan,
@@ -47,7 +47,7 @@
             service("drafting", (0..3).map(engine).collect()),
             service("records", vec![records]),
         ],
-        frame: TextFrame {
+        policy: SharingPolicy {
             tiers: vec![
                 ("floor".to_owned(), "30s".to_owned(), 1.0),
                 ("desk".to_owned(), "60s".to_owned(), 0.8),
