Add the decisions of overflow between cells

Cause: demand that is concentrated in one cell or data centre is refused there while targets elsewhere are idle.

Change: slot_lending and slot_borrowing decide what a cell lends and a VM borrows; scheduler_overflow applies them and fills the brief digests.

--- a/crates/ryetide-core/src/decision.rs
+++ b/crates/ryetide-core/src/decision.rs
@@ -44,6 +44,8 @@
     pub waiting: usize,
     /// Whether the request had already missed its objective.
     pub late: bool,
+    /// Whether the target belongs to another cell, which has granted the slot.
+    pub borrowed: bool,
 }
 
 /// What to do with a waiting request.
--- a/crates/ryetide-core/src/lib.rs
+++ b/crates/ryetide-core/src/lib.rs
@@ -35,6 +35,7 @@
 //! | [`scheduler`], [`scheduler_options`], [`queue_view`], [`wait_queue`], [`recent_arrivals`], [`deadline_tracker`], [`decision`] | queueing and refusal of routed requests |
 //! | [`placement`], [`target_load`], [`target_health`], [`target_speed`], [`prompt_cache`] | placement of routed requests |
 //! | [`scheduling_policy`], [`policy_update`] | the optional policies for uneven load, and what VMs report for them |
+//! | [`slot_borrowing`], [`slot_lending`], [`scheduler_overflow`] | use of free slots of other cells |
 //! | [`load_digest`], [`peer_digests`], [`cell_plan`], [`digest_timing`], [`digest_route`] | load reports between entry VMs |
 //! | [`target_registry`], [`target_notice`] | the existing targets, and the notices in their answers |
 //! | [`target_limit`], [`limit_share`] | request rate limits that targets announce, and each VM's share of them |
@@ -103,10 +104,13 @@
 mod scheduler_digests;
 mod scheduler_limits;
 pub mod scheduler_options;
+pub mod scheduler_overflow;
 mod scheduler_rollouts;
 pub mod scheduling_policy;
 pub mod service_rollout;
+pub mod slot_borrowing;
 mod slot_ledger;
+pub mod slot_lending;
 pub mod slot_request;
 pub mod slot_turn;
 pub mod target_estimate;
--- a/crates/ryetide-core/src/queue_view.rs
+++ b/crates/ryetide-core/src/queue_view.rs
@@ -24,6 +24,14 @@
 
 /// Time reserved for a refusal to reach a caller before the caller stops waiting.
 const REFUSAL_MARGIN: Duration = Duration::from_millis(150);
+/// The round trip to a target of another cell, which may be in another data centre: 2 to 3 ms.
+const ROUND_TRIP: Duration = Duration::from_millis(3);
+/// A request waits for a slot of its own cell rather than borrow one if its first event is expected
+/// within this share of the time left until its objective. The rest covers errors of the expected
+/// wait and leaves time for the first event at the granted slot.
+const WAIT_SHARE: f64 = 0.5;
+/// The longest expected wait for which a late request does not borrow a slot.
+const MAX_LATE_WAIT: Duration = Duration::from_millis(100);
 
 /// The targets of a service that a VM uses.
 #[derive(Clone, Debug, Default)]
@@ -99,6 +107,8 @@
     usable: Vec<&'a TargetLoad>,
     /// Targets of a version on trial, if one more request may go there.
     trial: Vec<&'a TargetLoad>,
+    /// Targets of other cells at which this VM may start one more request.
+    granted: Vec<&'a TargetLoad>,
     /// When the first back-off ends, if no target is usable and all targets that are not leaving
     /// have requested back-off.
     backed_off_until: Option<Moment>,
@@ -135,8 +145,8 @@
             loads.iter().partition(|load| load.accepts_work(now));
         let backed_off_until =
             if usable.is_empty() { first_back_off_end(now, &others) } else { None };
-        let trial = Vec::new();
-        Self { now, state, usable, trial, backed_off_until, limits, peers, options, sharing }
+        let (trial, granted) = (Vec::new(), Vec::new());
+        Self { now, state, usable, trial, granted, backed_off_until, limits, peers, options, sharing }
     }
 
     /// Allows one request to go to these targets, which run a version on trial.
@@ -150,6 +160,17 @@
         self
     }
 
+    /// Allows requests to go to these targets of other cells, which have granted slots.
+    pub fn with_granted(mut self, granted: Vec<&'a TargetLoad>) -> Self {
+        self.granted = granted;
+        self
+    }
+
+    /// Returns the targets of this VM's cell that accept work.
+    pub fn usable(&self) -> &[&'a TargetLoad] {
+        &self.usable
+    }
+
     /// Returns when the first back-off ends, if all targets requested back-off and none accepts
     /// work for that reason.
     pub fn backed_off_until(&self) -> Option<Moment> {
@@ -173,14 +194,16 @@
         ordered.find_map(|(position, rank, work)| {
             if self.will_be_overtaken(position, rank, work) {
                 let (ticket, reason) = (work.ticket, RefusalReason::Overload);
-                return Some(QueueAction::Refuse { ticket, reason });
+                let refusal = QueueAction::Refuse { ticket, reason };
+                return Some(self.borrow(rank, work).unwrap_or(refusal));
             }
-            self.choice_for(rank, work, free_slots, &peers)
+            self.choice_for(position, rank, work, free_slots, &peers)
         })
     }
 
     fn choice_for(
         &self,
+        position: usize,
         rank: QueueRank,
         work: &WaitingRequest,
         free_slots: u32,
@@ -188,16 +211,76 @@
     ) -> Option<QueueAction> {
         let ticket = work.ticket;
         if let Some(reason) = self.refusal_of(work) {
-            return Some(QueueAction::Refuse { ticket, reason });
+            let borrowed = self.borrow(rank, work).filter(|_| reason == RefusalReason::Overload);
+            return Some(borrowed.unwrap_or(QueueAction::Refuse { ticket, reason }));
         }
         let on_trial = self.choose_trial_target(rank, work, peers);
         if on_trial.is_none() && free_slots == 0 {
-            return None;
+            return self.borrow_instead_of_waiting(position, rank, work);
         }
-        let (load, forecast) = on_trial.or_else(|| self.choose(rank, work, peers))?;
+        let Some(own) = on_trial.or_else(|| self.choose(rank, work, peers)) else {
+            return self.borrow_instead_of_waiting(position, rank, work);
+        };
+        let borrowed = match on_trial.is_some() || rank.late || self.is_in_time(&own.1, work) {
+            true => None,
+            false => self.borrow(rank, work),
+        };
+        Some(borrowed.unwrap_or_else(|| self.place_at(own, rank, work, false)))
+    }
+
+    fn place_at(
+        &self,
+        (load, forecast): (&TargetLoad, PlacementForecast),
+        rank: QueueRank,
+        work: &WaitingRequest,
+        borrowed: bool,
+    ) -> QueueAction {
         let (running, waiting) = (load.running(self.now), self.state.queue.len());
-        let evidence = PlacementEvidence { forecast, running, waiting, late: rank.late };
-        Some(QueueAction::Place { ticket, target: load.key(), evidence })
+        let evidence = PlacementEvidence { forecast, running, waiting, late: rank.late, borrowed };
+        QueueAction::Place { ticket: work.ticket, target: load.key(), evidence }
+    }
+
+    fn is_in_time(&self, forecast: &PlacementForecast, work: &WaitingRequest) -> bool {
+        let left = work.objective_at.since(self.now);
+        let in_time = forecast.keeps_pauses && forecast.first < left;
+        forecast.on_time || (in_time && !forecast.suspected)
+    }
+
+    /// Places a request at a granted slot if a slot of the own cell is expected too late.
+    fn borrow_instead_of_waiting(
+        &self,
+        position: usize,
+        rank: QueueRank,
+        work: &WaitingRequest,
+    ) -> Option<QueueAction> {
+        if self.granted.is_empty() || self.can_wait(position, rank, work) {
+            return None;
+        }
+        self.borrow(rank, work)
+    }
+
+    /// Whether a request can wait for a slot of the own cell, although it could be borrowed for.
+    fn can_wait(&self, position: usize, rank: QueueRank, work: &WaitingRequest) -> bool {
+        let peers = self.ahead_at_peers(rank.class());
+        let ahead = as_count(position + 1).saturating_add(peers.better + peers.equal / 2);
+        let wait = self.wait_behind(ahead, Some(rank));
+        if rank.late {
+            return wait <= MAX_LATE_WAIT;
+        }
+        let left = work.objective_at.since(self.now);
+        wait + self.earliest_first_event(work) <= left.mul_f64(WAIT_SHARE)
+    }
+
+    /// Places a request at the best granted slot, if it is on time there. A request that is late in
+    /// any case needs only a slot that delays no other stream.
+    fn borrow(&self, rank: QueueRank, work: &WaitingRequest) -> Option<QueueAction> {
+        let permitted = self.granted.iter().filter(|load| !work.excluded.contains(&load.key()));
+        let mut need = self.need_of(work);
+        need.objective_left = need.objective_left.saturating_sub(ROUND_TRIP);
+        let (load, forecast) = self.best_of(permitted.copied(), &need)?;
+        let is_useful = forecast.on_time
+            || (rank.late && forecast.keeps_pauses && !forecast.suspected);
+        is_useful.then(|| self.place_at((load, forecast), rank, work, true))
     }
 
     fn refusal_of(&self, work: &WaitingRequest) -> Option<RefusalReason> {
--- a/crates/ryetide-core/src/recent_arrivals.rs
+++ b/crates/ryetide-core/src/recent_arrivals.rs
@@ -44,6 +44,12 @@
         }
     }
 
+    /// Returns the recent rate of all requests, per second.
+    pub fn rate(&self, now: Moment) -> f64 {
+        let recent = self.0.iter().filter(|(at, _)| now.since(*at) < SPAN);
+        recent.count() as f64 / SPAN.as_secs_f64()
+    }
+
     /// Returns the recent rate of requests more urgent than `class`, per second.
     pub fn more_urgent_rate(&self, now: Moment, class: UrgencyClass) -> f64 {
         let recent = self.0.iter().filter(|(at, _)| now.since(*at) < SPAN);
--- a/crates/ryetide-core/src/scheduler.rs
+++ b/crates/ryetide-core/src/scheduler.rs
@@ -32,6 +32,7 @@
     retry_delay::RetryDelay,
     rollout_manager::{RolloutManager, TargetUse},
     scheduler_options::SchedulerOptions,
+    scheduler_overflow::OverflowState,
     scheduling_policy::SchedulingPolicy,
     target_limit::LimitTable,
     target_load::{TargetEntry, TargetLoad},
@@ -77,7 +78,8 @@
     pub(crate) plan: CellPlan,
     watch_order: WatchOrder,
     /// Number of VMs that use the same targets, including this one.
-    cell_size: u32,
+    pub(crate) cell_size: u32,
+    pub(crate) overflow: OverflowState,
 }
 
 #[derive(Clone, Debug)]
@@ -117,6 +119,7 @@
             changed: false,
             watch_order: WatchOrder::default(),
             cell_size: 1,
+            overflow: OverflowState::default(),
         }
     }
 
@@ -260,6 +263,7 @@
         self.retry_budget.record_request(now, &service);
         let class = work.rank(now, Duration::ZERO).class();
         self.service_state(&service).arrivals.record(now, class);
+        self.record_overflow_arrival(now, &service);
         self.enqueue(now, work);
         self.refuse_if_hopeless(now, &service, ticket);
     }
@@ -506,6 +510,7 @@
         let backed_off_until = view.and_then(|view| view.backed_off_until());
         let held = backed_off_until.map_or(Duration::ZERO, |until| until.since(now));
         self.service_state(service).queue.remove(ticket);
+        self.record_overflow_refusal(now, service, reason);
         let retry_after = match reason {
             RefusalReason::NoTarget => self.retry_delay.without_target(),
             RefusalReason::HeldOff => self.retry_delay.after_back_off(held),
@@ -545,6 +550,7 @@
         let sharing =
             SlotSharing { vms: self.cell_size, turn_span: self.digest_timing.propagation_time() };
         let view = QueueView::new(now, state, &self.targets, &self.peers, &self.options, sharing);
+        let view = view.with_granted(self.granted_targets(now, state));
         if state.trial.keys.is_empty() {
             return Some(view);
         }
--- a/crates/ryetide-core/src/scheduler_digests.rs
+++ b/crates/ryetide-core/src/scheduler_digests.rs
@@ -60,6 +60,7 @@
         if digest.scope != DigestScope::Changes {
             self.quotas.ledger_mut().record_all_totals(&from);
         }
+        self.apply_overflow(now, &from, &digest);
         self.process_queues(now);
     }
 
@@ -83,6 +84,12 @@
 
     /// Returns the digest for all peers outside this VM's cell.
     pub fn brief_digest(&mut self, now: Moment, state: FleetState, leaving: bool) -> LoadDigest {
+        let digest = self.common_digest(now, state, leaving);
+        self.with_overflow(now, digest)
+    }
+
+    /// Returns what the digests of all scopes hold.
+    fn common_digest(&mut self, now: Moment, state: FleetState, leaving: bool) -> LoadDigest {
         self.leaving |= leaving;
         LoadDigest {
             incarnation: self.options.incarnation,
@@ -127,7 +134,7 @@
     /// Returns the digest for the peers in this VM's cell: periodically a full one, in between one
     /// with the recent changes.
     pub fn digest(&mut self, now: Moment, state: FleetState, leaving: bool) -> LoadDigest {
-        let brief = self.brief_digest(now, state, leaving);
+        let brief = self.common_digest(now, state, leaving);
         let views = self.services.keys().filter_map(|name| self.view(now, name));
         let waiting = views.flat_map(|view| view.queue_reports()).collect();
         let scope = self.digest_tracker.next_scope(now, self.digest_timing.repeat_span(), leaving);
--- a/crates/ryetide-core/src/target_load.rs
+++ b/crates/ryetide-core/src/target_load.rs
@@ -337,6 +337,24 @@
         }
     }
 
+    /// Returns the number of this VM's own requests at the target.
+    pub fn own_running(&self) -> u32 {
+        u32::try_from(self.runs.len()).unwrap_or(u32::MAX)
+    }
+
+    /// Returns the load that this VM and those peers for which `counts` holds have on the target,
+    /// with the combined estimate of its speed.
+    pub fn group_report(&self, now: Moment, counts: impl Fn(&VmName) -> bool) -> TargetReport {
+        let mut sum = self.report(now);
+        let valid = self.reports.iter().filter(|(_, (at, _))| now.since(*at) < REPORT_TTL);
+        for (_, (_, report)) in valid.filter(|(vm, _)| counts(vm)) {
+            sum.running = sum.running.saturating_add(report.running);
+            sum.unread = sum.unread.saturating_add(report.unread);
+        }
+        sum.speed = Some(self.estimate.report());
+        sum
+    }
+
     fn valid_reports(&self, now: Moment) -> impl Iterator<Item = &TargetReport> {
         let valid = self.reports.values().filter(move |(at, _)| now.since(*at) < REPORT_TTL);
         valid.map(|(_, report)| report)
--- a/crates/ryetide-core/src/target_speed.rs
+++ b/crates/ryetide-core/src/target_speed.rs
@@ -172,6 +172,15 @@
         Self { prompt_token: prompt.mean(), event: event.mean(), weight }
     }
 
+    /// Returns the estimate in the form in which VMs report observations.
+    pub fn report(&self) -> SpeedReport {
+        let mean = |time: Duration| FadingMean {
+            mean: (time.as_secs_f64() * 1e6) as f32,
+            weight: self.weight.max(0.0),
+        };
+        SpeedReport { prompt: mean(self.prompt_token), event: mean(self.event) }
+    }
+
     /// Returns the time that the target needs to read `tokens` of prompt.
     pub fn reading_time(&self, tokens: u64) -> Duration {
         Duration::from_nanos(self.prompt_token.as_nanos() as u64 * tokens)
