Use granted slots of the own data centre first, and report overflow in logs and metrics

Cause: a granted slot of another data centre costs bytes, and operators must see what overflow does.

Change: QueueView tries granted slots of the own data centre first; more of its VMs consider a borrower. The gateway sends brief digests at the urgent interval while there is something to report, logs shortage, slots-granted and slot-borrowed, and counts them.

--- a/crates/ryetide-core/src/queue_view.rs
+++ b/crates/ryetide-core/src/queue_view.rs
@@ -27,9 +27,10 @@
 /// The round trip to a target of another cell, which may be in another data centre: 2 to 3 ms.
 const ROUND_TRIP: Duration = Duration::from_millis(3);
 /// A request waits for a slot of its own cell rather than borrow one if its first event is expected
-/// within this share of the time left until its objective. The rest covers errors of the expected
-/// wait and leaves time for the first event at the granted slot.
-const WAIT_SHARE: f64 = 0.5;
+/// within this share of the time left until its objective. With a larger share, granted slots stay
+/// idle while the queue grows, and later requests are refused; with none, more bytes cross between
+/// data centres for waits of a few milliseconds.
+const WAIT_SHARE: f64 = 0.25;
 /// The longest expected wait for which a late request does not borrow a slot.
 const MAX_LATE_WAIT: Duration = Duration::from_millis(100);
 
@@ -146,7 +147,18 @@
         let backed_off_until =
             if usable.is_empty() { first_back_off_end(now, &others) } else { None };
         let (trial, granted) = (Vec::new(), Vec::new());
-        Self { now, state, usable, trial, granted, backed_off_until, limits, peers, options, sharing }
+        Self {
+            now,
+            state,
+            usable,
+            trial,
+            granted,
+            backed_off_until,
+            limits,
+            peers,
+            options,
+            sharing,
+        }
     }
 
     /// Allows one request to go to these targets, which run a version on trial.
@@ -271,16 +283,21 @@
         wait + self.earliest_first_event(work) <= left.mul_f64(WAIT_SHARE)
     }
 
-    /// Places a request at the best granted slot, if it is on time there. A request that is late in
-    /// any case needs only a slot that delays no other stream.
+    /// Places a request at the best granted slot of this data centre, or else of another one, if it
+    /// is on time there. A request that is late in any case needs only a slot that delays no other
+    /// stream.
     fn borrow(&self, rank: QueueRank, work: &WaitingRequest) -> Option<QueueAction> {
         let permitted = self.granted.iter().filter(|load| !work.excluded.contains(&load.key()));
+        let (near, far): (Vec<_>, Vec<_>) =
+            permitted.partition(|load| load.entry().data_centre == self.options.data_centre);
         let mut need = self.need_of(work);
         need.objective_left = need.objective_left.saturating_sub(ROUND_TRIP);
-        let (load, forecast) = self.best_of(permitted.copied(), &need)?;
-        let is_useful = forecast.on_time
-            || (rank.late && forecast.keeps_pauses && !forecast.suspected);
-        is_useful.then(|| self.place_at((load, forecast), rank, work, true))
+        let is_useful =
+            |it: &PlacementForecast| it.on_time || (rank.late && it.keeps_pauses && !it.suspected);
+        [near, far].into_iter().find_map(|loads| {
+            let best = self.best_of(loads.into_iter().copied(), &need)?;
+            is_useful(&best.1).then(|| self.place_at(best, rank, work, true))
+        })
     }
 
     fn refusal_of(&self, work: &WaitingRequest) -> Option<RefusalReason> {
--- a/crates/ryetide-core/src/scheduler_overflow.rs
+++ b/crates/ryetide-core/src/scheduler_overflow.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     decision::RefusalReason,
-    ids::{DataCentreName, ServiceName, TargetKey, VmName},
+    ids::{DataCentreName, ServiceName, TargetKey, TargetName, VmName},
     limit_share::LimitShare,
     load_digest::{DigestScope, LoadDigest, TargetReport},
     policy_update::{BorrowedLoad, MAX_ENTRIES, PolicyUpdate, ShortageReport, SlotGrant},
@@ -48,6 +48,8 @@
     },
     /// Slots were granted to a VM that had none of this target.
     Granted {
+        /// The target.
+        target: TargetName,
         /// The grant.
         grant: SlotGrant,
     },
@@ -125,8 +127,11 @@
         self.overflow.sent = ReportKinds::of(&update);
         self.overflow.urgency = self.overflow.sent.urgency_after(self.overflow.sent);
         self.overflow.examined_at = now;
-        let new = self.overflow.lender.issue(now, &update.grants);
-        self.overflow.events.extend(new.into_iter().map(|grant| OverflowEvent::Granted { grant }));
+        for grant in self.overflow.lender.issue(now, &update.grants) {
+            let Some(load) = self.targets.get(&grant.target) else { continue };
+            let target = load.entry().name.clone();
+            self.overflow.events.push(OverflowEvent::Granted { target, grant });
+        }
         digest.targets = self.lent_reports(now, &update.grants);
         digest.policies.shortages = update.shortages;
         digest.policies.grants = update.grants;
@@ -152,7 +157,8 @@
     }
 
     pub(crate) fn record_overflow_arrival(&mut self, now: Moment, service: &ServiceName) {
-        let Some(state) = self.services.get(service).filter(|state| is_shared_by_cell(state)) else {
+        let Some(state) = self.services.get(service).filter(|state| is_shared_by_cell(state))
+        else {
             return;
         };
         self.overflow.borrower.record_arrival(now, state.key);
@@ -225,17 +231,21 @@
     /// Returns what a brief digest reports now.
     fn overflow_update(&mut self, now: Moment) -> PolicyUpdate {
         let mut update = PolicyUpdate::default();
-        if !self.has_overflow() || self.leaving {
+        if !self.has_overflow() {
             self.update_shortages(BTreeMap::new());
             return update;
         }
         let borrowed = self.borrowed_targets();
-        let shortages = self.find_shortages(now, &borrowed);
-        update.shortages = self.shortage_reports(&shortages);
-        self.update_shortages(shortages);
         let loads = borrowed.iter().filter_map(|key| self.targets.get(key)).take(MAX_ENTRIES);
         update.borrowed = loads.map(|load| borrowed_load(load.report(now))).collect();
-        if self.overflow.lender.knows_shortage(now) {
+        // A VM that is shutting down finishes its runs, but neither lends nor borrows.
+        let shortages = match self.leaving {
+            true => BTreeMap::new(),
+            false => self.find_shortages(now, &borrowed),
+        };
+        update.shortages = self.shortage_reports(&shortages);
+        self.update_shortages(shortages);
+        if !self.leaving && self.overflow.lender.knows_shortage(now) {
             update.grants = self.overflow.lender.plan(now, &self.lendable_slots(now));
         }
         update
@@ -299,7 +309,8 @@
         };
         let others = members.iter().filter(|member| is_candidate(&member.data_centre));
         let others = others.map(|member| &member.name).filter(|name| *name != from);
-        slot_lending::is_considered(from, wanted + in_use, &self.options.name, others)
+        let count = slot_lending::lender_count(wanted + in_use, is_near);
+        slot_lending::is_considered(from, count, &self.options.name, others)
     }
 
     /// Returns what this VM's cell can lend of each service.
--- a/crates/ryetide-core/src/slot_borrowing.rs
+++ b/crates/ryetide-core/src/slot_borrowing.rs
@@ -27,7 +27,7 @@
 /// A cell whose free slots are fewer than this share of its slots is nearly full. Its VMs then
 /// report the excess of their arrivals before any request waits, because a grant takes about
 /// as long to arrive as a request may wait.
-const TIGHT_SHARE: f64 = 0.15;
+const TIGHT_SHARE: f64 = 0.05;
 
 /// What a VM knows of the slots of its own cell for one service.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -123,7 +123,13 @@
     }
 
     /// Replaces the grants of a lender by those among `grants` that name `own` as the borrower.
-    pub fn take_grants(&mut self, now: Moment, lender: &VmName, own: &VmName, grants: &[SlotGrant]) {
+    pub fn take_grants(
+        &mut self,
+        now: Moment,
+        lender: &VmName,
+        own: &VmName,
+        grants: &[SlotGrant],
+    ) {
         let named = grants.iter().filter(|grant| grant.borrower == *own);
         let slots: Vec<_> = named.map(|grant| (grant.target, u32::from(grant.slots))).collect();
         self.lenders.retain(|_, granted| granted.until > now);
--- a/crates/ryetide-core/src/slot_lending.rs
+++ b/crates/ryetide-core/src/slot_lending.rs
@@ -22,12 +22,14 @@
 /// The longest delay of a digest. A grant may be in use for this long after the lender's own count
 /// of its validity ends.
 const DIGEST_DELAY: Duration = Duration::from_millis(50);
-/// The number of lenders that consider a borrower for each slot that it wants, in its own data
-/// centre and in the others. About every second granting VM has a slot to lend where a third of the
-/// slots are free.
+/// The number of VMs of other data centres that consider a borrower for each slot that it wants.
+/// About every second granting VM has a slot to lend where a third of the slots are free.
 const LENDERS_PER_SLOT: usize = 2;
-/// The least number of lenders that consider a borrower.
+/// The least number of VMs of other data centres that consider a borrower.
 const MIN_LENDERS: usize = 6;
+/// The number of VMs of its own data centre that consider a borrower: three cells, since the bytes
+/// of their grants cost nothing and their slots are preferred.
+const NEAR_LENDERS: usize = 24;
 /// The standard deviations of the cell's own arrivals that the reserve covers. Where arrivals
 /// exceed it, a request waits at an engine for a part of one slot time.
 const RESERVE_DEVIATIONS: f64 = 1.0;
@@ -205,9 +207,8 @@
             return Vec::new();
         };
         // Slots under an earlier grant stay with its borrower until the grant has expired there.
-        let room = |(key, part): (&TargetKey, &u32)| {
-            (*key, part.saturating_sub(self.unused(now, *key)))
-        };
+        let room =
+            |(key, part): (&TargetKey, &u32)| (*key, part.saturating_sub(self.unused(now, *key)));
         let mut open: BTreeMap<TargetKey, u32> = spare.iter().map(room).collect();
         let (near, far): (Vec<_>, Vec<_>) =
             borrowers.into_iter().partition(|borrower| borrower.record.is_near);
@@ -238,7 +239,8 @@
             left -= kept;
             *assigned.entry(*target).or_default() += kept + borrower.in_flight(*target);
         }
-        let mut by_room: Vec<(u32, TargetKey)> = open.iter().map(|(key, room)| (*room, *key)).collect();
+        let mut by_room: Vec<(u32, TargetKey)> =
+            open.iter().map(|(key, room)| (*room, *key)).collect();
         by_room.sort_by(|one, other| other.cmp(one));
         for (room, target) in by_room {
             let part = spare.entry(target).or_default();
@@ -278,9 +280,8 @@
 
     fn unused_by(&self, now: Moment, target: TargetKey, borrower: &VmName) -> u32 {
         let valid = self.issued.iter().filter(|issued| issued.until > now);
-        let own = valid.filter(|issued| {
-            issued.grant.target == target && issued.grant.borrower == *borrower
-        });
+        let own = valid
+            .filter(|issued| issued.grant.target == target && issued.grant.borrower == *borrower);
         let most = own.map(|issued| u32::from(issued.grant.slots)).max().unwrap_or(0);
         let record = self.borrowers.get(borrower);
         let in_flight = record.and_then(|record| record.in_flight.get(&target)).copied();
@@ -316,19 +317,24 @@
     vms.max_by_key(|vm| (rendezvous(vm, u64::from(target.0)), *vm))
 }
 
-/// Returns whether `own` considers a borrower that wants `wanted` slots. Of the VMs that could, a
-/// number in proportion to `wanted` does, so that the grants of a large fleet together do not exceed
-/// the shortage many times.
+/// Returns the number of VMs that consider a borrower which could use `wanted` slots. It is in
+/// proportion to `wanted`, so that the grants of a large fleet do not exceed the shortage many times.
+pub fn lender_count(wanted: u32, is_near: bool) -> usize {
+    let by_slots = wanted as usize * LENDERS_PER_SLOT;
+    by_slots.max(if is_near { NEAR_LENDERS } else { MIN_LENDERS })
+}
+
+/// Returns whether `own` is among the first `count` lenders of a borrower; `others` are the other
+/// VMs that could lend to it.
 pub fn is_considered<'a>(
     borrower: &VmName,
-    wanted: u32,
+    count: usize,
     own: &VmName,
     others: impl Iterator<Item = &'a VmName>,
 ) -> bool {
     let seed = xxh3::xxh3_64(borrower.as_str().as_bytes());
     let own_hash = rendezvous(own, seed);
-    let before = others.filter(|vm| rendezvous(vm, seed) > own_hash).count();
-    before < (wanted as usize * LENDERS_PER_SLOT).max(MIN_LENDERS)
+    others.filter(|vm| rendezvous(vm, seed) > own_hash).count() < count
 }
 
 fn rendezvous(vm: &VmName, seed: u64) -> u64 {
--- a/crates/ryetide-core/tests/overflow/fleet_simulation.rs
+++ b/crates/ryetide-core/tests/overflow/fleet_simulation.rs
@@ -30,7 +30,7 @@
 const TARGETS: usize = 20;
 const SLOTS: usize = 6;
 /// Requests a second in each data centre at usual load: 0.6 of what its engines can serve.
-const RATE: f64 = 125.0;
+const RATE: f64 = 150.0;
 const PROMPT: u64 = 1_500;
 const EVENTS: u64 = 20;
 const OBJECTIVES: [u64; 2] = [300, 800];
@@ -86,6 +86,8 @@
     /// The factor on the load of the first data centre in `burst`.
     pub factor: f64,
     pub burst: (u64, u64),
+    /// Whether the additional load of the burst arrives at one cell.
+    pub is_skewed: bool,
     /// The factor on the load of the other data centres in `return_span`.
     pub return_factor: f64,
     pub return_span: (u64, u64),
@@ -100,6 +102,7 @@
     seconds: 6,
     factor: 1.0,
     burst: (0, 0),
+    is_skewed: false,
     return_factor: 1.0,
     return_span: (0, 0),
     cut: (0, 0),
@@ -125,6 +128,8 @@
     /// The number of brief digests with overflow reports, and of all.
     pub reports: u32,
     pub briefs: u32,
+    /// The bytes of these reports.
+    pub report_bytes: usize,
     /// The slots in use of the other data centres, summed over the ticks of the burst.
     busy: u32,
     burst_ticks: u32,
@@ -134,6 +139,11 @@
     format!("e{index}").as_str().into()
 }
 
+fn bytes_of_reports(digest: &LoadDigest) -> usize {
+    let encoded = postcard::to_allocvec(&(&digest.targets, &digest.policies));
+    encoded.expect("digests can be encoded").len()
+}
+
 fn centre_of(vm: usize) -> usize {
     vm / VMS
 }
@@ -209,6 +219,7 @@
             remote: 0,
             reports: 0,
             briefs: 0,
+            report_bytes: 0,
             busy: 0,
             burst_ticks: 0,
         };
@@ -223,6 +234,8 @@
     }
 
     fn add_arrivals(&mut self) {
+        let is_in_first = |vm: &usize| self.vms[0].scheduler.is_cell_peer(&name(*vm));
+        let first_cell: Vec<usize> = (0..VMS).filter(is_in_first).chain([0]).collect();
         for centre in 0..3 {
             let mut at = 2_000.0;
             while at < self.script.seconds as f64 * 1e6 {
@@ -233,7 +246,11 @@
                 };
                 let draw: f64 = self.rng.random_range(1e-9..1.0);
                 at += -draw.ln() / (RATE * factor) * 1e6;
-                let vm = centre * VMS + self.rng.random_range(0..VMS);
+                let mut vm = centre * VMS + self.rng.random_range(0..VMS);
+                if factor > 1.0 && self.script.is_skewed && self.rng.random_bool(1.0 - 1.0 / factor)
+                {
+                    vm = first_cell[self.rng.random_range(0..first_cell.len())];
+                }
                 self.schedule(at as u64, SimEvent::Arrival(vm));
             }
         }
@@ -263,7 +280,8 @@
                 SimEvent::Receive(index) => self.receive(now, index),
                 SimEvent::Tick => {
                     if is_in(now, self.script.burst) {
-                        let others = (TARGETS..TARGETS * 3).map(|it| &self.engines[&format!("t{it}")]);
+                        let others =
+                            (TARGETS..TARGETS * 3).map(|it| &self.engines[&format!("t{it}")]);
                         self.busy += others.map(|engine| engine.running as u32).sum::<u32>();
                         self.burst_ticks += 1;
                     }
@@ -278,8 +296,7 @@
         let tier = self.rng.random_range(0..OBJECTIVES.len());
         let objective = OBJECTIVES[tier] * 1_000;
         let (engine, is_begun) = (String::new(), false);
-        self.requests
-            .insert(ticket, SimRequest { vm, arrived: now, objective, engine, is_begun });
+        self.requests.insert(ticket, SimRequest { vm, arrived: now, objective, engine, is_begun });
         self.tallies[centre_of(vm)].asked += u32::from(now > 1_000_000);
         let now = Moment(now);
         let work = WaitingRequest {
@@ -321,6 +338,7 @@
             let digest = sim.scheduler.brief_digest(Moment(now), state.clone(), false);
             self.briefs += 1;
             self.reports += u32::from(!digest.policies.is_empty());
+            self.report_bytes += bytes_of_reports(&digest);
             self.digests.push((vm, true, digest));
             self.schedule(now + BRIEF_DELAY, SimEvent::Receive(self.digests.len() - 1));
         }
--- a/crates/ryetide-gateway/src/decision_log.rs
+++ b/crates/ryetide-gateway/src/decision_log.rs
@@ -9,7 +9,8 @@
 
 use ryetide_core::{
     decision::{PlacementEvidence, RunEnd},
-    ids::{OrganisationName, RequestSequence, VmName},
+    ids::{OrganisationName, RequestSequence, ServiceName, TargetName, VmName},
+    policy_update::SlotGrant,
     request_fingerprint::RequestFingerprint,
     target_load::TargetEntry,
     target_notice::TargetNotice,
@@ -117,6 +118,48 @@
         );
     }
 
+    /// Logs that a request is sent to a target of another cell under a grant.
+    pub fn slot_borrowed(
+        &self,
+        request: &LogId<'_>,
+        target: &TargetEntry,
+        evidence: &PlacementEvidence,
+    ) {
+        if self.permits() {
+            tracing::info!(
+                event = "slot-borrowed",
+                vm = %self.vm,
+                request = request.id,
+                sequence = request.sequence.0,
+                target = %target.name,
+                data_centre = %target.data_centre,
+                expected_ms = millis(evidence.forecast.first),
+                line = evidence.waiting,
+            );
+        }
+    }
+
+    /// Logs that this VM grants slots of a target to a VM of another cell.
+    pub fn slots_granted(&self, target: &TargetName, grant: &SlotGrant) {
+        if self.permits() {
+            tracing::info!(
+                event = "slots-granted",
+                vm = %self.vm,
+                %target,
+                slots = grant.slots,
+                borrower = %grant.borrower,
+            );
+        }
+    }
+
+    /// Logs that a shortage of a service's slots has begun (`wanted` is some) or ended.
+    pub fn shortage(&self, service: &ServiceName, wanted: Option<u16>) {
+        if self.permits() {
+            let begun = wanted.is_some();
+            tracing::info!(event = "shortage", vm = %self.vm, %service, begun, wanted);
+        }
+    }
+
     /// Logs that a request was refused with a retry delay, while `waiting` requests were queued.
     pub fn refused(&self, request: &LogId<'_>, why: &'static str, retry: Duration, waiting: usize) {
         if self.permits() {
--- a/crates/ryetide-gateway/src/exchange.rs
+++ b/crates/ryetide-gateway/src/exchange.rs
@@ -543,6 +543,10 @@
         self.gateway.metrics().record_waited(self.matched.tier(), waited);
         let revision = self.gateway.fleet().revision();
         self.gateway.log().placed(&self.log_id(), target, &evidence, waited, revision);
+        if evidence.borrowed {
+            self.gateway.metrics().count_borrowed();
+            self.gateway.log().slot_borrowed(&self.log_id(), target, &evidence);
+        }
     }
 
     /// Describes the request to the scheduler.
--- a/crates/ryetide-gateway/src/fleet_tasks.rs
+++ b/crates/ryetide-gateway/src/fleet_tasks.rs
@@ -11,6 +11,7 @@
     load_digest::LoadDigest,
     peer_digests::FeedLag,
     scheduler::Scheduler,
+    scheduler_overflow::OverflowUrgency,
     units::Moment,
     watcher_selection::WatchOrder,
 };
@@ -23,6 +24,7 @@
     feed_relay::RelayedChange,
     gateway_state::Gateway,
     lag_monitor::{FeedPauses, LagMonitor},
+    overflow_log,
     peer_link::{PeerEnvelope, PeerLink, PeerMessage},
     ports::{FleetUpdate, PeerEntry},
     quarantine_monitor,
@@ -40,8 +42,12 @@
 ///
 /// It applies while an organisation has nearly used up its quota, because all VMs must then add up
 /// its use; after a crash, because a VM attributes it to a request only once it knows which
-/// requests the target was running for other VMs; and after a target has changed its limit.
+/// requests the target was running for other VMs; after a target has changed its limit; and while a
+/// VM reports a shortage, grants slots or uses granted ones.
 const URGENT_BRIEF_INTERVAL: Duration = Duration::from_millis(300);
+/// The time between a brief digest and the next one that reports a shortage, grants or borrowed
+/// load where the former did not. Callers are refused until the first grants arrive.
+const FIRST_OVERFLOW_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Applies updates from the fleet feed to the routes, the target registry, the scheduler and the
 /// peers.
@@ -151,6 +157,9 @@
             it.is_quota_short() || it.crashes().has_fresh(now) || it.has_fresh_limit(now)
         });
         let interval = if urgent { URGENT_BRIEF_INTERVAL } else { BRIEF_INTERVAL };
+        let overflow = gateway.hub().peek_mut(|it| it.overflow_urgency(now));
+        let interval = interval.min(overflow_interval(overflow));
+        overflow_log::report(&gateway);
         if brief_sent.elapsed() >= interval {
             brief_sent = Instant::now();
             gateway.hub().with(Scheduler::plan_cells);
@@ -159,6 +168,15 @@
     }
 }
 
+/// Returns the longest time between two brief digests that overflow permits.
+fn overflow_interval(urgency: OverflowUrgency) -> Duration {
+    match urgency {
+        OverflowUrgency::None => BRIEF_INTERVAL,
+        OverflowUrgency::Renewed => URGENT_BRIEF_INTERVAL,
+        OverflowUrgency::New => FIRST_OVERFLOW_INTERVAL,
+    }
+}
+
 /// Periodically closes idle connections, drops expired target entries, asks a lagging feed to read
 /// again, and updates the gauges.
 pub async fn sweep(gateway: Rc<Gateway>, refresh: Rc<RefreshSignal>, pauses: FeedPauses) {
--- a/crates/ryetide-gateway/src/gateway_metrics.rs
+++ b/crates/ryetide-gateway/src/gateway_metrics.rs
@@ -64,6 +64,9 @@
     rollout_state: Family<RolloutLabels, Gauge>,
     rollout_placed: Family<RolloutLabels, Gauge>,
     rollout_exposed: Family<RolloutLabels, Gauge>,
+    slots_granted: Counter,
+    requests_borrowed: Counter,
+    shortage: Gauge,
 }
 
 impl Default for GatewayMetrics {
@@ -85,6 +88,9 @@
             rollout_state: Family::default(),
             rollout_placed: Family::default(),
             rollout_exposed: Family::default(),
+            slots_granted: Counter::default(),
+            requests_borrowed: Counter::default(),
+            shortage: Gauge::default(),
         };
         let registry = &mut metrics.registry;
         registry.register("requests", "Requests taken", metrics.requests.clone());
@@ -109,6 +115,12 @@
         registry.register("rollout_placed", placed, metrics.rollout_placed.clone());
         let exposed = "Those of them that went to the ordered version";
         registry.register("rollout_exposed", exposed, metrics.rollout_exposed.clone());
+        let granted = "Slots granted to VMs of other cells, renewals excluded";
+        registry.register("slots_granted", granted, metrics.slots_granted.clone());
+        let borrowed = "Requests sent to targets of other cells";
+        registry.register("requests_borrowed", borrowed, metrics.requests_borrowed.clone());
+        let shortage = "Slots of other cells that this VM could use in addition";
+        registry.register("shortage", shortage, metrics.shortage.clone());
         metrics
     }
 }
@@ -168,6 +180,21 @@
         }
     }
 
+    /// Counts slots that were granted to a VM of another cell.
+    pub fn count_granted(&self, slots: u8) {
+        self.slots_granted.inc_by(u64::from(slots));
+    }
+
+    /// Counts a request that is sent to a target of another cell.
+    pub fn count_borrowed(&self) {
+        self.requests_borrowed.inc();
+    }
+
+    /// Sets the number of slots of other cells that this VM could use in addition.
+    pub fn set_shortage(&self, slots: u32) {
+        self.shortage.set(i64::from(slots));
+    }
+
     /// Sets the number of requests in quarantine.
     pub fn set_quarantined(&self, count: usize) {
         self.quarantined.set(count as i64);
--- a/crates/ryetide-gateway/src/lib.rs
+++ b/crates/ryetide-gateway/src/lib.rs
@@ -25,7 +25,7 @@
 //! | [`store_feed`], [`table_follower`], [`store_table`], [`row_faults`], [`store_outage`], [`feed_relay`], [`lag_monitor`], [`refresh_signal`] | routes, targets and peers from a platform's store |
 //! | [`peer_link`], [`digest_relay`] | messages between entry VMs, and the relay of digests |
 //! | [`gateway_text`], [`file_feed`], [`own_headers`] | a gateway without a platform |
-//! | [`status_port`], [`gateway_metrics`], [`decision_log`], [`target_changes`] | readiness, metrics, logs |
+//! | [`status_port`], [`gateway_metrics`], [`decision_log`], [`target_changes`], `overflow_log` | readiness, metrics, logs |
 
 pub mod caller_answer;
 pub mod caller_listener;
@@ -45,6 +45,7 @@
 pub mod gateway_text;
 pub mod lag_monitor;
 mod local_future;
+mod overflow_log;
 pub mod own_headers;
 pub mod peer_link;
 pub mod ports;
--- /dev/null
+++ b/crates/ryetide-gateway/src/overflow_log.rs
@@ -0,0 +1,24 @@
+//! Logs and counts shortages of slots and the slots granted to VMs of other cells.
+
+use ryetide_core::scheduler_overflow::OverflowEvent;
+
+use crate::gateway_state::Gateway;
+
+/// Logs and counts what has changed since the last call, and sets the gauge of the shortage.
+pub fn report(gateway: &Gateway) {
+    let (events, shortage) = gateway
+        .hub()
+        .peek_mut(|scheduler| (scheduler.take_overflow_events(), scheduler.shortage()));
+    gateway.metrics().set_shortage(shortage);
+    for event in events {
+        match event {
+            OverflowEvent::Shortage { service, wanted } => {
+                gateway.log().shortage(&service, wanted);
+            }
+            OverflowEvent::Granted { target, grant } => {
+                gateway.metrics().count_granted(grant.slots);
+                gateway.log().slots_granted(&target, &grant);
+            }
+        }
+    }
+}
