--- a/crates/ryetide-core/src/scheduler_overflow.rs
+++ b/crates/ryetide-core/src/scheduler_overflow.rs
@@ -23,6 +23,8 @@
 
 /// The shortest time between two examinations of what a brief digest would report.
 const EXAMINE_INTERVAL: Duration = Duration::from_millis(20);
+/// The assumed time that a request occupies a slot, at a lender that has not observed one.
+const ASSUMED_SLOT_TIME: Duration = Duration::from_millis(1_000);
 
 /// How soon peers outside the cell must receive the next brief digest because of overflow.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -149,6 +151,9 @@
         let (own, update) = (self.options.name.clone(), &digest.policies);
         self.overflow.borrower.take_grants(now, from, &own, &update.grants);
         let is_near = digest.data_centre.as_ref() == Some(&self.options.data_centre);
+        if !self.overflow.lender.knows_shortage(now) {
+            self.overflow.examined_at = Moment::default();
+        }
         if update.shortages.is_empty() || self.considers(now, from, is_near, digest) {
             self.overflow.lender.record(now, from, is_near, update);
         } else {
@@ -177,9 +182,11 @@
         }
     }
 
-    /// Returns the targets of other cells at which this VM may start one more request of a service.
+    /// Returns the targets of other cells at which this VM may start one more of a service's waiting
+    /// requests.
     pub(crate) fn granted_targets(&self, now: Moment, state: &ServiceQueue) -> Vec<&TargetLoad> {
-        if !is_shared_by_cell(state) || !self.overflow.borrower.has_grants(now) {
+        let is_needed = is_shared_by_cell(state) && !state.queue.is_empty();
+        if !is_needed || !self.overflow.borrower.has_grants(now) {
             return Vec::new();
         }
         let granted = self.overflow.borrower.granted(now);
@@ -355,12 +362,13 @@
         let by_cell = |load: &&TargetLoad| {
             u32::from(load.group_report(now, |vm| self.is_cell_peer(vm)).running)
         };
-        CellDemand {
-            // The VMs of a cell get about equal shares of its requests.
-            arrival_rate: state.arrivals.rate(now) * f64::from(self.cell_size),
-            slot_time: state.slot_time.unwrap_or_default(),
-            running: usable.iter().map(by_cell).sum(),
-        }
+        let running = usable.iter().map(by_cell).sum();
+        let slot_time = state.slot_time.unwrap_or(ASSUMED_SLOT_TIME);
+        // The callers of this VM may send more or fewer requests than those of its peers, so the
+        // rate is at least the one that keeps as many requests running.
+        let by_own_rate = state.arrivals.rate(now) * f64::from(self.cell_size);
+        let by_running = f64::from(running) / slot_time.as_secs_f64().max(f64::EPSILON);
+        CellDemand { arrival_rate: by_own_rate.max(by_running), slot_time, running }
     }
 
     /// Returns the load and speed of the granted targets, which their borrowers do not know.
--- a/crates/ryetide-core/tests/overflow/lending.rs
+++ b/crates/ryetide-core/tests/overflow/lending.rs
@@ -5,11 +5,12 @@
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use ryetide_core::{
     ids::{ServiceKey, TargetKey, VmName},
-    load_digest::{DigestEnvelope, DigestScope, FleetState, LoadDigest},
+    load_digest::{DigestEnvelope, DigestScope, FleetState, LoadDigest, QueueReport},
     policy_update::{BorrowedLoad, PolicyUpdate, ShortageReport, SlotGrant},
     scheduler::Scheduler,
     scheduling_policy::PolicySwitch,
     slot_lending::{LendableSlots, LendableTarget, SlotLender},
+    slot_turn::UrgencyClass,
     target_load::TargetEntry,
     target_notice::LimitNotice,
     units::{Moment, RequestRate},
@@ -117,6 +118,24 @@
     scheduler.brief_digest(now, FleetState::default(), false).policies.grants
 }
 
+/// Guards against slots lent while requests of the own cell wait for them.
+#[test]
+fn a_cell_with_waiting_requests_lends_nothing() {
+    let now = Moment::from_millis(10);
+    let service = ServiceKey::of(&"drafting".into());
+    let mut granted = 0;
+    for lender in &mut cell(&targets()) {
+        report(lender, now, 1, Vec::new());
+        granted += grants_of(lender, now).len();
+        let peer = (0..VMS).map(name).find(|vm| lender.is_cell_peer(vm)).expect("a cell has peers");
+        let waiting = vec![QueueReport { service, class: UrgencyClass::LEAST_ON_TIME, count: 1 }];
+        let digest = LoadDigest { sequence: 2, waiting, ..LoadDigest::default() };
+        lender.apply_digest(now, DigestEnvelope { from: peer, digest });
+        assert_eq!(grants_of(lender, now), []);
+    }
+    assert!(granted > 0);
+}
+
 /// Guards against two VMs of a cell that grant the same slot, against slots of a target with a
 /// rate limit or one that leaves, and against placements on top of borrowed runs.
 #[test]
--- a/crates/ryetide-gateway/src/fleet_tasks.rs
+++ b/crates/ryetide-gateway/src/fleet_tasks.rs
@@ -132,6 +132,8 @@
     let mut digest_sent = Instant::now();
     let mut brief_sent = digest_sent;
     let mut pending = false;
+    // When the next brief digest is due because of overflow.
+    let mut overflow_at: Option<Instant> = None;
     loop {
         let now = gateway.hub().clock().now();
         let wake = gateway.hub().peek(|scheduler| scheduler.next_wake(now));
@@ -141,6 +143,7 @@
         let digest_at = digest_sent + wait;
         let timer_at = wake.map(|wake| gateway.hub().clock().instant(wake));
         let until = timer_at.map_or(digest_at, |timer_at| timer_at.min(digest_at));
+        let until = overflow_at.map_or(until, |overflow_at| overflow_at.min(until));
         tokio::select! {
             () = time::sleep_until(until) => {}
             () = gateway.hub().changed() => {}
@@ -160,8 +163,10 @@
         let overflow = gateway.hub().peek_mut(|it| it.overflow_urgency(now));
         let interval = interval.min(overflow_interval(overflow));
         overflow_log::report(&gateway);
+        overflow_at = (overflow != OverflowUrgency::None).then(|| brief_sent + interval);
         if brief_sent.elapsed() >= interval {
             brief_sent = Instant::now();
+            overflow_at = None;
             gateway.hub().with(Scheduler::plan_cells);
             send_brief_digest(&gateway, &link, false);
         }
