Examine overflow at the current time in the gateway's timer loop

Cause: the loop used the time from before its sleep, up to 400 ms old, so that expired grants and shortages still counted.

Change: it reads the clock before it asks for the urgency.

--- a/crates/ryetide-gateway/src/fleet_tasks.rs
+++ b/crates/ryetide-gateway/src/fleet_tasks.rs
@@ -160,6 +160,7 @@
             it.is_quota_short() || it.crashes().has_fresh(now) || it.has_fresh_limit(now)
         });
         let interval = if urgent { URGENT_BRIEF_INTERVAL } else { BRIEF_INTERVAL };
+        let now = gateway.hub().clock().now();
         let overflow = gateway.hub().peek_mut(|it| it.overflow_urgency(now));
         let interval = interval.min(overflow_interval(overflow));
         overflow_log::report(&gateway);
