--- a/crates/ryetide-core/src/lib.rs
+++ b/crates/ryetide-core/src/lib.rs
@@ -36,6 +36,7 @@
 //! | [`placement`], [`target_load`], [`target_health`], [`target_speed`], [`prompt_cache`] | placement of routed requests |
 //! | [`scheduling_policy`], [`policy_update`] | the optional policies for uneven load, and what VMs report for them |
 //! | [`outlier_detector`], [`target_ejection`] | ejection of targets that fail requests |
+//! | [`slot_borrowing`], [`slot_lending`], [`scheduler_overflow`] | use of free slots of other cells |
 //! | [`load_digest`], [`peer_digests`], [`cell_plan`], [`digest_timing`], [`digest_route`] | load reports between entry VMs |
 //! | [`target_registry`], [`target_notice`] | the existing targets, and the notices in their answers |
 //! | [`target_limit`], [`limit_share`] | request rate limits that targets announce, and each VM's share of them |
@@ -110,10 +111,13 @@
 mod scheduler_ejection;
 mod scheduler_limits;
 pub mod scheduler_options;
+pub mod scheduler_overflow;
 mod scheduler_rollouts;
 pub mod scheduling_policy;
 pub mod service_rollout;
+pub mod slot_borrowing;
 mod slot_ledger;
+pub mod slot_lending;
 pub mod slot_request;
 pub mod slot_turn;
 pub mod target_ejection;
--- a/crates/ryetide-gateway/src/fleet_tasks.rs
+++ b/crates/ryetide-gateway/src/fleet_tasks.rs
@@ -11,6 +11,7 @@
     load_digest::LoadDigest,
     peer_digests::FeedLag,
     scheduler::Scheduler,
+    scheduler_overflow::OverflowUrgency,
     units::Moment,
     watcher_selection::WatchOrder,
 };
@@ -24,6 +25,7 @@
     feed_relay::RelayedChange,
     gateway_state::Gateway,
     lag_monitor::{FeedPauses, LagMonitor},
+    overflow_log,
     peer_link::{PeerEnvelope, PeerLink, PeerMessage},
     ports::{FleetUpdate, PeerEntry},
     quarantine_monitor,
@@ -41,9 +43,13 @@
 ///
 /// It applies while an organisation has nearly used up its quota, because all VMs must then add up
 /// its use; after a crash, because a VM attributes it to a request only once it knows which
-/// requests the target was running for other VMs; after a target has changed its limit; and after a
-/// target that VMs of all cells use was ejected.
+/// requests the target was running for other VMs; after a target has changed its limit; after a
+/// target that VMs of all cells use was ejected; and while a VM reports a shortage, grants slots or
+/// uses granted ones.
 const URGENT_BRIEF_INTERVAL: Duration = Duration::from_millis(300);
+/// The time between a brief digest and the next one that reports a shortage, grants or borrowed
+/// load where the former did not. Callers are refused until the first grants arrive.
+const FIRST_OVERFLOW_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Applies updates from the fleet feed to the routes, the target registry, the scheduler and the
 /// peers.
@@ -128,6 +134,8 @@
     let mut digest_sent = Instant::now();
     let mut brief_sent = digest_sent;
     let mut pending = false;
+    // When the next brief digest is due because of overflow.
+    let mut overflow_at: Option<Instant> = None;
     loop {
         let now = gateway.hub().clock().now();
         let wake = gateway.hub().peek(|scheduler| scheduler.next_wake(now));
@@ -137,6 +145,7 @@
         let digest_at = digest_sent + wait;
         let timer_at = wake.map(|wake| gateway.hub().clock().instant(wake));
         let until = timer_at.map_or(digest_at, |timer_at| timer_at.min(digest_at));
+        let until = overflow_at.map_or(until, |overflow_at| overflow_at.min(until));
         tokio::select! {
             () = time::sleep_until(until) => {}
             () = gateway.hub().changed() => {}
@@ -156,14 +165,29 @@
                 || it.has_fresh_ejection(now)
         });
         let interval = if urgent { URGENT_BRIEF_INTERVAL } else { BRIEF_INTERVAL };
+        let now = gateway.hub().clock().now();
+        let overflow = gateway.hub().peek_mut(|it| it.overflow_urgency(now));
+        let interval = interval.min(overflow_interval(overflow));
+        overflow_log::report(&gateway);
+        overflow_at = (overflow != OverflowUrgency::None).then(|| brief_sent + interval);
         if brief_sent.elapsed() >= interval {
             brief_sent = Instant::now();
+            overflow_at = None;
             gateway.hub().with(Scheduler::plan_cells);
             send_brief_digest(&gateway, &link, false);
         }
     }
 }
 
+/// Returns the longest time between two brief digests that overflow permits.
+fn overflow_interval(urgency: OverflowUrgency) -> Duration {
+    match urgency {
+        OverflowUrgency::None => BRIEF_INTERVAL,
+        OverflowUrgency::Renewed => URGENT_BRIEF_INTERVAL,
+        OverflowUrgency::New => FIRST_OVERFLOW_INTERVAL,
+    }
+}
+
 /// Periodically closes idle connections, drops expired target entries, asks a lagging feed to read
 /// again, and updates the gauges.
 pub async fn sweep(gateway: Rc<Gateway>, refresh: Rc<RefreshSignal>, pauses: FeedPauses) {
--- a/crates/ryetide-gateway/src/gateway_metrics.rs
+++ b/crates/ryetide-gateway/src/gateway_metrics.rs
@@ -67,6 +67,9 @@
     ejected_targets: Gauge,
     ejections: Counter,
     probes: Counter,
+    slots_granted: Counter,
+    requests_borrowed: Counter,
+    shortage: Gauge,
 }
 
 impl Default for GatewayMetrics {
@@ -91,6 +94,9 @@
             ejected_targets: Gauge::default(),
             ejections: Counter::default(),
             probes: Counter::default(),
+            slots_granted: Counter::default(),
+            requests_borrowed: Counter::default(),
+            shortage: Gauge::default(),
         };
         let registry = &mut metrics.registry;
         registry.register("requests", "Requests taken", metrics.requests.clone());
@@ -120,6 +126,12 @@
         let ejections = "Ejections of targets that fail requests";
         registry.register("ejections", ejections, metrics.ejections.clone());
         registry.register("probes", "Requests sent to ejected targets", metrics.probes.clone());
+        let granted = "Slots granted to VMs of other cells, renewals excluded";
+        registry.register("slots_granted", granted, metrics.slots_granted.clone());
+        let borrowed = "Requests sent to targets of other cells";
+        registry.register("requests_borrowed", borrowed, metrics.requests_borrowed.clone());
+        let shortage = "Slots of other cells that this VM could use in addition";
+        registry.register("shortage", shortage, metrics.shortage.clone());
         metrics
     }
 }
@@ -190,6 +202,21 @@
         self.probes.inc_by(new_probes);
     }
 
+    /// Counts slots that were granted to a VM of another cell.
+    pub fn count_granted(&self, slots: u8) {
+        self.slots_granted.inc_by(u64::from(slots));
+    }
+
+    /// Counts a request that is sent to a target of another cell.
+    pub fn count_borrowed(&self) {
+        self.requests_borrowed.inc();
+    }
+
+    /// Sets the number of slots of other cells that this VM could use in addition.
+    pub fn set_shortage(&self, slots: u32) {
+        self.shortage.set(i64::from(slots));
+    }
+
     /// Sets the number of requests in quarantine.
     pub fn set_quarantined(&self, count: usize) {
         self.quarantined.set(count as i64);
