--- a/crates/ryetide-core/src/organisation_usage.rs
+++ b/crates/ryetide-core/src/organisation_usage.rs
@@ -48,15 +48,15 @@
 
 /// A sum that decays with a half-life in milliseconds.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
-struct DecayingSum<const HALF_LIFE: u64> {
+struct DecayingSum<const MILLIS: u64> {
     value: f64,
     at: Moment,
 }
 
-impl<const HALF_LIFE: u64> DecayingSum<HALF_LIFE> {
+impl<const MILLIS: u64> DecayingSum<MILLIS> {
     /// Returns the sum at `now`.
     fn at(&self, now: Moment) -> f64 {
-        let halves = now.since(self.at).as_secs_f64() * 1_000.0 / HALF_LIFE as f64;
+        let halves = now.since(self.at).as_secs_f64() * 1_000.0 / MILLIS as f64;
         self.value * 0.5_f64.powf(halves)
     }
 
