Compute the mean speed of targets once for all claims

The cost of each waiting request was computed over all targets. The mean times per token and event are now computed once for each view.

--- a/crates/ryetide-core/src/queue_view.rs
+++ b/crates/ryetide-core/src/queue_view.rs
@@ -164,11 +164,22 @@
     /// Orders requests of the same tier and route rank by their organisations' shares. `vms` is the
     /// number of VMs at which requests may wait.
     pub fn with_shares(mut self, vms: usize) -> Self {
+        let count = self.usable.len().max(1) as f64;
+        let mean = |time: fn(&TargetLoad) -> Duration| {
+            self.usable.iter().map(|load| time(load).as_secs_f64()).sum::<f64>() / count
+        };
+        let per_token = mean(|load| load.estimate().prompt_token);
+        let per_event = mean(|load| load.estimate().event);
+        let answer_time = mean(TargetLoad::answer_time);
+        let cost = |work: &WaitingRequest| match work.engine {
+            true => work.prompt.0 as f64 * per_token + f64::from(work.events) * per_event,
+            false => answer_time,
+        };
         let claim = |(rank, work): &(QueueRank, &WaitingRequest)| ShareClaim {
             ticket: work.ticket,
             organisation: work.organisation,
             class: rank.class(),
-            cost: self.engine_time(work).as_secs_f64(),
+            cost: cost(work),
         };
         let claims: Vec<ShareClaim> = self.ordered().iter().map(claim).collect();
         self.shares = ShareOrder::new(self.now, &self.state.usage, &claims, vms as f64);
@@ -197,19 +208,6 @@
         deferred.map(|(rank, _)| rank.ticket)
     }
 
-    /// The expected engine time of a request at a target of mean speed.
-    fn engine_time(&self, work: &WaitingRequest) -> Duration {
-        let Ok(targets) = u32::try_from(self.usable.len()) else { return Duration::ZERO };
-        let time = |load: &&TargetLoad| match work.engine {
-            true => {
-                let estimate = load.estimate();
-                estimate.reading_time(work.prompt.0) + estimate.event.saturating_mul(work.events)
-            }
-            false => load.answer_time(),
-        };
-        self.usable.iter().map(time).sum::<Duration>() / targets.max(1)
-    }
-
     /// Allows one request to go to these targets, which run a version on trial.
     pub fn with_trial(
         mut self,
