--- a/crates/ryetide-core/src/lib.rs
+++ b/crates/ryetide-core/src/lib.rs
@@ -37,6 +37,7 @@
 //! | [`scheduling_policy`], [`policy_update`] | the optional policies for uneven load, and what VMs report for them |
 //! | [`outlier_detector`], [`target_ejection`] | ejection of targets that fail requests |
 //! | [`slot_borrowing`], [`slot_lending`], [`scheduler_overflow`] | use of free slots of other cells |
+//! | [`organisation_usage`], [`share_order`], [`fair_share`], [`scheduler_shares`] | fair shares among organisations |
 //! | [`load_digest`], [`peer_digests`], [`cell_plan`], [`digest_timing`], [`digest_route`] | load reports between entry VMs |
 //! | [`target_registry`], [`target_notice`] | the existing targets, and the notices in their answers |
 //! | [`target_limit`], [`limit_share`] | request rate limits that targets announce, and each VM's share of them |
@@ -75,6 +76,7 @@
 mod entry_slot;
 pub mod era_version;
 pub mod event;
+pub mod fair_share;
 pub mod ids;
 pub mod json_form;
 mod ledger_time;
@@ -82,6 +84,7 @@
 pub mod load_digest;
 pub mod membership;
 pub mod message;
+pub mod organisation_usage;
 pub mod outlier_detector;
 mod output_estimate;
 pub mod peer_digests;
@@ -113,8 +116,10 @@
 pub mod scheduler_options;
 pub mod scheduler_overflow;
 mod scheduler_rollouts;
+pub mod scheduler_shares;
 pub mod scheduling_policy;
 pub mod service_rollout;
+pub mod share_order;
 pub mod slot_borrowing;
 mod slot_ledger;
 pub mod slot_lending;
--- a/crates/ryetide-core/src/scheduler.rs
+++ b/crates/ryetide-core/src/scheduler.rs
@@ -21,8 +21,9 @@
     digest_route::DigestRouter,
     digest_timing::DigestTiming,
     digest_tracker::DigestTracker,
-    ids::{RequestSequence, ServiceName, TargetIncarnation, TargetKey, VmName},
+    ids::{OrganisationKey, RequestSequence, ServiceName, TargetIncarnation, TargetKey, VmName},
     load_digest::FleetState,
+    organisation_usage::OrganisationUsage,
     peer_digests::{FeedLag, PeerDigests},
     queue_view::{QueueAction, QueueView, ServiceQueue, SlotSharing, UsedTargets},
     quota::QuotaCharge,
@@ -33,6 +34,7 @@
     rollout_manager::{RolloutManager, TargetUse},
     scheduler_options::SchedulerOptions,
     scheduler_overflow::OverflowState,
+    scheduler_shares::ShareReporter,
     scheduling_policy::SchedulingPolicy,
     target_limit::LimitTable,
     target_load::{TargetEntry, TargetLoad},
@@ -80,6 +82,7 @@
     /// Number of VMs that use the same targets, including this one.
     pub(crate) cell_size: u32,
     pub(crate) overflow: OverflowState,
+    pub(crate) share_reporter: ShareReporter,
 }
 
 #[derive(Clone, Debug)]
@@ -92,6 +95,10 @@
     pub(crate) expected_first: Duration,
     /// Whether the request was sent to an ejected target.
     pub(crate) is_probe: bool,
+    pub(crate) organisation: OrganisationKey,
+    pub(crate) engine: bool,
+    /// The estimated time in which the target reads the prompt.
+    pub(crate) reading: Duration,
 }
 
 impl Scheduler {
@@ -124,6 +131,7 @@
             watch_order: WatchOrder::default(),
             cell_size: 1,
             overflow: OverflowState::default(),
+            share_reporter: ShareReporter::default(),
         }
     }
 
@@ -287,9 +295,10 @@
     }
 
     fn enqueue(&mut self, now: Moment, work: WaitingRequest) {
-        let service = work.service.clone();
+        let (service, ticket) = (work.service.clone(), work.ticket);
         self.service_state(&service).queue.push(work);
         self.changed = true;
+        self.record_queued_share(now, &service, ticket);
         self.process_queue(now, &service);
     }
 
@@ -304,6 +313,7 @@
 
     /// Records an event of a response stream.
     pub fn record_event(&mut self, now: Moment, ticket: RequestSequence) {
+        self.charge_event(now, ticket);
         let Some(run) = self.runs.get_mut(&ticket) else { return };
         let last = run.last_event.replace(now);
         let Some(load) = self.targets.get_mut(&run.target) else { return };
@@ -321,6 +331,7 @@
     pub fn end(&mut self, now: Moment, ticket: RequestSequence, end: RunEnd) {
         let Some(run) = self.runs.remove(&ticket) else { return };
         self.digest_tracker.record_touched(now, run.target);
+        self.charge_end(now, &run, end);
         if let Some(load) = self.targets.get_mut(&run.target) {
             load.end(now, ticket, end == RunEnd::Whole);
             match end {
@@ -470,6 +481,7 @@
     /// Makes all decisions about a service's queue that are possible now.
     fn process_queue(&mut self, now: Moment, service: &ServiceName) {
         self.update_limit_shares(now);
+        self.refresh_usage(now, service);
         while let Some(choice) = self.view(now, service).and_then(|view| view.next_action()) {
             match choice {
                 QueueAction::Place { ticket, target, evidence } => {
@@ -478,6 +490,7 @@
                 QueueAction::Refuse { ticket, reason } => self.refuse(now, service, ticket, reason),
             }
         }
+        self.record_share_excess(now, service);
     }
 
     fn place(
@@ -497,6 +510,11 @@
             load.prompt_cache_mut().record(now, prompt_hash, work.prompt);
             self.digest_tracker.record_placement(target, prompt_hash, work.prompt);
         }
+        let reading = if work.engine {
+            load.estimate().reading_time(evidence.forecast.to_read.0)
+        } else {
+            Duration::ZERO
+        };
         let run = PlacedRun {
             service: service.clone(),
             target,
@@ -504,9 +522,13 @@
             last_event: None,
             expected_first: evidence.forecast.first,
             is_probe: false,
+            organisation: work.organisation,
+            engine: work.engine,
+            reading,
         };
-        self.runs.insert(ticket, run);
         let target = load.entry().clone();
+        self.charge_prompt(now, &run);
+        self.runs.insert(ticket, run);
         self.record_probe(now, ticket);
         self.rollouts.record_placed(now, &target);
         self.decisions.push(Decision::Place { ticket, target, evidence });
@@ -557,6 +579,9 @@
             // A service whose targets are all gone for a moment keeps its policies.
             state.announces_incarnations |= announced.contains(name);
             state.policy = self.options.policy.for_service(state.announces_incarnations);
+            if !state.policy.fair_shares {
+                state.usage = OrganisationUsage::default();
+            }
         }
         self.update_ejections();
     }
@@ -567,7 +592,10 @@
         let sharing =
             SlotSharing { vms: self.cell_size, turn_span: self.digest_timing.propagation_time() };
         let view = QueueView::new(now, state, &self.targets, &self.peers, &self.options, sharing);
-        let view = view.with_granted(self.granted_targets(now, state));
+        let mut view = view.with_granted(self.granted_targets(now, state));
+        if state.policy.fair_shares {
+            view = view.with_shares(self.peers.known_count(now));
+        }
         if state.trial.keys.is_empty() {
             return Some(view);
         }
--- a/crates/ryetide-core/src/scheduler_digests.rs
+++ b/crates/ryetide-core/src/scheduler_digests.rs
@@ -36,6 +36,7 @@
             });
         }
         self.merge_limit_reports(now, &digest.limits);
+        self.merge_usage(now, &from, &digest.policies.usage);
         // If the peer was unreachable, the ledger's buckets have grown since by its share of each
         // quota; its spending is charged to the grown buckets.
         self.update_peer_counts(now);
@@ -90,11 +91,12 @@
 
     /// Returns the digest for all peers outside this VM's cell.
     pub fn brief_digest(&mut self, now: Moment, state: FleetState, leaving: bool) -> LoadDigest {
-        let digest = self.common_digest(now, state, leaving);
+        let mut digest = self.common_digest(now, state, leaving);
+        digest.policies.usage = self.usage_reports(now, DigestScope::Brief);
         self.with_overflow(now, digest)
     }
 
-    /// Returns what the digests of all scopes hold.
+    /// Returns what the digests of all scopes contain.
     fn common_digest(&mut self, now: Moment, state: FleetState, leaving: bool) -> LoadDigest {
         self.leaving |= leaving;
         LoadDigest {
@@ -165,6 +167,7 @@
         let loaded = self.targets.values().filter(|load| load.has_news(now));
         let targets = loaded.map(|load| load.report(now)).collect();
         let crashes = self.crashes.full_update(now);
+        brief.policies.usage = self.usage_reports(now, scope);
         LoadDigest { scope, targets, waiting, placed, crashes, ..brief }
     }
 }
--- a/crates/ryetide-core/tests/outlier_ejection/failing_fleet.rs
+++ b/crates/ryetide-core/tests/outlier_ejection/failing_fleet.rs
@@ -304,5 +304,6 @@
         begun: false,
         excluded: Vec::new(),
         may_rerun,
+        organisation: Default::default(),
     }
 }
--- a/crates/ryetide-core/tests/overflow/fleet_simulation.rs
+++ b/crates/ryetide-core/tests/overflow/fleet_simulation.rs
@@ -321,6 +321,7 @@
             begun: false,
             excluded: Vec::new(),
             may_rerun: true,
+            organisation: Default::default(),
         };
         self.vms[vm].scheduler.enter(now, work);
         self.apply_decisions(now.0, vm);
--- a/crates/ryetide-core/tests/rollout/placement.rs
+++ b/crates/ryetide-core/tests/rollout/placement.rs
@@ -42,6 +42,7 @@
         begun: false,
         excluded: Vec::new(),
         may_rerun: false,
+        organisation: Default::default(),
     }
 }
 
--- a/crates/ryetide-core/tests/scheduler.rs
+++ b/crates/ryetide-core/tests/scheduler.rs
@@ -55,6 +55,7 @@
         begun: false,
         excluded: Vec::new(),
         may_rerun: false,
+        organisation: Default::default(),
     }
 }
 
--- a/crates/ryetide-core/tests/target_limit/fleet.rs
+++ b/crates/ryetide-core/tests/target_limit/fleet.rs
@@ -246,6 +246,7 @@
             begun: false,
             excluded: Vec::new(),
             may_rerun: false,
+            organisation: Default::default(),
         };
         self.vms[vm].scheduler.enter(now, work);
         self.apply_decisions(vm);
--- a/crates/ryetide-core/tests/target_notice.rs
+++ b/crates/ryetide-core/tests/target_notice.rs
@@ -162,6 +162,7 @@
         begun: false,
         excluded: Vec::new(),
         may_rerun: false,
+        organisation: Default::default(),
     }
 }
 
--- a/crates/ryetide-gateway/src/exchange.rs
+++ b/crates/ryetide-gateway/src/exchange.rs
@@ -13,7 +13,7 @@
 };
 use ryetide_core::{
     decision::{Decision, PlacementEvidence, RunEnd},
-    ids::{RouteKey, ServiceName, TargetKey},
+    ids::{OrganisationKey, RouteKey, ServiceName, TargetKey},
     quota::QuotaCharge,
     request_fingerprint::RequestFingerprint,
     rollout_evidence::RunSample,
@@ -584,9 +584,15 @@
             begun: self.last_at.is_some(),
             excluded: self.excluded.clone(),
             may_rerun: self.is_repeatable() && self.attempts + 1 < route.attempts,
+            organisation: self.organisation_key(),
         }
     }
 
+    fn organisation_key(&self) -> OrganisationKey {
+        let organisation = self.matched.organisation.as_ref();
+        organisation.map_or_else(Default::default, |it| OrganisationKey::of(&it.name))
+    }
+
     /// Returns the fields that identify the request in log events.
     fn log_id(&self) -> LogId<'_> {
         LogId {
--- a/crates/ryetide-gateway/src/gateway_metrics.rs
+++ b/crates/ryetide-gateway/src/gateway_metrics.rs
@@ -9,6 +9,7 @@
 };
 use ryetide_core::{
     chart::ChartName,
+    scheduler_shares::ShareActivity,
     service_rollout::ServiceRollout,
     target_notice::{LimitNotice, TargetNotice},
     units::TierRank,
@@ -70,6 +71,9 @@
     slots_granted: Counter,
     requests_borrowed: Counter,
     shortage: Gauge,
+    over_share: Gauge,
+    over_share_deferred: Counter,
+    usage_sources: Gauge,
 }
 
 impl Default for GatewayMetrics {
@@ -97,6 +101,9 @@
             slots_granted: Counter::default(),
             requests_borrowed: Counter::default(),
             shortage: Gauge::default(),
+            over_share: Gauge::default(),
+            over_share_deferred: Counter::default(),
+            usage_sources: Gauge::default(),
         };
         let registry = &mut metrics.registry;
         registry.register("requests", "Requests taken", metrics.requests.clone());
@@ -132,6 +139,13 @@
         registry.register("requests_borrowed", borrowed, metrics.requests_borrowed.clone());
         let shortage = "Slots of other cells that this VM could use in addition";
         registry.register("shortage", shortage, metrics.shortage.clone());
+        let over_share = "Organisations above their fair share while requests wait";
+        registry.register("over_share", over_share, metrics.over_share.clone());
+        let deferred =
+            "Requests put behind others of their tier because of their organisation's share";
+        registry.register("over_share_deferred", deferred, metrics.over_share_deferred.clone());
+        let sources = "Peers whose usage by organisation is known";
+        registry.register("usage_sources", sources, metrics.usage_sources.clone());
         metrics
     }
 }
@@ -230,6 +244,13 @@
         self.targets.set(targets as i64);
     }
 
+    /// Sets the metrics of the fair shares among organisations.
+    pub fn set_shares(&self, activity: &ShareActivity) {
+        self.over_share.set(activity.over_share as i64);
+        self.over_share_deferred.inc_by(activity.deferred);
+        self.usage_sources.set(activity.sources as i64);
+    }
+
     /// Encodes all metrics as text.
     ///
     /// # Errors
