Keep requests and book return times from a forecast of free slots

A caller refused for overload was told to return after 300 to 450 ms, returned into the same burst, was refused again and had no retry left.

The new return_schedule divides the future into intervals and forecasts, from arrival_forecast and the usable slots, how much slot time each leaves beyond new requests. A request that a slot is expected for before its caller stops waiting is kept, behind all requests that can be on time. Other callers are told the first interval with room, and a place is booked for them. A returned caller claims a place of an interval that has begun. Nothing changes while ServicePolicy::return_times is false.

The load simulation gains callers that wait for a third of their time, callers that retry at once, and engines that cannot be reached for some seconds.

--- a/crates/ryetide-core/src/decision.rs
+++ b/crates/ryetide-core/src/decision.rs
@@ -68,5 +68,7 @@
         retry_after: Duration,
         /// Requests that waited at this VM.
         waiting: usize,
+        /// The time until the interval in which a place is booked for the caller, if one is.
+        booked_after: Option<Duration>,
     },
 }
--- a/crates/ryetide-core/src/queue_view.rs
+++ b/crates/ryetide-core/src/queue_view.rs
@@ -14,17 +14,22 @@
     peer_digests::{AheadCount, PeerDigests},
     placement::{self, PlacementForecast, PlacementNeed},
     recent_arrivals::{self, RecentArrivals},
+    return_schedule::{ReturnSchedule, SlotCapacity},
     scheduler_options::SchedulerOptions,
     scheduling_policy::ServicePolicy,
     slot_turn::{self, FreeSlot, SlotClaimant, UrgencyClass},
     target_load::TargetLoad,
     units::Moment,
-    wait_queue::{QueueRank, WaitQueue, WaitingRequest},
+    wait_queue::{QueueRank, QueueStanding, WaitQueue, WaitingRequest},
 };
 
 /// Time reserved for a refusal to reach a caller before the caller stops waiting.
 const REFUSAL_MARGIN: Duration = Duration::from_millis(150);
 
+/// The share of the slots that requests kept waiting leave free during an overload. A new request
+/// then mostly starts at once, and as many are on time as without the kept ones.
+const KEPT_RESERVE_SHARE: f64 = 0.04;
+
 /// The targets of a service that a VM uses.
 #[derive(Clone, Debug, Default)]
 pub struct UsedTargets {
@@ -53,6 +58,8 @@
     pub announces_incarnations: bool,
     /// The optional policies in effect.
     pub policy: ServicePolicy,
+    /// The places booked for returning callers.
+    pub returns: ReturnSchedule,
 }
 
 impl ServiceQueue {
@@ -67,6 +74,7 @@
             arrivals: RecentArrivals::default(),
             announces_incarnations: false,
             policy: ServicePolicy::default(),
+            returns: ReturnSchedule::default(),
         }
     }
 }
@@ -107,6 +115,8 @@
     peers: &'a PeerDigests,
     options: &'a SchedulerOptions,
     sharing: SlotSharing,
+    /// Slots of targets that could not be reached and are tried again.
+    paused_slots: u32,
 }
 
 /// How the VMs of a cell share the slots of their targets.
@@ -135,8 +145,21 @@
             loads.iter().partition(|load| load.accepts_work(now));
         let backed_off_until =
             if usable.is_empty() { first_back_off_end(now, &others) } else { None };
-        let trial = Vec::new();
-        Self { now, state, usable, trial, backed_off_until, limits, peers, options, sharing }
+        let paused = others.iter().filter(|load| load.health().is_suspect());
+        let paused = paused.filter(|load| !load.entry().leaving);
+        let paused_slots = paused.map(|load| load.entry().slots).sum();
+        Self {
+            now,
+            state,
+            usable,
+            trial: Vec::new(),
+            backed_off_until,
+            limits,
+            peers,
+            options,
+            sharing,
+            paused_slots,
+        }
     }
 
     /// Allows one request to go to these targets, which run a version on trial.
@@ -190,6 +213,9 @@
         if let Some(reason) = self.refusal_of(work) {
             return Some(QueueAction::Refuse { ticket, reason });
         }
+        if self.must_leave_slots(ticket, free_slots) {
+            return None;
+        }
         let on_trial = self.choose_trial_target(rank, work, peers);
         if on_trial.is_none() && free_slots == 0 {
             return None;
@@ -242,6 +268,9 @@
     /// waiting. An early refusal, at arrival where the queue already shows it, lets the caller
     /// retry when slots are free, so that more requests are served in a burst.
     fn is_late_behind_others(&self, work: &WaitingRequest) -> bool {
+        if self.may_stay(work) {
+            return false;
+        }
         let missed_at = work.objective_at.before(self.earliest_first_event(work));
         let accepted_late = missed_at <= work.arrived && !work.is_retry;
         if work.begun || accepted_late || self.now <= missed_at {
@@ -261,7 +290,7 @@
     /// after a small part of the objective instead of most of it, and as many requests are on time.
     /// The first request in the queue stays, so that a freed slot is used.
     fn will_be_overtaken(&self, position: usize, rank: QueueRank, work: &WaitingRequest) -> bool {
-        if position == 0 || rank.late || work.begun {
+        if position == 0 || rank.late || work.begun || self.may_stay(work) {
             return false;
         }
         let peers = self.ahead_at_peers(rank.class());
@@ -362,7 +391,8 @@
         // No target with a free slot serves the request on time, but a busy one may do so later. A
         // late request also waits if the free slot would delay the streams that run beside it: one
         // late answer costs less than pauses in all of those streams.
-        let better = |load: &TargetLoad, it: &PlacementForecast| match rank.late {
+        let is_late = rank.late || (!rank.without_place && need.objective_left.is_zero());
+        let better = |load: &TargetLoad, it: &PlacementForecast| match is_late {
             true => it.keeps_pauses && !forecast.keeps_pauses,
             false => {
                 let wait = self.slot_wait(load);
@@ -388,11 +418,12 @@
             return false;
         };
         let best = self.earliest_first_event(work);
-        let rank = work.rank(self.now, best);
+        let rank = self.state.queue.rank(self.now, work, best);
         let wait = self.expected_wait(Some(rank));
         let first_at = self.now + wait + best;
         let caller_leaves = first_at + REFUSAL_MARGIN > work.leave_at;
-        caller_leaves || (!rank.late && !wait.is_zero() && first_at > work.objective_at)
+        let will_be_late = !rank.late && !wait.is_zero() && first_at > work.objective_at;
+        caller_leaves || (will_be_late && !self.may_stay(work))
     }
 
     /// Returns the time until a request of this rank, or of the last rank, gets a slot. The time is
@@ -412,7 +443,7 @@
     /// The time until slots were assigned to `ahead` requests and to the more urgent ones that
     /// arrive meanwhile.
     fn wait_behind(&self, ahead: u32, rank: Option<QueueRank>) -> Duration {
-        let slots: u32 = self.usable.iter().map(|load| load.entry().slots).sum();
+        let slots = self.usable_slots();
         let slot_time = self.state.slot_time.unwrap_or_default();
         if let Some(limits) = &self.limits {
             let first = self.backed_off_until.map_or(Duration::ZERO, |until| until.since(self.now));
@@ -425,11 +456,58 @@
         wait.mul_f64(recent_arrivals::delay_factor(busy / f64::from(slots.max(1))))
     }
 
+    /// Whether a request that is kept must leave the free slots to new requests.
+    fn must_leave_slots(&self, ticket: RequestSequence, free_slots: u32) -> bool {
+        let standing = self.state.queue.standing(ticket);
+        let is_kept = matches!(standing, QueueStanding::Kept(_));
+        let reserve = (f64::from(self.usable_slots()) * KEPT_RESERVE_SHARE) as u32;
+        is_kept && free_slots <= reserve && self.state.returns.is_overloaded(self.now)
+    }
+
+    fn usable_slots(&self) -> u32 {
+        self.usable.iter().map(|load| load.entry().slots).sum()
+    }
+
+    /// Whether a request may wait although it will miss its objective: it has a place, or a slot is
+    /// expected for it.
+    fn may_stay(&self, work: &WaitingRequest) -> bool {
+        match self.state.queue.standing(work.ticket) {
+            QueueStanding::New => false,
+            QueueStanding::Placed => true,
+            QueueStanding::Kept(booking) => self.now < booking.interval.released_at(),
+        }
+    }
+
+    /// Returns this VM's share of the usable slots, or `None` until a request was observed to free
+    /// its slot.
+    pub fn slot_capacity(&self) -> Option<SlotCapacity> {
+        let slot_time = self.state.slot_time?;
+        let is_late =
+            |(rank, work): &&(QueueRank, &WaitingRequest)| rank.late && !self.may_stay(work);
+        let late = slot_time * as_count(self.ordered().iter().filter(is_late).count());
+        if let Some(limits) = &self.limits {
+            let rate: f64 = limits.iter().filter_map(LimitShare::rate).sum();
+            let slots = rate * slot_time.as_secs_f64();
+            return Some(SlotCapacity { slots, expected_slots: slots, late });
+        }
+        let share = |slots: u32| f64::from(slots) / f64::from(self.sharing.vms);
+        let slots = share(self.usable_slots());
+        let expected_slots = share(self.usable_slots().saturating_add(self.paused_slots));
+        Some(SlotCapacity { slots, expected_slots, late })
+    }
+
+    /// Returns the time that must be left between a dispatch and the moment at which the caller of
+    /// a request stops waiting.
+    pub fn first_event_margin(&self, work: &WaitingRequest) -> Duration {
+        self.earliest_first_event(work) + REFUSAL_MARGIN
+    }
+
     /// Returns the counts of waiting requests that peers receive.
     pub fn queue_reports(&self) -> Vec<QueueReport> {
         let mut marks: BTreeMap<UrgencyClass, u16> = BTreeMap::new();
         for work in self.state.queue.iter() {
-            let rank = work.rank(self.now, self.earliest_first_event(work));
+            let best = self.earliest_first_event(work);
+            let rank = self.state.queue.rank(self.now, work, best);
             let count = marks.entry(rank.class()).or_default();
             *count = count.saturating_add(1);
         }
--- a/crates/ryetide-core/src/retry_delay.rs
+++ b/crates/ryetide-core/src/retry_delay.rs
@@ -7,6 +7,8 @@
 
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
+use crate::units::Moment;
+
 /// The shortest and the longest delay for callers refused because of a queue.
 const MIN_DELAY: Duration = Duration::from_millis(300);
 const MAX_DELAY: Duration = Duration::from_secs(10);
@@ -16,6 +18,17 @@
 /// The delay for callers of a service without any known target.
 const NO_TARGET_DELAY: Duration = Duration::from_secs(1);
 
+/// A time in which a refused caller should return.
+#[derive(Clone, Copy, Debug)]
+pub struct ReturnWindow {
+    /// The present.
+    pub now: Moment,
+    /// The earliest time of the return.
+    pub from: Moment,
+    /// The latest time of the return.
+    pub until: Moment,
+}
+
 /// Draws randomised retry delays.
 ///
 /// # Example
@@ -60,6 +73,17 @@
         self.randomise(NO_TARGET_DELAY)
     }
 
+    /// Returns the delay for a caller that should return at a random time within `window`.
+    pub fn within(&mut self, window: ReturnWindow) -> Duration {
+        let ReturnWindow { now, from, until } = window;
+        from.since(now) + until.since(from).mul_f64(self.rng.random_range(0.0..1.0))
+    }
+
+    /// Returns the delay for a caller of a service without expected free slots.
+    pub fn without_room(&mut self, wait: Duration) -> Duration {
+        self.randomise(wait.max(MAX_DELAY))
+    }
+
     fn randomise(&mut self, wait: Duration) -> Duration {
         wait.mul_f64(1.0 + self.rng.random_range(0.0..SPREAD))
     }
--- a/crates/ryetide-core/src/scheduler.rs
+++ b/crates/ryetide-core/src/scheduler.rs
@@ -32,7 +32,9 @@
     retry_delay::RetryDelay,
     rollout_manager::{RolloutManager, TargetUse},
     scheduler_options::SchedulerOptions,
+    scheduler_returns,
     scheduling_policy::SchedulingPolicy,
+    slot_turn::UrgencyClass,
     target_limit::LimitTable,
     target_load::{TargetEntry, TargetLoad},
     units::Moment,
@@ -50,7 +52,7 @@
 #[derive(Debug)]
 pub struct Scheduler {
     pub(crate) options: SchedulerOptions,
-    retry_delay: RetryDelay,
+    pub(crate) retry_delay: RetryDelay,
     pub(crate) services: BTreeMap<ServiceName, ServiceQueue>,
     pub(crate) targets: BTreeMap<TargetKey, TargetLoad>,
     pub(crate) runs: HashMap<RequestSequence, PlacedRun>,
@@ -86,6 +88,7 @@
     pub(crate) target: TargetKey,
     since: Moment,
     last_event: Option<Moment>,
+    class: UrgencyClass,
 }
 
 impl Scheduler {
@@ -260,6 +263,7 @@
         self.retry_budget.record_request(now, &service);
         let class = work.rank(now, Duration::ZERO).class();
         self.service_state(&service).arrivals.record(now, class);
+        self.admit_return(now, &work);
         self.enqueue(now, work);
         self.refuse_if_hopeless(now, &service, ticket);
     }
@@ -327,6 +331,7 @@
             let mean = state.slot_time.unwrap_or(taken).as_secs_f64();
             let moved = mean + (taken.as_secs_f64() - mean) * SLOT_TIME_WEIGHT;
             state.slot_time = Some(Duration::from_secs_f64(moved));
+            state.returns.record_run(run.class, taken);
         }
         self.changed = true;
         self.process_queue(now, &run.service);
@@ -463,7 +468,13 @@
                 QueueAction::Place { ticket, target, evidence } => {
                     self.place(now, service, ticket, target, evidence);
                 }
-                QueueAction::Refuse { ticket, reason } => self.refuse(now, service, ticket, reason),
+                QueueAction::Refuse { ticket, reason } => {
+                    let is_kept = reason == RefusalReason::Overload
+                        && self.keep_waiting(now, service, ticket);
+                    if !is_kept {
+                        self.refuse(now, service, ticket, reason);
+                    }
+                }
             }
         }
     }
@@ -485,7 +496,9 @@
             load.prompt_cache_mut().record(now, prompt_hash, work.prompt);
             self.digest_tracker.record_placement(target, prompt_hash, work.prompt);
         }
-        let run = PlacedRun { service: service.clone(), target, since: now, last_event: None };
+        let class = scheduler_returns::class_of(&work);
+        let run =
+            PlacedRun { service: service.clone(), target, since: now, last_event: None, class };
         self.runs.insert(ticket, run);
         let target = load.entry().clone();
         self.rollouts.record_placed(now, &target);
@@ -505,22 +518,35 @@
         let wait = view.as_ref().map_or(Duration::ZERO, |view| view.expected_wait(None));
         let backed_off_until = view.and_then(|view| view.backed_off_until());
         let held = backed_off_until.map_or(Duration::ZERO, |until| until.since(now));
+        let returns = match reason {
+            RefusalReason::NoTarget | RefusalReason::HeldOff => None,
+            RefusalReason::Overload | RefusalReason::OutOfTime => {
+                self.book_return(now, service, ticket, wait)
+            }
+        };
         self.service_state(service).queue.remove(ticket);
         let retry_after = match reason {
             RefusalReason::NoTarget => self.retry_delay.without_target(),
             RefusalReason::HeldOff => self.retry_delay.after_back_off(held),
             RefusalReason::Overload | RefusalReason::OutOfTime => {
-                self.retry_delay.after_queue(wait)
+                returns.map_or_else(|| self.retry_delay.after_queue(wait), |returns| returns.delay)
             }
         };
-        self.decisions.push(Decision::Refuse { ticket, reason, retry_after, waiting });
+        let booked_after = returns.and_then(|returns| returns.booked_after);
+        self.decisions.push(Decision::Refuse {
+            ticket,
+            reason,
+            retry_after,
+            waiting,
+            booked_after,
+        });
         self.changed = true;
     }
 
     /// Refuses a request that has just joined a queue in which it cannot be served in time.
     fn refuse_if_hopeless(&mut self, now: Moment, service: &ServiceName, ticket: RequestSequence) {
         let is_hopeless = self.view(now, service).is_some_and(|view| view.is_hopeless(ticket));
-        if is_hopeless {
+        if is_hopeless && !self.keep_waiting(now, service, ticket) {
             self.refuse(now, service, ticket, RefusalReason::Overload);
         }
     }
@@ -536,6 +562,9 @@
             // A service whose targets are all gone for a moment keeps its policies.
             state.announces_incarnations |= announced.contains(name);
             state.policy = self.options.policy.for_service(state.announces_incarnations);
+            if !state.policy.return_times {
+                state.returns.clear();
+            }
         }
     }
 
--- a/crates/ryetide-core/src/wait_queue.rs
+++ b/crates/ryetide-core/src/wait_queue.rs
@@ -6,10 +6,11 @@
 //! a queue longer than the objective would make every request late; in this order, as many are on
 //! time as there are slots for, and the rest are served after the burst.
 
-use std::time::Duration;
+use std::{collections::BTreeMap, time::Duration};
 
 use crate::{
     ids::{RequestSequence, ServiceName, TargetKey},
+    return_schedule::ReturnBooking,
     slot_turn::UrgencyClass,
     units::{Moment, TierRank, Tokens},
 };
@@ -61,6 +62,8 @@
     pub tier: TierRank,
     /// The rank of the request's route.
     pub route_tier: TierRank,
+    /// Whether the request has no place that was booked for a returned caller.
+    pub without_place: bool,
     /// The latest time at which the request is on time.
     pub objective_at: Moment,
     /// The request, as a tie-breaker in order of arrival.
@@ -82,16 +85,32 @@
             late: now + best > self.objective_at,
             tier: self.tier,
             route_tier: self.route_tier,
+            without_place: true,
             objective_at: self.objective_at,
             ticket: self.ticket,
         }
     }
 }
 
+/// What was decided about a waiting request by return times.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum QueueStanding {
+    /// Nothing was decided.
+    #[default]
+    New,
+    /// The request is a returned caller's and has a place: it counts as on time.
+    Placed,
+    /// The request cannot be on time without displacing another. It counts as late and is kept
+    /// until the booked interval.
+    Kept(ReturnBooking),
+}
+
 /// The queue of one service.
 #[derive(Debug, Default)]
 pub struct WaitQueue {
     waiting: Vec<WaitingRequest>,
+    /// The standings of the requests for which something was decided.
+    standings: BTreeMap<RequestSequence, QueueStanding>,
 }
 
 impl WaitQueue {
@@ -102,10 +121,31 @@
 
     /// Removes a request.
     pub fn remove(&mut self, ticket: RequestSequence) -> Option<WaitingRequest> {
+        self.standings.remove(&ticket);
         let index = self.waiting.iter().position(|work| work.ticket == ticket)?;
         Some(self.waiting.swap_remove(index))
     }
 
+    /// Sets the standing of a request that waits or is about to join the queue.
+    pub fn set_standing(&mut self, ticket: RequestSequence, standing: QueueStanding) {
+        self.standings.insert(ticket, standing);
+    }
+
+    /// Returns the standing of a request.
+    pub fn standing(&self, ticket: RequestSequence) -> QueueStanding {
+        self.standings.get(&ticket).copied().unwrap_or_default()
+    }
+
+    /// Returns the rank of a request with regard to its standing; see [`WaitingRequest::rank`].
+    pub fn rank(&self, now: Moment, work: &WaitingRequest, best: Duration) -> QueueRank {
+        let rank = work.rank(now, best);
+        match self.standing(work.ticket) {
+            QueueStanding::New => rank,
+            QueueStanding::Placed => QueueRank { late: false, without_place: false, ..rank },
+            QueueStanding::Kept(_) => QueueRank { late: true, ..rank },
+        }
+    }
+
     /// Returns the requests with their ranks in queue order. `best` returns the shortest time from
     /// a dispatch to the first event.
     pub fn ordered(
@@ -113,7 +153,7 @@
         now: Moment,
         best: impl Fn(&WaitingRequest) -> Duration,
     ) -> Vec<(QueueRank, &WaitingRequest)> {
-        let ranked = self.waiting.iter().map(|work| (work.rank(now, best(work)), work));
+        let ranked = self.waiting.iter().map(|work| (self.rank(now, work, best(work)), work));
         let mut ordered: Vec<_> = ranked.collect();
         ordered.sort_by_key(|(rank, _)| *rank);
         ordered
--- a/crates/ryetide-core/tests/scheduler_load/load_simulation.rs
+++ b/crates/ryetide-core/tests/scheduler_load/load_simulation.rs
@@ -96,6 +96,8 @@
     pub on_time: u32,
     pub served: u32,
     pub refused: u32,
+    /// Refusals of callers that had been refused before.
+    pub refused_again: u32,
     /// The longest time from a request's arrival to its refusal.
     pub until_refusal: Duration,
     /// The sum of these times.
@@ -121,8 +123,8 @@
     queue: VecDeque<u64>,
 }
 
-struct SimVm {
-    scheduler: Scheduler,
+pub struct SimVm {
+    pub scheduler: Scheduler,
     sent_at: u64,
     /// The digest that this VM sent last, while it is in transit.
     in_transit: Option<LoadDigest>,
@@ -130,6 +132,17 @@
     trackers: [DeadlineTracker; 3],
 }
 
+/// What refused callers do.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum CallerHabit {
+    /// They retry once, after the stated delay.
+    AsTold,
+    /// They retry once and wait as told for at most a third of the time that they have left.
+    WithinThird,
+    /// They retry up to three times, each time after 50 ms.
+    AtOnce,
+}
+
 /// One request: its kind, its VM, when it arrived, when its caller first tried, and its engine.
 struct SimRequest {
     kind: usize,
@@ -137,10 +150,11 @@
     arrived: u64,
     first_attempt: u64,
     engine: Option<String>,
+    attempt: u32,
 }
 
 pub struct LoadSimulation {
-    vms: Vec<SimVm>,
+    pub vms: Vec<SimVm>,
     /// Groups of three engines; the arrival rate is proportional to their number.
     groups: usize,
     rng: SmallRng,
@@ -151,6 +165,12 @@
     pub tallies: [Tally; 3],
     /// Whether refused callers retry.
     pub callers_retry: bool,
+    /// How they retry.
+    pub habit: CallerHabit,
+    /// How long the callers of each kind wait for an answer, counted from their first attempt.
+    pub deadlines: [Duration; 3],
+    /// The engines that nobody can connect to, with the times in microseconds.
+    pub outage: Option<(&'static str, std::ops::Range<u64>)>,
     /// The number of placed requests, and of those among them that found no slot at their engine.
     pub placed: u32,
     pub without_slot: u32,
@@ -227,6 +247,9 @@
             first: BTreeMap::new(),
             tallies: [Tally::default(); 3],
             callers_retry: false,
+            habit: CallerHabit::AsTold,
+            deadlines: [DEADLINE; 3],
+            outage: None,
             placed: 0,
             without_slot: 0,
         }
@@ -238,13 +261,18 @@
 
     /// Runs `seconds` of arrivals, with `factor` times the usual rate from 5 s to 9 s, until all
     /// requests have ended.
-    pub fn run(mut self, seconds: u64, factor: f64) -> Self {
+    pub fn run(self, seconds: u64, factor: f64) -> Self {
+        self.run_load(seconds, |at| if (5.0..9.0).contains(&at) { factor } else { 1.0 })
+    }
+
+    /// Runs `seconds` of arrivals, at `factor` times the usual rate at each time in seconds, until
+    /// all requests have ended.
+    pub fn run_load(mut self, seconds: u64, factor: impl Fn(f64) -> f64) -> Self {
         for (index, kind) in KINDS.iter().enumerate() {
             let mut at = 0.0;
             while at < seconds as f64 {
-                let burst = if (5.0..9.0).contains(&at) { factor } else { 1.0 };
                 let draw: f64 = self.rng.random_range(1e-9..1.0);
-                at += -draw.ln() / (kind.rate * burst * self.groups as f64);
+                at += -draw.ln() / (kind.rate * factor(at) * self.groups as f64);
                 self.schedule(1_000 + (at * 1e6) as u64, SimEvent::Arrival(index));
             }
         }
@@ -271,11 +299,11 @@
         match event {
             SimEvent::Arrival(index) => {
                 self.tallies[index].asked += 1;
-                self.arrive(now, index, now);
+                self.arrive(now, index, now, 0);
             }
             SimEvent::Retry(ticket) => {
-                let SimRequest { kind, first_attempt, .. } = self.requests[&ticket];
-                self.arrive(now, kind, first_attempt);
+                let SimRequest { kind, first_attempt, attempt, .. } = self.requests[&ticket];
+                self.arrive(now, kind, first_attempt, attempt + 1);
             }
             SimEvent::Event(ticket) => {
                 self.first.entry(ticket).or_insert(now);
@@ -304,17 +332,19 @@
         }
     }
 
-    fn arrive(&mut self, now: u64, kind: usize, first_attempt: u64) {
+    fn arrive(&mut self, now: u64, kind: usize, first_attempt: u64, attempt: u32) {
         let ticket = self.requests.len() as u64 + 1;
         let vm = self.rng.random_range(0..self.vms.len());
-        let request = SimRequest { kind, vm, arrived: now, first_attempt, engine: None };
+        let request = SimRequest { kind, vm, arrived: now, first_attempt, engine: None, attempt };
         self.requests.insert(ticket, request);
-        let left = DEADLINE.saturating_sub(Duration::from_micros(now - first_attempt));
+        let waited = Duration::from_micros(now - first_attempt);
+        let left = self.deadlines[kind].saturating_sub(waited);
         let waited = self.vms[vm].trackers[kind].waited(left);
         let new = work(ticket, &KINDS[kind], Moment(now));
         let objective_at = new.objective_at.before(waited);
         let is_retry = !waited.is_zero();
-        let work = WaitingRequest { is_retry, objective_at, ..new };
+        let leave_at = new.leave_at.min(Moment(now) + left);
+        let work = WaitingRequest { is_retry, objective_at, leave_at, ..new };
         self.vms[vm].scheduler.enter(Moment(now), work);
     }
 
@@ -342,14 +372,15 @@
                 }
                 Decision::Refuse { ticket, retry_after, .. } => {
                     let request = &self.requests[&ticket.0];
-                    let retries = self.callers_retry && request.first_attempt == request.arrived;
+                    let delay = self.retry_delay(request, now, retry_after);
                     let tally = &mut self.tallies[request.kind];
                     tally.refused += 1;
+                    tally.refused_again += u32::from(request.attempt > 0);
                     let until_refusal = Duration::from_micros(now - request.arrived);
                     tally.until_refusal = tally.until_refusal.max(until_refusal);
                     tally.until_refusal_sum += until_refusal;
-                    if retries {
-                        let at = now + retry_after.as_micros() as u64;
+                    if let Some(delay) = delay {
+                        let at = now + delay.as_micros() as u64;
                         self.schedule(at, SimEvent::Retry(ticket.0));
                     }
                 }
@@ -363,7 +394,25 @@
         }
     }
 
+    /// Returns when a refused caller retries, if it does.
+    fn retry_delay(&self, request: &SimRequest, now: u64, told: Duration) -> Option<Duration> {
+        let waited = Duration::from_micros(now - request.first_attempt);
+        let left = self.deadlines[request.kind].saturating_sub(waited);
+        let (attempts, delay) = match self.habit {
+            CallerHabit::AsTold => (1, told),
+            CallerHabit::WithinThird => (1, told.min(left / 3)),
+            CallerHabit::AtOnce => (3, Duration::from_millis(50)),
+        };
+        (self.callers_retry && request.attempt < attempts && !left.is_zero()).then_some(delay)
+    }
+
     fn serve(&mut self, now: u64, ticket: u64, name: &str) {
+        let is_down = |(prefix, span): &(&str, std::ops::Range<u64>)| {
+            name.starts_with(prefix) && span.contains(&now)
+        };
+        if self.outage.as_ref().is_some_and(is_down) {
+            return self.fail_to_connect(now, ticket);
+        }
         self.placed += 1;
         self.requests.get_mut(&ticket).expect("the request arrived").engine = Some(name.to_owned());
         let engine = self.engines.get_mut(name).expect("the engine exists");
@@ -375,6 +424,23 @@
         }
     }
 
+    /// Ends a request that could not be sent, and queues it again.
+    fn fail_to_connect(&mut self, now: u64, ticket: u64) {
+        let SimRequest { kind, vm, arrived, first_attempt, .. } = self.requests[&ticket];
+        let first = Moment(first_attempt);
+        let left = self.deadlines[kind].min(KINDS[kind].patience);
+        let new = work(ticket, &KINDS[kind], first);
+        let work = WaitingRequest {
+            arrived: Moment(arrived),
+            is_retry: arrived != first_attempt,
+            leave_at: Moment(arrived) + left,
+            ..new
+        };
+        let scheduler = &mut self.vms[vm].scheduler;
+        scheduler.end(Moment(now), RequestSequence(ticket), RunEnd::Unreachable);
+        scheduler.enter_again(Moment(now), work, false);
+    }
+
     fn start(&mut self, now: u64, ticket: u64, name: &str) {
         let kind = KINDS[self.requests[&ticket].kind];
         let engine = self.engines.get_mut(name).expect("the engine exists");
--- a/crates/ryetide-core/tests/scheduler_load/main.rs
+++ b/crates/ryetide-core/tests/scheduler_load/main.rs
@@ -1,6 +1,7 @@
 //! What callers get when bursts of load are simulated with engines of different speeds.
 
 mod load_simulation;
+mod returns;
 
 use std::time::Duration;
 
