Report return times in log and metrics, and space returns over quota

Refused lines name the time until the booked interval as booked_ms; the counts of booked, claimed and expired places and of kept requests are metrics.

Callers over their quota were all told the time of the first free units.

--- a/crates/ryetide-cli/src/explain.rs
+++ b/crates/ryetide-cli/src/explain.rs
@@ -84,8 +84,9 @@
             of("revision"),
         ),
         "refused" => format!(
-            "told to come back in {} ms, not run: {} ({} in line)",
+            "told to come back in {} ms{}, not run: {} ({} in line)",
             of("retry_ms"),
+            fields.get("booked_ms").map(|_| " to a booked place").unwrap_or_default(),
             of("reason"),
             of("line")
         ),
--- a/crates/ryetide-core/src/lib.rs
+++ b/crates/ryetide-core/src/lib.rs
@@ -87,6 +87,7 @@
 pub mod queue_view;
 pub mod quota;
 pub mod quota_allocator;
+pub mod quota_returns;
 pub mod recent_arrivals;
 pub mod request;
 pub mod request_fingerprint;
--- a/crates/ryetide-core/src/scheduler.rs
+++ b/crates/ryetide-core/src/scheduler.rs
@@ -27,6 +27,7 @@
     queue_view::{QueueAction, QueueView, ServiceQueue, SlotSharing, UsedTargets},
     quota::QuotaCharge,
     quota_allocator::{QuotaAllocator, QuotaReply, QuotaRequest, QuotaWaitResult},
+    quota_returns::QuotaReturns,
     request_fingerprint::RequestFingerprint,
     retry_budget::{RetryBudget, RetryRule},
     retry_delay::RetryDelay,
@@ -80,6 +81,7 @@
     watch_order: WatchOrder,
     /// Number of VMs that use the same targets, including this one.
     cell_size: u32,
+    pub(crate) quota_returns: QuotaReturns,
 }
 
 #[derive(Clone, Debug)]
@@ -120,6 +122,7 @@
             changed: false,
             watch_order: WatchOrder::default(),
             cell_size: 1,
+            quota_returns: QuotaReturns::default(),
         }
     }
 
@@ -234,8 +237,9 @@
     /// Charges a request to its organisation's quota, queues it until units are available, or
     /// returns the delay after which its caller should retry.
     pub fn request_quota(&mut self, now: Moment, ask: QuotaRequest) -> QuotaReply {
+        self.update_quota_rate(now, &ask);
         match self.quotas.ask(now, ask) {
-            QuotaReply::Over(wait) => QuotaReply::Over(self.retry_delay.after_quota(wait)),
+            QuotaReply::Over(wait) => QuotaReply::Over(self.quota_delay(now, ask.charge, wait)),
             answer => answer,
         }
     }
@@ -247,7 +251,8 @@
 
     fn advance_quotas(&mut self, now: Moment) {
         for mut verdict in self.quotas.advance(now) {
-            verdict.outcome = verdict.outcome.map_err(|wait| self.retry_delay.after_quota(wait));
+            let charge = verdict.charge;
+            verdict.outcome = verdict.outcome.map_err(|wait| self.quota_delay(now, charge, wait));
             self.quota_results.push(verdict);
         }
     }
--- a/crates/ryetide-core/src/scheduler_returns.rs
+++ b/crates/ryetide-core/src/scheduler_returns.rs
@@ -5,6 +5,8 @@
 use crate::{
     ids::{RequestSequence, ServiceName},
     queue_view::ServiceQueue,
+    quota::QuotaCharge,
+    quota_allocator::QuotaRequest,
     retry_delay::ReturnWindow,
     return_schedule::{ReturnBooking, ReturnCounts, ReturnInterval, SlotCapacity},
     scheduler::Scheduler,
@@ -19,6 +21,10 @@
 /// a loop.
 const MIN_RETURN_DELAY: Duration = Duration::from_millis(300);
 
+/// The range of the random increase of the delay of callers over their quota, so that those whose
+/// units are available at once do not retry together.
+const QUOTA_RETURN_SPREAD: Duration = Duration::from_millis(150);
+
 /// What a refused caller is told.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct ReturnTime {
@@ -109,6 +115,35 @@
         Some(ReturnTime { delay, booked_after: Some(from.since(now)) })
     }
 
+    /// Updates this VM's share of the rate at which an organisation's units are refilled.
+    pub(crate) fn update_quota_rate(&mut self, now: Moment, ask: &QuotaRequest) {
+        if self.has_return_times() {
+            let rate = ask.rule.rate / self.peers.known_count(now) as f64;
+            self.quota_returns.set_rate(ask.charge.key, rate);
+        }
+    }
+
+    /// Returns the delay for a caller whose units are available after `wait` if no other caller
+    /// returns.
+    pub(crate) fn quota_delay(
+        &mut self,
+        now: Moment,
+        charge: QuotaCharge,
+        wait: Duration,
+    ) -> Duration {
+        if !self.has_return_times() {
+            return self.retry_delay.after_quota(wait);
+        }
+        let from = now + self.quota_returns.book(now, charge, wait).max(MIN_RETURN_DELAY);
+        let until = from + QUOTA_RETURN_SPREAD;
+        self.retry_delay.within(ReturnWindow { now, from, until })
+    }
+
+    /// Whether return times are in effect for a service. A quota is not a service's.
+    fn has_return_times(&self) -> bool {
+        self.services.values().any(|state| state.policy.return_times)
+    }
+
     /// Returns the counts of all services, after releasing the places to which nobody came.
     pub fn return_counts(&mut self, now: Moment) -> ReturnCounts {
         let mut sum = ReturnCounts::default();
--- a/crates/ryetide-core/tests/return_times.rs
+++ b/crates/ryetide-core/tests/return_times.rs
@@ -4,7 +4,9 @@
 
 use ryetide_core::{
     decision::{Decision, RunEnd},
-    ids::{Incarnation, RequestSequence},
+    ids::{Incarnation, OrganisationKey, RequestSequence},
+    quota::{QuotaCharge, QuotaRule, QuotaUnit},
+    quota_allocator::{QuotaClass, QuotaReply, QuotaRequest},
     return_schedule::{ReturnBooking, ReturnInterval, ReturnSchedule, SlotCapacity},
     scheduler::Scheduler,
     scheduler_options::SchedulerOptions,
@@ -88,6 +90,30 @@
     assert_eq!((counts.booked, counts.placed, counts.expired), (1, 0, 1));
 }
 
+/// Guards against callers over their quota that are all told the time of the first free units, while
+/// the units refill one after the other.
+#[test]
+fn callers_over_their_quota_return_at_the_rate_of_the_refill() {
+    let mut scheduler = scheduler();
+    let now = Moment::from_millis(1_000);
+    scheduler.list_peers(now, &[]);
+    let rule = QuotaRule { unit: QuotaUnit::Requests, rate: 2.0, burst: 1.0, default_tokens: 0 };
+    let charge = QuotaCharge { key: OrganisationKey(7), units: 1 };
+    let class = QuotaClass { tier: TierRank(0), route_tier: TierRank(0) };
+    let mut delays = Vec::new();
+    for ticket in (1..=8).map(RequestSequence) {
+        let ask = QuotaRequest { ticket, charge, rule, class, late: false, wait_until: now };
+        match scheduler.request_quota(now, ask) {
+            QuotaReply::Over(delay) => delays.push(delay),
+            answer => assert_eq!(answer, QuotaReply::Taken),
+        }
+    }
+    assert_eq!(delays.len(), 7);
+    for (delay, refills) in delays.into_iter().zip(1..) {
+        assert!(delay >= SLOT_TIME * refills && delay < SLOT_TIME * (refills + 1), "{delay:?}");
+    }
+}
+
 fn scheduler() -> Scheduler {
     let mut scheduler = Scheduler::new(SchedulerOptions {
         name: "e1".into(),
--- a/crates/ryetide-gateway/src/decision_log.rs
+++ b/crates/ryetide-gateway/src/decision_log.rs
@@ -58,6 +58,17 @@
     pub total: Duration,
 }
 
+/// The figures of a refusal.
+#[derive(Clone, Copy, Debug)]
+pub struct RefusalEvidence {
+    /// The delay after which the caller should retry.
+    pub retry_after: Duration,
+    /// Requests that were queued.
+    pub waiting: usize,
+    /// The time until the interval in which a place is booked for the caller, if one is.
+    pub booked_after: Option<Duration>,
+}
+
 #[derive(Debug)]
 struct LineBudget {
     tokens: f64,
@@ -117,8 +128,8 @@
         );
     }
 
-    /// Logs that a request was refused with a retry delay, while `waiting` requests were queued.
-    pub fn refused(&self, request: &LogId<'_>, why: &'static str, retry: Duration, waiting: usize) {
+    /// Logs that a request was refused with a retry delay.
+    pub fn refused(&self, request: &LogId<'_>, why: &'static str, evidence: &RefusalEvidence) {
         if self.permits() {
             tracing::info!(
                 event = "refused",
@@ -127,9 +138,10 @@
                 sequence = request.sequence.0,
                 route = request.route,
                 reason = why,
-                retry_ms = millis(retry),
-                line = waiting,
+                retry_ms = millis(evidence.retry_after),
+                line = evidence.waiting,
                 waited_before_ms = millis(request.waited_before),
+                booked_ms = evidence.booked_after.map(millis),
             );
         }
     }
--- a/crates/ryetide-gateway/src/exchange.rs
+++ b/crates/ryetide-gateway/src/exchange.rs
@@ -27,7 +27,7 @@
 use crate::{
     caller_answer::{CallerResponse, OwnAnswer, OwnReason},
     crash_detector::{BrokenRun, CrashDetector},
-    decision_log::{ExchangeTimings, LogId},
+    decision_log::{ExchangeTimings, LogId, RefusalEvidence},
     gateway_state::Gateway,
     ports::WorkSize,
     quarantine_check::{self, QuarantineOutcome},
@@ -295,8 +295,9 @@
         loop {
             let (target, evidence) = match decision {
                 Some(Decision::Place { target, evidence, .. }) => (target, evidence),
-                Some(Decision::Refuse { reason, retry_after, waiting, .. }) => {
-                    self.gateway.log().refused(&self.log_id(), reason.into(), retry_after, waiting);
+                Some(Decision::Refuse { reason, retry_after, waiting, booked_after, .. }) => {
+                    let evidence = RefusalEvidence { retry_after, waiting, booked_after };
+                    self.gateway.log().refused(&self.log_id(), reason.into(), &evidence);
                     return DispatchEnd::Own(OwnAnswer::new(reason.into()).with_retry(retry_after));
                 }
                 None => {
--- a/crates/ryetide-gateway/src/fleet_tasks.rs
+++ b/crates/ryetide-gateway/src/fleet_tasks.rs
@@ -184,6 +184,9 @@
             gateway.hub().peek(|scheduler| (scheduler.waiting(), scheduler.running()));
         let revision = gateway.fleet().revision().0;
         gateway.metrics().set_levels(waiting, running, revision, gateway.fleet().target_count());
+        let now = gateway.hub().clock().now();
+        let returns = gateway.hub().peek_mut(|scheduler| scheduler.return_counts(now));
+        gateway.metrics().set_returns(returns);
     }
 }
 
--- a/crates/ryetide-gateway/src/gateway_metrics.rs
+++ b/crates/ryetide-gateway/src/gateway_metrics.rs
@@ -9,6 +9,7 @@
 };
 use ryetide_core::{
     chart::ChartName,
+    return_schedule::ReturnCounts,
     service_rollout::ServiceRollout,
     target_notice::{LimitNotice, TargetNotice},
     units::TierRank,
@@ -64,6 +65,10 @@
     rollout_state: Family<RolloutLabels, Gauge>,
     rollout_placed: Family<RolloutLabels, Gauge>,
     rollout_exposed: Family<RolloutLabels, Gauge>,
+    returns_booked: Counter,
+    returns_placed: Counter,
+    returns_expired: Counter,
+    requests_kept: Counter,
 }
 
 impl Default for GatewayMetrics {
@@ -85,6 +90,10 @@
             rollout_state: Family::default(),
             rollout_placed: Family::default(),
             rollout_exposed: Family::default(),
+            returns_booked: Counter::default(),
+            returns_placed: Counter::default(),
+            returns_expired: Counter::default(),
+            requests_kept: Counter::default(),
         };
         let registry = &mut metrics.registry;
         registry.register("requests", "Requests taken", metrics.requests.clone());
@@ -109,6 +118,14 @@
         registry.register("rollout_placed", placed, metrics.rollout_placed.clone());
         let exposed = "Those of them that went to the ordered version";
         registry.register("rollout_exposed", exposed, metrics.rollout_exposed.clone());
+        let booked = "Places booked for refused callers";
+        registry.register("returns_booked", booked, metrics.returns_booked.clone());
+        let placed = "Returned callers that got a booked place";
+        registry.register("returns_placed", placed, metrics.returns_placed.clone());
+        let expired = "Booked places released because no caller came";
+        registry.register("returns_expired", expired, metrics.returns_expired.clone());
+        let kept = "Requests kept for an expected free slot instead of refused";
+        registry.register("requests_kept", kept, metrics.requests_kept.clone());
         metrics
     }
 }
@@ -168,6 +185,15 @@
         }
     }
 
+    /// Raises the counters of return times to the given counts.
+    pub fn set_returns(&self, counts: ReturnCounts) {
+        let raise = |counter: &Counter, to: u64| counter.inc_by(to.saturating_sub(counter.get()));
+        raise(&self.returns_booked, counts.booked);
+        raise(&self.returns_placed, counts.placed);
+        raise(&self.returns_expired, counts.expired);
+        raise(&self.requests_kept, counts.kept);
+    }
+
     /// Sets the number of requests in quarantine.
     pub fn set_quarantined(&self, count: usize) {
         self.quarantined.set(count as i64);
