--- a/crates/ryetide-core/src/queue_view.rs
+++ b/crates/ryetide-core/src/queue_view.rs
@@ -30,6 +30,11 @@
 /// then mostly starts at once, and as many are on time as without the kept ones.
 const KEPT_RESERVE_SHARE: f64 = 0.04;
 
+/// The number of kept requests for which a target is looked for in one pass over the queue. Most
+/// have the same choice, and in a long queue, looking for each would take most of a small VM's
+/// processor time.
+const MAX_KEPT_CHOICES: u32 = 4;
+
 /// The targets of a service that a VM uses.
 #[derive(Clone, Debug, Default)]
 pub struct UsedTargets {
@@ -193,12 +198,16 @@
         let peers = self.peers.claimants(self.now, self.state.key);
         let ordered = self.ordered().into_iter().enumerate();
         let mut ordered = ordered.map(|(position, (rank, work))| (position, rank, work));
+        let mut kept = 0;
         ordered.find_map(|(position, rank, work)| {
             if self.will_be_overtaken(position, rank, work) {
                 let (ticket, reason) = (work.ticket, RefusalReason::Overload);
                 return Some(QueueAction::Refuse { ticket, reason });
             }
-            self.choice_for(rank, work, free_slots, &peers)
+            let is_kept = self.is_kept(work.ticket);
+            kept += u32::from(is_kept);
+            let leaves_slots = is_kept && (kept > MAX_KEPT_CHOICES || self.is_reserved(free_slots));
+            self.choice_for(rank, work, if leaves_slots { 0 } else { free_slots }, &peers)
         })
     }
 
@@ -213,9 +222,6 @@
         if let Some(reason) = self.refusal_of(work) {
             return Some(QueueAction::Refuse { ticket, reason });
         }
-        if self.must_leave_slots(ticket, free_slots) {
-            return None;
-        }
         let on_trial = self.choose_trial_target(rank, work, peers);
         if on_trial.is_none() && free_slots == 0 {
             return None;
@@ -456,12 +462,14 @@
         wait.mul_f64(recent_arrivals::delay_factor(busy / f64::from(slots.max(1))))
     }
 
-    /// Whether a request that is kept must leave the free slots to new requests.
-    fn must_leave_slots(&self, ticket: RequestSequence, free_slots: u32) -> bool {
-        let standing = self.state.queue.standing(ticket);
-        let is_kept = matches!(standing, QueueStanding::Kept(_));
+    fn is_kept(&self, ticket: RequestSequence) -> bool {
+        matches!(self.state.queue.standing(ticket), QueueStanding::Kept(_))
+    }
+
+    /// Whether kept requests must leave the free slots to new requests.
+    fn is_reserved(&self, free_slots: u32) -> bool {
         let reserve = (f64::from(self.usable_slots()) * KEPT_RESERVE_SHARE) as u32;
-        is_kept && free_slots <= reserve && self.state.returns.is_overloaded(self.now)
+        free_slots <= reserve && self.state.returns.is_overloaded(self.now)
     }
 
     fn usable_slots(&self) -> u32 {
