--- a/crates/ryetide-cli/src/explain.rs
+++ b/crates/ryetide-cli/src/explain.rs
@@ -88,8 +88,9 @@
             field("revision"),
         ),
         "refused" => format!(
-            "refused, not run, retry after {} ms: {} ({} queued)",
+            "refused, not run, retry after {} ms{}: {} ({} queued)",
             field("retry_ms"),
+            fields.get("booked_ms").map(|_| " with a booked place").unwrap_or_default(),
             field("reason"),
             field("line")
         ),
--- a/crates/ryetide-core/src/queue_view.rs
+++ b/crates/ryetide-core/src/queue_view.rs
@@ -18,6 +18,7 @@
     peer_digests::{AheadCount, PeerDigests},
     placement::{self, PlacementForecast, PlacementNeed},
     recent_arrivals::{self, RecentArrivals},
+    return_schedule::{ReturnSchedule, SlotCapacity},
     scheduler_options::SchedulerOptions,
     scheduling_policy::ServicePolicy,
     share_order::{ShareClaim, ShareOrder},
@@ -25,7 +26,7 @@
     target_ejection::TargetEjection,
     target_load::TargetLoad,
     units::Moment,
-    wait_queue::{QueueRank, WaitQueue, WaitingRequest},
+    wait_queue::{QueueRank, QueueStanding, WaitQueue, WaitingRequest},
 };
 
 /// Time reserved for a refusal to reach a caller before the caller stops waiting.
@@ -40,6 +41,15 @@
 /// The longest expected wait for which a late request does not borrow a slot.
 const MAX_LATE_WAIT: Duration = Duration::from_millis(100);
 
+/// The share of the slots that requests kept waiting leave free during an overload. A new request
+/// then mostly starts at once, and as many are on time as without the kept ones.
+const KEPT_RESERVE_SHARE: f64 = 0.04;
+
+/// The number of kept requests for which a target is looked for in one pass over the queue. Most
+/// have the same choice, and in a long queue, looking for each would take most of a small VM's
+/// processor time.
+const MAX_KEPT_CHOICES: u32 = 4;
+
 /// The targets of a service that a VM uses.
 #[derive(Clone, Debug, Default)]
 pub struct UsedTargets {
@@ -72,6 +82,8 @@
     pub ejection: TargetEjection,
     /// The recent usage of each organisation.
     pub usage: OrganisationUsage,
+    /// The places booked for returning callers.
+    pub returns: ReturnSchedule,
 }
 
 impl ServiceQueue {
@@ -88,6 +100,7 @@
             policy: ServicePolicy::default(),
             ejection: TargetEjection::default(),
             usage: OrganisationUsage::default(),
+            returns: ReturnSchedule::default(),
         }
     }
 }
@@ -134,6 +147,8 @@
     ejected: Vec<&'a TargetLoad>,
     /// Which requests are above their organisation's share; none while shares are not in effect.
     shares: ShareOrder,
+    /// Slots of targets that could not be reached and are tried again.
+    paused_slots: u32,
 }
 
 /// How the VMs of a cell share the slots of their targets.
@@ -165,6 +180,9 @@
             if usable.is_empty() { first_back_off_end(now, &others) } else { None };
         let (trial, granted) = (Vec::new(), Vec::new());
         let shares = ShareOrder::default();
+        let paused = others.iter().filter(|load| load.health().is_suspect());
+        let paused = paused.filter(|load| !load.entry().leaving);
+        let paused_slots = paused.map(|load| load.entry().slots).sum();
         Self {
             now,
             state,
@@ -178,6 +196,7 @@
             sharing,
             ejected,
             shares,
+            paused_slots,
         }
     }
 
@@ -281,12 +300,17 @@
         let peers = self.peers.claimants(self.now, self.state.key);
         let ordered = self.ordered().into_iter().enumerate();
         let mut ordered = ordered.map(|(position, (rank, work))| (position, rank, work));
+        let mut kept = 0;
         ordered.find_map(|(position, rank, work)| {
             if self.will_be_overtaken(position, rank, work) {
                 let (ticket, reason) = (work.ticket, RefusalReason::Overload);
                 let refusal = QueueAction::Refuse { ticket, reason };
                 return Some(self.borrow(rank, work).unwrap_or(refusal));
             }
+            let is_kept = self.is_kept(work.ticket);
+            kept += u32::from(is_kept);
+            let leaves_slots = is_kept && (kept > MAX_KEPT_CHOICES || self.is_reserved(free_slots));
+            let free_slots = if leaves_slots { 0 } else { free_slots };
             self.choice_for(position, rank, work, free_slots, &peers)
         })
     }
@@ -414,7 +438,7 @@
     }
 
     fn rank_of(&self, work: &WaitingRequest) -> QueueRank {
-        let rank = work.rank(self.now, self.earliest_first_event(work));
+        let rank = self.state.queue.rank(self.now, work, self.earliest_first_event(work));
         QueueRank { above_share: self.shares.is_above(work.ticket), ..rank }
     }
 
@@ -434,6 +458,9 @@
     /// waiting. An early refusal, at arrival where the queue already shows it, lets the caller
     /// retry when slots are free, so that more requests are served in a burst.
     fn is_late_behind_others(&self, work: &WaitingRequest) -> bool {
+        if self.may_stay(work) {
+            return false;
+        }
         let missed_at = work.objective_at.before(self.earliest_first_event(work));
         let accepted_late = missed_at <= work.arrived && !work.is_retry;
         if work.begun || accepted_late || self.now <= missed_at {
@@ -460,7 +487,7 @@
     /// after a small part of the objective instead of most of it, and as many requests are on time.
     /// The first request in the queue stays, so that a freed slot is used.
     fn will_be_overtaken(&self, position: usize, rank: QueueRank, work: &WaitingRequest) -> bool {
-        if position == 0 || rank.late || work.begun {
+        if position == 0 || rank.late || work.begun || self.may_stay(work) {
             return false;
         }
         let peers = self.ahead_of_rank(rank);
@@ -603,7 +630,8 @@
         // No target with a free slot serves the request on time, but a busy one may do so later. A
         // late request also waits if the free slot would delay the streams that run beside it: one
         // late answer costs less than pauses in all of those streams.
-        let better = |load: &TargetLoad, it: &PlacementForecast| match rank.late {
+        let is_late = rank.late || (!rank.without_place && need.objective_left.is_zero());
+        let better = |load: &TargetLoad, it: &PlacementForecast| match is_late {
             true => it.keeps_pauses && !forecast.keeps_pauses,
             false => {
                 let wait = self.slot_wait(load);
@@ -633,7 +661,8 @@
         let wait = self.expected_wait(Some(rank));
         let first_at = self.now + wait + best;
         let caller_leaves = first_at + REFUSAL_MARGIN > work.leave_at;
-        caller_leaves || (!rank.late && !wait.is_zero() && first_at > work.objective_at)
+        let will_be_late = !rank.late && !wait.is_zero() && first_at > work.objective_at;
+        caller_leaves || (will_be_late && !self.may_stay(work))
     }
 
     /// Returns the time until a request of this rank, or of the last rank, gets a slot. The time is
@@ -656,7 +685,7 @@
     /// The time until slots were assigned to `ahead` requests and to the more urgent ones that
     /// arrive meanwhile.
     fn wait_behind(&self, ahead: u32, rank: Option<QueueRank>) -> Duration {
-        let slots: u32 = self.usable.iter().map(|load| self.slots_of(load)).sum();
+        let slots = self.usable_slots();
         let slot_time = self.state.slot_time.unwrap_or_default();
         if let Some(limits) = &self.limits {
             let first = self.backed_off_until.map_or(Duration::ZERO, |until| until.since(self.now));
@@ -669,11 +698,59 @@
         wait.mul_f64(recent_arrivals::delay_factor(busy / f64::from(slots.max(1))))
     }
 
+    fn is_kept(&self, ticket: RequestSequence) -> bool {
+        matches!(self.state.queue.standing(ticket), QueueStanding::Kept(_))
+    }
+
+    /// Whether kept requests must leave the free slots to new requests.
+    fn is_reserved(&self, free_slots: u32) -> bool {
+        let reserve = (f64::from(self.usable_slots()) * KEPT_RESERVE_SHARE) as u32;
+        free_slots <= reserve && self.state.returns.is_overloaded(self.now)
+    }
+
+    fn usable_slots(&self) -> u32 {
+        self.usable.iter().map(|load| self.slots_of(load)).sum()
+    }
+
+    /// Whether a request may wait although it will miss its objective: it has a place, or a slot is
+    /// expected for it.
+    fn may_stay(&self, work: &WaitingRequest) -> bool {
+        match self.state.queue.standing(work.ticket) {
+            QueueStanding::New => false,
+            QueueStanding::Placed => true,
+            QueueStanding::Kept(booking) => self.now < booking.interval.released_at(),
+        }
+    }
+
+    /// Returns this VM's share of the usable slots, or `None` until a request was observed to free
+    /// its slot.
+    pub fn slot_capacity(&self) -> Option<SlotCapacity> {
+        let slot_time = self.state.slot_time?;
+        let is_late =
+            |(rank, work): &&(QueueRank, &WaitingRequest)| rank.late && !self.may_stay(work);
+        let late = slot_time * as_count(self.ordered().iter().filter(is_late).count());
+        if let Some(limits) = &self.limits {
+            let rate: f64 = limits.iter().filter_map(LimitShare::rate).sum();
+            let slots = rate * slot_time.as_secs_f64();
+            return Some(SlotCapacity { slots, expected_slots: slots, late });
+        }
+        let share = |slots: u32| f64::from(slots) / f64::from(self.sharing.vms);
+        let slots = share(self.usable_slots());
+        let expected_slots = share(self.usable_slots().saturating_add(self.paused_slots));
+        Some(SlotCapacity { slots, expected_slots, late })
+    }
+
+    /// Returns the time that must be left between a dispatch and the moment at which the caller of
+    /// a request stops waiting.
+    pub fn first_event_margin(&self, work: &WaitingRequest) -> Duration {
+        self.earliest_first_event(work) + REFUSAL_MARGIN
+    }
+
     /// Returns the counts of waiting requests that peers receive.
     pub fn queue_reports(&self) -> Vec<QueueReport> {
         let mut marks: BTreeMap<UrgencyClass, u16> = BTreeMap::new();
         for work in self.state.queue.iter() {
-            let rank = work.rank(self.now, self.earliest_first_event(work));
+            let rank = self.rank_of(work);
             let count = marks.entry(rank.class()).or_default();
             *count = count.saturating_add(1);
         }
--- a/crates/ryetide-core/src/scheduler.rs
+++ b/crates/ryetide-core/src/scheduler.rs
@@ -28,14 +28,17 @@
     queue_view::{QueueAction, QueueView, ServiceQueue, SlotSharing, UsedTargets},
     quota::QuotaCharge,
     quota_allocator::{QuotaAllocator, QuotaReply, QuotaRequest, QuotaWaitResult},
+    quota_returns::QuotaReturns,
     request_fingerprint::RequestFingerprint,
     retry_budget::{RetryBudget, RetryRule},
     retry_delay::RetryDelay,
     rollout_manager::{RolloutManager, TargetUse},
     scheduler_options::SchedulerOptions,
     scheduler_overflow::OverflowState,
+    scheduler_returns,
     scheduler_shares::ShareReporter,
     scheduling_policy::SchedulingPolicy,
+    slot_turn::UrgencyClass,
     target_limit::LimitTable,
     target_load::{TargetEntry, TargetLoad},
     units::Moment,
@@ -53,7 +56,7 @@
 #[derive(Debug)]
 pub struct Scheduler {
     pub(crate) options: SchedulerOptions,
-    retry_delay: RetryDelay,
+    pub(crate) retry_delay: RetryDelay,
     pub(crate) services: BTreeMap<ServiceName, ServiceQueue>,
     pub(crate) targets: BTreeMap<TargetKey, TargetLoad>,
     pub(crate) runs: HashMap<RequestSequence, PlacedRun>,
@@ -83,6 +86,7 @@
     pub(crate) cell_size: u32,
     pub(crate) overflow: OverflowState,
     pub(crate) share_reporter: ShareReporter,
+    pub(crate) quota_returns: QuotaReturns,
 }
 
 #[derive(Clone, Debug)]
@@ -99,6 +103,7 @@
     pub(crate) engine: bool,
     /// The estimated time in which the target reads the prompt.
     pub(crate) reading: Duration,
+    class: UrgencyClass,
 }
 
 impl Scheduler {
@@ -132,6 +137,7 @@
             cell_size: 1,
             overflow: OverflowState::default(),
             share_reporter: ShareReporter::default(),
+            quota_returns: QuotaReturns::default(),
         }
     }
 
@@ -247,8 +253,9 @@
     /// Charges a request to its organisation's quota, queues it until units are available, or
     /// returns the delay after which its caller should retry.
     pub fn request_quota(&mut self, now: Moment, ask: QuotaRequest) -> QuotaReply {
+        self.update_quota_rate(now, &ask);
         match self.quotas.ask(now, ask) {
-            QuotaReply::Over(wait) => QuotaReply::Over(self.retry_delay.after_quota(wait)),
+            QuotaReply::Over(wait) => QuotaReply::Over(self.quota_delay(now, ask.charge, wait)),
             answer => answer,
         }
     }
@@ -260,7 +267,8 @@
 
     fn advance_quotas(&mut self, now: Moment) {
         for mut verdict in self.quotas.advance(now) {
-            verdict.outcome = verdict.outcome.map_err(|wait| self.retry_delay.after_quota(wait));
+            let charge = verdict.charge;
+            verdict.outcome = verdict.outcome.map_err(|wait| self.quota_delay(now, charge, wait));
             self.quota_results.push(verdict);
         }
     }
@@ -277,6 +285,7 @@
         let class = work.rank(now, Duration::ZERO).class();
         self.service_state(&service).arrivals.record(now, class);
         self.record_overflow_arrival(now, &service);
+        self.admit_return(now, &work);
         self.enqueue(now, work);
         self.refuse_if_hopeless(now, &service, ticket);
     }
@@ -349,6 +358,7 @@
             let mean = state.slot_time.unwrap_or(taken).as_secs_f64();
             let moved = mean + (taken.as_secs_f64() - mean) * SLOT_TIME_WEIGHT;
             state.slot_time = Some(Duration::from_secs_f64(moved));
+            state.returns.record_run(run.class, taken);
         }
         self.changed = true;
         self.process_queue(now, &run.service);
@@ -487,7 +497,13 @@
                 QueueAction::Place { ticket, target, evidence } => {
                     self.place(now, service, ticket, target, evidence);
                 }
-                QueueAction::Refuse { ticket, reason } => self.refuse(now, service, ticket, reason),
+                QueueAction::Refuse { ticket, reason } => {
+                    let is_kept = reason == RefusalReason::Overload
+                        && self.keep_waiting(now, service, ticket);
+                    if !is_kept {
+                        self.refuse(now, service, ticket, reason);
+                    }
+                }
             }
         }
         self.record_share_excess(now, service);
@@ -525,6 +541,7 @@
             organisation: work.organisation,
             engine: work.engine,
             reading,
+            class: scheduler_returns::class_of(&work),
         };
         let target = load.entry().clone();
         self.charge_prompt(now, &run);
@@ -547,23 +564,36 @@
         let wait = view.as_ref().map_or(Duration::ZERO, |view| view.expected_wait(None));
         let backed_off_until = view.and_then(|view| view.backed_off_until());
         let held = backed_off_until.map_or(Duration::ZERO, |until| until.since(now));
+        let returns = match reason {
+            RefusalReason::NoTarget | RefusalReason::HeldOff => None,
+            RefusalReason::Overload | RefusalReason::OutOfTime => {
+                self.book_return(now, service, ticket, wait)
+            }
+        };
         self.service_state(service).queue.remove(ticket);
         self.record_overflow_refusal(now, service, reason);
         let retry_after = match reason {
             RefusalReason::NoTarget => self.retry_delay.without_target(),
             RefusalReason::HeldOff => self.retry_delay.after_back_off(held),
             RefusalReason::Overload | RefusalReason::OutOfTime => {
-                self.retry_delay.after_queue(wait)
+                returns.map_or_else(|| self.retry_delay.after_queue(wait), |returns| returns.delay)
             }
         };
-        self.decisions.push(Decision::Refuse { ticket, reason, retry_after, waiting });
+        let booked_after = returns.and_then(|returns| returns.booked_after);
+        self.decisions.push(Decision::Refuse {
+            ticket,
+            reason,
+            retry_after,
+            waiting,
+            booked_after,
+        });
         self.changed = true;
     }
 
     /// Refuses a request that has just joined a queue in which it cannot be served in time.
     fn refuse_if_hopeless(&mut self, now: Moment, service: &ServiceName, ticket: RequestSequence) {
         let is_hopeless = self.view(now, service).is_some_and(|view| view.is_hopeless(ticket));
-        if is_hopeless {
+        if is_hopeless && !self.keep_waiting(now, service, ticket) {
             self.refuse(now, service, ticket, RefusalReason::Overload);
         }
     }
@@ -582,6 +612,9 @@
             if !state.policy.fair_shares {
                 state.usage = OrganisationUsage::default();
             }
+            if !state.policy.return_times {
+                state.returns.clear();
+            }
         }
         self.update_ejections();
     }
--- a/crates/ryetide-core/tests/scheduler_load/load_simulation.rs
+++ b/crates/ryetide-core/tests/scheduler_load/load_simulation.rs
@@ -98,6 +98,8 @@
     pub on_time: u32,
     pub served: u32,
     pub refused: u32,
+    /// Refusals of callers that had been refused before.
+    pub refused_again: u32,
     /// The longest time from a request's arrival to its refusal.
     pub until_refusal: Duration,
     /// The sum of these times.
@@ -123,8 +125,8 @@
     queue: VecDeque<u64>,
 }
 
-struct SimVm {
-    scheduler: Scheduler,
+pub struct SimVm {
+    pub scheduler: Scheduler,
     sent_at: u64,
     /// The digest that this VM sent last, while it is in transit.
     in_transit: Option<LoadDigest>,
@@ -150,6 +152,17 @@
     }
 }
 
+/// What refused callers do.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum CallerHabit {
+    /// They retry once, after the stated delay.
+    AsTold,
+    /// They retry once and wait as told for at most a third of the time that they have left.
+    WithinThird,
+    /// They retry up to three times, each time after 50 ms.
+    AtOnce,
+}
+
 /// One request: its kind, its VM, when it arrived, when its caller first tried, and its engine.
 #[derive(Clone)]
 struct SimRequest {
@@ -161,10 +174,11 @@
     arrived: u64,
     first_attempt: u64,
     engine: Option<String>,
+    attempt: u32,
 }
 
 pub struct LoadSimulation {
-    vms: Vec<SimVm>,
+    pub vms: Vec<SimVm>,
     /// Groups of three engines; the arrival rate is proportional to their number.
     groups: usize,
     rng: SmallRng,
@@ -175,6 +189,12 @@
     pub tallies: [Tally; 3],
     /// Whether refused callers retry.
     pub callers_retry: bool,
+    /// How they retry.
+    pub habit: CallerHabit,
+    /// How long the callers of each kind wait for an answer, counted from their first attempt.
+    pub deadlines: [Duration; 3],
+    /// The engines that nobody can connect to, with the times in microseconds.
+    pub outage: Option<(&'static str, std::ops::Range<u64>)>,
     /// The number of placed requests, and of those among them that found no slot at their engine.
     pub placed: u32,
     pub without_slot: u32,
@@ -261,6 +281,9 @@
             first: BTreeMap::new(),
             tallies: [Tally::default(); 3],
             callers_retry: false,
+            habit: CallerHabit::AsTold,
+            deadlines: [DEADLINE; 3],
+            outage: None,
             placed: 0,
             without_slot: 0,
             burst: 5_000_000..9_000_000,
@@ -277,15 +300,22 @@
 
     /// Runs `seconds` of arrivals, with `factor` times the usual rate during the burst, until all
     /// requests have ended.
-    pub fn run(mut self, seconds: u64, factor: f64) -> Self {
+    pub fn run(self, seconds: u64, factor: f64) -> Self {
         let added: Option<f64> = self.population.as_ref().map(|it| it.burst_parts().iter().sum());
         let factor = factor * added.unwrap_or(1.0);
+        let burst = self.burst.clone();
+        let is_burst = move |at: f64| burst.contains(&((at * 1e6) as u64));
+        self.run_load(seconds, |at| if is_burst(at) { factor } else { 1.0 })
+    }
+
+    /// Runs `seconds` of arrivals, at `factor` times the usual rate at each time in seconds, until
+    /// all requests have ended.
+    pub fn run_load(mut self, seconds: u64, factor: impl Fn(f64) -> f64) -> Self {
         for (index, kind) in KINDS.iter().enumerate() {
             let mut at = 0.0;
             while at < seconds as f64 {
-                let burst = if self.burst.contains(&((at * 1e6) as u64)) { factor } else { 1.0 };
                 let draw: f64 = self.rng.random_range(1e-9..1.0);
-                at += -draw.ln() / (kind.rate * burst * self.groups as f64);
+                at += -draw.ln() / (kind.rate * factor(at) * self.groups as f64);
                 self.schedule(1_000 + (at * 1e6) as u64, SimEvent::Arrival(index));
             }
         }
@@ -324,7 +354,9 @@
             SimEvent::Retry(ticket) => {
                 let vm = self.rng.random_range(0..self.vms.len());
                 let before = &self.requests[&ticket];
-                let request = SimRequest { vm, arrived: now, engine: None, ..before.clone() };
+                let attempt = before.attempt + 1;
+                let request =
+                    SimRequest { vm, arrived: now, engine: None, attempt, ..before.clone() };
                 self.arrive(now, request);
             }
             SimEvent::Event(ticket) => {
@@ -371,6 +403,7 @@
             arrived,
             first_attempt,
             engine: None,
+            attempt: 0,
         };
         let Some(population) = &self.population else { return request };
         let parts = if self.burst.contains(&now) {
@@ -401,15 +434,24 @@
         let ticket = self.requests.len() as u64 + 1;
         let SimRequest { kind, vm, first_attempt, organisation, prompt, events, .. } = request;
         self.requests.insert(ticket, request);
-        let left = DEADLINE.saturating_sub(Duration::from_micros(now - first_attempt));
+        let waited = Duration::from_micros(now - first_attempt);
+        let left = self.deadlines[kind].saturating_sub(waited);
         let waited = self.vms[vm].trackers[kind].waited(left);
         let new = work(ticket, &KINDS[kind], Moment(now));
         let objective_at = new.objective_at.before(waited);
         let is_retry = !waited.is_zero();
+        let leave_at = new.leave_at.min(Moment(now) + left);
         let organisation = OrganisationKey(organisation as u32);
         let (prompt, events) = (Tokens(prompt), events as u32);
-        let mut work =
-            WaitingRequest { is_retry, objective_at, organisation, prompt, events, ..new };
+        let mut work = WaitingRequest {
+            is_retry,
+            objective_at,
+            leave_at,
+            organisation,
+            prompt,
+            events,
+            ..new
+        };
         if self.population.is_some() {
             // All organisations compete inside one tier.
             (work.tier, work.route_tier) = (TierRank(1), TierRank(1));
@@ -449,14 +491,15 @@
                     if let Some(tally) = self.tally_of(&request) {
                         tally.refused += 1;
                     }
-                    let retries = self.callers_retry && request.first_attempt == request.arrived;
+                    let delay = self.retry_delay(&request, now, retry_after);
                     let tally = &mut self.tallies[request.kind];
                     tally.refused += 1;
+                    tally.refused_again += u32::from(request.attempt > 0);
                     let until_refusal = Duration::from_micros(now - request.arrived);
                     tally.until_refusal = tally.until_refusal.max(until_refusal);
                     tally.until_refusal_sum += until_refusal;
-                    if retries {
-                        let at = now + retry_after.as_micros() as u64;
+                    if let Some(delay) = delay {
+                        let at = now + delay.as_micros() as u64;
                         self.schedule(at, SimEvent::Retry(ticket.0));
                     }
                 }
@@ -470,7 +513,25 @@
         }
     }
 
+    /// Returns when a refused caller retries, if it does.
+    fn retry_delay(&self, request: &SimRequest, now: u64, told: Duration) -> Option<Duration> {
+        let waited = Duration::from_micros(now - request.first_attempt);
+        let left = self.deadlines[request.kind].saturating_sub(waited);
+        let (attempts, delay) = match self.habit {
+            CallerHabit::AsTold => (1, told),
+            CallerHabit::WithinThird => (1, told.min(left / 3)),
+            CallerHabit::AtOnce => (3, Duration::from_millis(50)),
+        };
+        (self.callers_retry && request.attempt < attempts && !left.is_zero()).then_some(delay)
+    }
+
     fn serve(&mut self, now: u64, ticket: u64, name: &str) {
+        let is_down = |(prefix, span): &(&str, std::ops::Range<u64>)| {
+            name.starts_with(prefix) && span.contains(&now)
+        };
+        if self.outage.as_ref().is_some_and(is_down) {
+            return self.fail_to_connect(now, ticket);
+        }
         self.placed += 1;
         self.requests.get_mut(&ticket).expect("the request arrived").engine = Some(name.to_owned());
         let engine = self.engines.get_mut(name).expect("the engine exists");
@@ -482,6 +543,23 @@
         }
     }
 
+    /// Ends a request that could not be sent, and queues it again.
+    fn fail_to_connect(&mut self, now: u64, ticket: u64) {
+        let SimRequest { kind, vm, arrived, first_attempt, .. } = self.requests[&ticket];
+        let first = Moment(first_attempt);
+        let left = self.deadlines[kind].min(KINDS[kind].patience);
+        let new = work(ticket, &KINDS[kind], first);
+        let work = WaitingRequest {
+            arrived: Moment(arrived),
+            is_retry: arrived != first_attempt,
+            leave_at: Moment(arrived) + left,
+            ..new
+        };
+        let scheduler = &mut self.vms[vm].scheduler;
+        scheduler.end(Moment(now), RequestSequence(ticket), RunEnd::Unreachable);
+        scheduler.enter_again(Moment(now), work, false);
+    }
+
     fn start(&mut self, now: u64, ticket: u64, name: &str) {
         let SimRequest { prompt, events, .. } = self.requests[&ticket];
         let engine = self.engines.get_mut(name).expect("the engine exists");
--- a/crates/ryetide-gateway/src/gateway_metrics.rs
+++ b/crates/ryetide-gateway/src/gateway_metrics.rs
@@ -9,6 +9,7 @@
 };
 use ryetide_core::{
     chart::ChartName,
+    return_schedule::ReturnCounts,
     scheduler_shares::ShareActivity,
     service_rollout::ServiceRollout,
     target_notice::{LimitNotice, TargetNotice},
@@ -74,6 +75,10 @@
     over_share: Gauge,
     over_share_deferred: Counter,
     usage_sources: Gauge,
+    returns_booked: Counter,
+    returns_placed: Counter,
+    returns_expired: Counter,
+    requests_kept: Counter,
 }
 
 impl Default for GatewayMetrics {
@@ -104,6 +109,10 @@
             over_share: Gauge::default(),
             over_share_deferred: Counter::default(),
             usage_sources: Gauge::default(),
+            returns_booked: Counter::default(),
+            returns_placed: Counter::default(),
+            returns_expired: Counter::default(),
+            requests_kept: Counter::default(),
         };
         let registry = &mut metrics.registry;
         registry.register("requests", "Requests taken", metrics.requests.clone());
@@ -146,6 +155,14 @@
         registry.register("over_share_deferred", deferred, metrics.over_share_deferred.clone());
         let sources = "Peers whose usage by organisation is known";
         registry.register("usage_sources", sources, metrics.usage_sources.clone());
+        let booked = "Places booked for refused callers";
+        registry.register("returns_booked", booked, metrics.returns_booked.clone());
+        let placed = "Returned callers that got a booked place";
+        registry.register("returns_placed", placed, metrics.returns_placed.clone());
+        let expired = "Booked places released because no caller came";
+        registry.register("returns_expired", expired, metrics.returns_expired.clone());
+        let kept = "Requests kept for an expected free slot instead of refused";
+        registry.register("requests_kept", kept, metrics.requests_kept.clone());
         metrics
     }
 }
@@ -231,6 +248,15 @@
         self.shortage.set(i64::from(slots));
     }
 
+    /// Raises the counters of return times to the given counts.
+    pub fn set_returns(&self, counts: ReturnCounts) {
+        let raise = |counter: &Counter, to: u64| counter.inc_by(to.saturating_sub(counter.get()));
+        raise(&self.returns_booked, counts.booked);
+        raise(&self.returns_placed, counts.placed);
+        raise(&self.returns_expired, counts.expired);
+        raise(&self.requests_kept, counts.kept);
+    }
+
     /// Sets the number of requests in quarantine.
     pub fn set_quarantined(&self, count: usize) {
         self.quarantined.set(count as i64);
