Readmit recovered targets sooner, and borrow no slots of ejected ones

Cause: when the targets that failed had recovered, VMs probed each at intervals of up to 1.5 s and then used a part of its slots for 3 s, while requests were refused. A VM that had ejected a target itself still used slots of it that were granted.

Change: the interval of probes grows to 0.75 s, and the ramp lasts 1 s from half of the slots. A target that is ejected here is neither lent nor borrowed. The tests of return times set the policy through the simulation, whose run applies it.

--- a/crates/ryetide-core/src/scheduler_overflow.rs
+++ b/crates/ryetide-core/src/scheduler_overflow.rs
@@ -212,7 +212,10 @@
 
     /// Whether nothing speaks against sending requests of other cells to a target.
     fn is_lendable(&self, now: Moment, load: &TargetLoad) -> bool {
+        let state = self.services.get(&load.entry().service);
+        let is_ejected = state.is_some_and(|state| state.ejection.is_ejected(load.key()));
         load.accepts_work(now)
+            && !is_ejected
             && !load.is_suspected(now)
             && load.limit() == LimitShare::Unlimited
             && self.limits.rate(load.key()).is_none()
--- a/crates/ryetide-core/src/target_ejection.rs
+++ b/crates/ryetide-core/src/target_ejection.rs
@@ -44,11 +44,11 @@
 /// doubles with each failed probe.
 const PROBE_INTERVAL: Duration = Duration::from_millis(500);
 /// The longest such time of a target that was not ejected repeatedly.
-const LONGEST_PROBE_INTERVAL: Duration = Duration::from_millis(1_500);
+const LONGEST_PROBE_INTERVAL: Duration = Duration::from_millis(750);
 /// The longest such time.
 const LONGEST_REPEATED_INTERVAL: Duration = Duration::from_secs(8);
 /// The time between two probes of a target that has answered the last one.
-const NEXT_PROBE_INTERVAL: Duration = Duration::from_millis(150);
+const NEXT_PROBE_INTERVAL: Duration = Duration::from_millis(100);
 /// How long each VM waits for the VM before it in the order to send the probe: longer than the
 /// interval of full digests, so that it learns of the probe.
 const PROBE_TURN: Duration = Duration::from_millis(500);
@@ -68,11 +68,12 @@
 const MAX_REPETITIONS: u32 = 3;
 /// An ejection this soon after the previous one is a repetition.
 const REPETITION_SPAN: Duration = Duration::from_secs(30);
-/// How long a readmitted target gets less than all of its slots: longer than most answers take, so
-/// that failures show before all slots are in use.
-const RAMP_SPAN: Duration = Duration::from_secs(3);
+/// How long a readmitted target gets less than all of its slots. Targets that fail requests quickly
+/// are ejected again within it; a longer span leaves slots of recovered targets idle while requests
+/// are refused.
+const RAMP_SPAN: Duration = Duration::from_secs(1);
 /// The share of its slots that a target gets when it is readmitted.
-const FIRST_RAMP_SHARE: f64 = 0.25;
+const FIRST_RAMP_SHARE: f64 = 0.5;
 
 /// A change of a target's state, for the log.
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/crates/ryetide-core/tests/scheduler_load/load_simulation.rs
+++ b/crates/ryetide-core/tests/scheduler_load/load_simulation.rs
@@ -125,8 +125,8 @@
     queue: VecDeque<u64>,
 }
 
-pub struct SimVm {
-    pub scheduler: Scheduler,
+struct SimVm {
+    scheduler: Scheduler,
     sent_at: u64,
     /// The digest that this VM sent last, while it is in transit.
     in_transit: Option<LoadDigest>,
@@ -178,7 +178,7 @@
 }
 
 pub struct LoadSimulation {
-    pub vms: Vec<SimVm>,
+    vms: Vec<SimVm>,
     /// Groups of three engines; the arrival rate is proportional to their number.
     groups: usize,
     rng: SmallRng,
--- a/crates/ryetide-core/tests/scheduler_load/returns.rs
+++ b/crates/ryetide-core/tests/scheduler_load/returns.rs
@@ -41,8 +41,8 @@
             simulation.habit = self.habit;
             simulation.deadlines = [1_500, 4_500, 12_000].map(Duration::from_millis);
             simulation.outage = Some(("fast-1", 10_000_000..(10 + self.outage) * 1_000_000));
-            let policy = SchedulingPolicy { return_times: switch, ..SchedulingPolicy::default() };
-            simulation.vms.iter_mut().for_each(|vm| vm.scheduler.set_policy(policy));
+            simulation.policy =
+                SchedulingPolicy { return_times: switch, ..SchedulingPolicy::default() };
             let (factor, seconds) = self.burst;
             let is_burst = |at| (10.0..10.0 + seconds).contains(&at);
             let load = |at| if is_burst(at) { self.usual * factor } else { self.usual };
