Look up the fastest usable target once for all waiting requests

Cause: the rank of each waiting request looked at every usable target, several times for each decision.

Change: a view of a queue looks up the fastest engine and the shortest answer time when it is made. The results are the same, since the reading time grows with the time for each token.

--- a/crates/ryetide-core/src/queue_view.rs
+++ b/crates/ryetide-core/src/queue_view.rs
@@ -25,6 +25,7 @@
     slot_turn::{self, FreeSlot, SlotClaimant, UrgencyClass},
     target_ejection::TargetEjection,
     target_load::TargetLoad,
+    target_speed::SpeedEstimate,
     units::Moment,
     wait_queue::{QueueRank, QueueStanding, WaitQueue, WaitingRequest},
 };
@@ -149,6 +150,11 @@
     shares: ShareOrder,
     /// Slots of targets that could not be reached and are tried again.
     paused_slots: u32,
+    /// The speed of the usable target that reads prompts fastest. It is looked up once, since the
+    /// rank of each request in a long queue depends on it.
+    fastest_engine: Option<SpeedEstimate>,
+    /// The shortest mean time of a whole answer among the usable targets.
+    fastest_answer: Option<Duration>,
 }
 
 /// How the VMs of a cell share the slots of their targets.
@@ -178,6 +184,9 @@
             loads.iter().partition(|load| load.accepts_work(now));
         let backed_off_until =
             if usable.is_empty() { first_back_off_end(now, &others) } else { None };
+        let estimates = usable.iter().map(|load| *load.estimate());
+        let fastest_engine = estimates.min_by_key(|estimate| estimate.prompt_token);
+        let fastest_answer = usable.iter().map(|load| load.answer_time()).min();
         let (trial, granted) = (Vec::new(), Vec::new());
         let shares = ShareOrder::default();
         let paused = others.iter().filter(|load| load.health().is_suspect());
@@ -197,6 +206,8 @@
             ejected,
             shares,
             paused_slots,
+            fastest_engine,
+            fastest_answer,
         }
     }
 
@@ -444,12 +455,12 @@
 
     /// The time from a dispatch to the first event at the fastest target.
     fn earliest_first_event(&self, work: &WaitingRequest) -> Duration {
-        let overhead = self.options.assumed.overhead;
-        let first = |load: &&TargetLoad| match work.engine {
-            true => overhead + load.estimate().reading_time(work.prompt.0),
-            false => load.answer_time(),
-        };
-        self.usable.iter().map(first).min().unwrap_or_default()
+        match work.engine {
+            true => self.fastest_engine.map_or(Duration::ZERO, |estimate| {
+                self.options.assumed.overhead + estimate.reading_time(work.prompt.0)
+            }),
+            false => self.fastest_answer.unwrap_or_default(),
+        }
     }
 
     /// Whether a request has missed its objective while requests that can still meet theirs wait.
