--- a/crates/ryetide-core/src/fair_share.rs
+++ b/crates/ryetide-core/src/fair_share.rs
@@ -2,8 +2,8 @@
 //!
 //! Every participant gets what it demands, up to a common level or up to its guaranteed amount if
 //! that is higher. The level is as high as the supply permits, so a participant with a small demand
-//! gets all of it, and the parts that it leaves are divided among the others. If the supply does not
-//! cover the guaranteed amounts, these are divided in the same way.
+//! gets all of it, and the parts that it leaves are divided among the others. If the supply does
+//! not cover the guaranteed amounts, these are divided in the same way.
 
 /// What one participant demands.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
--- a/crates/ryetide-core/src/organisation_usage.rs
+++ b/crates/ryetide-core/src/organisation_usage.rs
@@ -1,9 +1,9 @@
 //! The engine time that each organisation's requests for a service have recently used.
 //!
 //! Every VM sums what it has served itself and adds what its peers report. All sums decay with the
-//! same half-life, so an organisation's usage is its mean rate of use over some seconds. Peers report
-//! only their heaviest organisations; the others count as light there. A second sum with a longer
-//! half-life tells what an organisation usually uses.
+//! same half-life, so an organisation's usage is its mean rate of use over some seconds. Peers
+//! report only their heaviest organisations; the others count as light there. A second sum with a
+//! longer half-life tells what an organisation usually uses.
 //!
 //! The sums are soft state. A VM that starts knows none, and a report that was lost is missing for
 //! about one half-life.
@@ -19,15 +19,16 @@
     units::Moment,
 };
 
-/// The time in which a use of engine time loses half of its weight, in milliseconds. With 1 s, single
-/// long answers decide the order; with 8 s, an overload of four seconds is half over before it shows.
+/// The time in which a use of engine time loses half of its weight, in milliseconds. With 1 s,
+/// single long answers decide the order; with 8 s, an overload of four seconds is half over before
+/// it shows.
 const HALF_LIFE_MS: u64 = 3_000;
 /// The half-life of what an organisation usually uses, in milliseconds. An overload of eight times
 /// the usual load raises it by a third in four seconds.
 const USUAL_HALF_LIFE_MS: u64 = 60_000;
-/// The part of its usual usage that an organisation is guaranteed. A burst from all organisations at
-/// 1.7 times the usual rate must not make large organisations yield to one that overloads the service.
-const GUARANTEED_PART: f64 = 2.0;
+/// The multiple of its usual usage that an organisation is guaranteed. In a burst from all
+/// organisations, large ones then do not yield to one that overloads the service.
+const GUARANTEED_FACTOR: f64 = 2.0;
 /// The half-life of usage.
 pub const HALF_LIFE: Duration = Duration::from_millis(HALF_LIFE_MS);
 /// The span of observations that is needed to tell usual use from an overload.
@@ -146,8 +147,8 @@
         self.add_total(now, organisation, seconds);
     }
 
-    /// Adds to the fleet-wide sums. What an organisation uses above its share while others wait does
-    /// not become usual.
+    /// Adds to the fleet-wide sums. What an organisation uses above its share while others wait
+    /// does not become usual.
     fn add_total(&mut self, now: Moment, organisation: OrganisationKey, seconds: f64) {
         self.since.get_or_insert(now);
         let total = self.totals.entry(organisation).or_default();
@@ -183,8 +184,8 @@
         self.totals.get(&organisation).map_or(0.0, |total| total.recent.at(now))
     }
 
-    /// Returns the fleet-wide usage that an organisation is guaranteed, in seconds, which follows from
-    /// its usual rate; zero while the history is too short.
+    /// Returns the fleet-wide usage that an organisation is guaranteed, in seconds, which follows
+    /// from its usual rate; zero while the history is too short.
     pub fn guaranteed(&self, now: Moment, organisation: OrganisationKey) -> f64 {
         let age = self.since.map_or(Duration::ZERO, |since| now.since(since));
         let Some(total) = self.totals.get(&organisation).filter(|_| age >= MIN_HISTORY) else {
@@ -193,7 +194,7 @@
         let halves = age.as_secs_f64() * 1_000.0 / USUAL_HALF_LIFE_MS as f64;
         let observed_part = 1.0 - 0.5_f64.powf(halves);
         let scale = HALF_LIFE_MS as f64 / USUAL_HALF_LIFE_MS as f64;
-        total.usual.at(now) * scale / observed_part * GUARANTEED_PART
+        total.usual.at(now) * scale / observed_part * GUARANTEED_FACTOR
     }
 
     /// Returns the organisations with their fleet-wide usage in seconds, heaviest first as of the
--- a/crates/ryetide-core/src/outlier_detector.rs
+++ b/crates/ryetide-core/src/outlier_detector.rs
@@ -2,10 +2,10 @@
 //!
 //! The evidence is a sequential likelihood ratio test. Each failure makes it more probable that the
 //! target fails `OUTLIER_SHARE` of its requests rather than the share that the other targets fail,
-//! and each answer makes it less probable. A stretch of outcomes begins with a failure and ends once
-//! the answers outweigh the failures, so that earlier answers do not delay the detection of a target
-//! that has just failed. The test finds a target that fails everything after a few requests, and one
-//! that fails half of them after some ten.
+//! and each answer makes it less probable. A stretch of outcomes begins with a failure and ends
+//! once the answers outweigh the failures, so that earlier answers do not delay the detection of a
+//! target that has just failed. The test finds a target that fails everything after a few requests,
+//! and one that fails half of them after some ten.
 
 use std::{collections::BTreeMap, time::Duration};
 
@@ -15,10 +15,11 @@
 const OUTLIER_SHARE: f64 = 0.4;
 /// How much larger than the share of the other targets that share must be.
 const OUTLIER_MARGIN: f64 = 0.25;
-/// The lowest share of failures that is assumed of other targets. With a lower one, two failures at
-/// one VM would suffice, which two bad requests cause.
+/// The lowest share of failures that is assumed of other targets. It bounds the weight of a single
+/// failure: with it, two failures reach [`CONFIRMED_SCORE`] and three [`SINGLE_SOURCE_SCORE`].
 const MIN_BASE_SHARE: f64 = 0.01;
-/// The highest share of failures that is assumed of other targets.
+/// The highest share of failures that is assumed of other targets. With the margin, the share that
+/// is assumed of an outlier stays below 1.
 const MAX_BASE_SHARE: f64 = 0.6;
 /// The number of outcomes that the assumed share of failures weighs as much as.
 const BASE_WEIGHT: f64 = 20.0;
@@ -192,6 +193,7 @@
     pub recent: RecentOutcomes,
     /// The outcomes at this VM since the target became suspect.
     stretch: Option<OutcomeCount>,
+    /// The last failure at this VM, or that a peer of its data centre reported.
     failed_at: Moment,
     peers: BTreeMap<VmName, PeerOutcomes>,
 }
--- a/crates/ryetide-core/src/queue_view.rs
+++ b/crates/ryetide-core/src/queue_view.rs
@@ -339,15 +339,17 @@
             let borrowed = self.borrow(rank, work).filter(|_| reason == RefusalReason::Overload);
             return Some(borrowed.unwrap_or(QueueAction::Refuse { ticket, reason }));
         }
-        let on_trial = self.choose_trial_target(rank, work, peers);
-        let on_trial = on_trial.or_else(|| self.choose_ejected(rank, work));
-        if on_trial.is_none() && free_slots == 0 {
+        // Targets on trial, and ejected targets that get a probe, take a request without regard to
+        // the free slots of the others.
+        let designated = self.choose_trial_target(rank, work, peers);
+        let designated = designated.or_else(|| self.choose_ejected(rank, work));
+        if designated.is_none() && free_slots == 0 {
             return self.borrow_instead_of_waiting(position, rank, work);
         }
-        let Some(own) = on_trial.or_else(|| self.choose(rank, work, peers)) else {
+        let Some(own) = designated.or_else(|| self.choose(rank, work, peers)) else {
             return self.borrow_instead_of_waiting(position, rank, work);
         };
-        let borrowed = match on_trial.is_some() || rank.late || self.is_in_time(&own.1, work) {
+        let borrowed = match designated.is_some() || rank.late || self.is_in_time(&own.1, work) {
             true => None,
             false => self.borrow(rank, work),
         };
@@ -586,7 +588,11 @@
         work: &WaitingRequest,
         peers: &[SlotClaimant<'_>],
     ) -> Option<(&'a TargetLoad, PlacementForecast)> {
-        if self.trial.is_empty() || work.begun || !work.excluded.is_empty() {
+        // VMs of other cells do not know this VM's load on a target on trial. Kept requests wait at
+        // most VMs during an overload; all VMs would send some to the same targets, and the version
+        // would fail them.
+        let is_unfit = work.begun || !work.excluded.is_empty() || self.is_kept(work.ticket);
+        if self.trial.is_empty() || is_unfit {
             return None;
         }
         let open = self.trial.iter().filter(|load| self.has_open_slot(load, rank, peers));
--- a/crates/ryetide-core/src/return_schedule.rs
+++ b/crates/ryetide-core/src/return_schedule.rs
@@ -14,15 +14,16 @@
 
 use crate::{arrival_forecast::ArrivalForecast, slot_turn::UrgencyClass, units::Moment};
 
-/// The length of an interval: at a VM with two free places per second, each has one.
+/// The length of an interval. It is long enough that a VM with two free places a second has one in
+/// each.
 const INTERVAL: Duration = Duration::from_millis(500);
 /// The number of intervals that are forecast: 10 s, the longest retry delay.
 const HORIZON: u64 = 20;
 /// How long after its interval a place is kept for its caller. It covers the way of the refusal and
 /// of the new request, and the uneven division of the returning callers over the VMs.
 const CLAIM_SPAN: Duration = Duration::from_millis(1_000);
-/// How long after a request could not be on time the load counts as too high: several arrivals at a
-/// VM with five requests per second.
+/// How long the load counts as too high after a request could not be on time. Within this time,
+/// several further requests arrive at a VM with five a second.
 const OVERLOAD_SPAN: Duration = Duration::from_millis(1_000);
 /// The weight of a new observation in the mean time for which requests of a class occupy a slot.
 const SLOT_TIME_WEIGHT: f64 = 0.05;
--- a/crates/ryetide-core/src/scheduler_digests.rs
+++ b/crates/ryetide-core/src/scheduler_digests.rs
@@ -8,7 +8,6 @@
     ids::{TargetKey, VmName},
     load_digest::{DigestEnvelope, DigestScope, FleetState, LoadDigest, TargetReport},
     peer_digests::{self, DigestChange},
-    policy_update::PolicyUpdate,
     scheduler::Scheduler,
     units::{Moment, Tokens},
 };
@@ -92,6 +91,7 @@
     /// Returns the digest for all peers outside this VM's cell.
     pub fn brief_digest(&mut self, now: Moment, state: FleetState, leaving: bool) -> LoadDigest {
         let mut digest = self.common_digest(now, state, leaving);
+        digest.policies.outcomes = self.outcome_reports(now, DigestScope::Brief);
         digest.policies.usage = self.usage_reports(now, DigestScope::Brief);
         self.with_overflow(now, digest)
     }
@@ -113,10 +113,6 @@
             leaving_targets: state.leaving_targets,
             rollouts: self.rollout_progress(now, true),
             limits: self.limits.reports(now),
-            policies: PolicyUpdate {
-                outcomes: self.outcome_reports(now, DigestScope::Brief),
-                ..PolicyUpdate::default()
-            },
             ..LoadDigest::default()
         }
     }
--- a/crates/ryetide-core/src/scheduler_overflow.rs
+++ b/crates/ryetide-core/src/scheduler_overflow.rs
@@ -127,6 +127,7 @@
     pub(crate) fn with_overflow(&mut self, now: Moment, mut digest: LoadDigest) -> LoadDigest {
         let update = self.overflow_update(now);
         self.overflow.sent = ReportKinds::of(&update);
+        // What was just sent only has to be renewed.
         self.overflow.urgency = self.overflow.sent.urgency_after(self.overflow.sent);
         self.overflow.examined_at = now;
         for grant in self.overflow.lender.issue(now, &update.grants) {
@@ -151,6 +152,7 @@
         let (own, update) = (self.options.name.clone(), &digest.policies);
         self.overflow.borrower.take_grants(now, from, &own, &update.grants);
         let is_near = digest.data_centre.as_ref() == Some(&self.options.data_centre);
+        // The first shortage is examined at once, so that grants are sent without delay.
         if !self.overflow.lender.knows_shortage(now) {
             self.overflow.examined_at = Moment::default();
         }
@@ -162,8 +164,7 @@
     }
 
     pub(crate) fn record_overflow_arrival(&mut self, now: Moment, service: &ServiceName) {
-        let Some(state) = self.services.get(service).filter(|state| is_shared_by_cell(state))
-        else {
+        let Some(state) = self.services.get(service).filter(|state| uses_overflow(state)) else {
             return;
         };
         self.overflow.borrower.record_arrival(now, state.key);
@@ -176,16 +177,16 @@
         reason: RefusalReason,
     ) {
         let is_overload = matches!(reason, RefusalReason::Overload | RefusalReason::OutOfTime);
-        let state = self.services.get(service).filter(|state| is_shared_by_cell(state));
+        let state = self.services.get(service).filter(|state| uses_overflow(state));
         if let Some(state) = state.filter(|_| is_overload) {
             self.overflow.borrower.record_refusal(now, state.key);
         }
     }
 
-    /// Returns the targets of other cells at which this VM may start one more of a service's waiting
-    /// requests.
+    /// Returns the targets of other cells at which this VM may start one more of a service's
+    /// waiting requests.
     pub(crate) fn granted_targets(&self, now: Moment, state: &ServiceQueue) -> Vec<&TargetLoad> {
-        let is_needed = is_shared_by_cell(state) && !state.queue.is_empty();
+        let is_needed = uses_overflow(state) && !state.queue.is_empty();
         if !is_needed || !self.overflow.borrower.has_grants(now) {
             return Vec::new();
         }
@@ -228,7 +229,7 @@
     /// Returns the targets of other cells at which this VM has requests running.
     fn borrowed_targets(&self) -> BTreeSet<TargetKey> {
         let is_borrowed = |service: &ServiceName, target: &TargetKey| {
-            let state = self.services.get(service).filter(|state| is_shared_by_cell(state));
+            let state = self.services.get(service).filter(|state| uses_overflow(state));
             let is_own = |state: &ServiceQueue| {
                 state.targets.keys.contains(target) || state.trial.keys.contains(target)
             };
@@ -266,7 +267,7 @@
         now: Moment,
         borrowed: &BTreeSet<TargetKey>,
     ) -> BTreeMap<ServiceName, u16> {
-        let sharing = self.services.iter().filter(|(_, state)| is_shared_by_cell(state));
+        let sharing = self.services.iter().filter(|(_, state)| uses_overflow(state));
         let shortage = |(name, state): (&ServiceName, &ServiceQueue)| {
             let view = self.view(now, name)?;
             let of_service = borrowed.iter().filter_map(|key| self.targets.get(key));
@@ -325,7 +326,7 @@
 
     /// Returns what this VM's cell can lend of each service.
     fn lendable_slots(&self, now: Moment) -> Vec<LendableSlots> {
-        let sharing = self.services.iter().filter(|(_, state)| is_shared_by_cell(state));
+        let sharing = self.services.iter().filter(|(_, state)| uses_overflow(state));
         sharing.filter_map(|(name, state)| self.lendable_slots_of(now, name, state)).collect()
     }
 
@@ -402,7 +403,7 @@
 }
 
 /// Whether overflow is in effect for a service whose targets only this VM's cell uses.
-fn is_shared_by_cell(state: &ServiceQueue) -> bool {
+fn uses_overflow(state: &ServiceQueue) -> bool {
     state.policy.overflow && state.targets.is_partitioned
 }
 
--- a/crates/ryetide-core/src/scheduler_shares.rs
+++ b/crates/ryetide-core/src/scheduler_shares.rs
@@ -21,11 +21,12 @@
 const MIN_REPORT_INTERVAL: Duration = Duration::from_secs(1);
 /// The longest interval between two reports, one half-life.
 const MAX_REPORT_INTERVAL: Duration = organisation_usage::HALF_LIFE;
-/// The entries that a VM may receive in a second, from its cell and from all peers. An entry has some
-/// 13 bytes, so both together are 4 KB of the 6 KB permitted for control traffic.
+/// The entries that a VM should receive in a second from its cell, and from all peers. At some 13
+/// bytes each, both together are 4 KB of the 6 KB permitted for control traffic. Above 225 VMs,
+/// [`MIN_ENTRIES`] and [`MAX_REPORT_INTERVAL`] raise this, to 5.5 KB with 410 VMs.
 const MAX_RECEIVED_ENTRIES: usize = 150;
-/// The number of entries in a report of a VM of a large fleet. With one, a second organisation above
-/// its share would not be seen.
+/// The number of entries in a report of a VM of a large fleet. With one, a second organisation
+/// above its share would not be seen.
 const MIN_ENTRIES: usize = 2;
 /// The span in which an organisation above its share is logged once.
 const LOG_SPAN: Duration = Duration::from_secs(10);
--- a/crates/ryetide-core/src/share_order.rs
+++ b/crates/ryetide-core/src/share_order.rs
@@ -1,10 +1,11 @@
 //! Decides which of a service's waiting requests are above their organisation's share.
 //!
-//! The share is the max-min fair part of the engine time that all organisations use and ask for, with
-//! an amount guaranteed that follows from their usual usage: an organisation that has long been large
-//! does not lose slots to one that overloads the service. A request is above it if its organisation's recent usage, and the requests of the organisation that
-//! go before it, fill the share already. So the first requests of an organisation with a long queue
-//! compete with those of the others, and the rest of the queue goes after them.
+//! The share is the max-min fair part of the engine time that all organisations use and ask for. An
+//! amount that follows from their usual usage is guaranteed, so that an organisation that has long
+//! been large does not lose slots to one that overloads the service. A request is above the share
+//! if its organisation's recent usage, and the requests of the organisation that go before it, fill
+//! the share already. So the first requests of an organisation with a long queue compete with those
+//! of the others, and the rest of the queue goes after them.
 
 use std::collections::{BTreeMap, BTreeSet};
 
--- a/crates/ryetide-core/src/slot_lending.rs
+++ b/crates/ryetide-core/src/slot_lending.rs
@@ -19,16 +19,16 @@
 /// How long a reported shortage is known: two intervals of urgent digests and their delay, so that
 /// one lost digest does not end it.
 const SHORTAGE_TTL: Duration = Duration::from_millis(700);
-/// The longest delay of a digest. A grant may be in use for this long after the lender's own count
-/// of its validity ends.
+/// The assumed longest delay of a digest. A grant is valid at the borrower from its receipt, so the
+/// lender counts it as valid for this much longer.
 const DIGEST_DELAY: Duration = Duration::from_millis(50);
-/// The number of VMs of other data centres that consider a borrower for each slot that it wants.
+/// The number of VMs that consider a borrower for each slot that it wants or uses.
 /// About every second granting VM has a slot to lend where a third of the slots are free.
 const LENDERS_PER_SLOT: usize = 2;
 /// The least number of VMs of other data centres that consider a borrower.
 const MIN_LENDERS: usize = 6;
-/// The number of VMs of its own data centre that consider a borrower: three cells, since the bytes
-/// of their grants cost nothing and their slots are preferred.
+/// The least number of VMs of its own data centre that consider a borrower: those of three cells,
+/// since their slots are preferred and their digests stay inside the data centre.
 const NEAR_LENDERS: usize = 24;
 /// The standard deviations of the cell's own arrivals that the reserve covers. Where arrivals
 /// exceed it, a request waits at an engine for a part of one slot time.
@@ -222,7 +222,8 @@
         grants
     }
 
-    /// Assigns up to `quota` slots to a borrower: those that it has a grant for already, then others.
+    /// Assigns up to `quota` slots to a borrower: those that it has a grant for already, then
+    /// others.
     fn assign(
         &self,
         now: Moment,
@@ -318,7 +319,8 @@
 }
 
 /// Returns the number of VMs that consider a borrower which could use `wanted` slots. It is in
-/// proportion to `wanted`, so that the grants of a large fleet do not exceed the shortage many times.
+/// proportion to `wanted`, so that the grants of a large fleet do not exceed the shortage many
+/// times.
 pub fn lender_count(wanted: u32, is_near: bool) -> usize {
     let by_slots = wanted as usize * LENDERS_PER_SLOT;
     by_slots.max(if is_near { NEAR_LENDERS } else { MIN_LENDERS })
--- a/crates/ryetide-core/src/target_ejection.rs
+++ b/crates/ryetide-core/src/target_ejection.rs
@@ -4,10 +4,10 @@
 //! A target that fails requests within milliseconds frees its slots at once, so under full load it
 //! is the only one with a free slot and gets most requests. A [`TargetEjection`] therefore reacts
 //! in three steps. After one surprising failure, the target is held for some tens of milliseconds,
-//! within which the peers' reports arrive, and for longer from requests that may not run again. With
-//! enough evidence it is ejected and gets only probes: one VM sends one at a time, and the others
-//! take over if it does not. After some successful probes the target is readmitted, at first to a
-//! part of its slots.
+//! within which the peers' reports arrive, and for longer from requests that may not run again.
+//! With enough evidence it is ejected and gets only probes: one VM sends one at a time, and the
+//! others take over if it does not. After some successful probes the target is readmitted, at first
+//! to a part of its slots.
 //!
 //! Each VM decides alone. It keeps the state in memory and obtains what it lacks from the peers'
 //! digests.
@@ -36,16 +36,16 @@
 /// How long a target gets nothing after a first surprising failure: the time in which all VMs of a
 /// cell receive each other's digests. It doubles with each further failure.
 const FIRST_HOLD: Duration = Duration::from_millis(50);
-/// The longest such time.
+/// The limit of that time.
 const LONGEST_HOLD: Duration = Duration::from_millis(400);
 /// How long a target gets no request that may not run again, after each surprising failure.
 const ONCE_ONLY_HOLD: Duration = Duration::from_millis(300);
 /// The time from an ejection to the first probe, and between probes of a target that fails them. It
-/// doubles with each failed probe.
+/// doubles with each failed probe and each repeated ejection, up to the limits below.
 const PROBE_INTERVAL: Duration = Duration::from_millis(500);
-/// The longest such time of a target that was not ejected repeatedly.
+/// The limit for a target that was not ejected repeatedly.
 const LONGEST_PROBE_INTERVAL: Duration = Duration::from_millis(750);
-/// The longest such time.
+/// The limit for a target that was ejected repeatedly.
 const LONGEST_REPEATED_INTERVAL: Duration = Duration::from_secs(8);
 /// The time between two probes of a target that has answered the last one.
 const NEXT_PROBE_INTERVAL: Duration = Duration::from_millis(100);
@@ -55,14 +55,14 @@
 /// The same time for targets that VMs of several cells use: longer than the interval of brief
 /// digests.
 const SHARED_PROBE_TURN: Duration = Duration::from_millis(1_200);
-/// After this long without a probe by any VM, no request may be one, and the target is readmitted with
-/// a ramp. Otherwise a service whose requests may not run again would never get the target back. The
-/// time doubles with each repeated ejection.
+/// A target to which no VM has sent a probe for this long is readmitted with a ramp. Otherwise a
+/// service whose requests may not run again would never get it back. The time doubles with each
+/// repeated ejection.
 const LONGEST_UNPROBED_SPAN: Duration = Duration::from_secs(20);
 /// The number of successful probes after which a target is readmitted.
 const READMITTING_PROBES: u32 = 3;
-/// The number by which this grows with each ejection soon after the last. A target that fails 0.45 of
-/// its requests passes three probes in one case of six, and seven in one of sixty.
+/// The number by which this grows with each ejection soon after the last. A target that fails 0.45
+/// of its requests passes three probes in one case of six, and seven in one of sixty.
 const PROBES_PER_REPETITION: u32 = 2;
 /// The largest number of repetitions that count.
 const MAX_REPETITIONS: u32 = 3;
@@ -201,8 +201,8 @@
 
 impl TargetEjection {
     /// Replaces the targets that this VM uses. What is known of others is forgotten, so a new
-    /// incarnation of a target starts without evidence. `is_shared` tells whether VMs of other cells
-    /// use the same targets.
+    /// incarnation of a target starts without evidence. `is_shared` tells whether VMs of other
+    /// cells use the same targets.
     pub fn set_targets(&mut self, used: &[TargetKey], is_shared: bool) {
         self.is_shared = is_shared;
         self.target_count = used.len();
@@ -214,6 +214,7 @@
         while self.ejected.len() > self.max_ejected() {
             let longest = self.ejected.iter().min_by_key(|(_, state)| state.since);
             let Some(key) = longest.map(|(key, _)| *key) else { return };
+            // A readmission long ago has no ramp: the remaining targets are needed.
             self.readmit(Moment::default(), key);
         }
     }
@@ -233,8 +234,8 @@
         self.ejected.len()
     }
 
-    /// Whether a target must not get a request now because it has just failed one. `may_rerun` tells
-    /// whether the request may run again if it fails.
+    /// Whether a target must not get a request now because it has just failed one. `may_rerun`
+    /// tells whether the request may run again if it fails.
     pub fn is_held(&self, now: Moment, target: TargetKey, may_rerun: bool) -> bool {
         self.holds.get(&target).is_some_and(|hold| {
             now < if may_rerun { hold.until } else { hold.once_only_until.max(hold.until) }
@@ -380,8 +381,9 @@
         self.detectors.keys().copied()
     }
 
-    /// Returns reports on those `wanted` targets that are ejected or suspect here, or were readmitted
-    /// a short time ago. If there are more than `limit`, the next call begins with the ones left out.
+    /// Returns reports on those `wanted` targets that are ejected or suspect here, or were
+    /// readmitted a short time ago. If there are more than `limit`, the next call begins with the
+    /// ones left out.
     pub fn reports(
         &mut self,
         now: Moment,
