Tell in the log whether peers reach a target that this VM does not reach

Change: both lines carry reaching_peers, the number of peers that have requests running at the target and do not suspect it, by their last digests. Nothing is decided by it.

--- a/crates/ryetide-core/src/scheduler.rs
+++ b/crates/ryetide-core/src/scheduler.rs
@@ -456,6 +456,11 @@
         self.targets.values()
     }
 
+    /// Returns the number of peers that have requests running at a target and do not suspect it.
+    pub fn reaching_peers(&self, now: Moment, target: TargetKey) -> usize {
+        self.targets.get(&target).map_or(0, |load| load.reaching_peers(now))
+    }
+
     /// Returns the number of requests that wait at this VM.
     pub fn waiting(&self) -> usize {
         self.services.values().map(|state| state.queue.len()).sum()
--- a/crates/ryetide-core/src/target_load.rs
+++ b/crates/ryetide-core/src/target_load.rs
@@ -214,6 +214,11 @@
         assumed.overhead + self.estimate.reading_time(self.unread(now) + tokens.0)
     }
 
+    /// Returns the number of peers that have requests running at the target and do not suspect it.
+    pub fn reaching_peers(&self, now: Moment) -> usize {
+        self.valid_reports(now).filter(|report| report.running > 0 && !report.suspected).count()
+    }
+
     /// Whether this VM or a peer suspects the target: it could not be reached, or it has sent
     /// nothing for too long while an event was due.
     pub fn is_suspected(&self, now: Moment) -> bool {
--- a/crates/ryetide-gateway/src/crash_detector.rs
+++ b/crates/ryetide-gateway/src/crash_detector.rs
@@ -59,7 +59,7 @@
     let refused = io::ErrorKind::ConnectionRefused;
     match outcome {
         Err(ConnectFault::Open(error)) if error.kind() == refused => {
-            gateway.log().crashed(&target, &runs);
+            gateway.log().crashed(&target, &runs, gateway.reaching_peers(target.key()));
             gateway.metrics().count_crash();
             let crashed =
                 runs.iter().map(|run| CrashedRun { fingerprint: run.fingerprint, ran: run.ran });
--- a/crates/ryetide-gateway/src/decision_log.rs
+++ b/crates/ryetide-gateway/src/decision_log.rs
@@ -235,8 +235,15 @@
         }
     }
 
-    /// Logs that no connection to a target could be opened, so nothing was sent.
-    pub fn unreachable(&self, request: &LogId<'_>, target: &TargetEntry, fault: &ConnectFault) {
+    /// Logs that no connection to a target could be opened, so nothing was sent. `reaching_peers`
+    /// is the number of peers that have requests running there.
+    pub fn unreachable(
+        &self,
+        request: &LogId<'_>,
+        target: &TargetEntry,
+        fault: &ConnectFault,
+        reaching_peers: usize,
+    ) {
         if self.permits() {
             tracing::warn!(
                 event = "target-unreachable",
@@ -245,6 +252,7 @@
                 sequence = request.sequence.0,
                 target = %target.name,
                 peer = %target.address,
+                reaching_peers,
                 reason = %fault,
             );
         }
@@ -323,7 +331,8 @@
     }
 
     /// Logs that a target has crashed, with the requests of this VM that it was running.
-    pub fn crashed(&self, target: &TargetEntry, runs: &[BrokenRun]) {
+    /// `reaching_peers` is the number of peers that have requests running there.
+    pub fn crashed(&self, target: &TargetEntry, runs: &[BrokenRun], reaching_peers: usize) {
         for run in runs {
             if self.permits() {
                 tracing::warn!(
@@ -335,6 +344,7 @@
                     peer = %target.address,
                     ran_ms = millis(run.ran),
                     runs = runs.len(),
+                    reaching_peers,
                 );
             }
         }
--- a/crates/ryetide-gateway/src/exchange.rs
+++ b/crates/ryetide-gateway/src/exchange.rs
@@ -338,7 +338,8 @@
         let mut connection = match self.gateway.connect(target, choice).await {
             Ok(connection) => connection,
             Err(fault) => {
-                self.gateway.log().unreachable(&self.log_id(), target, &fault);
+                let reaching_peers = self.gateway.reaching_peers(target.key());
+                self.gateway.log().unreachable(&self.log_id(), target, &fault, reaching_peers);
                 return SendEnd::Unreachable;
             }
         };
--- a/crates/ryetide-gateway/src/gateway_state.rs
+++ b/crates/ryetide-gateway/src/gateway_state.rs
@@ -9,7 +9,10 @@
 
 use hyper::{HeaderMap, header::HeaderValue};
 use ryetide_core::{
-    deadline_tracker::DeadlineTracker, ids::VmName, load_digest::FleetState, scheduler::Scheduler,
+    deadline_tracker::DeadlineTracker,
+    ids::{TargetKey, VmName},
+    load_digest::FleetState,
+    scheduler::Scheduler,
     target_load::TargetEntry,
 };
 use tokio::sync::Notify;
@@ -199,6 +202,12 @@
         self.pool.connect(target, choice).await
     }
 
+    /// Returns the number of peers that have requests running at a target and do not suspect it.
+    pub fn reaching_peers(&self, target: TargetKey) -> usize {
+        let now = self.hub.clock().now();
+        self.hub.peek(|scheduler| scheduler.reaching_peers(now, target))
+    }
+
     /// Returns the share of the entry VMs that this one can reach.
     pub fn reachable_share(&self) -> f64 {
         let now = self.hub.clock().now();
