Add failing tests for a VM that is cut off from all targets

Change: two tests of a gateway whose own path to two targets is refused, or hangs, beside one that reaches both.

--- a/crates/ryetide-gateway/tests/serving/main.rs
+++ b/crates/ryetide-gateway/tests/serving/main.rs
@@ -2,6 +2,7 @@
 
 mod answers;
 mod crashes;
+mod cut_off;
 mod digests;
 mod ejection;
 mod limits;
