Take a target for crashed only if peers' connections are refused as well

Cause: a refused connection after a broken run counted as a crash; a VM that has lost its path is refused too.

Change: the detector asks up to eight peers for a connection when its own is refused. One that opens shows a lost path; only if one is refused and none opens has the target crashed. A VM without peers decides alone, as before.

Why it suffices: with two thirds of the VMs cut off, one of eight peers reaches the target in 24 cases of 25, and a crash is put down to a request only by three of them.

--- a/crates/ryetide-gateway/src/crash_detector.rs
+++ b/crates/ryetide-gateway/src/crash_detector.rs
@@ -1,11 +1,11 @@
 //! Detects crashes of targets, and records which requests ran there at that time.
 //!
 //! A connection breaks because it was reset on its way, because the target sent an invalid answer,
-//! or because the target's process has ended. In the last case the address refuses connections
-//! until the next process listens there, so one connection attempt shows which it was. All runs
-//! that break at one target share the same attempt.
+//! because the target's process has ended, or because this VM has lost its path to the target. In
+//! the last two cases the address refuses connections, and a peer's attempt shows which it was. All
+//! runs that break at one target share the same attempts.
 
-use std::{cell::RefCell, collections::HashMap, io, rc::Rc, time::Duration};
+use std::{cell::RefCell, collections::HashMap, rc::Rc, time::Duration};
 
 use ryetide_core::{
     crash_ledger::CrashedRun, ids::TargetKey, request_fingerprint::RequestFingerprint,
@@ -13,10 +13,7 @@
 };
 use tokio::task;
 
-use crate::{
-    gateway_state::Gateway,
-    target_pool::{self, ConnectFault},
-};
+use crate::{gateway_state::Gateway, target_connector::TargetSight};
 
 /// A run whose connection broke.
 #[derive(Clone, Debug)]
@@ -45,32 +42,25 @@
         }
         let mut probed = gateway.crash_detector().probed.borrow_mut();
         let runs = probed.entry(target.key()).or_default();
+        let request = run.request.clone();
         runs.push(run);
         if runs.len() == 1 {
-            task::spawn_local(probe(Rc::clone(gateway), target.clone()));
+            task::spawn_local(probe(Rc::clone(gateway), target.clone(), request));
         }
     }
 }
 
-async fn probe(gateway: Rc<Gateway>, target: TargetEntry) {
-    let outcome = target_pool::open_stream(target.address).await;
+async fn probe(gateway: Rc<Gateway>, target: TargetEntry, request: String) {
+    let sight = gateway.connector().look_at(&gateway, &request, &target).await;
     let runs =
         gateway.crash_detector().probed.borrow_mut().remove(&target.key()).unwrap_or_default();
-    let refused = io::ErrorKind::ConnectionRefused;
-    match outcome {
-        Err(ConnectFault::Open(error)) if error.kind() == refused => {
-            gateway.log().crashed(&target, &runs, gateway.reaching_peers(target.key()));
-            gateway.metrics().count_crash();
-            let crashed =
-                runs.iter().map(|run| CrashedRun { fingerprint: run.fingerprint, ran: run.ran });
-            let crashed: Vec<CrashedRun> = crashed.collect();
-            gateway
-                .hub()
-                .with(|scheduler, now| scheduler.record_crash(now, target.key(), &crashed));
-        }
-        // The target still accepts connections, or its state is unknown.
-        Ok(_) | Err(_) => {
-            tracing::debug!(event = "target-not-crashed", target = %target.name, runs = runs.len());
-        }
+    if sight != TargetSight::Refuses {
+        tracing::debug!(event = "target-not-crashed", target = %target.name, ?sight, runs = runs.len());
+        return;
     }
+    gateway.log().crashed(&target, &runs, gateway.reaching_peers(target.key()));
+    gateway.metrics().count_crash();
+    let crashed: Vec<CrashedRun> =
+        runs.iter().map(|run| CrashedRun { fingerprint: run.fingerprint, ran: run.ran }).collect();
+    gateway.hub().with(|scheduler, now| scheduler.record_crash(now, target.key(), &crashed));
 }
--- a/crates/ryetide-gateway/src/peer_tunnel.rs
+++ b/crates/ryetide-gateway/src/peer_tunnel.rs
@@ -49,6 +49,13 @@
     Declined(TunnelReply),
 }
 
+impl TunnelFault {
+    /// Whether the peer's reply says something about the target, rather than about the peer.
+    pub fn concerns_target(&self) -> bool {
+        matches!(self, Self::Declined(TunnelReply::Refused | TunnelReply::UnknownTarget))
+    }
+}
+
 type PieceReader = StreamReader<LocalBoxStream<'static, io::Result<Bytes>>, Bytes>;
 
 /// The bytes from and to a target, through a peer.
--- a/crates/ryetide-gateway/src/target_connector.rs
+++ b/crates/ryetide-gateway/src/target_connector.rs
@@ -37,6 +37,40 @@
     helpers: SharedHelpers,
 }
 
+/// The most peers that are asked what they see of a target that this VM does not reach. If two
+/// thirds of the VMs are cut off, one of eight reaches it in 24 cases of 25.
+const MAX_WITNESSES: usize = 8;
+
+/// What this VM and its peers see of a target.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum TargetSight {
+    /// This VM can open connections to it.
+    Reached,
+    /// A peer can, and this VM cannot.
+    ReachedByPeer,
+    /// It refuses connections, also those of a peer if there is any.
+    Refuses,
+    /// None of these is known.
+    Unknown,
+}
+
+/// How the attempt to open a connection through peers ended.
+enum TunnelEnd {
+    Opened(OpenedTunnel),
+    /// A peer's connection was refused as well, or the peer knows that the target is gone.
+    Refused,
+    Failed,
+}
+
+impl TunnelEnd {
+    fn opened(self) -> Option<OpenedTunnel> {
+        match self {
+            Self::Opened(tunnel) => Some(tunnel),
+            Self::Refused | Self::Failed => None,
+        }
+    }
+}
+
 /// A connection that a peer has opened.
 struct OpenedTunnel {
     stream: TunnelStream,
@@ -75,7 +109,7 @@
     ) -> Result<TargetConnection, ConnectFault> {
         match self.path(target.key()) {
             TargetPath::Direct => self.connect_directly_first(gateway, request, target).await,
-            TargetPath::ThroughPeer => match self.tunnel(gateway, request, target).await {
+            TargetPath::ThroughPeer => match self.tunnel(gateway, request, target).await.opened() {
                 Some(tunnel) => self.use_tunnel(gateway, target, tunnel).await,
                 None => {
                     let stream = target_pool::open_stream(target.address).await?;
@@ -85,6 +119,38 @@
         }
     }
 
+    /// Finds out whether a target at which a connection has broken accepts connections, and if this
+    /// VM's are refused, whether those of peers are too.
+    ///
+    /// A VM that has lost its path cannot tell that from a crash by itself: its connections are
+    /// refused in both cases.
+    pub async fn look_at(
+        &self,
+        gateway: &Gateway,
+        request: &str,
+        target: &TargetEntry,
+    ) -> TargetSight {
+        let fault = match target_pool::open_stream(target.address).await {
+            Ok(_) => {
+                self.record_reached(gateway, target);
+                return TargetSight::Reached;
+            }
+            Err(fault) => fault,
+        };
+        let is_refused = fault.is_refusal();
+        if gateway.peers().borrow().is_empty() {
+            return if is_refused { TargetSight::Refuses } else { TargetSight::Unknown };
+        }
+        match self.ask_peers(gateway, request, target, MAX_WITNESSES, |_| true).await {
+            TunnelEnd::Opened(_) => {
+                self.record_lost(gateway, target);
+                TargetSight::ReachedByPeer
+            }
+            TunnelEnd::Refused if is_refused => TargetSight::Refuses,
+            TunnelEnd::Refused | TunnelEnd::Failed => TargetSight::Unknown,
+        }
+    }
+
     /// Records that this VM has opened a connection to a target itself.
     pub fn record_reached(&self, gateway: &Gateway, target: &TargetEntry) {
         let now = gateway.hub().clock().now();
@@ -119,19 +185,19 @@
         let mut tunnel = std::pin::pin!(self.tunnel(gateway, request, target));
         match early {
             Ok(Ok(stream)) => self.use_direct(gateway, target, stream).await,
-            Ok(Err(fault)) => match tunnel.await {
+            Ok(Err(fault)) => match tunnel.await.opened() {
                 Some(tunnel) => self.use_tunnel(gateway, target, tunnel).await,
                 None => Err(fault),
             },
             Err(_) => tokio::select! {
                 opened = &mut direct => match opened {
                     Ok(stream) => self.use_direct(gateway, target, stream).await,
-                    Err(fault) => match tunnel.await {
+                    Err(fault) => match tunnel.await.opened() {
                         Some(tunnel) => self.use_tunnel(gateway, target, tunnel).await,
                         None => Err(fault),
                     },
                 },
-                opened = &mut tunnel => match opened {
+                ended = &mut tunnel => match ended.opened() {
                     Some(tunnel) => self.use_tunnel(gateway, target, tunnel).await,
                     None => {
                         let stream = direct.await?;
@@ -172,16 +238,27 @@
         }
     }
 
+    /// Asks peers, near ones first, to open a connection.
+    async fn tunnel(&self, gateway: &Gateway, request: &str, target: &TargetEntry) -> TunnelEnd {
+        let own_centre = gateway.settings().borrow().data_centre.clone();
+        let is_near =
+            |centre: &DataCentreName| *centre == own_centre || *centre == target.data_centre;
+        self.ask_peers(gateway, request, target, MAX_HELPERS_ASKED, is_near).await
+    }
+
     /// Asks peers one after the other to open a connection.
-    async fn tunnel(
+    async fn ask_peers(
         &self,
         gateway: &Gateway,
         request: &str,
         target: &TargetEntry,
-    ) -> Option<OpenedTunnel> {
+        most: usize,
+        is_near: impl Fn(&DataCentreName) -> bool,
+    ) -> TunnelEnd {
         let mut candidates = candidates(gateway);
-        for _ in 0..MAX_HELPERS_ASKED {
-            let peer = self.choose_helper(gateway, &candidates, &target.data_centre)?;
+        let mut is_refused = false;
+        for _ in 0..most {
+            let Some(peer) = self.choose_helper(gateway, &candidates, &is_near) else { break };
             candidates.retain(|candidate| candidate.name != peer.name);
             match open_tunnel(gateway, request, target, &peer).await {
                 Ok(stream) => {
@@ -189,27 +266,29 @@
                     gateway.log().through_peer(request, target, &peer.name);
                     let clock = gateway.hub().clock();
                     let guard = TunnelGuard::new(&self.helpers, clock, peer.name);
-                    return Some(OpenedTunnel { stream, guard });
+                    return TunnelEnd::Opened(OpenedTunnel { stream, guard });
                 }
                 Err(fault) => {
                     tracing::debug!(event = "tunnel-failed", peer = %peer.name, target = %target.name, reason = %fault);
-                    let now = gateway.hub().clock().now();
-                    self.helpers.borrow_mut().record_failed(now, &peer.name);
+                    if fault.concerns_target() {
+                        is_refused = true;
+                    } else {
+                        let now = gateway.hub().clock().now();
+                        self.helpers.borrow_mut().record_failed(now, &peer.name);
+                    }
                 }
             }
         }
-        None
+        if is_refused { TunnelEnd::Refused } else { TunnelEnd::Failed }
     }
 
     fn choose_helper(
         &self,
         gateway: &Gateway,
         candidates: &[HelperCandidate],
-        target_centre: &DataCentreName,
+        is_near: impl Fn(&DataCentreName) -> bool,
     ) -> Option<PeerEntry> {
         let now = gateway.hub().clock().now();
-        let own_centre = gateway.settings().borrow().data_centre.clone();
-        let is_near = |centre: &DataCentreName| *centre == own_centre || centre == target_centre;
         let mut helpers = self.helpers.borrow_mut();
         let chosen = helpers.choose(now, candidates, is_near)?;
         gateway.peers().borrow().get(&chosen.name).cloned()
--- a/crates/ryetide-gateway/src/target_pool.rs
+++ b/crates/ryetide-gateway/src/target_pool.rs
@@ -57,6 +57,13 @@
     Handshake(#[from] hyper::Error),
 }
 
+impl ConnectFault {
+    /// Whether the connection was refused.
+    pub fn is_refusal(&self) -> bool {
+        matches!(self, Self::Open(error) if error.kind() == io::ErrorKind::ConnectionRefused)
+    }
+}
+
 /// Why a request got no answer; it may have run.
 #[derive(Debug, thiserror::Error)]
 #[error("send: {0}")]
--- a/crates/ryetide-gateway/src/tunnel_server.rs
+++ b/crates/ryetide-gateway/src/tunnel_server.rs
@@ -22,7 +22,7 @@
 use crate::{
     gateway_state::Gateway,
     peer_link::{self, PeerEnvelope, PeerMessage},
-    target_pool::{self, ConnectFault},
+    target_pool,
     tunnel_message::{self, TunnelReply},
 };
 
@@ -140,9 +140,7 @@
             gateway.connector().record_reached(gateway, target);
             Ok(stream)
         }
-        Ok(Err(ConnectFault::Open(error))) if error.kind() == io::ErrorKind::ConnectionRefused => {
-            Err(TunnelReply::Refused)
-        }
+        Ok(Err(fault)) if fault.is_refusal() => Err(TunnelReply::Refused),
         Ok(Err(_)) | Err(_) => Err(TunnelReply::Unreachable),
     }
 }
--- a/crates/ryetide-gateway/tests/serving/cut_off.rs
+++ b/crates/ryetide-gateway/tests/serving/cut_off.rs
@@ -37,6 +37,37 @@
 /// The longest time for an answer while connections to targets hang, once the VM knows it.
 const HANGING_ANSWER_LIMIT: Duration = Duration::from_millis(150);
 
+/// Many times longer than a VM needs to find out why a connection has broken.
+const VERDICT_SPAN: Duration = Duration::from_millis(500);
+
+/// A path that works until it is cut: its connections then break, and new ones are refused.
+struct OpenPath {
+    address: SocketAddr,
+    forwarding: task::JoinHandle<()>,
+}
+
+impl OpenPath {
+    async fn to(target: SocketAddr) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let forwarding = task::spawn_local(async move {
+            let mut connections = task::JoinSet::new();
+            while let Ok((mut stream, _)) = listener.accept().await {
+                connections.spawn_local(async move {
+                    let mut wire = TcpStream::connect(target).await.expect("a target");
+                    // Either end may break the connection.
+                    let _ = io::copy_bidirectional(&mut stream, &mut wire).await;
+                });
+            }
+        });
+        Self { address, forwarding }
+    }
+
+    fn cut(&self) {
+        self.forwarding.abort();
+    }
+}
+
 /// The address under which a VM knows a target.
 struct CutPath {
     address: SocketAddr,
@@ -171,6 +202,31 @@
     })
 }
 
+/// Guards against requests that are blamed for crashes because their VM has lost its path.
+#[test]
+fn a_vm_that_loses_its_path_takes_no_target_for_crashed() {
+    support::run(async {
+        let target = Target::start("t1", mute).await;
+        let path = OpenPath::to(target.entry.address).await;
+        let kind = RouteKind::OnceOnly;
+        let (cut, helper) = (start_gateway("e1", kind).await, start_gateway("e2", kind).await);
+        helper.set_targets(vec![target.entry.clone()]).await;
+        cut.set_targets(vec![support::entry("t1", path.address)]).await;
+        support::join(&[Rc::clone(&cut), Rc::clone(&helper)]).await;
+        time::sleep(PROPAGATION_SPAN).await;
+        let mut caller = cut.call().await;
+        caller.send(&support::request("POST", "c1", "", "body")).await;
+        while target.count() == 0 {
+            time::sleep(Duration::from_millis(2)).await;
+        }
+        path.cut();
+        assert_eq!(caller.read_message().await.expect("an answer").status(), 502);
+        time::sleep(VERDICT_SPAN).await;
+        let metrics = cut.get_status_page("/metrics").await.body;
+        assert!(metrics.contains("ryetide_target_crashes_total 0"), "{metrics}");
+    });
+}
+
 /// Guards against a VM that goes on using peers after its own path has returned.
 #[test]
 fn a_path_that_returns_is_used_within_a_second() {
