Blame no target for runs that broke because this VM lost its path

A VM that lost its path to one of three targets while it ran four requests there ejected the target, and reported four failures to its peers, which take them for evidence; a version on trial was charged with them too. Callers of all VMs would get fewer targets, and a good version would be sent back.

Cause: a broken or silent run counted as the target's failure at once. Whether the target or the path had failed was found out afterwards, and for crashes only.

Change: such a run ends as Unsettled. The fault detector (before: crash detector) looks at the target as before, directly and through peers, and the scheduler then counts the runs as failures or drops them, for health, ejection and the evaluation of versions alike.

Why it suffices: nothing is reported to peers before the cause is known, which takes one round trip or two; answers of the target itself (5xx, unsigned, foreign) count at once, as before.

Measured: a_vm_that_loses_its_path_to_a_target_ejects_it_at_no_vm saw 1 ejection before, 0 after.

--- a/crates/ryetide-core/src/decision.rs
+++ b/crates/ryetide-core/src/decision.rs
@@ -33,6 +33,18 @@
     Unreachable,
     /// The caller disconnected, or this VM cancelled the request.
     Abandoned,
+    /// The connection broke or fell silent. Whether the target has failed the request, or this VM
+    /// has lost its path to it, is not known yet.
+    Unsettled,
+}
+
+/// Why runs that ended [`RunEnd::Unsettled`] had no answer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum FaultCause {
+    /// The target failed them.
+    Target,
+    /// This VM has lost its path to the target, which says nothing about the target.
+    Path,
 }
 
 /// The figures behind a placement.
--- a/crates/ryetide-core/src/scheduler.rs
+++ b/crates/ryetide-core/src/scheduler.rs
@@ -39,6 +39,7 @@
     scheduler_shares::ShareReporter,
     scheduling_policy::SchedulingPolicy,
     slot_turn::UrgencyClass,
+    target_ejection::RunOutcome,
     target_limit::LimitTable,
     target_load::{TargetEntry, TargetLoad},
     units::Moment,
@@ -87,6 +88,8 @@
     pub(crate) overflow: OverflowState,
     pub(crate) share_reporter: ShareReporter,
     pub(crate) quota_returns: QuotaReturns,
+    /// Runs at each target without an answer, until it is known why.
+    pub(crate) unsettled: BTreeMap<TargetKey, Vec<RunOutcome>>,
 }
 
 #[derive(Clone, Debug)]
@@ -138,6 +141,7 @@
             overflow: OverflowState::default(),
             share_reporter: ShareReporter::default(),
             quota_returns: QuotaReturns::default(),
+            unsettled: BTreeMap::new(),
         }
     }
 
@@ -157,6 +161,7 @@
             };
             self.targets.insert(key, load);
         }
+        self.unsettled.retain(|target, _| self.targets.contains_key(target));
         self.shares_updated_at = None;
         self.update_used_targets();
         self.update_policies();
@@ -347,7 +352,7 @@
                 RunEnd::Whole => load.health_mut().record_success(now),
                 RunEnd::Failed | RunEnd::TimedOut => load.health_mut().record_failure(now),
                 RunEnd::Unreachable => load.health_mut().record_unreachable(now),
-                RunEnd::TurnedAway | RunEnd::Abandoned => {}
+                RunEnd::TurnedAway | RunEnd::Abandoned | RunEnd::Unsettled => {}
             }
             load.refresh(now, &self.options.assumed);
         }
--- a/crates/ryetide-core/src/scheduler_ejection.rs
+++ b/crates/ryetide-core/src/scheduler_ejection.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use crate::{
-    decision::RunEnd,
+    decision::{FaultCause, RunEnd},
     ids::{RequestSequence, ServiceName, TargetKey, VmName},
     load_digest::DigestScope,
     policy_update::{self, OutcomeReport},
@@ -75,21 +75,51 @@
         run: &PlacedRun,
         end: RunEnd,
     ) {
-        let Some(state) = self.ejecting_service(run.target) else { return };
+        let (target, sent, is_probe) = (run.target, run.since, run.is_probe);
+        if end == RunEnd::Unsettled {
+            let outcome = RunOutcome { ticket, target, sent, is_failure: true, is_probe };
+            self.unsettled.entry(target).or_default().push(outcome);
+            return;
+        }
+        let Some(state) = self.ejecting_service(target) else { return };
         let silence = MIN_SILENCE.max(run.expected_first.saturating_mul(SILENCE_FACTOR));
         let is_silent = run.last_event.is_none() && now.since(run.since) >= silence;
         let is_failure = match end {
             RunEnd::Whole => false,
             RunEnd::Failed => true,
             RunEnd::TimedOut | RunEnd::Abandoned if is_silent => true,
-            RunEnd::TimedOut | RunEnd::Abandoned | RunEnd::TurnedAway | RunEnd::Unreachable => {
-                return state.ejection.record_without_outcome(ticket, run.target);
+            RunEnd::TimedOut
+            | RunEnd::Abandoned
+            | RunEnd::TurnedAway
+            | RunEnd::Unreachable
+            | RunEnd::Unsettled => {
+                return state.ejection.record_without_outcome(ticket, target);
             }
         };
-        let (target, sent, is_probe) = (run.target, run.since, run.is_probe);
         state.ejection.record(now, RunOutcome { ticket, target, sent, is_failure, is_probe });
     }
 
+    /// Records why the runs at a target that ended [`RunEnd::Unsettled`] had no answer.
+    ///
+    /// A VM that loses its path sees all its runs at a target break at once, as when the target
+    /// fails. Its reports would eject a sound target at all VMs.
+    pub fn settle_faults(&mut self, now: Moment, target: TargetKey, cause: FaultCause) {
+        for outcome in self.unsettled.remove(&target).unwrap_or_default() {
+            if cause == FaultCause::Target
+                && let Some(load) = self.targets.get_mut(&target)
+            {
+                load.health_mut().record_failure(now);
+            }
+            let Some(state) = self.ejecting_service(target) else { continue };
+            match cause {
+                FaultCause::Target => state.ejection.record(now, outcome),
+                FaultCause::Path => state.ejection.record_without_outcome(outcome.ticket, target),
+            }
+        }
+        self.digest_tracker.record_touched(now, target);
+        self.changed = true;
+    }
+
     /// Marks a request that has just been sent as a probe if its target is ejected.
     pub(crate) fn record_probe(&mut self, now: Moment, ticket: RequestSequence) {
         let Some(target) = self.runs.get(&ticket).map(|run| run.target) else { return };
--- a/crates/ryetide-core/src/scheduler_shares.rs
+++ b/crates/ryetide-core/src/scheduler_shares.rs
@@ -120,12 +120,20 @@
             RunEnd::Unreachable | RunEnd::TurnedAway => {
                 state.usage.refund(now, run.organisation, run.reading);
             }
-            RunEnd::Whole | RunEnd::Failed | RunEnd::TimedOut | RunEnd::Abandoned
+            RunEnd::Whole
+            | RunEnd::Failed
+            | RunEnd::TimedOut
+            | RunEnd::Abandoned
+            | RunEnd::Unsettled
                 if !run.engine =>
             {
                 state.usage.charge(now, run.organisation, now.since(run.since));
             }
-            RunEnd::Whole | RunEnd::Failed | RunEnd::TimedOut | RunEnd::Abandoned => {}
+            RunEnd::Whole
+            | RunEnd::Failed
+            | RunEnd::TimedOut
+            | RunEnd::Abandoned
+            | RunEnd::Unsettled => {}
         }
     }
 
--- a/crates/ryetide-gateway/src/decision_log.rs
+++ b/crates/ryetide-gateway/src/decision_log.rs
@@ -20,7 +20,7 @@
 use tokio::time::Instant;
 
 use crate::{
-    crash_detector::BrokenRun,
+    fault_detector::BrokenRun,
     target_pool::{ConnectFault, SendFault},
 };
 
@@ -462,7 +462,7 @@
 fn end_name(end: RunEnd) -> &'static str {
     match end {
         RunEnd::Whole => "answered",
-        RunEnd::Failed | RunEnd::TimedOut => "failed",
+        RunEnd::Failed | RunEnd::TimedOut | RunEnd::Unsettled => "failed",
         RunEnd::TurnedAway => "turned-away",
         RunEnd::Unreachable => "unreachable",
         RunEnd::Abandoned => "caller-left",
--- a/crates/ryetide-gateway/src/exchange.rs
+++ b/crates/ryetide-gateway/src/exchange.rs
@@ -26,8 +26,8 @@
 
 use crate::{
     caller_answer::{CallerResponse, OwnAnswer, OwnReason},
-    crash_detector::{BrokenRun, CrashDetector},
     decision_log::{ExchangeTimings, LogId, RefusalEvidence},
+    fault_detector::{BrokenRun, FaultDetector},
     gateway_state::Gateway,
     ports::WorkSize,
     quarantine_check::{self, QuarantineOutcome},
@@ -468,14 +468,20 @@
             // An error response from the target also shows that the request did not crash it.
             self.record_answered();
         }
-        if fault.may_depend_on_version() {
-            self.record_run(target, None);
+        if fault.may_be_path() {
+            self.ticket.end(RunEnd::Unsettled);
         }
-        if fault.may_be_crash() {
-            let ran = self.gateway.hub().clock().now().since(self.sent_at);
-            let run =
-                BrokenRun { request: log_id.id.to_owned(), fingerprint: self.fingerprint, ran };
-            CrashDetector::check(&self.gateway, target, run);
+        if fault.may_be_crash() || fault.may_be_path() {
+            let run = BrokenRun {
+                request: log_id.id.to_owned(),
+                fingerprint: self.fingerprint,
+                ran: self.gateway.hub().clock().now().since(self.sent_at),
+                may_be_crash: fault.may_be_crash(),
+                sample: fault.may_depend_on_version().then(|| self.run_sample(target, None)),
+            };
+            FaultDetector::check(&self.gateway, target, run);
+        } else if fault.may_depend_on_version() {
+            self.record_run(target, None);
         }
         self.excluded.push(target.key());
     }
@@ -530,12 +536,16 @@
     /// Records a run for the comparison of the target's version with others; `pace` is the time per
     /// piece, or none if the run failed.
     fn record_run(&self, target: &TargetEntry, pace: Option<Duration>) {
-        let route = RouteKey::of(&self.matched.route.name);
-        let sample = RunSample { target: target.key(), route, sent: self.sent_at, pace };
+        let sample = self.run_sample(target, pace);
         let now = self.gateway.hub().clock().now();
         self.gateway.hub().peek_mut(|scheduler| scheduler.record_run(now, sample));
     }
 
+    fn run_sample(&self, target: &TargetEntry, pace: Option<Duration>) -> RunSample {
+        let route = RouteKey::of(&self.matched.route.name);
+        RunSample { target: target.key(), route, sent: self.sent_at, pace }
+    }
+
     fn record_answered(&self) {
         let (now, fingerprint) = (self.gateway.hub().clock().now(), self.fingerprint);
         self.gateway.hub().peek_mut(|it| it.crashes_mut().record_answered(now, fingerprint));
--- a/crates/ryetide-gateway/src/gateway_state.rs
+++ b/crates/ryetide-gateway/src/gateway_state.rs
@@ -22,8 +22,8 @@
 
 use crate::{
     caller_answer::{self, CallerResponse, OwnAnswer},
-    crash_detector::CrashDetector,
     decision_log::DecisionLog,
+    fault_detector::FaultDetector,
     feed_relay::FeedRelay,
     fleet_view::FleetView,
     gateway_metrics::GatewayMetrics,
@@ -55,7 +55,7 @@
     peers: RefCell<BTreeMap<VmName, PeerEntry>>,
     /// Estimates how long callers of each route have waited, by route name.
     deadline_trackers: RefCell<HashMap<String, DeadlineTracker>>,
-    crash_detector: CrashDetector,
+    fault_detector: FaultDetector,
     metrics: GatewayMetrics,
     log: DecisionLog,
     draining: Cell<bool>,
@@ -86,7 +86,7 @@
             relay,
             peers: RefCell::default(),
             deadline_trackers: RefCell::default(),
-            crash_detector: CrashDetector::default(),
+            fault_detector: FaultDetector::default(),
             metrics: GatewayMetrics::default(),
             log: DecisionLog::new(settings.name.clone()),
             draining: Cell::new(false),
@@ -163,9 +163,9 @@
         FleetState { watch: self.relay.watch_report(), ..self.fleet.fleet_state(now) }
     }
 
-    /// Returns the detector of crashed targets.
-    pub fn crash_detector(&self) -> &CrashDetector {
-        &self.crash_detector
+    /// Returns the detector of the causes of broken runs.
+    pub fn fault_detector(&self) -> &FaultDetector {
+        &self.fault_detector
     }
 
     /// Returns the metrics.
--- a/crates/ryetide-gateway/src/lib.rs
+++ b/crates/ryetide-gateway/src/lib.rs
@@ -19,7 +19,7 @@
 //! | [`gateway`], [`gateway_state`], [`fleet_tasks`] | start and shutdown of a gateway, the state that its tasks share, background tasks |
 //! | [`caller_listener`], [`caller_service`], [`exchange`], [`quota_wait`], [`caller_answer`] | the connections and requests of callers |
 //! | [`request_template`], [`target_pool`], [`target_answer`], [`relay`], [`relay_fault`], [`run_fault`], [`event_scanner`], [`target_notices`] | requests to targets and their answers |
-//! | [`crash_detector`], [`quarantine_check`], [`quarantine_monitor`] | requests that crash targets |
+//! | [`fault_detector`], [`quarantine_check`], [`quarantine_monitor`] | requests that crash targets |
 //! | `rollout_monitor`, `rollout_rows` | rollout orders, and their status rows for operators |
 //! | [`scheduler_hub`], [`fleet_view`] | the shared scheduler, the routes and the targets |
 //! | [`store_feed`], [`table_follower`], [`store_table`], [`row_faults`], [`store_outage`], [`feed_relay`], [`lag_monitor`], [`refresh_signal`] | routes, targets and peers from a platform's store |
@@ -31,12 +31,12 @@
 pub mod caller_answer;
 pub mod caller_listener;
 pub mod caller_service;
-pub mod crash_detector;
 pub mod decision_log;
 pub mod digest_relay;
 mod ejection_report;
 pub mod event_scanner;
 pub mod exchange;
+pub mod fault_detector;
 pub mod feed_relay;
 pub mod file_feed;
 pub mod fleet_tasks;
--- a/crates/ryetide-gateway/src/run_fault.rs
+++ b/crates/ryetide-gateway/src/run_fault.rs
@@ -35,6 +35,11 @@
         !matches!(self, Self::Restarted | Self::Unwritable)
     }
 
+    /// Returns whether the fault may mean that this VM has lost its path to the target.
+    pub fn may_be_path(self) -> bool {
+        matches!(self, Self::Broken | Self::Silent)
+    }
+
     /// Returns whether the fault may mean that the target's process has crashed.
     pub fn may_be_crash(self) -> bool {
         matches!(self, Self::Broken | Self::Restarted)
--- a/crates/ryetide-gateway/src/target_connector.rs
+++ b/crates/ryetide-gateway/src/target_connector.rs
@@ -90,6 +90,11 @@
         self.paths.borrow().path(target)
     }
 
+    /// Whether this VM presumably reaches no target.
+    pub fn is_cut_off(&self) -> bool {
+        self.paths.borrow().is_cut_off()
+    }
+
     /// Returns the number of targets to which the direct path is lost.
     pub fn lost_count(&self) -> usize {
         self.paths.borrow().lost_count()
--- a/crates/ryetide-gateway/tests/serving/cut_off.rs
+++ b/crates/ryetide-gateway/tests/serving/cut_off.rs
@@ -10,9 +10,10 @@
 use bytes::Bytes;
 use futures_util::{SinkExt, StreamExt};
 use ryetide_core::{
-    ids::Incarnation,
+    ids::{Incarnation, TargetIncarnation},
     load_digest::{DigestScope, LoadDigest},
     route::RouteKind,
+    target_load::TargetEntry,
     units::LinkRate,
 };
 use ryetide_gateway::{
@@ -37,6 +38,10 @@
 /// The longest time for an answer while connections to targets hang, once the VM knows it.
 const HANGING_ANSWER_LIMIT: Duration = Duration::from_millis(150);
 
+/// The number of requests that run when a path is lost: all slots of three targets.
+const RUNNING: usize = 12;
+/// An incarnation that a target announces.
+const ANNOUNCED: TargetIncarnation = TargetIncarnation(7);
 /// Many times longer than a VM needs to find out why a connection has broken.
 const VERDICT_SPAN: Duration = Duration::from_millis(500);
 
@@ -227,6 +232,44 @@
     });
 }
 
+/// Guards against targets that get no more work from any VM because one VM has lost its path.
+#[test]
+fn a_vm_that_loses_its_path_to_a_target_ejects_it_at_no_vm() {
+    support::run(async {
+        let mut entries = Vec::new();
+        let mut targets = Vec::new();
+        for name in ["t1", "t2", "t3"] {
+            let target = Target::start(name, mute).await;
+            // Ejection is in effect for targets that announce their incarnation.
+            entries.push(TargetEntry { incarnation: ANNOUNCED, ..target.entry.clone() });
+            targets.push(target);
+        }
+        let path = OpenPath::to(targets[0].entry.address).await;
+        let kind = RouteKind::OnceOnly;
+        let (cut, helper) = (start_gateway("e1", kind).await, start_gateway("e2", kind).await);
+        helper.set_targets(entries.clone()).await;
+        entries[0].address = path.address;
+        cut.set_targets(entries).await;
+        support::join(&[Rc::clone(&cut), Rc::clone(&helper)]).await;
+        time::sleep(PROPAGATION_SPAN).await;
+        let mut callers = Vec::new();
+        for number in 0..RUNNING {
+            let mut caller = cut.call().await;
+            caller.send(&support::request("POST", &format!("c{number}"), "", "body")).await;
+            callers.push(caller);
+        }
+        while targets.iter().map(Target::count).sum::<usize>() < RUNNING {
+            time::sleep(Duration::from_millis(2)).await;
+        }
+        path.cut();
+        time::sleep(VERDICT_SPAN).await;
+        for gateway in [&cut, &helper] {
+            let metrics = gateway.get_status_page("/metrics").await.body;
+            assert!(metrics.contains("ryetide_ejections_total 0"), "{metrics}");
+        }
+    });
+}
+
 /// Guards against a VM that goes on using peers after its own path has returned.
 #[test]
 fn a_path_that_returns_is_used_within_a_second() {
