Share the slots of brittle targets among the VMs

Cause: no source read the word. Two VMs may take one slot at the same moment, which elsewhere costs some milliseconds at the engine.

Change: the word is read from each answer and told to peers, in a list at the end of digests. While it is said, a VM takes at most its part of a target's slots, or more while less than half are in use; brittle targets lend no slots to other cells, and one that turned a request away gets nothing for a second from that VM. In ryetided one arbiter grants slots, so there is nothing to share; it does not read the word.

Why it suffices: parts add up to the slots, so under pressure no two VMs take the same one.

With two gateways over sockets a VM has 2 of 4 slots in use (a_vm_uses_its_share_of_the_slots_of_a_brittle_target).

--- a/crates/ryetide-core/src/lib.rs
+++ b/crates/ryetide-core/src/lib.rs
@@ -41,7 +41,7 @@
 //! | [`load_digest`], [`peer_digests`], [`cell_plan`], [`digest_timing`], [`digest_route`] | load reports between entry VMs |
 //! | [`path_table`], [`tunnel_helpers`], [`tunnel_room`] | connections to targets through peers |
 //! | [`target_registry`], [`target_notice`] | the existing targets, and the notices in their answers |
-//! | [`target_limit`], [`limit_share`] | request rate limits that targets announce, and each VM's share of them |
+//! | [`target_limit`], [`limit_share`], [`brittle_services`] | request rate limits and brittleness that targets announce, and each VM's share |
 //! | [`watcher_selection`], [`era_version`] | which VMs watch the source of routes and targets, and how its versions compare |
 //! | [`safeguard`] | switches that let tests show what each safeguard prevents |
 //! | [`ids`], [`units`], [`json_form`] | newtypes, and the JSON encoding of values |
@@ -50,6 +50,7 @@
 pub mod arbiter;
 mod arbiter_placement;
 pub mod arrival_forecast;
+pub mod brittle_services;
 pub mod catalog;
 pub mod cell_plan;
 pub mod chart;
@@ -115,6 +116,7 @@
 pub mod route_text;
 pub mod safeguard;
 pub mod scheduler;
+mod scheduler_brittle;
 mod scheduler_digests;
 mod scheduler_ejection;
 mod scheduler_limits;
--- a/crates/ryetide-core/src/limit_share.rs
+++ b/crates/ryetide-core/src/limit_share.rs
@@ -55,7 +55,7 @@
     (ahead < holders).then(|| rate.per_second() / holders as f64)
 }
 
-fn rank(target: TargetKey, vm: &VmName) -> (u64, &VmName) {
+pub(crate) fn rank(target: TargetKey, vm: &VmName) -> (u64, &VmName) {
     (xxh3::xxh3_64_with_seed(vm.as_str().as_bytes(), u64::from(target.0)), vm)
 }
 
--- a/crates/ryetide-core/src/policy_update.rs
+++ b/crates/ryetide-core/src/policy_update.rs
@@ -1,10 +1,13 @@
-//! What VMs report to each other for the optional scheduling policies.
+//! What VMs report to each other for the optional scheduling policies, and about brittle services.
 //!
-//! All lists are empty while the policies are off.
+//! All lists are empty while the policies are off and no service is brittle.
 
 use serde::{Deserialize, Serialize};
 
-use crate::ids::{OrganisationKey, ServiceKey, TargetKey, VmName};
+use crate::{
+    brittle_services::BrittleReport,
+    ids::{OrganisationKey, ServiceKey, TargetKey, VmName},
+};
 
 /// The largest number of entries in each list, so that a digest stays within one datagram.
 pub const MAX_ENTRIES: usize = 16;
@@ -75,11 +78,13 @@
     pub borrowed: Vec<BorrowedLoad>,
     /// Recent usage of the heaviest organisations.
     pub usage: Vec<UsageReport>,
+    /// Services whose targets are or were brittle.
+    pub brittle: Vec<BrittleReport>,
 }
 
 impl PolicyUpdate {
     /// The number of lists. An empty list is encoded as one zero byte.
-    pub const LISTS: usize = 5;
+    pub const LISTS: usize = 6;
 
     /// Whether there is nothing to report.
     pub fn is_empty(&self) -> bool {
--- a/crates/ryetide-core/src/queue_view.rs
+++ b/crates/ryetide-core/src/queue_view.rs
@@ -299,7 +299,7 @@
 
     fn open_slots(&self, load: &TargetLoad) -> u32 {
         let taken = load.entry().slots.saturating_sub(self.slots_of(load));
-        load.free_slots(self.now).saturating_sub(taken)
+        load.takeable_slots(self.now).min(load.free_slots(self.now).saturating_sub(taken))
     }
 
     /// Returns the action for the first waiting request for which one is possible.
@@ -547,7 +547,7 @@
         let is_due = |load: &&&TargetLoad| {
             let (ejection, own) = (&self.state.ejection, &self.options.name);
             load.accepts_work(self.now)
-                && load.free_slots(self.now) > 0
+                && load.takeable_slots(self.now) > 0
                 && ejection.is_probe_due(self.now, load.key(), own, is_available)
         };
         let due = self.ejected.iter().filter(|load| can_take(load)).filter(is_due);
--- a/crates/ryetide-core/src/scheduler.rs
+++ b/crates/ryetide-core/src/scheduler.rs
@@ -15,6 +15,7 @@
 };
 
 use crate::{
+    brittle_services::BrittleServices,
     cell_plan::{CellMember, CellPlan},
     crash_ledger::{CrashLedger, CrashedRun, QuarantineStatus},
     decision::{Decision, PlacementEvidence, RefusalReason, RunEnd},
@@ -33,6 +34,7 @@
     retry_budget::{RetryBudget, RetryRule},
     retry_delay::RetryDelay,
     rollout_manager::{RolloutManager, TargetUse},
+    scheduler_brittle,
     scheduler_options::SchedulerOptions,
     scheduler_overflow::OverflowState,
     scheduler_returns,
@@ -90,6 +92,8 @@
     pub(crate) quota_returns: QuotaReturns,
     /// Runs at each target without an answer, until it is known why.
     pub(crate) unsettled: BTreeMap<TargetKey, Vec<RunOutcome>>,
+    pub(crate) brittle: BrittleServices,
+    pub(crate) slot_shares_updated_at: Moment,
 }
 
 #[derive(Clone, Debug)]
@@ -142,6 +146,8 @@
             share_reporter: ShareReporter::default(),
             quota_returns: QuotaReturns::default(),
             unsettled: BTreeMap::new(),
+            brittle: BrittleServices::default(),
+            slot_shares_updated_at: Moment::default(),
         }
     }
 
@@ -199,6 +205,7 @@
         }
         self.update_ejections();
         self.shares_updated_at = None;
+        self.slot_shares_updated_at = Moment::default();
     }
 
     /// Recomputes the cells from the reachable VMs and the known targets.
@@ -352,6 +359,9 @@
                 RunEnd::Whole => load.health_mut().record_success(now),
                 RunEnd::Failed | RunEnd::TimedOut => load.health_mut().record_failure(now),
                 RunEnd::Unreachable => load.health_mut().record_unreachable(now),
+                RunEnd::TurnedAway if load.is_brittle() => {
+                    load.health_mut().back_off(now, scheduler_brittle::TURNED_AWAY_BACK_OFF);
+                }
                 RunEnd::TurnedAway | RunEnd::Abandoned | RunEnd::Unsettled => {}
             }
             load.refresh(now, &self.options.assumed);
@@ -506,6 +516,7 @@
     /// Makes all decisions about a service's queue that are possible now.
     fn process_queue(&mut self, now: Moment, service: &ServiceName) {
         self.update_limit_shares(now);
+        self.refresh_slot_shares(now);
         self.refresh_usage(now, service);
         while let Some(choice) = self.view(now, service).and_then(|view| view.next_action()) {
             match choice {
--- a/crates/ryetide-core/src/scheduler_digests.rs
+++ b/crates/ryetide-core/src/scheduler_digests.rs
@@ -8,6 +8,7 @@
     ids::{TargetKey, VmName},
     load_digest::{DigestEnvelope, DigestScope, FleetState, LoadDigest, TargetReport},
     peer_digests::{self, DigestChange},
+    policy_update::PolicyUpdate,
     scheduler::Scheduler,
     units::{Moment, Tokens},
 };
@@ -35,6 +36,7 @@
             });
         }
         self.merge_limit_reports(now, &digest.limits);
+        self.merge_brittle_reports(now, &digest.policies.brittle);
         self.merge_usage(now, &from, &digest.policies.usage);
         // If the peer was unreachable, the ledger's buckets have grown since by its share of each
         // quota; its spending is charged to the grown buckets.
@@ -113,6 +115,7 @@
             leaving_targets: state.leaving_targets,
             rollouts: self.rollout_progress(now, true),
             limits: self.limits.reports(now),
+            policies: PolicyUpdate { brittle: self.brittle.reports(now), ..Default::default() },
             ..LoadDigest::default()
         }
     }
--- a/crates/ryetide-core/src/scheduler_limits.rs
+++ b/crates/ryetide-core/src/scheduler_limits.rs
@@ -123,14 +123,14 @@
     }
 
     /// Returns the serving VMs, this one included.
-    fn known_vms(&self, now: Moment) -> Option<Vec<&VmName>> {
+    pub(crate) fn known_vms(&self, now: Moment) -> Option<Vec<&VmName>> {
         let mut vms = self.peers.known(now)?;
         vms.push(&self.options.name);
         Some(vms)
     }
 
     /// Returns the VMs of this VM's cell. A silent VM may still be in it and send requests.
-    fn cell_vms(&self, now: Moment) -> Option<Vec<&VmName>> {
+    pub(crate) fn cell_vms(&self, now: Moment) -> Option<Vec<&VmName>> {
         let members: BTreeSet<VmName> =
             self.peers.members(now).into_iter().map(|member| member.name).collect();
         let own = &self.options.name;
--- a/crates/ryetide-core/src/scheduler_overflow.rs
+++ b/crates/ryetide-core/src/scheduler_overflow.rs
@@ -220,6 +220,7 @@
             && !load.is_suspected(now)
             && load.limit() == LimitShare::Unlimited
             && self.limits.rate(load.key()).is_none()
+            && !self.is_brittle(&load.entry().service)
     }
 
     fn has_overflow(&self) -> bool {
--- a/crates/ryetide-core/src/target_load.rs
+++ b/crates/ryetide-core/src/target_load.rs
@@ -103,6 +103,8 @@
     answer_time: Duration,
     freed: FreedSlot,
     limit: LimitShare,
+    /// The slots that this VM may use if the target is brittle.
+    slot_share: Option<u32>,
 }
 
 impl TargetLoad {
@@ -120,6 +122,7 @@
             answer_time: ASSUMED_ANSWER_TIME,
             freed: FreedSlot { at: now, by: SlotReleaser::Nobody },
             limit: LimitShare::Unlimited,
+            slot_share: None,
         }
     }
 
@@ -188,6 +191,29 @@
         self.entry.slots.saturating_sub(self.running(now))
     }
 
+    /// Sets the slots that this VM may use if the target is brittle; none if it is not.
+    pub fn set_slot_share(&mut self, slots: Option<u32>) {
+        self.slot_share = slots;
+    }
+
+    /// Whether the target is brittle: it falls over if it has to turn away too many requests.
+    pub fn is_brittle(&self) -> bool {
+        self.slot_share.is_some()
+    }
+
+    /// Returns how many of the free slots this VM may take now: all, unless the target is brittle.
+    ///
+    /// Of a brittle target, a VM takes its own share, which no other VM takes at the same moment.
+    /// While less than half of the slots are in use it may take more; so many other VMs do not
+    /// come at once.
+    pub fn takeable_slots(&self, now: Moment) -> u32 {
+        let free = self.free_slots(now);
+        let Some(share) = self.slot_share else { return free };
+        let of_share = share.saturating_sub(self.own_running());
+        let of_half = (self.entry.slots / 2).saturating_sub(self.running(now));
+        free.min(of_share.max(of_half))
+    }
+
     /// Returns the prompt tokens of all VMs' requests that the target has not read yet.
     pub fn unread(&self, now: Moment) -> u64 {
         let own: u64 = self.runs.values().map(|run| run.unread(now)).sum();
--- a/crates/ryetide-core/src/target_notice.rs
+++ b/crates/ryetide-core/src/target_notice.rs
@@ -34,6 +34,8 @@
     pub hold_off: Option<Duration>,
     /// The request rate limit that the target announces.
     pub limit: LimitNotice,
+    /// Whether the target is brittle: it falls over if it has to turn away too many requests.
+    pub brittle: bool,
 }
 
 /// What one answer says about the target's limit: the requests a second that it accepts from all
@@ -75,9 +77,9 @@
 }
 
 impl TargetNotice {
-    /// Returns whether there is no notice.
+    /// Returns whether there is no notice but that the target is brittle, which all answers repeat.
     pub fn is_empty(&self) -> bool {
-        *self == Self::default()
+        Self { brittle: false, ..*self } == Self::default()
     }
 }
 
--- a/crates/ryetide-gateway/src/decision_log.rs
+++ b/crates/ryetide-gateway/src/decision_log.rs
@@ -353,6 +353,18 @@
         );
     }
 
+    /// Logs that a service's targets are brittle, or no longer are.
+    pub fn brittle(&self, request: &LogId<'_>, target: &TargetEntry, is_brittle: bool) {
+        tracing::info!(
+            event = "service-brittle",
+            vm = %self.vm,
+            request = request.id,
+            service = %target.service,
+            target = %target.name,
+            is_brittle,
+        );
+    }
+
     /// Logs that a target has crashed, with the requests of this VM that it was running.
     /// `reaching_peers` is the number of peers that have requests running there.
     pub fn crashed(&self, target: &TargetEntry, runs: &[BrokenRun], reaching_peers: usize) {
--- a/crates/ryetide-gateway/src/gateway_metrics.rs
+++ b/crates/ryetide-gateway/src/gateway_metrics.rs
@@ -237,6 +237,7 @@
             ("leaving", notice.leaving),
             ("hold-off", notice.hold_off.is_some()),
             ("limit", notice.limit != LimitNotice::Unnamed),
+            ("brittle", notice.brittle),
         ];
         for (word, _) in parts.into_iter().filter(|(_, is_present)| *is_present) {
             self.notices.get_or_create(&NoticeLabels { word }).inc();
--- a/crates/ryetide-gateway/src/own_headers.rs
+++ b/crates/ryetide-gateway/src/own_headers.rs
@@ -23,6 +23,7 @@
         signature: HeaderName::from_static("ryetide-answered-by"),
         leaving: HeaderName::from_static("ryetide-leaving"),
         limit: HeaderName::from_static("ryetide-limit"),
+        brittle: HeaderName::from_static("ryetide-brittle"),
         last_event: HeaderName::from_static("last-event-id"),
         reserved: vec![HeaderName::from_static("ryetide-not-run")],
     }
--- a/crates/ryetide-gateway/src/ports.rs
+++ b/crates/ryetide-gateway/src/ports.rs
@@ -83,6 +83,9 @@
     /// The requests per second that a target accepts from all VMs together, in each of its answers
     /// while it limits them.
     pub limit: HeaderName,
+    /// Present in every answer of a target while it is brittle: with the number of requests that it
+    /// may turn away in a second before it falls over.
+    pub brittle: HeaderName,
     /// The id of the last event of a stream that was received.
     pub last_event: HeaderName,
     /// Headers that only the gateway may set; they are removed from callers' requests.
--- a/crates/ryetide-gateway/src/target_answer.rs
+++ b/crates/ryetide-gateway/src/target_answer.rs
@@ -74,7 +74,9 @@
     let hold_off = if is_unavailable { retry_after(headers) } else { None };
     let limits = headers.get_all(&names.limit).iter();
     let limit = LimitNotice::read(limits.map(|value| value.to_str().ok()));
-    TargetNotice { leaving, hold_off, limit }
+    // The number that the target names is not used: none is to be turned away.
+    let brittle = headers.contains_key(&names.brittle);
+    TargetNotice { leaving, hold_off, limit, brittle }
 }
 
 fn retry_after(headers: &HeaderMap) -> Option<Duration> {
--- a/crates/ryetide-gateway/src/target_notices.rs
+++ b/crates/ryetide-gateway/src/target_notices.rs
@@ -19,6 +19,7 @@
     sent_at: Option<Moment>,
 ) {
     record_limit(gateway, request, target, notice.limit, sent_at);
+    record_brittle(gateway, request, target, notice.brittle, sent_at);
     if notice.is_empty() {
         return;
     }
@@ -59,6 +60,29 @@
     }
 }
 
+/// Records whether an answer says that its target is brittle. An answer that belongs to another
+/// request may be old and says nothing.
+fn record_brittle(
+    gateway: &Gateway,
+    request: &LogId<'_>,
+    target: &TargetEntry,
+    is_brittle: bool,
+    sent_at: Option<Moment>,
+) {
+    let Some(sent_at) = sent_at else { return };
+    let is_known = || gateway.hub().peek(|scheduler| scheduler.is_brittle(&target.service));
+    if !is_brittle && !is_known() {
+        return;
+    }
+    let service = &target.service;
+    let is_new = gateway
+        .hub()
+        .with(|scheduler, now| scheduler.record_brittle(now, service, is_brittle, sent_at));
+    if is_new {
+        gateway.log().brittle(request, target, is_brittle);
+    }
+}
+
 /// Merges a peer's reports of targets that leave.
 pub fn merge_leaving_reports(gateway: &Gateway, reports: &[LeavingReport]) {
     let now = gateway.hub().clock().now();
--- a/crates/ryetide-gateway/tests/serving/limits.rs
+++ b/crates/ryetide-gateway/tests/serving/limits.rs
@@ -9,7 +9,7 @@
 use futures_util::future;
 use ryetide_core::route::RouteKind;
 use ryetide_gateway::ports::{FleetUpdate, LocalFuture};
-use tokio::time;
+use tokio::{task, time};
 
 use crate::support::{self, Gateway, Message, Target, Wire};
 
@@ -19,6 +19,8 @@
 const PROPAGATION_SPAN: Duration = Duration::from_millis(500);
 /// The time for which requests are counted.
 const WINDOW: Duration = Duration::from_secs(4);
+/// How long the brittle target takes for an answer.
+const BRITTLE_SPAN: Duration = Duration::from_millis(300);
 /// The number of callers that repeat requests at each VM.
 const CALLERS: usize = 3;
 
@@ -51,6 +53,45 @@
     }
 }
 
+/// Answers with 200 after a pause, and says that the target is brittle.
+fn brittle(request: Message, mut wire: Wire) -> LocalFuture<'static, Option<Wire>> {
+    Box::pin(async move {
+        time::sleep(BRITTLE_SPAN).await;
+        let head = support::signed(&request, "200 OK");
+        wire.send(&format!("{head}test-brittle: 3\r\ncontent-length: 4\r\n\r\ndone")).await;
+        Some(wire)
+    })
+}
+
+/// Guards against VMs that together send a brittle target more than it has slots for.
+#[test]
+fn a_vm_uses_its_share_of_the_slots_of_a_brittle_target() {
+    support::run(async {
+        let target = Target::start("t1", brittle).await;
+        let mut gateways = Vec::new();
+        for name in ["e1", "e2"] {
+            let gateway = Rc::new(Gateway::start_named(name).await);
+            let table = support::table(1, support::route(RouteKind::OnceOnly, 1), Vec::new());
+            gateway.send_update(FleetUpdate::Routes(Arc::new(table))).await;
+            gateway.set_targets(vec![target.entry.clone()]).await;
+            gateways.push(gateway);
+        }
+        support::join(&gateways).await;
+        time::sleep(PROPAGATION_SPAN).await;
+        gateways[1].ask("first", "").await.expect("an answer");
+        time::sleep(PROPAGATION_SPAN).await;
+        let callers = (0..CALLERS * 2).map(|number| {
+            let gateway = Rc::clone(&gateways[0]);
+            task::spawn_local(async move { gateway.ask(&format!("c{number}"), "").await })
+        });
+        let callers: Vec<_> = callers.collect();
+        time::sleep(BRITTLE_SPAN / 2).await;
+        let share = usize::try_from(target.entry.slots / 2).expect("a count");
+        assert_eq!(target.count() - 1, share, "the other VM has told that the target is brittle");
+        future::join_all(callers).await;
+    });
+}
+
 /// Guards against a limit that is ignored, or that each VM uses up in full instead of its share.
 #[test]
 fn all_vms_together_keep_to_the_limit_of_a_target() {
--- a/crates/ryetide-gateway/tests/serving/support.rs
+++ b/crates/ryetide-gateway/tests/serving/support.rs
@@ -304,6 +304,7 @@
         signature: HeaderName::from_static("test-signature"),
         leaving: HeaderName::from_static("test-leaving"),
         limit: HeaderName::from_static("test-limit"),
+        brittle: HeaderName::from_static("test-brittle"),
         last_event: HeaderName::from_static("last-event-id"),
         reserved: vec![HeaderName::from_static("test-reserved")],
     }
--- a/src/target_client.rs
+++ b/src/target_client.rs
@@ -330,7 +330,7 @@
     let hold_off = seconds.and_then(|seconds| Duration::try_from_secs_f64(seconds).ok());
     let limits = response.headers().get_all(LIMIT_HEADER);
     let limit = LimitNotice::read(limits.map(|value| value.to_str().ok()));
-    TargetNotice { leaving, hold_off, limit }
+    TargetNotice { leaving, hold_off, limit, brittle: false }
 }
 
 fn engine_path(id: &RequestId) -> String {
