Keep connections to targets that are silent for a second or so

Cause: a user timeout of 1.5 s beside probes each second leaves one probe, whatever their count says.

Change: 3.5 s, so that three probes are sent, and sent bytes may wait as long. Libraries: of those in use only hyper-util's client can set a user timeout, and it is not used; ntex and quinn set none.

Why it suffices: of probes at 1, 2 and 3 s, one meets a target that was silent for up to 2 s. Dead peers are found 1.5 s later; repeatable requests do not wait for that (timeouts of their own), once-only ones cannot be sent again.

--- a/crates/ryetide-gateway/src/fleet_view.rs
+++ b/crates/ryetide-gateway/src/fleet_view.rs
@@ -92,8 +92,8 @@
     /// Waits until a later incarnation of a target is known.
     ///
     /// Whatever was sent to the earlier incarnation is lost then. If its VM lost power, the old
-    /// connections are not closed, and only a probe that goes unanswered shows the failure, two to
-    /// three seconds later; the entry of the new incarnation shows it sooner.
+    /// connections are not closed, and only a probe that goes unanswered shows the failure, some
+    /// seconds later; the entry of the new incarnation shows it sooner.
     pub async fn incarnation_ended(&self, target: &TargetEntry) {
         loop {
             let changed = self.changed.notified();
--- a/crates/ryetide-gateway/src/target_pool.rs
+++ b/crates/ryetide-gateway/src/target_pool.rs
@@ -28,13 +28,15 @@
 /// The timeout for opening a connection: a hundred times the latency to another data centre. An
 /// unreachable target delays a request by at most this long before another target is tried.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
-/// How long sent bytes may stay unacknowledged before the connection counts as dead. Without this
-/// limit, a send to a target that became unreachable waits for minutes.
-const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// How long nothing may be received, or sent bytes may stay unacknowledged, before the connection
+/// counts as dead. Without this limit, a send to a target that became unreachable waits for minutes.
+/// It also decides when probes give up, whatever their number: a sound target may be silent for a
+/// second or so, and a later probe must find it awake.
+const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(3_500);
 /// The idle time before the first keep-alive probe, and the interval between probes.
 const PROBE_INTERVAL: Duration = Duration::from_secs(1);
 /// The number of unanswered probes after which a connection counts as dead.
-const PROBE_COUNT: u32 = 2;
+const PROBE_COUNT: u32 = 3;
 /// The longest time after its last use for which a connection stays in the pool, and the default if
 /// its target states no keep-alive timeout.
 const MAX_IDLE: Duration = Duration::from_millis(1_500);
