Open connections of ryetided through a peer where this VM has lost its path

Callers of a daemon whose slot was granted at a target that only this VM does not reach waited for the connection to fail, gave the slot back as ConnectFailed, which suspends the target for all VMs, and were refused in the end; a connection refused after a broken answer counted as a crash of the target.

Change: the thread of the targets asks that of the peers, over a ring, for a tunnel: a QUIC stream to a peer that connects to the target and forwards bytes. A crash is reported only if peers' connections are refused as well, or there are no peers.

Why it suffices: the request stays with the VM that holds its caller and its slot; nothing is sent before the target has accepted; a stream that is reset, or lost with its peer, ends no answer.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -167,6 +167,7 @@
     let (to_edge, edge_commands) = ring::ring(RING_CAPACITY);
     let (to_targets, target_commands) = ring::ring(RING_CAPACITY);
     let (to_peers, peer_commands) = ring::ring(RING_CAPACITY);
+    let (tunnel_requests, tunnels) = ring::ring(RING_CAPACITY);
     let (to_platform, platform_commands) = ring::ring(RING_CAPACITY);
     let (to_report, core_reports) = report_ring();
     let (edge_reports_sender, edge_reports) = report_ring();
@@ -199,8 +200,10 @@
     let stop = Arc::clone(&stop_servers);
 
     let workers = vec![
-        spawn("targets", move || target_client::run(target_commands, target_events))?,
-        spawn("peers", move || peer_link::run(link_options, peer_commands, peer_events))?,
+        spawn("targets", move || {
+            target_client::run(target_commands, tunnel_requests, target_events)
+        })?,
+        spawn("peers", move || peer_link::run(link_options, peer_commands, tunnels, peer_events))?,
         spawn("platform", move || {
             platform_client::run(platform, platform_commands, platform_events)
         })?,
--- a/src/fresh_client.rs
+++ b/src/fresh_client.rs
@@ -8,7 +8,7 @@
 use std::{
     cell::RefCell,
     collections::{HashMap, VecDeque},
-    net,
+    io, net,
     rc::Rc,
     time::Duration,
 };
@@ -21,7 +21,11 @@
     service::{cfg::SharedCfg, chain_factory, fn_service},
 };
 
-use crate::{error::StepError, util};
+use crate::{
+    error::StepError,
+    tunnel::{Tunnel, TunnelEnd},
+    util,
+};
 
 /// Open connections by address. Those to one address are interchangeable.
 type HandoverMap = Rc<RefCell<HashMap<net::SocketAddr, VecDeque<Io>>>>;
@@ -30,6 +34,24 @@
 pub struct FreshConnection {
     address: net::SocketAddr,
     io: Io,
+    tunnel_end: Option<TunnelEnd>,
+}
+
+impl FreshConnection {
+    /// Uses a connection that a peer has opened to the target at `address`.
+    ///
+    /// # Errors
+    ///
+    /// Returns the operating system's error when the socket cannot be used.
+    pub fn through_peer(address: net::SocketAddr, tunnel: Tunnel) -> io::Result<Self> {
+        let io = ntex::rt::from_unix_stream(tunnel.socket, SharedCfg::new("tunnel").into())?;
+        Ok(Self { address, io, tunnel_end: Some(tunnel.end) })
+    }
+
+    /// Returns how the connection ends, if a peer has opened it.
+    pub fn tunnel_end(&self) -> Option<TunnelEnd> {
+        self.tunnel_end.clone()
+    }
 }
 
 /// An HTTP client without a connection pool, for use on one thread.
@@ -76,7 +98,7 @@
         let opened = ntex::rt::tcp_connect(address, SharedCfg::new("fresh").into());
         let opened = util::within(limit, opened).await;
         let reason = match opened {
-            Some(Ok(io)) => return Some(FreshConnection { address, io }),
+            Some(Ok(io)) => return Some(FreshConnection { address, io, tunnel_end: None }),
             Some(Err(error)) => error.to_string(),
             None => "silent".to_owned(),
         };
@@ -92,7 +114,7 @@
         method: Method,
         path: &str,
     ) -> ClientRequest {
-        let FreshConnection { address, io } = connection;
+        let FreshConnection { address, io, .. } = connection;
         self.handover.borrow_mut().entry(address).or_default().push_back(io);
         self.client.request(method, format!("http://{address}{path}")).force_close()
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,6 +12,7 @@
 //! | [`settings`], [`text_report`], [`log`], [`error`] | settings, validation reports, logs, errors |
 //! | [`caller_edge`], [`caller_request`], [`caller_answer`], [`answer_buffer`] | HTTP to callers |
 //! | [`target_client`], [`fresh_client`] | HTTP to targets |
+//! | [`tunnel`] | connections to targets through peers |
 //! | [`peer_link`], [`peer_keys`], [`deployment_keys`] | connections to the other entry VMs |
 //! | [`platform_client`] | the table service and the list of VMs |
 //! | [`operator_port`], [`request_report`] | the operators' port and its report |
@@ -38,4 +39,6 @@
 pub mod settings;
 pub mod target_client;
 pub mod text_report;
+pub mod tunnel;
+mod tunnel_link;
 mod util;
--- a/src/peer_keys.rs
+++ b/src/peer_keys.rs
@@ -7,7 +7,7 @@
 use rustls::{RootCertStore, server::WebPkiClientVerifier};
 use rustls_pki_types::{CertificateDer, PrivateKeyDer, pem::PemObject};
 
-use crate::{error::StepError, settings::PeerSettings};
+use crate::{error::StepError, settings::PeerSettings, tunnel_link};
 
 /// The server name in every daemon's certificate. The certificate proves membership of the
 /// deployment; the preface of a connection names the VM.
@@ -103,7 +103,7 @@
     let mut transport = quinn::TransportConfig::default();
     let idle = quinn::IdleTimeout::try_from(IDLE_TIMEOUT);
     transport.max_idle_timeout(Some(idle.expect("the timeout is below the library's maximum")));
-    transport.max_concurrent_bidi_streams(0_u32.into());
+    transport.max_concurrent_bidi_streams(tunnel_link::MAX_TUNNELS_PER_PEER.into());
     transport.max_concurrent_uni_streams(4_u32.into());
     transport.datagram_receive_buffer_size(None);
     transport
--- a/src/peer_link.rs
+++ b/src/peer_link.rs
@@ -6,9 +6,10 @@
 //! Messages to a peer that cannot be reached are dropped: heartbeats are repeated, and whatever
 //! depends on another lost message is abandoned when the peer is considered silent.
 
-use std::{collections::HashMap, net, sync::Arc, time::Duration};
+use std::{cell::RefCell, collections::HashMap, net, rc::Rc, sync::Arc, time::Duration};
 
 use quinn::Endpoint;
+use rand::seq::SliceRandom;
 use ryetide_core::{
     effect::PeerAddress,
     event::Event,
@@ -23,7 +24,8 @@
     error::StepError,
     peer_keys::{PEER_SERVER_NAME, PeerKeys},
     ring::{RingReceiver, RingSender},
-    util,
+    tunnel::{TunnelOutcome, TunnelReply, TunnelRequest},
+    tunnel_link, util,
 };
 
 /// The maximum size of a frame, in bytes. A services text and a stored answer fit.
@@ -35,6 +37,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// The delay before a failed connection is reopened.
 const RECONNECT_DELAY: Duration = Duration::from_millis(200);
+/// The most peers that are asked for one connection to a target.
+const MAX_PEERS_ASKED: usize = 4;
 /// The length of the prefix of each frame.
 const LENGTH_BYTES: usize = 4;
 
@@ -78,6 +82,7 @@
 pub async fn run(
     options: LinkOptions,
     mut commands: RingReceiver<LinkCommand>,
+    mut tunnels: RingReceiver<TunnelRequest>,
     events: RingSender<Event>,
 ) -> Result<(), StepError> {
     let LinkOptions { socket, keys, preface } = options;
@@ -86,11 +91,11 @@
         Endpoint::new(quinn::EndpointConfig::default(), Some(keys.server), socket, runtime)
             .map_err(|error| StepError::new("open peer endpoint", error))?;
     endpoint.set_default_client_config(keys.client);
-    let events = std::rc::Rc::new(events);
+    let events = Rc::new(events);
     let accepting = endpoint.clone();
     tokio::task::spawn_local(async move {
         while let Some(incoming) = accepting.accept().await {
-            let events = std::rc::Rc::clone(&events);
+            let events = Rc::clone(&events);
             tokio::task::spawn_local(async move {
                 if let Err(error) = receive(incoming, &events).await {
                     tracing::debug!(event = "peer-connection-ended", reason = %error);
@@ -99,7 +104,16 @@
         }
     });
     let mut senders: HashMap<VmName, PeerSender> = HashMap::new();
-    while let Some(command) = commands.recv().await {
+    loop {
+        let command = tokio::select! {
+            command = commands.recv() => command,
+            Some(request) = tunnels.recv() => {
+                let connections = open_connections(&senders);
+                tokio::task::spawn_local(open_tunnel(connections, request));
+                continue;
+            }
+        };
+        let Some(command) = command else { break };
         match command {
             LinkCommand::Connect(peers) => {
                 let keep = |name: &VmName, sender: &mut PeerSender| {
@@ -125,18 +139,51 @@
     Ok(())
 }
 
+/// Returns the open connections to peers in random order.
+fn open_connections(senders: &HashMap<VmName, PeerSender>) -> Vec<quinn::Connection> {
+    let connections = senders.values().filter_map(|sender| sender.connection.borrow().clone());
+    let mut connections: Vec<quinn::Connection> = connections.collect();
+    connections.shuffle(&mut rand::rng());
+    connections
+}
+
+/// Asks peers one after the other to open a connection to a target.
+async fn open_tunnel(connections: Vec<quinn::Connection>, request: TunnelRequest) {
+    let TunnelRequest { target, reply } = request;
+    let mut outcome =
+        if connections.is_empty() { TunnelOutcome::NoPeers } else { TunnelOutcome::Failed };
+    for connection in connections.iter().take(MAX_PEERS_ASKED) {
+        match tunnel_link::open(connection, &target).await {
+            Ok(tunnel) => {
+                outcome = TunnelOutcome::Opened(tunnel);
+                break;
+            }
+            Err(TunnelReply::Refused) => outcome = TunnelOutcome::Refused,
+            Err(_) => {}
+        }
+    }
+    // The request that asked has ended meanwhile; dropping the tunnel closes it.
+    let _ = reply.send(outcome);
+}
+
+/// The connection to a peer, while it is open.
+type SharedConnection = Rc<RefCell<Option<quinn::Connection>>>;
+
 /// The send queue of one peer. Dropping it ends the task that sends its messages.
 struct PeerSender {
     address: net::SocketAddr,
     sender: mpsc::Sender<Vec<u8>>,
+    connection: SharedConnection,
 }
 
 impl PeerSender {
     fn open(endpoint: Endpoint, peer: PeerAddress, preface: LinkPreface) -> Self {
         let (sender, receiver) = mpsc::channel(SEND_QUEUE_LIMIT);
         let address = peer.address;
-        tokio::task::spawn_local(run_sender(endpoint, peer, preface, receiver));
-        Self { address, sender }
+        let connection = SharedConnection::default();
+        let open = Rc::clone(&connection);
+        tokio::task::spawn_local(run_sender(endpoint, peer, preface, receiver, open));
+        Self { address, sender, connection }
     }
 
     fn send(&self, to: &VmName, message: &PeerMessage) {
@@ -152,9 +199,11 @@
     peer: PeerAddress,
     preface: LinkPreface,
     mut frames: mpsc::Receiver<Vec<u8>>,
+    open: SharedConnection,
 ) {
     loop {
-        let sent = send_until_closed(&endpoint, &peer, &preface, &mut frames).await;
+        let sent = send_until_closed(&endpoint, &peer, &preface, &mut frames, &open).await;
+        open.take();
         match sent {
             Ok(()) => return,
             Err(error) => {
@@ -175,6 +224,7 @@
     peer: &PeerAddress,
     preface: &LinkPreface,
     frames: &mut mpsc::Receiver<Vec<u8>>,
+    open: &SharedConnection,
 ) -> Result<(), StepError> {
     let fault = |step, cause: Box<dyn std::error::Error + Send + Sync>| {
         StepError::new(step, cause).with_peer(&peer.name)
@@ -188,6 +238,7 @@
         .map_err(|error| fault("connect", error.into()))?;
     let mut stream =
         connection.open_uni().await.map_err(|error| fault("open stream", error.into()))?;
+    *open.borrow_mut() = Some(connection.clone());
     let mut buffer = Vec::new();
     append_frame(&mut buffer, json_form::encode(preface).as_bytes());
     loop {
@@ -236,6 +287,8 @@
     let preface: LinkPreface =
         serde_json::from_slice(&first).map_err(|error| fault("read preface", error.into()))?;
     tracing::debug!(event = "peer-connected", peer = %preface.name);
+    let tunnels = tunnel_link::serve(connection.clone(), preface.name.to_string());
+    tokio::task::spawn_local(tunnels);
     loop {
         let frame = read_frame(&mut stream).await.map_err(|error| fault("read", error))?;
         let message = match message::decode(&frame) {
--- a/src/target_client.rs
+++ b/src/target_client.rs
@@ -15,10 +15,11 @@
 };
 use ryetide_core::{
     event::{AnswerHead, Event, LoadReport, TargetOperation, TargetRoute},
-    ids::{AttemptNumber, RequestId, RequestSequence},
+    ids::{AttemptNumber, RequestId, RequestSequence, TargetKey},
+    path_table::{PathTable, TargetPath},
     request_fingerprint::RequestFingerprint,
     target_notice::{LimitNotice, TargetNotice},
-    units::ByteSize,
+    units::{ByteSize, Moment},
 };
 use tokio::{net::TcpStream, sync::oneshot, time::Instant};
 
@@ -26,6 +27,7 @@
     error::StepError,
     fresh_client::{FreshClient, FreshConnection},
     ring::{RingReceiver, RingSender},
+    tunnel::{TunnelEnd, TunnelOutcome, TunnelRequest, TunnelTarget},
     util,
 };
 
@@ -33,6 +35,10 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(800);
 /// The interval at which the load of watched engines is queried.
 const LOAD_INTERVAL: Duration = Duration::from_millis(500);
+/// How often it is checked whether lost paths are to be probed.
+const PROBE_CHECK_INTERVAL: Duration = Duration::from_millis(250);
+/// The clock of the paths starts here, because moment 0 stands for "never".
+const CLOCK_START: Duration = Duration::from_micros(1);
 /// The timeout for a load query.
 const LOAD_TIMEOUT: Duration = Duration::from_millis(800);
 /// The timeout for a cancel request.
@@ -76,9 +82,26 @@
     _alive: oneshot::Sender<()>,
 }
 
+/// An answer to be read.
+struct AnswerReading<'a> {
+    key: ConnectionKey,
+    route: &'a TargetRoute,
+    /// The offset of its first byte.
+    start: u64,
+    limit: ByteSize,
+    /// How the connection ends, if a peer has opened it. An answer without a length ends with its
+    /// connection, also when the peer dies.
+    tunnel_end: Option<TunnelEnd>,
+}
+
 struct TargetPool {
     client: FreshClient,
     events: RingSender<Event>,
+    tunnels: RingSender<TunnelRequest>,
+    paths: RefCell<PathTable>,
+    /// The targets whose paths are lost, to probe them.
+    lost: RefCell<HashMap<TargetKey, TargetRoute>>,
+    started: Instant,
     connections: RefCell<HashMap<ConnectionKey, ConnectionHandle>>,
 }
 
@@ -89,10 +112,21 @@
 /// Returns a [`StepError`] when the HTTP client cannot be built.
 pub async fn run(
     mut commands: RingReceiver<TargetCommand>,
+    tunnels: RingSender<TunnelRequest>,
     events: RingSender<Event>,
 ) -> Result<(), StepError> {
     let client = FreshClient::new("targets").await?;
-    let pool = Rc::new(TargetPool { client, events, connections: RefCell::default() });
+    let pool = Rc::new(TargetPool {
+        client,
+        events,
+        tunnels,
+        paths: RefCell::default(),
+        lost: RefCell::default(),
+        started: Instant::now(),
+        connections: RefCell::default(),
+    });
+    let (probing, probes_ended) = oneshot::channel::<()>();
+    ntex::rt::spawn(Rc::clone(&pool).probe_lost_paths(probes_ended));
     let mut watch: Option<oneshot::Sender<()>> = None;
     while let Some(command) = commands.recv().await {
         match command {
@@ -120,7 +154,7 @@
             }
         }
     }
-    drop(watch);
+    drop((watch, probing));
     Ok(())
 }
 
@@ -152,6 +186,7 @@
             self.send_event(Event::ConnectFailed { sequence, attempt }).await;
             return;
         };
+        let tunnel_end = connection.tunnel_end();
         self.send_event(Event::Connected { sequence, attempt }).await;
         // The channel is closed when the attempt is abandoned before it is permitted.
         let Ok(PermittedOrder { order, not_after }) = order.await else { return };
@@ -173,7 +208,8 @@
                     .header(header::CONTENT_TYPE, call.content_type.as_str());
                 let sent_at = Instant::now();
                 let sent = request.send_body(call.body.to_vec()).await;
-                let end = self.read(key, route, sent, 0, limit).await;
+                let reading = AnswerReading { key, route, start: 0, limit, tunnel_end };
+                let end = self.read(reading, sent).await;
                 if end.is_none() {
                     let ran = sent_at.elapsed();
                     ntex::rt::spawn(Rc::clone(self).detect_crash(route.clone(), fingerprint, ran));
@@ -186,26 +222,100 @@
                 if matches!(&sent, Ok(response) if response.status() == StatusCode::NOT_FOUND) {
                     Some(Event::ResumeUnknown { sequence, attempt })
                 } else {
-                    self.read(key, route, sent, offset, ByteSize(u64::MAX)).await
+                    let limit = ByteSize(u64::MAX);
+                    let reading = AnswerReading { key, route, start: offset, limit, tunnel_end };
+                    self.read(reading, sent).await
                 }
             }
         };
         self.send_event(end.unwrap_or(Event::TargetBroken { sequence, attempt })).await;
     }
 
+    /// Opens a connection to a target: directly, or through a peer where this VM has lost its path.
     async fn connect(&self, route: &TargetRoute) -> Option<FreshConnection> {
-        self.client.connect(route.address, CONNECT_TIMEOUT).await
+        if self.paths.borrow().path(route.key) == TargetPath::ThroughPeer
+            && let Some(connection) = self.connect_through_peer(route).await
+        {
+            return Some(connection);
+        }
+        if let Some(connection) = self.client.connect(route.address, CONNECT_TIMEOUT).await {
+            self.record_reached(route);
+            return Some(connection);
+        }
+        self.connect_through_peer(route).await
+    }
+
+    async fn connect_through_peer(&self, route: &TargetRoute) -> Option<FreshConnection> {
+        let TunnelOutcome::Opened(tunnel) = self.ask_for_tunnel(route).await else { return None };
+        self.record_lost(route);
+        match FreshConnection::through_peer(route.address, tunnel) {
+            Ok(connection) => Some(connection),
+            Err(error) => {
+                tracing::warn!(event = "tunnel-failed", step = "use socket", reason = %error);
+                None
+            }
+        }
+    }
+
+    async fn ask_for_tunnel(&self, route: &TargetRoute) -> TunnelOutcome {
+        let target = TunnelTarget { name: route.name.clone(), address: route.address };
+        let (reply, outcome) = oneshot::channel();
+        // A closed ring means that the daemon is stopping.
+        let _ = self.tunnels.send(TunnelRequest { target, reply }).await;
+        outcome.await.unwrap_or(TunnelOutcome::Failed)
+    }
+
+    fn now(&self) -> Moment {
+        Moment(u64::try_from(self.started.elapsed().as_micros()).unwrap_or(u64::MAX)) + CLOCK_START
+    }
+
+    fn record_reached(&self, route: &TargetRoute) {
+        let was_lost = self.paths.borrow_mut().record_reached(self.now(), route.key);
+        self.lost.borrow_mut().remove(&route.key);
+        if was_lost {
+            tracing::info!(event = "path-found", target = %route.name, peer = %route.address);
+        }
+    }
+
+    fn record_lost(&self, route: &TargetRoute) {
+        self.lost.borrow_mut().insert(route.key, route.clone());
+        if self.paths.borrow_mut().record_lost(self.now(), route.key) {
+            tracing::warn!(event = "path-lost", target = %route.name, peer = %route.address);
+        }
+    }
+
+    /// Tries the lost paths now and then until `ended` closes.
+    async fn probe_lost_paths(self: Rc<Self>, ended: oneshot::Receiver<()>) {
+        let probing = async {
+            let mut ticks = tokio::time::interval(PROBE_CHECK_INTERVAL);
+            loop {
+                ticks.tick().await;
+                let due = self.paths.borrow_mut().take_due_probes(self.now());
+                let lost = self.lost.borrow();
+                for route in due.iter().filter_map(|target| lost.get(target)) {
+                    ntex::rt::spawn(Rc::clone(&self).probe(route.clone()));
+                }
+            }
+        };
+        tokio::select! {
+            () = probing => {}
+            _ = ended => {}
+        }
+    }
+
+    async fn probe(self: Rc<Self>, route: TargetRoute) {
+        if self.client.connect(route.address, CONNECT_TIMEOUT).await.is_some() {
+            self.record_reached(&route);
+        }
     }
 
     /// Reads an answer to its end. Returns `None` when it is incomplete or too large.
     async fn read(
         &self,
-        (sequence, attempt): ConnectionKey,
-        route: &TargetRoute,
+        reading: AnswerReading<'_>,
         sent: Result<ClientResponse, ClientError>,
-        start: u64,
-        limit: ByteSize,
     ) -> Option<Event> {
+        let AnswerReading { key: (sequence, attempt), route, start, limit, tunnel_end } = reading;
         let mut response = match sent {
             Ok(response) => response,
             Err(error) => {
@@ -251,6 +361,14 @@
             self.send_event(Event::TargetPiece { sequence, attempt, offset, bytes }).await;
             offset += length;
         }
+        let headers = response.headers();
+        let has_end = headers.contains_key(header::CONTENT_LENGTH)
+            || headers.contains_key(header::TRANSFER_ENCODING);
+        if !has_end && tunnel_end.is_some_and(|end| !end.is_by_target()) {
+            let peer = &route.name;
+            tracing::info!(event = "stream-broken", step = "read", %peer, reason = "tunnel broke");
+            return None;
+        }
         Some(Event::TargetEnd { sequence, attempt, length: offset })
     }
 
@@ -259,7 +377,8 @@
         let _ = self.events.send(event).await;
     }
 
-    /// Reports a crash if the target, whose answer failed, refuses a new connection.
+    /// Reports a crash if the target, whose answer failed, refuses a new connection, also of a peer if
+    /// there is any: this VM may have lost its path.
     async fn detect_crash(
         self: Rc<Self>,
         route: TargetRoute,
@@ -268,7 +387,14 @@
     ) {
         let connecting = TcpStream::connect(route.address);
         let Some(Err(error)) = util::within(CONNECT_TIMEOUT, connecting).await else { return };
-        if error.kind() == io::ErrorKind::ConnectionRefused {
+        if error.kind() != io::ErrorKind::ConnectionRefused {
+            return;
+        }
+        let outcome = self.ask_for_tunnel(&route).await;
+        if let TunnelOutcome::Opened(_) = outcome {
+            self.record_lost(&route);
+        }
+        if matches!(outcome, TunnelOutcome::Refused | TunnelOutcome::NoPeers) {
             let ran_ms = u32::try_from(ran.as_millis()).unwrap_or(u32::MAX);
             self.send_event(Event::TargetCrashed { target: route.key, fingerprint, ran_ms }).await;
         }
