Bound the time for which peers are asked for a connection

Cause: read: where a whole data centre is cut off, a connection that hangs waited for up to four peers of 100 ms each, 0.45 s in all instead of 0.3 s, before another target was tried.

Change: peers are asked for 250 ms at most; a direct connection that has hung to its timeout ends the attempt.

--- a/crates/ryetide-gateway/src/target_connector.rs
+++ b/crates/ryetide-gateway/src/target_connector.rs
@@ -37,6 +37,9 @@
     helpers: SharedHelpers,
 }
 
+/// How long peers are asked for one connection. A request that finds neither path must soon go on to
+/// another target.
+const ASK_TIMEOUT: Duration = Duration::from_millis(250);
 /// The most peers that are asked what they see of a target that this VM does not reach. If two
 /// thirds of the VMs are cut off, one of eight reaches it in 24 cases of 25.
 const MAX_WITNESSES: usize = 8;
@@ -197,6 +200,8 @@
             Err(_) => tokio::select! {
                 opened = &mut direct => match opened {
                     Ok(stream) => self.use_direct(gateway, target, stream).await,
+                    // Peers have had most of this time as well.
+                    Err(ConnectFault::Silent) => Err(ConnectFault::Silent),
                     Err(fault) => match tunnel.await.opened() {
                         Some(tunnel) => self.use_tunnel(gateway, target, tunnel).await,
                         None => Err(fault),
@@ -251,7 +256,7 @@
         self.ask_peers(gateway, request, target, MAX_HELPERS_ASKED, is_near).await
     }
 
-    /// Asks peers one after the other to open a connection.
+    /// Asks peers one after the other to open a connection, for a limited time.
     async fn ask_peers(
         &self,
         gateway: &Gateway,
@@ -259,6 +264,18 @@
         target: &TargetEntry,
         most: usize,
         is_near: impl Fn(&DataCentreName) -> bool,
+    ) -> TunnelEnd {
+        let asking = self.ask_in_turn(gateway, request, target, most, is_near);
+        time::timeout(ASK_TIMEOUT, asking).await.unwrap_or(TunnelEnd::Failed)
+    }
+
+    async fn ask_in_turn(
+        &self,
+        gateway: &Gateway,
+        request: &str,
+        target: &TargetEntry,
+        most: usize,
+        is_near: impl Fn(&DataCentreName) -> bool,
     ) -> TunnelEnd {
         let mut candidates = candidates(gateway);
         let mut is_refused = false;
