--- a/crates/ryetide-core/src/scheduler_brittle.rs
+++ b/crates/ryetide-core/src/scheduler_brittle.rs
@@ -1,6 +1,6 @@
 //! Shares the slots of brittle targets among the VMs.
 
-use std::time::Duration;
+use std::{collections::BTreeMap, time::Duration};
 
 use crate::{
     brittle_services::{self, BrittleReport},
@@ -65,7 +65,7 @@
         }
     }
 
-    fn slot_shares(&self, now: Moment) -> std::collections::BTreeMap<TargetKey, u32> {
+    fn slot_shares(&self, now: Moment) -> BTreeMap<TargetKey, u32> {
         let (all, cell) = (self.known_vms(now), self.cell_vms(now));
         let own = &self.options.name;
         let brittle = self.services.values().filter(|state| self.brittle.is_brittle(state.key));
--- a/crates/ryetide-gateway/src/exchange.rs
+++ b/crates/ryetide-gateway/src/exchange.rs
@@ -468,10 +468,10 @@
             // An error response from the target also shows that the request did not crash it.
             self.record_answered();
         }
-        if fault.may_be_path() {
+        if fault.may_be_lost_path() {
             self.ticket.end(RunEnd::Unsettled);
         }
-        if fault.may_be_crash() || fault.may_be_path() {
+        if fault.may_be_crash() || fault.may_be_lost_path() {
             let run = BrokenRun {
                 request: log_id.id.to_owned(),
                 fingerprint: self.fingerprint,
--- a/crates/ryetide-gateway/src/fault_detector.rs
+++ b/crates/ryetide-gateway/src/fault_detector.rs
@@ -14,7 +14,7 @@
 };
 use tokio::task;
 
-use crate::{gateway_state::Gateway, target_connector::TargetSight};
+use crate::{gateway_state::Gateway, target_connector::TargetReachability};
 
 /// A run whose connection broke or fell silent.
 #[derive(Clone, Debug)]
@@ -57,17 +57,19 @@
 }
 
 async fn probe(gateway: Rc<Gateway>, target: TargetEntry, request: String) {
-    let sight = gateway.connector().look_at(&gateway, &request, &target).await;
+    let reachability = gateway.connector().examine(&gateway, &request, &target).await;
     let runs =
         gateway.fault_detector().probed.borrow_mut().remove(&target.key()).unwrap_or_default();
-    let cause = match sight {
-        TargetSight::ReachedByPeer => FaultCause::Path,
-        TargetSight::Unknown if gateway.connector().is_cut_off() => FaultCause::Path,
-        TargetSight::Reached | TargetSight::Refuses | TargetSight::Unknown => FaultCause::Target,
+    let cause = match reachability {
+        TargetReachability::ReachedByPeer => FaultCause::Path,
+        TargetReachability::Unknown if gateway.connector().is_cut_off() => FaultCause::Path,
+        TargetReachability::Reached | TargetReachability::Refuses | TargetReachability::Unknown => {
+            FaultCause::Target
+        }
     };
-    tracing::debug!(event = "fault-settled", target = %target.name, ?sight, runs = runs.len());
+    tracing::debug!(event = "fault-settled", target = %target.name, ?reachability, runs = runs.len());
     settle(&gateway, &target, cause, &runs);
-    if sight == TargetSight::Refuses {
+    if reachability == TargetReachability::Refuses {
         record_crash(&gateway, &target, runs);
     }
 }
--- a/crates/ryetide-gateway/src/peer_tunnel.rs
+++ b/crates/ryetide-gateway/src/peer_tunnel.rs
@@ -5,7 +5,7 @@
 //! replied that the target accepted the connection, so a tunnel that cannot be opened is known to
 //! have sent nothing.
 
-use std::{cell::RefCell, io, rc::Rc};
+use std::{cell::RefCell, io, net, rc::Rc};
 
 use bytes::Bytes;
 use futures_util::{
@@ -101,10 +101,7 @@
 /// # Errors
 ///
 /// Returns a [`TunnelFault`] when the connection was not opened in time.
-pub async fn open(
-    address: std::net::SocketAddr,
-    request: Bytes,
-) -> Result<TunnelStream, TunnelFault> {
+pub async fn open(address: net::SocketAddr, request: Bytes) -> Result<TunnelStream, TunnelFault> {
     let opening = time::timeout(tunnel_message::OPEN_TIMEOUT, exchange(address, request));
     let (reply, frames) = opening.await.map_err(|_| TunnelFault::Silent)??;
     if reply != TunnelReply::Opened {
@@ -117,7 +114,7 @@
 }
 
 async fn exchange(
-    address: std::net::SocketAddr,
+    address: net::SocketAddr,
     request: Bytes,
 ) -> Result<(TunnelReply, Framed<TcpStream, LengthDelimitedCodec>), TunnelFault> {
     let stream = target_pool::open_stream(address).await?;
--- a/crates/ryetide-gateway/src/run_fault.rs
+++ b/crates/ryetide-gateway/src/run_fault.rs
@@ -36,7 +36,7 @@
     }
 
     /// Returns whether the fault may mean that this VM has lost its path to the target.
-    pub fn may_be_path(self) -> bool {
+    pub fn may_be_lost_path(self) -> bool {
         matches!(self, Self::Broken | Self::Silent)
     }
 
--- a/crates/ryetide-gateway/src/target_connector.rs
+++ b/crates/ryetide-gateway/src/target_connector.rs
@@ -5,7 +5,7 @@
 //! peer's, the direct path counts as lost, and the next connections go through peers at once until
 //! a probe reaches the target.
 
-use std::{cell::RefCell, rc::Rc, time::Duration};
+use std::{cell::RefCell, io, pin::pin, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use ryetide_core::{
@@ -42,11 +42,11 @@
 const ASK_TIMEOUT: Duration = Duration::from_millis(250);
 /// The most peers that are asked what they see of a target that this VM does not reach. If two
 /// thirds of the VMs are cut off, one of eight reaches it in 24 cases of 25.
-const MAX_WITNESSES: usize = 8;
+const MAX_EXAMINING_PEERS: usize = 8;
 
 /// What this VM and its peers see of a target.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum TargetSight {
+pub enum TargetReachability {
     /// This VM can open connections to it.
     Reached,
     /// A peer can, and this VM cannot.
@@ -74,6 +74,16 @@
     }
 }
 
+/// A connection that peers are asked to open.
+#[derive(Clone, Copy)]
+struct TunnelQuery<'a> {
+    /// The caller's id of the request, for the log.
+    request: &'a str,
+    target: &'a TargetEntry,
+    /// The most peers that are asked.
+    most: usize,
+}
+
 /// A connection that a peer has opened.
 struct OpenedTunnel {
     stream: TunnelStream,
@@ -132,30 +142,35 @@
     ///
     /// A VM that has lost its path cannot tell that from a crash by itself: its connections are
     /// refused in both cases.
-    pub async fn look_at(
+    pub async fn examine(
         &self,
         gateway: &Gateway,
         request: &str,
         target: &TargetEntry,
-    ) -> TargetSight {
+    ) -> TargetReachability {
         let fault = match target_pool::open_stream(target.address).await {
             Ok(_) => {
                 self.record_reached(gateway, target);
-                return TargetSight::Reached;
+                return TargetReachability::Reached;
             }
             Err(fault) => fault,
         };
         let is_refused = fault.is_refusal();
         if gateway.peers().borrow().is_empty() {
-            return if is_refused { TargetSight::Refuses } else { TargetSight::Unknown };
+            return if is_refused {
+                TargetReachability::Refuses
+            } else {
+                TargetReachability::Unknown
+            };
         }
-        match self.ask_peers(gateway, request, target, MAX_WITNESSES, |_| true).await {
+        let query = TunnelQuery { request, target, most: MAX_EXAMINING_PEERS };
+        match self.ask_peers(gateway, query, |_| true).await {
             TunnelEnd::Opened(_) => {
                 self.record_lost(gateway, target);
-                TargetSight::ReachedByPeer
+                TargetReachability::ReachedByPeer
             }
-            TunnelEnd::Refused if is_refused => TargetSight::Refuses,
-            TunnelEnd::Refused | TunnelEnd::Failed => TargetSight::Unknown,
+            TunnelEnd::Refused if is_refused => TargetReachability::Refuses,
+            TunnelEnd::Refused | TunnelEnd::Failed => TargetReachability::Unknown,
         }
     }
 
@@ -188,9 +203,9 @@
         request: &str,
         target: &TargetEntry,
     ) -> Result<TargetConnection, ConnectFault> {
-        let mut direct = std::pin::pin!(target_pool::open_stream(target.address));
+        let mut direct = pin!(target_pool::open_stream(target.address));
         let early = time::timeout(DIRECT_HEAD_START, &mut direct).await;
-        let mut tunnel = std::pin::pin!(self.tunnel(gateway, request, target));
+        let mut tunnel = pin!(self.tunnel(gateway, request, target));
         match early {
             Ok(Ok(stream)) => self.use_direct(gateway, target, stream).await,
             Ok(Err(fault)) => match tunnel.await.opened() {
@@ -253,30 +268,28 @@
         let own_centre = gateway.settings().borrow().data_centre.clone();
         let is_near =
             |centre: &DataCentreName| *centre == own_centre || *centre == target.data_centre;
-        self.ask_peers(gateway, request, target, MAX_HELPERS_ASKED, is_near).await
+        let query = TunnelQuery { request, target, most: MAX_HELPERS_ASKED };
+        self.ask_peers(gateway, query, is_near).await
     }
 
     /// Asks peers one after the other to open a connection, for a limited time.
     async fn ask_peers(
         &self,
         gateway: &Gateway,
-        request: &str,
-        target: &TargetEntry,
-        most: usize,
+        query: TunnelQuery<'_>,
         is_near: impl Fn(&DataCentreName) -> bool,
     ) -> TunnelEnd {
-        let asking = self.ask_in_turn(gateway, request, target, most, is_near);
+        let asking = self.ask_in_turn(gateway, query, is_near);
         time::timeout(ASK_TIMEOUT, asking).await.unwrap_or(TunnelEnd::Failed)
     }
 
     async fn ask_in_turn(
         &self,
         gateway: &Gateway,
-        request: &str,
-        target: &TargetEntry,
-        most: usize,
+        query: TunnelQuery<'_>,
         is_near: impl Fn(&DataCentreName) -> bool,
     ) -> TunnelEnd {
+        let TunnelQuery { request, target, most } = query;
         let mut candidates = candidates(gateway);
         let mut is_refused = false;
         for _ in 0..most {
@@ -344,7 +357,7 @@
     let from = gateway.settings().borrow().name.clone();
     let envelope = PeerEnvelope { from, message };
     let sealed = peer_link::seal(&gateway.link().secret(), &envelope);
-    let sealed = sealed.map_err(std::io::Error::other)?;
+    let sealed = sealed.map_err(io::Error::other)?;
     peer_tunnel::open(peer.address, Bytes::from(sealed)).await
 }
 
--- a/crates/ryetide-gateway/src/tunnel_server.rs
+++ b/crates/ryetide-gateway/src/tunnel_server.rs
@@ -4,7 +4,7 @@
 //! again, and it asks no further VM, so a tunnel has one hop. When the peer closes the tunnel, the
 //! connection to the target closes too, and the target cancels the request.
 
-use std::{io, rc::Rc, time::Duration};
+use std::{io, pin::pin, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use futures_util::{SinkExt, StreamExt};
@@ -153,8 +153,8 @@
     }
     let (peer_read, peer_write) = parts.io.into_split();
     let (target_read, target_write) = target.into_split();
-    let mut upward = std::pin::pin!(forward_request(gateway, peer_read, target_write));
-    let mut downward = std::pin::pin!(forward_answer(gateway, target_read, peer_write));
+    let mut upward = pin!(forward_request(gateway, peer_read, target_write));
+    let mut downward = pin!(forward_answer(gateway, target_read, peer_write));
     tokio::select! {
         sent = &mut upward => match sent {
             // The peer has closed the tunnel.
