Tell in the log what marked the end of an answer

The line 'ended' said 'whole' for an answer that had ended with its length, with its last chunk, and with its connection; the hypotheses on answers that are framed as complete and are not could not be told apart. It has 'framing' now: length, chunks or connection.

No decision changes.

--- a/crates/ryetide-gateway/src/decision_log.rs
+++ b/crates/ryetide-gateway/src/decision_log.rs
@@ -21,6 +21,7 @@
 
 use crate::{
     fault_detector::BrokenRun,
+    target_answer::AnswerFraming,
     target_pool::{ConnectFault, SendFault},
 };
 
@@ -60,6 +61,19 @@
     pub total: Duration,
 }
 
+/// How a request ended.
+#[derive(Clone, Copy, Debug)]
+pub struct EndedRun<'a> {
+    /// The end.
+    pub end: RunEnd,
+    /// The target to which the request was assigned last.
+    pub target: Option<&'a TargetEntry>,
+    /// The number of dispatches that ran or may have run.
+    pub attempts: u32,
+    /// What marked the end of the answer, if a target answered.
+    pub framing: Option<AnswerFraming>,
+}
+
 /// The figures of a refusal.
 #[derive(Clone, Copy, Debug)]
 pub struct RefusalEvidence {
@@ -422,14 +436,7 @@
     }
 
     /// Logs the end of a request.
-    pub fn ended(
-        &self,
-        request: &LogId<'_>,
-        end: RunEnd,
-        target: Option<&TargetEntry>,
-        attempts: u32,
-        spans: &ExchangeTimings,
-    ) {
+    pub fn ended(&self, request: &LogId<'_>, run: &EndedRun<'_>, spans: &ExchangeTimings) {
         if !self.permits() {
             return;
         }
@@ -439,9 +446,10 @@
             request = request.id,
             sequence = request.sequence.0,
             route = request.route,
-            outcome = end_name(end),
-            target = target.map(|target| target.name.as_str()).unwrap_or_default(),
-            attempts,
+            outcome = end_name(run.end),
+            target = run.target.map(|target| target.name.as_str()).unwrap_or_default(),
+            attempts = run.attempts,
+            framing = run.framing.map(AnswerFraming::name),
             placed_ms = spans.placed.map(millis),
             first_ms = spans.first.map(millis),
             longest_pause_ms = millis(spans.longest_pause),
--- a/crates/ryetide-gateway/src/exchange.rs
+++ b/crates/ryetide-gateway/src/exchange.rs
@@ -26,7 +26,7 @@
 
 use crate::{
     caller_answer::{CallerResponse, OwnAnswer, OwnReason},
-    decision_log::{ExchangeTimings, LogId, RefusalEvidence},
+    decision_log::{EndedRun, ExchangeTimings, LogId, RefusalEvidence},
     fault_detector::{BrokenRun, FaultDetector},
     gateway_state::Gateway,
     ports::WorkSize,
@@ -36,7 +36,7 @@
     request_template::{DispatchParameters, RequestTemplate},
     run_fault::RunFault,
     scheduler_hub::RequestTicket,
-    target_answer::{self, AnswerKind, TargetAnswer},
+    target_answer::{self, AnswerFraming, AnswerKind, TargetAnswer},
     target_notices,
     target_pool::ConnectionChoice,
 };
@@ -98,6 +98,8 @@
     charge: Option<QuotaCharge>,
     evidence: Option<PlacementEvidence>,
     target: Option<TargetEntry>,
+    /// What marks the end of the answer that is being read, or was read last.
+    framing: Option<AnswerFraming>,
     placed_at: Option<Moment>,
     /// When the request was last assigned to a target.
     sent_at: Moment,
@@ -168,6 +170,7 @@
             charge: None,
             evidence: None,
             target: None,
+            framing: None,
             placed_at: None,
             sent_at: arrived,
             first_at: None,
@@ -404,6 +407,7 @@
             AnswerKind::Foreign => SendEnd::Lost(RunFault::ForeignAnswer),
             AnswerKind::Unsigned => SendEnd::Lost(RunFault::UnsignedAnswer),
             AnswerKind::Own => {
+                self.framing = Some(target_answer::framing_of(&response));
                 let (head, body) = response.into_parts();
                 let target = target.clone();
                 SendEnd::Answer(Box::new(TargetAnswer { head, body, connection, target }))
@@ -517,7 +521,8 @@
             total: now.since(self.arrived),
         };
         let target = self.target.as_ref();
-        self.gateway.log().ended(&self.log_id(), end, target, self.attempts, &spans);
+        let run = EndedRun { end, target, attempts: self.attempts, framing: self.framing };
+        self.gateway.log().ended(&self.log_id(), &run, &spans);
     }
 
     /// Returns the connection of an answer that was read to its end to the pool.
--- a/crates/ryetide-gateway/src/target_answer.rs
+++ b/crates/ryetide-gateway/src/target_answer.rs
@@ -6,7 +6,7 @@
 use http_body_util::BodyExt;
 use hyper::{
     HeaderMap, Response, StatusCode,
-    body::Incoming,
+    body::{Body, Incoming},
     header::{self, HeaderValue},
     http,
 };
@@ -47,6 +47,44 @@
     Unsigned,
 }
 
+/// What marks the end of an answer's body.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, strum::IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+pub enum AnswerFraming {
+    /// A content length, or there is no body.
+    Length,
+    /// The last chunk.
+    Chunks,
+    /// The end of the connection.
+    Connection,
+}
+
+impl AnswerFraming {
+    /// Returns the framing's name, for logs.
+    pub fn name(self) -> &'static str {
+        self.into()
+    }
+}
+
+/// Returns what marks the end of an answer's body.
+pub fn framing_of<T: Body>(response: &Response<T>) -> AnswerFraming {
+    let headers = response.headers();
+    if response.body().is_end_stream() {
+        return AnswerFraming::Length;
+    }
+    match headers.get_all(header::TRANSFER_ENCODING).iter().next_back() {
+        Some(codings) if ends_with_chunked(codings) => AnswerFraming::Chunks,
+        Some(_) => AnswerFraming::Connection,
+        None if headers.contains_key(header::CONTENT_LENGTH) => AnswerFraming::Length,
+        None => AnswerFraming::Connection,
+    }
+}
+
+fn ends_with_chunked(codings: &HeaderValue) -> bool {
+    let last = codings.as_bytes().rsplit(|byte| *byte == b',').next().unwrap_or_default();
+    last.trim_ascii().eq_ignore_ascii_case(b"chunked")
+}
+
 /// Classifies an answer to the request `id` by its head.
 pub fn kind_of<T>(
     response: &Response<T>,
