Add failing tests for streams that end with their connection

A once-only stream that ends inside an event is framed as complete, also in chunks and behind a peer, and counted as answered; so is one without any event; a stream whose lines end with carriage returns alone is not resumed.

--- a/crates/ryetide-gateway/tests/serving/cut_off.rs
+++ b/crates/ryetide-gateway/tests/serving/cut_off.rs
@@ -74,7 +74,7 @@
 }
 
 /// The address under which a VM knows a target.
-struct CutPath {
+pub struct CutPath {
     address: SocketAddr,
     /// Fills the queue of connections that nobody accepts.
     _queued: Vec<TcpStream>,
@@ -83,7 +83,7 @@
 
 impl CutPath {
     /// A path on which connections are refused.
-    async fn refusing() -> Self {
+    pub async fn refusing() -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let address = listener.local_addr().expect("an address");
         Self { address, _queued: Vec::new(), _listener: None }
@@ -106,7 +106,7 @@
 }
 
 /// Two gateways before the same targets, of which the first reaches none.
-struct CutSite {
+pub struct CutSite {
     targets: Vec<Target>,
     cut: Rc<Gateway>,
     helper: Rc<Gateway>,
@@ -114,7 +114,7 @@
 }
 
 impl CutSite {
-    async fn start(kind: RouteKind, script: support::Script, paths: Vec<CutPath>) -> Self {
+    pub async fn start(kind: RouteKind, script: support::Script, paths: Vec<CutPath>) -> Self {
         let mut targets = Vec::new();
         for number in 0..paths.len() {
             targets.push(Target::start(&format!("t{number}"), script).await);
@@ -132,6 +132,11 @@
         Self { targets, cut, helper, paths }
     }
 
+    /// The gateway that reaches no target.
+    pub fn cut(&self) -> &Gateway {
+        &self.cut
+    }
+
     /// Waits until this many requests have reached targets.
     async fn reached(&self, count: usize) {
         while self.count() < count {
--- a/crates/ryetide-gateway/tests/serving/main.rs
+++ b/crates/ryetide-gateway/tests/serving/main.rs
@@ -12,4 +12,5 @@
 mod shutdown;
 mod streams;
 mod support;
+mod unframed;
 mod words;
--- a/crates/ryetide-gateway/tests/serving/streams.rs
+++ b/crates/ryetide-gateway/tests/serving/streams.rs
@@ -52,25 +52,11 @@
     })
 }
 
-/// Reads a chunked answer; returns its payload and whether it is complete.
-async fn read_stream(wire: &mut Wire) -> (String, bool) {
-    let mut payload = String::new();
-    loop {
-        let Some(size) = wire.read_to("\r\n").await else { return (payload, false) };
-        let size = usize::from_str_radix(size.trim(), 16).expect("a chunk's size");
-        let Some(piece) = wire.read_exactly(size + 2).await else { return (payload, false) };
-        if size == 0 {
-            return (payload, true);
-        }
-        payload.push_str(&piece[..size]);
-    }
-}
-
 async fn ask_stream(gateway: &Gateway, id: &str) -> (Message, String, bool) {
     let mut wire = gateway.call().await;
     wire.send(&support::request("POST", id, "", "body")).await;
     let head = wire.read_message().await.expect("a head");
-    let (payload, whole) = read_stream(&mut wire).await;
+    let (payload, whole) = support::read_chunks(&mut wire).await;
     (head, payload, whole)
 }
 
@@ -125,7 +111,7 @@
         wire.send(&support::request("POST", "q1", "", "body")).await;
         wire.read_message().await.expect("a head");
         gateway.set_targets(vec![broken.entry.clone(), sound.entry.clone()]).await;
-        let (payload, whole) = read_stream(&mut wire).await;
+        let (payload, whole) = support::read_chunks(&mut wire).await;
         assert_eq!((payload.as_str(), whole), (events(1..=6).as_str(), true));
         let resumed = sound.seen.borrow()[0].clone();
         assert_eq!(resumed.header("last-event-id"), Some("3"));
@@ -160,7 +146,7 @@
         wire.send(&support::request("POST", "q1", "", "body")).await;
         wire.read_message().await.expect("a head");
         gateway.set_targets(vec![broken.entry.clone(), sound.entry.clone()]).await;
-        let (payload, whole) = read_stream(&mut wire).await;
+        let (payload, whole) = support::read_chunks(&mut wire).await;
         assert_eq!((payload.as_str(), whole), (events(1..=6).as_str(), true));
     });
 }
@@ -177,7 +163,7 @@
         wire.send(&support::request("POST", "q1", "", "body")).await;
         wire.read_message().await.expect("a head");
         gateway.set_targets(vec![broken.entry.clone(), sound.entry.clone()]).await;
-        let (payload, whole) = read_stream(&mut wire).await;
+        let (payload, whole) = support::read_chunks(&mut wire).await;
         assert!(!whole, "{payload}");
         assert_eq!(sound.count(), 0);
     });
--- a/crates/ryetide-gateway/tests/serving/support.rs
+++ b/crates/ryetide-gateway/tests/serving/support.rs
@@ -446,3 +446,44 @@
         gateway.send_update(FleetUpdate::Peers(peers.clone())).await;
     }
 }
+
+/// What a caller has seen of a stream.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum StreamEnd {
+    /// The payload, and the end of an answer.
+    Complete(String),
+    /// The payload so far, and the end of the connection.
+    BrokenOff(String),
+    /// Another status than 200.
+    Refused(u16),
+}
+
+/// Reads an answer in chunks.
+pub async fn read_stream_answer(wire: &mut Wire) -> StreamEnd {
+    let head = wire.read_to("\r\n\r\n").await.expect("a head");
+    let status = Message { head, body: String::new() }.status();
+    if status != 200 {
+        return StreamEnd::Refused(status);
+    }
+    let (payload, is_complete) = read_chunks(wire).await;
+    if is_complete { StreamEnd::Complete(payload) } else { StreamEnd::BrokenOff(payload) }
+}
+
+/// Reads a chunked body; returns its payload and whether it is complete.
+pub async fn read_chunks(wire: &mut Wire) -> (String, bool) {
+    let mut payload = String::new();
+    loop {
+        let Some(size) = wire.read_to("\r\n").await else { return (payload, false) };
+        let size = usize::from_str_radix(size.trim(), 16).expect("a chunk's size");
+        let Some(piece) = wire.read_exactly(size + 2).await else { return (payload, false) };
+        if size == 0 {
+            return (payload, true);
+        }
+        payload.push_str(&piece[..size]);
+    }
+}
+
+/// Waits until bytes that were sent have reached the other side, which a reset would discard.
+pub async fn let_bytes_arrive() {
+    time::sleep(Duration::from_millis(20)).await;
+}
--- /dev/null
+++ b/crates/ryetide-gateway/tests/serving/unframed.rs
@@ -0,0 +1,210 @@
+//! Streams that end with their connection, with neither a length nor chunks, and what their callers see.
+
+use ryetide_core::route::RouteKind;
+use ryetide_gateway::ports::LocalFuture;
+
+use crate::{
+    cut_off::{CutPath, CutSite},
+    support::{self, Gateway, Message, StreamEnd, Target, Wire},
+};
+
+const ONCE: RouteKind = RouteKind::Stream { resumable: false };
+const RESUMABLE: RouteKind = RouteKind::Stream { resumable: true };
+
+/// Answers with the request's body as a stream, and closes the connection. `test-head` in the request
+/// adds headers, `test-reset` makes the close a reset.
+fn echoing(request: Message, mut wire: Wire) -> LocalFuture<'static, Option<Wire>> {
+    Box::pin(async move {
+        let added = request.header("test-head").map(|it| format!("{it}\r\n")).unwrap_or_default();
+        let head = support::signed(&request, "200 OK");
+        wire.send(&format!("{head}{added}\r\n{}", request.body)).await;
+        if request.header("test-reset").is_some() {
+            support::let_bytes_arrive().await;
+            wire.reset();
+        }
+        None
+    })
+}
+
+/// Answers in HTTP/1.0 with the request's body as a stream, and closes the connection.
+fn echoing_in_http_1_0(request: Message, mut wire: Wire) -> LocalFuture<'static, Option<Wire>> {
+    Box::pin(async move {
+        let head = support::signed(&request, "200 OK").replace("HTTP/1.1", "HTTP/1.0");
+        wire.send(&format!("{head}\r\n{}", request.body)).await;
+        None
+    })
+}
+
+/// Answers with the request's body in one chunk and the last chunk.
+fn echoing_in_chunks(request: Message, mut wire: Wire) -> LocalFuture<'static, Option<Wire>> {
+    Box::pin(async move {
+        let head = support::signed(&request, "200 OK");
+        let chunk = format!("{:x}\r\n{}\r\n", request.body.len(), request.body);
+        wire.send(&format!("{head}transfer-encoding: chunked\r\n\r\n{chunk}0\r\n\r\n")).await;
+        Some(wire)
+    })
+}
+
+async fn ask(gateway: &Gateway, headers: &str, body: &str) -> StreamEnd {
+    let mut wire = gateway.call().await;
+    wire.send(&support::request("POST", "q1", headers, body)).await;
+    support::read_stream_answer(&mut wire).await
+}
+
+/// Asks a once-only route before a target with this script.
+async fn ask_once(script: support::Script, headers: &str, body: &str) -> StreamEnd {
+    let target = Target::start("t1", script).await;
+    let gateway = Gateway::serving(support::route(ONCE, 2), &[&target]).await;
+    ask(&gateway, headers, body).await
+}
+
+async fn assert_is_complete(headers: &str, body: &str) {
+    let end = ask_once(echoing, headers, body).await;
+    assert_eq!(end, StreamEnd::Complete(body.to_owned()), "{headers} {body:?}");
+}
+
+async fn assert_is_broken_off(script: support::Script, headers: &str, body: &str) {
+    let end = ask_once(script, headers, body).await;
+    assert!(!matches!(end, StreamEnd::Complete(_)), "{headers} {body:?}: {end:?}");
+}
+
+/// The ends of streams that have been broken off, with the line ends that the format permits.
+const BROKEN_BODIES: [&str; 9] = [
+    "id: 1\ndata: a\n\nid: 2\ndat",
+    "id: 1\ndata: a\n\nid: 2\ndata: b",
+    "id: 1\ndata: a\n\nid: 2\ndata: b\n",
+    "id: 1\ndata: a\n\nid: 2\n",
+    "id: 1\r\ndata: a\r\n\r\nid: 2\r\ndata: b\r\n",
+    "id: 1\rdata: a\r\rid: 2\rdata: b\r",
+    "id: 1\nda",
+    "id: 1\ndata: a\n\n: a comm",
+    "id: 1\ndata: a\n\nid: 2\n: a comment\n",
+];
+
+/// Guards against a stream that breaks off inside an event and looks complete to its caller.
+#[test]
+fn a_stream_that_ends_with_its_connection_inside_an_event_does_not_look_complete() {
+    support::run(async {
+        for body in BROKEN_BODIES {
+            assert_is_broken_off(echoing, "", body).await;
+        }
+        assert_is_broken_off(echoing, "test-head: connection: close\r\n", BROKEN_BODIES[0]).await;
+        assert_is_broken_off(echoing_in_http_1_0, "", BROKEN_BODIES[0]).await;
+    });
+}
+
+/// Guards against a stream that breaks off behind a peer and looks complete to its caller.
+#[test]
+fn a_stream_that_ends_inside_an_event_behind_a_peer_does_not_look_complete() {
+    support::run(async {
+        let paths = vec![CutPath::refusing().await];
+        let site = CutSite::start(ONCE, echoing, paths).await;
+        for body in BROKEN_BODIES {
+            let end = ask(site.cut(), "", body).await;
+            assert!(!matches!(end, StreamEnd::Complete(_)), "{body:?}: {end:?}");
+        }
+    });
+}
+
+/// Guards against a stream that its target ends in the middle of an event with a last chunk.
+#[test]
+fn a_stream_in_chunks_that_ends_inside_an_event_does_not_look_complete() {
+    support::run(async {
+        for body in BROKEN_BODIES {
+            assert_is_broken_off(echoing_in_chunks, "", body).await;
+        }
+    });
+}
+
+/// Guards against a stream without any event that looks complete: its target has only sent the head.
+#[test]
+fn a_stream_that_ends_with_its_connection_before_any_event_does_not_look_complete() {
+    support::run(async {
+        assert_is_broken_off(echoing, "", "").await;
+        assert_is_broken_off(echoing, "", ": a comment\n\n").await;
+    });
+}
+
+/// Guards against a reset that is taken for the end of a stream.
+#[test]
+fn a_stream_that_is_reset_does_not_look_complete() {
+    support::run(async {
+        for body in ["id: 1\ndata: a\n\n", "id: 1\ndata: a\n\nid: 2\nda"] {
+            assert_is_broken_off(echoing, "test-reset: 1\r\n", body).await;
+        }
+    });
+}
+
+/// Guards against a length that is longer than the body and taken for the body's.
+#[test]
+fn a_stream_that_is_shorter_than_its_length_does_not_look_complete() {
+    support::run(async {
+        let headers = "test-head: content-length: 99\r\n";
+        assert_is_broken_off(echoing, headers, "id: 1\ndata: a\n\n").await;
+    });
+}
+
+/// Guards against complete streams that are withheld because they end with their connection.
+#[test]
+fn a_whole_stream_that_ends_with_its_connection_is_complete() {
+    support::run(async {
+        for body in [
+            "id: 1\ndata: a\n\nid: 2\ndata: b\n\n",
+            "id: 1\r\ndata: a\r\n\r\n",
+            "id: 1\rdata: a\r\r",
+            "\u{feff}id: 1\ndata: a\n\n",
+            "id: 1\ndata: a\n\n: a comment\n",
+            "id: 1\ndata: a\n\nretry: 100\n",
+            "id: 1\ndata: a\n\n\n\n",
+        ] {
+            assert_is_complete("", body).await;
+        }
+        // A caller that has received everything but the end asks for what follows.
+        assert_is_complete("last-event-id: 2\r\n", "").await;
+    });
+}
+
+/// Guards against looking for events in an answer that is no event stream.
+#[test]
+fn an_answer_of_another_type_that_ends_with_its_connection_is_complete() {
+    support::run(async {
+        let headers = "test-head: content-type: application/json\r\n";
+        assert_is_complete(headers, "{\"done\": true}").await;
+    });
+}
+
+/// Guards against a caller that misses the rest of a stream which may be resumed.
+#[test]
+fn a_resumable_stream_that_ends_with_its_connection_inside_an_event_is_resumed() {
+    fn broken_once(request: Message, mut wire: Wire) -> LocalFuture<'static, Option<Wire>> {
+        Box::pin(async move {
+            let is_resumed = request.header("last-event-id").is_some();
+            let body =
+                if is_resumed { "id: 2\rdata: b\r\r" } else { "id: 1\rdata: a\r\rid: 2\rda" };
+            wire.send(&format!("{}\r\n{body}", support::signed(&request, "200 OK"))).await;
+            None
+        })
+    }
+    support::run(async {
+        let targets =
+            [Target::start("t1", broken_once).await, Target::start("t2", broken_once).await];
+        let route = support::route(RESUMABLE, 2);
+        let gateway = Gateway::serving(route, &targets.each_ref()).await;
+        let end = ask(&gateway, "", "body").await;
+        assert_eq!(end, StreamEnd::Complete("id: 1\rdata: a\r\rid: 2\rdata: b\r\r".to_owned()));
+    });
+}
+
+/// Guards against counting a stream that broke off as answered.
+#[test]
+fn a_stream_that_ends_with_its_connection_inside_an_event_is_not_counted_as_answered() {
+    support::run(async {
+        let target = Target::start("t1", echoing).await;
+        let gateway = Gateway::serving(support::route(ONCE, 1), &[&target]).await;
+        ask(&gateway, "", BROKEN_BODIES[0]).await;
+        let metrics = gateway.get_status_page("/metrics").await.body;
+        let outcome = |name| format!("ryetide_outcomes_total{{outcome=\"{name}\"}} 1");
+        assert!(metrics.contains(&outcome("broken-off")), "{metrics}");
+        assert!(!metrics.contains(&outcome("answered")), "{metrics}");
+    });
+}
