See the ends of events whose lines end with carriage returns

Callers of a resumable stream whose lines end with a carriage return alone got no event at all, and 502 when its connection ended: the scanner knew '\n\n' and '\r\n\r\n' only, so such a stream was one endless event. Where '\r\n' was split over two reads, an end was found one piece late.

The ends of events are found in the core now (event_tracker), by lines as the format defines them; both faces need it. Each byte is looked at once; before, a long event was searched again with each piece.

--- a/crates/ryetide-gateway/src/event_scanner.rs
+++ b/crates/ryetide-gateway/src/event_scanner.rs
@@ -1,16 +1,14 @@
-//! Finds the ends and ids of server-sent events in a forwarded stream.
+//! Splits a forwarded stream into complete server-sent events.
 //!
 //! A target's connection may break in the middle of an event. A stream that is resumed at another
 //! target must contain each event once and completely. Therefore only complete events are
 //! forwarded, and the id of the last one tells the next target where to resume.
 
 use bytes::{Buf, Bytes, BytesMut};
+use ryetide_core::event_tracker::EventTracker;
 
 /// The largest event in bytes. A longer one is treated as an error.
 const EVENT_LIMIT: usize = 1 << 20;
-/// The prefix of an event's id line.
-const ID_FIELD: &[u8] = b"id:";
-
 /// Splits a stream into complete events.
 ///
 /// # Example
@@ -27,7 +25,7 @@
 #[derive(Debug, Default)]
 pub struct EventScanner {
     partial: BytesMut,
-    last_id: Option<String>,
+    tracker: EventTracker,
 }
 
 /// The error of an event that exceeds the size limit.
@@ -42,46 +40,28 @@
     ///
     /// Returns [`EventTooLong`] when an incomplete event exceeds the size limit.
     pub fn push(&mut self, bytes: &[u8]) -> Result<Bytes, EventTooLong> {
+        let held = self.partial.len();
         self.partial.extend_from_slice(bytes);
-        let Some(end) = last_event_end(&self.partial) else {
-            return if self.partial.len() > EVENT_LIMIT {
-                Err(EventTooLong)
-            } else {
-                Ok(Bytes::new())
-            };
-        };
-        let whole = self.partial.copy_to_bytes(end);
-        if let Some(id) = last_id(&whole) {
-            self.last_id = Some(id);
+        match self.tracker.scan(bytes) {
+            Some(end) => Ok(self.partial.copy_to_bytes(held + end)),
+            None if self.partial.len() > EVENT_LIMIT => Err(EventTooLong),
+            None => Ok(Bytes::new()),
         }
-        Ok(whole)
     }
 
     /// Returns the id of the last complete event that has one.
     pub fn last_id(&self) -> Option<&str> {
-        self.last_id.as_deref()
+        self.tracker.last_id()
     }
 
     /// Returns whether the bytes so far end in the middle of an event.
     pub fn has_partial(&self) -> bool {
-        !self.partial.is_empty()
+        self.tracker.is_inside_event()
     }
 
     /// Drops the bytes of an incomplete event.
     pub fn drop_partial(&mut self) {
         self.partial.clear();
+        self.tracker.drop_partial();
     }
 }
-
-/// Returns the end of the last complete event. An event ends with an empty line.
-fn last_event_end(bytes: &[u8]) -> Option<usize> {
-    let after_lf = bytes.windows(2).rposition(|pair| pair == b"\n\n").map(|at| at + 2);
-    let after_crlf = bytes.windows(4).rposition(|four| four == b"\r\n\r\n").map(|at| at + 4);
-    after_lf.max(after_crlf)
-}
-
-fn last_id(events: &[u8]) -> Option<String> {
-    let lines = events.split(|byte| *byte == b'\n');
-    let value = lines.filter_map(|line| line.strip_prefix(ID_FIELD)).next_back()?;
-    std::str::from_utf8(value).ok().map(|text| text.trim().to_owned())
-}
