Break off callers of streams that end inside an event

Callers saw a stream with its target's signature and a proper end, whose last event was cut in two.

Now all streams of events are followed to their end, and one that ends inside an event has been broken off, whatever marks the end: its caller's connection is closed early, or the stream is resumed where that is permitted. Bytes of once-only streams are forwarded as before, as they arrive. The run counts as failed by its target: in metrics, log (reason 'truncated'), budget of repeats, ejection and the judgement of versions, and its target is examined for a crash. It counts as no lost path: the end came through.

--- a/crates/ryetide-gateway/src/event_scanner.rs
+++ b/crates/ryetide-gateway/src/event_scanner.rs
@@ -49,6 +49,11 @@
         }
     }
 
+    /// Follows bytes of the stream that are forwarded as they are.
+    pub fn observe(&mut self, bytes: &[u8]) {
+        self.tracker.scan(bytes);
+    }
+
     /// Returns the id of the last complete event that has one.
     pub fn last_id(&self) -> Option<&str> {
         self.tracker.last_id()
--- a/crates/ryetide-gateway/src/relay.rs
+++ b/crates/ryetide-gateway/src/relay.rs
@@ -2,13 +2,15 @@
 //!
 //! A resumable stream that breaks is resumed at another target after the last complete event that
 //! was forwarded. When any other stream breaks, the connection to the caller is closed too, so that
-//! the stream does not look complete.
+//! the stream does not look complete. A stream that ends inside an event has been broken off,
+//! whatever marks its end: the end of its connection may be the end of its target's process.
 
 use std::time::Duration;
 
 use bytes::Bytes;
 use futures_util::stream;
 use http_body_util::BodyExt;
+use hyper::{HeaderMap, header};
 use ryetide_core::decision::RunEnd;
 
 use crate::{
@@ -23,19 +25,26 @@
 /// several times the longest pause that meets the objective, and well before callers disconnect.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// The content type of a stream of events.
+const EVENT_STREAM: &[u8] = b"text/event-stream";
+
 /// A stream that is being forwarded.
 pub struct StreamRelay {
     exchange: Exchange,
     /// The answer that is being read; `None` once it has ended.
     answer: Option<TargetAnswer>,
     scanner: EventScanner,
+    /// Whether the stream consists of events.
+    has_events: bool,
     pieces: u64,
 }
 
 impl StreamRelay {
     /// Creates a relay that forwards `answer`.
     pub fn new(exchange: Exchange, answer: TargetAnswer) -> Self {
-        Self { exchange, answer: Some(answer), scanner: EventScanner::default(), pieces: 0 }
+        let has_events = exchange.is_repeatable() || may_hold_events(&answer.head.headers);
+        let scanner = EventScanner::default();
+        Self { exchange, answer: Some(answer), scanner, has_events, pieces: 0 }
     }
 
     /// Returns the exchange of a stream that could not start.
@@ -94,7 +103,6 @@
     }
 
     async fn read_piece(&mut self) -> Result<Option<Bytes>, RelayFault> {
-        let resumable = self.exchange.is_repeatable();
         let may_retry = self.exchange.may_retry();
         let silence =
             if self.pieces == 0 { self.exchange.first_event_timeout() } else { SILENCE_TIMEOUT };
@@ -122,22 +130,30 @@
             Ok(Some(Ok(frame))) => {
                 // A frame without data holds trailers, which are not forwarded.
                 let data = frame.into_data().unwrap_or_default();
-                if resumable { self.scan(&data) } else { Ok(Some(data)) }
+                self.scan(data).map(Some)
             }
-            Ok(None) if self.scanner.has_partial() => Err(RelayFault::Broken),
+            Ok(None) if self.scanner.has_partial() => Err(RelayFault::Truncated),
             Ok(None) => Ok(None),
         }
     }
 
-    fn scan(&mut self, data: &[u8]) -> Result<Option<Bytes>, RelayFault> {
-        self.scanner.push(data).map(Some).map_err(|_| RelayFault::Broken)
+    /// Returns the bytes that may be forwarded now. Those of an incomplete event are held back if
+    /// another target may have to send it again.
+    fn scan(&mut self, data: Bytes) -> Result<Bytes, RelayFault> {
+        if self.exchange.is_repeatable() {
+            return self.scanner.push(&data).map_err(|_| RelayFault::Broken);
+        }
+        if self.has_events {
+            self.scanner.observe(&data);
+        }
+        Ok(data)
     }
 
     /// Resumes the stream at another target after the last complete event.
     async fn resume_elsewhere(&mut self, fault: RelayFault) -> Result<(), RelayFault> {
         // Dropping the answer closes its connection, which makes the target cancel the request.
         if let Some(answer) = self.answer.take() {
-            if fault != RelayFault::TimedOut {
+            if fault.may_be_lost_path() {
                 answer.connection.record_path_fault();
             }
             self.exchange.record_target_fault(&answer.target, fault.into());
@@ -164,3 +180,9 @@
         }
     }
 }
+
+fn may_hold_events(headers: &HeaderMap) -> bool {
+    let Some(value) = headers.get(header::CONTENT_TYPE) else { return true };
+    let essence = value.as_bytes().split(|byte| *byte == b';').next().unwrap_or_default();
+    essence.trim_ascii().eq_ignore_ascii_case(EVENT_STREAM)
+}
--- a/crates/ryetide-gateway/src/relay_fault.rs
+++ b/crates/ryetide-gateway/src/relay_fault.rs
@@ -7,6 +7,9 @@
     /// The target's connection or event stream broke.
     #[error("the stream from the target broke")]
     Broken,
+    /// The stream ended inside an event.
+    #[error("the stream from the target ended inside an event")]
+    Truncated,
     /// No event was received within the timeout.
     #[error("the target sent no event in time")]
     Silent,
@@ -14,3 +17,10 @@
     #[error("the deadline of the request has passed")]
     TimedOut,
 }
+
+impl RelayFault {
+    /// Returns whether the fault may mean that this VM has lost its path to the target.
+    pub fn may_be_lost_path(self) -> bool {
+        matches!(self, Self::Broken | Self::Silent)
+    }
+}
--- a/crates/ryetide-gateway/src/run_fault.rs
+++ b/crates/ryetide-gateway/src/run_fault.rs
@@ -10,6 +10,8 @@
     Failed,
     /// The connection broke, or the data on it was not a valid answer.
     Broken,
+    /// The answer ended early, in an orderly way.
+    Truncated,
     /// The target's process was restarted.
     Restarted,
     /// Nothing was received within the timeout.
@@ -42,7 +44,7 @@
 
     /// Returns whether the fault may mean that the target's process has crashed.
     pub fn may_be_crash(self) -> bool {
-        matches!(self, Self::Broken | Self::Restarted)
+        matches!(self, Self::Broken | Self::Truncated | Self::Restarted)
     }
 }
 
@@ -50,6 +52,7 @@
     fn from(fault: RelayFault) -> Self {
         match fault {
             RelayFault::Broken => Self::Broken,
+            RelayFault::Truncated => Self::Truncated,
             RelayFault::Silent => Self::Silent,
             RelayFault::TimedOut => Self::TimedOut,
         }
