Take a stream without framing and without events for broken off

A target that ends after the head of a stream, before its first event, closes the connection; its caller got an empty stream with a proper end. Nothing tells that end from a whole stream's but that a stream is a series of events.

A stream that ends with its connection before any event has been broken off now: the caller of a once-only stream gets 502, a resumable one is sent to another target. Not so where the caller names the last event that it has received: nothing may follow that one.

--- a/crates/ryetide-gateway/src/event_scanner.rs
+++ b/crates/ryetide-gateway/src/event_scanner.rs
@@ -59,6 +59,11 @@
         self.tracker.last_id()
     }
 
+    /// Returns the number of complete events.
+    pub fn events(&self) -> u64 {
+        self.tracker.events()
+    }
+
     /// Returns whether the bytes so far end in the middle of an event.
     pub fn has_partial(&self) -> bool {
         self.tracker.is_inside_event()
--- a/crates/ryetide-gateway/src/exchange.rs
+++ b/crates/ryetide-gateway/src/exchange.rs
@@ -246,6 +246,16 @@
         self.matched.route.kind.is_repeatable()
     }
 
+    /// Returns whether the end of its connection marks the end of the answer that is being read.
+    pub fn ends_with_connection(&self) -> bool {
+        self.framing == Some(AnswerFraming::Connection)
+    }
+
+    /// Returns whether the caller has received a part of the stream in an earlier attempt.
+    pub fn continues_stream(&self) -> bool {
+        self.template.has_header(&self.gateway.names().last_event)
+    }
+
     /// Returns whether the route permits another attempt.
     pub fn may_retry(&self) -> bool {
         self.is_repeatable() && self.attempts < self.matched.route.attempts
--- a/crates/ryetide-gateway/src/relay.rs
+++ b/crates/ryetide-gateway/src/relay.rs
@@ -132,11 +132,20 @@
                 let data = frame.into_data().unwrap_or_default();
                 self.scan(data).map(Some)
             }
-            Ok(None) if self.scanner.has_partial() => Err(RelayFault::Truncated),
+            Ok(None) if self.is_truncated() => Err(RelayFault::Truncated),
             Ok(None) => Ok(None),
         }
     }
 
+    /// Returns whether a stream that ends now has been broken off. A target that ends before the first
+    /// event closes its connection, which is all that marks the end of a stream without framing.
+    fn is_truncated(&self) -> bool {
+        let is_empty = self.has_events && self.scanner.events() == 0;
+        let lacks_events =
+            is_empty && self.exchange.ends_with_connection() && !self.exchange.continues_stream();
+        lacks_events || self.scanner.has_partial()
+    }
+
     /// Returns the bytes that may be forwarded now. Those of an incomplete event are held back if
     /// another target may have to send it again.
     fn scan(&mut self, data: Bytes) -> Result<Bytes, RelayFault> {
--- a/crates/ryetide-gateway/src/request_template.rs
+++ b/crates/ryetide-gateway/src/request_template.rs
@@ -94,6 +94,11 @@
         Ok(Self { method: head.method.clone(), path: path.parse()?, headers, body })
     }
 
+    /// Returns whether the caller has sent this header.
+    pub fn has_header(&self, name: &HeaderName) -> bool {
+        self.headers.contains_key(name)
+    }
+
     /// Builds the request for one dispatch.
     ///
     /// # Errors
