Reset callers without chunks whose stream is broken off

A caller in HTTP/1.0 takes no chunks, so the end of its connection is the end of its answer; it saw each stream that was broken off as a whole one. Its connection is reset now when the stream's body fails. Callers in HTTP/1.1 lack the last chunk as before: a reset could cost them events that are still on their way.

a_stream_that_breaks_off_is_reset_towards_a_caller_that_takes_no_chunks failed before (the connection ended in order) and passes; a whole stream still ends in order.

--- a/crates/ryetide-gateway/src/caller_listener.rs
+++ b/crates/ryetide-gateway/src/caller_listener.rs
@@ -1,11 +1,11 @@
 //! Accepts connections of callers and reads their requests.
 
-use std::{convert::Infallible, pin::pin, rc::Rc, time::Duration};
+use std::{cell::Cell, convert::Infallible, pin::pin, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::{
-    Request,
+    Request, Version,
     body::Incoming,
     header::{self, HeaderValue},
     server::conn::http1,
@@ -20,6 +20,7 @@
 use crate::{
     caller_answer::{CallerResponse, OwnAnswer, OwnReason},
     caller_service,
+    caller_stream::{CallerStream, ResetSwitch},
     exchange::CallerRequest,
     gateway_state::Gateway,
     target_pool,
@@ -57,12 +58,18 @@
         return;
     }
     let limits = gateway.fleet().request_limits();
+    let takes_chunks = Rc::new(Cell::new(true));
     let handler = {
-        let gateway = Rc::clone(&gateway);
-        service::service_fn(move |request| answer(Rc::clone(&gateway), request))
+        let (gateway, takes_chunks) = (Rc::clone(&gateway), Rc::clone(&takes_chunks));
+        service::service_fn(move |request: Request<Incoming>| {
+            takes_chunks.set(request.version() != Version::HTTP_10);
+            answer(Rc::clone(&gateway), request)
+        })
     };
     let idle = limits.idle_timeout.mul_f64(IDLE_FACTOR) + limits.header_timeout;
     let buffer = usize::try_from(limits.header.0).unwrap_or(usize::MAX).max(MIN_HEAD_BUFFER);
+    let switch = ResetSwitch::default();
+    let stream = CallerStream::new(stream, switch.clone());
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(idle)
@@ -77,6 +84,11 @@
     };
     if let Err(error) = served {
         tracing::debug!(event = "caller-connection-ended", reason = %error);
+        // Without chunks the end of the connection is the end of the answer. Only a reset tells the
+        // caller that an answer has been broken off.
+        if error.is_user() && !takes_chunks.get() {
+            switch.turn_on();
+        }
     }
 }
 
--- a/crates/ryetide-gateway/src/lib.rs
+++ b/crates/ryetide-gateway/src/lib.rs
@@ -17,7 +17,7 @@
 //! |---|---|
 //! | [`ports`] | the interface to a platform |
 //! | [`gateway`], [`gateway_state`], [`fleet_tasks`] | start and shutdown of a gateway, the state that its tasks share, background tasks |
-//! | [`caller_listener`], [`caller_service`], [`exchange`], [`quota_wait`], [`caller_answer`] | the connections and requests of callers |
+//! | [`caller_listener`], [`caller_stream`], [`caller_service`], [`exchange`], [`quota_wait`], [`caller_answer`] | the connections and requests of callers |
 //! | [`request_template`], [`target_pool`], [`target_answer`], [`relay`], [`relay_fault`], [`run_fault`], [`event_scanner`], [`target_notices`] | requests to targets and their answers |
 //! | [`fault_detector`], [`quarantine_check`], [`quarantine_monitor`] | requests that crash targets |
 //! | `rollout_monitor`, `rollout_rows` | rollout orders, and their status rows for operators |
@@ -31,6 +31,7 @@
 pub mod caller_answer;
 pub mod caller_listener;
 pub mod caller_service;
+pub mod caller_stream;
 pub mod decision_log;
 pub mod digest_relay;
 mod ejection_report;
--- a/crates/ryetide-gateway/tests/serving/support.rs
+++ b/crates/ryetide-gateway/tests/serving/support.rs
@@ -111,6 +111,12 @@
         while matches!(self.stream.read(&mut piece).await, Ok(length) if length > 0) {}
     }
 
+    /// Reads to the end of the connection; returns whether it was closed rather than reset.
+    pub async fn ends_in_order(&mut self) -> bool {
+        let mut rest = Vec::new();
+        self.stream.read_to_end(&mut rest).await.is_ok()
+    }
+
     /// Closes the connection with a reset.
     pub fn reset(self) {
         let socket = socket2::SockRef::from(&self.stream);
--- a/crates/ryetide-gateway/tests/serving/unframed.rs
+++ b/crates/ryetide-gateway/tests/serving/unframed.rs
@@ -208,3 +208,21 @@
         assert!(!metrics.contains(&outcome("answered")), "{metrics}");
     });
 }
+
+/// Guards against a stream that looks complete to a caller in HTTP/1.0, which takes no chunks: the end of
+/// its connection is the end of the answer.
+#[test]
+fn a_stream_that_breaks_off_is_reset_towards_a_caller_that_takes_no_chunks() {
+    support::run(async {
+        let target = Target::start("t1", echoing).await;
+        let gateway = Gateway::serving(support::route(ONCE, 1), &[&target]).await;
+        for (body, is_whole) in [(BROKEN_BODIES[0], false), ("id: 1\ndata: a\n\n", true)] {
+            let mut wire = gateway.call().await;
+            let request = support::request("POST", "q1", "", body).replace("HTTP/1.1", "HTTP/1.0");
+            wire.send(&request).await;
+            wire.read_to("\r\n\r\n").await.expect("a head");
+            wire.read_to("data: a\n\n").await.expect("the first event");
+            assert_eq!(wire.ends_in_order().await, is_whole, "{body:?}");
+        }
+    });
+}
