Read answers without a length in ryetided to the end of their connection

Callers of ryetided got an answer with neither a length nor chunks as an empty one, framed as complete: 0 of 5 bytes in an_answer_that_ends_with_its_connection_is_whole.

Cause, shown by the library's decoder: ntex's client takes a response in HTTP/1.1 without a length for one without a body. The gateway's client is hyper, which reads such a body to the end of the connection and takes a reset for an error. ryetided, the CLI and the lab use hyper now as well (fresh_client): one connection, one request, as before. What handed open sockets to ntex's connector is gone with it.

--- a/crates/ryetide-cli/src/operator_client.rs
+++ b/crates/ryetide-cli/src/operator_client.rs
@@ -9,7 +9,7 @@
 };
 use ryetide::{
     error::StepError,
-    fresh_client::FreshClient,
+    fresh_client::FreshConnection,
     operator_port::{ApplyReply, TEXT_LIMIT},
     request_report::RequestReport,
 };
@@ -79,16 +79,15 @@
         let (address, path) = (self.address, path.to_owned());
         let exchange = async move {
             let fault = |step, cause: String| StepError::new(step, cause).with_peer(address);
-            let client = FreshClient::new("operator").await?;
-            let connection = client.connect(address, CONNECT_TIMEOUT).await;
+            let connection = FreshConnection::open(address, CONNECT_TIMEOUT).await;
             let connection = connection.ok_or_else(|| {
                 fault("connect", "no daemon accepts connections at this address".to_owned())
             })?;
-            let request = client.request(connection, method, &path);
+            let request = connection.request(method, &path);
             let sent = request.send_body(body.unwrap_or_default()).await;
             let response = sent.map_err(|error| fault("ask", error.to_string()))?;
             let status = response.status();
-            let read = response.body().limit(ANSWER_SIZE_LIMIT).await;
+            let read = response.read_body(ANSWER_SIZE_LIMIT).await;
             let bytes = read.map_err(|error| fault("read answer", error.to_string()))?;
             serde_json::from_slice(&bytes)
                 .map_err(|error| fault("read answer", format!("status {status}: {error}")))
--- a/crates/ryetide-lab/src/caller.rs
+++ b/crates/ryetide-lab/src/caller.rs
@@ -2,22 +2,16 @@
 
 use std::{
     net::SocketAddr,
-    rc::Rc,
     time::{Duration, Instant},
 };
 
-use ntex::{
-    client::ClientResponse,
-    http::Method,
-    util::{Bytes, stream_recv},
-};
+use ntex::http::Method;
 use ryetide::{
     caller_answer::{ANSWERED, NOT_RUN, OUTCOME_HEADER, RETRY_HEADER, UNKNOWN},
     caller_request::{
         DEADLINE_HEADER, KEY_HEADER, NON_IDEMPOTENT_HEADER, ORGANISATION_HEADER, TIER_HEADER,
     },
-    error::StepError,
-    fresh_client::FreshClient,
+    fresh_client::{FreshAnswer, FreshConnection},
 };
 use ryetide_core::json_form;
 
@@ -78,22 +72,10 @@
 ///
 /// Each call opens a new connection. With the library's pool, about one call in 15,000 stalled for up
 /// to 30 s, even when sent to an engine directly, and the stall was attributed to the daemon.
-#[derive(Clone)]
-pub struct TestCaller {
-    client: Rc<FreshClient>,
-}
+#[derive(Clone, Copy, Debug, Default)]
+pub struct TestCaller;
 
 impl TestCaller {
-    /// Creates a caller.
-    ///
-    /// # Errors
-    ///
-    /// Returns a [`StepError`] when the HTTP client cannot be built.
-    pub async fn new() -> Result<Self, StepError> {
-        let client = Rc::new(FreshClient::new("caller").await?);
-        Ok(Self { client })
-    }
-
     /// Sends a prompt.
     pub async fn prompt(
         &self,
@@ -115,12 +97,11 @@
         body: Vec<u8>,
     ) -> CallResult {
         let started = Instant::now();
-        let Some(connection) = self.client.connect(address, CONNECT_TIMEOUT).await else {
+        let Some(connection) = FreshConnection::open(address, CONNECT_TIMEOUT).await else {
             return disconnected(started);
         };
-        let mut request = self
-            .client
-            .request(connection, method, path)
+        let mut request = connection
+            .request(method, path)
             .header(ORGANISATION_HEADER, terms.organisation.as_str())
             .header(TIER_HEADER, terms.tier.as_str())
             .header(DEADLINE_HEADER, terms.deadline.as_millis().to_string())
@@ -152,7 +133,7 @@
     }
 }
 
-async fn read(mut response: ClientResponse, started: Instant) -> CallResult {
+async fn read(mut response: FreshAnswer, started: Instant) -> CallResult {
     let header = |name: &str| {
         let value = response.header(name)?;
         value.to_str().ok().map(str::to_owned)
@@ -163,10 +144,10 @@
     let mut body = Vec::new();
     let mut first_byte = None;
     let mut whole = true;
-    while let Some(piece) = stream_recv(&mut response).await {
-        let piece: Result<Bytes, _> = piece;
-        match piece {
-            Ok(piece) => {
+    loop {
+        match response.next_piece().await {
+            Ok(None) => break,
+            Ok(Some(piece)) => {
                 first_byte = first_byte.or_else(|| Some(started.elapsed()));
                 body.extend_from_slice(&piece);
             }
--- a/crates/ryetide-lab/src/control.rs
+++ b/crates/ryetide-lab/src/control.rs
@@ -6,7 +6,7 @@
     http::Method,
     rt::{DefaultRuntime, System},
 };
-use ryetide::{error::StepError, fresh_client::FreshClient};
+use ryetide::{error::StepError, fresh_client::FreshConnection};
 use ryetide_core::json_form;
 use serde::{Serialize, de::DeserializeOwned};
 
@@ -34,13 +34,12 @@
     let path = path.to_owned();
     let exchange = async move {
         let fault = |cause: String| StepError::new("call", cause).with_peer(address);
-        let client = FreshClient::new("control").await?;
-        let connection = client.connect(address, CALL_TIMEOUT).await;
+        let connection = FreshConnection::open(address, CALL_TIMEOUT).await;
         let connection = connection.ok_or_else(|| fault("no connection".to_owned()))?;
-        let sent = client.request(connection, method, &path).send_body(body).await;
+        let sent = connection.request(method, &path).send_body(body).await;
         let response = sent.map_err(|error| fault(error.to_string()))?;
         let status = response.status();
-        let read = response.body().limit(ANSWER_SIZE_LIMIT).await;
+        let read = response.read_body(ANSWER_SIZE_LIMIT).await;
         let body = read.map_err(|error| fault(error.to_string()))?;
         if status.is_success() { Ok(body.to_vec()) } else { Err(fault(format!("status {status}"))) }
     };
--- a/crates/ryetide-lab/src/demo.rs
+++ b/crates/ryetide-lab/src/demo.rs
@@ -216,7 +216,7 @@
     arrivals: Vec<WorkArrival>,
     caller_addresses: Vec<SocketAddr>,
 ) -> Result<CallResults, StepError> {
-    let caller = TestCaller::new().await?;
+    let caller = TestCaller;
     let results = Rc::new(std::cell::RefCell::new(CallResults::default()));
     let start = tokio::time::Instant::now();
     let mut calls = Vec::new();
--- a/crates/ryetide-lab/src/overhead.rs
+++ b/crates/ryetide-lab/src/overhead.rs
@@ -151,7 +151,7 @@
     interval: Duration,
 ) -> Result<(Histogram<u64>, Histogram<u64>, u64), StepError> {
     let histogram = || Histogram::<u64>::new(3).expect("three digits are permitted");
-    let caller = Rc::new(TestCaller::new().await?);
+    let caller = Rc::new(TestCaller);
     let start = tokio::time::Instant::now();
     let mut calls = Vec::new();
     for number in 0..count {
--- a/crates/ryetide-lab/src/site.rs
+++ b/crates/ryetide-lab/src/site.rs
@@ -13,7 +13,7 @@
     daemon::{self, DaemonSockets, ShutdownHandle},
     deployment_keys,
     error::StepError,
-    fresh_client::FreshClient,
+    fresh_client::FreshConnection,
     settings::DaemonSettings,
 };
 use ryetide_core::entry::EntryStatus;
@@ -28,6 +28,8 @@
 
 /// The time within which all daemons must be ready.
 const READY_TIMEOUT: Duration = Duration::from_secs(20);
+/// The maximum size of a status report, in bytes.
+const STATUS_SIZE_LIMIT: usize = 1 << 20;
 /// The interval at which the daemons are polled.
 const READY_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -208,11 +210,10 @@
 pub fn wait_until_ready(operators: &[SocketAddr], peer_count: usize) -> Result<(), StepError> {
     let operators = operators.to_vec();
     System::new("ready", DefaultRuntime).block_on(async move {
-        let client = FreshClient::new("ready").await?;
         let started = Instant::now();
         for address in operators {
             loop {
-                let status = read_status(&client, address).await;
+                let status = read_status(address).await;
                 let ready = |status: &EntryStatus| {
                     status.revision.0 > 0 && status.peers.len() >= peer_count
                 };
@@ -231,9 +232,9 @@
 }
 
 /// Reads a daemon's status. Returns `None` when it does not answer.
-pub async fn read_status(client: &FreshClient, address: SocketAddr) -> Option<EntryStatus> {
-    let connection = client.connect(address, Duration::from_secs(1)).await?;
-    let request = client.request(connection, ntex::http::Method::GET, "/v1/status");
+pub async fn read_status(address: SocketAddr) -> Option<EntryStatus> {
+    let connection = FreshConnection::open(address, Duration::from_secs(1)).await?;
+    let request = connection.request(ntex::http::Method::GET, "/v1/status");
     let response = request.send().await.ok()?;
-    serde_json::from_slice(&response.body().await.ok()?).ok()
+    serde_json::from_slice(&response.read_body(STATUS_SIZE_LIMIT).await.ok()?).ok()
 }
--- a/crates/ryetide-lab/tests/engine_batch.rs
+++ b/crates/ryetide-lab/tests/engine_batch.rs
@@ -89,10 +89,13 @@
     let order = |number: u64| {
         let (address, body) = (engine.address(), format!("load model {number}"));
         control::block_on(async move {
-            let client = ryetide::fresh_client::FreshClient::new("order").await.unwrap();
-            let connection =
-                client.connect(address, std::time::Duration::from_secs(5)).await.unwrap();
-            let request = client.request(connection, ntex::http::Method::POST, "/v1/orders");
+            let connection = ryetide::fresh_client::FreshConnection::open(
+                address,
+                std::time::Duration::from_secs(5),
+            )
+            .await
+            .unwrap();
+            let request = connection.request(ntex::http::Method::POST, "/v1/orders");
             let request = request.header("x-fencing-number", number.to_string());
             request.send_body(body).await.unwrap().status().as_u16()
         })
--- a/crates/ryetided/tests/processes/crashes.rs
+++ b/crates/ryetided/tests/processes/crashes.rs
@@ -96,7 +96,7 @@
 fn call(entry: SocketAddr, body: &str) -> CallResult {
     let body = body.as_bytes().to_vec();
     control::block_on(async move {
-        let caller = TestCaller::new().await.unwrap();
+        let caller = TestCaller;
         let terms = crate::support::terms();
         caller.call(entry, Method::POST, "/services/records/orders", &terms, body).await
     })
--- a/crates/ryetided/tests/processes/failures.rs
+++ b/crates/ryetided/tests/processes/failures.rs
@@ -28,7 +28,7 @@
 
 fn prompt_through(entry: SocketAddr, prompt: EnginePrompt) -> CallResult {
     control::block_on(async move {
-        let caller = TestCaller::new().await.unwrap();
+        let caller = TestCaller;
         caller.prompt(entry, &crate::support::terms(), &prompt).await
     })
 }
@@ -42,7 +42,7 @@
     };
     let body = body.as_bytes().to_vec();
     control::block_on(async move {
-        let caller = TestCaller::new().await.unwrap();
+        let caller = TestCaller;
         caller.call(entry, Method::POST, "/services/records/orders", &terms, body).await
     })
 }
@@ -272,7 +272,7 @@
     let entry = entry(&site, 0);
     let prompt = crate::support::prompt("nobody waits for this", 600);
     control::block_on(async move {
-        let caller = TestCaller::new().await.unwrap();
+        let caller = TestCaller;
         let terms = crate::support::terms();
         let call = caller.prompt(entry, &terms, &prompt);
         let _ = tokio::time::timeout(Duration::from_millis(700), call).await;
--- a/crates/ryetided/tests/processes/notices.rs
+++ b/crates/ryetided/tests/processes/notices.rs
@@ -24,7 +24,7 @@
 fn call(entry: SocketAddr) -> CallResult {
     let terms = CallTerms { deadline: Duration::from_secs(1), ..crate::support::terms() };
     control::block_on(async move {
-        let caller = TestCaller::new().await.unwrap();
+        let caller = TestCaller;
         caller.call(entry, Method::POST, "/services/records/tags", &terms, b"a tag".to_vec()).await
     })
 }
--- a/crates/ryetided/tests/processes/serving.rs
+++ b/crates/ryetided/tests/processes/serving.rs
@@ -15,7 +15,7 @@
 /// Sends `prompts` concurrently, distributed over `caller_addresses`, and returns the results.
 fn call_all(caller_addresses: Vec<SocketAddr>, prompts: Vec<EnginePrompt>) -> Vec<CallResult> {
     control::block_on(async move {
-        let caller = Rc::new(TestCaller::new().await.unwrap());
+        let caller = Rc::new(TestCaller);
         let calls: Vec<_> = prompts
             .into_iter()
             .enumerate()
@@ -112,7 +112,7 @@
     let site = crate::support::start(crate::support::fast());
     let entry = caller_addresses(&site)[0];
     let result = control::block_on(async move {
-        let caller = TestCaller::new().await.unwrap();
+        let caller = TestCaller;
         let body = b"not json \xff".to_vec();
         caller
             .call(
--- a/src/platform_client.rs
+++ b/src/platform_client.rs
@@ -2,7 +2,8 @@
 
 use std::{net, rc::Rc, time::Duration};
 
-use ntex::{http::Method, util::Bytes};
+use bytes::Bytes;
+use hyper::Method;
 use ryetide_core::{
     event::{Event, ListedVm, TableAnswer, TableCommand},
     ids::TableToken,
@@ -12,7 +13,7 @@
 
 use crate::{
     error::StepError,
-    fresh_client::FreshClient,
+    fresh_client::FreshConnection,
     ring::{RingReceiver, RingSender},
     settings::PlatformSettings,
     util,
@@ -22,6 +23,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// The timeout for an answer. A later answer is considered lost.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// The maximum size of an answer, in bytes.
+const ANSWER_SIZE_LIMIT: usize = 4 << 20;
 /// The interval at which the list is read.
 const LIST_INTERVAL: Duration = Duration::from_secs(1);
 /// The maximum number of concurrent commands. It bounds the connections opened during an outage.
@@ -37,7 +40,6 @@
 }
 
 struct PlatformClient {
-    client: FreshClient,
     settings: PlatformSettings,
     events: RingSender<Event>,
     permits: Semaphore,
@@ -53,9 +55,8 @@
     mut commands: RingReceiver<PlatformCommand>,
     events: RingSender<Event>,
 ) -> Result<(), StepError> {
-    let client = FreshClient::new("platform").await?;
     let permits = Semaphore::new(COMMANDS_AT_ONCE);
-    let platform = Rc::new(PlatformClient { client, settings, events, permits });
+    let platform = Rc::new(PlatformClient { settings, events, permits });
     let (alive, ended) = tokio::sync::oneshot::channel::<()>();
     let reader = Rc::clone(&platform);
     ntex::rt::spawn(async move {
@@ -123,21 +124,19 @@
         path: &str,
         body: Option<Vec<u8>>,
     ) -> ExchangeOutcome {
-        let Some(connection) = self.client.connect(address, CONNECT_TIMEOUT).await else {
+        let Some(connection) = FreshConnection::open(address, CONNECT_TIMEOUT).await else {
             return ExchangeOutcome::NotSent;
         };
         let exchange = async {
             let response = match body {
-                Some(body) => {
-                    self.client.request(connection, Method::POST, path).send_body(body).await
-                }
-                None => self.client.request(connection, Method::GET, path).send().await,
+                Some(body) => connection.request(Method::POST, path).send_body(body).await,
+                None => connection.request(Method::GET, path).send().await,
             };
             let response = response.map_err(|error| error.to_string())?;
             if !response.status().is_success() {
                 return Err(format!("status {}", response.status()));
             }
-            response.body().await.map_err(|error| error.to_string())
+            response.read_body(ANSWER_SIZE_LIMIT).await.map_err(|error| error.to_string())
         };
         let answered = util::within(ANSWER_TIMEOUT, exchange).await;
         match answered.unwrap_or_else(|| Err("silent".to_owned())) {
--- a/src/target_client.rs
+++ b/src/target_client.rs
@@ -8,11 +8,7 @@
 
 use std::{cell::RefCell, collections::HashMap, io, rc::Rc, time::Duration};
 
-use ntex::{
-    client::{ClientResponse, error::ClientError},
-    http::{Method, StatusCode, header},
-    util::{Bytes, stream_recv},
-};
+use hyper::{Method, StatusCode, header};
 use ryetide_core::{
     event::{AnswerHead, Event, LoadReport, TargetOperation, TargetRoute},
     ids::{AttemptNumber, RequestId, RequestSequence, TargetKey},
@@ -25,7 +21,7 @@
 
 use crate::{
     error::StepError,
-    fresh_client::{FreshClient, FreshConnection},
+    fresh_client::{ClientFault, FreshAnswer, FreshConnection},
     ring::{RingReceiver, RingSender},
     tunnel::{TunnelEnd, TunnelOutcome, TunnelRequest, TunnelTarget},
     util,
@@ -41,6 +37,8 @@
 const CLOCK_START: Duration = Duration::from_micros(1);
 /// The timeout for a load query.
 const LOAD_TIMEOUT: Duration = Duration::from_millis(800);
+/// The maximum size of a load report, in bytes.
+const LOAD_SIZE_LIMIT: usize = 64 << 10;
 /// The timeout for a cancel request.
 const CANCEL_TIMEOUT: Duration = Duration::from_secs(2);
 /// The answer header with which a target announces that it is leaving.
@@ -95,7 +93,6 @@
 }
 
 struct TargetPool {
-    client: FreshClient,
     events: RingSender<Event>,
     tunnels: RingSender<TunnelRequest>,
     paths: RefCell<PathTable>,
@@ -115,9 +112,7 @@
     tunnels: RingSender<TunnelRequest>,
     events: RingSender<Event>,
 ) -> Result<(), StepError> {
-    let client = FreshClient::new("targets").await?;
     let pool = Rc::new(TargetPool {
-        client,
         events,
         tunnels,
         paths: RefCell::default(),
@@ -201,13 +196,12 @@
                 // The method comes from a request that the same library has parsed.
                 let method = asked.parse().expect("the method was parsed before");
                 let path = if route.engine { engine_path(&id) } else { call.path.clone() };
-                let request = self
-                    .client
-                    .request(connection, method, &path)
+                let request = connection
+                    .request(method, &path)
                     .header(REQUEST_ID_HEADER, id.to_string())
                     .header(header::CONTENT_TYPE, call.content_type.as_str());
                 let sent_at = Instant::now();
-                let sent = request.send_body(call.body.to_vec()).await;
+                let sent = request.send_body(call.body).await;
                 let reading = AnswerReading { key, route, start: 0, limit, tunnel_end };
                 let end = self.read(reading, sent).await;
                 if end.is_none() {
@@ -218,7 +212,7 @@
             }
             TargetOperation::Resume { id, offset } => {
                 let path = format!("{}?offset={offset}", engine_path(&id));
-                let sent = self.client.request(connection, Method::GET, &path).send().await;
+                let sent = connection.request(Method::GET, &path).send().await;
                 if matches!(&sent, Ok(response) if response.status() == StatusCode::NOT_FOUND) {
                     Some(Event::ResumeUnknown { sequence, attempt })
                 } else {
@@ -238,7 +232,7 @@
         {
             return Some(connection);
         }
-        if let Some(connection) = self.client.connect(route.address, CONNECT_TIMEOUT).await {
+        if let Some(connection) = FreshConnection::open(route.address, CONNECT_TIMEOUT).await {
             self.record_reached(route);
             return Some(connection);
         }
@@ -304,7 +298,7 @@
     }
 
     async fn probe(self: Rc<Self>, route: TargetRoute) {
-        if self.client.connect(route.address, CONNECT_TIMEOUT).await.is_some() {
+        if FreshConnection::open(route.address, CONNECT_TIMEOUT).await.is_some() {
             self.record_reached(&route);
         }
     }
@@ -313,7 +307,7 @@
     async fn read(
         &self,
         reading: AnswerReading<'_>,
-        sent: Result<ClientResponse, ClientError>,
+        sent: Result<FreshAnswer, ClientFault>,
     ) -> Option<Event> {
         let AnswerReading { key: (sequence, attempt), route, start, limit, tunnel_end } = reading;
         let mut response = match sent {
@@ -342,22 +336,22 @@
         let head = AnswerHead { status: response.status().as_u16(), content_type };
         self.send_event(Event::TargetHead { sequence, attempt, head }).await;
         let mut offset = start;
-        while let Some(piece) = stream_recv(&mut response).await {
-            let piece = match piece {
-                Ok(piece) => piece,
+        loop {
+            let bytes = match response.next_piece().await {
+                Ok(Some(bytes)) => bytes,
+                Ok(None) => break,
                 Err(error) => {
                     let peer = &route.name;
                     tracing::info!(event = "stream-broken", step = "read", %peer, reason = %error);
                     return None;
                 }
             };
-            let length = piece.len() as u64;
+            let length = bytes.len() as u64;
             if offset + length > limit.0 {
                 let peer = &route.name;
                 tracing::warn!(event = "answer-too-large", step = "read", %peer, limit = limit.0);
                 return None;
             }
-            let bytes = bytes::Bytes::copy_from_slice(&piece);
             self.send_event(Event::TargetPiece { sequence, attempt, offset, bytes }).await;
             offset += length;
         }
@@ -402,7 +396,7 @@
 
     async fn cancel(self: Rc<Self>, id: RequestId, route: TargetRoute) {
         let Some(connection) = self.connect(&route).await else { return };
-        let request = self.client.request(connection, Method::DELETE, &engine_path(&id));
+        let request = connection.request(Method::DELETE, &engine_path(&id));
         let sent = util::within(CANCEL_TIMEOUT, request.send()).await;
         if !matches!(sent, Some(Ok(_))) {
             tracing::info!(event = "cancel-failed", step = "cancel", peer = %route.name);
@@ -430,9 +424,10 @@
     async fn query_load(self: Rc<Self>, route: TargetRoute) {
         let query = async {
             let connection = self.connect(&route).await.ok_or("no connection")?;
-            let request = self.client.request(connection, Method::GET, "/v1/load");
+            let request = connection.request(Method::GET, "/v1/load");
             let response = request.send().await.map_err(|error| error.to_string())?;
-            let body: Bytes = response.body().await.map_err(|error| error.to_string())?;
+            let body =
+                response.read_body(LOAD_SIZE_LIMIT).await.map_err(|error| error.to_string())?;
             serde_json::from_slice::<LoadReport>(&body).map_err(|error| error.to_string())
         };
         let answered = util::within(LOAD_TIMEOUT, query).await;
@@ -447,14 +442,14 @@
 }
 
 /// Returns the notice about the target itself in the head of its answer.
-fn notice_of(response: &ClientResponse) -> TargetNotice {
+fn notice_of(response: &FreshAnswer) -> TargetNotice {
     let leaving = response.header(LEAVING_HEADER).is_some();
     let is_refusal = response.status() == StatusCode::SERVICE_UNAVAILABLE;
     let retry_after = response.header(header::RETRY_AFTER).filter(|_| is_refusal);
     // A value that is not a number of seconds is ignored.
     let seconds = retry_after.and_then(|value| value.to_str().ok()?.trim().parse().ok());
     let hold_off = seconds.and_then(|seconds| Duration::try_from_secs_f64(seconds).ok());
-    let limits = response.headers().get_all(LIMIT_HEADER);
+    let limits = response.headers().get_all(LIMIT_HEADER).iter();
     let limit = LimitNotice::read(limits.map(|value| value.to_str().ok()));
     TargetNotice { leaving, hold_off, limit, brittle: false }
 }
