Resume engines' streams that end inside an event

The core follows the events of an answer; one that ends inside an event has been broken off: an engine is asked for the rest under the request's id, and a plain service's caller gets 'unknown'. What is told by a content type with parameters counts as well; only the bare one did.

a_stream_that_ends_inside_an_event_is_resumed fails without the check (the broken stream is 'Answered') and passes.

--- a/crates/ryetide-core/src/entry_admission.rs
+++ b/crates/ryetide-core/src/entry_admission.rs
@@ -68,6 +68,7 @@
                     pieces: 0,
                     head_sent: false,
                     received: 0,
+                    events: None,
                     idle_resumes: 0,
                     wake: None,
                 };
--- a/crates/ryetide-core/src/entry_dispatch.rs
+++ b/crates/ryetide-core/src/entry_dispatch.rs
@@ -14,6 +14,7 @@
     effect::{Effect, EffectBuffer},
     entry::EntryCore,
     event::{AnswerHead, FinalAnswer, TargetOperation, UnknownReason},
+    event_tracker::EventTracker,
     ids::{AttemptNumber, RequestId, RequestSequence},
     message::{RefuseReason, ReleaseOutcome},
     request::RequestRecord,
@@ -196,6 +197,7 @@
         if std::mem::replace(&mut record.head_sent, true) {
             return;
         }
+        record.events = head.is_event_stream().then(EventTracker::default);
         let (gone, claim_key) = (record.caller_gone, record.claim_key.clone());
         let bound = first_piece_timeout(record);
         self.note_head(now, sequence, effects);
@@ -251,6 +253,9 @@
             return;
         }
         record.received += fresh.len() as u64;
+        if let Some(events) = &mut record.events {
+            events.scan(&fresh);
+        }
         record.first_piece = record.first_piece.or(Some(now));
         record.last_piece = Some(now);
         record.pieces += 1;
@@ -266,8 +271,8 @@
         }
     }
 
-    /// Handles the end of an answer. The answer is complete only if every byte was forwarded;
-    /// otherwise the stream counts as broken.
+    /// Handles the end of an answer. The answer is complete only if every byte was forwarded and a
+    /// stream of events does not end inside one; otherwise the stream counts as broken.
     pub(crate) fn handle_answer_end(
         &mut self,
         now: Moment,
@@ -280,7 +285,7 @@
         let Some(record) = self.current_attempt(sequence, attempt) else {
             return;
         };
-        if checks && length != record.received {
+        if checks && length != record.received || record.is_inside_event() {
             self.handle_stream_broken(now, sequence, attempt, effects);
             return;
         }
--- a/crates/ryetide-core/src/event.rs
+++ b/crates/ryetide-core/src/event.rs
@@ -8,6 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
+    event_tracker,
     ids::{
         AttemptNumber, DataCentreName, Incarnation, OperationId, RequestId, RequestSequence,
         TableToken, TargetKey, TargetName, VmName,
@@ -106,6 +107,13 @@
     pub content_type: String,
 }
 
+impl AnswerHead {
+    /// Returns whether the answer is a stream of events.
+    pub fn is_event_stream(&self) -> bool {
+        event_tracker::is_event_stream(self.content_type.as_bytes())
+    }
+}
+
 /// A model engine's load report, which describes a time before its arrival.
 #[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
 pub struct LoadReport {
--- a/crates/ryetide-core/src/event_tracker.rs
+++ b/crates/ryetide-core/src/event_tracker.rs
@@ -3,6 +3,8 @@
 //! A line ends with a line feed, a carriage return, or both; an event ends with an empty line. A
 //! comment or a `retry` line outside an event stands for itself: a stream may end after it.
 
+/// The content type of a stream of events.
+const EVENT_STREAM: &[u8] = b"text/event-stream";
 /// The byte order mark that may begin a stream.
 const BYTE_ORDER_MARK: &[u8] = "\u{feff}".as_bytes();
 /// The name of the field with an event's id.
@@ -12,6 +14,12 @@
 /// The most bytes of a line that are kept. No header can carry a longer id.
 const LINE_LIMIT: usize = 8_192;
 
+/// Returns whether a `Content-Type` is that of a stream of events.
+pub fn is_event_stream(content_type: &[u8]) -> bool {
+    let essence = content_type.split(|byte| *byte == b';').next().unwrap_or_default();
+    essence.trim_ascii().eq_ignore_ascii_case(EVENT_STREAM)
+}
+
 /// Follows a stream of server-sent events.
 ///
 /// # Example
--- a/crates/ryetide-core/src/request.rs
+++ b/crates/ryetide-core/src/request.rs
@@ -8,6 +8,7 @@
 use crate::{
     chart::{self, RequestEvent, RequestState},
     event::{TargetCall, TargetRoute},
+    event_tracker::EventTracker,
     ids::{AttemptNumber, RequestSequence, ScopeKey, TargetKey, VmName},
     message::{RefuseReason, RequestProfile},
     request_fingerprint::RequestFingerprint,
@@ -88,6 +89,8 @@
     pub head_sent: bool,
     /// The number of bytes of the answer that were passed on.
     pub received: u64,
+    /// The events among these bytes, if the answer is a stream of events.
+    pub events: Option<EventTracker>,
     /// The number of consecutive resumes that received no new bytes.
     pub idle_resumes: u32,
     /// When the request's timer expires.
@@ -106,6 +109,11 @@
         )
     }
 
+    /// Returns whether an answer that ends now has been broken off inside an event.
+    pub fn is_inside_event(&self) -> bool {
+        self.events.as_ref().is_some_and(EventTracker::is_inside_event)
+    }
+
     /// Applies an event to the request's state chart; returns whether the state has a transition
     /// for it.
     pub fn handle(&mut self, event: RequestEvent) -> bool {
--- a/crates/ryetide-core/tests/entry.rs
+++ b/crates/ryetide-core/tests/entry.rs
@@ -7,10 +7,12 @@
     effect::{Effect, EffectBuffer},
     entry::{EntryCore, EntryOptions},
     event::{
-        CallerRequest, Event, FinalAnswer, RejectReason, TableAnswer, TableCommand, TableRow,
-        TargetCall, UnknownReason,
+        AnswerHead, CallerRequest, Event, FinalAnswer, RejectReason, TableAnswer, TableCommand,
+        TableRow, TargetCall, TargetOperation, UnknownReason,
+    },
+    ids::{
+        AttemptNumber, DataCentreName, Incarnation, RequestId, RequestSequence, TableToken, VmName,
     },
-    ids::{DataCentreName, Incarnation, RequestId, RequestSequence, TableToken, VmName},
     message::{
         ClaimOutcome, HeartbeatMessage, IncarnationTag, PeerMessage, RefuseReason, RequestRef,
     },
@@ -252,3 +254,34 @@
         }
     });
 }
+
+/// Guards against a stream that its engine breaks off inside an event and that looks complete.
+#[test]
+fn a_stream_that_ends_inside_an_event_is_resumed() {
+    for (stream, is_whole) in [("data: a\n\ndata: b", false), ("data: a\n\ndata: b\n\n", true)] {
+        let mut bench = Bench::serving(SafeguardSwitches::default());
+        let effects = bench.step(Event::Arrived(request(1, "drafting", None)));
+        let is_connect = |effect: &Effect| matches!(effect, Effect::Connect { .. });
+        assert!(effects.iter().any(is_connect), "{effects:?}");
+        let (sequence, attempt) = (RequestSequence(1), AttemptNumber(1));
+        bench.step(Event::Connected { sequence, attempt });
+        let content_type = "text/event-stream; charset=utf-8".to_owned();
+        let head = AnswerHead { status: 200, content_type };
+        bench.step(Event::TargetHead { sequence, attempt, head });
+        let bytes = Bytes::from(stream);
+        bench.step(Event::TargetPiece { sequence, attempt, offset: 0, bytes });
+        let length = stream.len() as u64;
+        let effects = bench.step(Event::TargetEnd { sequence, attempt, length });
+        assert_eq!(answers(&effects).contains(&FinalAnswer::Answered), is_whole, "{effects:?}");
+        if is_whole {
+            continue;
+        }
+        bench.now = bench.now + Duration::from_secs(1);
+        let effects = bench.step(Event::Tick);
+        assert!(effects.iter().any(is_connect), "{effects:?}");
+        let attempt = AttemptNumber(2);
+        let effects = bench.step(Event::Connected { sequence, attempt });
+        let is_resume = |effect: &Effect| matches!(effect, Effect::Permit { order, .. } if matches!(order, TargetOperation::Resume { offset, .. } if *offset == length));
+        assert!(effects.iter().any(is_resume), "{effects:?}");
+    }
+}
--- a/crates/ryetide-gateway/src/relay.rs
+++ b/crates/ryetide-gateway/src/relay.rs
@@ -11,7 +11,7 @@
 use futures_util::stream;
 use http_body_util::BodyExt;
 use hyper::{HeaderMap, header};
-use ryetide_core::decision::RunEnd;
+use ryetide_core::{decision::RunEnd, event_tracker};
 
 use crate::{
     caller_answer::PieceStream,
@@ -25,9 +25,6 @@
 /// several times the longest pause that meets the objective, and well before callers disconnect.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(1_500);
 
-/// The content type of a stream of events.
-const EVENT_STREAM: &[u8] = b"text/event-stream";
-
 /// A stream that is being forwarded.
 pub struct StreamRelay {
     exchange: Exchange,
@@ -191,7 +188,6 @@
 }
 
 fn may_hold_events(headers: &HeaderMap) -> bool {
-    let Some(value) = headers.get(header::CONTENT_TYPE) else { return true };
-    let essence = value.as_bytes().split(|byte| *byte == b';').next().unwrap_or_default();
-    essence.trim_ascii().eq_ignore_ascii_case(EVENT_STREAM)
+    let content_type = headers.get(header::CONTENT_TYPE);
+    content_type.is_none_or(|value| event_tracker::is_event_stream(value.as_bytes()))
 }
--- a/crates/ryetide-lab/src/demo.rs
+++ b/crates/ryetide-lab/src/demo.rs
@@ -223,7 +223,7 @@
     for (index, arrival) in arrivals.into_iter().enumerate() {
         tokio::time::sleep_until(start + arrival.at).await;
         let entry = caller_addresses[index % caller_addresses.len()];
-        let (caller, results) = (caller.clone(), Rc::clone(&results));
+        let results = Rc::clone(&results);
         calls.push(ntex::rt::spawn(async move {
             call(&caller, entry, &arrival, &results).await;
         }));
--- a/src/caller_edge.rs
+++ b/src/caller_edge.rs
@@ -328,7 +328,7 @@
     let mut body = Vec::new();
     loop {
         match call.buffer.next().await {
-            Ok(AnswerPart::Head(found)) if stream && found.content_type == EVENT_STREAM => {
+            Ok(AnswerPart::Head(found)) if stream && found.is_event_stream() => {
                 return begin_stream(call, &found);
             }
             Ok(AnswerPart::Head(found)) => head = found,
@@ -367,7 +367,7 @@
         body = stored.body.to_vec();
     }
     let mut builder = caller_answer::builder(head.status, ANSWERED, &id);
-    if needs_assembly && head.content_type == EVENT_STREAM {
+    if needs_assembly && head.is_event_stream() {
         return match caller_answer::assemble(&id, &body) {
             Ok(whole) => builder.json(&whole),
             Err(error) => {
