Take the end of a crashed target's connection for no end of its answer

The connection of a target that crashes closes like that of a target that has ended its answer. A plain answer of which a part had arrived reached its caller with a length that fits, and a stream cut between two events with a proper end, through both faces. Nothing in such a stream tells: a program writes whole events, so that a real crash mostly falls between them.

An answer whose end only its connection marks is whole now if its target still accepts connections, or a peer's where this VM does not reach it: a process that has crashed refuses them. A target known to be leaving may be gone the moment it has answered, and is believed. What can't be confirmed in time has been broken off. Only the end is held back, for a round trip; events go on at once. Not covered: a target of which one process crashes while another listens at its address.

--- a/crates/ryetide-gateway/src/caller_service.rs
+++ b/crates/ryetide-gateway/src/caller_service.rs
@@ -114,6 +114,12 @@
                 Ok(Err(BodyFault::TargetEnded))
             }
         };
+        let read = match read {
+            Ok(Ok(_)) if !exchange.confirm_end(&answer.target).await => {
+                Ok(Err(BodyFault::Truncated))
+            }
+            read => read,
+        };
         match read {
             Err(_) => return exchange.answer_own(OwnAnswer::new(OwnReason::TimedOut)),
             Ok(Ok(body)) if !answer.head.status.is_server_error() => {
--- a/crates/ryetide-gateway/src/exchange.rs
+++ b/crates/ryetide-gateway/src/exchange.rs
@@ -37,6 +37,7 @@
     run_fault::RunFault,
     scheduler_hub::RequestTicket,
     target_answer::{self, AnswerFraming, AnswerKind, TargetAnswer},
+    target_connector::TargetReachability,
     target_notices,
     target_pool::ConnectionChoice,
 };
@@ -251,6 +252,19 @@
         self.framing == Some(AnswerFraming::Connection)
     }
 
+    /// Returns whether an answer of `target` that was read to its end is whole. Where the end of its
+    /// connection marks the end, the connection may also have ended because the target has crashed;
+    /// its address then refuses others.
+    pub async fn confirm_end(&self, target: &TargetEntry) -> bool {
+        if !self.ends_with_connection() || self.gateway.fleet().has_left(target) {
+            return true;
+        }
+        let request = self.log_id().id;
+        let examining = self.gateway.connector().examine(&self.gateway, request, target);
+        let reachability = time::timeout_at(self.timeout_at(), examining).await;
+        matches!(reachability, Ok(TargetReachability::Reached | TargetReachability::ReachedByPeer))
+    }
+
     /// Returns whether the caller has received a part of the stream in an earlier attempt.
     pub fn continues_stream(&self) -> bool {
         self.template.has_header(&self.gateway.names().last_event)
--- a/crates/ryetide-gateway/src/relay.rs
+++ b/crates/ryetide-gateway/src/relay.rs
@@ -63,13 +63,17 @@
                     self.exchange.record_piece();
                     return Ok(Some(piece));
                 }
-                Ok(None) => {
-                    self.exchange.finish(RunEnd::Whole);
-                    if let Some(answer) = self.answer.take() {
-                        self.exchange.keep_connection(answer);
+                Ok(None) => match self.answer.take() {
+                    Some(answer) if !self.exchange.confirm_end(&answer.target).await => {
+                        self.answer = Some(answer);
+                        self.resume_elsewhere(RelayFault::Truncated).await?;
                     }
-                    return Ok(None);
-                }
+                    answer => {
+                        self.exchange.finish(RunEnd::Whole);
+                        answer.into_iter().for_each(|it| self.exchange.keep_connection(it));
+                        return Ok(None);
+                    }
+                },
                 Err(fault) => self.resume_elsewhere(fault).await?,
             }
         }
--- a/crates/ryetide-gateway/src/run_fault.rs
+++ b/crates/ryetide-gateway/src/run_fault.rs
@@ -63,6 +63,7 @@
     fn from(fault: BodyFault) -> Self {
         match fault {
             BodyFault::Broken(_) | BodyFault::TooLarge(_) => Self::Broken,
+            BodyFault::Truncated => Self::Truncated,
             BodyFault::TargetEnded => Self::Restarted,
         }
     }
--- a/crates/ryetide-gateway/src/target_answer.rs
+++ b/crates/ryetide-gateway/src/target_answer.rs
@@ -141,6 +141,9 @@
     /// The target's process was restarted meanwhile.
     #[error("read: the target was restarted")]
     TargetEnded,
+    /// The connection that marks the body's end has ended early.
+    #[error("read: the target has ended its connection early")]
+    Truncated,
     /// The body is larger than the buffer limit.
     #[error("read: more than {0} bytes")]
     TooLarge(usize),
--- a/crates/ryetide-gateway/tests/serving/unframed.rs
+++ b/crates/ryetide-gateway/tests/serving/unframed.rs
@@ -1,7 +1,8 @@
 //! Streams that end with their connection, with neither a length nor chunks, and what their callers see.
 
-use ryetide_core::route::RouteKind;
+use ryetide_core::{route::RouteKind, target_load::TargetEntry};
 use ryetide_gateway::ports::LocalFuture;
+use tokio::{net::TcpListener, task};
 
 use crate::{
     cut_off::{CutPath, CutSite},
@@ -195,6 +196,46 @@
     });
 }
 
+/// Answers `body` with neither a length nor chunks, and ends: its connection closes and its address
+/// refuses others.
+async fn start_crashing_target(body: &'static str) -> TargetEntry {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let entry = support::entry("t1", listener.local_addr().expect("an address"));
+    task::spawn_local(async move {
+        let (stream, _) = listener.accept().await.expect("a connection");
+        let mut wire = Wire::new(stream);
+        let request = wire.read_message().await.expect("a request");
+        drop(listener);
+        wire.send(&format!("{}\r\n{body}", support::signed(&request, "200 OK"))).await;
+    });
+    entry
+}
+
+async fn serve_crashing_target(kind: RouteKind, body: &'static str) -> Gateway {
+    let gateway = Gateway::serving(support::route(kind, 1), &[]).await;
+    gateway.set_targets(vec![start_crashing_target(body).await]).await;
+    gateway
+}
+
+/// Guards against a stream that looks complete because its target has crashed between two events.
+#[test]
+fn a_stream_whose_target_crashes_between_two_events_does_not_look_complete() {
+    support::run(async {
+        let gateway = serve_crashing_target(ONCE, "id: 1\ndata: a\n\n").await;
+        let end = ask(&gateway, "", "body").await;
+        assert_eq!(end, StreamEnd::BrokenOff("id: 1\ndata: a\n\n".to_owned()));
+    });
+}
+
+/// Guards against a part of an answer that looks complete because its target has crashed.
+#[test]
+fn an_answer_whose_target_crashes_does_not_look_complete() {
+    support::run(async {
+        let gateway = serve_crashing_target(RouteKind::OnceOnly, "half of it").await;
+        assert_eq!(gateway.ask("q1", "").await.expect("an answer").status(), 502);
+    });
+}
+
 /// Guards against counting a stream that broke off as answered.
 #[test]
 fn a_stream_that_ends_with_its_connection_inside_an_event_is_not_counted_as_answered() {
--- a/src/fresh_client.rs
+++ b/src/fresh_client.rs
@@ -188,6 +188,14 @@
         self.response.headers().get(name)
     }
 
+    /// Returns whether the body has neither a length nor chunks, so that only the end of the
+    /// connection marks its end.
+    pub fn ends_with_connection(&self) -> bool {
+        let headers = self.response.headers();
+        !headers.contains_key(header::CONTENT_LENGTH)
+            && !headers.contains_key(header::TRANSFER_ENCODING)
+    }
+
     /// Returns the next piece of the body, or `None` at its end. A body with neither a length nor
     /// chunks ends with the connection.
     ///
--- a/src/target_client.rs
+++ b/src/target_client.rs
@@ -355,17 +355,21 @@
             self.send_event(Event::TargetPiece { sequence, attempt, offset, bytes }).await;
             offset += length;
         }
-        let headers = response.headers();
-        let has_end = headers.contains_key(header::CONTENT_LENGTH)
-            || headers.contains_key(header::TRANSFER_ENCODING);
-        if !has_end && tunnel_end.is_some_and(|end| !end.is_by_target()) {
+        if response.ends_with_connection() && !self.confirm_end(route, tunnel_end).await {
             let peer = &route.name;
-            tracing::info!(event = "stream-broken", step = "read", %peer, reason = "tunnel broke");
+            tracing::info!(event = "stream-broken", step = "read", %peer, reason = "ended early");
             return None;
         }
         Some(Event::TargetEnd { sequence, attempt, length: offset })
     }
 
+    /// Returns whether a target has ended its answer, whose end only the end of the connection marks.
+    /// The connection of a target that crashes, or of a peer that dies, ends in the same way.
+    async fn confirm_end(&self, route: &TargetRoute, tunnel_end: Option<TunnelEnd>) -> bool {
+        let is_by_target = tunnel_end.is_none_or(|end| end.is_by_target());
+        is_by_target && self.connect(route).await.is_some()
+    }
+
     async fn send_event(&self, event: Event) {
         // A closed ring means that the daemon is stopping.
         let _ = self.events.send(event).await;
--- a/tests/tunnels.rs
+++ b/tests/tunnels.rs
@@ -206,6 +206,25 @@
     });
 }
 
+/// Guards against a part of an answer that looks complete because its target has crashed.
+#[test]
+fn an_answer_whose_target_crashes_is_not_complete() {
+    run(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let mut vm = CutVm::start(listener.local_addr().unwrap()).await;
+        vm.route.address = listener.local_addr().unwrap();
+        task::spawn_local(async move {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let mut buffer = [0; 4_096];
+            assert!(stream.read(&mut buffer).await.unwrap() > 0);
+            drop(listener);
+            stream.write_all(b"HTTP/1.1 200 OK\r\n\r\nhalf").await.unwrap();
+        });
+        let events = vm.dispatch(1).await;
+        assert!(matches!(events.last(), Some(Event::TargetBroken { .. })), "{events:?}");
+    });
+}
+
 /// Guards against an answer without a length of which the caller gets nothing.
 #[test]
 fn an_answer_that_ends_with_its_connection_is_whole() {
