Keep an error at the end of a stream apart from an event that broke off

Callers get whole events only; the rest of one that broke off is dropped before the error. The scanner of the gateway is in the core for that.

--- a/crates/ryetide-gateway/src/event_scanner.rs
+++ b/crates/ryetide-core/src/event_scanner.rs
@@ -5,7 +5,8 @@
 //! forwarded, and the id of the last one tells the next target where to resume.
 
 use bytes::{Buf, Bytes, BytesMut};
-use ryetide_core::event_tracker::EventTracker;
+
+use crate::event_tracker::EventTracker;
 
 /// The largest event in bytes. A longer one is treated as an error.
 const EVENT_LIMIT: usize = 1 << 20;
@@ -14,7 +15,7 @@
 /// # Example
 ///
 /// ```
-/// use ryetide_gateway::event_scanner::EventScanner;
+/// use ryetide_core::event_scanner::EventScanner;
 ///
 /// let mut scanner = EventScanner::default();
 /// let whole = scanner.push(b"id: 1\ndata: a\n\nid: 2\nda").unwrap();
--- a/crates/ryetide-core/src/lib.rs
+++ b/crates/ryetide-core/src/lib.rs
@@ -43,7 +43,7 @@
 //! | [`target_registry`], [`target_notice`] | the existing targets, and the notices in their answers |
 //! | [`target_limit`], [`limit_share`], [`brittle_services`] | request rate limits and brittleness that targets announce, and each VM's share |
 //! | [`watcher_selection`], [`era_version`] | which VMs watch the source of routes and targets, and how its versions compare |
-//! | [`event_tracker`] | the ends and ids of the events in a stream |
+//! | [`event_tracker`], [`event_scanner`] | the ends and ids of the events in a stream |
 //! | [`safeguard`] | switches that let tests show what each safeguard prevents |
 //! | [`ids`], [`units`], [`json_form`] | newtypes, and the JSON encoding of values |
 
@@ -80,6 +80,7 @@
 mod entry_slot;
 pub mod era_version;
 pub mod event;
+pub mod event_scanner;
 pub mod event_tracker;
 pub mod fair_share;
 pub mod ids;
--- a/crates/ryetide-gateway/src/lib.rs
+++ b/crates/ryetide-gateway/src/lib.rs
@@ -18,7 +18,7 @@
 //! | [`ports`] | the interface to a platform |
 //! | [`gateway`], [`gateway_state`], [`fleet_tasks`] | start and shutdown of a gateway, the state that its tasks share, background tasks |
 //! | [`caller_listener`], [`caller_stream`], [`caller_service`], [`exchange`], [`quota_wait`], [`caller_answer`] | the connections and requests of callers |
-//! | [`request_template`], [`target_pool`], [`target_answer`], [`relay`], [`relay_fault`], [`run_fault`], [`event_scanner`], [`target_notices`] | requests to targets and their answers |
+//! | [`request_template`], [`target_pool`], [`target_answer`], [`relay`], [`relay_fault`], [`run_fault`], [`target_notices`] | requests to targets and their answers |
 //! | [`fault_detector`], [`quarantine_check`], [`quarantine_monitor`] | requests that crash targets |
 //! | `rollout_monitor`, `rollout_rows` | rollout orders, and their status rows for operators |
 //! | [`scheduler_hub`], [`fleet_view`] | the shared scheduler, the routes and the targets |
@@ -35,7 +35,6 @@
 pub mod decision_log;
 pub mod digest_relay;
 mod ejection_report;
-pub mod event_scanner;
 pub mod exchange;
 pub mod fault_detector;
 pub mod feed_relay;
--- a/crates/ryetide-gateway/src/relay.rs
+++ b/crates/ryetide-gateway/src/relay.rs
@@ -11,11 +11,10 @@
 use futures_util::stream;
 use http_body_util::BodyExt;
 use hyper::{HeaderMap, header};
-use ryetide_core::{decision::RunEnd, event_tracker};
+use ryetide_core::{decision::RunEnd, event_scanner::EventScanner, event_tracker};
 
 use crate::{
     caller_answer::PieceStream,
-    event_scanner::EventScanner,
     exchange::{DispatchEnd, Exchange},
     relay_fault::RelayFault,
     target_answer::TargetAnswer,
--- a/crates/ryetided/tests/processes/failures.rs
+++ b/crates/ryetided/tests/processes/failures.rs
@@ -120,6 +120,20 @@
     assert_eq!(check_single_dispatch(&site).dispatches.len(), 1);
 }
 
+/// Guards against an error that the caller's parser takes for the rest of an event which broke off.
+#[test]
+fn the_error_at_the_end_of_a_stream_is_an_event_of_its_own() {
+    let site = crate::support::start(crate::support::fast());
+    let fault = EngineFaults { break_after: Some(305), forgetful: true, ..EngineFaults::default() };
+    set_engine_faults(&site, &fault);
+    let prompt = crate::support::prompt("forgotten inside an event", 100);
+    let result = prompt_through(entry(&site, 0), prompt.clone());
+    let body = String::from_utf8(result.body).unwrap();
+    let (events, _) = body.split_once("event: error\n").unwrap();
+    assert!(events.is_empty() || events.ends_with("\n\n"), "{events}");
+    assert!(prompt.expected_stream().starts_with(events), "{events}");
+}
+
 /// Guards against a refused request that is sent to another engine, or whose caller gets no retry
 /// delay. By the engine's contract a refused request has not run, so its outcome is "not run"; the
 /// refusal still counts as its one dispatch.
--- a/src/caller_edge.rs
+++ b/src/caller_edge.rs
@@ -23,6 +23,7 @@
 };
 use ryetide_core::{
     event::{AnswerHead, Event, FinalAnswer, TargetCall},
+    event_scanner::EventScanner,
     ids::{Incarnation, RequestId, RequestSequence, VmName},
 };
 
@@ -386,12 +387,14 @@
     let mut builder = caller_answer::builder(head.status, "", &call.id());
     builder.content_type(head.content_type.as_str());
     builder.set_header(header::CACHE_CONTROL, "no-cache");
-    builder.streaming(AnswerStream { call, done: false })
+    builder.streaming(AnswerStream { call, scanner: EventScanner::default(), done: false })
 }
 
-/// The body of a streamed response.
+/// The body of a streamed response: whole events only, so that an error at its end is an event of its
+/// own.
 struct AnswerStream {
     call: OpenCall,
+    scanner: EventScanner,
     done: bool,
 }
 
@@ -410,8 +413,18 @@
             match part {
                 Ok(AnswerPart::Head(_)) => {}
                 Ok(AnswerPart::Piece(piece)) => {
-                    let piece = ntex::util::Bytes::copy_from_slice(&piece);
-                    return Poll::Ready(Some(Ok(piece)));
+                    let events = self.scanner.push(&piece);
+                    self.done = events.is_err();
+                    match events {
+                        Ok(events) if events.is_empty() => {}
+                        Ok(events) => {
+                            let events = ntex::util::Bytes::copy_from_slice(&events);
+                            return Poll::Ready(Some(Ok(events)));
+                        }
+                        Err(error) => {
+                            return Poll::Ready(Some(Err(std::io::Error::other(error))));
+                        }
+                    }
                 }
                 Ok(AnswerPart::Final(answer)) => {
                     self.call.ended.set(true);
