Tell in the log which stream a request takes up

Whether streams went on at another version within one answer or over a caller's tries could not be told from the lines: nothing said that a request takes a stream up. 'placed' has 'resumes' now, the id that the caller names ('Resumes' on the users' platform, ryetide-resumes without one).

No decision changes.

--- a/crates/ryetide-gateway/src/decision_log.rs
+++ b/crates/ryetide-gateway/src/decision_log.rs
@@ -46,6 +46,8 @@
     pub route: &'a str,
     /// How long the caller had waited in earlier attempts.
     pub waited_before: Duration,
+    /// The stream that the request takes up, as its caller names it; empty if it names none.
+    pub resumes: &'a str,
 }
 
 /// The durations of the phases of a request, measured from its arrival.
@@ -129,6 +131,7 @@
             sequence = request.sequence.0,
             print = %request.fingerprint,
             route = request.route,
+            resumes = request.resumes,
             target = %target.name,
             life = %target.incarnation,
             version = %target.version,
--- a/crates/ryetide-gateway/src/exchange.rs
+++ b/crates/ryetide-gateway/src/exchange.rs
@@ -36,6 +36,7 @@
     request_template::{DispatchParameters, RequestTemplate},
     run_fault::RunFault,
     scheduler_hub::RequestTicket,
+    take_up::TakeUp,
     target_answer::{self, AnswerFraming, AnswerKind, TargetAnswer},
     target_connector::TargetReachability,
     target_notices,
@@ -89,6 +90,8 @@
     size: WorkSize,
     id: Option<HeaderValue>,
     fingerprint: RequestFingerprint,
+    /// Set if the caller takes up a stream.
+    take_up: Option<TakeUp>,
     arrived: Moment,
     /// The time that the caller already spent on earlier tries, if this request is a retry.
     waited: Duration,
@@ -155,6 +158,8 @@
             stated.map_or(Duration::ZERO, |left| gateway.waited(&matched.route.name, left));
         let deadline = stated.unwrap_or(timeout).min(timeout);
         let id = head.headers.get(&names.request_id).cloned();
+        let is_resumable = matches!(matched.route.kind, RouteKind::Stream { resumable: true });
+        let take_up = TakeUp::read(&head.headers, names).filter(|_| is_resumable);
         Ok(Self {
             ticket: gateway.hub().take_ticket(),
             gateway: Rc::clone(gateway),
@@ -163,6 +168,7 @@
             size,
             id,
             fingerprint,
+            take_up,
             arrived,
             waited,
             deadline_at: arrived + deadline,
@@ -648,6 +654,7 @@
             fingerprint: self.fingerprint,
             route: &self.matched.route.name,
             waited_before: self.waited,
+            resumes: self.take_up.as_ref().map_or("", TakeUp::logged_id),
         }
     }
 }
--- a/crates/ryetide-gateway/src/own_headers.rs
+++ b/crates/ryetide-gateway/src/own_headers.rs
@@ -25,6 +25,7 @@
         limit: HeaderName::from_static("ryetide-limit"),
         brittle: HeaderName::from_static("ryetide-brittle"),
         last_event: HeaderName::from_static("last-event-id"),
+        resumes: HeaderName::from_static("ryetide-resumes"),
         reserved: vec![HeaderName::from_static("ryetide-not-run")],
     }
 }
--- a/crates/ryetide-gateway/src/ports.rs
+++ b/crates/ryetide-gateway/src/ports.rs
@@ -88,6 +88,8 @@
     pub brittle: HeaderName,
     /// The id of the last event of a stream that was received.
     pub last_event: HeaderName,
+    /// The id of the attempt that brought the first event, if the caller takes a stream up that broke.
+    pub resumes: HeaderName,
     /// Headers that only the gateway may set; they are removed from callers' requests.
     pub reserved: Vec<HeaderName>,
 }
--- a/crates/ryetide-gateway/tests/serving/support.rs
+++ b/crates/ryetide-gateway/tests/serving/support.rs
@@ -312,6 +312,7 @@
         limit: HeaderName::from_static("test-limit"),
         brittle: HeaderName::from_static("test-brittle"),
         last_event: HeaderName::from_static("last-event-id"),
+        resumes: HeaderName::from_static("test-resumes"),
         reserved: vec![HeaderName::from_static("test-reserved")],
     }
 }
