Add failing tests for streams of services with two software versions

A stream that breaks is resumed at the other version, also where its own is gone, and a caller's take-up goes on at any. The two others hold what must stay: where there is one version, streams are taken up without an id, and the name of the stream reaches the target.

--- a/crates/ryetide-gateway/tests/serving/main.rs
+++ b/crates/ryetide-gateway/tests/serving/main.rs
@@ -13,4 +13,5 @@
 mod streams;
 mod support;
 mod unframed;
+mod versions;
 mod words;
