Keep the ports on which tests expect connections to be refused

Its refusing path is a port that was bound and given back, so another test of the same process may listen on it: the request then reached a stranger. The tests of streams start many listeners, which made that likelier.

Such paths keep their port bound without listening now, in both faces' tests; targets that crash listen on hosts of their own.

--- a/crates/ryetide-gateway/tests/serving/cut_off.rs
+++ b/crates/ryetide-gateway/tests/serving/cut_off.rs
@@ -79,14 +79,22 @@
     /// Fills the queue of connections that nobody accepts.
     _queued: Vec<TcpStream>,
     _listener: Option<TcpListener>,
+    /// Keeps the port, which another test could listen on otherwise.
+    reserved: Option<TcpSocket>,
 }
 
 impl CutPath {
     /// A path on which connections are refused.
     pub async fn refusing() -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-        let address = listener.local_addr().expect("an address");
-        Self { address, _queued: Vec::new(), _listener: None }
+        let socket = TcpSocket::new_v4().expect("a socket");
+        socket.bind(([127, 0, 0, 1], 0).into()).expect("a port");
+        let address = socket.local_addr().expect("an address");
+        Self { address, _queued: Vec::new(), _listener: None, reserved: Some(socket) }
+    }
+
+    /// Accepts connections from now on.
+    fn open(&mut self) -> TcpListener {
+        self.reserved.take().expect("a refusing path").listen(16).expect("a listener")
     }
 
     /// A path on which the opening packets of connections are lost.
@@ -101,7 +109,7 @@
         {
             queued.push(stream);
         }
-        Self { address, _queued: queued, _listener: Some(listener) }
+        Self { address, _queued: queued, _listener: Some(listener), reserved: None }
     }
 }
 
@@ -279,11 +287,10 @@
 #[test]
 fn a_path_that_returns_is_used_within_a_second() {
     support::run(async {
-        let path = CutPath::refusing().await;
-        let address = path.address;
-        let site = CutSite::start(RouteKind::OnceOnly, support::answering, vec![path]).await;
+        let paths = vec![CutPath::refusing().await];
+        let mut site = CutSite::start(RouteKind::OnceOnly, support::answering, paths).await;
         assert_eq!(site.cut.ask("c1", "").await.expect("an answer").status(), 200);
-        let listener = TcpListener::bind(address).await.expect("the same port");
+        let listener = site.paths[0].open();
         let target = site.targets[0].entry.address;
         let forwarding = async {
             let (mut probe, _) = listener.accept().await.expect("a probe");
--- a/crates/ryetide-gateway/tests/serving/unframed.rs
+++ b/crates/ryetide-gateway/tests/serving/unframed.rs
@@ -197,9 +197,9 @@
 }
 
 /// Answers `body` with neither a length nor chunks, and ends: its connection closes and its address
-/// refuses others.
-async fn start_crashing_target(body: &'static str) -> TargetEntry {
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+/// refuses others. No other test listens on this host.
+async fn start_crashing_target(host: &str, body: &'static str) -> TargetEntry {
+    let listener = TcpListener::bind((host, 0)).await.expect("a port");
     let entry = support::entry("t1", listener.local_addr().expect("an address"));
     task::spawn_local(async move {
         let (stream, _) = listener.accept().await.expect("a connection");
@@ -211,9 +211,9 @@
     entry
 }
 
-async fn serve_crashing_target(kind: RouteKind, body: &'static str) -> Gateway {
+async fn serve_crashing_target(kind: RouteKind, host: &str, body: &'static str) -> Gateway {
     let gateway = Gateway::serving(support::route(kind, 1), &[]).await;
-    gateway.set_targets(vec![start_crashing_target(body).await]).await;
+    gateway.set_targets(vec![start_crashing_target(host, body).await]).await;
     gateway
 }
 
@@ -221,7 +221,7 @@
 #[test]
 fn a_stream_whose_target_crashes_between_two_events_does_not_look_complete() {
     support::run(async {
-        let gateway = serve_crashing_target(ONCE, "id: 1\ndata: a\n\n").await;
+        let gateway = serve_crashing_target(ONCE, "127.0.0.2", "id: 1\ndata: a\n\n").await;
         let end = ask(&gateway, "", "body").await;
         assert_eq!(end, StreamEnd::BrokenOff("id: 1\ndata: a\n\n".to_owned()));
     });
@@ -231,7 +231,7 @@
 #[test]
 fn an_answer_whose_target_crashes_does_not_look_complete() {
     support::run(async {
-        let gateway = serve_crashing_target(RouteKind::OnceOnly, "half of it").await;
+        let gateway = serve_crashing_target(RouteKind::OnceOnly, "127.0.0.3", "half of it").await;
         assert_eq!(gateway.ask("q1", "").await.expect("an answer").status(), 502);
     });
 }
--- a/tests/tunnels.rs
+++ b/tests/tunnels.rs
@@ -26,7 +26,7 @@
 };
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
-    net::TcpListener,
+    net::{TcpListener, TcpSocket},
     task,
     time::{self, Instant},
 };
@@ -42,6 +42,8 @@
     events: RingReceiver<Event>,
     route: TargetRoute,
     _links: Vec<RingSender<LinkCommand>>,
+    /// Keeps the port that refuses connections, which another test could listen on otherwise.
+    _reserved: TcpSocket,
 }
 
 fn run(test: impl Future<Output = ()> + 'static) {
@@ -94,7 +96,9 @@
 impl CutVm {
     /// Starts a VM whose connections to the target at `target` are refused, and a peer that reaches it.
     async fn start(target: SocketAddr) -> Self {
-        let refusing = TcpListener::bind("127.0.0.1:0").await.unwrap().local_addr().unwrap();
+        let reserved = TcpSocket::new_v4().unwrap();
+        reserved.bind(([127, 0, 0, 1], 0).into()).unwrap();
+        let refusing = reserved.local_addr().unwrap();
         let PeerKeys { server, client } = keys();
         let own_keys = PeerKeys { server: server.clone(), client: client.clone() };
         let (asking, mut asked) = ring::ring::<TunnelRequest>(RING_CAPACITY);
@@ -121,7 +125,7 @@
         time::sleep(CONNECT_SPAN).await;
         let route =
             TargetRoute { key: TargetKey(1), name: "t1".into(), address: refusing, engine: false };
-        Self { commands, events: heard, route, _links: vec![own, peer] }
+        Self { commands, events: heard, route, _links: vec![own, peer], _reserved: reserved }
     }
 
     /// Dispatches a request and returns the events up to its end.
@@ -210,7 +214,8 @@
 #[test]
 fn an_answer_whose_target_crashes_is_not_complete() {
     run(async {
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        // No other test listens on this host.
+        let listener = TcpListener::bind("127.0.0.2:0").await.unwrap();
         let mut vm = CutVm::start(listener.local_addr().unwrap()).await;
         vm.route.address = listener.local_addr().unwrap();
         task::spawn_local(async move {
