Resume streams at the version that began them only

Cause: a resume was placed like any request; nothing that the scheduler sees named a version. A request is bound now to the version of the target that has sent the first event of its stream. While a service's targets run several versions, a bound request goes only to its own: to any target of it, of any cell, on trial or not, but not to a version that a rollout has taken back; at the first free slot, before requests that can start anywhere, since few targets may be left of its version and others keep them busy; to a target that is ejected or has failed it if there is no other; and it is refused at once when no target of its version is left. While all run one version nothing changes.

--- a/crates/ryetide-core/src/lib.rs
+++ b/crates/ryetide-core/src/lib.rs
@@ -33,6 +33,7 @@
 //! | [`route`], [`route_text`], [`quota`], [`quota_allocator`], [`retry_budget`], [`retry_delay`] | routed requests: their routes, quotas and retries |
 //! | [`rollout_order`], [`rollout_manager`], [`service_rollout`], [`rollout_evidence`], [`rollout_evaluation`] | rollouts of new versions: their traffic, evaluation and outcome |
 //! | [`scheduler`], [`scheduler_options`], [`queue_view`], [`wait_queue`], [`recent_arrivals`], [`deadline_tracker`], [`decision`] | queueing and refusal of routed requests |
+//! | [`stream_continuation`] | placement of requests that continue a stream |
 //! | [`placement`], [`target_load`], [`target_health`], [`target_speed`], [`prompt_cache`] | placement of routed requests |
 //! | [`scheduling_policy`], [`policy_update`] | the optional policies for uneven load, and what VMs report for them |
 //! | [`outlier_detector`], [`target_ejection`] | ejection of targets that fail requests |
@@ -136,6 +137,7 @@
 pub mod slot_lending;
 pub mod slot_request;
 pub mod slot_turn;
+pub mod stream_continuation;
 pub mod target_ejection;
 pub mod target_estimate;
 pub mod target_health;
--- a/crates/ryetide-core/src/queue_view.rs
+++ b/crates/ryetide-core/src/queue_view.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     decision::{PlacementEvidence, RefusalReason},
-    ids::{RequestSequence, ServiceKey, ServiceName, TargetKey, VmName},
+    ids::{RequestSequence, ServiceKey, ServiceName, TargetKey, VersionName, VmName},
     limit_share::{self, LimitShare},
     load_digest::QueueReport,
     organisation_usage::OrganisationUsage,
@@ -23,6 +23,7 @@
     scheduling_policy::ServicePolicy,
     share_order::{ShareClaim, ShareOrder},
     slot_turn::{self, FreeSlot, SlotClaimant, UrgencyClass},
+    stream_continuation::{ContinuationChoice, ContinuationPlacement, VersionTargets},
     target_ejection::TargetEjection,
     target_load::TargetLoad,
     target_speed::SpeedEstimate,
@@ -155,6 +156,8 @@
     fastest_engine: Option<SpeedEstimate>,
     /// The shortest mean time of a whole answer among the usable targets.
     fastest_answer: Option<Duration>,
+    /// All targets, for requests that continue a stream.
+    versions: VersionTargets<'a>,
 }
 
 /// How the VMs of a cell share the slots of their targets.
@@ -208,9 +211,16 @@
             paused_slots,
             fastest_engine,
             fastest_answer,
+            versions: VersionTargets::new(targets),
         }
     }
 
+    /// Lets no request go to this version, which a rollout has taken back.
+    pub fn without_condemned(mut self, version: Option<&'a VersionName>) -> Self {
+        self.versions = self.versions.without_condemned(version);
+        self
+    }
+
     /// Orders requests of the same tier and route rank by their organisations' shares. `vms` is the
     /// number of VMs at which requests may wait.
     pub fn with_shares(mut self, vms: usize) -> Self {
@@ -307,10 +317,14 @@
         if self.state.queue.is_empty() {
             return None;
         }
+        if let Some(action) = self.next_continuation() {
+            return Some(action);
+        }
         let free_slots = self.free_slots();
         let peers = self.peers.claimants(self.now, self.state.key);
         let ordered = self.ordered().into_iter().enumerate();
-        let mut ordered = ordered.map(|(position, (rank, work))| (position, rank, work));
+        let ordered = ordered.map(|(position, (rank, work))| (position, rank, work));
+        let mut ordered = ordered.filter(|(_, _, work)| self.versions.binding(work).is_none());
         let mut kept = 0;
         ordered.find_map(|(position, rank, work)| {
             if self.will_be_overtaken(position, rank, work) {
@@ -326,6 +340,38 @@
         })
     }
 
+    /// Returns the action for the first request that continues a stream, if one is possible.
+    fn next_continuation(&self) -> Option<QueueAction> {
+        if !self.state.queue.iter().any(|work| self.versions.binding(work).is_some()) {
+            return None;
+        }
+        self.ordered().into_iter().find_map(|(rank, work)| {
+            let version = self.versions.binding(work)?;
+            let ticket = work.ticket;
+            if self.now + REFUSAL_MARGIN >= work.leave_at {
+                return Some(QueueAction::Refuse { ticket, reason: RefusalReason::OutOfTime });
+            }
+            match self.continuations().choose(work, version, &self.need_of(work)) {
+                ContinuationChoice::Target(load, forecast) => {
+                    Some(self.place_at((load, forecast), rank, work, false))
+                }
+                ContinuationChoice::Wait => None,
+                ContinuationChoice::VersionGone => {
+                    Some(QueueAction::Refuse { ticket, reason: RefusalReason::NoTarget })
+                }
+            }
+        })
+    }
+
+    fn continuations(&self) -> ContinuationPlacement<'_> {
+        ContinuationPlacement {
+            now: self.now,
+            targets: self.versions,
+            ejection: &self.state.ejection,
+            options: self.options,
+        }
+    }
+
     fn choice_for(
         &self,
         position: usize,
@@ -673,6 +719,10 @@
         let Some(work) = self.state.queue.iter().find(|work| work.ticket == ticket) else {
             return false;
         };
+        // Others' slots do not matter to it, and its caller has seen a part of its stream.
+        if self.versions.binding(work).is_some() {
+            return false;
+        }
         let best = self.earliest_first_event(work);
         let rank = self.rank_of(work);
         let wait = self.expected_wait(Some(rank));
--- a/crates/ryetide-core/src/rollout_manager.rs
+++ b/crates/ryetide-core/src/rollout_manager.rs
@@ -173,6 +173,14 @@
         (!rollout.is_ended()).then_some(rollout)
     }
 
+    /// Returns the version of a service that its latest order has taken back, if it has.
+    pub fn condemned(&self, service: &ServiceName) -> Option<&VersionName> {
+        let rollout = self.services.get(service)?.rollout.as_ref()?;
+        let is_condemned =
+            matches!(rollout.state(), RolloutState::Condemned | RolloutState::RolledBack);
+        is_condemned.then(|| &rollout.order().to)
+    }
+
     /// Returns the latest known order of each service, in progress or ended.
     pub fn rollouts(&self) -> impl Iterator<Item = &ServiceRollout> {
         self.services.values().filter_map(|versions| versions.rollout.as_ref())
--- a/crates/ryetide-core/src/scheduler.rs
+++ b/crates/ryetide-core/src/scheduler.rs
@@ -651,6 +651,7 @@
         let sharing =
             SlotSharing { vms: self.cell_size, turn_span: self.digest_timing.propagation_time() };
         let view = QueueView::new(now, state, &self.targets, &self.peers, &self.options, sharing);
+        let view = view.without_condemned(self.rollouts.condemned(service));
         let mut view = view.with_granted(self.granted_targets(now, state));
         if state.policy.fair_shares {
             view = view.with_shares(self.peers.known_count(now));
--- a/crates/ryetide-core/src/wait_queue.rs
+++ b/crates/ryetide-core/src/wait_queue.rs
@@ -10,7 +10,7 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use crate::{
-    ids::{OrganisationKey, RequestSequence, ServiceName, TargetKey},
+    ids::{OrganisationKey, RequestSequence, ServiceName, TargetKey, VersionKey},
     return_schedule::ReturnBooking,
     slot_turn::UrgencyClass,
     units::{Moment, TierRank, Tokens},
@@ -50,6 +50,8 @@
     /// refused because of the queue, since its caller would get a truncated answer instead of a
     /// continued one.
     pub begun: bool,
+    /// The version that has begun the stream which the request continues; it goes to no other.
+    pub version: Option<VersionKey>,
     /// Targets that the request must not be sent to again.
     pub excluded: Vec<TargetKey>,
     /// Whether the request may run again if the target that it is sent to next fails it.
--- a/crates/ryetide-core/tests/brittle.rs
+++ b/crates/ryetide-core/tests/brittle.rs
@@ -209,6 +209,7 @@
             leave_at: now + PATIENCE,
             pause: None,
             begun: false,
+            version: None,
             excluded: Vec::new(),
             may_rerun: true,
             organisation: Default::default(),
--- a/crates/ryetide-core/tests/fair_shares/ordering.rs
+++ b/crates/ryetide-core/tests/fair_shares/ordering.rs
@@ -74,6 +74,7 @@
             leave_at: now + Duration::from_secs(8),
             pause: None,
             begun: false,
+            version: None,
             excluded: Vec::new(),
             organisation,
             may_rerun: true,
--- a/crates/ryetide-core/tests/outlier_ejection/failing_fleet.rs
+++ b/crates/ryetide-core/tests/outlier_ejection/failing_fleet.rs
@@ -302,6 +302,7 @@
         leave_at: now + PATIENCE,
         pause: None,
         begun: false,
+        version: None,
         excluded: Vec::new(),
         may_rerun,
         organisation: Default::default(),
--- a/crates/ryetide-core/tests/overflow/fleet_simulation.rs
+++ b/crates/ryetide-core/tests/overflow/fleet_simulation.rs
@@ -319,6 +319,7 @@
             leave_at: now + Duration::from_secs(3),
             pause: Some(Duration::from_millis(400)),
             begun: false,
+            version: None,
             excluded: Vec::new(),
             may_rerun: true,
             organisation: Default::default(),
--- a/crates/ryetide-core/tests/return_times.rs
+++ b/crates/ryetide-core/tests/return_times.rs
@@ -157,6 +157,7 @@
         leave_at: now + left,
         pause: None,
         begun: false,
+        version: None,
         excluded: Vec::new(),
         may_rerun: true,
         organisation: Default::default(),
--- a/crates/ryetide-core/tests/scheduler.rs
+++ b/crates/ryetide-core/tests/scheduler.rs
@@ -53,6 +53,7 @@
         leave_at: now + Duration::from_millis(4_000),
         pause: Some(Duration::from_millis(400)),
         begun: false,
+        version: None,
         excluded: Vec::new(),
         may_rerun: false,
         organisation: Default::default(),
--- a/crates/ryetide-core/tests/scheduler_load/load_simulation.rs
+++ b/crates/ryetide-core/tests/scheduler_load/load_simulation.rs
@@ -589,6 +589,7 @@
         leave_at: now + kind.patience,
         pause: Some(Duration::from_millis(400)),
         begun: false,
+        version: None,
         excluded: Vec::new(),
         may_rerun: false,
         organisation: Default::default(),
--- a/crates/ryetide-core/tests/target_limit/fleet.rs
+++ b/crates/ryetide-core/tests/target_limit/fleet.rs
@@ -244,6 +244,7 @@
             leave_at: now + PATIENCE,
             pause: None,
             begun: false,
+            version: None,
             excluded: Vec::new(),
             may_rerun: false,
             organisation: Default::default(),
--- a/crates/ryetide-core/tests/target_notice.rs
+++ b/crates/ryetide-core/tests/target_notice.rs
@@ -160,6 +160,7 @@
         leave_at: now + patience,
         pause: None,
         begun: false,
+        version: None,
         excluded: Vec::new(),
         may_rerun: false,
         organisation: Default::default(),
--- a/crates/ryetide-gateway/src/exchange.rs
+++ b/crates/ryetide-gateway/src/exchange.rs
@@ -13,7 +13,7 @@
 };
 use ryetide_core::{
     decision::{Decision, PlacementEvidence, RunEnd},
-    ids::{OrganisationKey, RouteKey, ServiceName, TargetKey},
+    ids::{OrganisationKey, RouteKey, ServiceName, TargetKey, VersionKey},
     quota::QuotaCharge,
     request_fingerprint::RequestFingerprint,
     rollout_evidence::RunSample,
@@ -92,6 +92,8 @@
     fingerprint: RequestFingerprint,
     /// Set if the caller takes up a stream.
     take_up: Option<TakeUp>,
+    /// The version that has begun the stream, once an event of it has arrived here or at its caller.
+    version: Option<VersionKey>,
     arrived: Moment,
     /// The time that the caller already spent on earlier tries, if this request is a retry.
     waited: Duration,
@@ -169,6 +171,7 @@
             id,
             fingerprint,
             take_up,
+            version: None,
             arrived,
             waited,
             deadline_at: arrived + deadline,
@@ -478,6 +481,11 @@
         self.gateway.answer_own(self.id.as_ref(), answer)
     }
 
+    /// Binds the stream to the version of the target that has sent its first event.
+    pub fn bind_version(&mut self, target: &TargetEntry) {
+        self.version = self.version.or_else(|| Some(VersionKey::of(&target.version)));
+    }
+
     /// Records a piece of the answer.
     pub fn record_piece(&mut self) {
         if self.is_stream() {
@@ -634,6 +642,7 @@
             leave_at,
             pause: route.pause,
             begun: self.last_at.is_some(),
+            version: self.version,
             excluded: self.excluded.clone(),
             may_rerun: self.is_repeatable() && self.attempts + 1 < route.attempts,
             organisation: self.organisation_key(),
--- a/crates/ryetide-gateway/src/relay.rs
+++ b/crates/ryetide-gateway/src/relay.rs
@@ -58,6 +58,10 @@
             match self.read_piece().await {
                 Ok(Some(piece)) if piece.is_empty() => {}
                 Ok(Some(piece)) => {
+                    if let Some(answer) = self.answer.as_ref().filter(|_| self.scanner.events() > 0)
+                    {
+                        self.exchange.bind_version(&answer.target);
+                    }
                     self.pieces += 1;
                     self.exchange.record_piece();
                     return Ok(Some(piece));
