Take streams up at the version that began them only

A caller whose VM was killed came to another one, which knew nothing of the stream: the request was placed like any other, and went on at either version.

Before a VM forwards a stream's first event it tells four peers, the stream's keepers, which service and version have begun it: one datagram each, for which nobody waits. Keepers follow from the id and the list of VMs, one in each data centre first. The VM at which a caller takes a stream up looks at its own records and asks eight peers in that order, for one round trip, and at most 120 ms. Known, the request is bound as a resume inside one answer is. Unknown, it goes on only where one version alone can have begun it, by what this VM and those that reply have seen for as long as a stream lasts; a VM that hears no peer does not know. Else the caller gets 503, which is true: nothing has run.

Ids are hashed with their organisation, so that those of others name nothing; the first record of an id stays. Records live for the caller's deadline, or the route's timeout if longer, and 3 s; 32,768 at most. No write to the store; digests are as before. A take-up counts as begun: no queue refuses it.

--- a/crates/ryetide-core/src/lib.rs
+++ b/crates/ryetide-core/src/lib.rs
@@ -33,7 +33,7 @@
 //! | [`route`], [`route_text`], [`quota`], [`quota_allocator`], [`retry_budget`], [`retry_delay`] | routed requests: their routes, quotas and retries |
 //! | [`rollout_order`], [`rollout_manager`], [`service_rollout`], [`rollout_evidence`], [`rollout_evaluation`] | rollouts of new versions: their traffic, evaluation and outcome |
 //! | [`scheduler`], [`scheduler_options`], [`queue_view`], [`wait_queue`], [`recent_arrivals`], [`deadline_tracker`], [`decision`] | queueing and refusal of routed requests |
-//! | [`stream_continuation`] | placement of requests that continue a stream |
+//! | [`stream_continuation`], [`stream_origin`], [`version_history`], [`origin_inquiry`] | streams that go on at the version which began them |
 //! | [`placement`], [`target_load`], [`target_health`], [`target_speed`], [`prompt_cache`] | placement of routed requests |
 //! | [`scheduling_policy`], [`policy_update`] | the optional policies for uneven load, and what VMs report for them |
 //! | [`outlier_detector`], [`target_ejection`] | ejection of targets that fail requests |
@@ -92,6 +92,7 @@
 pub mod membership;
 pub mod message;
 pub mod organisation_usage;
+pub mod origin_inquiry;
 pub mod outlier_detector;
 mod output_estimate;
 pub mod path_table;
@@ -138,6 +139,7 @@
 pub mod slot_request;
 pub mod slot_turn;
 pub mod stream_continuation;
+pub mod stream_origin;
 pub mod target_ejection;
 pub mod target_estimate;
 pub mod target_health;
@@ -151,5 +153,6 @@
 pub mod tunnel_room;
 pub mod units;
 mod util;
+pub mod version_history;
 pub mod wait_queue;
 pub mod watcher_selection;
--- a/crates/ryetide-core/src/peer_digests.rs
+++ b/crates/ryetide-core/src/peer_digests.rs
@@ -194,6 +194,12 @@
         self.records.get(peer).is_some_and(is_available)
     }
 
+    /// Returns whether a peer was heard recently, even if it is shutting down.
+    pub fn is_reachable(&self, now: Moment, peer: &VmName) -> bool {
+        let is_recent = |record: &PeerRecord| now.since(record.received_at) < PEER_TIMEOUT;
+        self.records.get(peer).is_some_and(is_recent)
+    }
+
     /// Returns the share of the serving entry VMs that are reachable, this one included.
     pub fn reachable_share(&self, now: Moment) -> f64 {
         let reachable = self.reachable(now).filter(|record| !record.leaving).count() + 1;
--- a/crates/ryetide-core/src/scheduler.rs
+++ b/crates/ryetide-core/src/scheduler.rs
@@ -491,6 +491,11 @@
         self.peers.is_available(now, peer)
     }
 
+    /// Returns whether a peer is reachable, even if it is shutting down.
+    pub fn is_peer_reachable(&self, now: Moment, peer: &VmName) -> bool {
+        self.peers.is_reachable(now, peer)
+    }
+
     /// Returns the share of the entry VMs that this VM can reach.
     pub fn reachable_share(&self, now: Moment) -> f64 {
         self.peers.reachable_share(now)
--- a/crates/ryetide-gateway/src/caller_answer.rs
+++ b/crates/ryetide-gateway/src/caller_answer.rs
@@ -94,6 +94,8 @@
     TurnedAway,
     /// The request is quarantined because it crashes targets.
     Quarantined,
+    /// The version that has begun the stream which the caller takes up cannot be told.
+    OriginUnknown,
     /// The target's connection broke or its answer was invalid; the request may have run.
     TargetFailed,
     /// The deadline has passed; the request may have run.
@@ -116,6 +118,7 @@
             | Self::Overload
             | Self::OutOfTime
             | Self::TurnedAway
+            | Self::OriginUnknown
             | Self::Quarantined => StatusCode::SERVICE_UNAVAILABLE,
             Self::TargetFailed => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
--- a/crates/ryetide-gateway/src/caller_service.rs
+++ b/crates/ryetide-gateway/src/caller_service.rs
@@ -66,6 +66,9 @@
     if let Err(answer) = exchange.await_quarantine_check().await {
         return exchange.answer_own(answer);
     }
+    if let Err(answer) = exchange.find_origin().await {
+        return exchange.answer_own(answer);
+    }
     if let Err(answer) = exchange.charge_quota().await {
         return exchange.answer_own(answer);
     }
--- a/crates/ryetide-gateway/src/decision_log.rs
+++ b/crates/ryetide-gateway/src/decision_log.rs
@@ -10,6 +10,7 @@
 use ryetide_core::{
     decision::{PlacementEvidence, RunEnd},
     ids::{OrganisationName, RequestSequence, ServiceName, TargetName, VmName},
+    origin_inquiry::OriginVerdict,
     policy_update::SlotGrant,
     request_fingerprint::RequestFingerprint,
     scheduler_shares::ShareExceeded,
@@ -418,6 +419,26 @@
         }
     }
 
+    /// Logs at which version a stream goes on that the caller takes up.
+    pub fn taken_up(&self, request: &LogId<'_>, verdict: OriginVerdict) {
+        if !self.permits() {
+            return;
+        }
+        let version = match verdict {
+            OriginVerdict::At(origin) => Some(origin.version.0),
+            OriginVerdict::Nowhere => None,
+        };
+        tracing::info!(
+            event = "taken-up",
+            vm = %self.vm,
+            request = request.id,
+            sequence = request.sequence.0,
+            route = request.route,
+            resumes = request.resumes,
+            version,
+        );
+    }
+
     /// Logs that the gateway aborted a stream to its caller.
     pub fn broken_off(&self, request: &LogId<'_>, why: &'static str) {
         if self.permits() {
--- a/crates/ryetide-gateway/src/exchange.rs
+++ b/crates/ryetide-gateway/src/exchange.rs
@@ -13,11 +13,13 @@
 };
 use ryetide_core::{
     decision::{Decision, PlacementEvidence, RunEnd},
-    ids::{OrganisationKey, RouteKey, ServiceName, TargetKey, VersionKey},
+    ids::{OrganisationKey, RouteKey, ServiceKey, ServiceName, TargetKey, VersionKey},
+    origin_inquiry::OriginVerdict,
     quota::QuotaCharge,
     request_fingerprint::RequestFingerprint,
     rollout_evidence::RunSample,
     route::{MatchedRoute, RouteKind},
+    stream_origin::{StreamKey, StreamOrigin},
     target_load::TargetEntry,
     units::{Moment, Tokens},
     wait_queue::WaitingRequest,
@@ -29,6 +31,7 @@
     decision_log::{EndedRun, ExchangeTimings, LogId, RefusalEvidence},
     fault_detector::{BrokenRun, FaultDetector},
     gateway_state::Gateway,
+    origin_lookup::{self, TakenStream},
     ports::WorkSize,
     quarantine_check::{self, QuarantineOutcome},
     quota_wait,
@@ -94,6 +97,10 @@
     take_up: Option<TakeUp>,
     /// The version that has begun the stream, once an event of it has arrived here or at its caller.
     version: Option<VersionKey>,
+    /// Whether an event has arrived here, so that the stream is bound to a version.
+    is_bound: bool,
+    /// The time for which the caller may take the stream up again.
+    stream_window: Duration,
     arrived: Moment,
     /// The time that the caller already spent on earlier tries, if this request is a retry.
     waited: Duration,
@@ -172,6 +179,8 @@
             fingerprint,
             take_up,
             version: None,
+            is_bound: false,
+            stream_window: stated.unwrap_or(timeout).max(timeout) + origin_lookup::ORIGIN_SLACK,
             arrived,
             waited,
             deadline_at: arrived + deadline,
@@ -481,9 +490,56 @@
         self.gateway.answer_own(self.id.as_ref(), answer)
     }
 
-    /// Binds the stream to the version of the target that has sent its first event.
+    /// Binds the stream to the version of the target that has sent its first event, and tells peers.
     pub fn bind_version(&mut self, target: &TargetEntry) {
-        self.version = self.version.or_else(|| Some(VersionKey::of(&target.version)));
+        if std::mem::replace(&mut self.is_bound, true) {
+            return;
+        }
+        let version = VersionKey::of(&target.version);
+        self.version = Some(version);
+        if self.is_repeatable() {
+            let origin = StreamOrigin { service: ServiceKey::of(&self.service), version };
+            let key = self.stream_key();
+            self.gateway.origins().announce(&self.gateway, key, origin, self.stream_window);
+        }
+    }
+
+    /// Finds out at which version the stream goes on, if the caller takes one up.
+    ///
+    /// # Errors
+    ///
+    /// Returns the gateway's own answer when that cannot be told, or when the route does not lead to
+    /// the service that has begun the stream.
+    pub async fn find_origin(&mut self) -> Result<(), OwnAnswer> {
+        if self.take_up.is_none() {
+            return Ok(());
+        }
+        let service = ServiceKey::of(&self.service);
+        let stream = TakenStream { key: self.stream_key(), service, window: self.stream_window };
+        let verdict = self.gateway.origins().find(&self.gateway, stream).await;
+        self.gateway.log().taken_up(&self.log_id(), verdict);
+        let OriginVerdict::At(origin) = verdict else {
+            return Err(OwnAnswer::new(OwnReason::OriginUnknown).with_retry(DEFAULT_RETRY_AFTER));
+        };
+        let mut services = self.matched.route.shares.iter().map(|share| &share.service);
+        let Some(service) = services.find(|service| ServiceKey::of(service) == origin.service)
+        else {
+            return Err(OwnAnswer::new(OwnReason::NoTarget).with_retry(DEFAULT_RETRY_AFTER));
+        };
+        self.service = service.clone();
+        self.version = Some(origin.version);
+        Ok(())
+    }
+
+    /// Returns the key of the stream: that which the caller takes up, or the one that the request
+    /// begins.
+    fn stream_key(&self) -> StreamKey {
+        let named = match &self.take_up {
+            Some(take_up) => take_up.stream_id(),
+            None => self.id.as_ref(),
+        };
+        let organisation = self.matched.organisation.as_ref().map(|it| &it.name);
+        StreamKey::of(organisation, named.map(HeaderValue::as_bytes).unwrap_or_default())
     }
 
     /// Records a piece of the answer.
@@ -641,7 +697,7 @@
             objective_at,
             leave_at,
             pause: route.pause,
-            begun: self.last_at.is_some(),
+            begun: self.last_at.is_some() || self.take_up.is_some(),
             version: self.version,
             excluded: self.excluded.clone(),
             may_rerun: self.is_repeatable() && self.attempts + 1 < route.attempts,
--- a/crates/ryetide-gateway/src/fleet_tasks.rs
+++ b/crates/ryetide-gateway/src/fleet_tasks.rs
@@ -23,6 +23,7 @@
 use crate::{
     ejection_report,
     feed_relay::RelayedChange,
+    fleet_view::RefreshedTargets,
     gateway_state::Gateway,
     lag_monitor::{FeedPauses, LagMonitor},
     overflow_log,
@@ -275,7 +276,9 @@
 /// Passes the current targets to the scheduler when they have changed.
 pub fn refresh_targets(gateway: &Gateway) {
     let now = gateway.hub().clock().now();
-    let Some((targets, news)) = gateway.fleet().refresh_targets(now) else { return };
+    let Some(refreshed) = gateway.fleet().refresh_targets(now) else { return };
+    let RefreshedTargets { before, found: targets, changes: news } = refreshed;
+    gateway.origins().record_targets(now, &before, &targets);
     let leaving = targets.iter().filter(|target| target.leaving).count();
     let version = EraVersion::from_packed(gateway.fleet().registry().borrow().newest());
     tracing::info!(
--- a/crates/ryetide-gateway/src/fleet_view.rs
+++ b/crates/ryetide-gateway/src/fleet_view.rs
@@ -1,6 +1,9 @@
 //! This VM's current routes and targets.
 
-use std::{cell::RefCell, sync::Arc};
+use std::{
+    cell::{Ref, RefCell},
+    sync::Arc,
+};
 
 use ryetide_core::{
     ids::{ServiceName, TargetKey},
@@ -14,6 +17,16 @@
 
 use crate::target_changes::TargetChanges;
 
+/// Targets that have changed.
+pub struct RefreshedTargets {
+    /// The targets until now.
+    pub before: Vec<TargetEntry>,
+    /// The targets from now on.
+    pub found: Vec<TargetEntry>,
+    /// The differences.
+    pub changes: TargetChanges,
+}
+
 /// The routes in force and the targets, as last received from the feed.
 #[derive(Default)]
 pub struct FleetView {
@@ -69,17 +82,21 @@
         &self.registry
     }
 
-    /// Replaces the targets by those in the registry now. If anything changed, returns the new
-    /// targets and the differences.
-    pub fn refresh_targets(&self, now: Moment) -> Option<(Vec<TargetEntry>, TargetChanges)> {
+    /// Returns the targets.
+    pub fn current(&self) -> Ref<'_, Vec<TargetEntry>> {
+        self.current.borrow()
+    }
+
+    /// Replaces the targets by those in the registry now. Returns what changed, if anything did.
+    pub fn refresh_targets(&self, now: Moment) -> Option<RefreshedTargets> {
         let found = self.registry.borrow_mut().current(now);
         if *self.current.borrow() == found {
             return None;
         }
         let before = self.current.replace(found.clone());
         self.changed.notify_waiters();
-        let news = TargetChanges::between(&before, &found);
-        Some((found, news))
+        let changes = TargetChanges::between(&before, &found);
+        Some(RefreshedTargets { before, found, changes })
     }
 
     /// Returns whether this incarnation of a target is leaving or gone.
--- a/crates/ryetide-gateway/src/gateway_state.rs
+++ b/crates/ryetide-gateway/src/gateway_state.rs
@@ -27,6 +27,7 @@
     feed_relay::FeedRelay,
     fleet_view::FleetView,
     gateway_metrics::GatewayMetrics,
+    origin_lookup::StreamOrigins,
     peer_link::PeerLink,
     ports::{GatewaySettings, HeaderNames, PeerEntry, WorkReader, WorkSize},
     scheduler_hub::SchedulerHub,
@@ -56,6 +57,7 @@
     /// Estimates how long callers of each route have waited, by route name.
     deadline_trackers: RefCell<HashMap<String, DeadlineTracker>>,
     fault_detector: FaultDetector,
+    origins: StreamOrigins,
     metrics: GatewayMetrics,
     log: DecisionLog,
     draining: Cell<bool>,
@@ -87,6 +89,7 @@
             peers: RefCell::default(),
             deadline_trackers: RefCell::default(),
             fault_detector: FaultDetector::default(),
+            origins: StreamOrigins::default(),
             metrics: GatewayMetrics::default(),
             log: DecisionLog::new(settings.name.clone()),
             draining: Cell::new(false),
@@ -168,6 +171,11 @@
         &self.fault_detector
     }
 
+    /// Returns what this VM knows of the origins of streams.
+    pub fn origins(&self) -> &StreamOrigins {
+        &self.origins
+    }
+
     /// Returns the metrics.
     pub fn metrics(&self) -> &GatewayMetrics {
         &self.metrics
--- a/crates/ryetide-gateway/src/lib.rs
+++ b/crates/ryetide-gateway/src/lib.rs
@@ -17,7 +17,7 @@
 //! |---|---|
 //! | [`ports`] | the interface to a platform |
 //! | [`gateway`], [`gateway_state`], [`fleet_tasks`] | start and shutdown of a gateway, the state that its tasks share, background tasks |
-//! | [`caller_listener`], [`caller_stream`], [`caller_service`], [`exchange`], [`quota_wait`], [`take_up`], [`caller_answer`] | the connections and requests of callers |
+//! | [`caller_listener`], [`caller_stream`], [`caller_service`], [`exchange`], [`quota_wait`], [`take_up`], [`origin_lookup`], [`caller_answer`] | the connections and requests of callers |
 //! | [`request_template`], [`target_pool`], [`target_answer`], [`relay`], [`relay_fault`], [`run_fault`], [`target_notices`] | requests to targets and their answers |
 //! | [`fault_detector`], [`quarantine_check`], [`quarantine_monitor`] | requests that crash targets |
 //! | `rollout_monitor`, `rollout_rows` | rollout orders, and their status rows for operators |
@@ -47,6 +47,7 @@
 pub mod gateway_text;
 pub mod lag_monitor;
 mod local_future;
+pub mod origin_lookup;
 mod overflow_log;
 pub mod own_headers;
 pub mod peer_link;
--- a/crates/ryetide-gateway/src/peer_link.rs
+++ b/crates/ryetide-gateway/src/peer_link.rs
@@ -19,7 +19,9 @@
     era_version::EraVersion,
     ids::{TargetKey, VmName},
     load_digest::{DigestEnvelope, LoadDigest},
+    origin_inquiry::OriginReply,
     policy_update::PolicyUpdate,
+    stream_origin::OriginRecord,
     watcher_selection::WatchReport,
 };
 use serde::{Deserialize, Serialize};
@@ -29,6 +31,7 @@
     digest_relay::DigestRelay,
     feed_relay::RelayedChange,
     gateway_state::Gateway,
+    origin_lookup::OriginQuestion,
     ports::{PeerEntry, PeerSecret},
     target_notices,
 };
@@ -63,6 +66,17 @@
         /// The caller's id of the request, for the receiver's log.
         request: String,
     },
+    /// Which version has begun a stream that the receiver keeps.
+    Origin(OriginRecord),
+    /// Asks which version has begun a stream.
+    AskOrigin(OriginQuestion),
+    /// The reply to a question for a stream's origin.
+    OriginReply {
+        /// The number of the question.
+        number: u64,
+        /// What the sender knows.
+        reply: OriginReply,
+    },
 }
 
 impl PeerMessage {
@@ -70,7 +84,12 @@
     fn digest(&self) -> Option<&LoadDigest> {
         match self {
             Self::Digest(digest) | Self::RelayRequest(digest) => Some(digest),
-            Self::Change(_) | Self::Relayed(_) | Self::OpenTunnel { .. } => None,
+            Self::Change(_)
+            | Self::Relayed(_)
+            | Self::OpenTunnel { .. }
+            | Self::Origin(_)
+            | Self::AskOrigin(_)
+            | Self::OriginReply { .. } => None,
         }
     }
 }
@@ -244,6 +263,11 @@
             }
         }
         PeerMessage::Change(change) => gateway.relay().receive(change),
+        PeerMessage::Origin(record) => gateway.origins().record(gateway, record),
+        PeerMessage::AskOrigin(question) => gateway.origins().reply(gateway, &from, question),
+        PeerMessage::OriginReply { number, reply } => {
+            gateway.origins().take_reply(&from, number, reply);
+        }
         PeerMessage::OpenTunnel { .. } => {
             let reason = "a tunnel cannot be opened by a datagram";
             tracing::debug!(event = "message-passed-over", peer = %from, reason);
--- a/crates/ryetide-gateway/tests/serving/versions.rs
+++ b/crates/ryetide-gateway/tests/serving/versions.rs
@@ -182,6 +182,35 @@
     });
 }
 
+/// Guards against a VM that knows no stream because it has just started.
+#[test]
+fn a_vm_that_has_just_started_asks_its_peers_for_a_stream() {
+    support::run(async {
+        let versions = Versions::start(2, 2).await;
+        let first = start_gateway("e1", versions.entries()).await;
+        let version = begin(&first, "q1").await;
+        let second = start_gateway("e2", versions.entries()).await;
+        support::join(&[first, Rc::clone(&second)]).await;
+        time::sleep(PROPAGATION_SPAN).await;
+        assert_eq!(ask(&second, "q2", &resuming("q1")).await, rest_of(&version));
+    });
+}
+
+/// Guards against a stream that goes on at any version because the VMs that know it are out of reach.
+#[test]
+fn a_vm_that_hears_no_peer_takes_no_unknown_stream_up() {
+    support::run(async {
+        let versions = Versions::start(2, 0).await;
+        let [first, second] = start_pair(&versions).await;
+        first.send_update(FleetUpdate::OwnSecret([9; 32])).await;
+        time::sleep(Duration::from_millis(2_500)).await;
+        let mut wire = second.call().await;
+        let headers = format!("test-key: key-asha\r\n{}", resuming("q9"));
+        wire.send(&support::request("POST", "q1", &headers, "body")).await;
+        assert_eq!(wire.read_message().await.expect("an answer").status(), 503);
+    });
+}
+
 /// Guards against a stream of an unknown version that goes on at any.
 #[test]
 fn a_stream_of_unknown_version_is_not_taken_up() {
--- a/crates/ryetide-gateway/tests/table_follower/model_store.rs
+++ b/crates/ryetide-gateway/tests/table_follower/model_store.rs
@@ -370,7 +370,8 @@
     }
 
     fn refresh_targets(&self) {
-        let Some((targets, changes)) = self.fleet.refresh_targets(self.now()) else { return };
+        let Some(refreshed) = self.fleet.refresh_targets(self.now()) else { return };
+        let (targets, changes) = (refreshed.found, refreshed.changes);
         let names = targets.iter().map(|target| target.name.to_string());
         *self.in_use.borrow_mut() = names.collect();
         for name in changes.gone.0 {
--- a/crates/ryetide-gateway/tests/target_changes.rs
+++ b/crates/ryetide-gateway/tests/target_changes.rs
@@ -36,7 +36,8 @@
     let fleet = FleetView::default();
     let update = RegistryUpdate::whole(vec![entry("a", false)]);
     fleet.registry().borrow_mut().take(Moment::from_millis(1), update);
-    let (targets, news) = fleet.refresh_targets(Moment::from_millis(1)).expect("a first list");
-    assert_eq!((targets.len(), news.arrived.to_string().as_str()), (1, "a"));
+    let refreshed = fleet.refresh_targets(Moment::from_millis(1)).expect("a first list");
+    let arrived = refreshed.changes.arrived.to_string();
+    assert_eq!((refreshed.before.len(), refreshed.found.len(), arrived.as_str()), (0, 1, "a"));
     assert!(fleet.refresh_targets(Moment::from_millis(2)).is_none());
 }
