Keep what concerns a request's stream and its version in one place

The request's exchange held five fields of it, and the reading of headers stood apart (take_up). stream_binding has them now: the key, the caller's take-up, the version, and when peers are told.

--- a/crates/ryetide-gateway/src/exchange.rs
+++ b/crates/ryetide-gateway/src/exchange.rs
@@ -13,13 +13,12 @@
 };
 use ryetide_core::{
     decision::{Decision, PlacementEvidence, RunEnd},
-    ids::{OrganisationKey, RouteKey, ServiceKey, ServiceName, TargetKey, VersionKey},
+    ids::{OrganisationKey, RouteKey, ServiceKey, ServiceName, TargetKey},
     origin_inquiry::OriginVerdict,
     quota::QuotaCharge,
     request_fingerprint::RequestFingerprint,
     rollout_evidence::RunSample,
     route::{MatchedRoute, RouteKind},
-    stream_origin::{StreamKey, StreamOrigin},
     target_load::TargetEntry,
     units::{Moment, Tokens},
     wait_queue::WaitingRequest,
@@ -31,7 +30,6 @@
     decision_log::{EndedRun, ExchangeTimings, LogId, RefusalEvidence},
     fault_detector::{BrokenRun, FaultDetector},
     gateway_state::Gateway,
-    origin_lookup::{self, TakenStream},
     ports::WorkSize,
     quarantine_check::{self, QuarantineOutcome},
     quota_wait,
@@ -39,7 +37,7 @@
     request_template::{DispatchParameters, RequestTemplate},
     run_fault::RunFault,
     scheduler_hub::RequestTicket,
-    take_up::TakeUp,
+    stream_binding::StreamBinding,
     target_answer::{self, AnswerFraming, AnswerKind, TargetAnswer},
     target_connector::TargetReachability,
     target_notices,
@@ -93,14 +91,7 @@
     size: WorkSize,
     id: Option<HeaderValue>,
     fingerprint: RequestFingerprint,
-    /// Set if the caller takes up a stream.
-    take_up: Option<TakeUp>,
-    /// The version that has begun the stream, once an event of it has arrived here or at its caller.
-    version: Option<VersionKey>,
-    /// Whether an event has arrived here, so that the stream is bound to a version.
-    is_bound: bool,
-    /// The time for which the caller may take the stream up again.
-    stream_window: Duration,
+    stream: StreamBinding,
     arrived: Moment,
     /// The time that the caller already spent on earlier tries, if this request is a retry.
     waited: Duration,
@@ -167,8 +158,13 @@
             stated.map_or(Duration::ZERO, |left| gateway.waited(&matched.route.name, left));
         let deadline = stated.unwrap_or(timeout).min(timeout);
         let id = head.headers.get(&names.request_id).cloned();
-        let is_resumable = matches!(matched.route.kind, RouteKind::Stream { resumable: true });
-        let take_up = TakeUp::read(&head.headers, names).filter(|_| is_resumable);
+        let stream = StreamBinding::read(
+            &head.headers,
+            names,
+            organisation,
+            stated.unwrap_or(timeout).max(timeout),
+            matched.route.kind == RouteKind::Stream { resumable: true },
+        );
         Ok(Self {
             ticket: gateway.hub().take_ticket(),
             gateway: Rc::clone(gateway),
@@ -177,10 +173,7 @@
             size,
             id,
             fingerprint,
-            take_up,
-            version: None,
-            is_bound: false,
-            stream_window: stated.unwrap_or(timeout).max(timeout) + origin_lookup::ORIGIN_SLACK,
+            stream,
             arrived,
             waited,
             deadline_at: arrived + deadline,
@@ -490,18 +483,9 @@
         self.gateway.answer_own(self.id.as_ref(), answer)
     }
 
-    /// Binds the stream to the version of the target that has sent its first event, and tells peers.
+    /// Binds the stream to the version of the target that has sent its first event.
     pub fn bind_version(&mut self, target: &TargetEntry) {
-        if std::mem::replace(&mut self.is_bound, true) {
-            return;
-        }
-        let version = VersionKey::of(&target.version);
-        self.version = Some(version);
-        if self.is_repeatable() {
-            let origin = StreamOrigin { service: ServiceKey::of(&self.service), version };
-            let key = self.stream_key();
-            self.gateway.origins().announce(&self.gateway, key, origin, self.stream_window);
-        }
+        self.stream.bind(&self.gateway, target);
     }
 
     /// Finds out at which version the stream goes on, if the caller takes one up.
@@ -511,37 +495,21 @@
     /// Returns the gateway's own answer when that cannot be told, or when the route does not lead to
     /// the service that has begun the stream.
     pub async fn find_origin(&mut self) -> Result<(), OwnAnswer> {
-        if self.take_up.is_none() {
+        if !self.stream.is_taken_up() {
             return Ok(());
         }
-        let service = ServiceKey::of(&self.service);
-        let stream = TakenStream { key: self.stream_key(), service, window: self.stream_window };
-        let verdict = self.gateway.origins().find(&self.gateway, stream).await;
+        let verdict = self.stream.find_origin(&self.gateway, &self.service).await;
         self.gateway.log().taken_up(&self.log_id(), verdict);
         let OriginVerdict::At(origin) = verdict else {
             return Err(OwnAnswer::new(OwnReason::OriginUnknown).with_retry(DEFAULT_RETRY_AFTER));
         };
         let mut services = self.matched.route.shares.iter().map(|share| &share.service);
-        let Some(service) = services.find(|service| ServiceKey::of(service) == origin.service)
-        else {
-            return Err(OwnAnswer::new(OwnReason::NoTarget).with_retry(DEFAULT_RETRY_AFTER));
-        };
-        self.service = service.clone();
-        self.version = Some(origin.version);
+        let service = services.find(|service| ServiceKey::of(service) == origin.service);
+        let unreachable = OwnAnswer::new(OwnReason::NoTarget).with_retry(DEFAULT_RETRY_AFTER);
+        self.service = service.ok_or(unreachable)?.clone();
         Ok(())
     }
 
-    /// Returns the key of the stream: that which the caller takes up, or the one that the request
-    /// begins.
-    fn stream_key(&self) -> StreamKey {
-        let named = match &self.take_up {
-            Some(take_up) => take_up.stream_id(),
-            None => self.id.as_ref(),
-        };
-        let organisation = self.matched.organisation.as_ref().map(|it| &it.name);
-        StreamKey::of(organisation, named.map(HeaderValue::as_bytes).unwrap_or_default())
-    }
-
     /// Records a piece of the answer.
     pub fn record_piece(&mut self) {
         if self.is_stream() {
@@ -697,8 +665,8 @@
             objective_at,
             leave_at,
             pause: route.pause,
-            begun: self.last_at.is_some() || self.take_up.is_some(),
-            version: self.version,
+            begun: self.last_at.is_some() || self.stream.is_taken_up(),
+            version: self.stream.version(),
             excluded: self.excluded.clone(),
             may_rerun: self.is_repeatable() && self.attempts + 1 < route.attempts,
             organisation: self.organisation_key(),
@@ -719,7 +687,7 @@
             fingerprint: self.fingerprint,
             route: &self.matched.route.name,
             waited_before: self.waited,
-            resumes: self.take_up.as_ref().map_or("", TakeUp::logged_id),
+            resumes: self.stream.taken_up_id(),
         }
     }
 }
--- a/crates/ryetide-gateway/src/lib.rs
+++ b/crates/ryetide-gateway/src/lib.rs
@@ -17,7 +17,7 @@
 //! |---|---|
 //! | [`ports`] | the interface to a platform |
 //! | [`gateway`], [`gateway_state`], [`fleet_tasks`] | start and shutdown of a gateway, the state that its tasks share, background tasks |
-//! | [`caller_listener`], [`caller_stream`], [`caller_service`], [`exchange`], [`quota_wait`], [`take_up`], [`origin_lookup`], [`caller_answer`] | the connections and requests of callers |
+//! | [`caller_listener`], [`caller_stream`], [`caller_service`], [`exchange`], [`quota_wait`], [`stream_binding`], [`origin_lookup`], [`caller_answer`] | the connections and requests of callers |
 //! | [`request_template`], [`target_pool`], [`target_answer`], [`relay`], [`relay_fault`], [`run_fault`], [`target_notices`] | requests to targets and their answers |
 //! | [`fault_detector`], [`quarantine_check`], [`quarantine_monitor`] | requests that crash targets |
 //! | `rollout_monitor`, `rollout_rows` | rollout orders, and their status rows for operators |
@@ -71,8 +71,8 @@
 pub mod store_feed;
 pub mod store_outage;
 pub mod store_table;
+pub mod stream_binding;
 pub mod table_follower;
-pub mod take_up;
 pub mod target_answer;
 pub mod target_changes;
 pub mod target_connector;
