Remember mixes of versions over a restart of all VMs

When all VMs are killed at once nobody knows what began the streams that callers take up. Where one version is left and another has just gone, each VM sees one alone, and the stream of the other would go on at it.

A VM that starts reads all rows with the list of VMs, before its first routes, and counts what they say as seen at that moment, unless it has looked for that long itself. Rows of the release before read as without.

--- a/crates/ryetide-core/src/route.rs
+++ b/crates/ryetide-core/src/route.rs
@@ -231,6 +231,12 @@
 }
 
 impl RouteTable {
+    /// Returns the longest timeout of a route; zero if there is none.
+    pub fn longest_timeout(&self) -> Duration {
+        let routes = self.by_host.values().flatten();
+        routes.map(|route| route.timeout).max().unwrap_or_default()
+    }
+
     /// Returns a builder for a table of `revision`.
     pub fn builder(revision: Revision) -> RouteTableBuilder {
         RouteTableBuilder { table: RouteTable { revision, ..Self::default() } }
--- a/crates/ryetide-core/src/version_history.rs
+++ b/crates/ryetide-core/src/version_history.rs
@@ -4,7 +4,7 @@
 //! A stream whose origin nobody knows may be taken up only if one version alone can have begun it.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     time::Duration,
 };
 
@@ -32,6 +32,15 @@
     Nothing,
 }
 
+/// A service whose targets run several versions, or have within the time for which a stream lasts.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub struct VersionMix {
+    /// The service.
+    pub service: ServiceKey,
+    /// The versions, in ascending order.
+    pub versions: Vec<VersionKey>,
+}
+
 /// The versions seen by one VM.
 #[derive(Debug, Default)]
 pub struct VersionHistory {
@@ -64,16 +73,58 @@
         window: Duration,
         entries: &[TargetEntry],
     ) -> VersionsSeen {
+        let mut versions = self.versions(now, service, window, entries).into_iter();
+        let Some(first) = versions.next() else { return VersionsSeen::Nothing };
+        if versions.next().is_some() {
+            return VersionsSeen::Several;
+        }
+        if self.is_new(now, window) {
+            VersionsSeen::OnlyYet(first)
+        } else {
+            VersionsSeen::Only(first)
+        }
+    }
+
+    /// Returns the services of which several versions were seen in the last `window`.
+    pub fn mixes(&self, now: Moment, window: Duration, entries: &[TargetEntry]) -> Vec<VersionMix> {
+        let versions = |service: &ServiceKey| VersionMix {
+            service: *service,
+            versions: self.versions(now, *service, window, entries).into_iter().collect(),
+        };
+        let mut mixes: Vec<VersionMix> = self.services.keys().map(versions).collect();
+        mixes.retain(|mix| mix.versions.len() > 1);
+        mixes.sort_by_key(|mix| mix.service);
+        mixes
+    }
+
+    /// Adds versions that a VM has stored before a restart, unless this VM has looked for long enough
+    /// itself: what is stored may be old.
+    pub fn restore(&mut self, now: Moment, mix: &VersionMix, window: Duration) {
+        if !self.is_new(now, window) {
+            return;
+        }
+        let seen = self.services.entry(mix.service).or_default();
+        for version in mix.versions.iter().take(VERSION_LIMIT) {
+            seen.entry(*version).or_insert(now);
+        }
+    }
+
+    /// Whether this VM has not looked for as long as `window`.
+    fn is_new(&self, now: Moment, window: Duration) -> bool {
+        self.since.is_none_or(|since| now.since(since) < window)
+    }
+
+    fn versions(
+        &self,
+        now: Moment,
+        service: ServiceKey,
+        window: Duration,
+        entries: &[TargetEntry],
+    ) -> BTreeSet<VersionKey> {
         let of_service = entries.iter().filter(|it| ServiceKey::of(&it.service) == service);
         let present = of_service.map(|entry| VersionKey::of(&entry.version));
         let remembered = self.services.get(&service).into_iter().flatten();
         let recent = remembered.filter(|(_, at)| now.since(**at) < window).map(|(key, _)| *key);
-        let mut versions = present.chain(recent);
-        let Some(first) = versions.next() else { return VersionsSeen::Nothing };
-        if versions.any(|version| version != first) {
-            return VersionsSeen::Several;
-        }
-        let looks_long = self.since.is_some_and(|since| now.since(since) >= window);
-        if looks_long { VersionsSeen::Only(first) } else { VersionsSeen::OnlyYet(first) }
+        present.chain(recent).collect()
     }
 }
--- a/crates/ryetide-core/tests/stream_origins.rs
+++ b/crates/ryetide-core/tests/stream_origins.rs
@@ -230,3 +230,25 @@
     println!("{gone_on} of {taken_up} streams went on");
     assert!(gone_on * 2 >= taken_up, "{gone_on} of {taken_up}");
 }
+
+/// Guards against VMs that were all restarted and take the one version left for the only one there was.
+#[test]
+fn a_stored_mix_of_versions_counts_after_a_restart() {
+    let service = ServiceKey::of(&"drafting".into());
+    let (old, new) = (vec![target("a", "v1")], vec![target("b", "v2")]);
+    let mut before = VersionHistory::default();
+    before.record(at(1), &[], &old);
+    before.record(at(40), &old, &new);
+    let mixes = before.mixes(at(41), WINDOW, &new);
+    assert_eq!(mixes.len(), 1);
+    assert_eq!(before.mixes(at(60), WINDOW, &new), []);
+
+    let mut after = VersionHistory::default();
+    after.restore(at(2), &mixes[0], WINDOW);
+    after.record(at(3), &[], &new);
+    assert_eq!(after.seen(at(19), service, WINDOW, &new), VersionsSeen::Several);
+    let v2 = VersionKey::of(&"v2".into());
+    assert_eq!(after.seen(at(30), service, WINDOW, &new), VersionsSeen::Only(v2));
+    after.restore(at(30), &mixes[0], WINDOW);
+    assert_eq!(after.seen(at(30), service, WINDOW, &new), VersionsSeen::Only(v2));
+}
--- a/crates/ryetide-gateway/src/fleet_tasks.rs
+++ b/crates/ryetide-gateway/src/fleet_tasks.rs
@@ -33,6 +33,7 @@
     refresh_signal::RefreshSignal,
     share_monitor,
     target_changes::NameList,
+    version_monitor,
 };
 
 /// The interval at which idle connections, expiring target entries and gauges are checked.
@@ -116,6 +117,7 @@
             (settings.name.clone(), settings.link)
         };
         quarantine_monitor::restore_quarantines(&self.gateway, &own, &listed);
+        version_monitor::restore_mixes(&self.gateway, &listed);
         let others = listed.into_iter().filter(|peer| peer.name != own);
         let others: BTreeMap<VmName, PeerEntry> =
             others.map(|peer| (peer.name.clone(), peer)).collect();
--- a/crates/ryetide-gateway/src/gateway.rs
+++ b/crates/ryetide-gateway/src/gateway.rs
@@ -35,6 +35,7 @@
     refresh_signal::RefreshSignal,
     rollout_monitor::RolloutMonitor,
     status_port, tunnel_server,
+    version_monitor::VersionMonitor,
 };
 
 /// The capacity of the command channel.
@@ -186,6 +187,7 @@
         secret: rand::rng().random(),
         link: settings.link,
         quarantines: Vec::new(),
+        mixes: Vec::new(),
     };
     let scheduler = Scheduler::new(SchedulerOptions {
         name: settings.name.clone(),
@@ -217,12 +219,14 @@
     let (refresh_signal, feed_fleet_size) = (Rc::clone(&refresh), Rc::clone(&fleet_size));
     let (keeper, kept) = QuarantineMonitor::new();
     let (rollout_monitor, rollout_duties) = RolloutMonitor::new();
+    let (version_monitor, mixes) = VersionMonitor::new();
     let channels = FeedChannels {
         updates,
         refresh: refresh_signal,
         fleet_size: feed_fleet_size,
         relay,
         quarantines: kept,
+        mixes,
         duties: rollout_duties,
     };
     let mut tasks = JoinSet::new();
@@ -239,6 +243,7 @@
     tasks.spawn_local(fleet_tasks::sweep(Rc::clone(&gateway), refresh, pauses));
     tasks.spawn_local(keeper.run(Rc::clone(&gateway)));
     tasks.spawn_local(rollout_monitor.run(Rc::clone(&gateway), Rc::clone(&link)));
+    tasks.spawn_local(version_monitor.run(Rc::clone(&gateway)));
     tasks.spawn_local(tunnel_server::serve(Rc::clone(&gateway), tunnels));
     tasks.spawn_local(status_port::serve(Rc::clone(&gateway), status));
     let accepting = tasks.spawn_local(caller_listener::accept(Rc::clone(&gateway), callers));
--- a/crates/ryetide-gateway/src/lib.rs
+++ b/crates/ryetide-gateway/src/lib.rs
@@ -20,6 +20,7 @@
 //! | [`caller_listener`], [`caller_stream`], [`caller_service`], [`exchange`], [`quota_wait`], [`stream_binding`], [`origin_lookup`], [`caller_answer`] | the connections and requests of callers |
 //! | [`request_template`], [`target_pool`], [`target_answer`], [`relay`], [`relay_fault`], [`run_fault`], [`target_notices`] | requests to targets and their answers |
 //! | [`fault_detector`], [`quarantine_check`], [`quarantine_monitor`] | requests that crash targets |
+//! | [`version_monitor`] | which services have several versions, stored for a restart of all VMs |
 //! | `rollout_monitor`, `rollout_rows` | rollout orders, and their status rows for operators |
 //! | [`scheduler_hub`], [`fleet_view`] | the shared scheduler, the routes and the targets |
 //! | [`store_feed`], [`table_follower`], [`store_table`], [`row_faults`], [`store_outage`], [`feed_relay`], [`lag_monitor`], [`refresh_signal`] | routes, targets and peers from a platform's store |
@@ -81,3 +82,4 @@
 pub mod tunnel_message;
 pub mod tunnel_server;
 mod unix_time;
+pub mod version_monitor;
--- a/crates/ryetide-gateway/src/origin_lookup.rs
+++ b/crates/ryetide-gateway/src/origin_lookup.rs
@@ -17,7 +17,7 @@
     stream_origin::{self, OriginRecord, OriginTable, StreamKey, StreamOrigin},
     target_load::TargetEntry,
     units::Moment,
-    version_history::{VersionHistory, VersionsSeen},
+    version_history::{VersionHistory, VersionMix, VersionsSeen},
 };
 use serde::{Deserialize, Serialize};
 use tokio::{
@@ -96,6 +96,18 @@
         self.history.borrow_mut().record(now, before, entries);
     }
 
+    /// Returns the services of which several versions were seen in the last `window`.
+    pub fn mixes(&self, gateway: &Gateway, window: Duration) -> Vec<VersionMix> {
+        let now = gateway.hub().clock().now();
+        self.history.borrow().mixes(now, window, &gateway.fleet().current())
+    }
+
+    /// Adds versions that a VM has stored before a restart.
+    pub fn restore(&self, gateway: &Gateway, mix: &VersionMix, window: Duration) {
+        let now = gateway.hub().clock().now();
+        self.history.borrow_mut().restore(now, mix, window);
+    }
+
     /// Records which version has begun a stream, and tells the stream's keepers.
     pub fn announce(&self, gateway: &Gateway, key: StreamKey, origin: StreamOrigin, ttl: Duration) {
         let ttl = ttl.min(MAX_ORIGIN_TTL);
--- a/crates/ryetide-gateway/src/ports.rs
+++ b/crates/ryetide-gateway/src/ports.rs
@@ -16,6 +16,7 @@
     scheduling_policy::SchedulingPolicy,
     target_registry::RegistryUpdate,
     units::{LinkRate, Tokens},
+    version_history::VersionMix,
 };
 use serde::{Deserialize, Serialize};
 use tokio::sync::{mpsc, watch};
@@ -144,6 +145,8 @@
     pub link: LinkRate,
     /// The quarantines that it has stored for all VMs.
     pub quarantines: Vec<StoredQuarantine>,
+    /// The mixes of versions that it has stored for all VMs.
+    pub mixes: Vec<VersionMix>,
 }
 
 /// A request in quarantine, sent to no target because it crashes them, in the form in which it is
@@ -193,6 +196,8 @@
     pub relay: Rc<FeedRelay>,
     /// The quarantines that this VM stores for all VMs; a feed without a store ignores them.
     pub quarantines: watch::Receiver<Vec<StoredQuarantine>>,
+    /// The mixes of versions that this VM stores for all VMs; a feed without a store ignores them.
+    pub mixes: watch::Receiver<Vec<VersionMix>>,
     /// The duties that are pending at the operators' rows of rollout orders.
     pub duties: watch::Receiver<Vec<RolloutDuty>>,
 }
--- a/crates/ryetide-gateway/src/store_feed.rs
+++ b/crates/ryetide-gateway/src/store_feed.rs
@@ -14,6 +14,7 @@
     target_load::TargetEntry,
     target_registry::RegistryUpdate,
     units::LinkRate,
+    version_history::VersionMix,
 };
 use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
@@ -115,6 +116,9 @@
     /// Requests under quarantine, stored so that they survive when all VMs are killed at once.
     #[serde(default)]
     kept: Vec<StoredQuarantine>,
+    /// Services with several versions, stored for the same case.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    mixes: Vec<VersionMix>,
 }
 
 impl VmRow {
@@ -217,6 +221,7 @@
         secret: own.secret,
         link: own.link,
         kept: Vec::new(),
+        mixes: Vec::new(),
     };
     match left.filter(|left| left.is_of_same_vm(&row)) {
         Some(left) => {
@@ -264,6 +269,14 @@
                     // The gateway is ending.
                     Err(_) => return,
                 },
+                changed = channels.mixes.changed() => match changed {
+                    Ok(()) => {
+                        let mixes = channels.mixes.borrow_and_update().clone();
+                        self.store_mixes(mixes).await;
+                    }
+                    // The gateway is ending.
+                    Err(_) => return,
+                },
                 found = next_found(&mut found) => match found {
                     Some(found) => self.rewrite_if_changed(found).await,
                     // The feed has ended.
@@ -283,6 +296,15 @@
         self.write().await;
     }
 
+    async fn store_mixes(&mut self, mixes: Vec<VersionMix>) {
+        if self.row.mixes == mixes {
+            return;
+        }
+        tracing::info!(event = "versions-kept", step = "write", services = mixes.len());
+        self.row.mixes = mixes;
+        self.write().await;
+    }
+
     async fn rewrite_if_changed(&mut self, found: FoundRow) {
         if found.row.as_ref() == Some(&self.row) {
             return;
@@ -470,10 +492,10 @@
     fn changed(&mut self, rows: Vec<TableRow>) -> Vec<FleetUpdate> {
         for row in rows {
             let decoded = row.value.bytes().map(|value| serde_json::from_slice::<VmRow>(value));
-            if let Some(Ok(VmRow { data_centre, address, secret, link, kept })) = decoded {
-                let name = row.key.as_str().into();
+            if let Some(Ok(VmRow { data_centre, address, secret, link, kept, mixes })) = decoded {
+                let (name, quarantines) = (row.key.as_str().into(), kept);
                 let peer =
-                    PeerEntry { name, data_centre, address, secret, link, quarantines: kept };
+                    PeerEntry { name, data_centre, address, secret, link, quarantines, mixes };
                 self.known.insert(row.key, peer);
                 continue;
             }
--- /dev/null
+++ b/crates/ryetide-gateway/src/version_monitor.rs
@@ -0,0 +1,73 @@
+//! The background task that stores which services have targets of several versions, so that this
+//! survives a restart of all VMs.
+//!
+//! After such a restart nobody knows what began the streams that callers take up, and a version that
+//! went shortly before it is seen no more. A few VMs store the mix of versions for each service, once
+//! when it begins and once when the last stream of it must have ended.
+
+use std::{rc::Rc, time::Duration};
+
+use ryetide_core::{
+    stream_origin::{self, StreamKey},
+    version_history::VersionMix,
+};
+use tokio::{sync::watch, time};
+
+use crate::{gateway_state::Gateway, origin_lookup::ORIGIN_SLACK, ports::PeerEntry};
+
+/// The interval at which the versions are checked.
+const CHECK_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Stores the mixes of versions.
+pub struct VersionMonitor {
+    stored: watch::Sender<Vec<VersionMix>>,
+}
+
+impl VersionMonitor {
+    /// Creates an instance, and the receiver through which the feed learns what to store.
+    pub fn new() -> (Self, watch::Receiver<Vec<VersionMix>>) {
+        let (stored, receiver) = watch::channel(Vec::new());
+        (Self { stored }, receiver)
+    }
+
+    /// Checks the versions until the task is cancelled.
+    pub async fn run(self, gateway: Rc<Gateway>) {
+        let mut ticks = time::interval(CHECK_INTERVAL);
+        ticks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
+        loop {
+            ticks.tick().await;
+            let mut mixes = gateway.origins().mixes(&gateway, stream_window(&gateway));
+            mixes.retain(|mix| is_writer(&gateway, mix));
+            self.stored.send_if_modified(|before| {
+                let is_changed = *before != mixes;
+                *before = mixes;
+                is_changed
+            });
+        }
+    }
+}
+
+/// Adds the mixes that VMs have stored, including those that an earlier incarnation of this VM stored.
+pub fn restore_mixes(gateway: &Gateway, listed: &[PeerEntry]) {
+    let window = stream_window(gateway);
+    for mix in listed.iter().flat_map(|peer| &peer.mixes) {
+        gateway.origins().restore(gateway, mix, window);
+    }
+}
+
+/// Returns the time for which the streams of any route may last.
+fn stream_window(gateway: &Gateway) -> Duration {
+    let routes = gateway.fleet().routes();
+    routes.map_or(Duration::ZERO, |routes| routes.longest_timeout()) + ORIGIN_SLACK
+}
+
+/// Returns whether this VM is among those that store the versions of a service.
+fn is_writer(gateway: &Gateway, mix: &VersionMix) -> bool {
+    let key = StreamKey(u128::from(mix.service.0));
+    let peers = gateway.peers().borrow();
+    let settings = gateway.settings().borrow();
+    let own = (&settings.name, &settings.data_centre);
+    let vms = peers.values().map(|peer| (&peer.name, &peer.data_centre)).chain([own]);
+    let order = stream_origin::keeper_order(key, vms);
+    order.into_iter().take(stream_origin::KEEPERS).any(|vm| *vm == settings.name)
+}
--- a/crates/ryetide-gateway/tests/serving/support.rs
+++ b/crates/ryetide-gateway/tests/serving/support.rs
@@ -21,6 +21,7 @@
     target_load::TargetEntry,
     target_registry::RegistryUpdate,
     units::{LinkRate, Revision, TierRank, Tokens},
+    version_history::VersionMix,
 };
 use ryetide_gateway::{
     gateway::{self, GatewayCommand, GatewayParts, GatewaySockets},
@@ -376,6 +377,11 @@
         gateway
     }
 
+    /// The row of the gateway `name`, with these mixes of versions in it.
+    pub fn peer_entry(&self, name: &str, mixes: Vec<VersionMix>) -> PeerEntry {
+        PeerEntry { mixes, ..peer(name, self, 1) }
+    }
+
     pub async fn send_update(&self, update: FleetUpdate) {
         self.updates.send(update).await.expect("a gateway that receives updates");
     }
@@ -442,6 +448,7 @@
         secret: [key; 32],
         link: LinkRate(0),
         quarantines: Vec::new(),
+        mixes: Vec::new(),
     }
 }
 
--- a/crates/ryetide-gateway/tests/serving/versions.rs
+++ b/crates/ryetide-gateway/tests/serving/versions.rs
@@ -2,7 +2,12 @@
 
 use std::{rc::Rc, sync::Arc, time::Duration};
 
-use ryetide_core::{route::RouteKind, target_load::TargetEntry};
+use ryetide_core::{
+    ids::{ServiceKey, VersionKey},
+    route::RouteKind,
+    target_load::TargetEntry,
+    version_history::VersionMix,
+};
 use ryetide_gateway::ports::{FleetUpdate, LocalFuture};
 use tokio::time;
 
@@ -256,3 +261,26 @@
         assert_eq!(versions.v1[0].seen.borrow()[0].header("test-resumes"), Some("q0"));
     });
 }
+
+/// Guards against a stream that goes on at the one version left after all VMs were restarted: that
+/// another one has just gone stands in the VMs' rows only.
+#[test]
+fn a_stored_mix_of_versions_keeps_an_unknown_stream_from_going_on() {
+    support::run(async {
+        let versions = Versions::start(1, 0).await;
+        let mix = VersionMix {
+            service: ServiceKey::of(&"desk".into()),
+            versions: ["v1", "v2"].map(|it| VersionKey::of(&it.into())).to_vec(),
+        };
+        for (mixes, status) in [(Vec::new(), 200), (vec![mix], 503)] {
+            let gateway = start_gateway("e1", versions.entries()).await;
+            gateway.send_update(FleetUpdate::Peers(vec![gateway.peer_entry("e1", mixes)])).await;
+            time::sleep(Duration::from_millis(50)).await;
+            let mut wire = gateway.call().await;
+            let headers = format!("test-key: key-asha\r\n{}", resuming("q9"));
+            wire.send(&support::request("POST", "q1", &headers, "body")).await;
+            let head = wire.read_to("\r\n\r\n").await.expect("a head");
+            assert!(head.starts_with(&format!("HTTP/1.1 {status}")), "{head}");
+        }
+    });
+}
