--- a/crates/ryetide-gateway/tests/releases.rs
+++ b/crates/ryetide-gateway/tests/releases.rs
@@ -3,8 +3,11 @@
 use ring::hmac;
 use ryetide_core::{
     crash_ledger::CrashUpdate,
-    ids::{DataCentreName, Incarnation, OrganisationKey, TargetKey, VmName},
+    ids::{
+        DataCentreName, Incarnation, OrganisationKey, ServiceKey, TargetKey, VersionKey, VmName,
+    },
     load_digest::{DigestScope, LoadDigest, PlacedPrompt, QueueReport, TargetReport},
+    stream_origin::{OriginRecord, StreamKey, StreamOrigin},
     target_limit::LimitReport,
     target_notice::LeavingReport,
     units::{RequestRate, Revision},
@@ -114,3 +117,15 @@
         assert!(peer_link::open(&datagram[..length], |_| Some(SECRET)).is_err(), "{length} bytes");
     }
 }
+
+/// Guards against records of streams that take a fleet's links: each stream sends four.
+#[test]
+fn a_record_of_a_streams_origin_takes_at_most_a_hundred_bytes() {
+    let origin = StreamOrigin { service: ServiceKey(u32::MAX), version: VersionKey(u32::MAX) };
+    let record = OriginRecord { key: StreamKey(u128::MAX), origin, ttl_ms: 18_000 };
+    let envelope =
+        PeerEnvelope { from: "edge-rajkot-hall-1".into(), message: PeerMessage::Origin(record) };
+    let datagram = peer_link::seal(&SECRET, &envelope).expect("a message");
+    println!("{} bytes", datagram.len());
+    assert!(datagram.len() <= 100, "{}", datagram.len());
+}
