Keep a figure of the capacity page out of the code

Comments only: how many records a VM keeps at the peak stands in docs/CAPACITY.md, and why a request that continues a stream is never hopeless is said by what delays it.

--- a/crates/ryetide-core/src/queue_view.rs
+++ b/crates/ryetide-core/src/queue_view.rs
@@ -719,7 +719,7 @@
         let Some(work) = self.state.queue.iter().find(|work| work.ticket == ticket) else {
             return false;
         };
-        // Others' slots do not matter to it, and its caller has seen a part of its stream.
+        // The queue for other versions' slots does not delay it.
         if self.versions.binding(work).is_some() {
             return false;
         }
--- a/crates/ryetide-core/src/stream_origin.rs
+++ b/crates/ryetide-core/src/stream_origin.rs
@@ -15,8 +15,7 @@
     units::Moment,
 };
 
-/// The most records that a VM keeps. At 6,000 streams a second with deadlines of 15 s before 400 VMs,
-/// each keeps some 1,200.
+/// The most records that a VM keeps, many times what it keeps at the peak; see docs/CAPACITY.md.
 pub const RECORD_LIMIT: usize = 32_768;
 /// The number of peers that are told of a stream. They are in several data centres, if there are
 /// several.
