--- a/crates/ryetide-core/src/lib.rs
+++ b/crates/ryetide-core/src/lib.rs
@@ -29,7 +29,7 @@
 //! | [`arbiter`], [`slot_request`], [`queue`], [`target_estimate`], [`affinity`], [`retry_planner`] | order, admission and placement of requests for a service |
 //! | [`membership`] | the peers, and which VM arbitrates a service |
 //! | [`claim`], [`configuration`], [`request`] | the state behind the guarantees |
-//! | [`request_fingerprint`], [`crash_ledger`], [`crash_update`], [`crash_attribution`] | requests that crash targets |
+//! | [`request_fingerprint`], [`prompt_part`], [`crash_ledger`], [`crash_update`], [`crash_attribution`] | requests that crash targets |
 //! | [`route`], [`route_text`], [`quota`], [`quota_allocator`], [`retry_budget`], [`retry_delay`] | routed requests: their routes, quotas and retries |
 //! | [`rollout_order`], [`rollout_manager`], [`service_rollout`], [`rollout_evidence`], [`rollout_evaluation`] | rollouts of new versions: their traffic, evaluation and outcome |
 //! | [`scheduler`], [`scheduler_options`], [`queue_view`], [`wait_queue`], [`recent_arrivals`], [`deadline_tracker`], [`decision`] | queueing and refusal of routed requests |
@@ -100,6 +100,7 @@
 pub mod placement;
 pub mod policy_update;
 pub mod prompt_cache;
+pub mod prompt_part;
 mod quarantine_list;
 pub mod queue;
 pub mod queue_view;
--- a/crates/ryetide-gateway/src/exchange.rs
+++ b/crates/ryetide-gateway/src/exchange.rs
@@ -15,6 +15,7 @@
     decision::{Decision, PlacementEvidence, RunEnd},
     ids::{OrganisationKey, RouteKey, ServiceKey, ServiceName, TargetKey},
     origin_inquiry::OriginVerdict,
+    prompt_part::{PartId, PromptPart},
     quota::QuotaCharge,
     request_fingerprint::RequestFingerprint,
     rollout_evidence::RunSample,
@@ -91,6 +92,8 @@
     size: WorkSize,
     id: Option<HeaderValue>,
     fingerprint: RequestFingerprint,
+    /// The ids of the shared parts of the prompt.
+    part_ids: Vec<PartId>,
     stream: StreamBinding,
     arrived: Moment,
     /// The time that the caller already spent on earlier tries, if this request is a retry.
@@ -140,6 +143,7 @@
         let CallerRequest { head, body, arrived } = call;
         let names = gateway.names();
         let size = gateway.read_size(&head.headers);
+        let part_ids = gateway.read_parts(&head.headers);
         let organisation = matched.organisation.as_ref().map(|organisation| &organisation.name);
         let fingerprint = quarantine_check::fingerprint_of(&head, &body, organisation);
         let template = RequestTemplate::new(&head, body, names, organisation).map_err(|error| {
@@ -173,6 +177,7 @@
             size,
             id,
             fingerprint,
+            part_ids,
             stream,
             arrived,
             waited,
@@ -541,6 +546,7 @@
             let run = BrokenRun {
                 request: log_id.id.to_owned(),
                 fingerprint: self.fingerprint,
+                parts: self.prompt_parts(),
                 ran: self.gateway.hub().clock().now().since(self.sent_at),
                 may_be_crash: fault.may_be_crash(),
                 sample: fault.may_depend_on_version().then(|| self.run_sample(target, None)),
@@ -673,6 +679,11 @@
         }
     }
 
+    /// Returns the shared parts of the prompt at the request's service.
+    fn prompt_parts(&self) -> Vec<PromptPart> {
+        PromptPart::list(ServiceKey::of(&self.service), &self.part_ids)
+    }
+
     fn organisation_key(&self) -> OrganisationKey {
         let organisation = self.matched.organisation.as_ref();
         organisation.map_or_else(Default::default, |it| OrganisationKey::of(&it.name))
--- a/crates/ryetide-gateway/src/fault_detector.rs
+++ b/crates/ryetide-gateway/src/fault_detector.rs
@@ -9,7 +9,7 @@
 use std::{cell::RefCell, collections::HashMap, rc::Rc, time::Duration};
 
 use ryetide_core::{
-    crash_ledger::CrashedRun, decision::FaultCause, ids::TargetKey,
+    crash_ledger::CrashedRun, decision::FaultCause, ids::TargetKey, prompt_part::PromptPart,
     request_fingerprint::RequestFingerprint, rollout_evidence::RunSample, target_load::TargetEntry,
 };
 use tokio::task;
@@ -23,6 +23,8 @@
     pub request: String,
     /// The fingerprint of the request.
     pub fingerprint: RequestFingerprint,
+    /// The shared parts of its prompt.
+    pub parts: Vec<PromptPart>,
     /// How long the request had been running at the target.
     pub ran: Duration,
     /// Whether it may have broken because the target has crashed.
--- a/crates/ryetide-gateway/src/gateway_state.rs
+++ b/crates/ryetide-gateway/src/gateway_state.rs
@@ -12,6 +12,7 @@
     deadline_tracker::DeadlineTracker,
     ids::{TargetKey, VmName},
     load_digest::FleetState,
+    prompt_part::PartId,
     scheduler::Scheduler,
     target_load::TargetEntry,
     tunnel_room::TunnelRoom,
@@ -217,6 +218,11 @@
         self.reader.read(headers)
     }
 
+    /// Reads the ids of the shared parts of a request's prompt from its headers.
+    pub fn read_parts(&self, headers: &HeaderMap) -> Vec<PartId> {
+        self.reader.shared_parts(headers)
+    }
+
     /// Estimates how long a caller of `route` has already waited, from the remaining time `left`
     /// that it states.
     pub fn waited(&self, route: &str, left: Duration) -> Duration {
--- a/crates/ryetide-gateway/src/own_headers.rs
+++ b/crates/ryetide-gateway/src/own_headers.rs
@@ -1,7 +1,7 @@
 //! The default header names, for deployments whose platform does not define others.
 
 use hyper::{HeaderMap, header::HeaderName};
-use ryetide_core::units::Tokens;
+use ryetide_core::{prompt_part::PartId, units::Tokens};
 use xxhash_rust::xxh3;
 
 use crate::ports::{HeaderNames, WorkReader, WorkSize};
@@ -10,6 +10,8 @@
 const OUTPUT_LIMIT: &str = "ryetide-output-limit";
 const OUTPUT_HINT: &str = "ryetide-output-hint";
 const PROMPT_NAME: &str = "ryetide-prompt";
+/// The ids of the shared parts of the prompt, in hexadecimal and separated by commas.
+const PROMPT_PARTS: &str = "ryetide-prompt-parts";
 
 /// Returns the default header names.
 pub fn header_names() -> HeaderNames {
@@ -46,4 +48,9 @@
             prompt_hash: text(PROMPT_NAME).map(|name| xxh3::xxh3_64(name.as_bytes()) as u32),
         }
     }
+
+    fn shared_parts(&self, headers: &HeaderMap) -> Vec<PartId> {
+        let texts = headers.get_all(PROMPT_PARTS).into_iter().filter_map(|it| it.to_str().ok());
+        texts.flat_map(|text| text.split(',')).filter_map(|id| id.trim().parse().ok()).collect()
+    }
 }
--- a/crates/ryetide-gateway/src/ports.rs
+++ b/crates/ryetide-gateway/src/ports.rs
@@ -9,6 +9,7 @@
 use ryetide::error::StepError;
 use ryetide_core::{
     ids::{DataCentreName, VmName},
+    prompt_part::PartId,
     request_fingerprint::RequestFingerprint,
     retry_budget::RetryRule,
     rollout_order::{RolloutDuty, RolloutOrder, RolloutReport, RolloutRule},
@@ -125,6 +126,10 @@
 pub trait WorkReader {
     /// Returns the sizes that the headers state; the others are `None`.
     fn read(&self, headers: &HeaderMap) -> WorkSize;
+
+    /// Returns the ids of the parts of the prompt that other requests may share, in their order. The
+    /// part that belongs to the request alone is left out, and so are ids that cannot be parsed.
+    fn shared_parts(&self, headers: &HeaderMap) -> Vec<PartId>;
 }
 
 /// The key with which a VM signs its messages to peers.
--- a/crates/ryetide-gateway/tests/serving/support.rs
+++ b/crates/ryetide-gateway/tests/serving/support.rs
@@ -15,6 +15,7 @@
 use ryetide::error::StepError;
 use ryetide_core::{
     ids::TargetKey,
+    prompt_part::PartId,
     quota::QuotaRule,
     retry_budget::RetryRule,
     route::{RouteKind, RouteOrganisation, RouteRule, RouteTable, RoutedService, ServiceShare},
@@ -271,6 +272,12 @@
             ..WorkSize::default()
         }
     }
+
+    fn shared_parts(&self, headers: &HeaderMap) -> Vec<PartId> {
+        let text = headers.get("test-parts").and_then(|value| value.to_str().ok());
+        let ids = text.into_iter().flat_map(|text| text.split(','));
+        ids.filter_map(|id| id.parse().ok()).collect()
+    }
 }
 
 struct TestSource(GatewaySettings);
