Add a failing test for a part of prompts that crashes targets

Two gateways and four targets that are back 0.6 s after a crash; requests with one part come every 150 ms, no two alike, beside sound ones that share their first part and their caller.

--- a/crates/ryetide-gateway/tests/serving/crashes.rs
+++ b/crates/ryetide-gateway/tests/serving/crashes.rs
@@ -1,40 +1,24 @@
 //! Quarantine of a request that crashes each target that runs it, and its effect on other requests.
 
 use std::{
-    cell::RefCell,
-    net::SocketAddr,
     rc::Rc,
     sync::Arc,
     time::{Duration, Instant},
 };
 
-use ryetide_core::{
-    route::{RouteKind, RouteRule},
-    target_load::TargetEntry,
-    target_registry::RegistryUpdate,
-};
+use ryetide_core::route::{RouteKind, RouteRule};
 use ryetide_gateway::ports::FleetUpdate;
-use tokio::{
-    net::TcpListener,
-    task::{self, JoinSet},
-    time,
-};
+use tokio::time;
 
-use crate::support::{self, Gateway, Message, Wire};
+use crate::{
+    crashing_fleet::{CRASHING, CrashingFleet},
+    support::{self, Gateway, Message},
+};
 
-/// The body of the request that crashes targets.
-const CRASHING: &str = "deadly";
-const TARGETS: usize = 4;
 /// The body of a gateway's answer to a quarantined request.
 const REFUSAL: &str = "quarantined\n";
 /// Many times longer than the gateway needs for an answer of its own.
 const OWN_ANSWER_TIMEOUT: Duration = Duration::from_millis(200);
-/// How long the crashing request runs until its target crashes.
-const CRASH_SPAN: Duration = Duration::from_millis(30);
-/// How long a target needs to answer any other request.
-const ANSWER_SPAN: Duration = Duration::from_millis(120);
-/// How long a crashed target is down.
-const DOWN_SPAN: Duration = Duration::from_millis(600);
 /// The time after which a new VM has received the digests of the others.
 const PROPAGATION_SPAN: Duration = Duration::from_secs(1);
 /// The time after the third crash from which the request must be quarantined.
@@ -42,106 +26,6 @@
 /// The most attempts that may reach targets after that time.
 const MAX_LATER_ATTEMPTS: usize = 3;
 
-/// A request that was received by a target.
-#[derive(Clone, Debug)]
-struct Arrival {
-    at: Instant,
-    id: String,
-    crashing: bool,
-}
-
-/// Targets that crash when they run the crashing request, and restart under new names at the same
-/// addresses.
-#[derive(Default)]
-struct CrashingFleet {
-    entries: RefCell<Vec<TargetEntry>>,
-    arrivals: RefCell<Vec<Arrival>>,
-    crashes: RefCell<Vec<Instant>>,
-    gateways: RefCell<Vec<Rc<Gateway>>>,
-}
-
-impl CrashingFleet {
-    async fn start(gateways: &[Rc<Gateway>]) -> Rc<Self> {
-        let fleet = Rc::new(Self::default());
-        *fleet.gateways.borrow_mut() = gateways.to_vec();
-        for slot in 0..TARGETS {
-            let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-            let address = listener.local_addr().expect("an address");
-            fleet.entries.borrow_mut().push(support::entry(&format!("t{slot}-0"), address));
-            task::spawn_local(Rc::clone(&fleet).run_target(slot, address, listener));
-        }
-        let entries = fleet.entries.borrow().clone();
-        for gateway in gateways {
-            gateway.set_targets(entries.clone()).await;
-        }
-        fleet
-    }
-
-    /// Runs the target of one address and restarts it after each crash.
-    async fn run_target(self: Rc<Self>, slot: usize, address: SocketAddr, first: TcpListener) {
-        let mut listener = first;
-        for incarnation in 1.. {
-            self.serve_until_crash(listener).await;
-            self.crashes.borrow_mut().push(Instant::now());
-            time::sleep(DOWN_SPAN).await;
-            listener = TcpListener::bind(address).await.expect("the port is free again");
-            self.entries.borrow_mut()[slot] =
-                support::entry(&format!("t{slot}-{incarnation}"), address);
-            self.send_targets().await;
-        }
-    }
-
-    async fn send_targets(&self) {
-        let (entries, gateways) = (self.entries.borrow().clone(), self.gateways.borrow().clone());
-        for gateway in gateways {
-            let update = RegistryUpdate::whole(entries.clone());
-            gateway.send_update(FleetUpdate::Targets(update, 0)).await;
-        }
-    }
-
-    /// Serves until the crashing request has run; then all connections break.
-    async fn serve_until_crash(self: &Rc<Self>, listener: TcpListener) {
-        let mut connections = JoinSet::new();
-        loop {
-            tokio::select! {
-                Ok((stream, _)) = listener.accept() => {
-                    connections.spawn_local(Rc::clone(self).serve(Wire::new(stream)));
-                }
-                Some(Ok(true)) = connections.join_next() => return,
-            }
-        }
-    }
-
-    /// Serves one connection; returns whether the target has crashed.
-    async fn serve(self: Rc<Self>, mut wire: Wire) -> bool {
-        while let Some(message) = wire.read_message().await {
-            let crashing = message.body == CRASHING;
-            let id = message.header("test-id").unwrap_or_default().to_owned();
-            self.arrivals.borrow_mut().push(Arrival { at: Instant::now(), id, crashing });
-            time::sleep(if crashing { CRASH_SPAN } else { ANSWER_SPAN }).await;
-            if crashing {
-                return true;
-            }
-            wire.send(&support::whole(&message, "200 OK", "done")).await;
-        }
-        false
-    }
-
-    /// Returns when the third target crashed.
-    fn third_crash(&self) -> Instant {
-        *self.crashes.borrow().get(2).expect("three crashes")
-    }
-
-    /// Returns the ids of the attempts of the crashing request that reached targets after `from`.
-    fn crashing_after(&self, from: Instant) -> Vec<String> {
-        let arrivals = self.arrivals.borrow();
-        let later = arrivals.iter().filter(|arrival| arrival.crashing && arrival.at > from);
-        let mut ids: Vec<String> = later.map(|arrival| arrival.id.clone()).collect();
-        ids.dedup();
-        ids
-    }
-}
-
 fn route() -> RouteRule {
     RouteRule { timeout: Duration::from_secs(4), ..support::route(RouteKind::Repeatable, 2) }
 }
@@ -203,7 +87,7 @@
         let until = Instant::now() + Duration::from_secs(6);
         let pause = Duration::from_millis(70);
         let answers = repeat(&gateways, "deadly", CRASHING, pause, until).await;
-        let later = fleet.crashing_after(fleet.third_crash() + DETECTION_SPAN);
+        let later = fleet.crashing_after(fleet.crash(3) + DETECTION_SPAN);
         assert!(later.len() <= MAX_LATER_ATTEMPTS, "{} later attempts: {later:?}", later.len());
         assert!(answers.iter().all(Option::is_some), "each attempt is answered");
     });
@@ -217,14 +101,14 @@
         let gateways = two_gateways().await;
         let fleet = CrashingFleet::start(&gateways).await;
         until_refused(&gateways).await;
-        let arrived = fleet.crashing_after(fleet.third_crash()).len();
+        let arrived = fleet.crashing_after(fleet.crash(3)).len();
         let asked = Instant::now();
         let answer = gateways[0].ask_with("again", "", CRASHING).await.expect("an answer");
         assert!(asked.elapsed() < OWN_ANSWER_TIMEOUT);
         assert_eq!((answer.status(), answer.body.as_str()), (503, REFUSAL));
         let retry: f64 = answer.header("retry-after").expect("a time").parse().expect("seconds");
         assert!(retry >= 60.0, "it would be refused again after {retry} s");
-        assert_eq!(fleet.crashing_after(fleet.third_crash()).len(), arrived);
+        assert_eq!(fleet.crashing_after(fleet.crash(3)).len(), arrived);
     });
 }
 
--- a/crates/ryetide-gateway/tests/serving/main.rs
+++ b/crates/ryetide-gateway/tests/serving/main.rs
@@ -2,6 +2,8 @@
 
 mod answers;
 mod crashes;
+mod crashing_fleet;
+mod crashing_parts;
 mod cut_off;
 mod digests;
 mod ejection;
