--- a/crates/ryetide-core/src/crash_ledger.rs
+++ b/crates/ryetide-core/src/crash_ledger.rs
@@ -1,20 +1,21 @@
-//! Records which requests were running on targets that crashed, and quarantines the requests that
-//! cause crashes.
+//! Records which requests were running on targets that crashed, and quarantines what causes crashes:
+//! requests, and parts that the prompts of many requests share.
 //!
-//! A request that crashes every target that runs it is retried, with a new id and at any VM. Each
-//! VM records the runs that ended in a crash and reports them to the other VMs.
-//! [`crash_attribution`] decides which request caused the crashes.
-//! That request is quarantined: all attempts of it are refused at once and reach no target, until
-//! none has arrived for [`QUARANTINE_TTL`]. A completed answer clears its request at every VM,
-//! since a request that crashes targets never gets one.
+//! A request that crashes every target that runs it is retried, with a new id and at any VM. A part
+//! of prompts that crashes targets comes with every request that holds it, no two of them alike.
+//! Each VM records the runs that ended in a crash and reports them to the other VMs.
+//! [`crash_attribution`] decides which of the suspects, the requests and their parts, caused the
+//! crashes. That one is quarantined: all requests with it are refused at once and reach no target,
+//! until none has arrived for [`QUARANTINE_TTL`]. An answer clears its request and the parts of its
+//! prompt at every VM, since what crashes targets never gets one.
 //!
 //! Reports between VMs may be lost, late or duplicated. Records are therefore only added, and each
 //! is identified by a target and the time of its crash, so that all VMs converge on the same
 //! records. A peer that starts, or that was unreachable for long, is sent all of them again.
 //! Records expire, and their number is bounded.
 //!
-//! The ledger combines the recorded crashes, the quarantined requests and the reports to peers,
-//! each of which has a module of its own.
+//! The ledger combines the recorded crashes, the quarantines and the reports to peers, each of
+//! which has a module of its own.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -22,32 +23,54 @@
 };
 
 use crate::{
-    crash_attribution::{self, AttributionCase, SharedCrash},
+    crash_attribution::{self, AttributionCase, AttributionEvidence, SharedCrash},
     crash_records::{ClearedRecord, CrashRecord, CrashRecords, ReportScope, RunRecord},
+    crash_suspect::{CrashSuspect, RequestFeatures},
     ids::TargetKey,
     ledger_time::LedgerTime,
+    prompt_part::PromptPart,
     quarantine_list::QuarantineList,
     request_fingerprint::RequestFingerprint,
     units::Moment,
 };
 
 pub use crate::{
-    crash_update::{ClearedReport, CrashReport, CrashUpdate, QuarantineReport},
+    crash_update::{
+        ClearedReport, CrashReport, CrashUpdate, PartCrashUpdate, QuarantineReport,
+        QuarantinedPartReport, SuspectReport,
+    },
     quarantine_list::{QUARANTINE_TTL, QuarantineChange},
 };
 
-/// A request with enough crashes to be their cause waits until no report of them has arrived for
-/// this long. By then the other requests that ended in these crashes, at other VMs, are known too.
+/// A request that may be the cause of crashes, or holds a part that may be, waits until no report of
+/// them has arrived for this long. By then the other requests that ended in these crashes, at other
+/// VMs, are known too.
 const SETTLE_DELAY: Duration = Duration::from_millis(500);
 /// How long a VM keeps reporting its own records, and how long it sends all records after a peer
 /// has become reachable.
 const REPORT_SPAN: Duration = Duration::from_secs(4);
+/// The number of requests that must have ended in crashes for a part of their prompts to be the
+/// cause. A single request may be the cause itself, and all of its parts are in its crashes.
+const MIN_PART_REQUESTS: usize = 3;
+/// The time before a part's last crash in which others that ended in crashes must have been answered.
+/// Where nothing is answered, every part seems to be the cause.
+const ANSWERED_SPAN: Duration = Duration::from_secs(1);
+/// The number of crashes of one request that count against the parts of its prompt. It may be the
+/// cause itself.
+const MAX_COUNTED: usize = 3;
+/// How many more crashes than a rival a suspect must have had to explain those of both.
+const MIN_EXCESS: usize = 3;
+/// The number of a suspect's crashes, the newest, that are evaluated.
+const MAX_EVALUATED: usize = 48;
+/// How long an answer must have been written without a crash for its prompt to be cleared. Targets
+/// crash when they begin to write.
+pub const SOUND_SPAN: Duration = Duration::from_millis(500);
 
 /// A run that ended when its target crashed.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub struct CrashedRun {
     /// The request.
-    pub fingerprint: RequestFingerprint,
+    pub features: RequestFeatures,
     /// How long it had been at the target.
     pub ran: Duration,
 }
@@ -63,6 +86,12 @@
     Quarantined(Duration),
 }
 
+/// The evidence against a suspect, and the moment from which no further reports are expected.
+struct SuspectFinding {
+    evidence: AttributionEvidence,
+    settled: Moment,
+}
+
 /// The records of requests that ended in crashes, and the quarantines.
 #[derive(Debug, Default)]
 pub struct CrashLedger {
@@ -77,80 +106,106 @@
 impl CrashLedger {
     /// Records the runs of this VM that ended when `target` crashed.
     pub fn record_crash(&mut self, now: Moment, target: TargetKey, runs: &[CrashedRun]) {
-        for run in runs {
-            let record = RunRecord { ran: run.ran, learned: now, own: true };
-            self.records.add_run(now, target, LedgerTime::at(now), run.fingerprint, record);
+        for CrashedRun { features, ran } in runs {
+            let parts = features.parts.clone();
+            let record = RunRecord { parts, ran: *ran, learned: now, own: true };
+            self.records.add_run(now, target, LedgerTime::at(now), features.fingerprint, record);
         }
         self.fresh_until = now + SETTLE_DELAY;
     }
 
-    /// Records that a request got a completed answer.
-    pub fn record_answered(&mut self, now: Moment, fingerprint: RequestFingerprint) {
-        if self.is_suspect(fingerprint) {
-            let record = ClearedRecord { at: LedgerTime::at(now), learned: now, own: true };
-            self.clear(fingerprint, record);
+    /// Records that a request that was sent at `sent` got a completed answer.
+    pub fn record_answered(&mut self, now: Moment, sent: Moment, features: &RequestFeatures) {
+        self.clear_own(now, now, CrashSuspect::Request(features.fingerprint));
+        self.record_sound_parts(now, sent, features);
+    }
+
+    /// Records that a target has been writing the answer to a request, sent at `sent`, for
+    /// [`SOUND_SPAN`] or until its end. So no part of its prompt crashed targets when it was sent;
+    /// the request itself may still do so.
+    pub fn record_sound_parts(&mut self, now: Moment, sent: Moment, features: &RequestFeatures) {
+        for part in &features.parts {
+            self.clear_own(now, sent, CrashSuspect::Part(*part));
         }
     }
 
-    /// Returns whether a request was involved in a crash or is quarantined, so that
-    /// [`quarantine_status`](Self::quarantine_status) must be checked.
-    pub fn is_suspect(&self, fingerprint: RequestFingerprint) -> bool {
-        self.records.crash_count(fingerprint) > 0 || self.quarantines.contains(fingerprint)
+    /// Returns whether a request, or a part of its prompt, was involved in a crash or is
+    /// quarantined, so that [`quarantine_status`](Self::quarantine_status) must be checked.
+    pub fn is_suspect(&self, features: &RequestFeatures) -> bool {
+        features.suspects().any(|suspect| self.is_recorded(suspect))
     }
 
-    /// Returns whether a request may be sent to a target, and begins its quarantine if it is the
-    /// cause of its crashes. `targets` is the number of targets that could run it.
+    /// Returns what a request is quarantined for: itself, or a part of its prompt.
+    pub fn quarantined_suspect(&self, features: &RequestFeatures) -> Option<CrashSuspect> {
+        features.suspects().find(|suspect| self.quarantines.contains(*suspect))
+    }
+
+    /// Returns whether a request may be sent to a target, and begins the quarantine of what is found
+    /// to be the cause of crashes. `targets` is the number of targets that could run it.
     pub fn quarantine_status(
         &mut self,
         now: Moment,
-        fingerprint: RequestFingerprint,
+        features: &RequestFeatures,
         targets: usize,
     ) -> QuarantineStatus {
-        if self.quarantines.record_attempt(now, fingerprint) {
+        if let Some(suspect) = self.quarantined_suspect(features) {
+            self.quarantines.record_attempt(now, suspect);
             return QuarantineStatus::Quarantined(QUARANTINE_TTL);
         }
-        if self.records.crash_count(fingerprint) < crash_attribution::MIN_CRASHES {
-            return QuarantineStatus::Clear;
-        }
-        let Some((case, settled)) = self.case_of(now, fingerprint, targets) else {
-            return QuarantineStatus::Clear;
-        };
-        if now < settled {
-            return QuarantineStatus::Undecided(settled);
+        let mut undecided: Option<Moment> = None;
+        for suspect in features.suspects() {
+            let Some(finding) = self.examine(now, suspect, targets) else { continue };
+            let SuspectFinding { evidence, settled } = finding;
+            if now >= settled && evidence.is_cause {
+                self.quarantines.start(now, suspect, evidence);
+                self.fresh_until = now + SETTLE_DELAY;
+                return QuarantineStatus::Quarantined(QUARANTINE_TTL);
+            }
+            // A part that is sound delays all requests that share it, so it is not held back before
+            // it seems to be the cause.
+            let is_held = evidence.is_cause || matches!(suspect, CrashSuspect::Request(_));
+            if now < settled && is_held {
+                undecided = undecided.max(Some(settled));
+            }
         }
-        let evidence = case.evaluate();
-        if !evidence.is_cause() {
-            return QuarantineStatus::Clear;
-        }
-        self.quarantines.start(now, fingerprint, evidence);
-        QuarantineStatus::Quarantined(QUARANTINE_TTL)
+        undecided.map_or(QuarantineStatus::Clear, QuarantineStatus::Undecided)
     }
 
     /// Adds what a peer reports.
     pub fn take(&mut self, now: Moment, update: &CrashUpdate) {
+        let parts = &update.parts;
         for report in &update.cleared {
-            let at = LedgerTime::before(now, report.age_ms);
-            self.clear(report.fingerprint, ClearedRecord { at, learned: now, own: false });
+            self.take_cleared(now, CrashSuspect::Request(report.fingerprint), report.age_ms);
+        }
+        for report in &parts.cleared {
+            self.take_cleared(now, CrashSuspect::Part(report.part), report.age_ms);
+        }
+        // Runs with parts first: most are also listed without.
+        for report in &parts.crashes {
+            self.take_run(now, &report.run, &report.parts);
         }
         for report in &update.crashes {
-            let at = LedgerTime::before(now, report.age_ms);
-            let ran = Duration::from_millis(u64::from(report.ran_ms));
-            let record = RunRecord { ran, learned: now, own: false };
-            self.records.add_run(now, report.target, at, report.fingerprint, record);
+            self.take_run(now, report, &[]);
+        }
+        for QuarantineReport { fingerprint, age_ms, asked_ms } in update.quarantined.iter().copied()
+        {
+            let suspect = CrashSuspect::Request(fingerprint);
+            self.take_quarantine(now, &SuspectReport { suspect, age_ms, asked_ms }, false);
         }
-        for report in &update.quarantined {
-            self.take_quarantine(now, report, false);
+        for QuarantinedPartReport { part, age_ms, asked_ms } in parts.quarantined.iter().copied() {
+            let suspect = CrashSuspect::Part(part);
+            self.take_quarantine(now, &SuspectReport { suspect, age_ms, asked_ms }, false);
         }
     }
 
     /// Adds a quarantine from the store. `own` tells whether an earlier incarnation of this VM
     /// stored it.
-    pub fn take_stored(&mut self, now: Moment, report: &QuarantineReport, own: bool) {
+    pub fn take_stored(&mut self, now: Moment, report: &SuspectReport, own: bool) {
         self.take_quarantine(now, report, own);
     }
 
     /// Returns the quarantines that this VM must keep in the store.
-    pub fn stored(&self, now: Moment) -> Vec<QuarantineReport> {
+    pub fn stored(&self, now: Moment) -> Vec<SuspectReport> {
         self.quarantines.stored(now)
     }
 
@@ -194,87 +249,199 @@
         self.quarantines.take_changes()
     }
 
-    /// Returns the number of quarantined requests.
+    /// Returns the number of quarantines.
     pub fn quarantine_count(&self) -> usize {
         self.quarantines.len()
     }
 
-    fn take_quarantine(&mut self, now: Moment, report: &QuarantineReport, stored: bool) {
-        let cleared_at = self.records.cleared_at(report.fingerprint);
+    fn is_recorded(&self, suspect: CrashSuspect) -> bool {
+        self.records.crash_count(suspect) > 0 || self.quarantines.contains(suspect)
+    }
+
+    fn take_cleared(&mut self, now: Moment, suspect: CrashSuspect, age_ms: u32) {
+        let at = LedgerTime::before(now, age_ms);
+        self.clear(suspect, ClearedRecord { at, learned: now, own: false });
+    }
+
+    fn take_run(&mut self, now: Moment, report: &CrashReport, parts: &[PromptPart]) {
+        let at = LedgerTime::before(now, report.age_ms);
+        let ran = Duration::from_millis(u64::from(report.ran_ms));
+        let record = RunRecord { parts: parts.to_vec(), ran, learned: now, own: false };
+        self.records.add_run(now, report.target, at, report.fingerprint, record);
+    }
+
+    fn take_quarantine(&mut self, now: Moment, report: &SuspectReport, stored: bool) {
+        let cleared_at = self.records.cleared_at(report.suspect);
         self.quarantines.receive(now, report, cleared_at, stored);
     }
 
-    /// Records that a request was answered, which ends its quarantine.
-    fn clear(&mut self, fingerprint: RequestFingerprint, record: ClearedRecord) {
-        if self.records.clear(fingerprint, record) {
-            self.quarantines.clear(fingerprint, record.at);
+    fn clear_own(&mut self, now: Moment, at: Moment, suspect: CrashSuspect) {
+        if self.is_recorded(suspect) {
+            let record = ClearedRecord { at: LedgerTime::at(at), learned: now, own: true };
+            self.clear(suspect, record);
+        }
+    }
+
+    /// Records that a suspect was answered, which ends its quarantine.
+    fn clear(&mut self, suspect: CrashSuspect, record: ClearedRecord) {
+        let at = record.at;
+        if self.records.clear(suspect, record) {
+            self.quarantines.clear(suspect, at);
         }
     }
 
-    /// Returns the crashes of a request for evaluation, and the moment from which no further
-    /// reports of them are expected.
-    ///
-    /// Crashes that a quarantined request was involved in are left out, as that one caused them.
-    fn case_of(
+    /// Evaluates the crashes of a suspect, if they are enough.
+    fn examine(
         &self,
         now: Moment,
-        fingerprint: RequestFingerprint,
+        suspect: CrashSuspect,
         targets: usize,
-    ) -> Option<(AttributionCase, Moment)> {
-        let unexplained: Vec<&CrashRecord> = self
-            .records
-            .crashes()
-            .filter(|crash| !crash.runs.keys().any(|it| self.quarantines.contains(*it)))
-            .collect();
-        let own: Vec<&CrashRecord> = unexplained
-            .iter()
-            .filter(|crash| crash.runs.contains_key(&fingerprint))
-            .copied()
-            .collect();
+    ) -> Option<SuspectFinding> {
+        let min_crashes = match suspect {
+            CrashSuspect::Request(_) => crash_attribution::MIN_CRASHES,
+            CrashSuspect::Part(_) => crash_attribution::MIN_PART_CRASHES,
+        };
+        if self.records.crash_count(suspect) < min_crashes {
+            return None;
+        }
+        let (mut own, others): (Vec<&CrashRecord>, Vec<&CrashRecord>) =
+            self.records.crashes().partition(|crash| crash.holds(suspect));
+        own.retain(|crash| !self.is_explained(crash, suspect));
+        own.sort_by_key(|crash| crash.at);
+        own.drain(..own.len().saturating_sub(MAX_EVALUATED));
+        let first = own.first().map(|crash| crash.at)?;
+        if own.len() < min_crashes || !self.may_be_told_apart(suspect, &own) {
+            return None;
+        }
         let time = LedgerTime::at(now);
-        let first = own.iter().map(|crash| crash.at).min()?;
         let span = time.since(first).max(crash_attribution::MIN_SPAN);
-        let others = unexplained.iter().filter(|crash| !crash.runs.contains_key(&fingerprint));
-        let elsewhere = others.filter(|crash| time.since(crash.at) <= span).count();
-        let counts = counts_of(&unexplained);
-        let crashes: Vec<SharedCrash> =
-            own.iter().filter_map(|crash| shared_crash(crash, fingerprint, &counts)).collect();
-        let runs = own.iter().filter_map(|crash| crash.runs.get(&fingerprint));
-        let settled = runs.map(|run| run.learned).max()? + SETTLE_DELAY;
-        let is_enough = crashes.len() >= crash_attribution::MIN_CRASHES;
-        is_enough.then_some((AttributionCase { crashes, elsewhere, span, targets }, settled))
+        let others = others.into_iter().filter(|crash| time.since(crash.at) <= span);
+        let elsewhere = others.filter(|crash| !self.is_explained(crash, suspect)).count();
+        let crashes = self.shared_crashes(suspect, &own, elsewhere);
+        let learned = own.iter().flat_map(|crash| crash.runs_with(suspect));
+        let settled = learned.map(|(_, run)| run.learned).max()? + SETTLE_DELAY;
+        let case = AttributionCase { crashes, elsewhere, span, targets, min_crashes };
+        Some(SuspectFinding { evidence: case.evaluate(), settled })
+    }
+
+    /// Returns whether a crash says nothing about a suspect, since another one that is quarantined
+    /// was involved in it. The quarantine of a request leaves the parts of its own prompt suspect:
+    /// one of them may be why it crashes targets.
+    fn is_explained(&self, crash: &CrashRecord, suspect: CrashSuspect) -> bool {
+        crash.runs.iter().any(|(fingerprint, run)| {
+            let is_quarantined = |it| self.quarantines.contains(it);
+            let is_own = run.holds(*fingerprint, suspect);
+            run.parts.iter().any(|part| is_quarantined(CrashSuspect::Part(*part)))
+                || !is_own && is_quarantined(CrashSuspect::Request(*fingerprint))
+        })
+    }
+
+    /// Returns whether the crashes `own` of a part of prompts can be told from those of single
+    /// requests that hold it, and from those of a service that answers nothing.
+    fn may_be_told_apart(&self, suspect: CrashSuspect, own: &[&CrashRecord]) -> bool {
+        let (CrashSuspect::Part(_), [first, .., last]) = (suspect, own) else { return true };
+        let runs = own.iter().flat_map(|crash| crash.runs_with(suspect));
+        let requests: BTreeSet<RequestFingerprint> = runs.map(|(request, _)| request).collect();
+        let since = first.at.max(last.at.earlier(ANSWERED_SPAN));
+        requests.len() >= MIN_PART_REQUESTS && self.records.others_cleared_since(suspect, since)
+    }
+
+    /// Returns what each of a suspect's crashes, in order of time, says about it.
+    fn shared_crashes(
+        &self,
+        suspect: CrashSuspect,
+        own: &[&CrashRecord],
+        elsewhere: usize,
+    ) -> Vec<SharedCrash> {
+        let mut counts: BTreeMap<CrashSuspect, usize> = BTreeMap::new();
+        let mut previous: Option<LedgerTime> = None;
+        let mut counted: BTreeMap<RequestFingerprint, usize> = BTreeMap::new();
+        let is_part = matches!(suspect, CrashSuspect::Part(_));
+        let shared = |crash: &&CrashRecord| {
+            let runs = || crash.runs_with(suspect).map(|(_, run)| run);
+            let ran = runs().map(|run| run.ran).max().unwrap_or_default();
+            let last_sent = runs().map(|run| crash.at.earlier(run.ran)).max();
+            let follows = previous.is_none_or(|at| last_sent.is_some_and(|sent| sent >= at));
+            let requests: Vec<RequestFingerprint> =
+                crash.runs_with(suspect).map(|(request, _)| request).collect();
+            let is_repeated = |it| counted.get(it).is_some_and(|count| *count >= MAX_COUNTED);
+            let is_later = follows && !(is_part && requests.iter().any(is_repeated));
+            if is_later {
+                previous = Some(crash.at);
+                requests.iter().for_each(|it| *counted.entry(*it).or_default() += 1);
+            }
+            let rivals = Rivals::in_crash(suspect, crash);
+            let mut most = |rivals: &BTreeSet<CrashSuspect>| {
+                let count = |it: &CrashSuspect| {
+                    *counts.entry(*it).or_insert_with(|| self.rival_count(*it, own, elsewhere))
+                };
+                rivals.iter().map(count).max().unwrap_or(0)
+            };
+            let (most_of_others, most_of_preceding) =
+                (most(&rivals.others), most(&rivals.preceding));
+            SharedCrash { ran, most_of_others, most_of_preceding, is_later }
+        };
+        own.iter().map(shared).collect()
+    }
+
+    /// Returns the number of crashes of a rival of the suspect with the crashes `own`. None counts if
+    /// the suspect was in all of them, in several more, and in most that occurred: before an answer
+    /// tells them apart, a popular part beside the cause is in most of its crashes too.
+    fn rival_count(&self, rival: CrashSuspect, own: &[&CrashRecord], elsewhere: usize) -> usize {
+        let count = self.unexplained_count(rival);
+        let shared = own.iter().filter(|crash| crash.holds(rival)).count();
+        let is_subsumed = count <= shared && own.len() >= shared + MIN_EXCESS;
+        if is_subsumed && elsewhere * 2 <= own.len() { 0 } else { count }
+    }
+
+    /// Returns the number of crashes of a suspect that no quarantined one explains.
+    fn unexplained_count(&self, suspect: CrashSuspect) -> usize {
+        if self.quarantines.is_empty() || self.records.crash_count(suspect) <= 1 {
+            return self.records.crash_count(suspect);
+        }
+        let crashes = self.records.crashes().filter(|crash| crash.holds(suspect));
+        crashes.filter(|crash| !self.is_explained(crash, suspect)).count()
     }
 
     /// Returns this VM's own records of the last `span`, or `all` records, and all quarantines.
     fn update_of(&self, now: Moment, span: Duration, all: bool) -> CrashUpdate {
         let scope = ReportScope { span, all };
+        let parts = self.records.part_reports(now, scope);
+        let quarantined = self.quarantines.part_reports(now);
         CrashUpdate {
             crashes: self.records.crash_reports(now, scope),
             cleared: self.records.cleared_reports(now, scope),
-            quarantined: self.quarantines.reports(now),
+            quarantined: self.quarantines.request_reports(now),
+            parts: PartCrashUpdate { quarantined, ..parts },
         }
     }
 }
 
-/// Returns how many of `crashes` each request was involved in.
-fn counts_of(crashes: &[&CrashRecord]) -> BTreeMap<RequestFingerprint, usize> {
-    let mut counts = BTreeMap::new();
-    for fingerprint in crashes.iter().flat_map(|crash| crash.runs.keys()) {
-        *counts.entry(*fingerprint).or_default() += 1;
-    }
-    counts
+/// The other suspects that ended in a crash.
+#[derive(Debug, Default)]
+struct Rivals {
+    /// The parts that precede the suspect in its prompts.
+    preceding: BTreeSet<CrashSuspect>,
+    /// The parts that follow it there, and all suspects of the other runs.
+    others: BTreeSet<CrashSuspect>,
 }
 
-/// Returns what a crash says about a request: how long it had run there, and the highest number of
-/// crashes among the other requests that ended in it.
-fn shared_crash(
-    crash: &CrashRecord,
-    fingerprint: RequestFingerprint,
-    counts: &BTreeMap<RequestFingerprint, usize>,
-) -> Option<SharedCrash> {
-    let ran = crash.runs.get(&fingerprint)?.ran;
-    let others: BTreeSet<&RequestFingerprint> =
-        crash.runs.keys().filter(|it| **it != fingerprint).collect();
-    let most = others.into_iter().filter_map(|it| counts.get(it)).max();
-    Some(SharedCrash { ran, most_of_others: most.copied().unwrap_or(0) })
+impl Rivals {
+    fn in_crash(suspect: CrashSuspect, crash: &CrashRecord) -> Self {
+        let mut rivals = Self::default();
+        // A request is no rival of the parts of its prompt, nor they of it: which of them is
+        // quarantined, its attempts are refused.
+        let mut own = BTreeSet::from([suspect]);
+        for (fingerprint, run) in crash.runs_with(suspect) {
+            own.extend(run.suspects(fingerprint));
+            let CrashSuspect::Part(part) = suspect else { continue };
+            let position = run.parts.iter().position(|it| *it == part).unwrap_or(0);
+            let (before, after) = run.parts.split_at(position);
+            rivals.preceding.extend(before.iter().copied().map(CrashSuspect::Part));
+            rivals.others.extend(after.iter().skip(1).copied().map(CrashSuspect::Part));
+        }
+        let of_others = crash.suspects().into_iter().filter(|it| !own.contains(it));
+        rivals.others.extend(of_others);
+        rivals
+    }
 }
--- a/crates/ryetide-core/src/entry_finish.rs
+++ b/crates/ryetide-core/src/entry_finish.rs
@@ -97,7 +97,8 @@
             return;
         };
         if kind == OutcomeKind::Answered {
-            self.crashes.record_answered(now, record.fingerprint);
+            let sent = record.dispatched.unwrap_or(now);
+            self.crashes.record_answered(now, sent, &record.fingerprint.into());
         }
         let release = match (kind, record.state) {
             (OutcomeKind::Answered, _) => ReleaseOutcome::Completed,
--- a/crates/ryetide-core/src/entry_quarantine.rs
+++ b/crates/ryetide-core/src/entry_quarantine.rs
@@ -46,11 +46,11 @@
         fingerprint: RequestFingerprint,
         effects: &mut EffectBuffer,
     ) {
-        let status = if self.is_draining() || !self.crashes.is_suspect(fingerprint) {
+        let status = if self.is_draining() || !self.crashes.is_suspect(&fingerprint.into()) {
             QuarantineStatus::Clear
         } else {
             let targets = self.target_count(&request);
-            self.crashes.quarantine_status(now, fingerprint, targets)
+            self.crashes.quarantine_status(now, &fingerprint.into(), targets)
         };
         match status {
             QuarantineStatus::Clear => self.admit(now, request, fingerprint, effects),
@@ -106,7 +106,8 @@
         }
         self.notices.push(OperatorNotice::TargetCrashed { target, fingerprint, ran_ms });
         let ran = Duration::from_millis(u64::from(ran_ms));
-        self.crashes.record_crash(now, target, &[CrashedRun { fingerprint, ran }]);
+        let run = CrashedRun { features: fingerprint.into(), ran };
+        self.crashes.record_crash(now, target, &[run]);
         let update = self.crashes.own_update(now);
         self.send_crash_update(&update, effects);
     }
--- a/crates/ryetide-core/src/ledger_time.rs
+++ b/crates/ryetide-core/src/ledger_time.rs
@@ -25,6 +25,11 @@
         Duration::from_micros(u64::try_from(self.0 - earlier.0).unwrap_or(0))
     }
 
+    /// Returns the time `span` before this one.
+    pub(crate) fn earlier(self, span: Duration) -> Self {
+        Self(self.0.saturating_sub(i64::try_from(span.as_micros()).unwrap_or(i64::MAX)))
+    }
+
     /// Returns the milliseconds from this time until `now`.
     pub(crate) fn age_ms(self, now: Moment) -> u32 {
         u32::try_from(Self::at(now).since(self).as_millis()).unwrap_or(u32::MAX)
--- a/crates/ryetide-core/src/lib.rs
+++ b/crates/ryetide-core/src/lib.rs
@@ -29,7 +29,7 @@
 //! | [`arbiter`], [`slot_request`], [`queue`], [`target_estimate`], [`affinity`], [`retry_planner`] | order, admission and placement of requests for a service |
 //! | [`membership`] | the peers, and which VM arbitrates a service |
 //! | [`claim`], [`configuration`], [`request`] | the state behind the guarantees |
-//! | [`request_fingerprint`], [`prompt_part`], [`crash_ledger`], [`crash_update`], [`crash_attribution`] | requests that crash targets |
+//! | [`request_fingerprint`], [`prompt_part`], [`crash_suspect`], [`crash_ledger`], [`crash_update`], [`crash_attribution`] | requests and parts of prompts that crash targets |
 //! | [`route`], [`route_text`], [`quota`], [`quota_allocator`], [`retry_budget`], [`retry_delay`] | routed requests: their routes, quotas and retries |
 //! | [`rollout_order`], [`rollout_manager`], [`service_rollout`], [`rollout_evidence`], [`rollout_evaluation`] | rollouts of new versions: their traffic, evaluation and outcome |
 //! | [`scheduler`], [`scheduler_options`], [`queue_view`], [`wait_queue`], [`recent_arrivals`], [`deadline_tracker`], [`decision`] | queueing and refusal of routed requests |
@@ -61,6 +61,7 @@
 pub mod crash_attribution;
 pub mod crash_ledger;
 mod crash_records;
+pub mod crash_suspect;
 pub mod crash_update;
 pub mod deadline_tracker;
 pub mod decision;
--- a/crates/ryetide-core/src/policy_update.rs
+++ b/crates/ryetide-core/src/policy_update.rs
@@ -1,11 +1,13 @@
-//! What VMs report to each other for the optional scheduling policies, and about brittle services.
+//! What VMs report to each other for the optional scheduling policies, about brittle services, and
+//! about parts of prompts that crash targets.
 //!
-//! All lists are empty while the policies are off and no service is brittle.
+//! All lists are empty while the policies are off, no service is brittle and no target has crashed.
 
 use serde::{Deserialize, Serialize};
 
 use crate::{
     brittle_services::BrittleReport,
+    crash_update::PartCrashUpdate,
     ids::{OrganisationKey, ServiceKey, TargetKey, VmName},
 };
 
@@ -65,7 +67,7 @@
     pub millis: u32,
 }
 
-/// The part of a digest that belongs to the optional policies.
+/// The part of a digest that belongs to the optional policies, and what was added later.
 #[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
 pub struct PolicyUpdate {
     /// Targets that have recently failed requests of the sender.
@@ -80,11 +82,13 @@
     pub usage: Vec<UsageReport>,
     /// Services whose targets are or were brittle.
     pub brittle: Vec<BrittleReport>,
+    /// Parts of prompts in crashes of targets.
+    pub part_crashes: PartCrashUpdate,
 }
 
 impl PolicyUpdate {
     /// The number of lists. An empty list is encoded as one zero byte.
-    pub const LISTS: usize = 6;
+    pub const LISTS: usize = 6 + PartCrashUpdate::LISTS;
 
     /// Whether there is nothing to report.
     pub fn is_empty(&self) -> bool {
--- a/crates/ryetide-core/src/scheduler.rs
+++ b/crates/ryetide-core/src/scheduler.rs
@@ -18,6 +18,7 @@
     brittle_services::BrittleServices,
     cell_plan::{CellMember, CellPlan},
     crash_ledger::{CrashLedger, CrashedRun, QuarantineStatus},
+    crash_suspect::RequestFeatures,
     decision::{Decision, PlacementEvidence, RefusalReason, RunEnd},
     digest_route::DigestRouter,
     digest_timing::DigestTiming,
@@ -30,7 +31,6 @@
     quota::QuotaCharge,
     quota_allocator::{QuotaAllocator, QuotaReply, QuotaRequest, QuotaWaitResult},
     quota_returns::QuotaReturns,
-    request_fingerprint::RequestFingerprint,
     retry_budget::{RetryBudget, RetryRule},
     retry_delay::RetryDelay,
     rollout_manager::{RolloutManager, TargetUse},
@@ -452,18 +452,18 @@
     }
 
     /// Returns whether a request may be sent to the targets of `service`, given the crashes
-    /// attributed to it.
+    /// attributed to it and to the parts of its prompt.
     pub fn quarantine_status(
         &mut self,
         now: Moment,
-        fingerprint: RequestFingerprint,
+        features: &RequestFeatures,
         service: &ServiceName,
     ) -> QuarantineStatus {
-        if !self.crashes.is_suspect(fingerprint) {
+        if !self.crashes.is_suspect(features) {
             return QuarantineStatus::Clear;
         }
         let of_service = self.targets.values().filter(|load| load.entry().service == *service);
-        self.crashes.quarantine_status(now, fingerprint, of_service.count())
+        self.crashes.quarantine_status(now, features, of_service.count())
     }
 
     /// Returns the targets, for reports.
--- a/crates/ryetide-core/src/scheduler_digests.rs
+++ b/crates/ryetide-core/src/scheduler_digests.rs
@@ -3,6 +3,7 @@
 use std::{collections::BTreeSet, time::Duration};
 
 use crate::{
+    crash_ledger::CrashUpdate,
     digest_route::{DigestPeer, DigestRecipients},
     digest_timing::DigestTiming,
     ids::{TargetKey, VmName},
@@ -29,7 +30,9 @@
         if silent_for >= peer_digests::PEER_TIMEOUT {
             self.crashes.resend_all(now);
         }
-        self.crashes.take(now, &digest.crashes);
+        let part_crashes = digest.policies.part_crashes.clone();
+        let crashes = CrashUpdate { parts: part_crashes, ..digest.crashes.clone() };
+        self.crashes.take(now, &crashes);
         if !digest.rollouts.is_empty() {
             self.with_rollouts(now, |manager, now| {
                 manager.take_progress(now, &from, digest.incarnation, &digest.rollouts);
@@ -101,7 +104,7 @@
     /// Returns what the digests of all scopes contain.
     fn common_digest(&mut self, now: Moment, state: FleetState, leaving: bool) -> LoadDigest {
         self.leaving |= leaving;
-        LoadDigest {
+        let digest = LoadDigest {
             incarnation: self.options.incarnation,
             sequence: self.digest_tracker.next_sequence(),
             leaving,
@@ -111,13 +114,13 @@
             registry: state.registry,
             watch: state.watch,
             spent: self.quotas.ledger().totals().collect(),
-            crashes: self.crashes.own_update(now),
             leaving_targets: state.leaving_targets,
             rollouts: self.rollout_progress(now, true),
             limits: self.limits.reports(now),
             policies: PolicyUpdate { brittle: self.brittle.reports(now), ..Default::default() },
             ..LoadDigest::default()
-        }
+        };
+        with_crashes(digest, self.crashes.own_update(now))
     }
 
     /// Chooses which of `listed` receive the next digest for this VM's cell.
@@ -158,15 +161,22 @@
             let changed = touched.iter().filter_map(|key| self.targets.get(key));
             let targets =
                 changed.map(|load| TargetReport { speed: None, ..load.report(now) }).collect();
-            let (data_centre, crashes) = (None, self.crashes.recent_update(now, span));
+            let data_centre = None;
             let changes = LoadDigest { scope, data_centre, targets, waiting, ..brief };
             let rollouts = self.rollout_progress(now, false);
-            return LoadDigest { placed, spent, crashes, rollouts, ..changes };
+            let digest = LoadDigest { placed, spent, rollouts, ..changes };
+            return with_crashes(digest, self.crashes.recent_update(now, span));
         }
         let loaded = self.targets.values().filter(|load| load.has_news(now));
         let targets = loaded.map(|load| load.report(now)).collect();
         let crashes = self.crashes.full_update(now);
         brief.policies.usage = self.usage_reports(now, scope);
-        LoadDigest { scope, targets, waiting, placed, crashes, ..brief }
+        with_crashes(LoadDigest { scope, targets, waiting, placed, ..brief }, crashes)
     }
 }
+
+/// Replaces what a digest reports of crashes.
+fn with_crashes(mut digest: LoadDigest, mut crashes: CrashUpdate) -> LoadDigest {
+    digest.policies.part_crashes = std::mem::take(&mut crashes.parts);
+    LoadDigest { crashes, ..digest }
+}
--- a/crates/ryetide-core/tests/crash_ledger.rs
+++ b/crates/ryetide-core/tests/crash_ledger.rs
@@ -4,9 +4,9 @@
 
 use ryetide_core::{
     crash_ledger::{
-        CrashLedger, CrashedRun, QUARANTINE_TTL, QuarantineChange, QuarantineReport,
-        QuarantineStatus,
+        CrashLedger, CrashedRun, QUARANTINE_TTL, QuarantineChange, QuarantineStatus, SuspectReport,
     },
+    crash_suspect::CrashSuspect,
     ids::TargetKey,
     request_fingerprint::RequestFingerprint,
     units::Moment,
@@ -26,7 +26,7 @@
 fn runs(fingerprints: &[RequestFingerprint]) -> Vec<CrashedRun> {
     fingerprints
         .iter()
-        .map(|fingerprint| CrashedRun { fingerprint: *fingerprint, ran: RAN })
+        .map(|fingerprint| CrashedRun { features: (*fingerprint).into(), ran: RAN })
         .collect()
 }
 
@@ -38,7 +38,10 @@
 }
 
 fn is_quarantined(ledger: &mut CrashLedger, now: Moment, fingerprint: RequestFingerprint) -> bool {
-    matches!(ledger.quarantine_status(now, fingerprint, TARGETS), QuarantineStatus::Quarantined(_))
+    matches!(
+        ledger.quarantine_status(now, &fingerprint.into(), TARGETS),
+        QuarantineStatus::Quarantined(_)
+    )
 }
 
 /// Returns a ledger in which the request that crashes targets is quarantined from 1.3 s on.
@@ -53,14 +56,17 @@
 fn a_request_is_quarantined_at_its_third_crash() {
     let mut ledger = CrashLedger::default();
     crash_at(&mut ledger, &[100, 200], &[CRASHING]);
-    assert_eq!(ledger.quarantine_status(at(2_000), CRASHING, TARGETS), QuarantineStatus::Clear);
+    assert_eq!(
+        ledger.quarantine_status(at(2_000), &CRASHING.into(), TARGETS),
+        QuarantineStatus::Clear
+    );
     crash_at(&mut ledger, &[2_000], &[CRASHING]);
-    let standing = ledger.quarantine_status(at(2_000) + SETTLED, CRASHING, TARGETS);
+    let standing = ledger.quarantine_status(at(2_000) + SETTLED, &CRASHING.into(), TARGETS);
     assert_eq!(standing, QuarantineStatus::Quarantined(QUARANTINE_TTL));
     let changes = ledger.take_changes();
     assert!(matches!(
         changes[..],
-        [QuarantineChange::Started(CRASHING, evidence)] if evidence.crashes == 3
+        [QuarantineChange::Started(CrashSuspect::Request(CRASHING), evidence)] if evidence.crashes == 3
     ));
 }
 
@@ -108,7 +114,7 @@
     let mut here = CrashLedger::default();
     crash_at(&mut here, &[100, 200, 300], &[INNOCENT]);
     assert!(matches!(
-        here.quarantine_status(at(310), INNOCENT, TARGETS),
+        here.quarantine_status(at(310), &INNOCENT.into(), TARGETS),
         QuarantineStatus::Undecided(_)
     ));
     let mut there = CrashLedger::default();
@@ -128,9 +134,9 @@
         let other = RequestFingerprint(time);
         ledger.record_crash(at(time), TargetKey(time as u32), &runs(&[other]));
     }
-    let long = CrashedRun { fingerprint: INNOCENT, ran: Duration::from_secs(2) };
+    let long = CrashedRun { features: INNOCENT.into(), ran: Duration::from_secs(2) };
     for time in [2_500, 5_500, 8_500] {
-        ledger.record_crash(at(time), TargetKey(time as u32), &[long]);
+        ledger.record_crash(at(time), TargetKey(time as u32), std::slice::from_ref(&long));
     }
     assert!(!is_quarantined(&mut ledger, at(10_000) + SETTLED, INNOCENT));
 }
@@ -141,7 +147,7 @@
 fn a_request_that_is_answered_is_not_quarantined() {
     let mut ledger = CrashLedger::default();
     crash_at(&mut ledger, &[100, 200], &[INNOCENT]);
-    ledger.record_answered(at(250), INNOCENT);
+    ledger.record_answered(at(250), at(250), &INNOCENT.into());
     crash_at(&mut ledger, &[300, 400], &[INNOCENT]);
     assert!(!is_quarantined(&mut ledger, at(400) + SETTLED, INNOCENT));
 }
@@ -154,7 +160,7 @@
     let mut there = CrashLedger::default();
     there.take(at(1_400), &here.full_update(at(1_399)));
     assert!(is_quarantined(&mut there, at(1_500), CRASHING));
-    here.record_answered(at(1_600), CRASHING);
+    here.record_answered(at(1_600), at(1_600), &CRASHING.into());
     let before = there.full_update(at(1_610));
     there.take(at(1_620), &here.full_update(at(1_619)));
     assert!(!is_quarantined(&mut there, at(1_700), CRASHING));
@@ -205,7 +211,7 @@
     }
     now = now + QUARANTINE_TTL;
     ledger.age(now);
-    assert_eq!(ledger.quarantine_status(now, CRASHING, TARGETS), QuarantineStatus::Clear);
+    assert_eq!(ledger.quarantine_status(now, &CRASHING.into(), TARGETS), QuarantineStatus::Clear);
     assert_eq!(ledger.quarantine_count(), 0);
 }
 
@@ -233,7 +239,7 @@
     crash_at(&mut ledger, &[100, 200], &[CRASHING]);
     let later = at(100) + Duration::from_secs(1_000);
     ledger.age(later);
-    assert!(!ledger.is_suspect(CRASHING));
+    assert!(!ledger.is_suspect(&CRASHING.into()));
     ledger.record_crash(later, TargetKey(9), &runs(&[CRASHING]));
     assert!(!is_quarantined(&mut ledger, later + SETTLED, CRASHING));
 }
@@ -265,15 +271,19 @@
         ledger.record_crash(at(u64::from(crash)), TargetKey(crash), &runs(&fingerprints));
     }
     for fingerprint in 0..500 {
-        let report = QuarantineReport {
-            fingerprint: RequestFingerprint(1_000_000 + fingerprint),
+        let report = SuspectReport {
+            suspect: CrashSuspect::Request(RequestFingerprint(1_000_000 + fingerprint)),
             age_ms: 1,
             asked_ms: 1,
         };
         ledger.take_stored(at(2_000), &report, true);
     }
     for fingerprint in 0..20_000 {
-        ledger.record_answered(at(2_000), RequestFingerprint(180_000 + fingerprint));
+        ledger.record_answered(
+            at(2_000),
+            at(2_000),
+            &RequestFingerprint(180_000 + fingerprint).into(),
+        );
     }
     ledger.resend_all(at(2_000));
     let update = ledger.full_update(at(2_000));
@@ -281,7 +291,7 @@
     assert!(update.cleared.len() <= 512, "{} answers are reported", update.cleared.len());
     assert!(update.quarantined.len() <= 64 && ledger.stored(at(2_000)).len() <= 64);
     let suspects = (0..200_000)
-        .filter(|fingerprint| ledger.is_suspect(RequestFingerprint(*fingerprint)))
+        .filter(|fingerprint| ledger.is_suspect(&RequestFingerprint(*fingerprint).into()))
         .count();
     assert!(suspects <= 256 * 32, "{suspects} requests are recorded");
 }
--- a/crates/ryetide-core/tests/crash_load/main.rs
+++ b/crates/ryetide-core/tests/crash_load/main.rs
@@ -2,6 +2,7 @@
 //! reasons. Nine VMs with a crash ledger each report to each other; the tests check which requests
 //! reach targets and which are refused.
 
+mod parts;
 mod simulation;
 
 use std::time::Duration;
--- a/crates/ryetide-gateway/src/decision_log.rs
+++ b/crates/ryetide-gateway/src/decision_log.rs
@@ -8,6 +8,7 @@
 use std::{cell::RefCell, time::Duration};
 
 use ryetide_core::{
+    crash_suspect::CrashSuspect,
     decision::{PlacementEvidence, RunEnd},
     ids::{OrganisationName, RequestSequence, ServiceName, TargetName, VmName},
     origin_inquiry::OriginVerdict,
@@ -393,8 +394,8 @@
                     event = "target-crashed",
                     vm = %self.vm,
                     request = run.request,
-                    print = %run.fingerprint,
-                    parts = part_list(&run.parts),
+                    print = %run.features.fingerprint,
+                    parts = part_list(&run.features.parts),
                     target = %target.name,
                     peer = %target.address,
                     ran_ms = millis(run.ran),
@@ -405,9 +406,9 @@
         }
     }
 
-    /// Logs that a request was refused because it is in quarantine. The quarantine ends when nobody
-    /// attempts the request for the time `ttl`.
-    pub fn quarantined(&self, request: &LogId<'_>, ttl: Duration) {
+    /// Logs that a request was refused because `suspect`, itself or a part of its prompt, is in
+    /// quarantine. The quarantine ends when no request with it arrives for the time `ttl`.
+    pub fn quarantined(&self, request: &LogId<'_>, suspect: Option<CrashSuspect>, ttl: Duration) {
         if self.permits() {
             tracing::info!(
                 event = "quarantined",
@@ -415,6 +416,7 @@
                 request = request.id,
                 sequence = request.sequence.0,
                 print = %request.fingerprint,
+                part = suspect.and_then(CrashSuspect::part).map(tracing::field::display),
                 route = request.route,
                 retry_ms = millis(ttl),
             );
--- a/crates/ryetide-gateway/src/exchange.rs
+++ b/crates/ryetide-gateway/src/exchange.rs
@@ -12,14 +12,16 @@
     http,
 };
 use ryetide_core::{
+    crash_ledger::{QuarantineStatus, SOUND_SPAN},
+    crash_suspect::RequestFeatures,
     decision::{Decision, PlacementEvidence, RunEnd},
     ids::{OrganisationKey, RouteKey, ServiceKey, ServiceName, TargetKey},
     origin_inquiry::OriginVerdict,
     prompt_part::{PartId, PromptPart},
     quota::QuotaCharge,
-    request_fingerprint::RequestFingerprint,
     rollout_evidence::RunSample,
     route::{MatchedRoute, RouteKind},
+    scheduler::Scheduler,
     target_load::TargetEntry,
     units::{Moment, Tokens},
     wait_queue::WaitingRequest,
@@ -80,6 +82,8 @@
     Lost(RunFault),
     /// The request's deadline has passed.
     TimedOut,
+    /// Nothing was sent: the request has meanwhile turned out to crash targets, or may do so.
+    Withheld,
 }
 
 /// A request that is being served.
@@ -91,9 +95,14 @@
     template: RequestTemplate,
     size: WorkSize,
     id: Option<HeaderValue>,
-    fingerprint: RequestFingerprint,
+    /// What may make the request crash targets.
+    features: RequestFeatures,
     /// The ids of the shared parts of the prompt.
     part_ids: Vec<PartId>,
+    /// When the target began to write the answer.
+    writing_since: Option<Moment>,
+    /// Whether it is recorded of this run that the parts of the prompt crash no target.
+    parts_sound: bool,
     stream: StreamBinding,
     arrived: Moment,
     /// The time that the caller already spent on earlier tries, if this request is a retry.
@@ -153,6 +162,8 @@
         let service = matched.route.pick_service(&mut rand::rng()).cloned();
         let service =
             service.ok_or(OwnAnswer::new(OwnReason::NoTarget).with_retry(DEFAULT_RETRY_AFTER))?;
+        let parts = PromptPart::list(ServiceKey::of(&service), &part_ids);
+        let features = RequestFeatures { fingerprint, parts };
         let timeout = matched.route.timeout;
         // A deadline that does not parse is ignored; the route's timeout applies.
         let deadline =
@@ -176,8 +187,10 @@
             template,
             size,
             id,
-            fingerprint,
+            features,
             part_ids,
+            writing_since: None,
+            parts_sound: false,
             stream,
             arrived,
             waited,
@@ -205,14 +218,15 @@
     ///
     /// Returns the gateway's own answer when the request is quarantined or its deadline passes.
     pub async fn await_quarantine_check(&self) -> Result<(), OwnAnswer> {
-        let (fingerprint, until) = (self.fingerprint, self.timeout_at());
-        match quarantine_check::await_decision(&self.gateway, fingerprint, &self.service, until)
-            .await
+        let (features, until) = (&self.features, self.timeout_at());
+        match quarantine_check::await_decision(&self.gateway, features, &self.service, until).await
         {
             QuarantineOutcome::MaySend => Ok(()),
             QuarantineOutcome::TimedOut => Err(OwnAnswer::new(OwnReason::TimedOut)),
             QuarantineOutcome::Quarantined(left) => {
-                self.gateway.log().quarantined(&self.log_id(), left);
+                let suspect =
+                    self.gateway.hub().peek(|it| it.crashes().quarantined_suspect(&self.features));
+                self.gateway.log().quarantined(&self.log_id(), suspect, left);
                 Err(OwnAnswer::new(OwnReason::Quarantined).with_retry(left))
             }
         }
@@ -357,6 +371,14 @@
                     self.record_target_fault(&target, why);
                     return Box::pin(self.retry(last_event)).await;
                 }
+                SendEnd::Withheld => {
+                    self.ticket.end(RunEnd::Abandoned);
+                    if let Err(answer) = self.await_quarantine_check().await {
+                        return DispatchEnd::Own(answer);
+                    }
+                    decision = self.ticket.enter_again(self.work(), false).await;
+                    continue;
+                }
                 SendEnd::Unreachable => (RunEnd::Unreachable, false),
                 SendEnd::TurnedAway => (RunEnd::TurnedAway, true),
             };
@@ -395,6 +417,11 @@
         if self.gateway.fleet().has_left(target) {
             return SendEnd::Unreachable;
         }
+        // The request may have waited for its target long after it was checked.
+        let status = quarantine_check::status(&self.gateway, &self.features, &self.service);
+        if status != QuarantineStatus::Clear {
+            return SendEnd::Withheld;
+        }
         let deadline_ms = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
         let parameters = DispatchParameters { target, deadline_ms, last_event };
         let request = match self.template.build(self.gateway.names(), &parameters) {
@@ -512,6 +539,7 @@
         let service = services.find(|service| ServiceKey::of(service) == origin.service);
         let unreachable = OwnAnswer::new(OwnReason::NoTarget).with_retry(DEFAULT_RETRY_AFTER);
         self.service = service.ok_or(unreachable)?.clone();
+        self.features.parts = PromptPart::list(ServiceKey::of(&self.service), &self.part_ids);
         Ok(())
     }
 
@@ -529,6 +557,19 @@
             self.first_at = Some(now);
             self.gateway.metrics().record_first(self.matched.tier(), now.since(self.arrived));
         }
+        self.record_sound_parts(now);
+    }
+
+    /// Records that the parts of the prompt crash no target once one has been writing the answer for
+    /// a while. A part that does so ends every answer before.
+    fn record_sound_parts(&mut self, now: Moment) {
+        let (sent, since) = (self.sent_at, *self.writing_since.get_or_insert(now));
+        let is_sound = now.since(since) >= SOUND_SPAN;
+        if is_sound && !std::mem::replace(&mut self.parts_sound, true) {
+            let record =
+                |it: &mut Scheduler| it.crashes_mut().record_sound_parts(now, sent, &self.features);
+            self.gateway.hub().peek_mut(record);
+        }
     }
 
     /// Records that a target failed the request, and excludes the target from further attempts.
@@ -536,8 +577,9 @@
         let log_id = self.log_id();
         self.gateway.log().target_failed(&log_id, target, fault.name(), self.attempts);
         if fault == RunFault::Failed {
-            // An error response from the target also shows that the request did not crash it.
-            self.record_answered();
+            // An error response from the target also shows that the request did not crash it. It says
+            // nothing about the parts of the prompt, on which the target has written no answer.
+            self.record_answered(&self.features.fingerprint.into());
         }
         if fault.may_be_lost_path() {
             self.ticket.end(RunEnd::Unsettled);
@@ -545,8 +587,7 @@
         if fault.may_be_crash() || fault.may_be_lost_path() {
             let run = BrokenRun {
                 request: log_id.id.to_owned(),
-                fingerprint: self.fingerprint,
-                parts: self.prompt_parts(),
+                features: self.features.clone(),
                 ran: self.gateway.hub().clock().now().since(self.sent_at),
                 may_be_crash: fault.may_be_crash(),
                 sample: fault.may_depend_on_version().then(|| self.run_sample(target, None)),
@@ -572,7 +613,7 @@
         self.ticket.end(end);
         let now = self.gateway.hub().clock().now();
         if end == RunEnd::Whole {
-            self.record_answered();
+            self.record_answered(&self.features);
             if let Some(target) = self.target.as_ref().filter(|_| self.attempts <= 1) {
                 // Dividing by the number of pieces makes long and short answers comparable.
                 let time_per_piece = now.since(self.sent_at) / self.pieces.saturating_add(1);
@@ -619,15 +660,17 @@
         RunSample { target: target.key(), route, sent: self.sent_at, pace }
     }
 
-    fn record_answered(&self) {
-        let (now, fingerprint) = (self.gateway.hub().clock().now(), self.fingerprint);
-        self.gateway.hub().peek_mut(|it| it.crashes_mut().record_answered(now, fingerprint));
+    fn record_answered(&self, features: &RequestFeatures) {
+        let (now, sent) = (self.gateway.hub().clock().now(), self.sent_at);
+        self.gateway.hub().peek_mut(|it| it.crashes_mut().record_answered(now, sent, features));
     }
 
     fn record_placed(&mut self, target: &TargetEntry, evidence: PlacementEvidence) {
         let now = self.gateway.hub().clock().now();
         self.placed_at = Some(self.placed_at.unwrap_or(now));
         self.sent_at = now;
+        self.writing_since = None;
+        self.parts_sound = false;
         self.evidence = Some(evidence);
         self.target = Some(target.clone());
         let waited = now.since(self.arrived);
@@ -679,11 +722,6 @@
         }
     }
 
-    /// Returns the shared parts of the prompt at the request's service.
-    fn prompt_parts(&self) -> Vec<PromptPart> {
-        PromptPart::list(ServiceKey::of(&self.service), &self.part_ids)
-    }
-
     fn organisation_key(&self) -> OrganisationKey {
         let organisation = self.matched.organisation.as_ref();
         organisation.map_or_else(Default::default, |it| OrganisationKey::of(&it.name))
@@ -695,7 +733,7 @@
             // An id that is not text is forwarded unchanged, but cannot be logged.
             id: self.id.as_ref().and_then(|id| id.to_str().ok()).unwrap_or_default(),
             sequence: self.ticket.number(),
-            fingerprint: self.fingerprint,
+            fingerprint: self.features.fingerprint,
             route: &self.matched.route.name,
             waited_before: self.waited,
             resumes: self.stream.taken_up_id(),
--- a/crates/ryetide-gateway/src/fault_detector.rs
+++ b/crates/ryetide-gateway/src/fault_detector.rs
@@ -9,8 +9,8 @@
 use std::{cell::RefCell, collections::HashMap, rc::Rc, time::Duration};
 
 use ryetide_core::{
-    crash_ledger::CrashedRun, decision::FaultCause, ids::TargetKey, prompt_part::PromptPart,
-    request_fingerprint::RequestFingerprint, rollout_evidence::RunSample, target_load::TargetEntry,
+    crash_ledger::CrashedRun, crash_suspect::RequestFeatures, decision::FaultCause, ids::TargetKey,
+    rollout_evidence::RunSample, target_load::TargetEntry,
 };
 use tokio::task;
 
@@ -21,10 +21,8 @@
 pub struct BrokenRun {
     /// The caller's id of the request.
     pub request: String,
-    /// The fingerprint of the request.
-    pub fingerprint: RequestFingerprint,
-    /// The shared parts of its prompt.
-    pub parts: Vec<PromptPart>,
+    /// What may make the request crash targets.
+    pub features: RequestFeatures,
     /// How long the request had been running at the target.
     pub ran: Duration,
     /// Whether it may have broken because the target has crashed.
@@ -94,7 +92,7 @@
     }
     gateway.log().crashed(target, &runs, gateway.reaching_peers(target.key()));
     gateway.metrics().count_crash();
-    let crashed = runs.iter().map(|run| CrashedRun { fingerprint: run.fingerprint, ran: run.ran });
+    let crashed = runs.into_iter().map(|run| CrashedRun { features: run.features, ran: run.ran });
     let crashed: Vec<CrashedRun> = crashed.collect();
     gateway.hub().with(|scheduler, now| scheduler.record_crash(now, target.key(), &crashed));
 }
--- a/crates/ryetide-gateway/src/lib.rs
+++ b/crates/ryetide-gateway/src/lib.rs
@@ -19,7 +19,7 @@
 //! | [`gateway`], [`gateway_state`], [`fleet_tasks`] | start and shutdown of a gateway, the state that its tasks share, background tasks |
 //! | [`caller_listener`], [`caller_stream`], [`caller_service`], [`exchange`], [`quota_wait`], [`stream_binding`], [`origin_lookup`], [`caller_answer`] | the connections and requests of callers |
 //! | [`request_template`], [`target_pool`], [`target_answer`], [`relay`], [`relay_fault`], [`run_fault`], [`target_notices`] | requests to targets and their answers |
-//! | [`fault_detector`], [`quarantine_check`], [`quarantine_monitor`] | requests that crash targets |
+//! | [`fault_detector`], [`quarantine_check`], [`quarantine_monitor`], [`stored_quarantine`] | requests and parts of prompts that crash targets |
 //! | [`version_monitor`] | which services have several versions, stored for a restart of all VMs |
 //! | `rollout_monitor`, `rollout_rows` | rollout orders, and their status rows for operators |
 //! | [`scheduler_hub`], [`fleet_view`] | the shared scheduler, the routes and the targets |
@@ -72,6 +72,7 @@
 pub mod store_feed;
 pub mod store_outage;
 pub mod store_table;
+pub mod stored_quarantine;
 pub mod stream_binding;
 pub mod table_follower;
 pub mod target_answer;
--- a/crates/ryetide-gateway/src/ports.rs
+++ b/crates/ryetide-gateway/src/ports.rs
@@ -10,7 +10,6 @@
 use ryetide_core::{
     ids::{DataCentreName, VmName},
     prompt_part::PartId,
-    request_fingerprint::RequestFingerprint,
     retry_budget::RetryRule,
     rollout_order::{RolloutDuty, RolloutOrder, RolloutReport, RolloutRule},
     route::RouteTable,
@@ -19,11 +18,10 @@
     units::{LinkRate, Tokens},
     version_history::VersionMix,
 };
-use serde::{Deserialize, Serialize};
 use tokio::sync::{mpsc, watch};
 
-pub use crate::local_future::LocalFuture;
 use crate::{feed_relay::FeedRelay, lag_monitor::FeedPauses, refresh_signal::RefreshSignal};
+pub use crate::{local_future::LocalFuture, stored_quarantine::StoredQuarantine};
 
 /// Output tokens assumed for a request whose headers do not state them.
 const ASSUMED_OUTPUT: Tokens = Tokens(200);
@@ -154,19 +152,6 @@
     pub mixes: Vec<VersionMix>,
 }
 
-/// A request in quarantine, sent to no target because it crashes them, in the form in which it is
-/// stored to survive a restart of all VMs.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
-pub struct StoredQuarantine {
-    /// The request.
-    #[serde(rename = "print")]
-    pub fingerprint: RequestFingerprint,
-    /// When a crash was attributed to it, in Unix milliseconds.
-    pub since_ms: u64,
-    /// When a caller last attempted it, as far as stored, in Unix milliseconds.
-    pub asked_ms: u64,
-}
-
 /// An update about the fleet.
 #[derive(Clone, Debug)]
 pub enum FleetUpdate {
--- a/crates/ryetide-gateway/src/quarantine_check.rs
+++ b/crates/ryetide-gateway/src/quarantine_check.rs
@@ -1,10 +1,11 @@
-//! Waits until it is known whether a request is quarantined for crashing targets.
+//! Checks whether a request is quarantined for crashing targets, and waits until that is known.
 
 use std::{rc::Rc, time::Duration};
 
 use hyper::{header, http};
 use ryetide_core::{
     crash_ledger::QuarantineStatus,
+    crash_suspect::RequestFeatures,
     ids::{OrganisationName, ServiceName},
     request_fingerprint::{RequestContent, RequestFingerprint},
 };
@@ -17,7 +18,7 @@
 pub enum QuarantineOutcome {
     /// The request may be sent.
     MaySend,
-    /// The request crashes targets. The quarantine ends if it is not requested again for this long.
+    /// The request, or a part of its prompt, crashes targets. The quarantine ends if it is not requested again for this long.
     Quarantined(Duration),
     /// The timeout passed before a decision.
     TimedOut,
@@ -27,14 +28,12 @@
 /// until `timeout`.
 pub async fn await_decision(
     gateway: &Rc<Gateway>,
-    fingerprint: RequestFingerprint,
+    features: &RequestFeatures,
     service: &ServiceName,
     timeout: Instant,
 ) -> QuarantineOutcome {
     loop {
-        let now = gateway.hub().clock().now();
-        let status = gateway.hub().peek_mut(|it| it.quarantine_status(now, fingerprint, service));
-        let until = match status {
+        let until = match status(gateway, features, service) {
             QuarantineStatus::Clear => return QuarantineOutcome::MaySend,
             QuarantineStatus::Quarantined(left) => return QuarantineOutcome::Quarantined(left),
             QuarantineStatus::Undecided(until) => gateway.hub().clock().instant(until),
@@ -46,6 +45,16 @@
     }
 }
 
+/// Returns whether a request may be sent to the targets of `service` now.
+pub fn status(
+    gateway: &Gateway,
+    features: &RequestFeatures,
+    service: &ServiceName,
+) -> QuarantineStatus {
+    let now = gateway.hub().clock().now();
+    gateway.hub().peek_mut(|scheduler| scheduler.quarantine_status(now, features, service))
+}
+
 /// Returns the fingerprint by which repetitions of a request are recognised.
 pub fn fingerprint_of(
     head: &http::request::Parts,
--- a/crates/ryetide-gateway/src/quarantine_monitor.rs
+++ b/crates/ryetide-gateway/src/quarantine_monitor.rs
@@ -5,7 +5,7 @@
 
 use ryetide::quarantine_log;
 use ryetide_core::{
-    crash_ledger::{QUARANTINE_TTL, QuarantineReport},
+    crash_ledger::{QUARANTINE_TTL, SuspectReport},
     ids::VmName,
 };
 use tokio::{sync::watch, time};
@@ -88,15 +88,15 @@
 pub fn must_write(before: &[StoredQuarantine], found: &[StoredQuarantine]) -> bool {
     let rewrite_ms = REWRITE_INTERVAL.as_millis() as u64;
     let is_current = |now: &StoredQuarantine| {
-        let mut same = before.iter().filter(|it| it.fingerprint == now.fingerprint);
+        let mut same = before.iter().filter(|it| it.suspect == now.suspect);
         same.any(|it| now.asked_ms < it.asked_ms.saturating_add(rewrite_ms))
     };
     before.len() != found.len() || !found.iter().all(is_current)
 }
 
-fn to_stored(report: &QuarantineReport, now_ms: u64) -> StoredQuarantine {
+fn to_stored(report: &SuspectReport, now_ms: u64) -> StoredQuarantine {
     StoredQuarantine {
-        fingerprint: report.fingerprint,
+        suspect: report.suspect,
         since_ms: now_ms.saturating_sub(u64::from(report.age_ms)),
         asked_ms: now_ms.saturating_sub(u64::from(report.asked_ms)),
     }
@@ -104,8 +104,8 @@
 
 /// Converts a stored quarantine to a report. The clocks of two VMs may differ by seconds, which is
 /// short compared with the duration of a quarantine.
-fn to_report(stored: &StoredQuarantine, now_ms: u64) -> QuarantineReport {
+fn to_report(stored: &StoredQuarantine, now_ms: u64) -> SuspectReport {
     let age = |at_ms: u64| u32::try_from(now_ms.saturating_sub(at_ms)).unwrap_or(u32::MAX);
     let (age_ms, asked_ms) = (age(stored.since_ms), age(stored.asked_ms));
-    QuarantineReport { fingerprint: stored.fingerprint, age_ms, asked_ms }
+    SuspectReport { suspect: stored.suspect, age_ms, asked_ms }
 }
--- a/crates/ryetide-gateway/src/store_feed.rs
+++ b/crates/ryetide-gateway/src/store_feed.rs
@@ -28,6 +28,7 @@
     rollout_rows::RolloutRows,
     row_faults::RowFaults,
     store_table::{FleetTable, RowValue, StoreTable, TableRow},
+    stored_quarantine::StoredQuarantines,
     table_follower::{self, RowReader, TableFollower, TablePace},
 };
 
@@ -113,9 +114,9 @@
     /// The speed of its link. A row without it belongs to a VM that relays nothing.
     #[serde(default)]
     link: LinkRate,
-    /// Requests under quarantine, stored so that they survive when all VMs are killed at once.
-    #[serde(default)]
-    kept: Vec<StoredQuarantine>,
+    /// Stored so that they survive when all VMs are killed at once.
+    #[serde(flatten)]
+    quarantines: StoredQuarantines,
     /// Services with several versions, stored for the same case.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     mixes: Vec<VersionMix>,
@@ -220,7 +221,7 @@
         address: own.address,
         secret: own.secret,
         link: own.link,
-        kept: Vec::new(),
+        quarantines: StoredQuarantines::default(),
         mixes: Vec::new(),
     };
     match left.filter(|left| left.is_of_same_vm(&row)) {
@@ -251,7 +252,7 @@
 }
 
 impl OwnRow<'_> {
-    /// Writes the row again whenever the requests under quarantine change, and when a read of the
+    /// Writes the row again whenever the quarantines change, and when a read of the
     /// whole table shows another row than the one written, since the store was restored from a
     /// copy.
     async fn keep(
@@ -288,11 +289,11 @@
 
     async fn store_quarantines(&mut self, kept: Vec<StoredQuarantine>) {
         // A VM that has just started has restored its quarantines from this row.
-        if !quarantine_monitor::must_write(&self.row.kept, &kept) {
+        if !quarantine_monitor::must_write(&self.row.quarantines.0, &kept) {
             return;
         }
-        self.row.kept = kept;
-        tracing::info!(event = "quarantines-kept", step = "write", count = self.row.kept.len());
+        tracing::info!(event = "quarantines-kept", step = "write", count = kept.len());
+        self.row.quarantines = StoredQuarantines(kept);
         self.write().await;
     }
 
@@ -492,8 +493,10 @@
     fn changed(&mut self, rows: Vec<TableRow>) -> Vec<FleetUpdate> {
         for row in rows {
             let decoded = row.value.bytes().map(|value| serde_json::from_slice::<VmRow>(value));
-            if let Some(Ok(VmRow { data_centre, address, secret, link, kept, mixes })) = decoded {
-                let (name, quarantines) = (row.key.as_str().into(), kept);
+            if let Some(Ok(VmRow { data_centre, address, secret, link, quarantines, mixes })) =
+                decoded
+            {
+                let (name, quarantines) = (row.key.as_str().into(), quarantines.0);
                 let peer =
                     PeerEntry { name, data_centre, address, secret, link, quarantines, mixes };
                 self.known.insert(row.key, peer);
--- a/src/quarantine_log.rs
+++ b/src/quarantine_log.rs
@@ -1,38 +1,49 @@
-//! Log lines on the quarantine of requests that crash targets.
+//! Log lines on the quarantine of requests and parts of prompts that crash targets.
 
-use ryetide_core::{crash_ledger::QuarantineChange, ids::VmName};
+use ryetide_core::{crash_ledger::QuarantineChange, crash_suspect::CrashSuspect, ids::VmName};
 
 /// Logs `change`, which the VM `vm` has made or received.
 pub fn write(vm: &VmName, change: &QuarantineChange) {
     match change {
-        QuarantineChange::Started(fingerprint, evidence) => tracing::warn!(
+        QuarantineChange::Started(suspect, evidence) => tracing::warn!(
             event = "quarantine-begun",
             %vm,
-            print = %fingerprint,
+            kind = kind_of(suspect),
+            print = %suspect,
             crashes = evidence.crashes,
             blamed = evidence.attributed,
             elsewhere = evidence.elsewhere,
             targets = evidence.targets,
             chance_ppb = evidence.chance_ppb,
         ),
-        QuarantineChange::Received(fingerprint) => {
-            tracing::info!(event = "quarantine-heard", %vm, print = %fingerprint)
+        QuarantineChange::Received(suspect) => {
+            tracing::info!(event = "quarantine-heard", %vm, kind = kind_of(suspect),
+            print = %suspect)
         }
-        QuarantineChange::Cleared(fingerprint) => {
+        QuarantineChange::Cleared(suspect) => {
             tracing::warn!(
                 event = "quarantine-ended",
                 %vm,
-                print = %fingerprint,
+                kind = kind_of(suspect),
+            print = %suspect,
                 reason = "answered",
             );
         }
-        QuarantineChange::Expired(fingerprint) => {
+        QuarantineChange::Expired(suspect) => {
             tracing::info!(
                 event = "quarantine-ended",
                 %vm,
-                print = %fingerprint,
+                kind = kind_of(suspect),
+            print = %suspect,
                 reason = "not asked for",
             );
         }
     }
 }
+
+fn kind_of(suspect: &CrashSuspect) -> &'static str {
+    match suspect {
+        CrashSuspect::Request(_) => "request",
+        CrashSuspect::Part(_) => "part",
+    }
+}
