Show crashes under parts of prompts in ryetide explain

A request that is refused for a part of its prompt has crashed nothing itself, so its timeline must show the crashes under others with the part.

--- a/crates/ryetide-cli/src/explain.rs
+++ b/crates/ryetide-cli/src/explain.rs
@@ -10,7 +10,7 @@
 type LineFields = BTreeMap<String, String>;
 
 /// Events that also belong to the timeline when they concern other attempts with the same
-/// fingerprint, because they decide whether this attempt is sent to a target.
+/// fingerprint, or requests with the part of prompts for which one was refused, because they decide whether this attempt is sent to a target.
 const CRASH_EVENTS: [&str; 4] =
     ["target-crashed", "quarantine-begun", "quarantine-heard", "quarantine-ended"];
 
@@ -38,12 +38,17 @@
                 timeline.lines.push((time, fields));
             } else if fields.get("request").is_some_and(|request| request == id) {
                 fingerprints.extend(fields.get("print").cloned());
+                fingerprints.extend(fields.get("part").cloned());
                 timeline.lines.push((time, fields));
             } else if CRASH_EVENTS.contains(&value(&fields, "event")) {
                 other_attempts.push((time, fields));
             }
         }
-        let has_fingerprint = |fields: &LineFields| fingerprints.contains(value(fields, "print"));
+        let has_fingerprint = |fields: &LineFields| {
+            let mut parts = value(fields, "parts").split(',');
+            fingerprints.contains(value(fields, "print"))
+                || parts.any(|part| fingerprints.contains(part))
+        };
         timeline
             .lines
             .extend(other_attempts.into_iter().filter(|(_, fields)| has_fingerprint(fields)));
@@ -140,18 +145,22 @@
             }
         ),
         "quarantine-begun" => format!(
-            "quarantined: {} of {} crashes of targets running it are attributed to it, {} other crashes meanwhile, \
+            "{} quarantined: {} of {} crashes of targets running it are attributed to it, {} other crashes meanwhile, \
              {} targets in all; probability by chance {} in a billion",
+            suspect_name(fields),
             field("blamed"),
             field("crashes"),
             field("elsewhere"),
             field("targets"),
             field("chance_ppb")
         ),
-        "quarantine-heard" => "quarantine received from another VM".to_owned(),
+        "quarantine-heard" => {
+            format!("quarantine of {} received from another VM", suspect_name(fields))
+        }
         "quarantine-ended" => format!("quarantine ended: {}", field("reason")),
         "quarantined" => format!(
-            "refused because it crashes targets; the quarantine ends after {} ms without attempts",
+            "refused because {} crashes targets; the quarantine ends after {} ms without attempts",
+            fields.get("part").map_or("it".to_owned(), |part| format!("part {part} of its prompt")),
             field("retry_ms")
         ),
         "rollout-ordered" => format!("order {}: move to {}", field("number"), field("to")),
@@ -196,6 +205,14 @@
     }
 }
 
+/// Returns what a quarantine concerns.
+fn suspect_name(fields: &LineFields) -> String {
+    match value(fields, "kind") {
+        "part" => format!("part {} of prompts", value(fields, "print")),
+        _ => "request".to_owned(),
+    }
+}
+
 /// Parses a line of key=value pairs; values with spaces are quoted. Text before the first pair, which
 /// a log collector may add, is ignored.
 fn parse_fields(line: &str) -> LineFields {
--- a/crates/ryetide-cli/tests/explain.rs
+++ b/crates/ryetide-cli/tests/explain.rs
@@ -15,6 +15,9 @@
 ts=2026-03-25T04:18:51.2000Z level=warn event=target-crashed vm=e1 request=q8 print=6a target=i-ab peer=10.0.0.1:80 ran_ms=900 runs=3
 ts=2026-03-25T04:18:52.3000Z level=warn event=quarantine-begun vm=e2 print=5f crashes=3 blamed=3 elsewhere=0 targets=12 chance_ppb=100
 ts=2026-03-25T04:18:53.1000Z level=info event=quarantined vm=e1 request=q9 sequence=20 print=5f route=r1 retry_ms=600000
+ts=2026-03-25T04:18:55.1000Z level=warn event=target-crashed vm=e1 request=q11 print=7c parts=3/a1,3/bad target=i-ac peer=10.0.0.2:80 ran_ms=70 runs=1
+ts=2026-03-25T04:18:56.1000Z level=warn event=quarantine-begun vm=e2 kind=part print=3/bad crashes=5 blamed=4 elsewhere=1 targets=12 chance_ppb=3
+ts=2026-03-25T04:18:57.1000Z level=info event=quarantined vm=e1 request=q10 sequence=21 print=8d part=3/bad route=r1 retry_ms=600000
 ts=2026-03-25T04:19:01.1000Z level=info event=rollout-ordered service=desk number=17 to=v2
 ts=2026-03-25T04:19:09.2000Z level=info event=rollout-step vm=e2 service=desk to_version=v2 number=17 from=Trial to=Condemned reason=evidence by=failures expected=0.01 found=0.5 answers=20 placed=300 exposed=24 old_answers=276 old_failed=1 old_timed=200 old_slow=41 new_answers=20 new_failed=10 new_timed=6 new_slow=1
 ts=2026-03-25T04:19:09.3000Z level=info event=rollout-row service=desk number=17 word=rolled-back
@@ -72,6 +75,21 @@
     assert!(lines[2].contains("refused because it crashes targets"), "{text}");
 }
 
+/// Guards against a timeline that omits why a request was refused that has crashed nothing: others
+/// with one part of its prompt have.
+#[test]
+fn the_timeline_shows_crashes_under_other_requests_with_the_part() {
+    let text = String::from_utf8(explain("q10").stdout).expect("text");
+    let lines: Vec<&str> = text.lines().collect();
+    assert_eq!(lines.len(), 3, "{text}");
+    assert!(lines[0].contains("i-ac crashed after attempt q11 had run there for 70 ms"), "{text}");
+    assert!(lines[1].contains("part 3/bad of prompts quarantined: 4 of 5 crashes"), "{text}");
+    assert!(
+        lines[2].contains("refused because part 3/bad of its prompt crashes targets"),
+        "{text}"
+    );
+}
+
 /// Guards against an empty timeline with exit code 0 for an unknown request.
 #[test]
 fn a_request_that_is_not_in_the_log_is_reported() {
--- a/crates/ryetide-gateway/tests/releases.rs
+++ b/crates/ryetide-gateway/tests/releases.rs
@@ -1,16 +1,22 @@
 //! Tests that VMs of two releases can exchange messages during an upgrade of the fleet.
 
+use std::time::Duration;
+
 use ring::hmac;
 use ryetide_core::{
-    crash_ledger::CrashUpdate,
+    crash_ledger::{CrashLedger, CrashUpdate, CrashedRun},
+    crash_suspect::RequestFeatures,
     ids::{
         DataCentreName, Incarnation, OrganisationKey, ServiceKey, TargetKey, VersionKey, VmName,
     },
     load_digest::{DigestScope, LoadDigest, PlacedPrompt, QueueReport, TargetReport},
+    policy_update::PolicyUpdate,
+    prompt_part::{PartId, PromptPart},
+    request_fingerprint::RequestFingerprint,
     stream_origin::{OriginRecord, StreamKey, StreamOrigin},
     target_limit::LimitReport,
     target_notice::LeavingReport,
-    units::{RequestRate, Revision},
+    units::{Moment, RequestRate, Revision},
     watcher_selection::WatchReport,
 };
 use ryetide_gateway::peer_link::{self, PeerEnvelope, PeerMessage};
@@ -106,6 +112,57 @@
     assert_eq!(earlier.from.as_str(), "e1");
 }
 
+/// Guards against VMs of the previous release that lose the digests of this one while a part of
+/// prompts crashes targets.
+#[test]
+fn parts_in_crashes_are_decoded_by_this_release_and_ignored_by_the_previous_one() {
+    let features = RequestFeatures {
+        fingerprint: RequestFingerprint(7),
+        parts: PromptPart::list(ServiceKey(1), &[PartId(0xa), PartId(0xbad)]),
+    };
+    let now = Moment::from_millis(1_000);
+    let mut ledger = CrashLedger::default();
+    let run = CrashedRun { features, ran: Duration::from_millis(80) };
+    ledger.record_crash(now, TargetKey(5), &[run]);
+    let crashes = ledger.own_update(now);
+    let part_crashes = crashes.parts.clone();
+    let policies = PolicyUpdate { part_crashes: part_crashes.clone(), ..PolicyUpdate::default() };
+    let digest = LoadDigest { crashes, policies, ..LoadDigest::default() };
+    let envelope = PeerEnvelope { from: "e1".into(), message: PeerMessage::Digest(digest) };
+    let datagram = peer_link::seal(&SECRET, &envelope).expect("an encodable message");
+    let read = peer_link::open(&datagram, |_| Some(SECRET)).expect("a decodable message");
+    let PeerMessage::Digest(digest) = read.message else { panic!("not a digest") };
+    assert_eq!(digest.policies.part_crashes, part_crashes);
+    let earlier: EarlierEnvelope =
+        postcard::from_bytes(&datagram[TAG_LENGTH..]).expect("a decodable message");
+    let EarlierMessage::Digest(digest) = earlier.message;
+    assert_eq!(digest.crashes.crashes.len(), 1);
+}
+
+/// Guards against reports of crashes that take a fleet's links: a crash on a full engine ends ten
+/// runs, and each VM reports its own in several digests.
+#[test]
+fn a_report_of_a_crash_takes_at_most_a_hundred_bytes_for_each_run() {
+    let mut ledger = CrashLedger::default();
+    let runs = (0..10).map(|number| CrashedRun {
+        features: RequestFeatures {
+            fingerprint: RequestFingerprint(u64::MAX - number),
+            parts: PromptPart::list(
+                ServiceKey(u32::MAX),
+                &[PartId(0xffff_fff0), PartId(0xffff_ffff)],
+            ),
+        },
+        ran: Duration::from_millis(900),
+    });
+    let now = Moment::from_millis(1_000);
+    ledger.record_crash(now, TargetKey(u32::MAX), &runs.collect::<Vec<CrashedRun>>());
+    let crashes = ledger.own_update(now);
+    let bytes = postcard::to_allocvec(&crashes).expect("an encodable report").len()
+        + postcard::to_allocvec(&crashes.parts).expect("an encodable report").len();
+    println!("{bytes} bytes for ten runs");
+    assert!(bytes <= 1_000, "{bytes} bytes");
+}
+
 /// A truncated datagram must be rejected, although a message of an earlier release is shorter too
 /// and is padded with zeros.
 #[test]
