Quarantine blocks of prompts that crash engines in ryetided

The leading blocks of a prompt, which requests share, are what this face knows of a prompt's parts; it blamed whole requests only. The same ledger attributes crashes to them now, peers report them in a message of their own, which older daemons skip, and a request is checked again when it is dispatched: one that waited for its slot meanwhile is refused.

a_block_of_prompts_that_crashes_engines_is_quarantined passes; with prompts that share no block, as before, it failed: the request was admitted. Not built: quarantines of this face are still not kept in the table service.

--- a/crates/ryetide-core/src/crash_suspect.rs
+++ b/crates/ryetide-core/src/crash_suspect.rs
@@ -44,6 +44,12 @@
 }
 
 impl RequestFeatures {
+    /// Returns the parts for a log line, separated by commas.
+    pub fn part_list(&self) -> String {
+        let parts: Vec<String> = self.parts.iter().map(PromptPart::to_string).collect();
+        parts.join(",")
+    }
+
     /// Returns the possible causes of crashes that the request holds.
     pub fn suspects(&self) -> impl Iterator<Item = CrashSuspect> {
         let parts = self.parts.iter().map(|part| CrashSuspect::Part(*part));
--- a/crates/ryetide-core/src/effect.rs
+++ b/crates/ryetide-core/src/effect.rs
@@ -7,13 +7,13 @@
 
 use crate::{
     crash_ledger::QuarantineChange,
+    crash_suspect::RequestFeatures,
     event::{AnswerHead, FinalAnswer, TableCommand, TargetOperation, TargetRoute},
     ids::{
         AttemptNumber, OperationId, OrganisationName, RequestId, RequestSequence, ServiceName,
         TableToken, TargetKey, TargetName, TierName, VmName,
     },
     message::PeerMessage,
-    request_fingerprint::RequestFingerprint,
     target_notice::TargetNotice,
     units::{RequestRate, Revision, Tokens},
 };
@@ -279,8 +279,8 @@
     TargetCrashed {
         /// The target.
         target: TargetKey,
-        /// The fingerprint of the request.
-        fingerprint: RequestFingerprint,
+        /// What may have made the request crash it.
+        features: RequestFeatures,
         /// How long the request had run, in milliseconds.
         ran_ms: u32,
     },
--- a/crates/ryetide-core/src/entry.rs
+++ b/crates/ryetide-core/src/entry.rs
@@ -257,8 +257,8 @@
             Event::TargetSaid { sequence, target, word } => {
                 self.target_said(now, sequence, target, word, effects);
             }
-            Event::TargetCrashed { target, fingerprint, ran_ms } => {
-                self.target_crashed(now, target, fingerprint, ran_ms, effects);
+            Event::TargetCrashed { target, features, ran_ms } => {
+                self.target_crashed(now, target, features, ran_ms, effects);
             }
             Event::TargetRefused { sequence, attempt, leaving } => {
                 self.handle_target_refusal(now, sequence, attempt, leaving, effects);
@@ -484,7 +484,7 @@
         }
         // Admission refuses every request while this VM drains, so these are answered immediately.
         for waiting in std::mem::take(&mut self.undecided) {
-            self.admit(now, waiting.request, waiting.fingerprint, effects);
+            self.admit(now, waiting.request, waiting.features, effects);
         }
         let waiting: Vec<RequestSequence> = self
             .requests
--- a/crates/ryetide-core/src/entry_admission.rs
+++ b/crates/ryetide-core/src/entry_admission.rs
@@ -7,13 +7,13 @@
     catalog::ServiceRule,
     chart::{self, RequestEvent, RequestState},
     claim::{self, ClaimStep},
+    crash_suspect::RequestFeatures,
     effect::{Effect, EffectBuffer},
     entry::EntryCore,
     event::{CallerRequest, FinalAnswer, RejectReason, TableAnswer, TableCommand, UnknownReason},
     ids::{AttemptNumber, OrganisationKey, RequestId, RequestSequence, ServiceKey, TableToken},
     message::{ClaimOutcome, PeerMessage, RefuseReason, RequestProfile, RequestRef},
     request::RequestRecord,
-    request_fingerprint::RequestFingerprint,
     target_notice::TargetNotice,
     units::{ByteSize, Moment, TierRank},
 };
@@ -36,7 +36,7 @@
         &mut self,
         now: Moment,
         request: CallerRequest,
-        fingerprint: RequestFingerprint,
+        features: RequestFeatures,
         effects: &mut EffectBuffer,
     ) {
         let sequence = request.sequence;
@@ -47,7 +47,7 @@
                 let record = RequestRecord {
                     state: chart::request().initial(),
                     profile,
-                    fingerprint,
+                    features,
                     call: Some(request.call),
                     deadline: now + request.deadline,
                     arrived: now,
--- a/crates/ryetide-core/src/entry_dispatch.rs
+++ b/crates/ryetide-core/src/entry_dispatch.rs
@@ -11,6 +11,7 @@
 
 use crate::{
     chart::{RequestEvent, RequestState},
+    crash_ledger::{QUARANTINE_TTL, SOUND_SPAN},
     effect::{Effect, EffectBuffer},
     entry::EntryCore,
     event::{AnswerHead, FinalAnswer, TargetOperation, UnknownReason},
@@ -65,6 +66,12 @@
             return;
         };
         let target = record.route.as_ref().map(|route| route.key);
+        // The request may have waited for its slot long after it was admitted.
+        if self.crashes.quarantined_suspect(&record.features).is_some() {
+            let retry = Some(QUARANTINE_TTL);
+            self.give_up(now, sequence, RefuseReason::Quarantined, retry, effects);
+            return;
+        }
         if self.options.switches.permit_recheck {
             if now >= record.deadline {
                 let retry = Some(EXPIRED_RETRY);
@@ -96,8 +103,8 @@
         }
         record.dispatched = Some(record.dispatched.unwrap_or(now));
         let (attempt, answer_limit) = (record.attempt, record.answer_limit);
-        let (fingerprint, not_after) = (record.fingerprint, record.deadline);
-        let order = TargetOperation::Dispatch { id, call, fingerprint, answer_limit, not_after };
+        let (features, not_after) = (record.features.clone(), record.deadline);
+        let order = TargetOperation::Dispatch { id, call, features, answer_limit, not_after };
         let wake = self.idle_timeout_at(now, sequence, wait);
         self.requests.set_wake(sequence, wake);
         effects.push(Effect::Permit { sequence, attempt, order });
@@ -260,10 +267,16 @@
         record.last_piece = Some(now);
         record.pieces += 1;
         record.idle_resumes = 0;
+        let writing = now.since(record.first_piece.unwrap_or(now));
+        let sound = record.dispatched.filter(|_| writing >= SOUND_SPAN);
+        let sound = sound.map(|sent| (sent, record.features.clone()));
         let (gone, claim_key) = (record.caller_gone, record.claim_key.clone());
         if let Some(key) = claim_key {
             self.claims.store_piece(&key, &fresh);
         }
+        if let Some((sent, features)) = sound {
+            self.crashes.record_sound_parts(now, sent, &features);
+        }
         let wake = self.idle_timeout_at(now, sequence, PIECE_TIMEOUT);
         self.requests.set_wake(sequence, wake);
         if !gone {
--- a/crates/ryetide-core/src/entry_finish.rs
+++ b/crates/ryetide-core/src/entry_finish.rs
@@ -98,7 +98,7 @@
         };
         if kind == OutcomeKind::Answered {
             let sent = record.dispatched.unwrap_or(now);
-            self.crashes.record_answered(now, sent, &record.fingerprint.into());
+            self.crashes.record_answered(now, sent, &record.features);
         }
         let release = match (kind, record.state) {
             (OutcomeKind::Answered, _) => ReleaseOutcome::Completed,
--- a/crates/ryetide-core/src/entry_peer.rs
+++ b/crates/ryetide-core/src/entry_peer.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use crate::{
+    crash_ledger::CrashUpdate,
     effect::{Effect, EffectBuffer, OperatorNotice},
     entry::EntryCore,
     message::{
@@ -67,6 +68,9 @@
             PeerMessage::Leaving(marks) => self.merge_leaving_reports(now, &marks),
             PeerMessage::Limits(marks) => self.merge_limit_reports(now, &marks),
             PeerMessage::Crashes(news) => self.crashes.take(now, &news),
+            PeerMessage::PartCrashes(parts) => {
+                self.crashes.take(now, &CrashUpdate { parts, ..CrashUpdate::default() });
+            }
             PeerMessage::OutcomeReply { ask, outcome } => {
                 let awaited = self.claims.query_deadline(ask.sequence).is_some();
                 if self.is_for_this_incarnation(ask) && awaited {
--- a/crates/ryetide-core/src/entry_quarantine.rs
+++ b/crates/ryetide-core/src/entry_quarantine.rs
@@ -3,13 +3,15 @@
 use std::time::Duration;
 
 use crate::{
-    crash_ledger::{CrashUpdate, CrashedRun, QuarantineStatus},
+    crash_ledger::{CrashUpdate, CrashedRun, PartCrashUpdate, QuarantineStatus},
+    crash_suspect::RequestFeatures,
     effect::{Effect, EffectBuffer, OperatorNotice},
     entry::EntryCore,
     entry_admission,
     event::{CallerRequest, FinalAnswer},
     ids::{OrganisationName, RequestSequence, ServiceKey, TargetKey},
     message::{PeerMessage, RefuseReason},
+    prompt_part::{PartId, PromptPart},
     request_fingerprint::{RequestContent, RequestFingerprint},
     units::Moment,
 };
@@ -21,8 +23,8 @@
     pub until: Moment,
     /// The request, with the time to its deadline when it arrived.
     pub request: CallerRequest,
-    /// The fingerprint of the request.
-    pub fingerprint: RequestFingerprint,
+    /// What may make it crash targets.
+    pub features: RequestFeatures,
     /// When it arrived.
     arrived: Moment,
 }
@@ -35,28 +37,28 @@
         request: CallerRequest,
         effects: &mut EffectBuffer,
     ) {
-        let fingerprint = fingerprint_of(&request);
-        self.decide_admission(now, request, fingerprint, effects);
+        let features = features_of(&request);
+        self.decide_admission(now, request, features, effects);
     }
 
     fn decide_admission(
         &mut self,
         now: Moment,
         request: CallerRequest,
-        fingerprint: RequestFingerprint,
+        features: RequestFeatures,
         effects: &mut EffectBuffer,
     ) {
-        let status = if self.is_draining() || !self.crashes.is_suspect(&fingerprint.into()) {
+        let status = if self.is_draining() || !self.crashes.is_suspect(&features) {
             QuarantineStatus::Clear
         } else {
             let targets = self.target_count(&request);
-            self.crashes.quarantine_status(now, &fingerprint.into(), targets)
+            self.crashes.quarantine_status(now, &features, targets)
         };
         match status {
-            QuarantineStatus::Clear => self.admit(now, request, fingerprint, effects),
+            QuarantineStatus::Clear => self.admit(now, request, features, effects),
             QuarantineStatus::Undecided(until) => {
                 let until = until.min(now + request.deadline);
-                self.undecided.push(UndecidedRequest { until, request, fingerprint, arrived: now });
+                self.undecided.push(UndecidedRequest { until, request, features, arrived: now });
             }
             QuarantineStatus::Quarantined(span) => {
                 let (sequence, has_key) = (request.sequence, request.key.is_some());
@@ -79,10 +81,10 @@
     pub(crate) fn admit_decided(&mut self, now: Moment, effects: &mut EffectBuffer) {
         let due: Vec<UndecidedRequest> =
             self.undecided.extract_if(.., |waiting| waiting.until <= now).collect();
-        for UndecidedRequest { mut request, fingerprint, arrived, .. } in due {
+        for UndecidedRequest { mut request, features, arrived, .. } in due {
             // A deadline of zero makes the admission refuse the request as too late.
             request.deadline = request.deadline.saturating_sub(now.since(arrived));
-            self.decide_admission(now, request, fingerprint, effects);
+            self.decide_admission(now, request, features, effects);
         }
     }
 
@@ -97,16 +99,20 @@
         &mut self,
         now: Moment,
         target: TargetKey,
-        fingerprint: RequestFingerprint,
+        features: RequestFeatures,
         ran_ms: u32,
         effects: &mut EffectBuffer,
     ) {
         if self.is_leaving(target) {
             return;
         }
-        self.notices.push(OperatorNotice::TargetCrashed { target, fingerprint, ran_ms });
+        self.notices.push(OperatorNotice::TargetCrashed {
+            target,
+            features: features.clone(),
+            ran_ms,
+        });
         let ran = Duration::from_millis(u64::from(ran_ms));
-        let run = CrashedRun { features: fingerprint.into(), ran };
+        let run = CrashedRun { features, ran };
         self.crashes.record_crash(now, target, &[run]);
         let update = self.crashes.own_update(now);
         self.send_crash_update(&update, effects);
@@ -118,12 +124,24 @@
             return;
         }
         for peer in self.peers.iter() {
-            let message = PeerMessage::Crashes(update.clone());
-            effects.push(Effect::Send { to: peer.name.clone(), message });
+            let (crashes, parts) = (update.clone(), update.parts.clone());
+            let has_parts = parts != PartCrashUpdate::default();
+            let parts = has_parts.then_some(PeerMessage::PartCrashes(parts));
+            for message in parts.into_iter().chain([PeerMessage::Crashes(crashes)]) {
+                effects.push(Effect::Send { to: peer.name.clone(), message });
+            }
         }
     }
 }
 
+/// Returns what may make a request crash targets: itself, and the leading blocks of its prompt.
+fn features_of(request: &CallerRequest) -> RequestFeatures {
+    let service = ServiceKey::of(&request.service.as_str().into());
+    let ids = request.prefixes.iter().map(|prefix| PartId(u64::from(*prefix)));
+    let parts = PromptPart::list(service, &ids.collect::<Vec<PartId>>());
+    RequestFeatures { fingerprint: fingerprint_of(request), parts }
+}
+
 fn fingerprint_of(request: &CallerRequest) -> RequestFingerprint {
     let caller = OrganisationName::from(request.organisation.as_str());
     RequestFingerprint::of(&RequestContent {
--- a/crates/ryetide-core/src/event.rs
+++ b/crates/ryetide-core/src/event.rs
@@ -8,13 +8,13 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
+    crash_suspect::RequestFeatures,
     event_tracker,
     ids::{
         AttemptNumber, DataCentreName, Incarnation, OperationId, RequestId, RequestSequence,
         TableToken, TargetKey, TargetName, VmName,
     },
     message::{PeerMessage, RefuseReason, StoredAnswer},
-    request_fingerprint::RequestFingerprint,
     target_notice::TargetNotice,
     units::{ByteSize, Moment, Revision, Tokens},
 };
@@ -81,8 +81,8 @@
         id: RequestId,
         /// The content to send.
         call: TargetCall,
-        /// The request's fingerprint, by which it is recognised when it is repeated.
-        fingerprint: RequestFingerprint,
+        /// What may make the request crash the target.
+        features: RequestFeatures,
         /// The largest answer to accept.
         answer_limit: ByteSize,
         /// The time after which nothing may be sent. The driver checks it immediately before the
@@ -266,8 +266,8 @@
     TargetCrashed {
         /// The target.
         target: TargetKey,
-        /// The fingerprint of the request.
-        fingerprint: RequestFingerprint,
+        /// What may have made the request crash it.
+        features: RequestFeatures,
         /// How long the request had run, in milliseconds.
         ran_ms: u32,
     },
--- a/crates/ryetide-core/src/message.rs
+++ b/crates/ryetide-core/src/message.rs
@@ -11,7 +11,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    crash_ledger::CrashUpdate,
+    crash_ledger::{CrashUpdate, PartCrashUpdate},
     ids::{
         DataCentreKey, DataCentreName, Incarnation, OperationId, OrganisationKey, RequestId,
         RequestSequence, ScopeKey, ServiceKey, TargetKey, VmName,
@@ -311,6 +311,8 @@
     Leaving(Vec<LeavingReport>),
     /// Reports the latest rate limits that targets announced in their answers.
     Limits(Vec<LimitReport>),
+    /// Reports the parts of prompts that were in crashes of targets.
+    PartCrashes(PartCrashUpdate),
 }
 
 /// Encodes `message` as a frame.
--- a/crates/ryetide-core/src/request.rs
+++ b/crates/ryetide-core/src/request.rs
@@ -7,11 +7,11 @@
 
 use crate::{
     chart::{self, RequestEvent, RequestState},
+    crash_suspect::RequestFeatures,
     event::{TargetCall, TargetRoute},
     event_tracker::EventTracker,
     ids::{AttemptNumber, RequestSequence, ScopeKey, TargetKey, VmName},
     message::{RefuseReason, RequestProfile},
-    request_fingerprint::RequestFingerprint,
     target_notice::TargetNotice,
     units::{ByteSize, Moment},
 };
@@ -46,8 +46,8 @@
     pub state: RequestState,
     /// The properties by which an arbiter orders and places the request.
     pub profile: RequestProfile,
-    /// The fingerprint by which the request is recognised when it is repeated.
-    pub fingerprint: RequestFingerprint,
+    /// What may make the request crash targets.
+    pub features: RequestFeatures,
     /// The content to forward to the target; taken when it is sent.
     pub call: Option<TargetCall>,
     /// The caller's deadline.
--- a/crates/ryetide-core/tests/entry.rs
+++ b/crates/ryetide-core/tests/entry.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use ryetide_core::{
+    crash_suspect::RequestFeatures,
     effect::{Effect, EffectBuffer},
     entry::{EntryCore, EntryOptions},
     event::{
@@ -11,11 +12,14 @@
         TableRow, TargetCall, TargetOperation, UnknownReason,
     },
     ids::{
-        AttemptNumber, DataCentreName, Incarnation, RequestId, RequestSequence, TableToken, VmName,
+        AttemptNumber, DataCentreName, Incarnation, RequestId, RequestSequence, ServiceKey,
+        TableToken, TargetKey, VmName,
     },
     message::{
         ClaimOutcome, HeartbeatMessage, IncarnationTag, PeerMessage, RefuseReason, RequestRef,
     },
+    prompt_part::{PartId, PromptPart},
+    request_fingerprint::RequestFingerprint,
     safeguard::SafeguardSwitches,
     units::{Moment, Tokens},
 };
@@ -285,3 +289,74 @@
         assert!(effects.iter().any(is_resume), "{effects:?}");
     }
 }
+
+/// The leading blocks of a prompt with `block` in it, which begins like all others and ends like
+/// none.
+fn prompt(sequence: u64, block: u32) -> CallerRequest {
+    let own = 1_000 + u32::try_from(sequence).expect("a small number");
+    let mut call = request(sequence, "drafting", None);
+    call.prefixes = vec![1, block, own];
+    call.call.body = Bytes::from(sequence.to_string());
+    call
+}
+
+/// The leading blocks that other prompts with `block` share.
+fn parts(block: u32) -> Vec<PromptPart> {
+    let ids = [1, block].map(|id| PartId(u64::from(id)));
+    PromptPart::list(ServiceKey::of(&"drafting".into()), &ids)
+}
+
+impl Bench {
+    /// Sends a request to a target and returns what may make it crash there, if it was sent.
+    fn dispatch(&mut self, call: CallerRequest) -> Option<RequestFeatures> {
+        let (sequence, attempt) = (call.sequence, AttemptNumber(1));
+        self.step(Event::Arrived(call));
+        let effects = self.step(Event::Connected { sequence, attempt });
+        effects.into_iter().find_map(|effect| match effect {
+            Effect::Permit { order: TargetOperation::Dispatch { features, .. }, .. } => {
+                Some(features)
+            }
+            _ => None,
+        })
+    }
+
+    /// Crashes a target under two requests, after which one like the second is answered.
+    fn crash(&mut self, number: u32, crashing: u32, sound: u32) {
+        self.now = self.now + Duration::from_millis(200);
+        for (run, block) in [crashing, sound].into_iter().enumerate() {
+            let fingerprint = RequestFingerprint(u64::from(number) * 10 + run as u64);
+            let features = RequestFeatures { fingerprint, parts: parts(block) };
+            self.step(Event::TargetCrashed { target: TargetKey(number), features, ran_ms: 80 });
+        }
+        let sequence = RequestSequence(u64::from(number));
+        let sent = self.dispatch(prompt(sequence.0, sound)).expect("a request that is sent");
+        assert_eq!(sent.parts[..2], parts(sound));
+        self.step(Event::TargetEnd { sequence, attempt: AttemptNumber(1), length: 0 });
+    }
+}
+
+/// Guards against blocks of prompts that crash one engine after the other, in requests of which no
+/// two are alike, also in one that waited for its slot while they were found to be the cause.
+#[test]
+fn a_block_of_prompts_that_crashes_engines_is_quarantined() {
+    let mut bench = Bench::serving(SafeguardSwitches::default());
+    let waiting = prompt(200, 7);
+    let sequence = waiting.sequence;
+    bench.step(Event::Arrived(waiting));
+    for number in 1..=5 {
+        bench.crash(number, 7, 8);
+    }
+    bench.now = bench.now + Duration::from_secs(1);
+    let is_refused = |effects: &[Effect]| {
+        matches!(
+            answers(effects).as_slice(),
+            [FinalAnswer::NotRun { reason: RefuseReason::Quarantined, retry_after: Some(_) }]
+        )
+    };
+    let effects = bench.step(Event::Arrived(prompt(201, 7)));
+    assert!(is_refused(&effects), "{effects:?}");
+    let connected = Event::Connected { sequence, attempt: AttemptNumber(1) };
+    let effects = bench.step(connected);
+    assert!(is_refused(&effects), "{effects:?}");
+    assert!(bench.dispatch(prompt(202, 8)).is_some(), "a sound prompt that begins alike is sent");
+}
--- a/crates/ryetide-gateway/src/decision_log.rs
+++ b/crates/ryetide-gateway/src/decision_log.rs
@@ -13,7 +13,6 @@
     ids::{OrganisationName, RequestSequence, ServiceName, TargetName, VmName},
     origin_inquiry::OriginVerdict,
     policy_update::SlotGrant,
-    prompt_part::PromptPart,
     request_fingerprint::RequestFingerprint,
     scheduler_shares::ShareExceeded,
     target_load::TargetEntry,
@@ -395,7 +394,7 @@
                     vm = %self.vm,
                     request = run.request,
                     print = %run.features.fingerprint,
-                    parts = part_list(&run.features.parts),
+                    parts = run.features.part_list(),
                     target = %target.name,
                     peer = %target.address,
                     ran_ms = millis(run.ran),
@@ -520,9 +519,3 @@
 fn millis(span: Duration) -> u64 {
     u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
 }
-
-/// Returns the parts of a prompt for a log line.
-fn part_list(parts: &[PromptPart]) -> String {
-    let parts: Vec<String> = parts.iter().map(PromptPart::to_string).collect();
-    parts.join(",")
-}
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -493,8 +493,9 @@
             let limit = limit.map(tracing::field::display);
             tracing::info!(event = "target-limit", %vm, %sequence, %target, limit);
         }
-        OperatorNotice::TargetCrashed { target, fingerprint, ran_ms } => {
-            tracing::warn!(event = "target-crashed", %vm, %target, print = %fingerprint, ran_ms);
+        OperatorNotice::TargetCrashed { target, features, ran_ms } => {
+            let (print, parts) = (features.fingerprint, features.part_list());
+            tracing::warn!(event = "target-crashed", %vm, %target, %print, parts, ran_ms);
         }
         OperatorNotice::Quarantine(change) => quarantine_log::write(vm, change),
         OperatorNotice::ArbiterSilent(peer) => {
--- a/src/target_client.rs
+++ b/src/target_client.rs
@@ -10,10 +10,10 @@
 
 use hyper::{Method, StatusCode, header};
 use ryetide_core::{
+    crash_suspect::RequestFeatures,
     event::{AnswerHead, Event, LoadReport, TargetOperation, TargetRoute},
     ids::{AttemptNumber, RequestId, RequestSequence, TargetKey},
     path_table::{PathTable, TargetPath},
-    request_fingerprint::RequestFingerprint,
     target_notice::{LimitNotice, TargetNotice},
     units::{ByteSize, Moment},
 };
@@ -190,7 +190,7 @@
                 tracing::warn!(event = "permit-lapsed", step = "dispatch", peer = %route.name);
                 None
             }
-            TargetOperation::Dispatch { id, call, fingerprint, answer_limit, not_after: _ } => {
+            TargetOperation::Dispatch { id, call, features, answer_limit, not_after: _ } => {
                 let limit = if route.engine { ByteSize(u64::MAX) } else { answer_limit };
                 let asked = if route.engine { "POST" } else { &call.method };
                 // The method comes from a request that the same library has parsed.
@@ -206,7 +206,7 @@
                 let end = self.read(reading, sent).await;
                 if end.is_none() {
                     let ran = sent_at.elapsed();
-                    ntex::rt::spawn(Rc::clone(self).detect_crash(route.clone(), fingerprint, ran));
+                    ntex::rt::spawn(Rc::clone(self).detect_crash(route.clone(), features, ran));
                 }
                 end
             }
@@ -380,7 +380,7 @@
     async fn detect_crash(
         self: Rc<Self>,
         route: TargetRoute,
-        fingerprint: RequestFingerprint,
+        features: RequestFeatures,
         ran: Duration,
     ) {
         let connecting = TcpStream::connect(route.address);
@@ -394,7 +394,7 @@
         }
         if matches!(outcome, TunnelOutcome::Refused | TunnelOutcome::NoPeers) {
             let ran_ms = u32::try_from(ran.as_millis()).unwrap_or(u32::MAX);
-            self.send_event(Event::TargetCrashed { target: route.key, fingerprint, ran_ms }).await;
+            self.send_event(Event::TargetCrashed { target: route.key, features, ran_ms }).await;
         }
     }
 
--- a/tests/tunnels.rs
+++ b/tests/tunnels.rs
@@ -146,7 +146,7 @@
         let order = TargetOperation::Dispatch {
             id: RequestId { vm: "e1".into(), incarnation: Incarnation(1), sequence },
             call,
-            fingerprint: RequestFingerprint(1),
+            features: RequestFingerprint(1).into(),
             answer_limit: ByteSize(1_000),
             not_after: Moment(u64::MAX),
         };
