Test what ends a quarantine of a part and what invented parts cost

A run that was sent before the crashes ends no quarantine of a part; invented parts stay within 32 a request and 1,024 a report and push no quarantine out; requests with a quarantined part are refused at once, with the others served, also at a VM that starts later.

--- a/crates/ryetide-core/tests/crash_ledger.rs
+++ b/crates/ryetide-core/tests/crash_ledger.rs
@@ -6,8 +6,9 @@
     crash_ledger::{
         CrashLedger, CrashedRun, QUARANTINE_TTL, QuarantineChange, QuarantineStatus, SuspectReport,
     },
-    crash_suspect::CrashSuspect,
-    ids::TargetKey,
+    crash_suspect::{CrashSuspect, RequestFeatures},
+    ids::{ServiceKey, TargetKey},
+    prompt_part::{PartId, PromptPart},
     request_fingerprint::RequestFingerprint,
     units::Moment,
 };
@@ -295,3 +296,71 @@
         .count();
     assert!(suspects <= 256 * 32, "{suspects} requests are recorded");
 }
+
+/// Returns a ledger in which a part of prompts is quarantined from 3 s on: a target crashes under it
+/// every 300 ms, and requests that ended there are answered at others.
+fn with_quarantined_part() -> (CrashLedger, RequestFeatures) {
+    let mut ledger = CrashLedger::default();
+    let features = |number: u64, parts: &[u64]| {
+        let ids: Vec<PartId> = parts.iter().map(|id| PartId(*id)).collect();
+        let parts = PromptPart::list(ServiceKey(1), &ids);
+        RequestFeatures { fingerprint: RequestFingerprint(number), parts }
+    };
+    for number in 1..=6 {
+        let (bad, sound) = (features(number, &[1, 7]), features(100 + number, &[1, 8]));
+        let runs = [bad, sound.clone()].map(|features| CrashedRun { features, ran: RAN });
+        let time = at(number * 300);
+        ledger.record_crash(time, TargetKey(number as u32), &runs);
+        let sent = time + Duration::from_millis(20);
+        ledger.record_answered(sent + RAN, sent, &sound);
+    }
+    let request = features(200, &[1, 7]);
+    let status = ledger.quarantine_status(at(3_000), &request, TARGETS);
+    assert_eq!(status, QuarantineStatus::Quarantined(QUARANTINE_TTL));
+    let sound = features(201, &[1, 8]);
+    let status = ledger.quarantine_status(at(3_000), &sound, TARGETS);
+    assert_eq!(status, QuarantineStatus::Clear);
+    (ledger, request)
+}
+
+#[test]
+fn a_quarantine_of_a_part_is_reported_and_ends_without_further_requests() {
+    let (mut here, request) = with_quarantined_part();
+    let mut there = CrashLedger::default();
+    there.take(at(3_050), &here.own_update(at(3_040)));
+    let status = there.quarantine_status(at(3_100), &request, TARGETS);
+    assert_eq!(status, QuarantineStatus::Quarantined(QUARANTINE_TTL));
+    let later = at(3_100) + QUARANTINE_TTL;
+    here.age(later);
+    assert_eq!(here.quarantine_count(), 0);
+}
+
+/// Guards against a part whose quarantine ends with a run that was sent before it crashed targets.
+#[test]
+fn an_answer_to_an_earlier_run_ends_no_quarantine_of_a_part() {
+    let (mut ledger, request) = with_quarantined_part();
+    ledger.record_sound_parts(at(3_200), at(200), &request);
+    assert_eq!(ledger.quarantine_count(), 1);
+    ledger.record_sound_parts(at(3_600), at(3_200), &request);
+    assert_eq!(ledger.quarantine_count(), 0);
+}
+
+/// Guards against callers who invent parts by the thousand, which take a VM's memory and links, or
+/// the place of a part that crashes targets.
+#[test]
+fn invented_parts_take_no_place() {
+    let (mut ledger, request) = with_quarantined_part();
+    for crash in 0..500_u64 {
+        let ids: Vec<PartId> = (0..100).map(|id| PartId(1_000 + crash * 100 + id)).collect();
+        let parts = PromptPart::list(ServiceKey(1), &ids);
+        assert!(parts.len() <= 32);
+        let fingerprint = RequestFingerprint(10_000 + crash);
+        let run = CrashedRun { features: RequestFeatures { fingerprint, parts }, ran: RAN };
+        ledger.record_crash(at(3_000 + crash), TargetKey(100 + crash as u32), &[run]);
+    }
+    let update = ledger.own_update(at(3_600));
+    let parts: usize = update.parts.crashes.iter().map(|report| report.parts.len()).sum();
+    assert!(parts <= 1_024, "{parts} parts are reported");
+    let status = ledger.quarantine_status(at(3_600), &request, TARGETS);
+    assert_eq!(status, QuarantineStatus::Quarantined(QUARANTINE_TTL));
+}
--- a/crates/ryetide-gateway/tests/serving/crashing_parts.rs
+++ b/crates/ryetide-gateway/tests/serving/crashing_parts.rs
@@ -29,6 +29,11 @@
 const CRASHING_PAUSE: Duration = Duration::from_millis(150);
 /// The time for which they are sent.
 const CRASHING_SPAN: Duration = Duration::from_millis(6_500);
+/// The time after which the part is quarantined, and a new VM knows it.
+const UNTIL_QUARANTINED: Duration = Duration::from_millis(4_500);
+const PROPAGATION_SPAN: Duration = Duration::from_secs(1);
+/// Many times longer than the gateway needs for an answer of its own.
+const OWN_ANSWER_TIMEOUT: Duration = Duration::from_millis(200);
 /// The time between two requests with one sound part.
 const SOUND_PAUSE: Duration = Duration::from_millis(20);
 
@@ -105,3 +110,32 @@
         assert!(failed.is_empty(), "sound requests got {failed:?}");
     });
 }
+
+/// Guards against a caller that waits in vain, and against further crashes through a VM that starts
+/// after the part was quarantined at another one.
+#[test]
+fn requests_with_a_quarantined_part_are_refused_at_once_also_at_a_new_vm() {
+    support::run(async {
+        let first = [start("e1").await];
+        let fleet = CrashingFleet::start(&first).await;
+        let requests = Requests::default();
+        let until = Instant::now() + UNTIL_QUARANTINED;
+        let crashing = requests.repeat(&first, CRASHING_PART, CRASHING_PAUSE, until);
+        let sound = SOUND_PARTS.map(|it| requests.repeat(&first, it, SOUND_PAUSE, until));
+        tokio::join!(crashing, future::join_all(sound));
+        let late = start("e2").await;
+        support::join(&[Rc::clone(&first[0]), Rc::clone(&late)]).await;
+        let entries = fleet.entries.borrow().clone();
+        late.set_targets(entries).await;
+        time::sleep(PROPAGATION_SPAN).await;
+        let crashes = fleet.crashes.borrow().len();
+        for gateway in [&first[0], &late] {
+            let asked = Instant::now();
+            let refusal = requests.send(gateway, CRASHING_PART).await;
+            assert_eq!(refusal, (503, "quarantined\n".to_owned()));
+            assert!(asked.elapsed() < OWN_ANSWER_TIMEOUT);
+            assert_eq!(requests.send(gateway, SOUND_PARTS[0]).await.0, 200);
+        }
+        assert_eq!(fleet.crashes.borrow().len(), crashes);
+    });
+}
