--- a/crates/ryetide-core/src/crash_ledger.rs
+++ b/crates/ryetide-core/src/crash_ledger.rs
@@ -25,6 +25,8 @@
 use crate::{
     crash_attribution::{self, AttributionCase, AttributionEvidence, SharedCrash},
     crash_records::{ClearedRecord, CrashRecord, CrashRecords, ReportScope, RunRecord},
+    crash_rivals::CrashRivals,
+    crash_sequence::CrashSequence,
     crash_suspect::{CrashSuspect, RequestFeatures},
     ids::TargetKey,
     ledger_time::LedgerTime,
@@ -55,9 +57,6 @@
 /// The time before a part's last crash in which others that ended in crashes must have been answered.
 /// Where nothing is answered, every part seems to be the cause.
 const ANSWERED_SPAN: Duration = Duration::from_secs(1);
-/// The number of crashes of one request that count against the parts of its prompt. It may be the
-/// cause itself.
-const MAX_COUNTED: usize = 3;
 /// How many more crashes than a rival a suspect must have had to explain those of both.
 const MIN_EXCESS: usize = 3;
 /// The number of a suspect's crashes, the newest, that are evaluated.
@@ -353,32 +352,20 @@
         own: &[&CrashRecord],
         elsewhere: usize,
     ) -> Vec<SharedCrash> {
+        let mut sequence = CrashSequence::new(suspect);
         let mut counts: BTreeMap<CrashSuspect, usize> = BTreeMap::new();
-        let mut previous: Option<LedgerTime> = None;
-        let mut counted: BTreeMap<RequestFingerprint, usize> = BTreeMap::new();
-        let is_part = matches!(suspect, CrashSuspect::Part(_));
-        let shared = |crash: &&CrashRecord| {
-            let runs = || crash.runs_with(suspect).map(|(_, run)| run);
-            let ran = runs().map(|run| run.ran).max().unwrap_or_default();
-            let last_sent = runs().map(|run| crash.at.earlier(run.ran)).max();
-            let follows = previous.is_none_or(|at| last_sent.is_some_and(|sent| sent >= at));
-            let requests: Vec<RequestFingerprint> =
-                crash.runs_with(suspect).map(|(request, _)| request).collect();
-            let is_repeated = |it| counted.get(it).is_some_and(|count| *count >= MAX_COUNTED);
-            let is_later = follows && !(is_part && requests.iter().any(is_repeated));
-            if is_later {
-                previous = Some(crash.at);
-                requests.iter().for_each(|it| *counted.entry(*it).or_default() += 1);
-            }
-            let rivals = Rivals::in_crash(suspect, crash);
-            let mut most = |rivals: &BTreeSet<CrashSuspect>| {
-                let count = |it: &CrashSuspect| {
-                    *counts.entry(*it).or_insert_with(|| self.rival_count(*it, own, elsewhere))
-                };
-                rivals.iter().map(count).max().unwrap_or(0)
+        let mut most = |rivals: &BTreeSet<CrashSuspect>| {
+            let count = |rival: &CrashSuspect| {
+                *counts.entry(*rival).or_insert_with(|| self.rival_count(*rival, own, elsewhere))
             };
-            let (most_of_others, most_of_preceding) =
-                (most(&rivals.others), most(&rivals.preceding));
+            rivals.iter().map(count).max().unwrap_or(0)
+        };
+        let shared = |crash: &&CrashRecord| {
+            let ran = crash.runs_with(suspect).map(|(_, run)| run.ran).max().unwrap_or_default();
+            let is_later = sequence.add(crash);
+            let rivals = CrashRivals::of(suspect, crash);
+            let most_of_others = most(&rivals.others);
+            let most_of_preceding = most(&rivals.preceding);
             SharedCrash { ran, most_of_others, most_of_preceding, is_later }
         };
         own.iter().map(shared).collect()
@@ -416,32 +403,3 @@
         }
     }
 }
-
-/// The other suspects that ended in a crash.
-#[derive(Debug, Default)]
-struct Rivals {
-    /// The parts that precede the suspect in its prompts.
-    preceding: BTreeSet<CrashSuspect>,
-    /// The parts that follow it there, and all suspects of the other runs.
-    others: BTreeSet<CrashSuspect>,
-}
-
-impl Rivals {
-    fn in_crash(suspect: CrashSuspect, crash: &CrashRecord) -> Self {
-        let mut rivals = Self::default();
-        // A request is no rival of the parts of its prompt, nor they of it: which of them is
-        // quarantined, its attempts are refused.
-        let mut own = BTreeSet::from([suspect]);
-        for (fingerprint, run) in crash.runs_with(suspect) {
-            own.extend(run.suspects(fingerprint));
-            let CrashSuspect::Part(part) = suspect else { continue };
-            let position = run.parts.iter().position(|it| *it == part).unwrap_or(0);
-            let (before, after) = run.parts.split_at(position);
-            rivals.preceding.extend(before.iter().copied().map(CrashSuspect::Part));
-            rivals.others.extend(after.iter().skip(1).copied().map(CrashSuspect::Part));
-        }
-        let of_others = crash.suspects().into_iter().filter(|it| !own.contains(it));
-        rivals.others.extend(of_others);
-        rivals
-    }
-}
--- a/crates/ryetide-core/src/lib.rs
+++ b/crates/ryetide-core/src/lib.rs
@@ -61,6 +61,8 @@
 pub mod crash_attribution;
 pub mod crash_ledger;
 mod crash_records;
+mod crash_rivals;
+mod crash_sequence;
 pub mod crash_suspect;
 pub mod crash_update;
 pub mod deadline_tracker;
