Log and count what the retry budget permits

The line retry and the metric ryetide_retries_total say it; the decision of the budget is as before.

--- a/crates/ryetide-core/src/retry_budget.rs
+++ b/crates/ryetide-core/src/retry_budget.rs
@@ -39,6 +39,15 @@
 /// well below the window, so that kept and new credit together stay within the share.
 const CREDIT_SPAN: Duration = Duration::from_secs(4);
 
+/// What a VM's budget of a service holds.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RetryLevel {
+    /// Retries that this VM may send now.
+    pub credit: f64,
+    /// The number of VMs by which this one divides the slack.
+    pub vm_count: usize,
+}
+
 #[derive(Debug)]
 struct ServiceBudget {
     credit: f64,
@@ -90,6 +99,12 @@
         permitted
     }
 
+    /// Returns what the budget of `service` holds.
+    pub fn level(&mut self, now: Moment, service: &ServiceName) -> RetryLevel {
+        let vm_count = self.vm_count;
+        RetryLevel { credit: self.budget(now, service).credit, vm_count }
+    }
+
     /// This VM's equal share of the slack.
     fn slack_share(&self) -> f64 {
         (self.rule.slack * USED_SLACK / self.vm_count as f64).max(1.0)
--- a/crates/ryetide-core/src/scheduler.rs
+++ b/crates/ryetide-core/src/scheduler.rs
@@ -31,7 +31,7 @@
     quota::QuotaCharge,
     quota_allocator::{QuotaAllocator, QuotaReply, QuotaRequest, QuotaWaitResult},
     quota_returns::QuotaReturns,
-    retry_budget::{RetryBudget, RetryRule},
+    retry_budget::{RetryBudget, RetryLevel, RetryRule},
     retry_delay::RetryDelay,
     rollout_manager::{RolloutManager, TargetUse},
     scheduler_brittle,
@@ -315,6 +315,11 @@
         true
     }
 
+    /// Returns what the retry budget of a service holds.
+    pub fn retry_level(&mut self, now: Moment, service: &ServiceName) -> RetryLevel {
+        self.retry_budget.level(now, service)
+    }
+
     fn enqueue(&mut self, now: Moment, work: WaitingRequest) {
         let (service, ticket) = (work.service.clone(), work.ticket);
         self.service_state(&service).queue.push(work);
--- a/crates/ryetide-gateway/src/decision_log.rs
+++ b/crates/ryetide-gateway/src/decision_log.rs
@@ -14,6 +14,7 @@
     origin_inquiry::OriginVerdict,
     policy_update::SlotGrant,
     request_fingerprint::RequestFingerprint,
+    retry_budget::RetryLevel,
     scheduler_shares::ShareExceeded,
     target_load::TargetEntry,
     target_notice::TargetNotice,
@@ -455,6 +456,30 @@
         }
     }
 
+    /// Logs whether the retry budget permitted to send a request to another target. `uptime` is how
+    /// long this process has been running.
+    pub fn retry(
+        &self,
+        request: &LogId<'_>,
+        permitted: bool,
+        level: &RetryLevel,
+        uptime: Duration,
+    ) {
+        if self.permits() {
+            tracing::info!(
+                event = "retry",
+                vm = %self.vm,
+                request = request.id,
+                sequence = request.sequence.0,
+                route = request.route,
+                permitted,
+                credit = format_args!("{:.2}", level.credit),
+                vms = level.vm_count,
+                uptime_ms = millis(uptime),
+            );
+        }
+    }
+
     /// Logs that the gateway itself answered a request.
     pub fn own_answer(&self, request: &str, status: u16, why: &'static str) {
         if self.permits() {
--- a/crates/ryetide-gateway/src/exchange.rs
+++ b/crates/ryetide-gateway/src/exchange.rs
@@ -333,7 +333,7 @@
         if let Err(answer) = self.await_quarantine_check().await {
             return DispatchEnd::Own(answer);
         }
-        match self.ticket.enter_again(self.work(), true).await {
+        match self.enter_again(true).await {
             None => DispatchEnd::Own(OwnAnswer::new(OwnReason::TargetFailed)),
             Some(Decision::Refuse { .. }) => {
                 DispatchEnd::Own(OwnAnswer::new(OwnReason::TargetFailed))
@@ -342,6 +342,22 @@
         }
     }
 
+    /// Queues the request for another target. Returns `None` when the retry budget does not permit
+    /// it, which is asked only after a target that the request has reached.
+    async fn enter_again(&self, reached_target: bool) -> Option<Decision> {
+        let hub = self.gateway.hub();
+        let now = hub.clock().now();
+        let level = hub.peek_mut(|scheduler| scheduler.retry_level(now, &self.service));
+        let decision = self.ticket.enter_again(self.work(), reached_target);
+        if reached_target {
+            let permitted = decision.is_some();
+            self.gateway.metrics().count_retry(&self.service, permitted);
+            self.gateway.log().retry(&self.log_id(), permitted, &level, hub.clock().uptime());
+        }
+        // The sender is held as long as the gateway runs.
+        decision?.await.ok()
+    }
+
     /// Carries out the scheduler's decisions until a target answers or the request is refused.
     async fn carry_out(
         &mut self,
@@ -376,7 +392,7 @@
                     if let Err(answer) = self.await_quarantine_check().await {
                         return DispatchEnd::Own(answer);
                     }
-                    decision = self.ticket.enter_again(self.work(), false).await;
+                    decision = self.enter_again(false).await;
                     continue;
                 }
                 SendEnd::Unreachable => (RunEnd::Unreachable, false),
@@ -392,7 +408,7 @@
             if reached_target {
                 self.excluded.push(target.key());
             }
-            decision = self.ticket.enter_again(self.work(), reached_target).await;
+            decision = self.enter_again(reached_target).await;
         }
     }
 
--- a/crates/ryetide-gateway/src/gateway_metrics.rs
+++ b/crates/ryetide-gateway/src/gateway_metrics.rs
@@ -9,6 +9,7 @@
 };
 use ryetide_core::{
     chart::ChartName,
+    ids::ServiceName,
     return_schedule::ReturnCounts,
     scheduler_shares::ShareActivity,
     service_rollout::ServiceRollout,
@@ -36,6 +37,12 @@
     reply: &'static str,
 }
 
+#[derive(Clone, Debug, Eq, Hash, PartialEq, EncodeLabelSet)]
+struct RetryLabels {
+    service: String,
+    permitted: &'static str,
+}
+
 #[derive(Clone, Debug, Eq, Hash, PartialEq, EncodeLabelSet)]
 struct TierLabels {
     tier: u8,
@@ -58,6 +65,7 @@
     registry: Registry,
     requests: Counter,
     outcomes: Family<OutcomeLabels, Counter>,
+    retries: Family<RetryLabels, Counter>,
     waited: TierHistograms,
     first: TierHistograms,
     total: TierHistograms,
@@ -96,6 +104,7 @@
             registry: Registry::with_prefix("ryetide"),
             requests: Counter::default(),
             outcomes: Family::default(),
+            retries: Family::default(),
             waited: tier_histograms(),
             first: tier_histograms(),
             total: tier_histograms(),
@@ -130,6 +139,9 @@
         let registry = &mut metrics.registry;
         registry.register("requests", "Requests taken", metrics.requests.clone());
         registry.register("outcomes", "Requests ended, by outcome", metrics.outcomes.clone());
+        let retries =
+            "Requests that needed another target, by whether the retry budget permitted it";
+        registry.register("retries", retries, metrics.retries.clone());
         registry.register("waited_seconds", "Time to a place", metrics.waited.clone());
         registry.register("first_seconds", "Time to the first event", metrics.first.clone());
         registry.register("total_seconds", "Time to the end", metrics.total.clone());
@@ -211,6 +223,13 @@
         self.outcomes.get_or_create(&OutcomeLabels { outcome }).inc();
     }
 
+    /// Counts a request that needed another target after one that it had reached.
+    pub fn count_retry(&self, service: &ServiceName, permitted: bool) {
+        let permitted = if permitted { "yes" } else { "no" };
+        let labels = RetryLabels { service: service.to_string(), permitted };
+        self.retries.get_or_create(&labels).inc();
+    }
+
     /// Records how long a request waited for a slot.
     pub fn record_waited(&self, tier: TierRank, span: Duration) {
         observe(&self.waited, tier, span);
--- a/crates/ryetide-gateway/src/scheduler_hub.rs
+++ b/crates/ryetide-gateway/src/scheduler_hub.rs
@@ -38,6 +38,11 @@
         Moment(micros.saturating_add(1))
     }
 
+    /// Returns how long the clock has been running.
+    pub fn uptime(&self) -> Duration {
+        self.started.elapsed()
+    }
+
     /// Converts a moment to the runtime's clock, for timers.
     pub fn instant(&self, moment: Moment) -> Instant {
         self.started + moment.since(Moment(1))
@@ -179,20 +184,16 @@
         decision.await.ok()
     }
 
-    /// Queues the request for another target. Returns `None` when the retry budget does not permit
-    /// it.
-    pub async fn enter_again(
+    /// Queues the request for another target; the receiver gets the scheduler's decision. Returns
+    /// `None` when the retry budget does not permit it.
+    pub fn enter_again(
         &self,
         work: WaitingRequest,
         reached_target: bool,
-    ) -> Option<Decision> {
+    ) -> Option<oneshot::Receiver<Decision>> {
         let decision = self.register_waiter();
         let act = |scheduler: &mut Scheduler, now| scheduler.enter_again(now, work, reached_target);
-        if !self.hub.with(act) {
-            return None;
-        }
-        // As in [`Self::enter`].
-        decision.await.ok()
+        self.hub.with(act).then_some(decision)
     }
 
     /// Records an event of the request's stream.
