--- a/crates/ryetide-core/tests/retry_budget/count.rs
+++ b/crates/ryetide-core/tests/retry_budget/count.rs
@@ -12,7 +12,6 @@
 /// The retries of one window.
 #[derive(Clone, Copy, Debug)]
 pub struct WindowCount {
-    pub from: Moment,
     pub retries: usize,
     pub permitted: f64,
 }
@@ -40,7 +39,7 @@
         let requests = starts.into_iter().map(|start| within(&self.requests, start, span));
         let most = requests.max().unwrap_or(0) as f64;
         let retries = within(&self.retries, from, span);
-        WindowCount { from, retries, permitted: most * rule.share + rule.slack }
+        WindowCount { retries, permitted: most * rule.share + rule.slack }
     }
 }
 
--- a/crates/ryetide-core/tests/retry_budget/fleet.rs
+++ b/crates/ryetide-core/tests/retry_budget/fleet.rs
@@ -36,6 +36,8 @@
 pub enum Disturbance {
     /// A VM is killed, and another process starts there after this time.
     Kill(usize, Duration),
+    /// This VM and all with a higher index are killed at once, as above.
+    KillFrom(usize, Duration),
     /// A VM stops: it serves for the first time, and another process starts there after the second.
     Stop(usize, Duration, Duration),
     /// VMs with a lower index cannot reach the others until the given moment, and vice versa.
@@ -130,6 +132,11 @@
                 self.vms[vm].stops = None;
                 self.vms[vm].starts_at = now + down;
             }
+            Disturbance::KillFrom(first, down) => {
+                for vm in first..self.vms.len() {
+                    self.disturb(Disturbance::Kill(vm, down));
+                }
+            }
             Disturbance::Stop(vm, drain, down) => {
                 if self.vms[vm].scheduler.is_some() && self.vms[vm].stops.is_none() {
                     self.vms[vm].stops = Some((now + drain, now + drain + down));
@@ -157,6 +164,11 @@
         }
     }
 
+    /// Returns the number of VMs, running or not.
+    pub fn size(&self) -> usize {
+        self.vms.len()
+    }
+
     /// Sets the share of the requests that targets turn away.
     pub fn set_turned_away(&mut self, share: f64) {
         self.options.turned_away = share;
