Grant a process that starts no retries that others may have used

Callers of a service whose targets turn requests away got more repeats than the service is to bear: 249 of 243 allowed while VMs were stopped in turn, 248 of 235 while they were killed.

Cause: each process began with its part of the slack and got it again over the window, whatever the process before it had used; besides, credit from requests was kept by a rule of thumb (0.7 of the share, up to 4 s) that bounds no window when load falls or moves. The class: an allowance for a window that memory alone keeps, granted anew by whoever starts.

Now a VM earns retries, a share of one with each request and its part of the slack evenly over time, and each span that ends now keeps retries <= 0.6 x earned in the span + 0.4 x earned in the window before it. Both sides are sums, so it holds for the fleet, whatever starts, stops and comes back; the right side is at most what was earned in one of the two windows. A process that starts has earned nothing.

--- a/crates/ryetide-core/src/lib.rs
+++ b/crates/ryetide-core/src/lib.rs
@@ -142,6 +142,7 @@
 pub mod slot_lending;
 pub mod slot_request;
 pub mod slot_turn;
+pub mod slot_window;
 pub mod stream_continuation;
 pub mod stream_origin;
 pub mod target_ejection;
--- a/crates/ryetide-core/src/retry_budget.rs
+++ b/crates/ryetide-core/src/retry_budget.rs
@@ -1,13 +1,30 @@
 //! Limits how many requests may be sent to a second target.
 //!
 //! When every target of a service fails, retrying each failed request doubles the load on the
-//! remaining ones. Retries are therefore limited to a share of the service's requests. Each VM
-//! applies the limit to its own requests: the same share at every VM is the same share of all
-//! requests, without any messages between VMs.
+//! remaining ones. Retries are therefore limited to a share of the service's requests, and a slack,
+//! over all VMs together and in any window of time. Each VM applies the limit to its own requests,
+//! without any messages between VMs.
+//!
+//! A VM *earns* retries: a share of one with each request, and its part of the slack evenly over
+//! time. For each span that ends now and is not longer than a window, it keeps
+//!
+//! ```text
+//! retries in the span <= (1 - C) x earned in the span + C x earned in the window before the span
+//! ```
+//!
+//! where C is [`CARRIED_PART`]. Both sides are sums, so the same holds for all VMs together, however
+//! requests move between them. The right side is at most what the fleet has earned in one of the two
+//! windows, and that is the limit. A process that starts has earned nothing and adds nothing to the
+//! right side; one that ends leaves what it has earned unused. Restarts, in whatever order, therefore
+//! cannot exceed the limit.
 
 use std::{collections::BTreeMap, time::Duration};
 
-use crate::{ids::ServiceName, units::Moment};
+use crate::{
+    ids::ServiceName,
+    slot_window::{SlotNumber, SlotWindow, WINDOW_SLOTS},
+    units::Moment,
+};
 
 /// The limit on retries.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -26,18 +43,14 @@
     }
 }
 
-/// The fraction of the permitted share that is used. The rest covers windows that overlap a change
-/// of load: a request adds to the budget when it arrives, and the retry may be sent up to a window
-/// later.
-const USED_SHARE: f64 = 0.7;
-/// The fraction of the slack that is used over all VMs, since the slack also covers VMs that do not
-/// know of each other yet.
-const USED_SLACK: f64 = 0.5;
+/// The fraction of the share that is used. The rest covers requests that are counted here a little
+/// later than their callers sent them.
+const USED_SHARE: f64 = 0.95;
 
-/// How long unused credit from requests may be kept. Failures come in clusters, and a VM that may
-/// keep no more than its slack would deny retries although the window permits them. The span is
-/// well below the window, so that kept and new credit together stay within the share.
-const CREDIT_SPAN: Duration = Duration::from_secs(4);
+/// The part of what a window has earned that may be sent in the window after it. Failures come in
+/// clusters: without it, retries would only be permitted as fast as new requests arrive. A process
+/// that starts has no window before, so it cannot use this part at first.
+const CARRIED_PART: f64 = 0.4;
 
 /// What a VM's budget of a service holds.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -48,12 +61,11 @@
     pub vm_count: usize,
 }
 
+/// Requests and retries of one service.
 #[derive(Debug)]
-struct ServiceBudget {
-    credit: f64,
-    /// Credit from recent requests, which decays over [`CREDIT_SPAN`].
-    earned: f64,
-    at: Moment,
+struct ServiceCount {
+    requests: SlotWindow,
+    retries: SlotWindow,
 }
 
 /// The retries that this VM may still send, by service.
@@ -61,70 +73,114 @@
 pub struct RetryBudget {
     rule: RetryRule,
     vm_count: usize,
-    services: BTreeMap<ServiceName, ServiceBudget>,
+    /// This VM's parts of the slack: 1 is the slack of all VMs for a window.
+    slack_parts: SlotWindow,
+    /// Until when `slack_parts` is complete. `None` before the budget is first used.
+    accrued_until: Option<Moment>,
+    services: BTreeMap<ServiceName, ServiceCount>,
 }
 
 impl RetryBudget {
-    /// Creates an unused budget.
+    /// Creates a budget that has earned nothing.
     pub fn new(rule: RetryRule) -> Self {
-        Self { rule, vm_count: 1, services: BTreeMap::new() }
+        let slack_parts = SlotWindow::new(SlotNumber::of(Moment(0), rule.window));
+        Self { rule, vm_count: 1, slack_parts, accrued_until: None, services: BTreeMap::new() }
     }
 
-    /// Replaces the limit; accumulated credit is kept.
+    /// Replaces the limit. What was earned counts by the new one; if the window changes, it is
+    /// dropped.
     pub fn set_rule(&mut self, rule: RetryRule) {
-        self.rule = rule;
+        if rule.window == self.rule.window {
+            self.rule = rule;
+        } else {
+            *self = Self { vm_count: self.vm_count, ..Self::new(rule) };
+        }
     }
 
-    /// Sets the number of entry VMs that divide the slack.
-    pub fn set_vm_count(&mut self, vm_count: usize) {
+    /// Sets the number of entry VMs that divide the slack from `now` on.
+    pub fn set_vm_count(&mut self, now: Moment, vm_count: usize) {
+        self.accrue(now);
         self.vm_count = vm_count.max(1);
     }
 
-    /// Records a request for `service`, which adds credit for a share of a retry.
+    /// Records a request for `service`.
     pub fn record_request(&mut self, now: Moment, service: &ServiceName) {
-        let earned = self.rule.share * USED_SHARE;
-        let slack = self.slack_share();
-        let budget = self.budget(now, service);
-        budget.earned += earned;
-        budget.credit = (budget.credit + earned).min(slack + budget.earned);
+        let slot = SlotNumber::of(now, self.rule.window);
+        self.count(now, service).requests.add(slot, 1.0);
     }
 
     /// Consumes the credit of one retry; returns whether it was available.
     pub fn take(&mut self, now: Moment, service: &ServiceName) -> bool {
-        let budget = self.budget(now, service);
-        let permitted = budget.credit >= 1.0;
+        let permitted = self.level(now, service).credit >= 1.0;
         if permitted {
-            budget.credit -= 1.0;
+            let slot = SlotNumber::of(now, self.rule.window);
+            self.count(now, service).retries.add(slot, 1.0);
         }
         permitted
     }
 
     /// Returns what the budget of `service` holds.
     pub fn level(&mut self, now: Moment, service: &ServiceName) -> RetryLevel {
-        let vm_count = self.vm_count;
-        RetryLevel { credit: self.budget(now, service).credit, vm_count }
+        self.accrue(now);
+        let (rule, vm_count) = (self.rule, self.vm_count);
+        self.count(now, service);
+        let count = &self.services[service];
+        let requests = count.requests.amounts();
+        let earned = requests.zip(self.slack_parts.amounts()).map(|(requests, slack_part)| {
+            requests * rule.share * USED_SHARE + slack_part * rule.slack
+        });
+        let credit = credit_of(&running_sums(earned), &running_sums(count.retries.amounts()));
+        RetryLevel { credit, vm_count }
     }
 
-    /// This VM's equal share of the slack.
-    fn slack_share(&self) -> f64 {
-        (self.rule.slack * USED_SLACK / self.vm_count as f64).max(1.0)
+    fn count(&mut self, now: Moment, service: &ServiceName) -> &mut ServiceCount {
+        let slot = SlotNumber::of(now, self.rule.window);
+        let empty =
+            || ServiceCount { requests: SlotWindow::new(slot), retries: SlotWindow::new(slot) };
+        let count = self.services.entry(service.clone()).or_insert_with(empty);
+        count.requests.advance(slot);
+        count.retries.advance(slot);
+        count
     }
 
-    fn budget(&mut self, now: Moment, service: &ServiceName) -> &mut ServiceBudget {
-        let slack = self.slack_share();
+    /// Adds this VM's part of the slack up to `now`.
+    fn accrue(&mut self, now: Moment) {
         let window = self.rule.window;
-        let budget = self.services.entry(service.clone()).or_insert(ServiceBudget {
-            credit: slack,
-            earned: 0.0,
-            at: now,
-        });
-        let passed = now.since(budget.at);
-        let spans = passed.as_secs_f64() / CREDIT_SPAN.as_secs_f64();
-        budget.earned *= (-spans).exp();
-        // The slack is restored once per window, evenly over time.
-        let windows = passed.as_secs_f64() / window.as_secs_f64().max(1e-3);
-        budget.credit = (budget.credit + windows * slack).min(slack + budget.earned);
-        budget.at = now;
-        budget
+        let from = self.accrued_until.replace(now).unwrap_or(now).max(now.before(2 * window));
+        let per_second = 1.0 / (self.vm_count as f64 * window.as_secs_f64().max(f64::MIN_POSITIVE));
+        let mut at = from;
+        while at < now {
+            let slot = SlotNumber::of(at, window);
+            let end = slot.end(window).min(now);
+            self.slack_parts.add(slot, end.since(at).as_secs_f64() * per_second);
+            at = end;
+        }
+        self.slack_parts.advance(SlotNumber::of(now, window));
     }
 }
+
+/// Returns the sums of the first 0, 1, 2 and so on of the amounts.
+fn running_sums(amounts: impl Iterator<Item = f64>) -> Vec<f64> {
+    let mut sum = 0.0;
+    let rest = amounts.map(|amount| {
+        sum += amount;
+        sum
+    });
+    std::iter::once(0.0).chain(rest).collect()
+}
+
+/// Returns how many retries may be sent now, so that each span that ends now keeps the limit. A span
+/// may begin anywhere in its first slot: all retries of that slot count, and what it earned counts
+/// either in the span or before it.
+fn credit_of(earned: &[f64], retries: &[f64]) -> f64 {
+    let end = earned.len() - 1;
+    let credit = |first: usize| {
+        let in_span = earned[end] - earned[first + 1];
+        let in_first_slot = earned[first + 1] - earned[first];
+        let before = earned[first] - earned[first + 1 - WINDOW_SLOTS];
+        let sent = retries[end] - retries[first];
+        let either = CARRIED_PART.min(1.0 - CARRIED_PART);
+        (1.0 - CARRIED_PART) * in_span + either * in_first_slot + CARRIED_PART * before - sent
+    };
+    (end - 1 - WINDOW_SLOTS..end).map(credit).fold(f64::INFINITY, f64::min)
+}
--- a/crates/ryetide-core/tests/retry_budget/fleet.rs
+++ b/crates/ryetide-core/tests/retry_budget/fleet.rs
@@ -252,6 +252,10 @@
         let now = self.now;
         let leaving = self.vms[from].stops.is_some();
         self.vms[from].last_digest = now;
+        // Without the list, a VM does not know where the others are.
+        if self.vms[from].last_listed == Moment(0) {
+            return;
+        }
         let Some(scheduler) = &mut self.vms[from].scheduler else { return };
         let digest = scheduler.brief_digest(now, FleetState::default(), leaving);
         for to in (0..self.vms.len()).filter(|to| *to != from) {
