Divide the slack of retries only once the VMs are known

Now a VM gets no part of the slack until it has read the list of VMs and 2 s more have passed, in which VMs that start together are listed; from its own requests it earns all the while.

--- a/crates/ryetide-core/src/peer_digests.rs
+++ b/crates/ryetide-core/src/peer_digests.rs
@@ -18,6 +18,9 @@
 /// and limits goes to the others.
 const SERVING_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// A VM that starts is listed within this time, so that VMs which start together find each other.
+const SETTLING_SPAN: Duration = Duration::from_secs(2);
+
 /// A peer whose last digest is older than this is not a member of a cell: its callers have moved to
 /// other VMs.
 const MEMBER_TIMEOUT: Duration = Duration::from_secs(5);
@@ -88,6 +91,8 @@
     records: BTreeMap<VmName, PeerRecord>,
     /// Peers that are listed and have not sent a digest yet. None before the list has been read.
     unreported: Option<BTreeMap<VmName, ListedPeer>>,
+    /// When the list was first read.
+    listed_since: Option<Moment>,
 }
 
 impl PeerDigests {
@@ -135,6 +140,7 @@
     /// all VMs were killed at once, each VM would take itself for the only one and let an
     /// organisation's callers use the whole quota at every VM.
     pub fn list(&mut self, now: Moment, listed: &[CellMember]) {
+        self.listed_since.get_or_insert(now);
         let before = self.unreported.take().unwrap_or_default();
         let unreported = listed.iter().filter(|member| !self.records.contains_key(&member.name));
         let peer = |member: &CellMember| {
@@ -154,6 +160,17 @@
         known + unreported.values().filter(|peer| now.since(peer.since) < SERVING_TIMEOUT).count()
     }
 
+    /// Returns the number of entry VMs that divide what each grants without asking the others, this
+    /// one included; `None` until the list of VMs can be complete.
+    pub fn dividing_count(&self, now: Moment) -> Option<usize> {
+        let is_settled = now.since(self.listed_since?) >= SETTLING_SPAN;
+        let is_recent = |at: Moment| now.since(at) < SERVING_TIMEOUT;
+        let serving = self.records.values().filter(|record| !record.leaving);
+        let heard = serving.filter(|record| is_recent(record.received_at));
+        let listed = self.unreported.iter().flatten().filter(|(_, peer)| is_recent(peer.since));
+        is_settled.then(|| heard.count() + listed.count() + 1)
+    }
+
     /// Returns the peers that count as serving; none before the list of them has been read.
     pub fn known(&self, now: Moment) -> Option<Vec<&VmName>> {
         let unreported = self.unreported.as_ref()?;
--- a/crates/ryetide-core/src/retry_budget.rs
+++ b/crates/ryetide-core/src/retry_budget.rs
@@ -57,8 +57,8 @@
 pub struct RetryLevel {
     /// Retries that this VM may send now.
     pub credit: f64,
-    /// The number of VMs by which this one divides the slack.
-    pub vm_count: usize,
+    /// The number of VMs by which this one divides the slack; `None` while it does not know it.
+    pub vm_count: Option<usize>,
 }
 
 /// Requests and retries of one service.
@@ -72,7 +72,7 @@
 #[derive(Debug)]
 pub struct RetryBudget {
     rule: RetryRule,
-    vm_count: usize,
+    vm_count: Option<usize>,
     /// This VM's parts of the slack: 1 is the slack of all VMs for a window.
     slack_parts: SlotWindow,
     /// Until when `slack_parts` is complete. `None` before the budget is first used.
@@ -84,7 +84,7 @@
     /// Creates a budget that has earned nothing.
     pub fn new(rule: RetryRule) -> Self {
         let slack_parts = SlotWindow::new(SlotNumber::of(Moment(0), rule.window));
-        Self { rule, vm_count: 1, slack_parts, accrued_until: None, services: BTreeMap::new() }
+        Self { rule, vm_count: None, slack_parts, accrued_until: None, services: BTreeMap::new() }
     }
 
     /// Replaces the limit. What was earned counts by the new one; if the window changes, it is
@@ -97,10 +97,11 @@
         }
     }
 
-    /// Sets the number of entry VMs that divide the slack from `now` on.
-    pub fn set_vm_count(&mut self, now: Moment, vm_count: usize) {
+    /// Sets the number of entry VMs that divide the slack from `now` on. While it is `None`, this VM
+    /// gets no part: VMs that each took themselves for one of a few would use the slack many times.
+    pub fn set_vm_count(&mut self, now: Moment, vm_count: Option<usize>) {
         self.accrue(now);
-        self.vm_count = vm_count.max(1);
+        self.vm_count = vm_count;
     }
 
     /// Records a request for `service`.
@@ -147,7 +148,10 @@
     fn accrue(&mut self, now: Moment) {
         let window = self.rule.window;
         let from = self.accrued_until.replace(now).unwrap_or(now).max(now.before(2 * window));
-        let per_second = 1.0 / (self.vm_count as f64 * window.as_secs_f64().max(f64::MIN_POSITIVE));
+        self.slack_parts.advance(SlotNumber::of(now, window));
+        let Some(vm_count) = self.vm_count else { return };
+        let per_second =
+            1.0 / (vm_count.max(1) as f64 * window.as_secs_f64().max(f64::MIN_POSITIVE));
         let mut at = from;
         while at < now {
             let slot = SlotNumber::of(at, window);
@@ -155,7 +159,6 @@
             self.slack_parts.add(slot, end.since(at).as_secs_f64() * per_second);
             at = end;
         }
-        self.slack_parts.advance(SlotNumber::of(now, window));
     }
 }
 
--- a/crates/ryetide-core/src/scheduler.rs
+++ b/crates/ryetide-core/src/scheduler.rs
@@ -512,7 +512,7 @@
 
     pub(crate) fn update_peer_counts(&mut self, now: Moment) {
         self.quotas.ledger_mut().set_reachable_share(self.peers.reachable_share(now));
-        self.retry_budget.set_vm_count(now, self.peers.known_count(now));
+        self.retry_budget.set_vm_count(now, self.peers.dividing_count(now));
     }
 
     pub(crate) fn process_queues(&mut self, now: Moment) {
