Count silent and leaving VMs among those that divide the slack

Each side of a partition took the other for gone after 20 s and used the whole slack: 272 retries in 10 s, 236 permitted, in a partition of 40 s. Now each VM that was heard in the last 10 minutes divides the slack, leaving or not: what is silent may be cut off and serve its callers. VMs that are gone for good leave their part of the slack unused for that long; the share of the requests, the larger part, is not divided.

--- a/crates/ryetide-core/src/peer_digests.rs
+++ b/crates/ryetide-core/src/peer_digests.rs
@@ -18,6 +18,11 @@
 /// and limits goes to the others.
 const SERVING_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// A peer that was last heard longer ago than this no longer divides what VMs grant without asking
+/// each other. A peer that is silent may be cut off and serve its callers, and one that has left may
+/// be back where this VM cannot hear it: both still use their parts. Data centres lose each other for
+/// minutes.
+const DIVIDING_TIMEOUT: Duration = Duration::from_secs(600);
 /// A VM that starts is listed within this time, so that VMs which start together find each other.
 const SETTLING_SPAN: Duration = Duration::from_secs(2);
 
@@ -161,12 +166,11 @@
     }
 
     /// Returns the number of entry VMs that divide what each grants without asking the others, this
-    /// one included; `None` until the list of VMs can be complete.
+    /// one included. It is never too low for long, and `None` until the list of VMs can be complete.
     pub fn dividing_count(&self, now: Moment) -> Option<usize> {
         let is_settled = now.since(self.listed_since?) >= SETTLING_SPAN;
-        let is_recent = |at: Moment| now.since(at) < SERVING_TIMEOUT;
-        let serving = self.records.values().filter(|record| !record.leaving);
-        let heard = serving.filter(|record| is_recent(record.received_at));
+        let is_recent = |at: Moment| now.since(at) < DIVIDING_TIMEOUT;
+        let heard = self.records.values().filter(|record| is_recent(record.received_at));
         let listed = self.unreported.iter().flatten().filter(|(_, peer)| is_recent(peer.since));
         is_settled.then(|| heard.count() + listed.count() + 1)
     }
