Count a retry when it is sent, and check it again then

Now a retry is reserved when it is queued, counts when it is sent, and is refused then if the limit no longer permits it; a reservation is given back when its request ends otherwise.

--- a/crates/ryetide-core/src/retry_budget.rs
+++ b/crates/ryetide-core/src/retry_budget.rs
@@ -17,6 +17,10 @@
 //! windows, and that is the limit. A process that starts has earned nothing and adds nothing to the
 //! right side; one that ends leaves what it has earned unused. Restarts, in whatever order, therefore
 //! cannot exceed the limit.
+//!
+//! A retry is *reserved* when its request is queued and *spent* when it is sent: retries that wait for
+//! the same slot are sent together, long after they were permitted one by one. So a retry is checked
+//! again when it is sent, and counts from then on.
 
 use std::{collections::BTreeMap, time::Duration};
 
@@ -66,6 +70,8 @@
 struct ServiceCount {
     requests: SlotWindow,
     retries: SlotWindow,
+    /// Retries that are permitted and not sent yet.
+    reserved: u32,
 }
 
 /// The retries that this VM may still send, by service.
@@ -110,9 +116,25 @@
         self.count(now, service).requests.add(slot, 1.0);
     }
 
-    /// Consumes the credit of one retry; returns whether it was available.
-    pub fn take(&mut self, now: Moment, service: &ServiceName) -> bool {
+    /// Reserves one retry; returns whether it is permitted.
+    pub fn reserve(&mut self, now: Moment, service: &ServiceName) -> bool {
         let permitted = self.level(now, service).credit >= 1.0;
+        if permitted {
+            self.count(now, service).reserved += 1;
+        }
+        permitted
+    }
+
+    /// Gives a reserved retry back that will not be sent.
+    pub fn release(&mut self, service: &ServiceName) {
+        if let Some(count) = self.services.get_mut(service) {
+            count.reserved = count.reserved.saturating_sub(1);
+        }
+    }
+
+    /// Records that a retry is sent, unless the limit no longer permits it; returns whether it does.
+    pub fn spend(&mut self, now: Moment, service: &ServiceName) -> bool {
+        let permitted = self.unspent(now, service) >= 1.0;
         if permitted {
             let slot = SlotNumber::of(now, self.rule.window);
             self.count(now, service).retries.add(slot, 1.0);
@@ -122,22 +144,31 @@
 
     /// Returns what the budget of `service` holds.
     pub fn level(&mut self, now: Moment, service: &ServiceName) -> RetryLevel {
+        let unspent = self.unspent(now, service);
+        let reserved = self.count(now, service).reserved;
+        RetryLevel { credit: unspent - f64::from(reserved), vm_count: self.vm_count }
+    }
+
+    /// Returns the retries that may be sent now, whether reserved or not.
+    fn unspent(&mut self, now: Moment, service: &ServiceName) -> f64 {
         self.accrue(now);
-        let (rule, vm_count) = (self.rule, self.vm_count);
+        let rule = self.rule;
         self.count(now, service);
         let count = &self.services[service];
         let requests = count.requests.amounts();
         let earned = requests.zip(self.slack_parts.amounts()).map(|(requests, slack_part)| {
             requests * rule.share * USED_SHARE + slack_part * rule.slack
         });
-        let credit = credit_of(&running_sums(earned), &running_sums(count.retries.amounts()));
-        RetryLevel { credit, vm_count }
+        credit_of(&running_sums(earned), &running_sums(count.retries.amounts()))
     }
 
     fn count(&mut self, now: Moment, service: &ServiceName) -> &mut ServiceCount {
         let slot = SlotNumber::of(now, self.rule.window);
-        let empty =
-            || ServiceCount { requests: SlotWindow::new(slot), retries: SlotWindow::new(slot) };
+        let empty = || ServiceCount {
+            requests: SlotWindow::new(slot),
+            retries: SlotWindow::new(slot),
+            reserved: 0,
+        };
         let count = self.services.entry(service.clone()).or_insert_with(empty);
         count.requests.advance(slot);
         count.retries.advance(slot);
--- a/crates/ryetide-core/src/scheduler.rs
+++ b/crates/ryetide-core/src/scheduler.rs
@@ -69,6 +69,8 @@
     pub(crate) quotas: QuotaAllocator,
     quota_results: Vec<QuotaWaitResult>,
     retry_budget: RetryBudget,
+    /// The requests for which a retry is reserved, with their services.
+    reserved_retries: HashMap<RequestSequence, ServiceName>,
     pub(crate) crashes: CrashLedger,
     pub(crate) limits: LimitTable,
     /// When the shares of target limits were last computed; `None` when they must be recomputed.
@@ -121,6 +123,7 @@
             retry_delay: RetryDelay::new(options.seed),
             route: DigestRouter::new(options.seed),
             retry_budget: RetryBudget::new(options.retry),
+            reserved_retries: HashMap::new(),
             rollouts: RolloutManager::new(options.name.clone(), options.rollout),
             options,
             plan,
@@ -305,16 +308,47 @@
     /// Queues a request again that was assigned to a target and did not run there. Returns `false`
     /// if the retry budget does not permit this.
     ///
-    /// A request that did not arrive at its target (`arrived_there` is `false`) is not charged to
-    /// the budget.
+    /// A request that did not arrive at its target (`arrived_there` is `false`) needs nothing of the
+    /// budget.
     pub fn enter_again(&mut self, now: Moment, work: WaitingRequest, arrived_there: bool) -> bool {
-        if arrived_there && !self.retry_budget.take(now, &work.service) {
+        if arrived_there && !self.reserve_retry(now, work.ticket, &work.service) {
             return false;
         }
         self.enqueue(now, work);
         true
     }
 
+    fn reserve_retry(
+        &mut self,
+        now: Moment,
+        ticket: RequestSequence,
+        service: &ServiceName,
+    ) -> bool {
+        self.release_retry(ticket);
+        let permitted = self.retry_budget.reserve(now, service);
+        if permitted {
+            self.reserved_retries.insert(ticket, service.clone());
+        }
+        permitted
+    }
+
+    fn release_retry(&mut self, ticket: RequestSequence) {
+        if let Some(service) = self.reserved_retries.remove(&ticket) {
+            self.retry_budget.release(&service);
+        }
+    }
+
+    /// Records that a request is sent once more; returns whether the retry budget permits it still.
+    pub fn spend_retry(
+        &mut self,
+        now: Moment,
+        ticket: RequestSequence,
+        service: &ServiceName,
+    ) -> bool {
+        self.release_retry(ticket);
+        self.retry_budget.spend(now, service)
+    }
+
     /// Returns what the retry budget of a service holds.
     pub fn retry_level(&mut self, now: Moment, service: &ServiceName) -> RetryLevel {
         self.retry_budget.level(now, service)
@@ -331,6 +365,7 @@
     /// Removes a waiting request; returns whether it was waiting.
     pub fn leave(&mut self, ticket: RequestSequence) -> bool {
         self.quotas.leave(ticket);
+        self.release_retry(ticket);
         let queues = self.services.values_mut();
         let left = queues.filter_map(|state| state.queue.remove(ticket)).next().is_some();
         self.changed |= left;
@@ -607,6 +642,7 @@
             }
         };
         self.service_state(service).queue.remove(ticket);
+        self.release_retry(ticket);
         self.record_overflow_refusal(now, service, reason);
         let retry_after = match reason {
             RefusalReason::NoTarget => self.retry_delay.without_target(),
--- a/crates/ryetide-core/tests/quota.rs
+++ b/crates/ryetide-core/tests/quota.rs
@@ -212,7 +212,7 @@
             budget.set_vm_count(now, Some(8));
             budget.record_request(now, &service);
             requests += 1;
-            retries += u32::from(budget.take(now, &service));
+            retries += u32::from(budget.spend(now, &service));
         }
     }
     let bound = f64::from(requests) * 0.2 + 56.0;
--- a/crates/ryetide-core/tests/retry_budget/fleet.rs
+++ b/crates/ryetide-core/tests/retry_budget/fleet.rs
@@ -73,6 +73,8 @@
     /// The share of the requests that targets turn away.
     pub turned_away: f64,
     pub digest_interval: Duration,
+    /// Targets get room for retries at this interval only; at once if it is zero.
+    pub retry_gap: Duration,
 }
 
 pub struct RetryFleet {
@@ -85,6 +87,8 @@
     next: u64,
     /// Requests that are not sent yet, from a rate that is no whole number for each tick.
     due: f64,
+    /// Retries that wait for room at their targets.
+    delayed: Vec<PlacedRequest>,
     pub count: RetryCount,
 }
 
@@ -118,6 +122,7 @@
             store_back_at: Moment(0),
             next: 1,
             due: 0.0,
+            delayed: Vec::new(),
             count: RetryCount::default(),
         };
         fleet.disturb(Disturbance::Join(options.vms));
@@ -181,6 +186,7 @@
             for vm in 0..self.vms.len() {
                 self.run_process(vm);
             }
+            self.send_delayed();
             self.submit_due();
         }
     }
@@ -291,12 +297,12 @@
         }
     }
 
-    /// Sends a request from target to target until one takes it or the VM gives up.
+    /// Sends a request to its first target, and again until a target takes it or the VM gives up.
     fn serve(&mut self, vm: usize) {
         let now = self.now;
         let ticket = RequestSequence(self.next);
         self.next += 1;
-        let mut work = WaitingRequest {
+        let work = WaitingRequest {
             ticket,
             service: "desk".into(),
             tier: TierRank(0),
@@ -308,7 +314,7 @@
             arrived: now,
             is_retry: false,
             objective_at: now + Duration::from_millis(500),
-            leave_at: now + Duration::from_secs(2),
+            leave_at: now + Duration::from_secs(20),
             pause: None,
             begun: false,
             version: None,
@@ -318,19 +324,57 @@
         };
         let Some(scheduler) = &mut self.vms[vm].scheduler else { return };
         scheduler.enter(now, work.clone());
-        while let Some(Decision::Place { target, .. }) = scheduler.take_decisions().pop() {
-            if !work.excluded.is_empty() {
-                self.count.retries.push(now);
-            }
-            if !self.rng.random_bool(self.options.turned_away) {
-                scheduler.end(now, ticket, RunEnd::Whole);
-                return;
-            }
-            scheduler.end(now, ticket, RunEnd::TurnedAway);
-            work.excluded.push(target.key());
-            if !scheduler.enter_again(now, work.clone(), true) {
-                return;
+        let decision = scheduler.take_decisions().pop();
+        self.send(PlacedRequest { vm, started: self.vms[vm].started, work, decision });
+    }
+
+    /// Sends the retries for which targets had no room before.
+    fn send_delayed(&mut self) {
+        let gap = self.options.retry_gap;
+        let is_due = gap.is_zero() || self.now.0.is_multiple_of(gap.as_micros() as u64);
+        if is_due {
+            for request in std::mem::take(&mut self.delayed) {
+                self.send_retry(request);
             }
         }
     }
+
+    fn send_retry(&mut self, request: PlacedRequest) {
+        let process = &mut self.vms[request.vm];
+        let is_running = process.started == request.started;
+        let Some(scheduler) = process.scheduler.as_mut().filter(|_| is_running) else { return };
+        let (ticket, now) = (request.work.ticket, self.now);
+        if !scheduler.spend_retry(now, ticket, &request.work.service) {
+            scheduler.end(now, ticket, RunEnd::Abandoned);
+            return;
+        }
+        self.count.retries.push(now);
+        self.send(request);
+    }
+
+    fn send(&mut self, mut request: PlacedRequest) {
+        let now = self.now;
+        let ticket = request.work.ticket;
+        let Some(Decision::Place { target, .. }) = &request.decision else { return };
+        let Some(scheduler) = &mut self.vms[request.vm].scheduler else { return };
+        if !self.rng.random_bool(self.options.turned_away) {
+            scheduler.end(now, ticket, RunEnd::Whole);
+            return;
+        }
+        request.work.excluded.push(target.key());
+        scheduler.end(now, ticket, RunEnd::TurnedAway);
+        if scheduler.enter_again(now, request.work.clone(), true) {
+            request.decision = scheduler.take_decisions().pop();
+            self.delayed.push(request);
+        }
+    }
+}
+
+/// A request that is placed at a target and not sent there yet.
+struct PlacedRequest {
+    vm: usize,
+    /// When the process started that serves it.
+    started: Moment,
+    work: WaitingRequest,
+    decision: Option<Decision>,
 }
--- a/crates/ryetide-core/tests/retry_budget/limits.rs
+++ b/crates/ryetide-core/tests/retry_budget/limits.rs
@@ -14,6 +14,7 @@
     rate: 90.0,
     turned_away: 0.0,
     digest_interval: Duration::from_millis(300),
+    retry_gap: Duration::ZERO,
 };
 const SEEDS: u64 = 8;
 
@@ -95,6 +96,17 @@
     }
 }
 
+/// Guards against retries that are permitted one by one, wait for room and are sent together.
+#[test]
+fn retries_that_wait_for_room_keep_within_the_limit_when_they_are_sent() {
+    for seed in 0..SEEDS {
+        let options = FleetOptions { retry_gap: ms(7_000), ..OPTIONS };
+        let mut fleet = fleet_of_failing_targets(seed, options);
+        fleet.run_for(Duration::from_secs(30));
+        assert_within_limit(&fleet, seed);
+    }
+}
+
 /// Guards against load that falls or moves between VMs, so that the requests which paid for retries
 /// lie in no one window. `RETRY_SEEDS` plays more seeds than CI does.
 #[test]
--- a/crates/ryetide-gateway/src/exchange.rs
+++ b/crates/ryetide-gateway/src/exchange.rs
@@ -19,6 +19,7 @@
     origin_inquiry::OriginVerdict,
     prompt_part::{PartId, PromptPart},
     quota::QuotaCharge,
+    retry_budget::RetryLevel,
     rollout_evidence::RunSample,
     route::{MatchedRoute, RouteKind},
     scheduler::Scheduler,
@@ -84,6 +85,8 @@
     TimedOut,
     /// Nothing was sent: the request has meanwhile turned out to crash targets, or may do so.
     Withheld,
+    /// Nothing was sent: the retry budget no longer permits to send the request once more.
+    RetryDenied,
 }
 
 /// A request that is being served.
@@ -110,6 +113,8 @@
     deadline_at: Moment,
     /// The number of dispatches that ran or may have run at a target.
     attempts: u32,
+    /// Whether a target may have received the request, whatever became of it there.
+    sent_before: bool,
     excluded: Vec<TargetKey>,
     charge: Option<QuotaCharge>,
     evidence: Option<PlacementEvidence>,
@@ -196,6 +201,7 @@
             waited,
             deadline_at: arrived + deadline,
             attempts: 0,
+            sent_before: false,
             excluded: Vec::new(),
             charge: None,
             evidence: None,
@@ -345,19 +351,40 @@
     /// Queues the request for another target. Returns `None` when the retry budget does not permit
     /// it, which is asked only after a target that the request has reached.
     async fn enter_again(&self, reached_target: bool) -> Option<Decision> {
-        let hub = self.gateway.hub();
-        let now = hub.clock().now();
-        let level = hub.peek_mut(|scheduler| scheduler.retry_level(now, &self.service));
+        let level = self.retry_level();
         let decision = self.ticket.enter_again(self.work(), reached_target);
         if reached_target {
-            let permitted = decision.is_some();
-            self.gateway.metrics().count_retry(&self.service, permitted);
-            self.gateway.log().retry(&self.log_id(), permitted, &level, hub.clock().uptime());
+            self.record_retry(decision.is_some(), &level);
         }
         // The sender is held as long as the gateway runs.
         decision?.await.ok()
     }
 
+    /// Charges the retry budget for sending the request once more; returns whether it permits that
+    /// still.
+    fn spend_retry(&self) -> bool {
+        let level = self.retry_level();
+        let hub = self.gateway.hub();
+        let (now, ticket) = (hub.clock().now(), self.ticket.number());
+        let permitted = hub.peek_mut(|it| it.spend_retry(now, ticket, &self.service));
+        if !permitted {
+            self.record_retry(false, &level);
+        }
+        permitted
+    }
+
+    fn retry_level(&self) -> RetryLevel {
+        let hub = self.gateway.hub();
+        let now = hub.clock().now();
+        hub.peek_mut(|scheduler| scheduler.retry_level(now, &self.service))
+    }
+
+    fn record_retry(&self, permitted: bool, level: &RetryLevel) {
+        let uptime = self.gateway.hub().clock().uptime();
+        self.gateway.metrics().count_retry(&self.service, permitted);
+        self.gateway.log().retry(&self.log_id(), permitted, level, uptime);
+    }
+
     /// Carries out the scheduler's decisions until a target answers or the request is refused.
     async fn carry_out(
         &mut self,
@@ -395,6 +422,12 @@
                     decision = self.enter_again(false).await;
                     continue;
                 }
+                SendEnd::RetryDenied => {
+                    self.ticket.end(RunEnd::Abandoned);
+                    return DispatchEnd::Own(
+                        OwnAnswer::new(OwnReason::TurnedAway).with_retry(DEFAULT_RETRY_AFTER),
+                    );
+                }
                 SendEnd::Unreachable => (RunEnd::Unreachable, false),
                 SendEnd::TurnedAway => (RunEnd::TurnedAway, true),
             };
@@ -447,6 +480,10 @@
                 return SendEnd::Lost(RunFault::Unwritable);
             }
         };
+        if self.sent_before && !self.spend_retry() {
+            return SendEnd::RetryDenied;
+        }
+        self.sent_before = true;
         self.attempts += 1;
         let timeout = self.timeout_at();
         let until =
