Test retries of gateways that start, with real sockets

Five gateways start one after the other and send no retries that their four requests each have not earned; one with 60 requests sends some, within the share. A request that may have run and whose retry is refused gets 502. The limit is set for one gateway of the tests; all others have an ample one.

--- a/crates/ryetide-gateway/tests/serving/repeats.rs
+++ b/crates/ryetide-gateway/tests/serving/repeats.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use ryetide_core::route::RouteKind;
+use ryetide_core::{retry_budget::RetryRule, route::RouteKind};
 use ryetide_gateway::ports::LocalFuture;
 use tokio::{net::TcpListener, time};
 
@@ -171,3 +171,55 @@
         assert_eq!(target.count(), 1);
     });
 }
+
+/// Guards against gateways that start again and again and send retries which their requests have not
+/// earned.
+#[test]
+fn a_gateway_that_starts_sends_only_the_retries_that_its_requests_earn() {
+    support::run(async {
+        let first = Target::start("t1", rejecting).await;
+        let second = Target::start("t2", rejecting).await;
+        let rule = RetryRule { share: 0.2, window: Duration::from_secs(10), slack: 56.0 };
+        let mut requests = 0;
+        for _ in 0..5 {
+            let gateway = Gateway::start_with("e1", rule).await;
+            gateway.serve(support::route(RouteKind::Repeatable, 2), &[&first, &second]).await;
+            for id in 0..4 {
+                let answer = gateway.ask(&format!("q{id}"), "").await.expect("an answer");
+                assert_eq!(answer.status(), 503);
+                assert!(answer.header("retry-after").is_some());
+                requests += 1;
+            }
+            let metrics = gateway.get_status_page("/metrics").await;
+            let denied = format!(
+                "ryetide_retries_total{{service=\"{}\",permitted=\"no\"}} 4",
+                support::SERVICE
+            );
+            assert!(metrics.body.contains(&denied), "{}", metrics.body);
+        }
+        assert_eq!(first.count() + second.count(), requests);
+        let gateway = Gateway::start_with("e1", rule).await;
+        gateway.serve(support::route(RouteKind::Repeatable, 2), &[&first, &second]).await;
+        for id in 0..60 {
+            gateway.ask(&format!("r{id}"), "").await.expect("an answer");
+            requests += 1;
+        }
+        let retries = first.count() + second.count() - requests;
+        assert!((1..=12).contains(&retries), "{retries} retries of 60 requests");
+    });
+}
+
+/// Guards against telling a caller that its request has not run, where only its retry was refused.
+#[test]
+fn a_request_whose_retry_is_refused_is_not_said_to_have_not_run() {
+    support::run(async {
+        let first = Target::start("t1", breaking).await;
+        let second = Target::start("t2", breaking).await;
+        let rule = RetryRule { share: 0.2, window: Duration::from_secs(10), slack: 56.0 };
+        let gateway = Gateway::start_with("e1", rule).await;
+        gateway.serve(support::route(RouteKind::Repeatable, 2), &[&first, &second]).await;
+        let answer = gateway.ask("q1", "").await.expect("an answer");
+        assert_eq!(answer.status(), 502);
+        assert_eq!(first.count() + second.count(), 1);
+    });
+}
--- a/crates/ryetide-gateway/tests/serving/support.rs
+++ b/crates/ryetide-gateway/tests/serving/support.rs
@@ -46,7 +46,7 @@
     RetryRule { share: 100.0, window: Duration::from_secs(10), slack: 100.0 };
 
 const HOST: &str = "desk.example";
-const SERVICE: &str = "desk";
+pub const SERVICE: &str = "desk";
 
 /// Runs a test on a local set, with a timeout.
 pub fn run(test: impl Future<Output = ()>) {
@@ -348,6 +348,11 @@
 
     /// Starts a gateway with this name, without routes and targets.
     pub async fn start_named(name: &str) -> Self {
+        Self::start_with(name, AMPLE_RETRIES).await
+    }
+
+    /// Starts a gateway with this name and this limit on retries, without routes and targets.
+    pub async fn start_with(name: &str, retry: RetryRule) -> Self {
         let any = SocketAddr::from(([127, 0, 0, 1], 0));
         let settings = GatewaySettings {
             name: name.into(),
@@ -356,7 +361,7 @@
             status: any,
             peers: any,
             grace: Duration::from_secs(3),
-            retry: AMPLE_RETRIES,
+            retry,
             rollout: Default::default(),
             policy: Default::default(),
             link: LinkRate(0),
@@ -383,11 +388,16 @@
     /// Starts a gateway that serves one route with `targets`.
     pub async fn serving(route: RouteRule, targets: &[&Target]) -> Self {
         let gateway = Self::start().await;
-        gateway.send_update(FleetUpdate::Routes(Arc::new(table(1, route, Vec::new())))).await;
-        gateway.set_targets(targets.iter().map(|target| target.entry.clone()).collect()).await;
+        gateway.serve(route, targets).await;
         gateway
     }
 
+    /// Sets the one route and the targets that the gateway serves.
+    pub async fn serve(&self, route: RouteRule, targets: &[&Target]) {
+        self.send_update(FleetUpdate::Routes(Arc::new(table(1, route, Vec::new())))).await;
+        self.set_targets(targets.iter().map(|target| target.entry.clone()).collect()).await;
+    }
+
     /// The row of the gateway `name`, with these mixes of versions in it.
     pub fn peer_entry(&self, name: &str, mixes: Vec<VersionMix>) -> PeerEntry {
         PeerEntry { mixes, ..peer(name, self, 1) }
