--- a/crates/ryetide-core/tests/entry.rs
+++ b/crates/ryetide-core/tests/entry.rs
@@ -290,6 +290,49 @@
     }
 }
 
+/// Breaks the connection of a request again and again, each time after `bytes` more of its answer.
+/// Returns how often it was dispatched and how often resumed until it got its final answer, or 40
+/// times.
+fn break_repeatedly(bytes: &'static [u8]) -> (u32, u32) {
+    let mut bench = Bench::serving(SafeguardSwitches::default());
+    bench.step(Event::Arrived(request(1, "drafting", None)));
+    let sequence = RequestSequence(1);
+    let (mut dispatched, mut resumed, mut offset) = (0, 0, 0);
+    for number in 1..=40 {
+        let attempt = AttemptNumber(number);
+        for effect in bench.step(Event::Connected { sequence, attempt }) {
+            match effect {
+                Effect::Permit { order: TargetOperation::Dispatch { .. }, .. } => dispatched += 1,
+                Effect::Permit { order: TargetOperation::Resume { .. }, .. } => resumed += 1,
+                _ => {}
+            }
+        }
+        let piece = Bytes::from_static(bytes);
+        bench.step(Event::TargetPiece { sequence, attempt, offset, bytes: piece });
+        offset += bytes.len() as u64;
+        let mut effects = bench.step(Event::TargetBroken { sequence, attempt });
+        let is_connect = |effect: &Effect| matches!(effect, Effect::Connect { .. });
+        while answers(&effects).is_empty() && !effects.iter().any(is_connect) {
+            bench.now = bench.now + Duration::from_millis(10);
+            effects = bench.step(Event::Tick);
+        }
+        if !answers(&effects).is_empty() {
+            break;
+        }
+    }
+    (dispatched, resumed)
+}
+
+/// Guards against retries that load failing engines: no request runs twice, and one whose stream is
+/// broken again and again is given up after a few resumes that bring nothing.
+#[test]
+fn a_request_is_dispatched_once_however_often_its_stream_breaks() {
+    assert_eq!(break_repeatedly(b""), (1, 7));
+    let (dispatched, resumed) = break_repeatedly(b"a");
+    assert_eq!(dispatched, 1);
+    assert!(resumed > 0);
+}
+
 /// The leading blocks of a prompt with `block` in it, which begins like all others and ends like
 /// none.
 fn prompt(sequence: u64, block: u32) -> CallerRequest {
