Leave retries to more urgent requests

Now a request leaves 0.025 of what was earned in the last window for each tier above its own, 0.05 at most; one that continues a stream counts as most urgent.

--- a/crates/ryetide-core/src/retry_budget.rs
+++ b/crates/ryetide-core/src/retry_budget.rs
@@ -27,7 +27,7 @@
 use crate::{
     ids::ServiceName,
     slot_window::{SlotNumber, SlotWindow, WINDOW_SLOTS},
-    units::Moment,
+    units::{Moment, TierRank},
 };
 
 /// The limit on retries.
@@ -56,6 +56,15 @@
 /// that starts has no window before, so it cannot use this part at first.
 const CARRIED_PART: f64 = 0.4;
 
+/// The part of what was earned in the last window that a request leaves to more urgent ones, for each
+/// tier above its own, up to [`MAX_TIERS_ABOVE`]. Retries are earned all the time, so little has to be
+/// left for the most urgent requests to come first.
+const LEFT_PER_TIER: f64 = 0.025;
+const MAX_TIERS_ABOVE: u8 = 2;
+
+/// The shortest window that divisions use, in seconds; it keeps their results finite.
+const MIN_WINDOW_S: f64 = 1e-3;
+
 /// What a VM's budget of a service holds.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RetryLevel {
@@ -116,9 +125,11 @@
         self.count(now, service).requests.add(slot, 1.0);
     }
 
-    /// Reserves one retry; returns whether it is permitted.
-    pub fn reserve(&mut self, now: Moment, service: &ServiceName) -> bool {
-        let permitted = self.level(now, service).credit >= 1.0;
+    /// Reserves one retry for a request of `tier`; returns whether it is permitted. Less urgent
+    /// requests leave some retries to more urgent ones.
+    pub fn reserve(&mut self, now: Moment, service: &ServiceName, tier: TierRank) -> bool {
+        let left = self.left_by(now, service, tier);
+        let permitted = self.level(now, service).credit >= 1.0 + left;
         if permitted {
             self.count(now, service).reserved += 1;
         }
@@ -151,15 +162,30 @@
 
     /// Returns the retries that may be sent now, whether reserved or not.
     fn unspent(&mut self, now: Moment, service: &ServiceName) -> f64 {
+        let earned = self.earned(now, service);
+        let retries = self.count(now, service).retries.amounts();
+        credit_of(&earned, &running_sums(retries))
+    }
+
+    /// Returns the running sums of what this VM has earned for `service`, by slot.
+    fn earned(&mut self, now: Moment, service: &ServiceName) -> Vec<f64> {
         self.accrue(now);
-        let rule = self.rule;
         self.count(now, service);
-        let count = &self.services[service];
-        let requests = count.requests.amounts();
-        let earned = requests.zip(self.slack_parts.amounts()).map(|(requests, slack_part)| {
-            requests * rule.share * USED_SHARE + slack_part * rule.slack
-        });
-        credit_of(&running_sums(earned), &running_sums(count.retries.amounts()))
+        let RetryRule { share, slack, .. } = self.rule;
+        let requests = self.services[service].requests.amounts();
+        running_sums(
+            requests
+                .zip(self.slack_parts.amounts())
+                .map(|(requests, slack_part)| requests * share * USED_SHARE + slack_part * slack),
+        )
+    }
+
+    /// Returns the retries that requests of `tier` leave to more urgent ones.
+    fn left_by(&mut self, now: Moment, service: &ServiceName, tier: TierRank) -> f64 {
+        let tiers_above = f64::from(tier.0.min(MAX_TIERS_ABOVE));
+        let earned = self.earned(now, service);
+        let end = earned.len() - 1;
+        (earned[end] - earned[end - WINDOW_SLOTS]) * LEFT_PER_TIER * tiers_above
     }
 
     fn count(&mut self, now: Moment, service: &ServiceName) -> &mut ServiceCount {
@@ -181,8 +207,7 @@
         let from = self.accrued_until.replace(now).unwrap_or(now).max(now.before(2 * window));
         self.slack_parts.advance(SlotNumber::of(now, window));
         let Some(vm_count) = self.vm_count else { return };
-        let per_second =
-            1.0 / (vm_count.max(1) as f64 * window.as_secs_f64().max(f64::MIN_POSITIVE));
+        let per_second = 1.0 / (vm_count.max(1) as f64 * window.as_secs_f64().max(MIN_WINDOW_S));
         let mut at = from;
         while at < now {
             let slot = SlotNumber::of(at, window);
--- a/crates/ryetide-core/src/scheduler.rs
+++ b/crates/ryetide-core/src/scheduler.rs
@@ -44,7 +44,7 @@
     target_ejection::RunOutcome,
     target_limit::LimitTable,
     target_load::{TargetEntry, TargetLoad},
-    units::Moment,
+    units::{Moment, TierRank},
     wait_queue::WaitingRequest,
     watcher_selection::WatchOrder,
 };
@@ -311,23 +311,20 @@
     /// A request that did not arrive at its target (`arrived_there` is `false`) needs nothing of the
     /// budget.
     pub fn enter_again(&mut self, now: Moment, work: WaitingRequest, arrived_there: bool) -> bool {
-        if arrived_there && !self.reserve_retry(now, work.ticket, &work.service) {
+        if arrived_there && !self.reserve_retry(now, &work) {
             return false;
         }
         self.enqueue(now, work);
         true
     }
 
-    fn reserve_retry(
-        &mut self,
-        now: Moment,
-        ticket: RequestSequence,
-        service: &ServiceName,
-    ) -> bool {
-        self.release_retry(ticket);
-        let permitted = self.retry_budget.reserve(now, service);
+    fn reserve_retry(&mut self, now: Moment, work: &WaitingRequest) -> bool {
+        self.release_retry(work.ticket);
+        // A caller that has a part of a stream would lose that, too.
+        let tier = if work.begun { TierRank(0) } else { work.tier };
+        let permitted = self.retry_budget.reserve(now, &work.service, tier);
         if permitted {
-            self.reserved_retries.insert(ticket, service.clone());
+            self.reserved_retries.insert(work.ticket, work.service.clone());
         }
         permitted
     }
--- a/crates/ryetide-core/tests/retry_budget/fleet.rs
+++ b/crates/ryetide-core/tests/retry_budget/fleet.rs
@@ -73,6 +73,8 @@
     /// The share of the requests that targets turn away.
     pub turned_away: f64,
     pub digest_interval: Duration,
+    /// The share of the requests that are urgent.
+    pub urgent: f64,
     /// Targets get room for retries at this interval only; at once if it is zero.
     pub retry_gap: Duration,
 }
@@ -90,6 +92,8 @@
     /// Retries that wait for room at their targets.
     delayed: Vec<PlacedRequest>,
     pub count: RetryCount,
+    /// The retries of urgent requests.
+    pub urgent_retries: usize,
 }
 
 fn member(vm: usize) -> CellMember {
@@ -124,6 +128,7 @@
             due: 0.0,
             delayed: Vec::new(),
             count: RetryCount::default(),
+            urgent_retries: 0,
         };
         fleet.disturb(Disturbance::Join(options.vms));
         fleet
@@ -302,11 +307,12 @@
         let now = self.now;
         let ticket = RequestSequence(self.next);
         self.next += 1;
+        let tier = TierRank(if self.rng.random_bool(self.options.urgent) { 0 } else { 2 });
         let work = WaitingRequest {
             ticket,
             service: "desk".into(),
-            tier: TierRank(0),
-            route_tier: TierRank(0),
+            tier,
+            route_tier: tier,
             engine: false,
             prompt: Tokens(0),
             prompt_hash: None,
@@ -349,6 +355,7 @@
             return;
         }
         self.count.retries.push(now);
+        self.urgent_retries += usize::from(request.work.tier == TierRank(0));
         self.send(request);
     }
 
--- a/crates/ryetide-core/tests/retry_budget/limits.rs
+++ b/crates/ryetide-core/tests/retry_budget/limits.rs
@@ -15,6 +15,7 @@
     turned_away: 0.0,
     digest_interval: Duration::from_millis(300),
     retry_gap: Duration::ZERO,
+    urgent: 1.0,
 };
 const SEEDS: u64 = 8;
 
@@ -172,3 +173,29 @@
         assert!(used >= 0.75, "seed {seed}: {used}");
     }
 }
+
+/// Guards against retries that routine requests use up before urgent ones.
+#[test]
+fn urgent_requests_get_retries_first() {
+    for seed in 0..SEEDS {
+        let mut fleet = fleet_of_failing_targets(seed, FleetOptions { urgent: 0.3, ..OPTIONS });
+        // The first cluster uses up what was earned before.
+        fleet.run_for(Duration::from_secs(2));
+        let (urgent, all) = (fleet.urgent_retries, fleet.count.retries.len());
+        fleet.run_for(Duration::from_secs(7));
+        let urgent = fleet.urgent_retries - urgent;
+        let all = fleet.count.retries.len() - all;
+        assert!(urgent * 10 >= all * 8, "seed {seed}: {urgent} of {all}");
+    }
+}
+
+/// Guards against retries that routine requests leave to urgent ones that do not come.
+#[test]
+fn routine_requests_alone_can_use_most_of_what_is_permitted() {
+    for seed in 0..SEEDS {
+        let mut fleet = fleet_of_failing_targets(seed, FleetOptions { urgent: 0.0, ..OPTIONS });
+        fleet.run_for(Duration::from_secs(14));
+        let used = fleet.count.worst(&RULE).expect("there are retries").used();
+        assert!(used >= 0.85, "seed {seed}: {used}");
+    }
+}
