--- a/crates/ryetide-core/src/lib.rs
+++ b/crates/ryetide-core/src/lib.rs
@@ -30,7 +30,7 @@
 //! | [`membership`] | the peers, and which VM arbitrates a service |
 //! | [`claim`], [`configuration`], [`request`] | the state behind the guarantees |
 //! | [`request_fingerprint`], [`prompt_part`], [`crash_suspect`], [`crash_ledger`], [`crash_update`], [`crash_attribution`] | requests and parts of prompts that crash targets |
-//! | [`route`], [`route_text`], [`quota`], [`quota_allocator`], [`retry_budget`], [`retry_delay`] | routed requests: their routes, quotas and retries |
+//! | [`route`], [`route_text`], [`quota`], [`quota_allocator`], [`retry_budget`], [`slot_window`], [`retry_delay`] | routed requests: their routes, quotas and retries |
 //! | [`rollout_order`], [`rollout_manager`], [`service_rollout`], [`rollout_evidence`], [`rollout_evaluation`] | rollouts of new versions: their traffic, evaluation and outcome |
 //! | [`scheduler`], [`scheduler_options`], [`queue_view`], [`wait_queue`], [`recent_arrivals`], [`deadline_tracker`], [`decision`] | queueing and refusal of routed requests |
 //! | [`stream_continuation`], [`stream_origin`], [`version_history`], [`origin_inquiry`] | streams that go on at the version which began them |
@@ -131,6 +131,7 @@
 mod scheduler_limits;
 pub mod scheduler_options;
 pub mod scheduler_overflow;
+mod scheduler_retries;
 mod scheduler_returns;
 mod scheduler_rollouts;
 pub mod scheduler_shares;
--- a/crates/ryetide-core/src/retry_budget.rs
+++ b/crates/ryetide-core/src/retry_budget.rs
@@ -12,7 +12,7 @@
 //! retries in the span <= (1 - C) x earned in the span + C x earned in the window before the span
 //! ```
 //!
-//! where C is [`CARRIED_PART`]. Both sides are sums, so the same holds for all VMs together, however
+//! where C is `CARRIED_PART`. Both sides are sums, so the same holds for all VMs together, however
 //! requests move between them. The right side is at most what the fleet has earned in one of the two
 //! windows, and that is the limit. A process that starts has earned nothing and adds nothing to the
 //! right side; one that ends leaves what it has earned unused. Restarts, in whatever order, therefore
--- a/crates/ryetide-core/src/scheduler.rs
+++ b/crates/ryetide-core/src/scheduler.rs
@@ -31,7 +31,7 @@
     quota::QuotaCharge,
     quota_allocator::{QuotaAllocator, QuotaReply, QuotaRequest, QuotaWaitResult},
     quota_returns::QuotaReturns,
-    retry_budget::{RetryBudget, RetryLevel, RetryRule},
+    retry_budget::RetryBudget,
     retry_delay::RetryDelay,
     rollout_manager::{RolloutManager, TargetUse},
     scheduler_brittle,
@@ -44,7 +44,7 @@
     target_ejection::RunOutcome,
     target_limit::LimitTable,
     target_load::{TargetEntry, TargetLoad},
-    units::{Moment, TierRank},
+    units::Moment,
     wait_queue::WaitingRequest,
     watcher_selection::WatchOrder,
 };
@@ -68,9 +68,9 @@
     pub(crate) reported_targets: HashMap<VmName, BTreeSet<TargetKey>>,
     pub(crate) quotas: QuotaAllocator,
     quota_results: Vec<QuotaWaitResult>,
-    retry_budget: RetryBudget,
+    pub(crate) retry_budget: RetryBudget,
     /// The requests for which a retry is reserved, with their services.
-    reserved_retries: HashMap<RequestSequence, ServiceName>,
+    pub(crate) reserved_retries: HashMap<RequestSequence, ServiceName>,
     pub(crate) crashes: CrashLedger,
     pub(crate) limits: LimitTable,
     /// When the shares of target limits were last computed; `None` when they must be recomputed.
@@ -242,11 +242,6 @@
         self.quotas.ledger().is_short()
     }
 
-    /// Replaces the limits on retries.
-    pub fn set_retry_rule(&mut self, rule: RetryRule) {
-        self.retry_budget.set_rule(rule);
-    }
-
     /// Replaces the switches of the optional policies.
     pub fn set_policy(&mut self, policy: SchedulingPolicy) {
         self.options.policy = policy;
@@ -305,53 +300,7 @@
         self.refuse_if_hopeless(now, &service, ticket);
     }
 
-    /// Queues a request again that was assigned to a target and did not run there. Returns `false`
-    /// if the retry budget does not permit this.
-    ///
-    /// A request that did not arrive at its target (`arrived_there` is `false`) needs nothing of the
-    /// budget.
-    pub fn enter_again(&mut self, now: Moment, work: WaitingRequest, arrived_there: bool) -> bool {
-        if arrived_there && !self.reserve_retry(now, &work) {
-            return false;
-        }
-        self.enqueue(now, work);
-        true
-    }
-
-    fn reserve_retry(&mut self, now: Moment, work: &WaitingRequest) -> bool {
-        self.release_retry(work.ticket);
-        // A caller that has a part of a stream would lose that, too.
-        let tier = if work.begun { TierRank(0) } else { work.tier };
-        let permitted = self.retry_budget.reserve(now, &work.service, tier);
-        if permitted {
-            self.reserved_retries.insert(work.ticket, work.service.clone());
-        }
-        permitted
-    }
-
-    fn release_retry(&mut self, ticket: RequestSequence) {
-        if let Some(service) = self.reserved_retries.remove(&ticket) {
-            self.retry_budget.release(&service);
-        }
-    }
-
-    /// Records that a request is sent once more; returns whether the retry budget permits it still.
-    pub fn spend_retry(
-        &mut self,
-        now: Moment,
-        ticket: RequestSequence,
-        service: &ServiceName,
-    ) -> bool {
-        self.release_retry(ticket);
-        self.retry_budget.spend(now, service)
-    }
-
-    /// Returns what the retry budget of a service holds.
-    pub fn retry_level(&mut self, now: Moment, service: &ServiceName) -> RetryLevel {
-        self.retry_budget.level(now, service)
-    }
-
-    fn enqueue(&mut self, now: Moment, work: WaitingRequest) {
+    pub(crate) fn enqueue(&mut self, now: Moment, work: WaitingRequest) {
         let (service, ticket) = (work.service.clone(), work.ticket);
         self.service_state(&service).queue.push(work);
         self.changed = true;
