--- a/crates/ryetide-core/src/retry_budget.rs
+++ b/crates/ryetide-core/src/retry_budget.rs
@@ -49,7 +49,7 @@
 
 /// The fraction of the share that is used. The rest covers requests that are counted here a little
 /// later than their callers sent them.
-const USED_SHARE: f64 = 0.95;
+const USED_SHARE: f64 = 0.98;
 
 /// The part of what a window has earned that may be sent in the window after it. Failures come in
 /// clusters: without it, retries would only be permitted as fast as new requests arrive. A process
