--- a/crates/ryetide-core/src/retry_budget.rs
+++ b/crates/ryetide-core/src/retry_budget.rs
@@ -60,6 +60,7 @@
 /// tier above its own, up to [`MAX_TIERS_ABOVE`]. Retries are earned all the time, so little has to be
 /// left for the most urgent requests to come first.
 const LEFT_PER_TIER: f64 = 0.025;
+/// The tiers above a request's own that count.
 const MAX_TIERS_ABOVE: u8 = 2;
 
 /// The shortest window that divisions use, in seconds; it keeps their results finite.
@@ -68,7 +69,7 @@
 /// What a VM's budget of a service holds.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RetryLevel {
-    /// Retries that this VM may send now.
+    /// Retries that this VM may queue now, and send once they have a slot; none below 1.
     pub credit: f64,
     /// The number of VMs by which this one divides the slack; `None` while it does not know it.
     pub vm_count: Option<usize>,
