Log which policies are in effect and what a refusing VM could borrow

A VM that refuses beside idle targets looked the same whether overflow was off, found no shortage, got no grant, or borrowed at as many targets as it may. Now: a line 'policies' for each service, 'granted' and 'borrowed_targets' in each line 'refused', a gauge of borrowed targets. What applies the switches moves out of the scheduler's main module as it was.

--- a/crates/ryetide-core/src/decision.rs
+++ b/crates/ryetide-core/src/decision.rs
@@ -62,6 +62,15 @@
     pub borrowed: bool,
 }
 
+/// What a VM could use of other cells when it refused a request, over all services.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct BorrowingEvidence {
+    /// The slots that other cells grant it, in use or not.
+    pub granted: u32,
+    /// The targets of other cells at which it has requests running.
+    pub targets: usize,
+}
+
 /// What to do with a waiting request.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Decision {
@@ -86,5 +95,7 @@
         waiting: usize,
         /// The time until the interval in which a place is booked for the caller, if one is.
         booked_after: Option<Duration>,
+        /// What the VM could use of other cells.
+        borrowing: BorrowingEvidence,
     },
 }
--- a/crates/ryetide-core/src/lib.rs
+++ b/crates/ryetide-core/src/lib.rs
@@ -131,6 +131,7 @@
 mod scheduler_limits;
 pub mod scheduler_options;
 pub mod scheduler_overflow;
+mod scheduler_policies;
 mod scheduler_retries;
 mod scheduler_returns;
 mod scheduler_rollouts;
--- a/crates/ryetide-core/src/scheduler.rs
+++ b/crates/ryetide-core/src/scheduler.rs
@@ -23,9 +23,8 @@
     digest_route::DigestRouter,
     digest_timing::DigestTiming,
     digest_tracker::DigestTracker,
-    ids::{OrganisationKey, RequestSequence, ServiceName, TargetIncarnation, TargetKey, VmName},
+    ids::{OrganisationKey, RequestSequence, ServiceName, TargetKey, VmName},
     load_digest::FleetState,
-    organisation_usage::OrganisationUsage,
     peer_digests::{FeedLag, PeerDigests},
     queue_view::{QueueAction, QueueView, ServiceQueue, SlotSharing, UsedTargets},
     quota::QuotaCharge,
@@ -39,7 +38,7 @@
     scheduler_overflow::OverflowState,
     scheduler_returns,
     scheduler_shares::ShareReporter,
-    scheduling_policy::SchedulingPolicy,
+    scheduling_policy::ServicePolicy,
     slot_turn::UrgencyClass,
     target_ejection::RunOutcome,
     target_limit::LimitTable,
@@ -96,6 +95,8 @@
     pub(crate) unsettled: BTreeMap<TargetKey, Vec<RunOutcome>>,
     pub(crate) brittle: BrittleServices,
     pub(crate) slot_shares_updated_at: Moment,
+    /// The policies of each service that the driver has logged.
+    pub(crate) logged_policies: BTreeMap<ServiceName, ServicePolicy>,
 }
 
 #[derive(Clone, Debug)]
@@ -151,6 +152,7 @@
             unsettled: BTreeMap::new(),
             brittle: BrittleServices::default(),
             slot_shares_updated_at: Moment::default(),
+            logged_policies: BTreeMap::new(),
         }
     }
 
@@ -242,12 +244,6 @@
         self.quotas.ledger().is_short()
     }
 
-    /// Replaces the switches of the optional policies.
-    pub fn set_policy(&mut self, policy: SchedulingPolicy) {
-        self.options.policy = policy;
-        self.update_policies();
-    }
-
     /// Replaces the list of the other entry VMs.
     pub fn list_peers(&mut self, now: Moment, listed: &[CellMember]) {
         self.peers.list(now, listed);
@@ -598,12 +594,14 @@
             }
         };
         let booked_after = returns.and_then(|returns| returns.booked_after);
+        let borrowing = self.borrowing(now);
         self.decisions.push(Decision::Refuse {
             ticket,
             reason,
             retry_after,
             waiting,
             booked_after,
+            borrowing,
         });
         self.changed = true;
     }
@@ -616,27 +614,6 @@
         }
     }
 
-    /// Determines which optional policies are in effect for each service.
-    fn update_policies(&mut self) {
-        let entries = self.targets.values().map(TargetLoad::entry);
-        let announced: BTreeSet<ServiceName> = entries
-            .filter(|entry| entry.incarnation != TargetIncarnation::default())
-            .map(|entry| entry.service.clone())
-            .collect();
-        for (name, state) in &mut self.services {
-            // A service whose targets are all gone for a moment keeps its policies.
-            state.announces_incarnations |= announced.contains(name);
-            state.policy = self.options.policy.for_service(state.announces_incarnations);
-            if !state.policy.fair_shares {
-                state.usage = OrganisationUsage::default();
-            }
-            if !state.policy.return_times {
-                state.returns.clear();
-            }
-        }
-        self.update_ejections();
-    }
-
     /// Returns the current view of a service's queue and targets.
     pub(crate) fn view(&self, now: Moment, service: &ServiceName) -> Option<QueueView<'_>> {
         let state = self.services.get(service)?;
--- a/crates/ryetide-core/src/scheduler_overflow.rs
+++ b/crates/ryetide-core/src/scheduler_overflow.rs
@@ -7,7 +7,7 @@
 };
 
 use crate::{
-    decision::RefusalReason,
+    decision::{BorrowingEvidence, RefusalReason},
     ids::{DataCentreName, ServiceName, TargetKey, TargetName, VmName},
     limit_share::LimitShare,
     load_digest::{DigestScope, LoadDigest, TargetReport},
@@ -202,6 +202,12 @@
         loads.filter(|load| self.is_borrowable(now, state, load)).collect()
     }
 
+    /// Returns what this VM could use of other cells.
+    pub fn borrowing(&self, now: Moment) -> BorrowingEvidence {
+        let granted = self.overflow.borrower.granted(now).values().sum();
+        BorrowingEvidence { granted, targets: self.borrowed_targets().len() }
+    }
+
     fn is_borrowable(&self, now: Moment, state: &ServiceQueue, load: &TargetLoad) -> bool {
         let entry = load.entry();
         let is_of_service = self.services.get(&entry.service).is_some_and(|it| it.key == state.key);
--- a/crates/ryetide-gateway/src/decision_log.rs
+++ b/crates/ryetide-gateway/src/decision_log.rs
@@ -9,13 +9,14 @@
 
 use ryetide_core::{
     crash_suspect::CrashSuspect,
-    decision::{PlacementEvidence, RunEnd},
+    decision::{BorrowingEvidence, PlacementEvidence, RunEnd},
     ids::{OrganisationName, RequestSequence, ServiceName, TargetName, VmName},
     origin_inquiry::OriginVerdict,
     policy_update::SlotGrant,
     request_fingerprint::RequestFingerprint,
     retry_budget::RetryLevel,
     scheduler_shares::ShareExceeded,
+    scheduling_policy::ServicePolicy,
     target_load::TargetEntry,
     target_notice::TargetNotice,
     units::{RequestRate, Revision},
@@ -88,6 +89,8 @@
     pub waiting: usize,
     /// The time until the interval in which a place is booked for the caller, if one is.
     pub booked_after: Option<Duration>,
+    /// What the VM could use of other cells.
+    pub borrowing: BorrowingEvidence,
 }
 
 #[derive(Debug)]
@@ -184,6 +187,20 @@
         }
     }
 
+    /// Logs which optional policies are in effect for a service.
+    pub fn policies(&self, service: &ServiceName, policy: ServicePolicy) {
+        let ServicePolicy { ejection, overflow, return_times, fair_shares } = policy;
+        tracing::info!(
+            event = "policies",
+            vm = %self.vm,
+            %service,
+            ejection,
+            overflow,
+            return_times,
+            fair_shares,
+        );
+    }
+
     /// Logs that a shortage of a service's slots has begun (`wanted` is some) or ended.
     pub fn shortage(&self, service: &ServiceName, wanted: Option<u16>) {
         if self.permits() {
@@ -206,6 +223,8 @@
                 line = evidence.waiting,
                 waited_before_ms = millis(request.waited_before),
                 booked_ms = evidence.booked_after.map(millis),
+                granted = evidence.borrowing.granted,
+                borrowed_targets = evidence.borrowing.targets,
             );
         }
     }
--- a/crates/ryetide-gateway/src/exchange.rs
+++ b/crates/ryetide-gateway/src/exchange.rs
@@ -395,8 +395,16 @@
         loop {
             let (target, evidence) = match decision {
                 Some(Decision::Place { target, evidence, .. }) => (target, evidence),
-                Some(Decision::Refuse { reason, retry_after, waiting, booked_after, .. }) => {
-                    let evidence = RefusalEvidence { retry_after, waiting, booked_after };
+                Some(Decision::Refuse {
+                    reason,
+                    retry_after,
+                    waiting,
+                    booked_after,
+                    borrowing,
+                    ..
+                }) => {
+                    let evidence =
+                        RefusalEvidence { retry_after, waiting, booked_after, borrowing };
                     self.gateway.log().refused(&self.log_id(), reason.into(), &evidence);
                     return DispatchEnd::Own(OwnAnswer::new(reason.into()).with_retry(retry_after));
                 }
--- a/crates/ryetide-gateway/src/gateway_metrics.rs
+++ b/crates/ryetide-gateway/src/gateway_metrics.rs
@@ -85,6 +85,7 @@
     slots_granted: Counter,
     requests_borrowed: Counter,
     shortage: Gauge,
+    borrowed_targets: Gauge,
     over_share: Gauge,
     over_share_deferred: Counter,
     usage_sources: Gauge,
@@ -124,6 +125,7 @@
             slots_granted: Counter::default(),
             requests_borrowed: Counter::default(),
             shortage: Gauge::default(),
+            borrowed_targets: Gauge::default(),
             over_share: Gauge::default(),
             over_share_deferred: Counter::default(),
             usage_sources: Gauge::default(),
@@ -173,6 +175,8 @@
         registry.register("requests_borrowed", borrowed, metrics.requests_borrowed.clone());
         let shortage = "Slots of other cells that this VM could use in addition";
         registry.register("shortage", shortage, metrics.shortage.clone());
+        let borrowed = "Targets of other cells at which this VM has requests running";
+        registry.register("borrowed_targets", borrowed, metrics.borrowed_targets.clone());
         let over_share = "Organisations above their fair share while requests wait";
         registry.register("over_share", over_share, metrics.over_share.clone());
         let deferred =
@@ -289,6 +293,11 @@
         self.shortage.set(i64::from(slots));
     }
 
+    /// Sets the number of targets of other cells at which this VM has requests running.
+    pub fn set_borrowed_targets(&self, targets: usize) {
+        self.borrowed_targets.set(i64::try_from(targets).unwrap_or(i64::MAX));
+    }
+
     /// Raises the counters of return times to the given counts.
     pub fn set_returns(&self, counts: ReturnCounts) {
         let raise = |counter: &Counter, to: u64| counter.inc_by(to.saturating_sub(counter.get()));
