--- a/crates/ryetide-core/tests/overflow/fleet_simulation.rs
+++ b/crates/ryetide-core/tests/overflow/fleet_simulation.rs
@@ -38,6 +38,8 @@
 const CELL_DELAY: u64 = 500;
 const BRIEF_DELAY: u64 = 15_000;
 const TICK: u64 = 5_000;
+/// The share of all requests that arrive at one VM while the load leans.
+const LEAN_SHARE: f64 = 0.8;
 
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 enum SimEvent {
@@ -98,6 +100,10 @@
     pub loss: f64,
     /// When the VMs of the second data centre restart and lose their state; 0 for never.
     pub restart: u64,
+    /// While most requests of all data centres arrive at the first VM.
+    pub lean: (u64, u64),
+    /// The factor on the load of all data centres.
+    pub load: f64,
 }
 
 pub const QUIET: Script = Script {
@@ -111,6 +117,8 @@
     cut: (0, 0),
     loss: 0.0,
     restart: 0,
+    lean: (0, 0),
+    load: 1.0,
 };
 
 pub struct FleetSimulation {
@@ -132,6 +140,15 @@
     pub reports: u32,
 }
 
+impl FleetSimulation {
+    /// Returns the share of the requests of all VMs that arrived in a span and were served.
+    pub fn served(&self, span: (u64, u64)) -> f64 {
+        let asked = self.requests.values().filter(|request| is_in(request.arrived, span));
+        let (served, refused): (Vec<_>, Vec<_>) = asked.partition(|request| request.is_begun);
+        served.len() as f64 / (served.len() + refused.len()) as f64
+    }
+}
+
 pub fn name(index: usize) -> VmName {
     format!("e{index}").as_str().into()
 }
@@ -248,12 +265,15 @@
                     _ => 1.0,
                 };
                 let draw: f64 = self.rng.random_range(1e-9..1.0);
-                at += -draw.ln() / (RATE * factor) * 1e6;
+                at += -draw.ln() / (RATE * factor * self.script.load) * 1e6;
                 let mut vm = centre * VMS + self.rng.random_range(0..VMS);
                 if factor > 1.0 && self.script.is_skewed && self.rng.random_bool(1.0 - 1.0 / factor)
                 {
                     vm = first_cell[self.rng.random_range(0..first_cell.len())];
                 }
+                if is_in(at as u64, self.script.lean) && self.rng.random_bool(LEAN_SHARE) {
+                    vm = 0;
+                }
                 self.schedule(at as u64, SimEvent::Arrival(vm));
             }
         }
--- a/crates/ryetide-core/tests/overflow/main.rs
+++ b/crates/ryetide-core/tests/overflow/main.rs
@@ -11,6 +11,14 @@
 /// The largest share of requests that may be refused in the busy data centre.
 const MAX_REFUSED: f64 = 0.03;
 
+/// Four in five requests of all data centres arrive at one VM, with switches as they are by default.
+const LEAN: Script =
+    Script { policy: PolicySwitch::Auto, lean: (4_000, 10_000), seconds: 11, ..QUIET };
+/// The last part of that time, after the VM had time to borrow.
+const LEAN_STABLE: (u64, u64) = (7_000, 10_000);
+/// The least share that must be served then, of the share before.
+const MIN_LEANING_SERVED: f64 = 0.75;
+
 fn without_overflow(script: Script) -> Script {
     Script { policy: PolicySwitch::Off, ..script }
 }
@@ -106,3 +114,17 @@
         }
     }
 }
+
+/// Guards against refusals at the one VM that gets most requests of all data centres, whose targets
+/// announce no incarnations, while targets elsewhere are idle.
+#[test]
+fn one_vm_borrows_for_most_requests_of_all_data_centres() {
+    for seed in 1..=3 {
+        let simulation = FleetSimulation::play(seed, LEAN);
+        let (before, leaning) = (simulation.served((1_500, 4_000)), simulation.served(LEAN_STABLE));
+        assert!(
+            leaning >= MIN_LEANING_SERVED * before,
+            "seed {seed}: {before:.3}, then {leaning:.3}"
+        );
+    }
+}
