--- a/crates/ryetide-core/tests/overflow/main.rs
+++ b/crates/ryetide-core/tests/overflow/main.rs
@@ -140,3 +140,19 @@
         assert!(leaning >= 1.0 - MAX_REFUSED, "seed {seed}: {leaning:.3}");
     }
 }
+
+/// Guards against a VM with most requests that stays without slots of others once digests were lost
+/// between data centres, lenders have restarted, or lenders had a burst of their own.
+#[test]
+fn one_vm_borrows_again_after_failures_of_its_lenders() {
+    let cut = Script { cut: (5_000, 6_000), ..lean() };
+    let restarted = Script { restart: 5_000, ..lean() };
+    let lossy = Script { loss: 0.3, ..lean() };
+    let busy = Script { return_factor: 1.7, return_span: (5_000, 6_000), ..lean() };
+    for (case, script) in [("cut", cut), ("restarted", restarted), ("lossy", lossy), ("busy", busy)]
+    {
+        let simulation = FleetSimulation::play(1, script);
+        let (before, leaning) = (simulation.served((1_500, 4_000)), simulation.served(LEAN_STABLE));
+        assert!(leaning >= MIN_LEANING_SERVED * before, "{case}: {before:.3}, then {leaning:.3}");
+    }
+}
