--- a/review/standins/scenario_drained_crash.rs
+++ b/review/standins/scenario_drained_crash.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     client::{self, Answer},
-    fleet::{self, Record, Replica, RunFolder},
+    fleet::{self, Record, Replica, RunFolder, Site},
     replica::{self, EVENTS},
     store::Store,
 };
@@ -46,9 +46,14 @@
     let run_folder = RunFolder::create()?;
     let store = Store::start().map_err(|error| error.to_string())?;
     store.put("op", "config", &config());
-    let mut first = Replica::start("i-first", "huvo11a", &record)?;
+    let mut first = Replica::start("i-first", "huvo11a", &["stream"], &record)?;
     first.register(&store, "ready", 1);
-    let vms = fleet::start_vms(3, &store, &run_folder.0)?;
+    let site = Site {
+        store: store.address,
+        contracts: fleet::SMALL_CONTRACTS,
+        bounds: fleet::SMALL_BOUNDS,
+    };
+    let vms = fleet::start_vms(3, &site, &store, &run_folder.0)?;
     // The entry VMs have read all rows by then, and no pause after a change is pending.
     thread::sleep(Duration::from_secs(3));
 
@@ -75,7 +80,7 @@
     let expected = clients.len();
     wait_until(Duration::from_secs(2), || first.count("made") >= expected)?;
 
-    let second = Replica::start("i-second", "huvo11a", &record)?;
+    let second = Replica::start("i-second", "huvo11a", &["stream"], &record)?;
     if with_trouble {
         second.register(&store, "ready", 1);
         first.register(&store, "draining", 2);
--- a/review/standins/store.rs
+++ b/review/standins/store.rs
@@ -27,6 +27,7 @@
 struct Rows {
     rows: BTreeMap<(String, String), Row>,
     ver: u64,
+    is_down: bool,
 }
 
 pub struct Store {
@@ -65,6 +66,19 @@
         self.change(table, key, None);
     }
 
+    /// The text of a row.
+    pub fn get(&self, table: &str, key: &str) -> Option<String> {
+        let rows = self.rows.lock().expect("no thread panics");
+        let row = rows.rows.get(&(table.to_owned(), key.to_owned()))?;
+        String::from_utf8(decode(row.value.as_ref()?)).ok()
+    }
+
+    /// Turns all calls of entry VMs away with 503, or serves them again.
+    pub fn set_down(&self, is_down: bool) {
+        self.rows.lock().expect("no thread panics").is_down = is_down;
+        self.changed.notify_all();
+    }
+
     /// The number of rows in a table.
     pub fn count(&self, table: &str) -> usize {
         let rows = self.rows.lock().expect("no thread panics");
@@ -102,12 +116,18 @@
             pairs.into_iter().find(|(found, _)| *found == name).map(|(_, value)| value.to_owned())
         };
         let table = find("table").unwrap_or_default();
+        if path == "/rows-feed" {
+            let since = find("since_rev").and_then(|it| it.parse().ok()).unwrap_or(0);
+            let wait = find("wait_ms").and_then(|it| it.parse().ok()).unwrap_or(0);
+            self.wait_for_change(&table, since, Duration::from_millis(wait));
+        }
+        if self.rows.lock().expect("no thread panics").is_down {
+            return (503, "{}".to_owned());
+        }
         match path {
             "/rows-get" => (200, self.rows_of(&table, 0)),
             "/rows-feed" => {
                 let since = find("since_rev").and_then(|it| it.parse().ok()).unwrap_or(0);
-                let wait = find("wait_ms").and_then(|it| it.parse().ok()).unwrap_or(0);
-                self.wait_for_change(&table, since, Duration::from_millis(wait));
                 (200, self.rows_of(&table, since))
             }
             "/rows-tx" => match std::str::from_utf8(body).ok().and_then(json::parse) {
@@ -124,7 +144,7 @@
         loop {
             let is_new = |((name, _), row): (&(String, String), &Row)| name == table && row.ver > since;
             let left = until.saturating_duration_since(Instant::now());
-            if rows.rows.iter().any(is_new) || left.is_zero() {
+            if rows.is_down || rows.rows.iter().any(is_new) || left.is_zero() {
                 return;
             }
             rows = self.changed.wait_timeout(rows, left).expect("no thread panics").0;
@@ -210,3 +230,14 @@
     }
     text
 }
+
+fn decode(text: &str) -> Vec<u8> {
+    let letters = text.bytes().filter_map(|it| ALPHABET.iter().position(|letter| *letter == it));
+    let letters: Vec<u32> = letters.map(|it| it as u32).collect();
+    let mut bytes = Vec::new();
+    for group in letters.chunks(4) {
+        let bits = (0..4).fold(0, |bits, it| bits << 6 | group.get(it).copied().unwrap_or(0));
+        bytes.extend((1..group.len()).map(|it| (bits >> (24 - 8 * it)) as u8));
+    }
+    bytes
+}
