--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -10,6 +10,7 @@
 mod json;
 mod replica;
 mod scenario_drained_crash;
+mod scenario_silent_connections;
 mod scenario_untried_version;
 mod store;
 
@@ -24,6 +25,7 @@
     let outcome = match words.as_slice() {
         ["replica", rest @ ..] => return replica::run(rest),
         ["drained-crash", folder] => scenario_drained_crash::run(folder.as_ref()),
+        ["silent-connections", folder] => scenario_silent_connections::run(folder.as_ref()),
         ["untried-version", folder] => scenario_untried_version::run(folder.as_ref()),
         _ => Err("usage: standins SCENARIO FOLDER".to_owned()),
     };
--- a/review/standins/replica.rs
+++ b/review/standins/replica.rs
@@ -2,7 +2,7 @@
 //! the connection; the other serves short plain answers.
 //!
 //! On its standard output it says what it does: `runs ID FIRST`, `made ID NUMBER` after each event,
-//! `ends ID`, `failed ID`.
+//! `ends ID`, `failed ID`, `answered ID`.
 
 use std::{
     io::{BufReader, Write},
@@ -110,7 +110,9 @@
          Content-Length: {}\r\n\r\n{body}",
         body.len()
     );
-    writer.write_all(text.as_bytes()).is_ok()
+    let is_sent = writer.write_all(text.as_bytes()).is_ok();
+    say(&format!("answered {request}"));
+    is_sent
 }
 
 fn answer_stream(writer: &mut TcpStream, head: &Head, id: &str, request: &str) -> bool {
--- a/review/standins/store.rs
+++ b/review/standins/store.rs
@@ -4,7 +4,10 @@
     collections::BTreeMap,
     io::{BufReader, Write},
     net::{SocketAddr, TcpListener, TcpStream},
-    sync::{Arc, Condvar, Mutex},
+    sync::{
+        Arc, Condvar, Mutex,
+        atomic::{AtomicU64, Ordering},
+    },
     thread,
     time::{Duration, Instant},
 };
@@ -35,6 +38,10 @@
     rows: Mutex<Rows>,
     changed: Condvar,
     started: Instant,
+    /// The number of times that the open connections have fallen silent.
+    silences: AtomicU64,
+    /// When each connection last asked for changes of the operators' table.
+    polls: Mutex<BTreeMap<SocketAddr, Instant>>,
 }
 
 impl Store {
@@ -45,6 +52,8 @@
             rows: Mutex::default(),
             changed: Condvar::new(),
             started: Instant::now(),
+            silences: AtomicU64::new(0),
+            polls: Mutex::default(),
         });
         let serving = Arc::clone(&store);
         thread::spawn(move || {
@@ -79,6 +88,20 @@
         self.changed.notify_all();
     }
 
+    /// Lets all open connections fall silent for good; new ones work.
+    pub fn silence_connections(&self) {
+        self.silences.fetch_add(1, Ordering::SeqCst);
+    }
+
+    /// When each of the `count` connections that poll the operators' table last did so, if they are as
+    /// many.
+    pub fn operator_polls(&self, count: usize) -> Option<Vec<Instant>> {
+        let polls = self.polls.lock().expect("no thread panics");
+        let recent = polls.values().copied().filter(|at| at.elapsed() < Duration::from_secs(3));
+        let recent: Vec<Instant> = recent.collect();
+        (recent.len() == count).then_some(recent)
+    }
+
     /// The number of rows in a table.
     pub fn count(&self, table: &str) -> usize {
         let rows = self.rows.lock().expect("no thread panics");
@@ -95,10 +118,18 @@
 
     fn serve(&self, stream: TcpStream) {
         let Ok(mut writer) = stream.try_clone() else { return };
+        let Ok(peer) = stream.peer_addr() else { return };
+        let opened = self.silences.load(Ordering::SeqCst);
         let mut reader = BufReader::new(stream);
         while let Ok(Some(head)) = http::read_head(&mut reader) {
             let (body, _) = http::read_body(&mut reader, &head, false);
+            if head.second_word().starts_with("/rows-feed?table=op&") {
+                self.polls.lock().expect("no thread panics").insert(peer, Instant::now());
+            }
             let (status, answer) = self.answer(&head, &body);
+            if self.silences.load(Ordering::SeqCst) != opened {
+                continue;
+            }
             let text = format!(
                 "HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{answer}",
                 answer.len()
