--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -8,8 +8,10 @@
 mod fleet;
 mod http;
 mod json;
+mod load;
 mod replica;
 mod scenario_drained_crash;
+mod scenario_full_version;
 mod scenario_silent_connections;
 mod scenario_untried_version;
 mod store;
@@ -25,6 +27,7 @@
     let outcome = match words.as_slice() {
         ["replica", rest @ ..] => return replica::run(rest),
         ["drained-crash", folder] => scenario_drained_crash::run(folder.as_ref()),
+        ["full-version", folder, most] => scenario_full_version::run(folder.as_ref(), most),
         ["silent-connections", folder] => scenario_silent_connections::run(folder.as_ref()),
         ["untried-version", folder] => scenario_untried_version::run(folder.as_ref()),
         _ => Err("usage: standins SCENARIO FOLDER".to_owned()),
--- a/review/standins/replica.rs
+++ b/review/standins/replica.rs
@@ -8,7 +8,10 @@
     io::{BufReader, Write},
     net::{TcpListener, TcpStream},
     process::ExitCode,
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicU32, Ordering},
+    },
     thread,
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
@@ -19,6 +22,8 @@
 const EVENT_PAUSE: Duration = Duration::from_millis(100);
 /// How long a plain request takes.
 const WORK: Duration = Duration::from_millis(20);
+/// How much longer it takes at a replica that may be loaded.
+const LOADED_WORK: Duration = Duration::from_millis(80);
 /// A bad version fails one in this many requests.
 const BAD_SHARE: u64 = 2;
 /// The number of events of each stream.
@@ -35,8 +40,13 @@
     Stream,
     /// Plain answers; from this Unix millisecond on, some of them are failures.
     Plain { bad_from: u64 },
+    /// Plain answers; while as many requests run, some of them are failures.
+    Loaded { most: u32 },
 }
 
+/// The requests that run now.
+static RUNNING: AtomicU32 = AtomicU32::new(0);
+
 /// Runs a replica called `words[0]` at a free port, and says which one on the first line.
 pub fn run(words: &[&str]) -> ExitCode {
     let (id, kind) = match words {
@@ -44,6 +54,7 @@
         [id, "plain", bad_from] => {
             (id, Kind::Plain { bad_from: bad_from.parse().unwrap_or(u64::MAX) })
         }
+        [id, "loaded", most] => (id, Kind::Loaded { most: most.parse().unwrap_or(u32::MAX) }),
         _ => return ExitCode::FAILURE,
     };
     let Ok(listener) = TcpListener::bind("127.0.0.1:0") else { return ExitCode::FAILURE };
@@ -90,6 +101,14 @@
     }
     match kind {
         Kind::Stream => answer_stream(writer, head, id, request),
+        Kind::Loaded { most } => {
+            let running = RUNNING.fetch_add(1, Ordering::SeqCst) + 1;
+            thread::sleep(LOADED_WORK);
+            let bad_from = if running >= most { 0 } else { u64::MAX };
+            let is_sent = answer_plain(writer, id, request, bad_from);
+            RUNNING.fetch_sub(1, Ordering::SeqCst);
+            is_sent
+        }
         Kind::Plain { bad_from } => answer_plain(writer, id, request, bad_from),
     }
 }
--- a/review/standins/scenario_untried_version.rs
+++ b/review/standins/scenario_untried_version.rs
@@ -6,27 +6,20 @@
 
 use std::{
     path::Path,
-    sync::{
-        Arc,
-        atomic::{AtomicBool, AtomicU64, Ordering},
-    },
     thread,
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
 use crate::{
-    client,
-    fleet::{self, Record, Replica, RunFolder, Site, Vm},
+    fleet::{self, Record, Replica, RunFolder, Site},
+    load::{self, Load},
     store::Store,
 };
 
-const HOST: &str = "ficu95.example";
-const KEY: &str = "i9n73hh2b9wu3fexd9dn";
 const SERVICE: &str = "huvo11a";
 const REPLICAS: usize = 3;
 const CLIENTS_PER_VM: usize = 8;
 const CLIENT_PAUSE: Duration = Duration::from_millis(75);
-const PATIENCE: Duration = Duration::from_millis(2_500);
 
 /// The time that the order gives for the roll-out.
 const ORDER_S: u64 = 16;
@@ -56,19 +49,13 @@
 const EXPOSURE_SHARE: f64 = 0.1;
 const EXPOSURE_SLACK: f64 = 50.0;
 
-fn config() -> String {
-    format!(
-        r#"{{"version":7,"routes":[{{"name":"r-1","hostname":"{HOST}","prefix":"/puxa403/","route_type":"unsafe","timeout_ms":1200,"target_latency_ms":150,"priority":2,"backend":"{SERVICE}","attempts":1,"anonymous_access":false}}],"services":[{{"name":"{SERVICE}","health_path":"/health","max_connections":590,"protocol":"h1","tls":false}}],"limits":{{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}},"tenants":[{{"name":"hule930","api_keys":["{KEY}"],"rate_per_s":0}}]}}"#
-    )
-}
-
 /// Runs the case; returns whether the rule held.
 pub fn run(folder: &Path) -> Result<bool, String> {
     let with_trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
     let record = Record::create(folder)?;
     let run_folder = RunFolder::create()?;
     let store = Store::start().map_err(|error| error.to_string())?;
-    store.put("op", "config", &config());
+    store.put("op", "config", &load::config(SERVICE, 590));
     let mut old = start_replicas("old", u64::MAX, &record)?;
     old.iter().for_each(|replica| replica.register(&store, "ready", 1));
     let site = Site {
@@ -77,8 +64,7 @@
         bounds: fleet::ROLLOUT_BOUNDS,
     };
     let mut vms = fleet::start_vms(3, &site, &store, &run_folder.0)?;
-    let is_over = Arc::new(AtomicBool::new(false));
-    let clients = start_clients(&vms, &record, &is_over);
+    let load = Load::start(&vms, CLIENTS_PER_VM, CLIENT_PAUSE, &record);
     thread::sleep(STABLE + Duration::from_secs(1));
 
     let bad_from = unix_millis() + BAD_FROM.as_millis() as u64;
@@ -137,10 +123,7 @@
         }
         thread::sleep(Duration::from_millis(10));
     }
-    is_over.store(true, Ordering::Relaxed);
-    for client in clients {
-        client.join().map_err(|_| "a client panicked".to_owned())?;
-    }
+    load.stop()?;
 
     let sum = |replicas: &[Replica], word, since| -> usize {
         replicas.iter().map(|replica| replica.count_since(word, since)).sum()
@@ -181,37 +164,6 @@
     (1..=REPLICAS).map(start).collect()
 }
 
-/// Starts clients that send one request after the other to their entry VM, each on a new connection.
-fn start_clients(
-    vms: &[Vm],
-    record: &Record,
-    is_over: &Arc<AtomicBool>,
-) -> Vec<thread::JoinHandle<()>> {
-    let next = Arc::new(AtomicU64::new(1));
-    let mut clients = Vec::new();
-    for vm in vms {
-        for _ in 0..CLIENTS_PER_VM {
-            let (address, name, record) = (vm.callers, vm.name.clone(), record.clone());
-            let (next, is_over) = (Arc::clone(&next), Arc::clone(is_over));
-            clients.push(thread::spawn(move || {
-                while !is_over.load(Ordering::Relaxed) {
-                    let id = format!("q{:06}", next.fetch_add(1, Ordering::Relaxed));
-                    let text = format!(
-                        "POST /puxa403/2f HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: {id}\r\n\
-                         X-Request-Deadline: 2500\r\nX-Credential: {KEY}\r\nContent-Length: 4\r\n\
-                         Connection: close\r\n\r\nbody"
-                    );
-                    let answer = client::send(address, &text, PATIENCE);
-                    let status = answer.as_ref().map_or("none", |answer| answer.status());
-                    record.write(&format!("client of {id} at {name} got status {status}"));
-                    thread::sleep(CLIENT_PAUSE);
-                }
-            }));
-        }
-    }
-    clients
-}
-
 fn unix_millis() -> u64 {
     SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |it| it.as_millis() as u64)
 }
