Log and measure how late a VM's own event loop is

The lines could not tell a VM that takes in more than it carries from one that misjudges its targets: all times counted from when a request's head had been read. No logic changes.

--- a/crates/ryetide-gateway/src/fleet_tasks.rs
+++ b/crates/ryetide-gateway/src/fleet_tasks.rs
@@ -26,6 +26,7 @@
     fleet_view::RefreshedTargets,
     gateway_state::Gateway,
     lag_monitor::{FeedPauses, LagMonitor},
+    loop_monitor::LoopMonitor,
     overflow_log,
     peer_link::{PeerEnvelope, PeerLink, PeerMessage},
     ports::{FleetUpdate, PeerEntry},
@@ -196,10 +197,11 @@
 /// again, and updates the gauges.
 pub async fn sweep(gateway: Rc<Gateway>, refresh: Rc<RefreshSignal>, pauses: FeedPauses) {
     let mut watch = LagMonitor::new(pauses, SWEEP_INTERVAL);
+    let mut loop_monitor = LoopMonitor::default();
     let mut ticks = time::interval(SWEEP_INTERVAL);
     ticks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
     loop {
-        ticks.tick().await;
+        loop_monitor.tick(&mut ticks, &gateway).await;
         gateway.pool().sweep();
         gateway.connector().sweep(&gateway);
         ejection_report::report(&gateway);
@@ -220,6 +222,7 @@
         let revision = gateway.fleet().revision().0;
         gateway.metrics().set_levels(waiting, running, revision, gateway.fleet().target_count());
         share_monitor::update(&gateway);
+        gateway.metrics().set_connections(gateway.connection_count());
         gateway.metrics().set_tunnels(gateway.tunnel_room().borrow().open());
         gateway.metrics().set_paths_lost(gateway.connector().lost_count());
         let now = gateway.hub().clock().now();
--- a/crates/ryetide-gateway/src/gateway_metrics.rs
+++ b/crates/ryetide-gateway/src/gateway_metrics.rs
@@ -95,6 +95,8 @@
     requests_kept: Counter,
     through_peers: Counter,
     paths_lost: Gauge,
+    loop_delay: Histogram,
+    connections: Gauge,
     tunnels: Gauge,
     tunnel_replies: Family<TunnelLabels, Counter>,
 }
@@ -135,6 +137,8 @@
             requests_kept: Counter::default(),
             through_peers: Counter::default(),
             paths_lost: Gauge::default(),
+            loop_delay: Histogram::new(BUCKETS),
+            connections: Gauge::default(),
             tunnels: Gauge::default(),
             tunnel_replies: Family::default(),
         };
@@ -196,6 +200,10 @@
         registry.register("through_peers", through, metrics.through_peers.clone());
         let lost = "Targets that peers reach and this VM does not";
         registry.register("paths_lost", lost, metrics.paths_lost.clone());
+        let delay = "Time by which the event loop is late, sampled five times a second";
+        registry.register("loop_delay_seconds", delay, metrics.loop_delay.clone());
+        let open = "Open connections of callers";
+        registry.register("connections", open, metrics.connections.clone());
         let tunnels = "Connections to targets that this VM keeps open for peers";
         registry.register("tunnels", tunnels, metrics.tunnels.clone());
         let replies = "Peers' requests to open a connection to a target, by reply";
@@ -205,6 +213,16 @@
 }
 
 impl GatewayMetrics {
+    /// Records by how much the event loop is late.
+    pub fn record_loop_delay(&self, delay: Duration) {
+        self.loop_delay.observe(delay.as_secs_f64());
+    }
+
+    /// Sets the number of open connections of callers.
+    pub fn set_connections(&self, open: usize) {
+        self.connections.set(open as i64);
+    }
+
     /// Sets the state and the traffic of a rollout.
     pub fn set_rollout(&self, rollout: &ServiceRollout) {
         let order = rollout.order();
--- a/crates/ryetide-gateway/src/lib.rs
+++ b/crates/ryetide-gateway/src/lib.rs
@@ -48,6 +48,7 @@
 pub mod gateway_text;
 pub mod lag_monitor;
 mod local_future;
+mod loop_monitor;
 pub mod origin_lookup;
 mod overflow_log;
 pub mod own_headers;
