Accept connections behind what was begun, and close unread what waits too long

What callers saw: while most connections of a region went to one small VM, 260 of the 655 first attempts that were read were served, and that VM served fewer than at a third of the load.

Cause: the VM accepted and read each connection at once, whatever it had not done yet. All that it had begun then shared its processor; its loop was up to 1.1 s late, and it read requests that it then refused or gave up. Class: a bound of the process itself that nothing watches.

Change: after each accepted connection every other task has its turn, so that what was begun goes before what waits, and the VM takes in what it can carry whatever its size or the share of a core that it has. A queue that does not become empty for 400 ms (100 ms while connections were closed within a second) shows that more comes than that. All that wait are then closed unread: their callers may go elsewhere at once, and those that are served have waited for a short time. The queue is 1,024 long by our own choice, since it bounds how many are closed at a time. The decision is a type of the core.

--- a/crates/ryetide-core/src/lib.rs
+++ b/crates/ryetide-core/src/lib.rs
@@ -48,6 +48,7 @@
 //! | [`safeguard`] | switches that let tests show what each safeguard prevents |
 //! | [`ids`], [`units`], [`json_form`] | newtypes, and the JSON encoding of values |
 
+pub mod accept_queue;
 pub mod affinity;
 pub mod arbiter;
 mod arbiter_placement;
--- a/crates/ryetide-gateway/src/caller_listener.rs
+++ b/crates/ryetide-gateway/src/caller_listener.rs
@@ -1,6 +1,6 @@
 //! Accepts connections of callers and reads their requests.
 
-use std::{cell::Cell, convert::Infallible, pin::pin, rc::Rc, time::Duration};
+use std::{cell::Cell, convert::Infallible, future, pin::pin, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
@@ -12,6 +12,7 @@
     service,
 };
 use hyper_util::rt::{TokioIo, TokioTimer};
+use ryetide_core::accept_queue::{AcceptDecision, AcceptQueue};
 use tokio::{
     net::{TcpListener, TcpStream},
     task, time,
@@ -37,11 +38,28 @@
 const IDLE_FACTOR: f64 = 1.2;
 
 /// Accepts connections until the task is aborted.
+///
+/// What was begun goes before what waits: after each connection, every other task has its turn.
 pub async fn accept(gateway: Rc<Gateway>, listener: TcpListener) {
+    let mut queue = AcceptQueue::default();
     loop {
-        match listener.accept().await {
+        let accepted = future::poll_fn(|context| {
+            let accepted = listener.poll_accept(context);
+            if accepted.is_pending() {
+                queue.record_empty();
+            }
+            accepted
+        });
+        match accepted.await {
             Ok((stream, _)) => {
+                let decision = queue.accept(gateway.hub().clock().now());
+                if decision == AcceptDecision::Close {
+                    // Dropping the stream closes it.
+                    gateway.metrics().count_closed_unread();
+                    continue;
+                }
                 task::spawn_local(serve_connection(Rc::clone(&gateway), stream));
+                task::yield_now().await;
             }
             Err(error) => {
                 tracing::warn!(event = "accept-failed", step = "accept", reason = %error);
--- a/crates/ryetide-gateway/src/gateway.rs
+++ b/crates/ryetide-gateway/src/gateway.rs
@@ -5,16 +5,17 @@
 //! stream of 8 tokens and adds 0.85 ms of latency: too much for an entry VM with a quarter of a
 //! core.
 
-use std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration};
+use std::{cell::Cell, io, net::SocketAddr, rc::Rc, time::Duration};
 
 use rand::Rng;
 use ryetide::error::StepError;
 use ryetide_core::{
-    ids::Incarnation, scheduler::Scheduler, scheduler_options::SchedulerOptions,
-    scheduling_policy::SchedulingPolicy, target_speed::AssumedSpeed,
+    accept_queue::QUEUE_LENGTH, ids::Incarnation, scheduler::Scheduler,
+    scheduler_options::SchedulerOptions, scheduling_policy::SchedulingPolicy,
+    target_speed::AssumedSpeed,
 };
 use tokio::{
-    net::{TcpListener, UdpSocket},
+    net::{TcpListener, TcpSocket, UdpSocket},
     signal::unix::{self, SignalKind},
     sync::mpsc,
     task::{self, JoinSet, LocalSet},
@@ -116,7 +117,7 @@
     pub async fn bind(settings: &GatewaySettings) -> Result<Self, StepError> {
         let (peers, tunnels) = bind_peers(settings.peers).await?;
         Ok(Self {
-            callers: bind(settings.callers, "bind callers").await?,
+            callers: bind_callers(settings.callers)?,
             status: bind(settings.status, "bind status").await?,
             peers,
             tunnels,
@@ -124,6 +125,18 @@
     }
 }
 
+/// Binds the socket for callers, with a queue of the length that its admission assumes.
+fn bind_callers(address: SocketAddr) -> Result<TcpListener, StepError> {
+    let bind = || {
+        let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
+        // Connections of the process before, which are still closing, do not occupy the address.
+        socket.set_reuseaddr(true)?;
+        socket.bind(address)?;
+        socket.listen(QUEUE_LENGTH)
+    };
+    bind().map_err(|error: io::Error| StepError::new("bind callers", error).with_peer(address))
+}
+
 /// Binds the two sockets for peers to the same port. Where the address leaves the port open, the one
 /// that is free for TCP may be taken for UDP, and another one is tried.
 async fn bind_peers(address: SocketAddr) -> Result<(UdpSocket, TcpListener), StepError> {
--- a/crates/ryetide-gateway/src/gateway_metrics.rs
+++ b/crates/ryetide-gateway/src/gateway_metrics.rs
@@ -97,6 +97,7 @@
     paths_lost: Gauge,
     loop_delay: Histogram,
     connections: Gauge,
+    closed_unread: Counter,
     tunnels: Gauge,
     tunnel_replies: Family<TunnelLabels, Counter>,
 }
@@ -139,6 +140,7 @@
             paths_lost: Gauge::default(),
             loop_delay: Histogram::new(BUCKETS),
             connections: Gauge::default(),
+            closed_unread: Counter::default(),
             tunnels: Gauge::default(),
             tunnel_replies: Family::default(),
         };
@@ -204,6 +206,9 @@
         registry.register("loop_delay_seconds", delay, metrics.loop_delay.clone());
         let open = "Open connections of callers";
         registry.register("connections", open, metrics.connections.clone());
+        let closed =
+            "Connections of callers closed unread because the VM gets more than it can carry";
+        registry.register("closed_unread", closed, metrics.closed_unread.clone());
         let tunnels = "Connections to targets that this VM keeps open for peers";
         registry.register("tunnels", tunnels, metrics.tunnels.clone());
         let replies = "Peers' requests to open a connection to a target, by reply";
@@ -223,6 +228,11 @@
         self.connections.set(open as i64);
     }
 
+    /// Counts a connection of a caller that was closed unread.
+    pub fn count_closed_unread(&self) {
+        self.closed_unread.inc();
+    }
+
     /// Sets the state and the traffic of a rollout.
     pub fn set_rollout(&self, rollout: &ServiceRollout) {
         let order = rollout.order();
