Break off a stream whose bytes are no events

What callers saw: a target that answers a streaming request with bytes without end was handed on to the caller at full speed until the request's deadline, some 160 MB in 3 s without one event, at the cost of the VM's link and of all its other callers.

Cause: only streams that may be resumed were held to the largest event, since only their events are buffered. Others were forwarded as they came; answers without events had no bound where events were expected. Class: a bound that stands beside what it was written for, the buffer, and not where the bytes pass.

Change: a stream is broken off once an event is longer than 1 MB, whether its events are buffered or not, and an answer that announces no events once it is longer than any other answer may be, 4 MB.

The new test sends endless bytes as events and as text, on routes of both kinds. On the code before the stream goes on for its whole second; now it ends within 8 MB.

--- a/crates/ryetide-core/src/event_scanner.rs
+++ b/crates/ryetide-core/src/event_scanner.rs
@@ -10,6 +10,7 @@
 
 /// The largest event in bytes. A longer one is treated as an error.
 const EVENT_LIMIT: usize = 1 << 20;
+
 /// Splits a stream into complete events.
 ///
 /// # Example
@@ -26,6 +27,8 @@
 #[derive(Debug, Default)]
 pub struct EventScanner {
     partial: BytesMut,
+    /// The bytes since the last complete event that were observed.
+    observed: usize,
     tracker: EventTracker,
 }
 
@@ -51,8 +54,15 @@
     }
 
     /// Follows bytes of the stream that are forwarded as they are.
-    pub fn observe(&mut self, bytes: &[u8]) {
-        self.tracker.scan(bytes);
+    ///
+    /// # Errors
+    ///
+    /// Returns [`EventTooLong`] when an incomplete event exceeds the size limit.
+    pub fn observe(&mut self, bytes: &[u8]) -> Result<(), EventTooLong> {
+        let end = self.tracker.scan(bytes);
+        let before = if end.is_some() { 0 } else { self.observed };
+        self.observed = before + bytes.len() - end.unwrap_or_default();
+        if self.observed > EVENT_LIMIT { Err(EventTooLong) } else { Ok(()) }
     }
 
     /// Returns the id of the last complete event that has one.
--- a/crates/ryetide-gateway/src/relay.rs
+++ b/crates/ryetide-gateway/src/relay.rs
@@ -24,6 +24,9 @@
 /// several times the longest pause that meets the objective, and well before callers disconnect.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// The largest answer that is forwarded where events were expected and none are announced.
+const MAX_PLAIN_ANSWER: usize = 4 << 20;
+
 /// A stream that is being forwarded.
 pub struct StreamRelay {
     exchange: Exchange,
@@ -32,6 +35,8 @@
     scanner: EventScanner,
     /// Whether the stream consists of events.
     has_events: bool,
+    /// The bytes forwarded of a stream that does not consist of events.
+    forwarded: usize,
     pieces: u64,
 }
 
@@ -40,7 +45,7 @@
     pub fn new(exchange: Exchange, answer: TargetAnswer) -> Self {
         let has_events = exchange.is_repeatable() || may_hold_events(&answer.head.headers);
         let scanner = EventScanner::default();
-        Self { exchange, answer: Some(answer), scanner, has_events, pieces: 0 }
+        Self { exchange, answer: Some(answer), scanner, has_events, forwarded: 0, pieces: 0 }
     }
 
     /// Returns the exchange of a stream that could not start.
@@ -148,10 +153,15 @@
     /// another target may have to send it again.
     fn scan(&mut self, data: Bytes) -> Result<Bytes, RelayFault> {
         if self.exchange.is_repeatable() {
-            return self.scanner.push(&data).map_err(|_| RelayFault::Broken);
+            return self.scanner.push(&data).map_err(|_| RelayFault::TooLarge);
         }
         if self.has_events {
-            self.scanner.observe(&data);
+            self.scanner.observe(&data).map_err(|_| RelayFault::TooLarge)?;
+            return Ok(data);
+        }
+        self.forwarded += data.len();
+        if self.forwarded > MAX_PLAIN_ANSWER {
+            return Err(RelayFault::TooLarge);
         }
         Ok(data)
     }
--- a/crates/ryetide-gateway/src/relay_fault.rs
+++ b/crates/ryetide-gateway/src/relay_fault.rs
@@ -10,6 +10,9 @@
     /// The stream ended inside an event.
     #[error("the stream from the target ended inside an event")]
     Truncated,
+    /// An event, or an answer that holds no events, is larger than permitted.
+    #[error("the stream from the target holds more bytes than an event may")]
+    TooLarge,
     /// No event was received within the timeout.
     #[error("the target sent no event in time")]
     Silent,
--- a/crates/ryetide-gateway/src/run_fault.rs
+++ b/crates/ryetide-gateway/src/run_fault.rs
@@ -12,6 +12,8 @@
     Broken,
     /// The answer ended early, in an orderly way.
     Truncated,
+    /// The answer, or an event of it, is larger than permitted.
+    TooLarge,
     /// The target's process was restarted.
     Restarted,
     /// Nothing was received within the timeout.
@@ -53,6 +55,7 @@
         match fault {
             RelayFault::Broken => Self::Broken,
             RelayFault::Truncated => Self::Truncated,
+            RelayFault::TooLarge => Self::TooLarge,
             RelayFault::Silent => Self::Silent,
             RelayFault::TimedOut => Self::TimedOut,
         }
@@ -62,7 +65,8 @@
 impl From<BodyFault> for RunFault {
     fn from(fault: BodyFault) -> Self {
         match fault {
-            BodyFault::Broken(_) | BodyFault::TooLarge(_) => Self::Broken,
+            BodyFault::Broken(_) => Self::Broken,
+            BodyFault::TooLarge(_) => Self::TooLarge,
             BodyFault::Truncated => Self::Truncated,
             BodyFault::TargetEnded => Self::Restarted,
         }
--- a/crates/ryetide-gateway/tests/serving/streams.rs
+++ b/crates/ryetide-gateway/tests/serving/streams.rs
@@ -242,3 +242,50 @@
         assert_eq!(first.count() + second.count(), 1);
     });
 }
+
+/// Sends bytes that never end, as the body of an answer of this content type.
+fn endless(
+    request: Message,
+    mut wire: Wire,
+    content_type: &str,
+) -> LocalFuture<'static, Option<Wire>> {
+    let head =
+        format!("{}content-type: {content_type}\r\n\r\n", support::signed(&request, "200 OK"));
+    Box::pin(async move {
+        wire.send(&head).await;
+        let piece = "x".repeat(ENDLESS_PIECE);
+        while wire.try_send(&piece).await {}
+        None
+    })
+}
+
+fn endless_event(request: Message, wire: Wire) -> LocalFuture<'static, Option<Wire>> {
+    endless(request, wire, "text/event-stream")
+}
+
+fn endless_text(request: Message, wire: Wire) -> LocalFuture<'static, Option<Wire>> {
+    endless(request, wire, "text/plain")
+}
+
+const ENDLESS_PIECE: usize = 16 << 10;
+/// More than any event or plain answer that is forwarded, and what buffers may hold beside it.
+const ENDLESS_LIMIT: usize = 8 << 20;
+
+/// Guards against bytes without end that fill a VM's link until the request's deadline.
+#[test]
+fn a_stream_of_bytes_that_are_no_events_is_broken_off() {
+    support::run(async {
+        for script in [endless_event, endless_text] {
+            for kind in [ONCE, RESUMABLE] {
+                let target = Target::start("t1", script).await;
+                let gateway = Gateway::serving(support::route(kind, 1), &[&target]).await;
+                let mut wire = gateway.call().await;
+                wire.send(&support::request("POST", "q1", "connection: close\r\n", "body")).await;
+                let limit = Duration::from_secs(1);
+                let received = time::timeout(limit, wire.count_to_end()).await;
+                let received = received.unwrap_or_else(|_| panic!("{kind:?}: the stream goes on"));
+                assert!(received < ENDLESS_LIMIT, "{kind:?}: {received} bytes");
+            }
+        }
+    });
+}
--- a/crates/ryetide-gateway/tests/serving/support.rs
+++ b/crates/ryetide-gateway/tests/serving/support.rs
@@ -71,6 +71,23 @@
         self.stream.write_all(text.as_bytes()).await.expect("a peer that reads");
     }
 
+    /// Sends text; returns whether the connection is still open.
+    pub async fn try_send(&mut self, text: &str) -> bool {
+        self.stream.write_all(text.as_bytes()).await.is_ok()
+    }
+
+    /// Reads to the end of the connection and returns the number of bytes.
+    pub async fn count_to_end(&mut self) -> usize {
+        let mut count = self.read.len();
+        let mut piece = vec![0; 64 << 10];
+        loop {
+            match self.stream.read(&mut piece).await {
+                Ok(0) | Err(_) => return count,
+                Ok(length) => count += length,
+            }
+        }
+    }
+
     /// Reads until `end` and returns everything up to and including it.
     pub async fn read_to(&mut self, end: &str) -> Option<String> {
         loop {
