Hold back connections of ryetided behind what it has begun

What callers would see: a daemon that gets four times what its processor carries answers nothing in time. 960 calls a second at a daemon with 0.2 of a core (unoptimised build) that answers 240 a second in time: of 1,920 calls 0 are answered within 1.2 s, 1,660 later and 239 are refused.

The server's own thread accepts all connections, and the thread that serves callers reads all of them at once, so that requests wait behind each other on the way through the daemon.

Change: each accepted connection waits, unread, for its turn after everything that was begun; the same queue decides which are closed. The server is built from the library's parts, as its wrapper does, since only these let a connection be refused before it is read.

--- a/crates/ryetided/tests/processes/main.rs
+++ b/crates/ryetided/tests/processes/main.rs
@@ -5,5 +5,8 @@
 mod crashes;
 mod failures;
 mod notices;
+mod overload;
+#[path = "../../../../platform/tests/leaning/processor.rs"]
+mod processor;
 mod serving;
 mod support;
--- a/src/caller_edge.rs
+++ b/src/caller_edge.rs
@@ -14,12 +14,12 @@
 
 use bytes::Bytes;
 use ntex::{
-    http::{HttpServiceConfig, KeepAlive, header},
-    server::Server,
+    http::{HttpService, HttpServiceConfig, KeepAlive, header},
+    server::{self, Server},
     service::cfg::SharedCfg,
     time::Seconds,
     util::Stream,
-    web::{self, App, HttpRequest, HttpResponse, HttpServer},
+    web::{self, App, HttpRequest, HttpResponse},
 };
 use ryetide_core::{
     event::{AnswerHead, Event, FinalAnswer, TargetCall},
@@ -30,6 +30,7 @@
 use crate::{
     answer_buffer::{AnswerBuffer, AnswerOverflow, AnswerPart},
     caller_answer::{self, ANSWERED},
+    caller_gate::CallerGate,
     caller_request::{self, CallerHeaders, ModelRequest, ReadFault},
     error::StepError,
     request_report::ReportCommand,
@@ -117,16 +118,24 @@
             App::new().state(edge).default_service(web::to(handle))
         }
     };
-    let config = HttpServiceConfig::new()
-        .set_keepalive(KeepAlive::Timeout(KEEP_ALIVE))
-        .set_client_timeout(HEADER_TIMEOUT);
-    let server = HttpServer::new(factory)
+    let config = || {
+        HttpServiceConfig::new()
+            .set_keepalive(KeepAlive::Timeout(KEEP_ALIVE))
+            .set_client_timeout(HEADER_TIMEOUT)
+    };
+    let gate = Arc::new(CallerGate::default());
+    let admit =
+        async move |_: Arc<str>, stream: server::Stream| gate.enter().await.map(|()| stream);
+    let server = server::build()
         .workers(1)
         .maxconn(CONNECTION_LIMIT)
         .backlog(BACKLOG)
         .disable_signals()
-        .config(SharedCfg::new("callers").add(config))
-        .listen(listener)
+        .on_accept(admit)
+        .listen("callers", listener, async move |socket| {
+            socket.config(SharedCfg::new("callers").add(config()));
+            HttpService::new(factory().await)
+        })
         .map_err(|error| StepError::new("listen for callers", error))?;
     Ok(server.run())
 }
--- /dev/null
+++ b/src/caller_gate.rs
@@ -0,0 +1,104 @@
+//! Decides which accepted connections of callers are served.
+//!
+//! The server accepts connections on a thread of its own. Each then waits here, before any of it is
+//! read, until the thread that serves callers has given a turn to everything that it has begun. So
+//! connections queue up here, and not behind requests that were read, when a VM gets more than it
+//! can carry.
+
+use std::{
+    sync::{
+        Mutex, PoisonError,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use ryetide_core::{
+    accept_queue::{AcceptDecision, AcceptQueue},
+    units::Moment,
+};
+use tokio::{sync::Semaphore, task};
+
+/// The shortest time between two log lines about closed connections.
+const LOG_INTERVAL: Duration = Duration::from_secs(1);
+
+/// A connection was closed before its request was read.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
+#[error("the VM gets more connections than it can carry")]
+pub struct ClosedUnread;
+
+/// The queue of accepted connections whose requests have not been read.
+#[derive(Debug)]
+pub struct CallerGate {
+    started: Instant,
+    /// Held by the connection whose turn it is. Turns are given in order.
+    turn: Semaphore,
+    waiting: AtomicUsize,
+    queue: Mutex<AcceptQueue>,
+    closed: Mutex<ClosedCount>,
+}
+
+/// The connections closed since the last log line.
+#[derive(Debug, Default)]
+struct ClosedCount {
+    count: u32,
+    logged_at: Option<Instant>,
+}
+
+impl ClosedCount {
+    fn record(&mut self) {
+        self.count += 1;
+        if self.logged_at.is_none_or(|at| at.elapsed() >= LOG_INTERVAL) {
+            tracing::warn!(event = "callers-closed-unread", step = "accept", count = self.count);
+            *self = Self { count: 0, logged_at: Some(Instant::now()) };
+        }
+    }
+}
+
+impl Default for CallerGate {
+    fn default() -> Self {
+        Self {
+            started: Instant::now(),
+            turn: Semaphore::new(1),
+            waiting: AtomicUsize::new(0),
+            queue: Mutex::default(),
+            closed: Mutex::default(),
+        }
+    }
+}
+
+impl CallerGate {
+    /// Waits until a connection may be served.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ClosedUnread`] when it is to be closed instead.
+    pub async fn enter(&self) -> Result<(), ClosedUnread> {
+        self.waiting.fetch_add(1, Ordering::SeqCst);
+        // The semaphore is never closed.
+        let _turn = self.turn.acquire().await;
+        let decision = self.with_queue(|queue| queue.accept(self.now()));
+        if decision == AcceptDecision::Serve {
+            task::yield_now().await;
+        }
+        if self.waiting.fetch_sub(1, Ordering::SeqCst) == 1 {
+            self.with_queue(AcceptQueue::record_empty);
+        }
+        match decision {
+            AcceptDecision::Serve => Ok(()),
+            AcceptDecision::Close => {
+                self.closed.lock().unwrap_or_else(PoisonError::into_inner).record();
+                Err(ClosedUnread)
+            }
+        }
+    }
+
+    fn with_queue<T>(&self, act: impl FnOnce(&mut AcceptQueue) -> T) -> T {
+        act(&mut self.queue.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    fn now(&self) -> Moment {
+        let micros = u64::try_from(self.started.elapsed().as_micros()).unwrap_or(u64::MAX);
+        Moment(micros)
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod answer_buffer;
 pub mod caller_answer;
 pub mod caller_edge;
+pub mod caller_gate;
 pub mod caller_request;
 pub mod daemon;
 pub mod deployment_keys;
