Take no answer for whole because its target leaves

Cause: the check that tells the end of such an answer from a crash was skipped for targets that leave or have no entry, and an address that answers was taken for the target that had answered, also where another had it. Class: a check that is skipped because of what is believed of a target.

Change: the end of an answer has a type of its own, decided in one place for every kind of body and a target in any state; whatever is not whole is broken off or resumed. Ruled out: asking only whether the target's entry is in force, since a replica that is cut off from the store has none and serves on.

--- a/crates/ryetide-gateway/src/caller_service.rs
+++ b/crates/ryetide-gateway/src/caller_service.rs
@@ -10,6 +10,7 @@
 };
 
 use crate::{
+    answer_end::AnswerEnd,
     caller_answer::{AnswerBody, CallerResponse, OwnAnswer, OwnReason},
     exchange::{CallerRequest, DispatchEnd, Exchange},
     gateway_state::Gateway,
@@ -118,9 +119,10 @@
             }
         };
         let read = match read {
-            Ok(Ok(_)) if !exchange.confirm_end(&answer.target).await => {
-                Ok(Err(BodyFault::Truncated))
-            }
+            Ok(Ok(body)) => match exchange.answer_end(&answer.target).await {
+                AnswerEnd::Whole => Ok(Ok(body)),
+                AnswerEnd::BrokenOff | AnswerEnd::Unknown => Ok(Err(BodyFault::Truncated)),
+            },
             read => read,
         };
         match read {
--- a/crates/ryetide-gateway/src/exchange.rs
+++ b/crates/ryetide-gateway/src/exchange.rs
@@ -30,6 +30,7 @@
 use tokio::time::{self, Instant};
 
 use crate::{
+    answer_end::{self, AnswerEnd},
     caller_answer::{CallerResponse, OwnAnswer, OwnReason},
     decision_log::{EndedRun, ExchangeTimings, LogId, RefusalEvidence},
     fault_detector::{BrokenRun, FaultDetector},
@@ -43,7 +44,6 @@
     scheduler_hub::RequestTicket,
     stream_binding::StreamBinding,
     target_answer::{self, AnswerFraming, AnswerKind, TargetAnswer},
-    target_connector::TargetReachability,
     target_notices,
     target_pool::ConnectionChoice,
 };
@@ -302,17 +302,12 @@
         self.framing == Some(AnswerFraming::Connection)
     }
 
-    /// Returns whether an answer of `target` that was read to its end is whole. Where the end of its
-    /// connection marks the end, the connection may also have ended because the target has crashed;
-    /// its address then refuses others.
-    pub async fn confirm_end(&self, target: &TargetEntry) -> bool {
-        if !self.ends_with_connection() || self.gateway.fleet().has_left(target) {
-            return true;
-        }
-        let request = self.log_id().id;
-        let examining = self.gateway.connector().examine(&self.gateway, request, target);
-        let reachability = time::timeout_at(self.timeout_at(), examining).await;
-        matches!(reachability, Ok(TargetReachability::Reached | TargetReachability::ReachedByPeer))
+    /// Finds out how an answer of `target` that was read to its end has ended.
+    pub async fn answer_end(&self, target: &TargetEntry) -> AnswerEnd {
+        // An answer without a known framing has no body that could be broken off.
+        let framing = self.framing.unwrap_or(AnswerFraming::Length);
+        let (request, timeout_at) = (self.log_id().id, self.timeout_at());
+        answer_end::examine(&self.gateway, request, target, framing, timeout_at).await
     }
 
     /// Returns whether the caller has received a part of the stream in an earlier attempt.
--- a/crates/ryetide-gateway/src/fleet_view.rs
+++ b/crates/ryetide-gateway/src/fleet_view.rs
@@ -106,6 +106,14 @@
         found.is_none_or(|entry| entry.leaving || entry.incarnation != target.incarnation)
     }
 
+    /// Returns whether another target, or another incarnation of this one, is known to have its
+    /// address now.
+    pub fn is_address_reused(&self, target: &TargetEntry) -> bool {
+        let current = self.current.borrow();
+        let mut found = current.iter().filter(|entry| entry.address == target.address);
+        found.any(|it| it.name != target.name || it.incarnation != target.incarnation)
+    }
+
     /// Waits until a later incarnation of a target is known.
     ///
     /// Whatever was sent to the earlier incarnation is lost then. If its VM lost power, the old
--- a/crates/ryetide-gateway/src/lib.rs
+++ b/crates/ryetide-gateway/src/lib.rs
@@ -29,6 +29,7 @@
 //! | [`gateway_text`], [`file_feed`], [`own_headers`] | a gateway without a platform |
 //! | [`status_port`], [`gateway_metrics`], [`decision_log`], `ejection_report`, `overflow_log`, [`share_monitor`], [`target_changes`] | readiness, metrics, logs |
 
+mod answer_end;
 pub mod caller_answer;
 pub mod caller_listener;
 pub mod caller_service;
--- a/crates/ryetide-gateway/src/relay.rs
+++ b/crates/ryetide-gateway/src/relay.rs
@@ -14,6 +14,7 @@
 use ryetide_core::{decision::RunEnd, event_scanner::EventScanner, event_tracker};
 
 use crate::{
+    answer_end::AnswerEnd,
     caller_answer::PieceStream,
     exchange::{DispatchEnd, Exchange, RunProgress},
     relay_fault::RelayFault,
@@ -71,22 +72,32 @@
                     self.exchange.record_piece();
                     return Ok(Some(piece));
                 }
-                Ok(None) => match self.answer.take() {
-                    Some(answer) if !self.exchange.confirm_end(&answer.target).await => {
-                        self.answer = Some(answer);
-                        self.resume_elsewhere(RelayFault::Truncated).await?;
-                    }
-                    answer => {
+                Ok(None) => match self.answer_end().await {
+                    AnswerEnd::Whole => {
                         self.exchange.finish(RunEnd::Whole);
-                        answer.into_iter().for_each(|it| self.exchange.keep_connection(it));
+                        self.answer
+                            .take()
+                            .into_iter()
+                            .for_each(|it| self.exchange.keep_connection(it));
                         return Ok(None);
                     }
+                    AnswerEnd::BrokenOff | AnswerEnd::Unknown => {
+                        self.resume_elsewhere(RelayFault::Truncated).await?;
+                    }
                 },
                 Err(fault) => self.resume_elsewhere(fault).await?,
             }
         }
     }
 
+    /// Finds out how the answer, which was read to its end, has ended.
+    async fn answer_end(&self) -> AnswerEnd {
+        match &self.answer {
+            Some(answer) => self.exchange.answer_end(&answer.target).await,
+            None => AnswerEnd::Whole,
+        }
+    }
+
     /// Turns the relay into a stream of `first` and the pieces that follow it.
     pub fn into_pieces(self, first: Option<Bytes>) -> PieceStream {
         struct Pieces {
--- a/crates/ryetide-gateway/tests/serving/support.rs
+++ b/crates/ryetide-gateway/tests/serving/support.rs
@@ -425,6 +425,12 @@
     }
 
     /// Sets the targets, and waits until the gateway is ready with them.
+    /// Lets the feed report these targets, and gives the gateway time to read that.
+    pub async fn send_targets(&self, entries: Vec<TargetEntry>) {
+        self.send_update(FleetUpdate::Targets(RegistryUpdate::whole(entries), 0)).await;
+        let_bytes_arrive().await;
+    }
+
     pub async fn set_targets(&self, entries: Vec<TargetEntry>) {
         self.send_update(FleetUpdate::Targets(RegistryUpdate::whole(entries), 0)).await;
         while self.ready().await != 200 {
--- a/crates/ryetide-gateway/tests/serving/unframed.rs
+++ b/crates/ryetide-gateway/tests/serving/unframed.rs
@@ -236,6 +236,83 @@
     });
 }
 
+/// What becomes of a target while it answers.
+#[derive(Clone, Copy, Debug)]
+enum Change {
+    /// Its entry says that it leaves.
+    Leaves,
+    /// Its entry is gone.
+    Lapses,
+    /// Another target has its address.
+    Replaced,
+}
+
+impl Change {
+    fn entries(self, target: &TargetEntry) -> Vec<TargetEntry> {
+        match self {
+            Self::Leaves => vec![TargetEntry { leaving: true, ..target.clone() }],
+            Self::Lapses => Vec::new(),
+            Self::Replaced => vec![TargetEntry { name: "t2".into(), ..target.clone() }],
+        }
+    }
+}
+
+/// Asks a target that `change` meets while it answers `body`, and that has `ended` once its connection
+/// ends.
+async fn ask_changed(
+    kind: RouteKind,
+    change: Change,
+    ended: bool,
+    body: &'static str,
+) -> StreamEnd {
+    let listener = TcpListener::bind(("127.0.0.4", 0)).await.expect("a port");
+    let entry = support::entry("t1", listener.local_addr().expect("an address"));
+    let gateway = Gateway::serving(support::route(kind, 1), &[]).await;
+    gateway.set_targets(vec![entry.clone()]).await;
+    let answering = async {
+        let (stream, _) = listener.accept().await.expect("a connection");
+        let mut wire = Wire::new(stream);
+        let request = wire.read_message().await.expect("a request");
+        gateway.send_targets(change.entries(&entry)).await;
+        let kept = if ended { None } else { Some(listener) };
+        wire.send(&format!("{}\r\n{body}", support::signed(&request, "200 OK"))).await;
+        kept
+    };
+    let (end, _listener) = tokio::join!(ask(&gateway, "", "body"), answering);
+    end
+}
+
+/// Guards against a part of an answer that looks complete because its target had said that it leaves, or
+/// had no entry, before it crashed.
+#[test]
+fn an_answer_whose_target_crashes_while_it_leaves_does_not_look_complete() {
+    support::run(async {
+        let body = "id: 1\ndata: a\n\n";
+        for kind in [ONCE, RESUMABLE, RouteKind::OnceOnly] {
+            for change in [Change::Leaves, Change::Lapses, Change::Replaced] {
+                let end = ask_changed(kind, change, true, body).await;
+                assert!(!matches!(end, StreamEnd::Complete(_)), "{kind:?} {change:?}: {end:?}");
+            }
+            let end = ask_changed(kind, Change::Replaced, false, body).await;
+            assert!(!matches!(end, StreamEnd::Complete(_)), "{kind:?}: {end:?}");
+        }
+    });
+}
+
+/// Guards against whole answers that are withheld because their target leaves.
+#[test]
+fn a_whole_answer_of_a_target_that_leaves_is_complete() {
+    support::run(async {
+        let body = "id: 1\ndata: a\n\n";
+        for kind in [ONCE, RESUMABLE] {
+            for change in [Change::Leaves, Change::Lapses] {
+                let end = ask_changed(kind, change, false, body).await;
+                assert_eq!(end, StreamEnd::Complete(body.to_owned()), "{kind:?} {change:?}");
+            }
+        }
+    });
+}
+
 /// Guards against counting a stream that broke off as answered.
 #[test]
 fn a_stream_that_ends_with_its_connection_inside_an_event_is_not_counted_as_answered() {
