Keep a signal to a follower of the store until it is heeded

Cause: the follower whose call times out first signals the others, and one that pauses after a change did not hear it. Class: an edge that is heard only by who waits at that moment.

Change: signals are counted, and heeded before the next call on a new connection; a call waits for what is left since the last answer; calls are answered at once while the store counts as lost. One call more for each table after a change.

Two tests give the exact waits of calls and now expect the new ones, as strictly.

The model's silent cut had answered its calls, so that it checked nothing. It hangs them now.

--- a/crates/ryetide-gateway/src/table_follower.rs
+++ b/crates/ryetide-gateway/src/table_follower.rs
@@ -31,9 +31,12 @@
 const LONGEST_WAIT: Duration = Duration::from_secs(20);
 /// How much later than the requested wait the answer to a long-poll call may arrive.
 pub const FOLLOW_MARGIN: Duration = Duration::from_millis(700);
-/// The wait of a long-poll call after a failed one. It is short, since the store may stop answering
-/// again.
-const LOST_WAIT: Duration = Duration::from_millis(1_000);
+/// The wait of a call while the store counts as lost: its answer shows that the store is back, and
+/// the followers of the other tables wait for that.
+const LOST_WAIT: Duration = Duration::ZERO;
+/// The shortest wait of a call after a pause, which is a part of the time in which a connection that
+/// hangs is detected.
+const SHORTEST_WAIT: Duration = Duration::from_millis(200);
 /// For how long after an outage targets may still restore their entries. A target writes its entry
 /// about every second, and the entry expires after three missed writes.
 const RECOVERY_PERIOD: Duration = Duration::from_secs(4);
@@ -150,6 +153,10 @@
     must_watch: watch::Receiver<bool>,
     /// Changes that peers relay.
     relayed: broadcast::Receiver<Rc<RelayedChange>>,
+    /// The signals to query the store that were heeded.
+    heeded: u64,
+    /// When the store last answered on the open connection, if one is open.
+    answered_at: Option<Instant>,
     /// Whether the last call to the store failed.
     lost: bool,
     /// When the store last became available again.
@@ -177,6 +184,8 @@
             channels,
             version: 0,
             changed: 0,
+            heeded: 0,
+            answered_at: None,
             lost: false,
             recovered_at: None,
             grace_until: None,
@@ -204,6 +213,8 @@
                 }
                 Ok(rows) => {
                     let changed = !rows.rows.is_empty();
+                    self.answered_at = Some(Instant::now());
+                    self.heed_signals();
                     self.handle_recovery().await;
                     if EraVersion::from_packed(rows.version).era
                         > EraVersion::from_packed(self.version).era
@@ -253,6 +264,9 @@
     /// has changed. Dropping the call closes its connection, which may hang, and the next call
     /// opens another.
     async fn follow(&mut self) -> Option<Result<TableRows, TableFault>> {
+        if self.channels.refresh.count(self.pace.table) > self.heeded {
+            self.reconnect();
+        }
         // A VM that has lost the store keeps calling it: only an answer of the store itself starts
         // the grace period after which missing rows count as gone.
         let passive = self.pace.is_relayed() && !*self.must_watch.borrow_and_update() && !self.lost;
@@ -266,14 +280,19 @@
             LOST_WAIT
         } else {
             self.publish_position(true);
-            self.pace.draw_wait(self.channels.fleet_size.get(), &mut rand::rng())
+            let wait = self.pace.draw_wait(self.channels.fleet_size.get(), &mut rand::rng());
+            // A connection may have hung since the store last answered on it.
+            let unused = self.answered_at.map_or(Duration::ZERO, |at| at.elapsed());
+            wait.saturating_sub(unused).max(SHORTEST_WAIT)
         };
         let limit = if passive { CALL_LIMIT } else { wait + FOLLOW_MARGIN };
         let (refresh, seen, lost) = (Rc::clone(&self.channels.refresh), self.version, self.lost);
+        let heeded = self.heeded;
         let (table, relayed) = (self.pace.table, self.pace.is_relayed());
         let outcome = tokio::select! {
             outcome = self.table.follow(seen, wait, limit) => outcome,
-            () = refresh.notified(table), if !passive => {
+            () = refresh.given_after(table, heeded), if !passive => {
+                self.reconnect();
                 // If this call hangs, the one for the rows of VMs may hang too, and peers cannot
                 // detect that.
                 if table != FleetTable::Vms {
@@ -306,7 +325,7 @@
         loop {
             tokio::select! {
                 () = time::sleep_until(until) => return,
-                () = refresh.notified(self.pace.table), if probes => return,
+                () = refresh.given_after(self.pace.table, self.heeded), if probes => return,
                 () = relay.outage().ended(), if !probes => return,
                 _ = self.must_watch.changed(), if relayed => return,
                 change = next_change(&mut self.relayed, self.pace.table), if relayed => {
@@ -320,7 +339,7 @@
     /// missed a change, or must watch.
     async fn follow_peers(&mut self) {
         self.publish_position(false);
-        self.table.disconnect();
+        self.reconnect();
         self.relayed = self.relayed.resubscribe();
         let refresh = Rc::clone(&self.channels.refresh);
         let mut behind = 0;
@@ -328,7 +347,7 @@
         while behind < PASSIVE_BEHIND_LIMIT {
             tokio::select! {
                 _ = self.must_watch.changed() => return,
-                () = refresh.notified(self.pace.table) => return,
+                () = refresh.given_after(self.pace.table, self.heeded) => return,
                 change = self.relayed.recv() => match change {
                     Ok(change) if self.apply_relayed(&change).await => {}
                     // Changes were dropped unread, or a change before this one is missing.
@@ -478,6 +497,20 @@
             // The calls for the other tables may hang as this one did.
             self.channels.refresh.notify_all();
         }
+        // The next call opens a new connection.
+        self.answered_at = None;
+        self.heed_signals();
+    }
+
+    /// Closes the connection, which may hang.
+    fn reconnect(&mut self) {
+        self.table.disconnect();
+        self.answered_at = None;
+        self.heed_signals();
+    }
+
+    fn heed_signals(&mut self) {
+        self.heeded = self.channels.refresh.count(self.pace.table);
     }
 
     async fn send(&self, updates: impl IntoIterator<Item = FleetUpdate>) {
--- a/crates/ryetide-gateway/tests/table_follower/eras.rs
+++ b/crates/ryetide-gateway/tests/table_follower/eras.rs
@@ -56,8 +56,18 @@
 /// or that wait for changes after a version which the store assigns a second time.
 #[tokio::test(start_paused = true)]
 async fn a_target_that_goes_after_a_restore_gets_no_new_work_beyond_the_bounds() {
+    check_restores(CutKind::Refused).await;
+}
+
+/// The same after a restore before which the VMs' calls hang.
+#[tokio::test(start_paused = true)]
+async fn a_target_that_goes_after_calls_hung_and_a_restore_gets_no_new_work_beyond_the_bounds() {
+    check_restores(CutKind::Silent).await;
+}
+
+async fn check_restores(kind: CutKind) {
     for passive in [false, true] {
-        for kind in [CutKind::Refused, CutKind::Silent] {
+        {
             for ends in (0..6_000).step_by(200).map(Duration::from_millis) {
                 let case = async {
                     let pair = Pair::start(passive).await;
--- a/crates/ryetide-gateway/tests/table_follower/leaving.rs
+++ b/crates/ryetide-gateway/tests/table_follower/leaving.rs
@@ -17,6 +17,9 @@
 /// The step between the times at which the entry is deleted.
 const STEP: Duration = Duration::from_millis(100);
 
+/// The ways in which a VM is cut off.
+const CUTS: [CutKind; 2] = [CutKind::Refused, CutKind::Silent];
+
 /// What a VM does after the cut.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum AfterCut {
@@ -102,10 +105,10 @@
 
 /// Returns the longest overrun and its case. Deletes the entry at each step from the start of the
 /// cut until seconds after it, for each kind of cut and each pair of bounds that deployments use.
-async fn worst(after: AfterCut) -> (Duration, LeavingCase) {
+async fn worst(after: AfterCut, cuts: &[CutKind]) -> (Duration, LeavingCase) {
     let mut worst = None;
     for bounds in [bounds(2, 3), bounds(3, 4), bounds(4, 5)] {
-        for cut in [CutKind::Refused, CutKind::Silent] {
+        for &cut in cuts {
             for step in 0..80 {
                 let case = LeavingCase { bounds, cut, after, deleted_after: STEP * step };
                 let overrun = case.overrun().await;
@@ -125,14 +128,21 @@
 /// the two times is within the bounds alone.
 #[tokio::test(start_paused = true)]
 async fn a_target_that_goes_after_a_cut_gets_no_new_work_beyond_the_bounds() {
-    let (overrun, case) = worst(AfterCut::Passive).await;
+    let (overrun, case) = worst(AfterCut::Passive, &CUTS).await;
     assert!(overrun.is_zero(), "{case}: {overrun:?} too long");
 }
 
 /// The same on a VM that watches the store itself, and so gets changes without a peer's pause.
 #[tokio::test(start_paused = true)]
 async fn a_watching_vm_gives_no_new_work_beyond_the_bounds() {
-    let (overrun, case) = worst(AfterCut::Watches).await;
+    let (overrun, case) = worst(AfterCut::Watches, &[CutKind::Refused]).await;
+    assert!(overrun.is_zero(), "{case}: {overrun:?} too long");
+}
+
+/// The same after a cut in which the VM's calls hang.
+#[tokio::test(start_paused = true)]
+async fn a_watching_vm_whose_calls_hang_gives_no_new_work_beyond_the_bounds() {
+    let (overrun, case) = worst(AfterCut::Watches, &[CutKind::Silent]).await;
     assert!(overrun.is_zero(), "{case}: {overrun:?} too long");
 }
 
@@ -141,7 +151,7 @@
 /// not add to the grace period.
 #[tokio::test(start_paused = true)]
 async fn a_lost_datagram_and_a_grace_period_do_not_add_up() {
-    let (overrun, case) = worst(AfterCut::PassiveWithLoss).await;
+    let (overrun, case) = worst(AfterCut::PassiveWithLoss, &CUTS).await;
     assert!(overrun.is_zero(), "{case}: {overrun:?} too long");
 }
 
--- a/crates/ryetide-gateway/tests/table_follower/main.rs
+++ b/crates/ryetide-gateway/tests/table_follower/main.rs
@@ -5,6 +5,7 @@
 mod leaving;
 mod model_store;
 mod passive;
+mod silence;
 mod support;
 
 use std::time::Duration;
@@ -33,7 +34,7 @@
     let updates = follow(&script, Duration::ZERO).await;
     assert_eq!(updates, ["2 rows", "3 rows"]);
     let calls = script.calls();
-    assert_eq!(calls[1], Call::Follow(9, PACE.wait));
+    assert_eq!(calls[1], Call::Follow(9, PACE.wait - PACE.pause));
     assert_eq!(calls[2..5], [Call::ReadAll, Call::ReadAll, Call::ReadAll]);
 }
 
@@ -52,9 +53,10 @@
     let updates = follow(&script, Duration::ZERO).await;
     assert_eq!(updates, ["1 rows", "SourceLost", "SourceBack"]);
     let waits: Vec<Call> = script.calls()[1..].to_vec();
-    let short = Call::Follow(3, Duration::from_secs(1));
+    let paused = Call::Follow(3, PACE.wait - PACE.pause);
+    let short = Call::Follow(3, Duration::ZERO);
     let long = Call::Follow(3, PACE.wait);
-    assert_eq!(waits, [long.clone(), short.clone(), short.clone(), short, long]);
+    assert_eq!(waits, [paused, short.clone(), short.clone(), short, long]);
 }
 
 /// Guards against targets that get new work for too long after an outage of the store. For some
--- a/crates/ryetide-gateway/tests/table_follower/model_store.rs
+++ b/crates/ryetide-gateway/tests/table_follower/model_store.rs
@@ -44,6 +44,9 @@
 /// How soon the store answers or refuses a call.
 const ANSWER_TIME: Duration = Duration::from_millis(4);
 
+/// The entry of a target that leaves.
+const LEAVING: &[u8] = b"draining";
+
 /// Rows by table and key, each with the version of its last change and its value; `None` for the
 /// value of a deleted row.
 type Rows = BTreeMap<(String, String), (u64, Option<Bytes>)>;
@@ -88,6 +91,11 @@
         self.put(FleetTable::Targets, target, b"ready");
     }
 
+    /// Writes into the entry of a target that it leaves.
+    pub fn announce_leaving(&self, target: &str) {
+        self.put(FleetTable::Targets, target, LEAVING);
+    }
+
     /// Deletes the entry of a target that left without notice.
     pub fn drop_target(&self, target: &str) {
         self.change(FleetTable::Targets, target, None);
@@ -120,6 +128,8 @@
     /// The number of calls made on it.
     pub calls: Cell<usize>,
     cut: Cell<Option<CutKind>>,
+    /// How often all open connections have fallen silent for good.
+    silences: Cell<u64>,
     changed: Notify,
 }
 
@@ -138,6 +148,12 @@
         self.changed.notify_waiters();
     }
 
+    /// Lets all open connections fall silent for good. New ones work.
+    pub fn silence(&self) {
+        self.silences.set(self.silences.get() + 1);
+        self.changed.notify_waiters();
+    }
+
     pub fn mend(&self) {
         self.cut.set(None);
     }
@@ -146,23 +162,15 @@
         self.cut.get().is_some()
     }
 
-    /// Returns the fault of a call on this path, when it fails.
-    async fn fails(&self, limit: Duration) -> TableFault {
-        self.calls.set(self.calls.get() + 1);
-        let until = Instant::now() + limit;
+    /// Waits until calls on a connection that was opened after `silences` fail, and returns how.
+    async fn breaks(&self, silences: u64) -> CutKind {
         loop {
             let changed = self.changed.notified();
-            match self.cut.get() {
-                Some(CutKind::Refused) => {
-                    time::sleep(ANSWER_TIME).await;
-                    return TableFault::Failed("refused".to_owned());
-                }
-                Some(CutKind::Silent) => {
-                    time::sleep_until(until).await;
-                    return TableFault::Failed("silent".to_owned());
-                }
-                None => changed.await,
+            let is_silent = self.silences.get() > silences;
+            if let Some(kind) = self.cut.get().or(is_silent.then_some(CutKind::Silent)) {
+                return kind;
             }
+            changed.await;
         }
     }
 }
@@ -171,44 +179,77 @@
     store: Rc<ModelStore>,
     path: Rc<StorePath>,
     table: FleetTable,
+    /// How often connections had fallen silent when the open one was opened, if one is open.
+    connection: Option<u64>,
 }
 
 impl ModelTable {
-    async fn wait_for_rows(&self, since: u64, wait: Duration) -> Result<TableRows, TableFault> {
-        let EraVersion { era, number } = EraVersion::from_packed(since);
-        let until = Instant::now() + wait;
-        time::sleep(ANSWER_TIME).await;
-        loop {
-            let changed = self.store.changed.notified();
-            if era != self.store.era.get() || number > self.store.version.get() {
-                return Err(TableFault::HistoryGone);
-            }
-            let found = self.store.since(self.table, number);
-            if !found.rows.is_empty() || Instant::now() >= until {
-                return Ok(found);
+    /// Makes a call, which closes the connection unless it is answered.
+    async fn call(
+        &mut self,
+        limit: Duration,
+        answer: impl Future<Output = Result<TableRows, TableFault>>,
+    ) -> Result<TableRows, TableFault> {
+        self.path.calls.set(self.path.calls.get() + 1);
+        let until = Instant::now() + limit;
+        let silences = self.connection.take().unwrap_or(self.path.silences.get());
+        let answered = tokio::select! {
+            biased;
+            kind = self.path.breaks(silences) => Err(kind),
+            answered = answer => Ok(answered),
+        };
+        let answered = match answered {
+            Ok(answered) => answered,
+            Err(CutKind::Refused) => {
+                time::sleep(ANSWER_TIME).await;
+                Err(TableFault::Failed("refused".to_owned()))
             }
-            tokio::select! {
-                () = changed => {}
-                () = time::sleep_until(until) => {}
+            Err(CutKind::Silent) => {
+                time::sleep_until(until).await;
+                Err(TableFault::Failed("silent".to_owned()))
             }
+        };
+        self.connection = answered.is_ok().then_some(silences);
+        answered
+    }
+}
+
+/// Waits for rows of a table that changed after `since`.
+async fn wait_for_rows(
+    store: Rc<ModelStore>,
+    table: FleetTable,
+    since: u64,
+    wait: Duration,
+) -> Result<TableRows, TableFault> {
+    let EraVersion { era, number } = EraVersion::from_packed(since);
+    let until = Instant::now() + wait;
+    time::sleep(ANSWER_TIME).await;
+    loop {
+        let changed = store.changed.notified();
+        if era != store.era.get() || number > store.version.get() {
+            return Err(TableFault::HistoryGone);
+        }
+        let found = store.since(table, number);
+        if !found.rows.is_empty() || Instant::now() >= until {
+            return Ok(found);
+        }
+        tokio::select! {
+            () = changed => {}
+            () = time::sleep_until(until) => {}
         }
     }
 }
 
 impl StoreTable for ModelTable {
     fn read_all(&mut self, limit: Duration) -> LocalFuture<'_, Result<TableRows, TableFault>> {
-        Box::pin(async move {
-            let present = |row: &TableRow| row.value != RowValue::Dropped;
-            tokio::select! {
-                biased;
-                fault = self.path.fails(limit) => Err(fault),
-                () = time::sleep(ANSWER_TIME) => {
-                    let mut found = self.store.since(self.table, 0);
-                    found.rows.retain(present);
-                    Ok(found)
-                }
-            }
-        })
+        let (store, table) = (Rc::clone(&self.store), self.table);
+        let reading = async move {
+            time::sleep(ANSWER_TIME).await;
+            let mut found = store.since(table, 0);
+            found.rows.retain(|row| row.value != RowValue::Dropped);
+            Ok(found)
+        };
+        Box::pin(self.call(limit, reading))
     }
 
     fn follow(
@@ -217,16 +258,13 @@
         wait: Duration,
         limit: Duration,
     ) -> LocalFuture<'_, Result<TableRows, TableFault>> {
-        Box::pin(async move {
-            tokio::select! {
-                biased;
-                fault = self.path.fails(limit) => Err(fault),
-                found = self.wait_for_rows(version, wait) => found,
-            }
-        })
+        let waiting = wait_for_rows(Rc::clone(&self.store), self.table, version, wait);
+        Box::pin(self.call(limit, waiting))
     }
 
-    fn disconnect(&mut self) {}
+    fn disconnect(&mut self) {
+        self.connection = None;
+    }
 
     fn write<'a>(
         &'a mut self,
@@ -249,7 +287,7 @@
 impl FleetStore for ModelFleet {
     fn open(&self, table: FleetTable) -> Box<dyn StoreTable> {
         let (store, path) = (Rc::clone(&self.store), Rc::clone(&self.path));
-        Box::new(ModelTable { store, path, table })
+        Box::new(ModelTable { store, path, table, connection: None })
     }
 
     fn routes(&self, _row: &TableRow) -> Result<Option<RouteTable>, StepError> {
@@ -276,7 +314,7 @@
         Err(StepError::new("write word", "this store has no orders"))
     }
 
-    fn target(&self, name: &str, _value: &[u8]) -> Result<TargetEntry, StepError> {
+    fn target(&self, name: &str, value: &[u8]) -> Result<TargetEntry, StepError> {
         Ok(TargetEntry {
             name: name.into(),
             incarnation: Default::default(),
@@ -285,7 +323,7 @@
             address: std::net::SocketAddr::from(([127, 0, 0, 1], 9)),
             data_centre: "hall-a".into(),
             slots: 6,
-            leaving: false,
+            leaving: value == LEAVING,
             warmup: Duration::ZERO,
         })
     }
@@ -313,6 +351,16 @@
         store: &Rc<ModelStore>,
         name: &str,
         bounds: FeedBounds,
+    ) -> (Rc<Self>, mpsc::Receiver<RelayedChange>) {
+        Self::start_in_fleet(store, name, bounds, 65)
+    }
+
+    /// Starts a VM of a fleet of this size.
+    pub fn start_in_fleet(
+        store: &Rc<ModelStore>,
+        name: &str,
+        bounds: FeedBounds,
+        fleet_size: usize,
     ) -> (Rc<Self>, mpsc::Receiver<RelayedChange>) {
         let (relay, changes) = FeedRelay::new();
         let vm = Rc::new(Self {
@@ -330,7 +378,7 @@
         let channels = FeedChannels {
             updates,
             refresh: Rc::clone(&vm.refresh),
-            fleet_size: Rc::new(Cell::new(65)),
+            fleet_size: Rc::new(Cell::new(fleet_size)),
             relay,
             quarantines: watch::channel(Vec::new()).1,
             mixes: watch::channel(Vec::new()).1,
@@ -373,11 +421,12 @@
 
     fn refresh_targets(&self) {
         let Some(refreshed) = self.fleet.refresh_targets(self.now()) else { return };
-        let (targets, changes) = (refreshed.found, refreshed.changes);
-        let names = targets.iter().map(|target| target.name.to_string());
-        *self.in_use.borrow_mut() = names.collect();
-        for name in changes.gone.0 {
-            self.stopped.borrow_mut().insert(name.to_string(), Instant::now());
+        let found = refreshed.found.iter().filter(|target| !target.leaving);
+        let names: Vec<String> = found.map(|target| target.name.to_string()).collect();
+        for name in self.in_use.replace(names) {
+            if !self.uses(&name) {
+                self.stopped.borrow_mut().insert(name, Instant::now());
+            }
         }
     }
 
