Take a version for the only one once missing entries would be back

Cause: a VM that has just started and sees the ordered version alone passed it at once, and all VMs followed it. Class: absence taken for knowledge.

Change: a version is the only one once it has been listed alone for 3 s, and no VM has had an answer of another under the order; versions listed beside it before the order was read are in use. Weighed: never to pass without evidence. An order for the version in force would then keep it at the share of a trial.

--- a/crates/ryetide-core/src/rollout_manager.rs
+++ b/crates/ryetide-core/src/rollout_manager.rs
@@ -28,6 +28,10 @@
 /// were partitioned when it ended.
 const ENDED_REPORT_SPAN: Duration = Duration::from_secs(60);
 
+/// How long the ordered version must have been listed alone to count as the only one. Entries that
+/// expired during an outage of the store return sooner.
+const ONLY_VERSION_SPAN: Duration = Duration::from_secs(3);
+
 /// Which requests a target may get, by its version.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum TargetUse {
@@ -49,6 +53,10 @@
     /// The number of targets that are not leaving, of versions in use and of the ordered version.
     live_in_use: usize,
     live_new: usize,
+    /// The versions that are listed.
+    listed: Vec<VersionName>,
+    /// Since when a single version has been listed.
+    single_since: Option<Moment>,
 }
 
 /// Manages the versions of all services and the rollout orders for them.
@@ -80,6 +88,7 @@
     pub fn take_targets(&mut self, now: Moment, entries: &[TargetEntry]) {
         for versions in self.services.values_mut() {
             (versions.live_in_use, versions.live_new) = (0, 0);
+            versions.listed.clear();
         }
         let mut found: BTreeMap<&ServiceName, Vec<&TargetEntry>> = BTreeMap::new();
         for entry in entries {
@@ -91,6 +100,9 @@
             let versions = self.services.entry(service.clone()).or_default();
             versions.take_targets(now, &entries, by_order_only && knows_targets);
         }
+        for versions in self.services.values_mut().filter(|it| it.listed.is_empty()) {
+            versions.single_since = None;
+        }
         self.knows_targets |= !entries.is_empty();
         self.collect_changes();
     }
@@ -223,6 +235,7 @@
         in_flight_old: impl Fn(&ServiceName) -> u32,
     ) {
         for (name, versions) in &mut self.services {
+            versions.check_only_version(now);
             let new_targets = versions.live_new;
             versions.with_rollout(|rollout| {
                 let (reachability, in_flight_old) = (*reachability, in_flight_old(name));
@@ -280,6 +293,7 @@
 
 impl ServiceVersions {
     fn take_targets(&mut self, now: Moment, entries: &[&TargetEntry], by_order_only: bool) {
+        self.list_versions(now, entries);
         let ordered = self.rollout.as_ref().map(|rollout| rollout.order().to.clone());
         let others = entries.iter().filter(|entry| Some(&entry.version) != ordered.as_ref());
         let others: Vec<VersionName> = others.map(|entry| entry.version.clone()).collect();
@@ -295,20 +309,37 @@
             }
         }
         self.live_in_use = old.iter().filter(|entry| self.in_use.contains(&entry.version)).count();
-        if is_first && self.live_in_use == 0 && self.live_new > 0 {
+    }
+
+    fn list_versions(&mut self, now: Moment, entries: &[&TargetEntry]) {
+        self.listed = entries.iter().map(|entry| entry.version.clone()).collect();
+        self.listed.sort();
+        self.listed.dedup();
+        let is_single = self.listed.len() == 1;
+        self.single_since = if is_single { self.single_since.or(Some(now)) } else { None };
+    }
+
+    /// Passes the ordered version without a trial if no other one is known. A VM that has just
+    /// started may lack the entries of the others for a while.
+    fn check_only_version(&mut self, now: Moment) {
+        let is_known = self.single_since.is_some_and(|at| now.since(at) >= ONLY_VERSION_SPAN);
+        let ordered = self.rollout.as_ref().map(|rollout| &rollout.order().to);
+        let is_listed = ordered.is_some_and(|to| self.listed.contains(to));
+        if is_known && is_listed && self.in_use.is_empty() {
             self.with_rollout(|rollout| rollout.note_only_version(now));
         }
     }
 
     fn take_order(&mut self, rollout: ServiceRollout, now: Moment) {
         let to = rollout.order().to.clone();
-        let was_in_use = self.in_use.contains(&to);
         self.in_use.retain(|version| *version != to);
-        let is_only = was_in_use && self.in_use.is_empty();
-        self.rollout = Some(rollout);
-        if is_only {
-            self.with_rollout(|rollout| rollout.note_only_version(now));
+        if self.in_use.is_empty() {
+            // Versions that were listed after the ordered one are not new beside it.
+            let others = self.listed.iter().filter(|version| **version != to);
+            self.in_use = others.take(VERSIONS_LIMIT).cloned().collect();
         }
+        self.rollout = Some(rollout);
+        self.check_only_version(now);
     }
 
     fn with_rollout(&mut self, act: impl FnOnce(&mut ServiceRollout)) {
--- a/crates/ryetide-core/src/service_rollout.rs
+++ b/crates/ryetide-core/src/service_rollout.rs
@@ -311,9 +311,11 @@
         self.advance_by(now, event, RolloutReason::Peer);
     }
 
-    /// Records that the service has no other version, so that no trial is needed.
+    /// Records that this VM knows no other version of the service. No trial is needed then, unless
+    /// another VM has had answers of one.
     pub fn note_only_version(&mut self, now: Moment) {
-        if self.state == RolloutState::Asked {
+        let is_open = matches!(self.state, RolloutState::Asked | RolloutState::Trial);
+        if is_open && self.evidence.sum_of(VersionSide::Old).answers == 0 {
             self.advance_by(now, RolloutEvent::Passed, RolloutReason::OnlyVersion);
         }
     }
