Let other tasks have their turn while connections are closed

A listener that closes more than 128 connections in one turn is made to wait by the runtime, which looked like an empty queue: the rest, which had waited as long, was then served. It yields after 64 by itself now.

--- a/crates/ryetide-gateway/src/caller_listener.rs
+++ b/crates/ryetide-gateway/src/caller_listener.rs
@@ -29,6 +29,9 @@
 
 /// The pause after `accept` fails, for example because file descriptors have run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// The most connections that are closed before other tasks have their turn. The runtime makes a task
+/// wait that does more, which would look like an empty queue.
+const MAX_CLOSED_IN_TURN: u32 = 64;
 /// The longest time for receiving a request's body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 /// The smallest buffer that hyper permits for a head.
@@ -42,6 +45,7 @@
 /// What was begun goes before what waits: after each connection, every other task has its turn.
 pub async fn accept(gateway: Rc<Gateway>, listener: TcpListener) {
     let mut queue = AcceptQueue::default();
+    let mut closed_in_turn = 0;
     loop {
         let accepted = future::poll_fn(|context| {
             let accepted = listener.poll_accept(context);
@@ -56,9 +60,14 @@
                 if decision == AcceptDecision::Close {
                     // Dropping the stream closes it.
                     gateway.metrics().count_closed_unread();
-                    continue;
+                    closed_in_turn += 1;
+                    if closed_in_turn < MAX_CLOSED_IN_TURN {
+                        continue;
+                    }
+                } else {
+                    task::spawn_local(serve_connection(Rc::clone(&gateway), stream));
                 }
-                task::spawn_local(serve_connection(Rc::clone(&gateway), stream));
+                closed_in_turn = 0;
                 task::yield_now().await;
             }
             Err(error) => {
