--- a/review/standins-2/batches.rs
+++ b/review/standins-2/batches.rs
@@ -19,7 +19,7 @@
 
 const VMS: usize = 8;
 const ENGINES: usize = 9;
-/// The tokens of a request: prompt and output. The sheet has prompts of up to 54,600 tokens.
+/// The tokens of a request: prompt and output. The site file has prompts of up to 54,600 tokens.
 const TOKENS: &str = "29616,384";
 const COST: u64 = 30_000;
 const BATCHES: usize = 5;
