Take an entry for a target only while its service is in force, and ask who has an address

Cause: whatever entry was read last at an address counted as proof that another process listens there. Its service was never compared with the configuration, and an entry proves nothing by itself.

Change, by what each thing proves: - An entry whose service the configuration in force does not name counts for nothing: no target, no claim on an address, no start time. It is kept, so that it counts from when its service is named (configurations may arrive later than entries). The log's `entries-passed-over` names such entries. - An entry of a named service only claims an address. The process that listens there is asked, at the service's health path and by the target's name: 421 or another id means that the target has ended, its own id, or a refusal to run by one that accepted the name, that it runs. Nothing else is taken for whole, and a later incarnation of the same name stays unknown.

The model of the store's followers gives its VMs routes now, since targets without them count for nothing. Its checks are as they were.

--- a/crates/ryetide-core/src/lib.rs
+++ b/crates/ryetide-core/src/lib.rs
@@ -90,6 +90,7 @@
 pub mod event_scanner;
 pub mod event_tracker;
 pub mod fair_share;
+pub mod health_path;
 pub mod ids;
 pub mod json_form;
 mod ledger_time;
--- a/crates/ryetide-core/src/route.rs
+++ b/crates/ryetide-core/src/route.rs
@@ -5,7 +5,7 @@
 //! request is handled by a mix of two revisions.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     sync::Arc,
     time::Duration,
 };
@@ -13,6 +13,7 @@
 use rand::Rng;
 
 use crate::{
+    health_path::HealthPath,
     ids::{OrganisationName, ServiceName},
     quota::QuotaRule,
     units::{ByteSize, Revision, TierRank, Tokens},
@@ -123,6 +124,8 @@
     pub connection_limit: u32,
     /// The profile of its targets, when they are model engines.
     pub engine: Option<EngineProfile>,
+    /// The path at which a target answers a GET request with its state.
+    pub health_path: HealthPath,
 }
 
 /// An organisation, the keys of its callers and the limits that apply to them.
@@ -257,6 +260,14 @@
         self.services.get(name)
     }
 
+    /// Returns the names of the services whose targets may get requests: those of the table, and
+    /// those to which a route leads.
+    pub fn service_names(&self) -> BTreeSet<ServiceName> {
+        let routes = self.by_host.values().flatten();
+        let routed = routes.flat_map(|route| &route.shares).map(|share| &share.service);
+        self.services.keys().chain(routed).cloned().collect()
+    }
+
     /// Returns all services.
     pub fn services(&self) -> impl Iterator<Item = &RoutedService> {
         self.services.values()
--- a/crates/ryetide-core/src/route_text.rs
+++ b/crates/ryetide-core/src/route_text.rs
@@ -26,6 +26,7 @@
 use std::{net, time::Duration};
 
 use crate::{
+    health_path::HealthPath,
     ids::{OrganisationName, ServiceName, TargetIncarnation, VersionName},
     quota::{QuotaRule, QuotaUnit},
     rollout_order::{OrderNumber, RolloutOrder},
@@ -170,19 +171,25 @@
     reader: &mut YamlReader,
     node: YamlNode<'_>,
 ) -> Option<(RoutedService, Vec<TargetEntry>)> {
-    reader.mapping(node, &["name", "connection-limit", "engine", "targets"]);
+    reader.mapping(node, &["name", "connection-limit", "engine", "health-path", "targets"]);
     let name: Option<ServiceName> = reader.required(node, "name", YamlReader::name);
     let limit = reader.optional(node, "connection-limit", DEFAULT_CONNECTIONS, |reader, value| {
         reader.number(value, CONNECTION_RANGE)
     });
     let engine =
         reader.optional(node, "engine", None, |reader, value| read_engine(reader, value).map(Some));
+    let health_path =
+        reader.optional(node, "health-path", HealthPath::default(), |reader, value| {
+            reader.parsed(value, "a slash and visible ASCII characters")
+        });
     let name = name?;
     let targets = reader.required(node, "targets", |reader, value| {
         reader.sequence(value, |reader, item| read_target(reader, item, &name))
     });
     let connection_limit = u32::try_from(limit?).unwrap_or(u32::MAX);
-    Some((RoutedService { name, connection_limit, engine: engine? }, targets?))
+    let service =
+        RoutedService { name, connection_limit, engine: engine?, health_path: health_path? };
+    Some((service, targets?))
 }
 
 fn read_engine(reader: &mut YamlReader, node: YamlNode<'_>) -> Option<EngineProfile> {
--- a/crates/ryetide-core/src/target_registry.rs
+++ b/crates/ryetide-core/src/target_registry.rs
@@ -5,11 +5,18 @@
 //! them again, which takes about two seconds. An entry that goes missing in this period is
 //! therefore kept for a grace period. At any other time a missing entry means that the target is
 //! gone.
+//!
+//! Other programs write entries too. Only the services in force tell them from those of targets, and
+//! these may become known after the entry: an entry of another service is kept, but counts for
+//! nothing until its service is in force.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use crate::{
-    ids::{TargetIncarnation, TargetKey, TargetName},
+    ids::{ServiceName, TargetIncarnation, TargetKey, TargetName},
     target_load::TargetEntry,
     target_notice::{LeavingNotices, LeavingReport},
     units::Moment,
@@ -113,6 +120,8 @@
 #[derive(Debug, Default)]
 pub struct TargetRegistry {
     targets: BTreeMap<TargetName, RegisteredTarget>,
+    /// The services whose entries count; `None` if those of all do.
+    services: Option<BTreeSet<ServiceName>>,
     /// The last known incarnation of each name, also of removed targets.
     incarnations: BTreeMap<TargetName, TargetIncarnation>,
     /// Targets that have announced that they are leaving.
@@ -166,6 +175,24 @@
         }
     }
 
+    /// Creates a registry that counts the entries of no service until [`Self::set_services`].
+    pub fn without_services() -> Self {
+        Self { services: Some(BTreeSet::new()), ..Self::default() }
+    }
+
+    /// Sets the services in force. Entries of other services count for nothing from now on.
+    pub fn set_services(&mut self, services: BTreeSet<ServiceName>) {
+        self.services = Some(services);
+        let entries: Vec<TargetEntry> =
+            self.targets.values().map(|target| target.entry.clone()).collect();
+        let outdated: Vec<TargetName> = entries
+            .into_iter()
+            .filter(|entry| self.is_in_force(entry) && !self.record_incarnation(entry))
+            .map(|entry| entry.name)
+            .collect();
+        self.targets.retain(|name, _| !outdated.contains(name));
+    }
+
     /// Records the number of the newest change that was received.
     pub fn record_newest(&mut self, number: u64) {
         self.newest = self.newest.max(number);
@@ -193,14 +220,24 @@
         self.known
     }
 
-    /// Returns the existing targets, and drops those whose grace period is over.
+    /// Returns the existing targets of the services in force, and drops those whose grace period is
+    /// over.
     pub fn current(&mut self, now: Moment) -> Vec<TargetEntry> {
         let is_over = |target: &RegisteredTarget| target.grace_end.is_some_and(|at| now >= at);
         let ended: Vec<RegisteredTarget> =
             self.targets.extract_if(.., |_, target| is_over(target)).map(|(_, it)| it).collect();
         ended.iter().for_each(|target| self.record_removed(now, target.entry.key()));
         self.leaving_notices.expire(now);
-        self.targets.values().map(|target| self.with_announcement(&target.entry)).collect()
+        let entries = self.targets.values().map(|target| &target.entry);
+        let in_force = entries.filter(|entry| self.is_in_force(entry));
+        in_force.map(|entry| self.with_announcement(entry)).collect()
+    }
+
+    /// Returns the names of the entries that count for nothing, since their service is not in force.
+    pub fn passed_over(&self) -> Vec<TargetName> {
+        let entries = self.targets.values().map(|target| &target.entry);
+        let passed_over = entries.filter(|entry| !self.is_in_force(entry));
+        passed_over.map(|entry| entry.name.clone()).collect()
     }
 
     /// Returns the announcements of leaving targets, for recording more of them.
@@ -263,9 +300,14 @@
         true
     }
 
+    fn is_in_force(&self, entry: &TargetEntry) -> bool {
+        self.services.as_ref().is_none_or(|services| services.contains(&entry.service))
+    }
+
     fn change(&mut self, now: Moment, entries: Vec<TargetEntry>, gone: &[TargetName]) {
         for entry in entries {
-            if !self.record_incarnation(&entry) {
+            // The start time in an entry of another program says nothing of the target with its name.
+            if self.is_in_force(&entry) && !self.record_incarnation(&entry) {
                 continue;
             }
             let target = RegisteredTarget { entry, grace_end: None };
--- a/crates/ryetide-core/tests/target_registry.rs
+++ b/crates/ryetide-core/tests/target_registry.rs
@@ -1,9 +1,9 @@
 //! The targets that exist during outages and restores of their registry.
 
-use std::time::Duration;
+use std::{collections::BTreeSet, time::Duration};
 
 use ryetide_core::{
-    ids::TargetIncarnation,
+    ids::{ServiceName, TargetIncarnation},
     target_load::TargetEntry,
     target_registry::{RegistryUpdate, TargetRegistry},
     units::Moment,
@@ -207,3 +207,50 @@
     registry.take(Moment::from_millis(70_010), whole);
     assert_eq!(names(&mut registry, 70_010), ["a", "b"]);
 }
+
+fn in_force(services: &[&str]) -> BTreeSet<ServiceName> {
+    services.iter().map(|name| ServiceName::from(*name)).collect()
+}
+
+/// The entry of another program under a target's name.
+fn foreign(name: &str, started: u64) -> TargetEntry {
+    TargetEntry { service: "telemetry".into(), ..incarnation(name, started, 3) }
+}
+
+/// Guards against a target that another program's entry ends for good, by a later start time under the
+/// target's name.
+#[test]
+fn an_entry_of_a_service_not_in_force_ends_no_incarnation() {
+    let now = Moment::from_millis(5);
+    let own = incarnation("a", 100, 1);
+    for restored in [RegistryUpdate::whole, RegistryUpdate::changed] {
+        let mut registry = TargetRegistry::without_services();
+        registry.set_services(in_force(&["desk"]));
+        registry.take(now, RegistryUpdate::whole(vec![own.clone()]));
+        registry.take(now, RegistryUpdate::changed(vec![foreign("a", 9_000)]));
+        assert!(ports(&mut registry).is_empty(), "its address is not confirmed");
+        assert_eq!(registry.passed_over(), ["a".into()]);
+        assert!(!registry.is_replaced(&own));
+        registry.take(now, restored(vec![own.clone()]));
+        assert_eq!(ports(&mut registry), [1]);
+    }
+}
+
+/// Guards against the same before the services are known, and against entries that stay unknown when
+/// their service comes into force.
+#[test]
+fn entries_count_from_when_their_service_is_in_force() {
+    let now = Moment::from_millis(5);
+    let mut registry = TargetRegistry::without_services();
+    let entries = vec![incarnation("a", 100, 1), foreign("b", 9_000)];
+    registry.take(now, RegistryUpdate::whole(entries));
+    assert!(ports(&mut registry).is_empty());
+    assert!(!registry.is_replaced(&incarnation("b", 100, 2)));
+    registry.set_services(in_force(&["desk"]));
+    assert_eq!(ports(&mut registry), [1]);
+    registry.set_services(in_force(&["desk", "telemetry"]));
+    assert_eq!(ports(&mut registry), [1, 3]);
+    assert!(registry.is_replaced(&incarnation("b", 100, 2)));
+    registry.set_services(in_force(&["telemetry"]));
+    assert_eq!(ports(&mut registry), [3]);
+}
--- a/crates/ryetide-gateway/src/answer_end.rs
+++ b/crates/ryetide-gateway/src/answer_end.rs
@@ -3,14 +3,19 @@
 //! A length or the last chunk marks the end of most answers. The end of the connection marks that of
 //! the others, and a target that crashes ends its connections in the same way. Such an answer is
 //! whole only if its target is seen to run still, whatever is known of it otherwise: a target that
-//! leaves, is gone from the list or is quarantined may crash as any other.
+//! leaves, is gone from the list or is quarantined may crash as any other. Where another entry has
+//! the address, the process that listens there says which target it is: entries only claim that.
 
 use tokio::time::{self, Instant};
 
 use ryetide_core::target_load::TargetEntry;
 
 use crate::{
-    gateway_state::Gateway, target_answer::AnswerFraming, target_connector::TargetReachability,
+    fleet_view::AddressClaim,
+    gateway_state::Gateway,
+    target_answer::AnswerFraming,
+    target_connector::TargetReachability,
+    target_identity::{self, AddressListener},
 };
 
 /// What is known of the end of an answer.
@@ -39,14 +44,13 @@
     }
     let examining = gateway.connector().examine(gateway, request, target);
     let reachability = time::timeout_at(timeout_at, examining).await;
-    // Who answers at the address now may be another one than has answered the request.
-    let is_replaced = gateway.fleet().is_address_reused(target);
     let end = match reachability {
         Ok(TargetReachability::Refuses) => AnswerEnd::BrokenOff,
-        Ok(TargetReachability::Reached | TargetReachability::ReachedByPeer) if !is_replaced => {
-            AnswerEnd::Whole
+        Ok(TargetReachability::Reached | TargetReachability::ReachedByPeer) => {
+            let identifying = end_at_reached_address(gateway, request, target);
+            time::timeout_at(timeout_at, identifying).await.unwrap_or(AnswerEnd::Unknown)
         }
-        _ => AnswerEnd::Unknown,
+        Ok(TargetReachability::Unknown) | Err(_) => AnswerEnd::Unknown,
     };
     if end != AnswerEnd::Whole {
         let end: &str = end.into();
@@ -54,3 +58,25 @@
     }
     end
 }
+
+/// Decides on an answer of a target at whose address something listens, which may be another process
+/// than has answered the request.
+async fn end_at_reached_address(
+    gateway: &Gateway,
+    request: &str,
+    target: &TargetEntry,
+) -> AnswerEnd {
+    match gateway.fleet().address_claim(target) {
+        AddressClaim::Unclaimed => return AnswerEnd::Whole,
+        // The name alone does not tell the incarnations of a target apart.
+        AddressClaim::Restarted => return AnswerEnd::Unknown,
+        AddressClaim::Others => {}
+    }
+    let listener = target_identity::identify(gateway, request, target).await;
+    let is_restarted = gateway.fleet().address_claim(target) == AddressClaim::Restarted;
+    match listener {
+        AddressListener::Target if !is_restarted => AnswerEnd::Whole,
+        AddressListener::Other => AnswerEnd::BrokenOff,
+        AddressListener::Target | AddressListener::Unknown => AnswerEnd::Unknown,
+    }
+}
--- a/crates/ryetide-gateway/src/fleet_tasks.rs
+++ b/crates/ryetide-gateway/src/fleet_tasks.rs
@@ -83,6 +83,7 @@
                 if gateway.fleet().adopt(routes) {
                     gateway.apply_limits();
                     tracing::info!(event = "routes-in-force", %revision, routes = count);
+                    refresh_targets(gateway);
                 } else {
                     tracing::debug!(event = "routes-passed-over", %revision);
                 }
@@ -288,6 +289,9 @@
 /// Passes the current targets to the scheduler when they have changed.
 pub fn refresh_targets(gateway: &Gateway) {
     let now = gateway.hub().clock().now();
+    if let Some(names) = gateway.fleet().take_passed_over() {
+        tracing::info!(event = "entries-passed-over", count = names.len(), entries = %NameList(names));
+    }
     let Some(refreshed) = gateway.fleet().refresh_targets(now) else { return };
     let RefreshedTargets { before, found: targets, changes: news } = refreshed;
     gateway.origins().record_targets(now, &before, &targets);
--- a/crates/ryetide-gateway/src/fleet_view.rs
+++ b/crates/ryetide-gateway/src/fleet_view.rs
@@ -6,7 +6,8 @@
 };
 
 use ryetide_core::{
-    ids::{ServiceName, TargetKey},
+    health_path::HealthPath,
+    ids::{ServiceName, TargetKey, TargetName},
     load_digest::FleetState,
     route::{EngineProfile, RequestLimits, RouteTable},
     target_load::TargetEntry,
@@ -27,16 +28,40 @@
     pub changes: TargetChanges,
 }
 
+/// What entries say of the address of a target, beside its own.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum AddressClaim {
+    /// Nothing.
+    Unclaimed,
+    /// Another target is said to listen there.
+    Others,
+    /// Another incarnation of the target is said to listen there.
+    Restarted,
+}
+
 /// The routes in force and the targets, as last received from the feed.
-#[derive(Default)]
 pub struct FleetView {
     routes: RefCell<Option<Arc<RouteTable>>>,
     registry: RefCell<TargetRegistry>,
     current: RefCell<Vec<TargetEntry>>,
+    /// The entries that count for nothing, as last reported.
+    passed_over: RefCell<Vec<TargetName>>,
     /// Notified when the targets have changed.
     changed: Notify,
 }
 
+impl Default for FleetView {
+    fn default() -> Self {
+        Self {
+            routes: RefCell::default(),
+            registry: RefCell::new(TargetRegistry::without_services()),
+            current: RefCell::default(),
+            passed_over: RefCell::default(),
+            changed: Notify::new(),
+        }
+    }
+}
+
 impl FleetView {
     /// Returns the routes in force, or `None` before the first version has arrived.
     pub fn routes(&self) -> Option<Arc<RouteTable>> {
@@ -66,12 +91,14 @@
         }
     }
 
-    /// Puts a version in force if it is newer than the present one, and returns whether it was.
+    /// Puts a version in force if it is newer than the present one, and returns whether it was. The
+    /// targets must be refreshed then, since only those of its services count.
     ///
     /// A source that lags behind must not bring back an older version.
     pub fn adopt(&self, routes: Arc<RouteTable>) -> bool {
         let newer = routes.revision() > self.revision();
         if newer {
+            self.registry.borrow_mut().set_services(routes.service_names());
             *self.routes.borrow_mut() = Some(routes);
         }
         newer
@@ -99,6 +126,14 @@
         Some(RefreshedTargets { before, found, changes })
     }
 
+    /// Returns the entries of services that are not in force, if they have changed since the last
+    /// call.
+    pub fn take_passed_over(&self) -> Option<Vec<TargetName>> {
+        let found = self.registry.borrow().passed_over();
+        let before = self.passed_over.replace(found.clone());
+        (before != found).then_some(found)
+    }
+
     /// Returns whether this incarnation of a target is leaving or gone.
     pub fn has_left(&self, target: &TargetEntry) -> bool {
         let current = self.current.borrow();
@@ -106,12 +141,18 @@
         found.is_none_or(|entry| entry.leaving || entry.incarnation != target.incarnation)
     }
 
-    /// Returns whether another target, or another incarnation of this one, is known to have its
-    /// address now.
-    pub fn is_address_reused(&self, target: &TargetEntry) -> bool {
+    /// Returns what other entries say of the address of a target.
+    pub fn address_claim(&self, target: &TargetEntry) -> AddressClaim {
         let current = self.current.borrow();
-        let mut found = current.iter().filter(|entry| entry.address == target.address);
-        found.any(|it| it.name != target.name || it.incarnation != target.incarnation)
+        let mut claim = AddressClaim::Unclaimed;
+        for entry in current.iter().filter(|entry| entry.address == target.address) {
+            if entry.name != target.name {
+                claim = AddressClaim::Others;
+            } else if entry.incarnation != target.incarnation {
+                return AddressClaim::Restarted;
+            }
+        }
+        claim
     }
 
     /// Waits until a later incarnation of a target is known.
@@ -139,6 +180,13 @@
         self.current.borrow().len()
     }
 
+    /// Returns the health path of a service.
+    pub fn health_path(&self, service: &ServiceName) -> HealthPath {
+        let routes = self.routes.borrow();
+        let found = routes.as_ref().and_then(|routes| routes.service(service));
+        found.map(|service| service.health_path.clone()).unwrap_or_default()
+    }
+
     /// Returns the engine profile of a service whose targets are model engines.
     pub fn engine(&self, service: &ServiceName) -> Option<EngineProfile> {
         self.routes.borrow().as_ref()?.service(service)?.engine
--- a/crates/ryetide-gateway/src/own_headers.rs
+++ b/crates/ryetide-gateway/src/own_headers.rs
@@ -21,6 +21,7 @@
         key: HeaderName::from_static("ryetide-key"),
         organisation: HeaderName::from_static("ryetide-organisation"),
         target: HeaderName::from_static("ryetide-target"),
+        target_id: HeaderName::from_static("ryetide-target-id"),
         not_run: HeaderName::from_static("ryetide-not-run"),
         signature: HeaderName::from_static("ryetide-answered-by"),
         leaving: HeaderName::from_static("ryetide-leaving"),
--- a/crates/ryetide-gateway/src/ports.rs
+++ b/crates/ryetide-gateway/src/ports.rs
@@ -77,6 +77,8 @@
     pub organisation: HeaderName,
     /// The target for which a request is intended, sent to targets.
     pub target: HeaderName,
+    /// The name of the target that answers, in answers at its health path.
+    pub target_id: HeaderName,
     /// Present in an answer whose request was not executed.
     pub not_run: HeaderName,
     /// Present in every answer that was produced by a target itself.
--- a/crates/ryetide-gateway/tests/serving/main.rs
+++ b/crates/ryetide-gateway/tests/serving/main.rs
@@ -1,6 +1,7 @@
 //! Tests of a complete gateway between callers and scripted targets, over real sockets.
 
 mod answers;
+mod claimed_addresses;
 mod crashes;
 mod crashing_fleet;
 mod crashing_parts;
--- a/crates/ryetide-gateway/tests/serving/support.rs
+++ b/crates/ryetide-gateway/tests/serving/support.rs
@@ -274,7 +274,12 @@
 }
 
 pub fn table(revision: u64, route: RouteRule, organisations: Vec<RouteOrganisation>) -> RouteTable {
-    let service = RoutedService { name: SERVICE.into(), connection_limit: 100, engine: None };
+    let service = RoutedService {
+        name: SERVICE.into(),
+        connection_limit: 100,
+        engine: None,
+        health_path: Default::default(),
+    };
     let builder = RouteTable::builder(Revision(revision)).route(route).service(service);
     organisations
         .into_iter()
@@ -335,6 +340,7 @@
         key: HeaderName::from_static("test-key"),
         organisation: HeaderName::from_static("test-organisation"),
         target: HeaderName::from_static("test-target"),
+        target_id: HeaderName::from_static("test-target-id"),
         not_run: HeaderName::from_static("test-not-run"),
         signature: HeaderName::from_static("test-signature"),
         leaving: HeaderName::from_static("test-leaving"),
--- a/crates/ryetide-gateway/tests/table_follower/model_store.rs
+++ b/crates/ryetide-gateway/tests/table_follower/model_store.rs
@@ -8,6 +8,7 @@
     cell::{Cell, RefCell},
     collections::BTreeMap,
     rc::Rc,
+    sync::Arc,
     time::Duration,
 };
 
@@ -17,9 +18,9 @@
     era_version::EraVersion,
     ids::ServiceName,
     rollout_order::{RolloutOrder, RolloutStatus},
-    route::RouteTable,
+    route::{RouteTable, RoutedService},
     target_load::TargetEntry,
-    units::{LinkRate, Moment},
+    units::{LinkRate, Moment, Revision},
 };
 use ryetide_gateway::{
     feed_relay::{FeedRelay, RelayedChange},
@@ -35,6 +36,8 @@
     time::{self, Instant},
 };
 
+/// The service of all targets.
+const SERVICE: &str = "desk";
 /// How often the gateway removes targets whose grace period has ended.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(200);
 /// How often a VM sends its position to its peers.
@@ -319,7 +322,7 @@
             name: name.into(),
             incarnation: Default::default(),
             version: "v1".into(),
-            service: "desk".into(),
+            service: SERVICE.into(),
             address: std::net::SocketAddr::from(([127, 0, 0, 1], 9)),
             data_centre: "hall-a".into(),
             slots: 6,
@@ -329,6 +332,19 @@
     }
 }
 
+/// A view with routes to the service of the targets.
+fn fleet_with_routes() -> FleetView {
+    let service = RoutedService {
+        name: SERVICE.into(),
+        connection_limit: 100,
+        engine: None,
+        health_path: Default::default(),
+    };
+    let fleet = FleetView::default();
+    fleet.adopt(Arc::new(RouteTable::builder(Revision(1)).service(service).build()));
+    fleet
+}
+
 /// An entry VM: its feed and its view of the targets.
 pub struct ModelVm {
     pub path: Rc<StorePath>,
@@ -368,7 +384,7 @@
             relay: Rc::clone(&relay),
             refresh: Rc::default(),
             loses_changes: Cell::new(false),
-            fleet: FleetView::default(),
+            fleet: fleet_with_routes(),
             started: Instant::now(),
             in_use: RefCell::default(),
             stopped: RefCell::default(),
