Break an answer off when forwarding the request behind a peer has found its reset

Cause: the system reports a reset once, to whichever call finds it. The peer forwards both directions of the connection. When writing the upload found the reset, reading went on and found what looks like the end of the connection, so the peer passed on the mark of an orderly end. The address accepts again, so nothing else contradicted it.

Change: after a failed write, the end of the answer is a reset, unless the write failed with EPIPE: then the target had closed the connection before.

Shown: `early_answers::..._through_a_peer_...` fails without the change (Repeatable, reset at once) and passes with it; 4 kinds of routes, 2 pauses.

--- a/crates/ryetide-gateway/src/tunnel_server.rs
+++ b/crates/ryetide-gateway/src/tunnel_server.rs
@@ -4,7 +4,7 @@
 //! again, and it asks no further VM, so a tunnel has one hop. When the peer closes the tunnel, the
 //! connection to the target closes too, and the target cancels the request.
 
-use std::{io, pin::pin, rc::Rc, time::Duration};
+use std::{cell::Cell, io, pin::pin, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use futures_util::{SinkExt, StreamExt};
@@ -185,14 +185,18 @@
     }
     let (peer_read, peer_write) = parts.io.into_split();
     let (target_read, target_write) = target.into_split();
+    let is_reset = Cell::new(false);
     let mut upward = pin!(forward_request(gateway, peer_read, target_write));
-    let mut downward = pin!(forward_answer(gateway, target_read, peer_write));
+    let mut downward = pin!(forward_answer(gateway, target_read, peer_write, &is_reset));
     tokio::select! {
         sent = &mut upward => match sent {
             // The peer has closed the tunnel.
             Ok(()) => Ok(()),
             // The target takes no more bytes, but may have answered already.
-            Err(_) => downward.await,
+            Err(error) => {
+                is_reset.set(error.kind() != io::ErrorKind::BrokenPipe);
+                downward.await
+            }
         },
         answered = &mut downward => {
             answered?;
@@ -221,15 +225,23 @@
 
 /// Forwards the target's bytes in frames, and then an empty frame if the target has closed its
 /// connection in an orderly way.
+///
+/// The system reports a reset once. If writing has found it, reading finds what looks like the end of
+/// the connection, and a part of an answer would look like all of it: `is_reset` tells of that.
+/// `BrokenPipe` is no such case, since the target had closed the connection before.
 async fn forward_answer(
     gateway: &Gateway,
     mut target: OwnedReadHalf,
     peer: OwnedWriteHalf,
+    is_reset: &Cell<bool>,
 ) -> io::Result<()> {
     let mut frames = FramedWrite::new(peer, tunnel_message::frame_codec());
     let mut buffer = vec![0; tunnel_message::MAX_FRAME];
     loop {
         let length = target.read(&mut buffer).await?;
+        if length == 0 && is_reset.get() {
+            return Err(io::ErrorKind::ConnectionReset.into());
+        }
         frames.send(Bytes::copy_from_slice(&buffer[..length])).await?;
         if length == 0 {
             return frames.into_inner().shutdown().await;
--- a/crates/ryetide-gateway/tests/serving/cut_off.rs
+++ b/crates/ryetide-gateway/tests/serving/cut_off.rs
@@ -145,6 +145,11 @@
         &self.cut
     }
 
+    /// The gateway that reaches all targets.
+    pub fn helper(&self) -> &Gateway {
+        &self.helper
+    }
+
     /// Waits until this many requests have reached targets.
     async fn reached(&self, count: usize) {
         while self.count() < count {
--- a/crates/ryetide-gateway/tests/serving/main.rs
+++ b/crates/ryetide-gateway/tests/serving/main.rs
@@ -7,6 +7,7 @@
 mod crashing_parts;
 mod cut_off;
 mod digests;
+mod early_answers;
 mod ejection;
 mod limits;
 mod lives;
