Break an answer off when ryetided's peer has found its reset while sending

The asking VM reported the part as the whole answer (`TargetEnd`), the first of ten times in the test.

Shown: `an_answer_that_is_reset_while_a_long_body_is_sent_is_not_complete` fails without the change at its first request, and passes with it: ten requests through a peer and ten on the VM's own connections.

--- a/src/tunnel_link.rs
+++ b/src/tunnel_link.rs
@@ -1,6 +1,6 @@
 //! Forwards the bytes of tunnels over QUIC streams, at the VM that asks for them and at the peer.
 
-use std::{io, os::unix, time::Duration};
+use std::{cell::Cell, io, os::unix, time::Duration};
 
 use quinn::{RecvStream, SendStream};
 use tokio::{
@@ -144,10 +144,15 @@
     };
     stream.set_nodelay(true)?;
     let (mut read, mut write) = stream.into_split();
+    // The system reports a reset once. If writing has found it, reading finds what looks like the end
+    // of the connection, and a part of an answer would look like all of it. `BrokenPipe` is no such
+    // case, since the target had closed the connection before.
+    let is_reset = Cell::new(false);
     let upward = async {
         let mut buffer = vec![0; BUFFER_SIZE];
         while let Ok(Some(length)) = receiver.read(&mut buffer).await {
-            if write.write_all(&buffer[..length]).await.is_err() {
+            if let Err(error) = write.write_all(&buffer[..length]).await {
+                is_reset.set(error.kind() != io::ErrorKind::BrokenPipe);
                 std::future::pending::<()>().await;
             }
         }
@@ -156,6 +161,9 @@
         let mut buffer = vec![0; BUFFER_SIZE];
         loop {
             let length = read.read(&mut buffer).await?;
+            if length == 0 && is_reset.get() {
+                return Err(io::Error::from(io::ErrorKind::ConnectionReset).into());
+            }
             if length == 0 {
                 return Ok::<(), LinkError>(());
             }
--- a/tests/tunnels.rs
+++ b/tests/tunnels.rs
@@ -36,6 +36,9 @@
 /// The time in which two endpoints have connected.
 const CONNECT_SPAN: Duration = Duration::from_millis(500);
 
+/// The length of a long body: more than sockets hold.
+const UPLOAD: usize = 3 << 20;
+
 /// The cut VM's thread of the targets, and the peers' threads of both VMs.
 struct CutVm {
     commands: RingSender<TargetCommand>,
@@ -130,6 +133,11 @@
 
     /// Dispatches a request and returns the events up to its end.
     async fn dispatch(&mut self, sequence: u64) -> Vec<Event> {
+        self.dispatch_body(sequence, Bytes::from_static(b"body")).await
+    }
+
+    /// Like [`Self::dispatch`], with this body.
+    async fn dispatch_body(&mut self, sequence: u64, body: Bytes) -> Vec<Event> {
         let (sequence, attempt) = (RequestSequence(sequence), AttemptNumber(1));
         let connect = TargetCommand::Connect(sequence, attempt, self.route.clone());
         self.commands.send(connect).await.unwrap();
@@ -141,7 +149,7 @@
             method: "POST".to_owned(),
             path: "/orders".to_owned(),
             content_type: "text/plain".to_owned(),
-            body: Bytes::from_static(b"body"),
+            body,
         };
         let order = TargetOperation::Dispatch {
             id: RequestId { vm: "e1".into(), incarnation: Incarnation(1), sequence },
@@ -210,6 +218,27 @@
     });
 }
 
+/// Guards against the same where forwarding the request's body finds the reset first, and against it on
+/// the VM's own connections.
+#[test]
+fn an_answer_that_is_reset_while_a_long_body_is_sent_is_not_complete() {
+    run(async {
+        let target = start_target("HTTP/1.1 200 OK\r\nconnection: close\r\n\r\nhalf", true).await;
+        let body = Bytes::from(vec![b'x'; UPLOAD]);
+        for is_cut in [true, false] {
+            let mut vm = CutVm::start(target).await;
+            if !is_cut {
+                vm.route.address = target;
+            }
+            for sequence in 1..=10 {
+                let events = vm.dispatch_body(sequence, body.clone()).await;
+                let is_whole = events.iter().any(|event| matches!(event, Event::TargetEnd { .. }));
+                assert!(!is_whole, "request {sequence}: {events:?}");
+            }
+        }
+    });
+}
+
 /// Guards against a part of an answer that looks complete because its target has crashed.
 #[test]
 fn an_answer_whose_target_crashes_is_not_complete() {
