Refuse what a stopping VM cannot finish, and answer what is left at its end

Cause: the order to stop was known to the listener and to readiness only. Nothing between a complete request and its target asked whether its run could still end; the same holds for requests that waited in the queue, for a quota, for a quarantine, a stream's origin or a retry, which were cut off without an answer as well.

Change: `StopWindow` (core) says until when a request may be sent: as long as a typical run of its route (9 in 10 of the last 64 whole ones) ends in time while callers are still expected, the longest one after that; if nothing is known of the route, while callers are expected; whatever its deadline ends in time may always be sent. It is asked before the request waits for anything, while it waits, and right before it is sent. Others get 503 `stopping` with a retry delay of 20 ms, which is true: they have not run, and another VM takes them at once.

`stop_window` has the decision by itself.

--- a/crates/ryetide-gateway/src/caller_answer.rs
+++ b/crates/ryetide-gateway/src/caller_answer.rs
@@ -63,6 +63,9 @@
     }
 }
 
+/// The retry delay for a request that a stopping VM refuses: another one takes it at once.
+const STOPPING_RETRY: Duration = Duration::from_millis(20);
+
 /// An answer to a caller.
 pub type CallerResponse = Response<AnswerBody>;
 
@@ -98,6 +101,8 @@
     TurnedAway,
     /// The request is quarantined because it crashes targets.
     Quarantined,
+    /// This VM stops, and could not finish the request.
+    Stopping,
     /// The version that has begun the stream which the caller takes up cannot be told.
     OriginUnknown,
     /// The target's connection broke or its answer was invalid; the request may have run.
@@ -123,6 +128,7 @@
             | Self::Overload
             | Self::OutOfTime
             | Self::TurnedAway
+            | Self::Stopping
             | Self::OriginUnknown
             | Self::Quarantined => StatusCode::SERVICE_UNAVAILABLE,
             Self::TargetFailed => StatusCode::BAD_GATEWAY,
@@ -164,6 +170,11 @@
         Self::new(if promises_not_run { OwnReason::TargetFailed } else { self.reason })
     }
 
+    /// Returns the answer of a VM that stops.
+    pub fn stopping() -> Self {
+        Self::new(OwnReason::Stopping).with_retry(STOPPING_RETRY)
+    }
+
     /// Creates an answer without a retry delay.
     pub fn new(reason: OwnReason) -> Self {
         Self { reason, retry_after: None }
--- a/crates/ryetide-gateway/src/caller_service.rs
+++ b/crates/ryetide-gateway/src/caller_service.rs
@@ -65,13 +65,13 @@
         Ok(exchange) => exchange,
         Err(answer) => return gateway.answer_own(id.as_ref(), answer),
     };
-    if let Err(answer) = exchange.await_quarantine_check().await {
-        return exchange.answer_own(answer);
-    }
-    if let Err(answer) = exchange.find_origin().await {
-        return exchange.answer_own(answer);
-    }
-    if let Err(answer) = exchange.charge_quota().await {
+    let stop = exchange.stop_limit();
+    let prepared = tokio::select! {
+        biased;
+        () = stop.reached() => Err(OwnAnswer::stopping()),
+        prepared = prepare(&mut exchange) => prepared,
+    };
+    if let Err(answer) = prepared {
         return exchange.answer_own(answer);
     }
     match exchange.dispatch().await {
@@ -83,6 +83,13 @@
     }
 }
 
+/// Waits for what must be known of a request, and for its quota, before it is queued.
+async fn prepare(exchange: &mut Exchange) -> Result<(), OwnAnswer> {
+    exchange.await_quarantine_check().await?;
+    exchange.find_origin().await?;
+    exchange.charge_quota().await
+}
+
 /// Forwards an answer: a stream event by event, any other answer once it is complete.
 async fn forward(exchange: Exchange, answer: TargetAnswer) -> CallerResponse {
     if exchange.is_stream() && answer.head.status.is_success() {
@@ -100,6 +107,7 @@
         Err(RelayFault::TimedOut) => {
             relay.into_exchange().answer_own(OwnAnswer::new(OwnReason::TimedOut))
         }
+        Err(RelayFault::Stopped) => relay.into_exchange().answer_own(OwnAnswer::stopping()),
         Err(fault) => {
             tracing::debug!(event = "stream-given-up", step = "first piece", reason = %fault);
             relay.into_exchange().answer_own(OwnAnswer::new(OwnReason::TargetFailed))
@@ -114,6 +122,7 @@
         let memory = exchange.gateway().memory();
         let reading = target_answer::read_whole(&mut answer.body, MAX_BUFFERED_ANSWER, memory);
         let reading = tokio::time::timeout_at(exchange.timeout_at(), reading);
+        let stop = exchange.stop_limit();
         // `biased` polls the answer first: a complete one is forwarded even if the target has
         // ended.
         let read = tokio::select! {
@@ -122,6 +131,7 @@
             () = exchange.gateway().fleet().incarnation_ended(&answer.target) => {
                 Ok(Err(BodyFault::TargetEnded))
             }
+            () = stop.answers_due() => return exchange.answer_own(OwnAnswer::stopping()),
         };
         let read = match read {
             Ok(Ok(BodyReading::Whole(body))) => match exchange.answer_end(&answer.target).await {
--- a/crates/ryetide-gateway/src/exchange.rs
+++ b/crates/ryetide-gateway/src/exchange.rs
@@ -42,6 +42,7 @@
     request_template::{DispatchParameters, RequestTemplate},
     run_fault::RunFault,
     scheduler_hub::RequestTicket,
+    stop_order::StopLimit,
     stream_binding::StreamBinding,
     target_answer::{self, AnswerFraming, AnswerKind, TargetAnswer},
     target_notices,
@@ -84,6 +85,8 @@
     Silent,
     /// A later incarnation of the target is known, or its entry is gone.
     TargetEnded,
+    /// This VM stops, and the caller has received nothing.
+    Stopped,
 }
 
 /// The outcome of sending a request to one target.
@@ -101,6 +104,9 @@
     Withheld,
     /// Nothing was sent: the retry budget no longer permits to send the request once more.
     RetryDenied,
+    /// This VM stops. Nothing was sent if it could not finish the request; otherwise the run is given
+    /// up.
+    Stopped,
 }
 
 /// A request that is being served.
@@ -327,6 +333,11 @@
         }
     }
 
+    /// Returns when the request may not be sent any more, since this VM stops.
+    pub fn stop_limit(&self) -> StopLimit {
+        StopLimit::new(&self.gateway, &self.matched.route.name, self.deadline_at)
+    }
+
     /// Returns the request's deadline on the runtime's clock.
     pub fn timeout_at(&self) -> Instant {
         self.gateway.hub().clock().instant(self.deadline_at)
@@ -341,7 +352,12 @@
     /// Queues the request for its first slot and sends it.
     pub async fn dispatch(&mut self) -> DispatchEnd {
         let work = self.work();
-        let decision = self.ticket.enter(work).await;
+        let stop = self.stop_limit();
+        let decision = tokio::select! {
+            biased;
+            () = stop.reached() => return DispatchEnd::Own(OwnAnswer::stopping()),
+            decision = self.ticket.enter(work) => decision,
+        };
         self.carry_out(decision, None).await
     }
 
@@ -372,8 +388,13 @@
         if reached_target {
             self.record_retry(decision.is_some(), &level);
         }
-        // The sender is held as long as the gateway runs.
-        decision?.await.ok()
+        let (decision, stop) = (decision?, self.stop_limit());
+        tokio::select! {
+            biased;
+            () = stop.reached() => None,
+            // The sender is held as long as the gateway runs.
+            decision = decision => decision.ok(),
+        }
     }
 
     /// Waits for what a target sends next, up to the request's deadline. With `silence`, the run is
@@ -386,6 +407,7 @@
         silence: Option<Duration>,
     ) -> RunProgress<T> {
         let mut next = pin!(next);
+        let stop = self.stop_limit();
         let timeout = self.timeout_at();
         let mut until = silence.map_or(timeout, |silence| timeout.min(Instant::now() + silence));
         loop {
@@ -394,6 +416,7 @@
                 biased;
                 received = next.as_mut() => return RunProgress::Received(received),
                 () = self.gateway.fleet().incarnation_ended(target) => return RunProgress::TargetEnded,
+                () = stop.answers_due(), if self.pieces == 0 => return RunProgress::Stopped,
                 () = time::sleep_until(until) => {}
             }
             if until == timeout {
@@ -489,6 +512,10 @@
                         OwnAnswer::new(OwnReason::TurnedAway).with_retry(DEFAULT_RETRY_AFTER),
                     );
                 }
+                SendEnd::Stopped => {
+                    self.ticket.end(RunEnd::Abandoned);
+                    return DispatchEnd::Own(OwnAnswer::stopping());
+                }
                 SendEnd::Unreachable => (RunEnd::Unreachable, false),
                 SendEnd::TurnedAway => (RunEnd::TurnedAway, true),
             };
@@ -532,6 +559,9 @@
         if status != QuarantineStatus::Clear {
             return SendEnd::Withheld;
         }
+        if self.stop_limit().is_reached() {
+            return SendEnd::Stopped;
+        }
         let deadline_ms = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
         let parameters = DispatchParameters { target, deadline_ms, last_event };
         let request = match self.template.build(self.gateway.names(), &parameters) {
@@ -551,6 +581,7 @@
         let sent = match progress {
             RunProgress::Received(sent) => sent,
             RunProgress::TimedOut => return SendEnd::TimedOut,
+            RunProgress::Stopped => return SendEnd::Stopped,
             RunProgress::TargetEnded => return SendEnd::Lost(RunFault::Restarted),
             RunProgress::Silent => {
                 connection.record_path_fault();
@@ -728,6 +759,8 @@
                 let time_per_piece = now.since(self.sent_at) / self.pieces.saturating_add(1);
                 self.record_run(target, Some(time_per_piece));
             }
+            let duration = now.since(self.sent_at);
+            self.gateway.stop_order().record_run(&self.matched.route.name, duration);
             self.gateway.metrics().count_outcome("answered");
             let total = now.since(self.arrived);
             self.gateway.metrics().record_total(self.matched.tier(), total);
--- a/crates/ryetide-gateway/src/gateway.rs
+++ b/crates/ryetide-gateway/src/gateway.rs
@@ -12,7 +12,7 @@
 use ryetide_core::{
     accept_queue::QUEUE_LENGTH, ids::Incarnation, scheduler::Scheduler,
     scheduler_options::SchedulerOptions, scheduling_policy::SchedulingPolicy,
-    target_speed::AssumedSpeed,
+    stop_window::StopWindow, target_speed::AssumedSpeed,
 };
 use tokio::{
     net::{TcpListener, TcpSocket, UdpSocket},
@@ -45,12 +45,6 @@
 const SETTINGS_INTERVAL: Duration = Duration::from_secs(5);
 /// The capacity of the channel for fleet updates.
 const UPDATE_CAPACITY: usize = 64;
-/// How long the gateway still accepts connections after a stop command, while it reports that it is
-/// not ready. A load balancer that checks once a second and needs two failures has then stopped
-/// sending callers here.
-const LAME_DUCK_SPAN: Duration = Duration::from_millis(2_500);
-/// The part of the grace period that is reserved for an orderly exit.
-const STOP_MARGIN: Duration = Duration::from_millis(400);
 /// The received bytes of a caller that the system holds until they are read, and those of its answer
 /// until they are sent. The system's own sizes grow to some megabytes for each connection.
 const CALLER_BUFFER: u32 = 32 << 10;
@@ -268,16 +262,16 @@
     tasks.spawn_local(status_port::serve(Rc::clone(&gateway), status));
     let accepting = tasks.spawn_local(caller_listener::accept(Rc::clone(&gateway), callers));
     run_commands(&gateway, commands, &*source).await;
-    let stop_requested_at = Instant::now();
-    let grace = gateway.settings().borrow().grace;
-    gateway.start_draining();
+    let clock = gateway.hub().clock();
+    let window = StopWindow::new(clock.now(), gateway.settings().borrow().grace);
+    gateway.stop_order().give(window);
     tracing::info!(event = "stop-ordered", connections = gateway.connection_count());
-    time::sleep(LAME_DUCK_SPAN.min(grace / 2)).await;
+    time::sleep_until(clock.instant(window.closes_at())).await;
     accepting.abort();
     gateway.closing().notify_waiters();
     fleet_tasks::send_cell_digest(&gateway, &link, true);
     fleet_tasks::send_brief_digest(&gateway, &link, true);
-    let until = stop_requested_at + grace.saturating_sub(STOP_MARGIN);
+    let until = clock.instant(window.ends_at());
     while gateway.has_open_work() && Instant::now() < until {
         time::sleep(STOP_INTERVAL).await;
         gateway.closing().notify_waiters();
--- a/crates/ryetide-gateway/src/gateway_state.rs
+++ b/crates/ryetide-gateway/src/gateway_state.rs
@@ -1,7 +1,7 @@
 //! The state shared by the tasks of a gateway.
 
 use std::{
-    cell::{Cell, RefCell},
+    cell::RefCell,
     collections::{BTreeMap, HashMap},
     rc::Rc,
     sync::Arc,
@@ -38,6 +38,7 @@
     peer_link::PeerLink,
     ports::{GatewaySettings, HeaderNames, PeerEntry, WorkReader, WorkSize},
     scheduler_hub::SchedulerHub,
+    stop_order::StopOrder,
     target_connector::TargetConnector,
     target_pool::{ConnectFault, ConnectionChoice, TargetConnection, TargetPool},
 };
@@ -81,7 +82,7 @@
     origins: StreamOrigins,
     metrics: GatewayMetrics,
     log: DecisionLog,
-    draining: Cell<bool>,
+    stop_order: StopOrder,
     connections: Rc<CallerConnections>,
     /// Notified when connections must close after the current answer.
     closing: Notify,
@@ -119,7 +120,7 @@
             origins: StreamOrigins::default(),
             metrics: GatewayMetrics::default(),
             log: DecisionLog::new(settings.name.clone()),
-            draining: Cell::new(false),
+            stop_order: StopOrder::default(),
             connections,
             closing: Notify::new(),
             settings: RefCell::new(settings),
@@ -131,10 +132,10 @@
         &self.settings
     }
 
-    /// Marks the gateway as draining: it reports that it is not ready and closes connections after
-    /// the current answer.
-    pub fn start_draining(&self) {
-        self.draining.set(true);
+    /// Returns the order to stop. Once it is given, the gateway reports that it is not ready, closes
+    /// connections after the current answer, and refuses what it could not finish.
+    pub fn stop_order(&self) -> &StopOrder {
+        &self.stop_order
     }
 
     /// Returns the number of open connections of callers.
@@ -238,7 +239,7 @@
 
     /// Returns whether the gateway is stopping.
     pub fn is_draining(&self) -> bool {
-        self.draining.get()
+        self.stop_order.is_given()
     }
 
     /// Returns whether a load balancer should send callers here.
--- a/crates/ryetide-gateway/src/lib.rs
+++ b/crates/ryetide-gateway/src/lib.rs
@@ -75,6 +75,7 @@
 pub mod scheduler_hub;
 pub mod share_monitor;
 pub mod status_port;
+mod stop_order;
 pub mod store_feed;
 pub mod store_outage;
 pub mod store_table;
--- a/crates/ryetide-gateway/src/relay.rs
+++ b/crates/ryetide-gateway/src/relay.rs
@@ -157,6 +157,7 @@
         let frame = match self.exchange.await_progress(target, body.frame(), silence).await {
             RunProgress::Received(frame) => frame,
             RunProgress::TimedOut => return Err(RelayFault::TimedOut),
+            RunProgress::Stopped => return Err(RelayFault::Stopped),
             RunProgress::Silent => return Err(RelayFault::Silent),
             RunProgress::TargetEnded => {
                 tracing::debug!(event = "target-restarted", peer = %target.name, life = %target.incarnation);
@@ -206,6 +207,10 @@
 
     /// Resumes the stream at another target after the last complete event.
     async fn resume_elsewhere(&mut self, fault: RelayFault) -> Result<(), RelayFault> {
+        if fault == RelayFault::Stopped {
+            self.exchange.finish(RunEnd::Abandoned);
+            return Err(fault);
+        }
         // Dropping the answer closes its connection, which makes the target cancel the request.
         if let Some(answer) = self.answer.take() {
             if fault.may_be_lost_path() {
--- a/crates/ryetide-gateway/src/relay_fault.rs
+++ b/crates/ryetide-gateway/src/relay_fault.rs
@@ -19,6 +19,9 @@
     /// The request's deadline has passed.
     #[error("the deadline of the request has passed")]
     TimedOut,
+    /// This VM stops, and the caller has received nothing.
+    #[error("this VM stops")]
+    Stopped,
 }
 
 impl RelayFault {
--- a/crates/ryetide-gateway/src/run_fault.rs
+++ b/crates/ryetide-gateway/src/run_fault.rs
@@ -57,7 +57,7 @@
             RelayFault::Truncated => Self::Truncated,
             RelayFault::TooLarge => Self::TooLarge,
             RelayFault::Silent => Self::Silent,
-            RelayFault::TimedOut => Self::TimedOut,
+            RelayFault::TimedOut | RelayFault::Stopped => Self::TimedOut,
         }
     }
 }
