Store what began streams while their version could not be told without it

Cause: what began a stream is known to its VM and four peers. With all of them gone nobody knows it, and where several versions serve the take-up is refused.

Weighed: a write for each stream (80 a second on the smallest site, with a first event that waits for it: too dear); a version drawn from a hash of the stream's id against a stored split (nothing to write for a stream, but a split that moves twelve times in five seconds, as in the users' releases, leaves all that began meanwhile unknown, and one version's room goes unused); all streams of a VM in one row, written now and then. The last is built: exact, so that ORDER does not hang on it, and what is lost is what began since the last write. A VM writes its row only while a service's version could not be told otherwise, every 250 ms on small sites and at most 40 times a second over all VMs; it reads all rows once, when it starts.

A write of a row returns the row's version now, so that the next write of it needs no conflict to find it.

--- a/crates/ryetide-core/src/stream_origin.rs
+++ b/crates/ryetide-core/src/stream_origin.rs
@@ -5,7 +5,7 @@
 //! version has begun it; the VM at which the caller arrives asks those. Every VM finds the same
 //! keepers from the stream's id and the list of VMs. Records live as long as a caller may come back.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeSet, HashMap, VecDeque};
 
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::{self, Xxh3};
@@ -17,6 +17,8 @@
 
 /// The most records that a VM keeps, many times what it keeps at the peak; see docs/CAPACITY.md.
 pub const RECORD_LIMIT: usize = 32_768;
+/// The most streams of its own that a VM stores: they fit into a row of 64 KB.
+pub const OWN_LIMIT: usize = 1_200;
 /// The number of peers that are told of a stream. They are in several data centres, if there are
 /// several.
 pub const KEEPERS: usize = 4;
@@ -121,6 +123,34 @@
     }
 }
 
+/// The streams that one VM has begun and that may be taken up.
+#[derive(Debug, Default)]
+pub struct OwnStreams {
+    /// In the order in which they began.
+    records: VecDeque<(Moment, OriginRecord)>,
+}
+
+impl OwnStreams {
+    /// Adds a stream that has begun. Beyond the limit, the oldest one is dropped.
+    pub fn add(&mut self, now: Moment, record: OriginRecord) {
+        if self.records.len() >= OWN_LIMIT {
+            self.records.pop_front();
+        }
+        self.records.push_back((now, record));
+    }
+
+    /// Returns the streams that may still be taken up, each with the time that is left for that.
+    pub fn records(&mut self, now: Moment) -> Vec<OriginRecord> {
+        let left = |(began, record): &(Moment, OriginRecord)| {
+            let age = u32::try_from(now.since(*began).as_millis()).unwrap_or(u32::MAX);
+            let ttl_ms = record.ttl_ms.saturating_sub(age);
+            (ttl_ms > 0).then_some(OriginRecord { ttl_ms, ..*record })
+        };
+        self.records.retain(|it| left(it).is_some());
+        self.records.iter().filter_map(left).collect()
+    }
+}
+
 /// Returns the VMs in the order in which they keep a stream: the first of each data centre, then the
 /// others. Each VM comes to the same order, and one that joins or leaves moves no others.
 pub fn keeper_order<'a>(
--- a/crates/ryetide-gateway/src/feed_relay.rs
+++ b/crates/ryetide-gateway/src/feed_relay.rs
@@ -139,9 +139,10 @@
         match table {
             FleetTable::Routes => self.peers.get().routes,
             FleetTable::Targets => self.peers.get().targets,
-            FleetTable::Vms | FleetTable::RolloutWords | FleetTable::RolloutNotes => {
-                FeedPosition::default()
-            }
+            FleetTable::Vms
+            | FleetTable::RolloutWords
+            | FleetTable::RolloutNotes
+            | FleetTable::StreamOrigins => FeedPosition::default(),
         }
     }
 
@@ -150,7 +151,10 @@
         match table {
             FleetTable::Routes => self.own_routes.set(position),
             FleetTable::Targets => self.own_targets.set(position),
-            FleetTable::Vms | FleetTable::RolloutWords | FleetTable::RolloutNotes => {}
+            FleetTable::Vms
+            | FleetTable::RolloutWords
+            | FleetTable::RolloutNotes
+            | FleetTable::StreamOrigins => {}
         }
     }
 
--- a/crates/ryetide-gateway/src/fleet_tasks.rs
+++ b/crates/ryetide-gateway/src/fleet_tasks.rs
@@ -115,6 +115,10 @@
                 scheduler.with_rollouts(now, |manager, now| manager.take_report(now, &report));
             }),
             FleetUpdate::Peers(listed) => self.apply_peers(listed),
+            FleetUpdate::Origins(records) => {
+                tracing::info!(event = "stream-origins-read", count = records.len());
+                records.into_iter().for_each(|it| gateway.origins().record(gateway, it));
+            }
             FleetUpdate::OwnSecret(secret) => self.link.set_secret(secret),
         }
     }
--- a/crates/ryetide-gateway/src/gateway.rs
+++ b/crates/ryetide-gateway/src/gateway.rs
@@ -27,6 +27,7 @@
     feed_relay::FeedRelay,
     fleet_tasks::{self, FleetUpdateHandler},
     gateway_state::Gateway,
+    origin_monitor::OriginMonitor,
     peer_link::{self, PeerLink},
     ports::{
         FeedChannels, FleetFeed, GatewaySettings, HeaderNames, PeerEntry, SettingsSource,
@@ -234,6 +235,7 @@
     let (keeper, kept) = QuarantineMonitor::new();
     let (rollout_monitor, rollout_duties) = RolloutMonitor::new();
     let (version_monitor, versions) = VersionMonitor::new();
+    let (origin_monitor, origins) = OriginMonitor::new();
     let channels = FeedChannels {
         updates,
         refresh: refresh_signal,
@@ -241,6 +243,7 @@
         relay,
         quarantines: kept,
         versions,
+        origins,
         duties: rollout_duties,
     };
     let mut tasks = JoinSet::new();
@@ -258,6 +261,7 @@
     tasks.spawn_local(keeper.run(Rc::clone(&gateway)));
     tasks.spawn_local(rollout_monitor.run(Rc::clone(&gateway), Rc::clone(&link)));
     tasks.spawn_local(version_monitor.run(Rc::clone(&gateway)));
+    tasks.spawn_local(origin_monitor.run(Rc::clone(&gateway)));
     tasks.spawn_local(tunnel_server::serve(Rc::clone(&gateway), tunnels));
     tasks.spawn_local(status_port::serve(Rc::clone(&gateway), status));
     let accepting = tasks.spawn_local(caller_listener::accept(Rc::clone(&gateway), callers));
--- a/crates/ryetide-gateway/src/lib.rs
+++ b/crates/ryetide-gateway/src/lib.rs
@@ -55,6 +55,8 @@
 mod local_future;
 mod loop_monitor;
 pub mod origin_lookup;
+mod origin_monitor;
+mod origin_rows;
 mod overflow_log;
 pub mod own_headers;
 pub mod peer_link;
--- a/crates/ryetide-gateway/src/origin_lookup.rs
+++ b/crates/ryetide-gateway/src/origin_lookup.rs
@@ -6,7 +6,7 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::HashMap,
+    collections::{BTreeSet, HashMap},
     rc::Rc,
     time::Duration,
 };
@@ -14,7 +14,7 @@
 use ryetide_core::{
     ids::{ServiceKey, VmName},
     origin_inquiry::{OriginInquiry, OriginReply, OriginVerdict},
-    stream_origin::{self, OriginRecord, OriginTable, StreamKey, StreamOrigin},
+    stream_origin::{self, OriginRecord, OriginTable, OwnStreams, StreamKey, StreamOrigin},
     target_load::TargetEntry,
     units::Moment,
     version_history::{ServiceVersions, VersionHistory, VersionsSeen},
@@ -38,7 +38,7 @@
 /// The time added to a caller's deadline for which a stream's origin is remembered.
 pub const ORIGIN_SLACK: Duration = Duration::from_secs(3);
 /// The longest time for which a stream's origin is remembered.
-const MAX_ORIGIN_TTL: Duration = Duration::from_secs(600);
+pub const MAX_ORIGIN_TTL: Duration = Duration::from_secs(600);
 
 /// A question for a stream's origin.
 #[derive(Clone, Copy, Debug, Deserialize, Serialize)]
@@ -74,6 +74,8 @@
 pub struct StreamOrigins {
     table: RefCell<OriginTable>,
     history: RefCell<VersionHistory>,
+    /// The streams that this VM has begun.
+    own: RefCell<OwnStreams>,
     /// Whether it is known what VMs have stored before a restart.
     is_restored: Cell<bool>,
     inquiries: RefCell<HashMap<u64, OpenInquiry>>,
@@ -123,11 +125,25 @@
         let ttl = ttl.min(MAX_ORIGIN_TTL);
         let ttl_ms = u32::try_from(ttl.as_millis()).unwrap_or(u32::MAX);
         let record = OriginRecord { key, origin, ttl_ms };
+        self.own.borrow_mut().add(gateway.hub().clock().now(), record);
         self.record(gateway, record);
         let keepers = peers_of(gateway, key, stream_origin::KEEPERS);
         send(gateway, PeerMessage::Origin(record), &keepers);
     }
 
+    /// Returns the streams that this VM has begun and whose version could not be told without a record
+    /// after the loss of all VMs: the service has had several, or may have had.
+    pub fn at_risk(&self, gateway: &Gateway, window: Duration) -> Vec<OriginRecord> {
+        let mut own = self.own.borrow_mut();
+        let mut records = own.records(gateway.hub().clock().now());
+        let services: BTreeSet<ServiceKey> = records.iter().map(|it| it.origin.service).collect();
+        let seen = |service: &ServiceKey| self.versions_seen(gateway, *service, window);
+        let is_safe = |service: &ServiceKey| matches!(seen(service), VersionsSeen::Only(_));
+        let safe: BTreeSet<ServiceKey> = services.into_iter().filter(is_safe).collect();
+        records.retain(|record| !safe.contains(&record.origin.service));
+        records
+    }
+
     /// Records what a peer, or this VM, knows of a stream.
     pub fn record(&self, gateway: &Gateway, record: OriginRecord) {
         let now = gateway.hub().clock().now();
--- a/crates/ryetide-gateway/src/ports.rs
+++ b/crates/ryetide-gateway/src/ports.rs
@@ -15,6 +15,7 @@
     rollout_order::{RolloutDuty, RolloutOrder, RolloutReport, RolloutRule},
     route::RouteTable,
     scheduling_policy::SchedulingPolicy,
+    stream_origin::OriginRecord,
     target_registry::RegistryUpdate,
     units::{LinkRate, Tokens},
     version_history::ServiceVersions,
@@ -173,6 +174,8 @@
     Rollout(RolloutReport),
     /// All listed entry VMs.
     Peers(Vec<PeerEntry>),
+    /// What VMs have stored of the origins of their streams.
+    Origins(Vec<OriginRecord>),
     /// The key that an earlier incarnation of this VM published to the peers.
     OwnSecret(PeerSecret),
 }
@@ -193,6 +196,9 @@
     pub quarantines: watch::Receiver<Vec<StoredQuarantine>>,
     /// The versions of services that this VM stores for all VMs; a feed without a store ignores them.
     pub versions: watch::Receiver<Vec<ServiceVersions>>,
+    /// The origins of this VM's streams that it stores for all VMs; a feed without a store ignores
+    /// them.
+    pub origins: watch::Receiver<Vec<OriginRecord>>,
     /// The duties that are pending at the operators' rows of rollout orders.
     pub duties: watch::Receiver<Vec<RolloutDuty>>,
 }
--- a/crates/ryetide-gateway/src/refresh_signal.rs
+++ b/crates/ryetide-gateway/src/refresh_signal.rs
@@ -79,7 +79,7 @@
             FleetTable::Routes => Some(&self.routes),
             FleetTable::Targets => Some(&self.targets),
             FleetTable::Vms => Some(&self.vms),
-            FleetTable::RolloutWords | FleetTable::RolloutNotes => None,
+            FleetTable::RolloutWords | FleetTable::RolloutNotes | FleetTable::StreamOrigins => None,
         }
     }
 }
--- a/crates/ryetide-gateway/src/rollout_rows.rs
+++ b/crates/ryetide-gateway/src/rollout_rows.rs
@@ -211,7 +211,7 @@
             let value = serde_json::to_vec(&note)
                 .map_err(|error| StepError::new("encode rollout note", error))?;
             match notes.write(key, version_of(&row), &value, CALL_LIMIT).await {
-                Ok(()) => return Ok(note),
+                Ok(_) => return Ok(note),
                 Err(TableFault::Conflict(_)) => {}
                 Err(fault) => return Err(fault.into()),
             }
@@ -239,7 +239,7 @@
                 return Ok(report(stored));
             }
             match statuses.write(&key, version_of(&row), &value, CALL_LIMIT).await {
-                Ok(()) => return Ok(report(status)),
+                Ok(_) => return Ok(report(status)),
                 Err(TableFault::Conflict(_)) => {}
                 Err(fault) => return Err(fault.into()),
             }
--- a/crates/ryetide-gateway/src/store_feed.rs
+++ b/crates/ryetide-gateway/src/store_feed.rs
@@ -21,6 +21,7 @@
 
 use crate::{
     lag_monitor::FeedPauses,
+    origin_rows::OriginRows,
     ports::{
         FeedChannels, FleetFeed, FleetUpdate, LocalFuture, PeerEntry, PeerSecret, StoredQuarantine,
     },
@@ -170,6 +171,7 @@
         let store = self.store;
         let faults = RowFaults::default;
         let rows = RolloutRows::new(Rc::clone(&store), channels.clone());
+        let origins = OriginRows::new(Rc::clone(&store), own.name.clone(), channels.clone());
         let routes = RouteReader { store: Rc::clone(&store), faults: faults() };
         let targets = TargetReader { store: Rc::clone(&store), faults: faults() };
         let table = move |kind| store.open(kind);
@@ -196,6 +198,7 @@
                 follow_vms.run(),
                 announce(table(FleetTable::Vms), &own, found, channels),
                 rows.run(),
+                origins.run(),
             );
         })
     }
@@ -316,14 +319,15 @@
     }
 }
 
-/// Writes this VM's row over the one of this version, and returns that version. It is outdated
-/// after the write; the conflict that the next write meets gives the current one.
+/// Writes this VM's row over the one of this version, and returns the version after that.
 async fn write_row(table: &mut dyn StoreTable, own: &PeerEntry, version: u64, row: &VmRow) -> u64 {
     match serde_json::to_vec(row) {
         Ok(value) => table_follower::write_own_row(table, own.name.as_str(), version, &value).await,
-        Err(error) => tracing::error!(event = "announce-failed", step = "encode", reason = %error),
+        Err(error) => {
+            tracing::error!(event = "announce-failed", step = "encode", reason = %error);
+            version
+        }
     }
-    version
 }
 
 /// This VM's own row, as found by a read of the whole table.
--- a/crates/ryetide-gateway/src/store_table.rs
+++ b/crates/ryetide-gateway/src/store_table.rs
@@ -22,6 +22,8 @@
     RolloutWords,
     /// When each rollout order was first seen, by service; read by VMs only.
     RolloutNotes,
+    /// What began the streams of entry VMs, by the names of these; read by VMs when they start.
+    StreamOrigins,
 }
 
 /// What a row holds.
@@ -103,12 +105,12 @@
     fn disconnect(&mut self);
 
     /// Writes a row if it has the version `expected`, with a timeout of `limit`; 0 means that the
-    /// row must not exist.
+    /// row must not exist. Returns its version after that.
     fn write<'a>(
         &'a mut self,
         key: &'a str,
         expected: u64,
         value: &'a [u8],
         limit: Duration,
-    ) -> LocalFuture<'a, Result<(), TableFault>>;
+    ) -> LocalFuture<'a, Result<u64, TableFault>>;
 }
--- a/crates/ryetide-gateway/src/table_follower.rs
+++ b/crates/ryetide-gateway/src/table_follower.rs
@@ -517,16 +517,21 @@
 
 /// Writes this VM's own row, replacing the one of its last incarnation, and retries until it
 /// succeeds. `expected` is the known version of the existing row; 0 for none.
-pub async fn write_own_row(table: &mut dyn StoreTable, key: &str, mut expected: u64, value: &[u8]) {
+pub async fn write_own_row(
+    table: &mut dyn StoreTable,
+    key: &str,
+    mut expected: u64,
+    value: &[u8],
+) -> u64 {
     let mut pause = RetryBackoff::default();
     loop {
         match table.write(key, expected, value, CALL_LIMIT).await {
-            Ok(()) => return,
+            Ok(version) => return version,
             // An earlier write whose answer was lost has succeeded.
             Err(TableFault::Conflict(Some(row)))
                 if row.value.bytes().is_some_and(|found| found == value) =>
             {
-                return;
+                return row.version;
             }
             Err(TableFault::Conflict(found)) => {
                 let version = found.map_or(0, |row| row.version);
--- a/crates/ryetide-gateway/src/version_monitor.rs
+++ b/crates/ryetide-gateway/src/version_monitor.rs
@@ -59,7 +59,7 @@
 }
 
 /// Returns the time for which the streams of any route may last.
-fn stream_window(gateway: &Gateway) -> Duration {
+pub fn stream_window(gateway: &Gateway) -> Duration {
     let routes = gateway.fleet().routes();
     routes.map_or(Duration::ZERO, |routes| routes.longest_timeout()) + ORIGIN_SLACK
 }
--- a/crates/ryetide-gateway/tests/serving/support.rs
+++ b/crates/ryetide-gateway/tests/serving/support.rs
@@ -19,6 +19,7 @@
     quota::QuotaRule,
     retry_budget::RetryRule,
     route::{RouteKind, RouteOrganisation, RouteRule, RouteTable, RoutedService, ServiceShare},
+    stream_origin::OriginRecord,
     target_load::TargetEntry,
     target_registry::RegistryUpdate,
     units::{LinkRate, Revision, TierRank, Tokens},
@@ -316,6 +317,8 @@
 
 struct TestFeed {
     updates: mpsc::Receiver<FleetUpdate>,
+    /// The origins of streams that the gateway wants to have stored.
+    origins: Rc<RefCell<Vec<OriginRecord>>>,
 }
 
 impl FleetFeed for TestFeed {
@@ -325,6 +328,12 @@
         channels: FeedChannels,
     ) -> LocalFuture<'static, ()> {
         Box::pin(async move {
+            let (mut origins, stored) = (channels.origins.clone(), Rc::clone(&self.origins));
+            task::spawn_local(async move {
+                while origins.changed().await.is_ok() {
+                    *stored.borrow_mut() = origins.borrow_and_update().clone();
+                }
+            });
             while let Some(update) = self.updates.recv().await {
                 channels.updates.send(update).await.expect("a gateway that receives updates");
             }
@@ -360,6 +369,7 @@
     pub peers: SocketAddr,
     updates: mpsc::Sender<FleetUpdate>,
     commands: mpsc::Sender<GatewayCommand>,
+    origins: Rc<RefCell<Vec<OriginRecord>>>,
     stopped: task::JoinHandle<()>,
 }
 
@@ -395,18 +405,24 @@
         let status = sockets.status.local_addr().expect("an address");
         let peers = sockets.peers.local_addr().expect("an address");
         let (updates, receiver) = mpsc::channel(16);
+        let origins = Rc::default();
         let parts = GatewayParts {
             settings: settings.clone(),
             source: Box::new(TestSource(settings)),
             names: names(),
             reader: Box::new(TestReader),
-            feed: Box::new(TestFeed { updates: receiver }),
+            feed: Box::new(TestFeed { updates: receiver, origins: Rc::clone(&origins) }),
         };
         let (commands, receiver) = mpsc::channel(4);
         let stopped = task::spawn_local(async move {
             gateway::serve(parts, sockets, receiver).await.expect("a gateway that serves");
         });
-        Self { callers, status, peers, updates, commands, stopped }
+        Self { callers, status, peers, updates, commands, stopped, origins }
+    }
+
+    /// Returns the origins of streams that the gateway has its feed store.
+    pub fn stored_origins(&self) -> Vec<OriginRecord> {
+        self.origins.borrow().clone()
     }
 
     /// Starts a gateway that serves one route with `targets`.
--- a/crates/ryetide-gateway/tests/serving/versions.rs
+++ b/crates/ryetide-gateway/tests/serving/versions.rs
@@ -58,6 +58,9 @@
     Box::pin(stream("v2", request, wire))
 }
 
+/// The time in which a gateway without peers stores the origins of its streams.
+const STORE_SPAN: Duration = Duration::from_millis(600);
+
 /// Targets of v1 and v2.
 struct Versions {
     v1: Vec<Target>,
@@ -279,6 +282,33 @@
     time::sleep(Duration::from_millis(50)).await;
 }
 
+/// Guards against streams that none takes up after the loss of all VMs while two versions serve, and
+/// against needless writes while one does.
+#[test]
+fn the_origins_of_streams_are_stored_while_their_version_could_not_be_told() {
+    support::run(async {
+        for (v2, row, is_stored) in [
+            (0, stored(&["v1"], true), false),
+            (0, stored(&["v1"], false), true),
+            (2, stored(&["v1", "v2"], true), true),
+        ] {
+            let versions = Versions::start(2, v2).await;
+            let gateway = start_gateway("e1", versions.entries()).await;
+            restore(&gateway, vec![row]).await;
+            begin(&gateway, "q1").await;
+            time::sleep(STORE_SPAN).await;
+            let kept = gateway.stored_origins();
+            assert_eq!(kept.len(), usize::from(is_stored), "{v2} targets of v2");
+            let again = start_gateway("e1", versions.entries()).await;
+            again.send_update(FleetUpdate::Origins(kept)).await;
+            if is_stored {
+                let end = ask(&again, "q2", &resuming("q1")).await;
+                assert!(matches!(end, StreamEnd::Complete(_)), "{end:?}");
+            }
+        }
+    });
+}
+
 /// Guards against a stream that goes on at the one version left after all VMs were restarted: whether
 /// another one has just gone stands in the VMs' rows only.
 #[test]
--- a/crates/ryetide-gateway/tests/table_follower/model_store.rs
+++ b/crates/ryetide-gateway/tests/table_follower/model_store.rs
@@ -275,9 +275,9 @@
         _expected: u64,
         value: &'a [u8],
         _limit: Duration,
-    ) -> LocalFuture<'a, Result<(), TableFault>> {
+    ) -> LocalFuture<'a, Result<u64, TableFault>> {
         self.store.put(self.table, key, value);
-        Box::pin(async { Ok(()) })
+        Box::pin(async { Ok(0) })
     }
 }
 
@@ -398,6 +398,7 @@
             relay,
             quarantines: watch::channel(Vec::new()).1,
             versions: watch::channel(Vec::new()).1,
+            origins: watch::channel(Vec::new()).1,
             duties: watch::channel(Vec::new()).1,
         };
         let own = PeerEntry {
--- a/crates/ryetide-gateway/tests/table_follower/passive.rs
+++ b/crates/ryetide-gateway/tests/table_follower/passive.rs
@@ -42,6 +42,7 @@
             relay: Rc::clone(&relay),
             quarantines: watch::channel(Vec::new()).1,
             versions: watch::channel(Vec::new()).1,
+            origins: watch::channel(Vec::new()).1,
             duties: watch::channel(Vec::new()).1,
         };
         let follower = TableFollower::new(script.table(), PACE, CountingReader, channels);
@@ -219,6 +220,7 @@
             relay,
             quarantines: kept,
             versions: watch::channel(Vec::new()).1,
+            origins: watch::channel(Vec::new()).1,
             duties,
         };
         let follow = |table| {
--- a/crates/ryetide-gateway/tests/table_follower/support.rs
+++ b/crates/ryetide-gateway/tests/table_follower/support.rs
@@ -109,10 +109,10 @@
         expected: u64,
         _value: &'a [u8],
         _limit: Duration,
-    ) -> LocalFuture<'a, Result<(), TableFault>> {
+    ) -> LocalFuture<'a, Result<u64, TableFault>> {
         Box::pin(async move {
             match self.0.next(Call::Write(expected)) {
-                Answer::Written => Ok(()),
+                Answer::Written => Ok(0),
                 Answer::Fault(fault) => Err(fault),
                 Answer::Rows(..) => panic!("the call must be a write, not a read"),
                 Answer::Silent => future::pending().await,
@@ -159,6 +159,7 @@
         relay: FeedRelay::new().0,
         quarantines: watch::channel(Vec::new()).1,
         versions: watch::channel(Vec::new()).1,
+        origins: watch::channel(Vec::new()).1,
         duties: watch::channel(Vec::new()).1,
     };
     let follower = TableFollower::new(script.table(), PACE, CountingReader, channels);
