Give an answer up when its target sends bytes that are no part of it

What happens here, on every kind of route, directly and through a peer, each with a route that would wait for 60 s: lines of a head, one line, junk, a chunk extension, chunks, trailers, a body and an event without end are all given up with 502, or broken off, and no more than 16 MB were ever taken from the target.

Change: a connection to a target counts the bytes that it has received since a part of an answer was last used, and ends beyond 1 MB.

Shown: `endless_bytes` fails without the change (`chunk-size`: no answer in 4 s), and passes with it, 10 parts on 3 kinds of routes, directly and through a peer.

--- a/crates/ryetide-gateway/src/caller_service.rs
+++ b/crates/ryetide-gateway/src/caller_service.rs
@@ -120,7 +120,8 @@
     let mut failure: Option<(http::response::Parts, SegmentedBody)> = None;
     loop {
         let memory = exchange.gateway().memory();
-        let reading = target_answer::read_whole(&mut answer.body, MAX_BUFFERED_ANSWER, memory);
+        let TargetAnswer { body, connection, target, .. } = &mut answer;
+        let reading = target_answer::read_whole(body, connection, MAX_BUFFERED_ANSWER, memory);
         let reading = tokio::time::timeout_at(exchange.timeout_at(), reading);
         let stop = exchange.stop_limit();
         // `biased` polls the answer first: a complete one is forwarded even if the target has
@@ -128,7 +129,7 @@
         let read = tokio::select! {
             biased;
             read = reading => read,
-            () = exchange.gateway().fleet().incarnation_ended(&answer.target) => {
+            () = exchange.gateway().fleet().incarnation_ended(target) => {
                 Ok(Err(BodyFault::TargetEnded))
             }
             () = stop.answers_due() => return exchange.answer_own(OwnAnswer::stopping()),
--- a/crates/ryetide-gateway/src/lib.rs
+++ b/crates/ryetide-gateway/src/lib.rs
@@ -54,6 +54,7 @@
 pub mod lag_monitor;
 mod local_future;
 mod loop_monitor;
+mod metered_stream;
 pub mod origin_lookup;
 mod origin_monitor;
 mod origin_rows;
--- a/crates/ryetide-gateway/src/relay.rs
+++ b/crates/ryetide-gateway/src/relay.rs
@@ -170,6 +170,9 @@
                 Err(RelayFault::Broken)
             }
             Some(Ok(frame)) => {
+                if let Some(answer) = &self.answer {
+                    answer.connection.record_used();
+                }
                 // A frame without data holds trailers, which are not forwarded.
                 let data = frame.into_data().unwrap_or_default();
                 self.scan(data).map(Some)
--- a/crates/ryetide-gateway/src/target_answer.rs
+++ b/crates/ryetide-gateway/src/target_answer.rs
@@ -173,6 +173,7 @@
 /// Returns a [`BodyFault`] when the body is incomplete or larger than `limit`.
 pub async fn read_whole(
     body: &mut Incoming,
+    connection: &TargetConnection,
     limit: usize,
     memory: &Arc<MemoryPool>,
 ) -> Result<BodyReading, BodyFault> {
@@ -189,6 +190,7 @@
     while let Some(frame) = body.frame().await {
         // A frame without data holds trailers, which are not forwarded.
         let Ok(data) = frame?.into_data() else { continue };
+        connection.record_used();
         if buffer.len() + data.len() > limit {
             return Err(BodyFault::TooLarge(limit));
         }
--- a/crates/ryetide-gateway/src/target_pool.rs
+++ b/crates/ryetide-gateway/src/target_pool.rs
@@ -22,7 +22,10 @@
     time::{self, Instant},
 };
 
-use crate::peer_tunnel::TunnelGuard;
+use crate::{
+    metered_stream::{ByteMeter, MeteredStream},
+    peer_tunnel::TunnelGuard,
+};
 
 /// The timeout for opening a connection: a hundred times the latency to another data centre. An
 /// unreachable target delays a request by at most this long before another target is tried.
@@ -77,6 +80,7 @@
     sender: SendRequest<SegmentedBody>,
     task: AbortHandle,
     pooled: bool,
+    meter: ByteMeter,
     /// Set if a peer has opened the connection.
     tunnel: Option<TunnelGuard>,
 }
@@ -103,14 +107,16 @@
     where
         T: AsyncRead + AsyncWrite + Unpin + 'static,
     {
+        let meter = ByteMeter::default();
+        let stream = TokioIo::new(MeteredStream::new(stream, meter.clone()));
         let (sender, connection) =
-            http1::Builder::new().max_buf_size(READ_BUFFER).handshake(TokioIo::new(stream)).await?;
+            http1::Builder::new().max_buf_size(READ_BUFFER).handshake(stream).await?;
         let running = task::spawn_local(async move {
             if let Err(error) = connection.await {
                 tracing::debug!(event = "target-connection-ended", peer = %address, reason = %error);
             }
         });
-        Ok(Self { sender, task: running.abort_handle(), pooled: false, tunnel })
+        Ok(Self { sender, task: running.abort_handle(), pooled: false, meter, tunnel })
     }
 
     /// Records that the connection broke or fell silent. If a peer has opened it, the next ones are
@@ -130,7 +136,16 @@
         &mut self,
         request: Request<SegmentedBody>,
     ) -> Result<Response<Incoming>, SendFault> {
-        Ok(self.sender.send_request(request).await?)
+        self.record_used();
+        let response = self.sender.send_request(request).await?;
+        self.record_used();
+        Ok(response)
+    }
+
+    /// Records that a part of the answer was used. Without that, the connection ends when the target
+    /// goes on to send.
+    pub fn record_used(&self) {
+        self.meter.record_used();
     }
 
     /// Returns whether the connection was taken from the pool.
--- a/crates/ryetide-gateway/tests/serving/main.rs
+++ b/crates/ryetide-gateway/tests/serving/main.rs
@@ -9,6 +9,7 @@
 mod digests;
 mod early_answers;
 mod ejection;
+mod endless_bytes;
 mod limits;
 mod lives;
 mod repeats;
