Bound the answers of engines that ryetided hands out in one piece

An engine's events are assembled into one body for callers that do not stream. Answers of other services have the limit of their service.

Change: beyond 4 MiB the caller gets 502, and dropping its call cancels the run. Shown by a test of the body alone (`an_answer_in_one_piece_is_bounded`); with the daemon and an engine without end it was not played.

--- a/src/answer_buffer.rs
+++ b/src/answer_buffer.rs
@@ -115,3 +115,44 @@
         poll_fn(|context| self.poll_next(context)).await
     }
 }
+
+/// The largest answer of an engine that is handed out in one piece. An engine says nothing of the length
+/// of its answer, and one that sends without end would fill the daemon's memory.
+pub const ENGINE_ANSWER_LIMIT: ByteSize = ByteSize(4 << 20);
+
+/// An answer is larger than permitted.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
+#[error("the answer is larger than {0}")]
+pub struct AnswerTooLarge(ByteSize);
+
+/// The body of an answer that is handed out in one piece.
+#[derive(Debug)]
+pub struct WholeBody {
+    bytes: Vec<u8>,
+    limit: ByteSize,
+}
+
+impl WholeBody {
+    /// Creates an empty body of at most `limit` bytes.
+    pub fn new(limit: ByteSize) -> Self {
+        Self { bytes: Vec::new(), limit }
+    }
+
+    /// Appends a piece.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`AnswerTooLarge`] when the body would be larger than permitted.
+    pub fn push(&mut self, piece: &[u8]) -> Result<(), AnswerTooLarge> {
+        if (self.bytes.len() + piece.len()) as u64 > self.limit.0 {
+            return Err(AnswerTooLarge(self.limit));
+        }
+        self.bytes.extend_from_slice(piece);
+        Ok(())
+    }
+
+    /// Returns the bytes.
+    pub fn into_bytes(self) -> Vec<u8> {
+        self.bytes
+    }
+}
--- a/src/caller_edge.rs
+++ b/src/caller_edge.rs
@@ -30,7 +30,7 @@
 };
 
 use crate::{
-    answer_buffer::{AnswerBuffer, AnswerOverflow, AnswerPart},
+    answer_buffer::{self, AnswerBuffer, AnswerOverflow, AnswerPart, WholeBody},
     caller_answer::{self, ANSWERED},
     caller_gate::CallerGate,
     caller_request::{self, CallerHeaders, ModelRequest, ReadFault},
@@ -372,16 +372,25 @@
 /// Waits for the start of an answer and builds the response.
 async fn respond(call: OpenCall, is_model: bool, stream: bool) -> HttpResponse {
     let mut head = AnswerHead { status: 200, content_type: String::new() };
-    let mut body = Vec::new();
+    // Answers of other services have the limit of their service.
+    let limit = if is_model { answer_buffer::ENGINE_ANSWER_LIMIT } else { ByteSize(u64::MAX) };
+    let mut body = WholeBody::new(limit);
     loop {
         match call.buffer.next().await {
             Ok(AnswerPart::Head(found)) if stream && found.is_event_stream() => {
                 return begin_stream(call, &found);
             }
             Ok(AnswerPart::Head(found)) => head = found,
-            Ok(AnswerPart::Piece(piece)) => body.extend_from_slice(&piece),
+            Ok(AnswerPart::Piece(piece)) => {
+                if let Err(error) = body.push(&piece) {
+                    let id = call.id();
+                    tracing::warn!(event = "answer-too-large", step = "collect", request = %id, reason = %error);
+                    return HttpResponse::BadGateway().finish();
+                }
+            }
             Ok(AnswerPart::Final(answer)) => {
                 call.ended.set(true);
+                let body = body.into_bytes();
                 return whole_response(&call, answer, head, body, is_model && !stream);
             }
             Err(AnswerOverflow) => return HttpResponse::BadGateway().finish(),
--- a/tests/bounds.rs
+++ b/tests/bounds.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use ryetide::{
-    answer_buffer::{AnswerBuffer, AnswerOverflow, AnswerPart},
+    answer_buffer::{self, AnswerBuffer, AnswerOverflow, AnswerPart, WholeBody},
     ring::{self, RingClosed},
     settings::DaemonSettings,
 };
@@ -60,6 +60,17 @@
     assert_eq!(buffer.push(piece(1)), Err(AnswerOverflow));
 }
 
+/// Guards against an engine that sends without end and fills the memory with an answer that is handed
+/// out in one piece.
+#[test]
+fn an_answer_in_one_piece_is_bounded() {
+    let mut body = WholeBody::new(answer_buffer::ENGINE_ANSWER_LIMIT);
+    let piece = vec![b'x'; 1 << 20];
+    let taken = (0..100).take_while(|_| body.push(&piece).is_ok()).count();
+    assert_eq!(taken, 4);
+    assert_eq!(body.into_bytes().len(), 4 << 20);
+}
+
 /// Guards against a settings check that reports only the first error.
 #[test]
 fn all_faults_of_settings_are_found_in_one_run() {
