--- a/crates/ryetide-gateway/src/exchange.rs
+++ b/crates/ryetide-gateway/src/exchange.rs
@@ -335,7 +335,7 @@
 
     /// Returns when the request may not be sent any more, since this VM stops.
     pub fn stop_limit(&self) -> StopLimit {
-        StopLimit::new(&self.gateway, &self.matched.route.name, self.deadline_at)
+        StopLimit::new(&self.gateway, &self.matched.route, self.deadline_at)
     }
 
     /// Returns the request's deadline on the runtime's clock.
--- a/crates/ryetide-gateway/src/stop_order.rs
+++ b/crates/ryetide-gateway/src/stop_order.rs
@@ -4,10 +4,13 @@
     cell::{Cell, RefCell},
     collections::HashMap,
     rc::Rc,
+    sync::Arc,
     time::Duration,
 };
 
-use ryetide_core::{run_durations::RunDurations, stop_window::StopWindow, units::Moment};
+use ryetide_core::{
+    route::RouteRule, run_durations::RunDurations, stop_window::StopWindow, units::Moment,
+};
 use tokio::{sync::Notify, time};
 
 use crate::gateway_state::Gateway;
@@ -64,14 +67,14 @@
 /// When a request may not be sent to a target any more, since this VM stops.
 pub struct StopLimit {
     gateway: Rc<Gateway>,
-    route: String,
+    route: Arc<RouteRule>,
     deadline: Moment,
 }
 
 impl StopLimit {
     /// Creates the limit of a request of `route`.
-    pub fn new(gateway: &Rc<Gateway>, route: &str, deadline: Moment) -> Self {
-        Self { gateway: Rc::clone(gateway), route: route.to_owned(), deadline }
+    pub fn new(gateway: &Rc<Gateway>, route: &Arc<RouteRule>, deadline: Moment) -> Self {
+        Self { gateway: Rc::clone(gateway), route: Arc::clone(route), deadline }
     }
 
     /// Returns whether a run that begins now could not be expected to end in time.
@@ -97,7 +100,7 @@
     fn latest_start(&self, window: StopWindow) -> Moment {
         let durations = self.gateway.stop_order().durations.borrow();
         let unknown = RunDurations::default();
-        let durations = durations.get(&self.route).unwrap_or(&unknown);
+        let durations = durations.get(&self.route.name).unwrap_or(&unknown);
         window.latest_start(durations, self.deadline)
     }
 }
