--- a/crates/ryetide-gateway/tests/target_changes.rs
+++ b/crates/ryetide-gateway/tests/target_changes.rs
@@ -1,8 +1,13 @@
 //! Changes among the targets, as the log lists them.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
-use ryetide_core::{target_load::TargetEntry, target_registry::RegistryUpdate, units::Moment};
+use ryetide_core::{
+    route::{RouteTable, RoutedService},
+    target_load::TargetEntry,
+    target_registry::RegistryUpdate,
+    units::{Moment, Revision},
+};
 use ryetide_gateway::{fleet_view::FleetView, target_changes::TargetChanges};
 
 fn entry(name: &str, leaving: bool) -> TargetEntry {
@@ -30,10 +35,35 @@
     assert_eq!(listed, ["d", "a,d", "b"]);
 }
 
+fn service(name: &str) -> RoutedService {
+    RoutedService {
+        name: name.into(),
+        connection_limit: 100,
+        engine: None,
+        health_path: Default::default(),
+    }
+}
+
+/// Guards against targets that get nothing, because no configuration names their service, without a sign
+/// of it in the log, and against such a sign for each sweep.
+#[test]
+fn entries_that_count_for_nothing_are_reported_once() {
+    let fleet = FleetView::default();
+    let update = RegistryUpdate::whole(vec![entry("a", false)]);
+    fleet.registry().borrow_mut().take(Moment::from_millis(1), update);
+    assert!(fleet.refresh_targets(Moment::from_millis(1)).is_none());
+    assert_eq!(fleet.take_passed_over(), Some(vec!["a".into()]));
+    assert_eq!(fleet.take_passed_over(), None);
+    fleet.adopt(Arc::new(RouteTable::builder(Revision(1)).service(service("desk")).build()));
+    assert!(fleet.refresh_targets(Moment::from_millis(2)).is_some());
+    assert_eq!(fleet.take_passed_over(), Some(Vec::new()));
+}
+
 /// Guards against a log entry for each sweep, five times a second, when no target has changed.
 #[test]
 fn an_unchanged_list_is_not_reported() {
     let fleet = FleetView::default();
+    fleet.adopt(Arc::new(RouteTable::builder(Revision(1)).service(service("desk")).build()));
     let update = RegistryUpdate::whole(vec![entry("a", false)]);
     fleet.registry().borrow_mut().take(Moment::from_millis(1), update);
     let refreshed = fleet.refresh_targets(Moment::from_millis(1)).expect("a first list");
