Ask a moment longer whether a target still accepts connections

Cause, by the record: an answer that ends with its connection is whole if its target's address accepts connections then. The system of a process that is killed closes its sockets one after the other; where the answer's connection is closed before the one that listens, the VM's question is accepted by a process that is no more. Crashes are found by the same question.

Change: the connection must stay open for 30 ms. If it ends, the address is asked once more after that time: who still accepts is a target that has no room for the connection. Through a peer a connection that ends says nothing.

Shown by two tests. `..._refuses_a_moment_later_...`: the address refuses 10 ms after the answer's end; complete on the code before on each of three kinds of routes, not now. The other, a sound target that resets further connections, failed before too (its whole answers were withheld) and passes now.

--- a/crates/ryetide-gateway/src/target_connector.rs
+++ b/crates/ryetide-gateway/src/target_connector.rs
@@ -14,7 +14,11 @@
     target_load::TargetEntry,
     tunnel_helpers::{HelperCandidate, TunnelHelpers},
 };
-use tokio::{net::TcpStream, task, time};
+use tokio::{
+    io::{AsyncRead, AsyncReadExt},
+    net::TcpStream,
+    task, time,
+};
 
 use crate::{
     gateway_state::Gateway,
@@ -44,6 +48,10 @@
 /// thirds of the VMs are cut off, one of eight reaches it in 24 cases of 25.
 const MAX_EXAMINING_PEERS: usize = 8;
 
+/// How long a connection must stay open to show that its target runs: many times what the system needs to
+/// close the sockets of a process.
+const SETTLE_SPAN: Duration = Duration::from_millis(30);
+
 /// What this VM and its peers see of a target.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum TargetReachability {
@@ -148,8 +156,8 @@
         request: &str,
         target: &TargetEntry,
     ) -> TargetReachability {
-        let fault = match target_pool::open_stream(target.address).await {
-            Ok(_) => {
+        let fault = match open_settled(target).await {
+            Ok(()) => {
                 self.record_reached(gateway, target);
                 return TargetReachability::Reached;
             }
@@ -165,9 +173,13 @@
         }
         let query = TunnelQuery { request, target, most: MAX_EXAMINING_PEERS };
         match self.ask_peers(gateway, query, |_| true).await {
-            TunnelEnd::Opened(_) => {
+            TunnelEnd::Opened(tunnel) => {
                 self.record_lost(gateway, target);
-                TargetReachability::ReachedByPeer
+                if stays_open(tunnel.stream).await {
+                    TargetReachability::ReachedByPeer
+                } else {
+                    TargetReachability::Unknown
+                }
             }
             TunnelEnd::Refused if is_refused => TargetReachability::Refuses,
             TunnelEnd::Refused | TunnelEnd::Failed => TargetReachability::Unknown,
@@ -361,6 +373,34 @@
     peer_tunnel::open(peer.address, Bytes::from(sealed)).await
 }
 
+/// Finds out whether a target accepts connections, and goes on to do so.
+///
+/// The system of a process that is killed closes its sockets one after the other. When a connection has
+/// ended, the address may accept others for some milliseconds; the end of such a connection shows that. A
+/// target that ends connections for which it has no room still accepts the next one.
+async fn open_settled(target: &TargetEntry) -> Result<(), ConnectFault> {
+    let is_settled = match target_pool::connect(target.address).await {
+        Ok(stream) => stays_open(stream).await,
+        Err(fault) if fault.is_reset() => false,
+        Err(fault) => return Err(fault),
+    };
+    if is_settled {
+        return Ok(());
+    }
+    time::sleep(SETTLE_SPAN).await;
+    match target_pool::connect(target.address).await {
+        Err(fault) if !fault.is_reset() => Err(fault),
+        Ok(_) | Err(_) => Ok(()),
+    }
+}
+
+/// Returns whether a connection on which nothing was sent is still open after a moment.
+async fn stays_open(mut stream: impl AsyncRead + Unpin) -> bool {
+    let mut byte = [0];
+    let reading = time::timeout(SETTLE_SPAN, stream.read(&mut byte)).await;
+    reading.map_or(true, |read| read.is_ok_and(|length| length > 0))
+}
+
 /// Tries the direct path to a target.
 async fn probe(gateway: Rc<Gateway>, target: TargetEntry) {
     match target_pool::open_stream(target.address).await {
--- a/crates/ryetide-gateway/src/target_pool.rs
+++ b/crates/ryetide-gateway/src/target_pool.rs
@@ -64,6 +64,11 @@
 }
 
 impl ConnectFault {
+    /// Whether the connection was accepted, and reset at once.
+    pub fn is_reset(&self) -> bool {
+        matches!(self, Self::Open(error) if error.kind() == io::ErrorKind::ConnectionReset)
+    }
+
     /// Whether the connection was refused.
     pub fn is_refusal(&self) -> bool {
         matches!(self, Self::Open(error) if error.kind() == io::ErrorKind::ConnectionRefused)
@@ -240,12 +245,21 @@
 ///
 /// Returns a [`ConnectFault`] when the connection cannot be opened in time.
 pub async fn open_stream(address: net::SocketAddr) -> Result<TcpStream, ConnectFault> {
-    let connecting = time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
-    let stream = connecting.await.map_err(|_| ConnectFault::Silent)??;
+    let stream = connect(address).await?;
     set_liveness_options(&stream)?;
     Ok(stream)
 }
 
+/// Opens a TCP connection on which nothing will be sent; its target may have ended it already.
+///
+/// # Errors
+///
+/// Returns a [`ConnectFault`] when the connection cannot be opened in time.
+pub async fn connect(address: net::SocketAddr) -> Result<TcpStream, ConnectFault> {
+    let connecting = time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
+    Ok(connecting.await.map_err(|_| ConnectFault::Silent)??)
+}
+
 /// Sets the socket options that detect an unreachable peer. A peer that is disconnected or has lost
 /// power sends neither FIN nor RST.
 ///
--- a/crates/ryetide-gateway/tests/serving/unframed.rs
+++ b/crates/ryetide-gateway/tests/serving/unframed.rs
@@ -1,8 +1,10 @@
 //! Streams that end with their connection, with neither a length nor chunks, and what their callers see.
 
+use std::time::Duration;
+
 use ryetide_core::{route::RouteKind, target_load::TargetEntry};
 use ryetide_gateway::ports::LocalFuture;
-use tokio::{net::TcpListener, task};
+use tokio::{net::TcpListener, task, time};
 
 use crate::{
     cut_off::{CutPath, CutSite},
@@ -236,6 +238,56 @@
     });
 }
 
+/// Guards against a part of an answer that looks complete, because the system of a target that is killed
+/// closes the answer's connection some milliseconds before its address refuses others.
+#[test]
+fn an_answer_whose_target_refuses_a_moment_later_does_not_look_complete() {
+    support::run(async {
+        for kind in [ONCE, RESUMABLE, RouteKind::OnceOnly] {
+            let listener = TcpListener::bind(("127.0.0.5", 0)).await.expect("a port");
+            let entry = support::entry("t1", listener.local_addr().expect("an address"));
+            let gateway = Gateway::serving(support::route(kind, 1), &[]).await;
+            gateway.set_targets(vec![entry]).await;
+            let dying = async {
+                let (stream, _) = listener.accept().await.expect("a connection");
+                let mut wire = Wire::new(stream);
+                let request = wire.read_message().await.expect("a request");
+                let head = support::signed(&request, "200 OK");
+                wire.send(&format!("{head}\r\nid: 1\ndata: a\n\n")).await;
+                drop(wire);
+                time::sleep(Duration::from_millis(10)).await;
+                drop(listener);
+            };
+            let (end, ()) = tokio::join!(ask(&gateway, "", "body"), dying);
+            assert!(!matches!(end, StreamEnd::Complete(_)), "{kind:?}: {end:?}");
+        }
+    });
+}
+
+/// Guards against whole answers that are withheld because their target resets the connections that it
+/// has no room for.
+#[test]
+fn a_whole_answer_of_a_target_that_resets_further_connections_is_complete() {
+    support::run(async {
+        let body = "id: 1\ndata: a\n\n";
+        let listener = TcpListener::bind(("127.0.0.6", 0)).await.expect("a port");
+        let entry = support::entry("t1", listener.local_addr().expect("an address"));
+        let gateway = Gateway::serving(support::route(ONCE, 1), &[]).await;
+        gateway.set_targets(vec![entry]).await;
+        task::spawn_local(async move {
+            let (stream, _) = listener.accept().await.expect("a connection");
+            let mut wire = Wire::new(stream);
+            let request = wire.read_message().await.expect("a request");
+            wire.send(&format!("{}\r\n{body}", support::signed(&request, "200 OK"))).await;
+            drop(wire);
+            while let Ok((stream, _)) = listener.accept().await {
+                Wire::new(stream).reset();
+            }
+        });
+        assert_eq!(ask(&gateway, "", "body").await, StreamEnd::Complete(body.to_owned()));
+    });
+}
+
 /// What becomes of a target while it answers.
 #[derive(Clone, Copy, Debug)]
 enum Change {
