Let runs go on at a target that is said to have restarted at its address

Cause: a run carries the incarnation of the entry by which it was placed. The process at the address may be a later one, whose entry is read up to a second later; that entry then ended every run of the earlier incarnation.

Change: an entry ends runs only if the later incarnation is at another address. At the same one the connection tells: a process that ends closes it, a VM that has started again resets it at the next probe, after one second of silence. Ruled out: comparing the start in the entry with the time at which the run was sent, since the clocks of VMs and targets differ.

Price: a run at a VM that lost power and is back at its address ends up to one second later than before.

--- a/crates/ryetide-core/src/target_registry.rs
+++ b/crates/ryetide-core/src/target_registry.rs
@@ -12,6 +12,7 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
     time::Duration,
 };
 
@@ -98,6 +99,13 @@
     }
 }
 
+/// The last known incarnation of a name.
+#[derive(Clone, Copy, Debug)]
+struct LastIncarnation {
+    incarnation: TargetIncarnation,
+    address: SocketAddr,
+}
+
 #[derive(Clone, Debug)]
 struct RegisteredTarget {
     entry: TargetEntry,
@@ -123,7 +131,7 @@
     /// The services whose entries count; `None` if those of all do.
     services: Option<BTreeSet<ServiceName>>,
     /// The last known incarnation of each name, also of removed targets.
-    incarnations: BTreeMap<TargetName, TargetIncarnation>,
+    incarnations: BTreeMap<TargetName, LastIncarnation>,
     /// Targets that have announced that they are leaving.
     leaving_notices: LeavingNotices,
     /// Recently removed targets, and when they were removed.
@@ -271,10 +279,21 @@
         self.targets.values().filter_map(|target| target.grace_end).max()
     }
 
-    /// Returns whether a later incarnation of a target is known: this one has ended, and all of its
-    /// requests with it.
+    /// Returns whether a later incarnation of a target is known: this one has ended.
     pub fn is_replaced(&self, entry: &TargetEntry) -> bool {
-        self.incarnations.get(&entry.name).is_some_and(|last| *last > entry.incarnation)
+        self.later(entry).is_some()
+    }
+
+    /// Returns whether a later incarnation of a target is known, at another address: whatever was sent
+    /// to the address of this one has ended.
+    ///
+    /// At the same address, requests may have reached the later incarnation before its entry was read.
+    pub fn is_replaced_elsewhere(&self, entry: &TargetEntry) -> bool {
+        self.later(entry).is_some_and(|last| last.address != entry.address)
+    }
+
+    fn later(&self, entry: &TargetEntry) -> Option<&LastIncarnation> {
+        self.incarnations.get(&entry.name).filter(|last| last.incarnation > entry.incarnation)
     }
 
     /// Drops targets whose entries were overwritten with something unreadable. Such an entry names
@@ -292,7 +311,8 @@
         if self.is_replaced(entry) {
             return false;
         }
-        self.incarnations.insert(entry.name.clone(), entry.incarnation);
+        let TargetEntry { incarnation, address, .. } = *entry;
+        self.incarnations.insert(entry.name.clone(), LastIncarnation { incarnation, address });
         if self.incarnations.len() > INCARNATIONS_LIMIT {
             let targets = &self.targets;
             self.incarnations.retain(|name, _| targets.contains_key(name) || *name == entry.name);
--- a/crates/ryetide-gateway/src/caller_service.rs
+++ b/crates/ryetide-gateway/src/caller_service.rs
@@ -129,7 +129,7 @@
         let read = tokio::select! {
             biased;
             read = reading => read,
-            () = exchange.gateway().fleet().incarnation_ended(target) => {
+            () = exchange.gateway().fleet().moved_away(target) => {
                 Ok(Err(BodyFault::TargetEnded))
             }
             () = stop.answers_due() => return exchange.answer_own(OwnAnswer::stopping()),
--- a/crates/ryetide-gateway/src/exchange.rs
+++ b/crates/ryetide-gateway/src/exchange.rs
@@ -83,7 +83,7 @@
     TimedOut,
     /// The target was silent for too long, and a retry is reserved.
     Silent,
-    /// A later incarnation of the target is known, or its entry is gone.
+    /// A later incarnation of the target is known, at another address.
     TargetEnded,
     /// This VM stops, and the caller has received nothing.
     Stopped,
@@ -415,7 +415,7 @@
             tokio::select! {
                 biased;
                 received = next.as_mut() => return RunProgress::Received(received),
-                () = self.gateway.fleet().incarnation_ended(target) => return RunProgress::TargetEnded,
+                () = self.gateway.fleet().moved_away(target) => return RunProgress::TargetEnded,
                 () = stop.answers_due(), if self.pieces == 0 => return RunProgress::Stopped,
                 () = time::sleep_until(until) => {}
             }
--- a/crates/ryetide-gateway/src/fleet_view.rs
+++ b/crates/ryetide-gateway/src/fleet_view.rs
@@ -155,15 +155,19 @@
         claim
     }
 
-    /// Waits until a later incarnation of a target is known.
+    /// Waits until a later incarnation of a target is known, at another address.
     ///
     /// Whatever was sent to the earlier incarnation is lost then. If its VM lost power, the old
     /// connections are not closed, and only a probe that goes unanswered shows the failure, some
     /// seconds later; the entry of the new incarnation shows it sooner.
-    pub async fn incarnation_ended(&self, target: &TargetEntry) {
+    ///
+    /// An entry with the same address ends nothing: it may be read long after the start of the process
+    /// that it tells of, and what was sent there meanwhile runs in that process. A VM that has started
+    /// again resets the connections of its earlier processes at the next probe.
+    pub async fn moved_away(&self, target: &TargetEntry) {
         loop {
             let changed = self.changed.notified();
-            if self.registry.borrow().is_replaced(target) {
+            if self.registry.borrow().is_replaced_elsewhere(target) {
                 return;
             }
             changed.await;
