Close the longest silent connection to ryetided, so that others can connect

Cause: each silent connection held a descriptor for five seconds. With none left `accept` fails, so nothing decides which connection must go, and the server pauses for half a second. Beside it, the queue of connections to be accepted had the length of the standard library, 128, and not the 4,096 of the constant, which has no effect on a listener that is bound already: a caller that did not fit in connected again after 1, 3 and 7 s.

Change: connections wait in the gate until something is received on them, a third of the descriptors at the most; beyond that, the one that has been silent for longest is closed, as the gateway does. A stop closes them too. The queue has its length now.

--- a/src/caller_edge.rs
+++ b/src/caller_edge.rs
@@ -39,6 +39,7 @@
     request_report::ReportCommand,
     ring::{RingReceiver, RingSender},
     segmented_body::BodyBuffer,
+    server_stop::{ServerHandle, StopFuture},
     settings::CallerLimits,
     util,
 };
@@ -49,8 +50,6 @@
 const HEADER_TIMEOUT: Seconds = Seconds(5);
 /// The time for which an idle connection of a caller is kept open.
 const KEEP_ALIVE: Seconds = Seconds(30);
-/// Connections that wait to be accepted.
-const BACKLOG: i32 = 4_096;
 /// The content type of a stream of events.
 const EVENT_STREAM: &str = "text/event-stream";
 /// The path prefix of plain services.
@@ -104,6 +103,19 @@
 
 type SharedEdge = Rc<CallerEdge>;
 
+/// The running server for callers.
+pub struct CallerServer {
+    server: Server,
+    gate: Arc<CallerGate>,
+}
+
+impl ServerHandle for CallerServer {
+    fn stop(&self, graceful: bool) -> StopFuture {
+        self.gate.stop();
+        ServerHandle::stop(&self.server, graceful)
+    }
+}
+
 /// Starts the edge on `listener`; the server runs until it is stopped.
 ///
 /// # Errors
@@ -113,7 +125,7 @@
     listener: std::net::TcpListener,
     identity: EdgeIdentity,
     rings: EdgeRings,
-) -> Result<Server, StepError> {
+) -> Result<CallerServer, StepError> {
     // The server clones its factory for each worker. There is one worker, which takes the rings; any
     // other would answer 503.
     let rings = Arc::new(Mutex::new(Some(rings)));
@@ -131,12 +143,14 @@
             .set_client_timeout(HEADER_TIMEOUT)
     };
     let gate = Arc::new(CallerGate::default());
-    let admit =
-        async move |_: Arc<str>, stream: server::Stream| gate.enter().await.map(|()| stream);
+    let entered = Arc::clone(&gate);
+    let admit = async move |_: Arc<str>, stream: server::Stream| match stream {
+        server::Stream::Tcp(stream) => entered.enter(stream).await.map(server::Stream::Tcp),
+        other => Ok(other),
+    };
     let server = server::build()
         .workers(1)
         .maxconn(CONNECTION_LIMIT)
-        .backlog(BACKLOG)
         .disable_signals()
         .on_accept(admit)
         .listen("callers", listener, async move |socket| {
@@ -144,7 +158,7 @@
             HttpService::new(factory().await)
         })
         .map_err(|error| StepError::new("listen for callers", error))?;
-    Ok(server.run())
+    Ok(CallerServer { server: server.run(), gate })
 }
 
 fn open(identity: EdgeIdentity, rings: EdgeRings) -> SharedEdge {
--- a/src/caller_gate.rs
+++ b/src/caller_gate.rs
@@ -1,11 +1,12 @@
 //! Decides which accepted connections of callers are served.
 //!
-//! The server accepts connections on a thread of its own. Each then waits here, before any of it is
-//! read, until the thread that serves callers has given a turn to everything that it has begun. So
-//! connections queue up here, and not behind requests that were read, when a VM gets more than it
-//! can carry.
+//! The server accepts connections on a thread of its own. Each then waits here until its caller has
+//! sent something and, before any of that is read, until the thread that serves callers has given a
+//! turn to everything that it has begun. So connections queue up here, and not behind requests that
+//! were read, when a VM gets more than it can carry.
 
 use std::{
+    net::TcpStream,
     sync::{
         Mutex, PoisonError,
         atomic::{AtomicUsize, Ordering},
@@ -13,24 +14,39 @@
     time::{Duration, Instant},
 };
 
+use nix::sys::resource::{self, Resource};
 use ryetide_core::{
     accept_queue::{AcceptDecision, AcceptQueue},
     units::Moment,
 };
 use tokio::{sync::Semaphore, task};
 
+use crate::silent_connections::{SilenceFault, SilentConnections};
+
 /// The shortest time between two log lines about closed connections.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
 
-/// A connection was closed before its request was read.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
-#[error("the VM gets more connections than it can carry")]
-pub struct ClosedUnread;
+/// The share of the process's descriptors for connections on which nothing was received, as a divisor.
+const SILENT_DIVISOR: u64 = 3;
+/// The most such connections.
+const MAX_SILENT: u64 = 4_096;
+
+/// Why a connection was closed before its request was read.
+#[derive(Debug, thiserror::Error)]
+pub enum ClosedUnread {
+    /// The VM gets more connections than it can carry.
+    #[error("the VM gets more connections than it can carry")]
+    Overload,
+    /// Its caller has sent nothing.
+    #[error(transparent)]
+    Silent(#[from] SilenceFault),
+}
 
 /// The queue of accepted connections whose requests have not been read.
 #[derive(Debug)]
 pub struct CallerGate {
     started: Instant,
+    silent: SilentConnections,
     /// Held by the connection whose turn it is. Turns are given in order.
     turn: Semaphore,
     waiting: AtomicUsize,
@@ -59,6 +75,7 @@
     fn default() -> Self {
         Self {
             started: Instant::now(),
+            silent: SilentConnections::new(silent_limit()),
             turn: Semaphore::new(1),
             waiting: AtomicUsize::new(0),
             queue: Mutex::default(),
@@ -73,7 +90,20 @@
     /// # Errors
     ///
     /// Returns [`ClosedUnread`] when it is to be closed instead.
-    pub async fn enter(&self) -> Result<(), ClosedUnread> {
+    pub async fn enter(&self, stream: TcpStream) -> Result<TcpStream, ClosedUnread> {
+        let stream = self.silent.await_bytes(stream).await.inspect_err(|fault| {
+            tracing::debug!(event = "caller-closed", step = "accept", reason = %fault);
+        })?;
+        self.await_turn().await?;
+        Ok(stream)
+    }
+
+    /// Closes the connections on which nothing has been received.
+    pub fn stop(&self) {
+        self.silent.stop();
+    }
+
+    async fn await_turn(&self) -> Result<(), ClosedUnread> {
         self.waiting.fetch_add(1, Ordering::SeqCst);
         // The semaphore is never closed.
         let _turn = self.turn.acquire().await;
@@ -88,7 +118,7 @@
             AcceptDecision::Serve => Ok(()),
             AcceptDecision::Close => {
                 self.closed.lock().unwrap_or_else(PoisonError::into_inner).record();
-                Err(ClosedUnread)
+                Err(ClosedUnread::Overload)
             }
         }
     }
@@ -102,3 +132,10 @@
         Moment(micros)
     }
 }
+
+/// Returns how many connections may be open on which nothing was received.
+fn silent_limit() -> usize {
+    let descriptors = resource::getrlimit(Resource::RLIMIT_NOFILE).map_or(0, |(soft, _)| soft);
+    let limit = (descriptors / SILENT_DIVISOR).clamp(1, MAX_SILENT);
+    usize::try_from(limit).unwrap_or(usize::MAX)
+}
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -34,6 +34,7 @@
     ids::{Incarnation, OperationId, VmName},
     units::Moment,
 };
+use socket2::{Domain, Protocol, Socket, Type};
 use tokio::{
     sync::{Notify, oneshot},
     time::Instant,
@@ -41,7 +42,7 @@
 
 use crate::{
     answer_buffer::AnswerPart,
-    caller_edge::{self, EdgeCommand, EdgeIdentity, EdgeRings},
+    caller_edge::{self, CallerServer, EdgeCommand, EdgeIdentity, EdgeRings},
     error::StepError,
     operator_port::{self, OperatorCommand, OperatorRings},
     peer_keys::PeerKeys,
@@ -58,6 +59,8 @@
 
 /// The capacity of each ring, in values.
 const RING_CAPACITY: usize = 8_192;
+/// Connections of callers that wait to be accepted.
+const CALLER_BACKLOG: i32 = 4_096;
 /// The number of events processed from one ring before the next ring is polled.
 const EVENTS_PER_TURN: usize = 256;
 /// The number of effects after which a step defers the rest to the next step.
@@ -86,21 +89,29 @@
     ///
     /// Returns a [`StepError`] that names the address at fault.
     pub fn bind(settings: &DaemonSettings) -> Result<Self, StepError> {
-        let tcp = |step, address| {
-            TcpListener::bind(address)
-                .map_err(|error| StepError::new(step, error).with_peer(address))
-        };
-        let address = settings.peers.address;
-        let peers = UdpSocket::bind(address)
-            .map_err(|error| StepError::new("bind peers", error).with_peer(address))?;
+        let fault =
+            |step, address| move |error: io::Error| StepError::new(step, error).with_peer(address);
+        let (callers, operators) = (settings.callers, settings.operators);
+        let peers = settings.peers.address;
         Ok(Self {
-            callers: tcp("bind callers", settings.callers)?,
-            operators: tcp("bind operators", settings.operators)?,
-            peers,
+            callers: bind_callers(callers).map_err(fault("bind callers", callers))?,
+            operators: TcpListener::bind(operators).map_err(fault("bind operators", operators))?,
+            peers: UdpSocket::bind(peers).map_err(fault("bind peers", peers))?,
         })
     }
 }
 
+/// Binds the listener for callers. A longer queue than the standard library's is needed: a caller whose
+/// connection does not fit into it connects again only after one, three and seven seconds.
+fn bind_callers(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
+    // Connections of the process before, which are still closing, do not occupy the address.
+    socket.set_reuse_address(true)?;
+    socket.bind(&address.into())?;
+    socket.listen(CALLER_BACKLOG)?;
+    Ok(socket.into())
+}
+
 /// The addresses to which a daemon's sockets are bound.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct DaemonAddresses {
@@ -255,7 +266,11 @@
 }
 
 /// Waits until the remaining answers are sent, and then closes both ports.
-async fn stop_servers_after_answers(open_calls: &AtomicUsize, edge: &Server, operators: &Server) {
+async fn stop_servers_after_answers(
+    open_calls: &AtomicUsize,
+    edge: &CallerServer,
+    operators: &Server,
+) {
     let answers_left = async {
         while open_calls.load(Ordering::SeqCst) > 0 {
             tokio::time::sleep(ANSWER_POLL_INTERVAL).await;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,7 +10,7 @@
 //! |---|---|
 //! | [`daemon`], [`server_stop`] | the daemon: the core, its threads and their shutdown |
 //! | [`settings`], [`text_report`], [`log`], [`error`] | settings, validation reports, logs, errors |
-//! | [`caller_edge`], [`caller_request`], [`caller_answer`], [`answer_buffer`] | HTTP to callers |
+//! | [`caller_edge`], [`caller_gate`], [`silent_connections`], [`caller_request`], [`caller_answer`], [`answer_buffer`] | HTTP to callers |
 //! | [`target_client`], [`fresh_client`] | HTTP to targets |
 //! | [`tunnel`] | connections to targets through peers |
 //! | [`peer_link`], [`peer_keys`], [`deployment_keys`] | connections to the other entry VMs |
@@ -41,6 +41,7 @@
 pub mod segmented_body;
 pub mod server_stop;
 pub mod settings;
+pub mod silent_connections;
 pub mod target_client;
 pub mod text_report;
 pub mod tunnel;
