--- a/src/fresh_client.rs
+++ b/src/fresh_client.rs
@@ -17,7 +17,7 @@
 };
 use hyper_util::rt::TokioIo;
 use tokio::{
-    io::{AsyncRead, AsyncWrite},
+    io::{AsyncRead, AsyncReadExt, AsyncWrite},
     net::{TcpStream, UnixStream},
     task::{self, AbortHandle},
 };
@@ -85,6 +85,19 @@
         self.tunnel_end.clone()
     }
 
+    /// Returns whether the connection is still open after `span`, though nothing is sent on it.
+    pub async fn stays_open(self, span: Duration) -> bool {
+        let mut byte = [0];
+        let reading = async {
+            match self.stream {
+                FreshStream::Direct(mut stream) => stream.read(&mut byte).await,
+                FreshStream::Tunnel(mut stream) => stream.read(&mut byte).await,
+            }
+        };
+        let read = util::within(span, reading).await;
+        read.is_none_or(|read| read.is_ok_and(|length| length > 0))
+    }
+
     /// Creates a request on the connection.
     pub fn request(self, method: Method, path: &str) -> FreshRequest {
         let builder = Request::builder()
--- a/src/target_client.rs
+++ b/src/target_client.rs
@@ -39,6 +39,9 @@
 const LOAD_TIMEOUT: Duration = Duration::from_millis(800);
 /// The maximum size of a load report, in bytes.
 const LOAD_SIZE_LIMIT: usize = 64 << 10;
+/// How long a connection must stay open to show that its target runs. A process that is killed has
+/// closed all of its sockets by then.
+const SETTLE_SPAN: Duration = Duration::from_millis(30);
 /// The timeout for a cancel request.
 const CANCEL_TIMEOUT: Duration = Duration::from_secs(2);
 /// The answer header with which a target announces that it is leaving.
@@ -365,9 +368,20 @@
 
     /// Returns whether a target has ended its answer, whose end only the end of the connection marks.
     /// The connection of a target that crashes, or of a peer that dies, ends in the same way.
+    ///
+    /// The system of a process that is killed closes its sockets one after the other, so its address
+    /// may accept a connection for a moment longer. One that stays open shows that the process runs;
+    /// of one that ends, a target that has no room for it tells itself apart by accepting again.
     async fn confirm_end(&self, route: &TargetRoute, tunnel_end: Option<TunnelEnd>) -> bool {
-        let is_by_target = tunnel_end.is_none_or(|end| end.is_by_target());
-        is_by_target && self.connect(route).await.is_some()
+        if tunnel_end.is_some_and(|end| !end.is_by_target()) {
+            return false;
+        }
+        let Some(connection) = self.connect(route).await else { return false };
+        if connection.stays_open(SETTLE_SPAN).await {
+            return true;
+        }
+        tokio::time::sleep(SETTLE_SPAN).await;
+        self.connect(route).await.is_some()
     }
 
     async fn send_event(&self, event: Event) {
--- a/tests/tunnels.rs
+++ b/tests/tunnels.rs
@@ -259,6 +259,27 @@
     });
 }
 
+/// Guards against the same where the address of the target that has ended accepts connections for a
+/// moment longer.
+#[test]
+fn an_answer_whose_target_refuses_a_moment_later_is_not_complete() {
+    run(async {
+        let listener = TcpListener::bind("127.0.0.2:0").await.unwrap();
+        let mut vm = CutVm::start(listener.local_addr().unwrap()).await;
+        vm.route.address = listener.local_addr().unwrap();
+        task::spawn_local(async move {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let mut buffer = [0; 4_096];
+            assert!(stream.read(&mut buffer).await.unwrap() > 0);
+            stream.write_all(b"HTTP/1.1 200 OK\r\n\r\nhalf").await.unwrap();
+            drop(stream);
+            listener.accept().await.unwrap();
+        });
+        let events = vm.dispatch(1).await;
+        assert!(matches!(events.last(), Some(Event::TargetBroken { .. })), "{events:?}");
+    });
+}
+
 /// Guards against an answer without a length of which the caller gets nothing.
 #[test]
 fn an_answer_that_ends_with_its_connection_is_whole() {
