--- a/crates/ryetide-lab/src/site.rs
+++ b/crates/ryetide-lab/src/site.rs
@@ -10,7 +10,8 @@
 
 use ntex::rt::{DefaultRuntime, System};
 use ryetide::{
-    daemon::{self, DaemonSockets, ShutdownHandle},
+    daemon::{self, ShutdownHandle},
+    daemon_sockets::DaemonSockets,
     deployment_keys,
     error::StepError,
     fresh_client::FreshConnection,
--- a/crates/ryetided/src/main.rs
+++ b/crates/ryetided/src/main.rs
@@ -6,7 +6,8 @@
 use std::{process::ExitCode, thread};
 
 use ryetide::{
-    daemon::{self, DaemonSockets, ShutdownHandle},
+    daemon::{self, ShutdownHandle},
+    daemon_sockets::DaemonSockets,
     error::StepError,
     log,
     settings::DaemonSettings,
--- a/src/caller_edge.rs
+++ b/src/caller_edge.rs
@@ -3,13 +3,8 @@
 use std::{
     cell::{Cell, RefCell},
     collections::HashMap,
-    pin::Pin,
     rc::Rc,
-    sync::{
-        Arc, Mutex,
-        atomic::{AtomicUsize, Ordering},
-    },
-    task::{Context, Poll},
+    sync::{Arc, Mutex, atomic::AtomicUsize},
     time::Instant,
 };
 
@@ -19,23 +14,22 @@
     server::{self, Server},
     service::cfg::SharedCfg,
     time::Seconds,
-    util::Stream,
     web::{self, App, HttpRequest, HttpResponse},
 };
 use ryetide_core::{
-    event::{AnswerHead, Event, FinalAnswer, TargetCall},
-    event_scanner::EventScanner,
+    event::{Event, TargetCall},
     ids::{Incarnation, RequestId, RequestSequence, VmName},
     units::{ByteSize, Moment},
 };
 
 use crate::{
-    answer_buffer::{self, AnswerBuffer, AnswerOverflow, AnswerPart, WholeBody},
-    caller_answer::{self, ANSWERED},
+    answer_buffer::{AnswerBuffer, AnswerPart},
+    caller_answer,
     caller_gate::CallerGate,
     caller_request::{self, CallerHeaders, ModelRequest, ReadFault},
     error::StepError,
     memory_pool::{BodyArrival, MemoryPool, MemoryShare, NoRoom},
+    open_call::{self, OpenCall},
     request_report::ReportCommand,
     ring::{RingReceiver, RingSender},
     segmented_body::BodyBuffer,
@@ -50,8 +44,6 @@
 const HEADER_TIMEOUT: Seconds = Seconds(5);
 /// The time for which an idle connection of a caller is kept open.
 const KEEP_ALIVE: Seconds = Seconds(30);
-/// The content type of a stream of events.
-const EVENT_STREAM: &str = "text/event-stream";
 /// The path prefix of plain services.
 const PLAIN_PREFIX: &str = "/services/";
 /// The paths of model services.
@@ -90,7 +82,7 @@
 }
 
 /// The state that the edge's tasks share.
-struct CallerEdge {
+pub(crate) struct CallerEdge {
     identity: EdgeIdentity,
     events: RingSender<Event>,
     reports: RingSender<ReportCommand>,
@@ -101,7 +93,7 @@
     started: Instant,
 }
 
-type SharedEdge = Rc<CallerEdge>;
+pub(crate) type SharedEdge = Rc<CallerEdge>;
 
 /// The running server for callers.
 pub struct CallerServer {
@@ -228,13 +220,12 @@
         };
         let buffer = AnswerBuffer::new(self.identity.limits.answer_buffer);
         self.buffers.borrow_mut().insert(sequence, buffer.clone());
-        self.identity.open_calls.fetch_add(1, Ordering::SeqCst);
-        let call = OpenCall { edge: Rc::clone(self), sequence, buffer, ended: Cell::new(false) };
+        let call = OpenCall::new(Rc::clone(self), sequence, buffer);
         if self.events.send(Event::Arrived(caller_request)).await.is_err() {
             return Ok(HttpResponse::ServiceUnavailable().finish());
         }
         let disconnected = request.io().map(|io| io.on_disconnect());
-        let answer = respond(call, is_model, stream);
+        let answer = open_call::respond(call, is_model, stream);
         match disconnected {
             None => Ok(answer.await),
             Some(disconnected) => tokio::select! {
@@ -318,7 +309,7 @@
     }
 
     /// Notifies the core once that a caller has disconnected.
-    fn notify_caller_gone(self: &Rc<Self>, sequence: RequestSequence) {
+    pub(crate) fn notify_caller_gone(self: &Rc<Self>, sequence: RequestSequence) {
         if self.buffers.borrow_mut().remove(&sequence).is_none() {
             return;
         }
@@ -329,38 +320,21 @@
         });
     }
 
-    fn count_reject(&self, code: &'static str) {
+    /// Counts a request that is answered with an error of this kind.
+    pub(crate) fn count_reject(&self, code: &'static str) {
         // A full ring loses a count. Waiting for room would delay requests.
         let _ = self.reports.try_send(ReportCommand::Reject(code));
     }
 
-    fn id_of(&self, sequence: RequestSequence) -> String {
-        let EdgeIdentity { vm, incarnation, .. } = self.identity.clone();
-        RequestId { vm, incarnation, sequence }.to_string()
-    }
-}
-
-/// A call that waits for its answer. Dropping it before the end notifies the core that the caller has
-/// disconnected.
-struct OpenCall {
-    edge: SharedEdge,
-    sequence: RequestSequence,
-    buffer: AnswerBuffer,
-    ended: Cell<bool>,
-}
-
-impl Drop for OpenCall {
-    fn drop(&mut self) {
-        if !self.ended.get() {
-            self.edge.notify_caller_gone(self.sequence);
-        }
-        self.edge.identity.open_calls.fetch_sub(1, Ordering::SeqCst);
+    /// Returns the number of calls whose answers are not sent completely.
+    pub(crate) fn open_calls(&self) -> &AtomicUsize {
+        &self.identity.open_calls
     }
-}
 
-impl OpenCall {
-    fn id(&self) -> String {
-        self.edge.id_of(self.sequence)
+    /// Returns the id under which a request is known to others.
+    pub(crate) fn id_of(&self, sequence: RequestSequence) -> String {
+        let EdgeIdentity { vm, incarnation, .. } = self.identity.clone();
+        RequestId { vm, incarnation, sequence }.to_string()
     }
 }
 
@@ -382,130 +356,3 @@
     };
     Ok((service.to_owned(), call))
 }
-
-/// Waits for the start of an answer and builds the response.
-async fn respond(call: OpenCall, is_model: bool, stream: bool) -> HttpResponse {
-    let mut head = AnswerHead { status: 200, content_type: String::new() };
-    // Answers of other services have the limit of their service.
-    let limit = if is_model { answer_buffer::ENGINE_ANSWER_LIMIT } else { ByteSize(u64::MAX) };
-    let mut body = WholeBody::new(limit);
-    loop {
-        match call.buffer.next().await {
-            Ok(AnswerPart::Head(found)) if stream && found.is_event_stream() => {
-                return begin_stream(call, &found);
-            }
-            Ok(AnswerPart::Head(found)) => head = found,
-            Ok(AnswerPart::Piece(piece)) => {
-                if let Err(error) = body.push(&piece) {
-                    let id = call.id();
-                    tracing::warn!(event = "answer-too-large", step = "collect", request = %id, reason = %error);
-                    return HttpResponse::BadGateway().finish();
-                }
-            }
-            Ok(AnswerPart::Final(answer)) => {
-                call.ended.set(true);
-                let body = body.into_bytes();
-                return whole_response(&call, answer, head, body, is_model && !stream);
-            }
-            Err(AnswerOverflow) => return HttpResponse::BadGateway().finish(),
-        }
-    }
-}
-
-fn whole_response(
-    call: &OpenCall,
-    answer: FinalAnswer,
-    mut head: AnswerHead,
-    mut body: Vec<u8>,
-    needs_assembly: bool,
-) -> HttpResponse {
-    let id = call.id();
-    if let Some(status) = caller_answer::final_status(&answer) {
-        if let FinalAnswer::NotRun { .. } = answer {
-            let (code, retry) = (&status.code, status.retry_after.map(util::millis));
-            tracing::info!(event = "request-refused", step = "order", request = %id, reason = %code, retry_ms = retry);
-        }
-        if matches!(answer, FinalAnswer::Rejected(_)) {
-            call.edge.count_reject("rejected");
-            let code = &status.code;
-            tracing::info!(event = "request-rejected", step = "admit", request = %id, reason = %code);
-        }
-        return caller_answer::final_response(&status, &id);
-    }
-    if let FinalAnswer::Replayed(stored) = answer {
-        head = AnswerHead { status: stored.status, content_type: stored.content_type };
-        body = stored.body.to_vec();
-    }
-    let mut builder = caller_answer::builder(head.status, ANSWERED, &id);
-    if needs_assembly && head.is_event_stream() {
-        return match caller_answer::assemble(&id, &body) {
-            Ok(whole) => builder.json(&whole),
-            Err(error) => {
-                tracing::warn!(event = "answer-unreadable", step = "assemble", request = %id, reason = %error);
-                builder.content_type(EVENT_STREAM).body(body)
-            }
-        };
-    }
-    if !head.content_type.is_empty() {
-        builder.content_type(head.content_type.as_str());
-    }
-    builder.body(body)
-}
-
-fn begin_stream(call: OpenCall, head: &AnswerHead) -> HttpResponse {
-    let mut builder = caller_answer::builder(head.status, "", &call.id());
-    builder.content_type(head.content_type.as_str());
-    builder.set_header(header::CACHE_CONTROL, "no-cache");
-    builder.streaming(AnswerStream { call, scanner: EventScanner::default(), done: false })
-}
-
-/// The body of a streamed response: whole events only, so that an error at its end is an event of its
-/// own.
-struct AnswerStream {
-    call: OpenCall,
-    scanner: EventScanner,
-    done: bool,
-}
-
-impl Stream for AnswerStream {
-    type Item = Result<ntex::util::Bytes, std::io::Error>;
-
-    fn poll_next(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Option<Self::Item>> {
-        if self.done {
-            return Poll::Ready(None);
-        }
-        loop {
-            let part = match self.call.buffer.poll_next(context) {
-                Poll::Pending => return Poll::Pending,
-                Poll::Ready(part) => part,
-            };
-            match part {
-                Ok(AnswerPart::Head(_)) => {}
-                Ok(AnswerPart::Piece(piece)) => {
-                    let events = self.scanner.push(&piece);
-                    self.done = events.is_err();
-                    match events {
-                        Ok(events) if events.is_empty() => {}
-                        Ok(events) => {
-                            let events = ntex::util::Bytes::copy_from_slice(&events);
-                            return Poll::Ready(Some(Ok(events)));
-                        }
-                        Err(error) => {
-                            return Poll::Ready(Some(Err(std::io::Error::other(error))));
-                        }
-                    }
-                }
-                Ok(AnswerPart::Final(answer)) => {
-                    self.call.ended.set(true);
-                    self.done = true;
-                    let end = caller_answer::stream_end(&answer);
-                    return Poll::Ready(Some(Ok(ntex::util::Bytes::from(end.into_bytes()))));
-                }
-                Err(overflow) => {
-                    self.done = true;
-                    return Poll::Ready(Some(Err(std::io::Error::other(overflow))));
-                }
-            }
-        }
-    }
-}
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -13,7 +13,6 @@
 use std::{
     collections::HashMap,
     io,
-    net::{SocketAddr, TcpListener, UdpSocket},
     sync::{
         Arc,
         atomic::{AtomicUsize, Ordering},
@@ -34,7 +33,6 @@
     ids::{Incarnation, OperationId, VmName},
     units::Moment,
 };
-use socket2::{Domain, Protocol, Socket, Type};
 use tokio::{
     sync::{Notify, oneshot},
     time::Instant,
@@ -43,6 +41,7 @@
 use crate::{
     answer_buffer::AnswerPart,
     caller_edge::{self, CallerServer, EdgeCommand, EdgeIdentity, EdgeRings},
+    daemon_sockets::{DaemonAddresses, DaemonSockets},
     error::StepError,
     operator_port::{self, OperatorCommand, OperatorRings},
     peer_keys::PeerKeys,
@@ -59,8 +58,6 @@
 
 /// The capacity of each ring, in values.
 const RING_CAPACITY: usize = 8_192;
-/// Connections of callers that wait to be accepted.
-const CALLER_BACKLOG: i32 = 4_096;
 /// The number of events processed from one ring before the next ring is polled.
 const EVENTS_PER_TURN: usize = 256;
 /// The number of effects after which a step defers the rest to the next step.
@@ -72,74 +69,6 @@
 /// The time that the edge has to process the core's last commands before the servers stop.
 const FLUSH_DELAY: Duration = Duration::from_millis(100);
 
-/// The sockets of a daemon, bound before its threads start.
-pub struct DaemonSockets {
-    /// The HTTP listener for callers.
-    pub callers: TcpListener,
-    /// The HTTP listener for operators.
-    pub operators: TcpListener,
-    /// The QUIC socket for peers.
-    pub peers: UdpSocket,
-}
-
-impl DaemonSockets {
-    /// Binds the sockets that the settings name.
-    ///
-    /// # Errors
-    ///
-    /// Returns a [`StepError`] that names the address at fault.
-    pub fn bind(settings: &DaemonSettings) -> Result<Self, StepError> {
-        let fault =
-            |step, address| move |error: io::Error| StepError::new(step, error).with_peer(address);
-        let (callers, operators) = (settings.callers, settings.operators);
-        let peers = settings.peers.address;
-        Ok(Self {
-            callers: bind_callers(callers).map_err(fault("bind callers", callers))?,
-            operators: TcpListener::bind(operators).map_err(fault("bind operators", operators))?,
-            peers: UdpSocket::bind(peers).map_err(fault("bind peers", peers))?,
-        })
-    }
-}
-
-/// Binds the listener for callers. A longer queue than the standard library's is needed: a caller whose
-/// connection does not fit into it connects again only after one, three and seven seconds.
-fn bind_callers(address: SocketAddr) -> io::Result<TcpListener> {
-    let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
-    // Connections of the process before, which are still closing, do not occupy the address.
-    socket.set_reuse_address(true)?;
-    socket.bind(&address.into())?;
-    socket.listen(CALLER_BACKLOG)?;
-    Ok(socket.into())
-}
-
-/// The addresses to which a daemon's sockets are bound.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct DaemonAddresses {
-    /// The address for callers.
-    pub callers: SocketAddr,
-    /// The address for operators.
-    pub operators: SocketAddr,
-    /// The address for peers.
-    pub peers: SocketAddr,
-}
-
-impl DaemonSockets {
-    /// Returns the addresses to which the sockets are bound. They differ from the settings where
-    /// those have port 0.
-    ///
-    /// # Errors
-    ///
-    /// Returns a [`StepError`] when an address cannot be read from its socket.
-    pub fn addresses(&self) -> Result<DaemonAddresses, StepError> {
-        let fault = |error: io::Error| StepError::new("read socket address", error);
-        Ok(DaemonAddresses {
-            callers: self.callers.local_addr().map_err(fault)?,
-            operators: self.operators.local_addr().map_err(fault)?,
-            peers: self.peers.local_addr().map_err(fault)?,
-        })
-    }
-}
-
 /// A handle with which a running daemon is shut down.
 #[derive(Clone, Debug, Default)]
 pub struct ShutdownHandle {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,9 +8,9 @@
 //!
 //! | module | contents |
 //! |---|---|
-//! | [`daemon`], [`server_stop`] | the daemon: the core, its threads and their shutdown |
+//! | [`daemon`], [`daemon_sockets`], [`server_stop`] | the daemon: the core, its threads, their sockets and their shutdown |
 //! | [`settings`], [`text_report`], [`log`], [`error`] | settings, validation reports, logs, errors |
-//! | [`caller_edge`], [`caller_gate`], [`silent_connections`], [`caller_request`], [`caller_answer`], [`answer_buffer`] | HTTP to callers |
+//! | [`caller_edge`], [`caller_gate`], [`silent_connections`], [`caller_request`], `open_call`, [`caller_answer`], [`answer_buffer`] | HTTP to callers |
 //! | [`target_client`], [`fresh_client`] | HTTP to targets |
 //! | [`tunnel`] | connections to targets through peers |
 //! | [`peer_link`], [`peer_keys`], [`deployment_keys`] | connections to the other entry VMs |
@@ -26,11 +26,13 @@
 pub mod caller_gate;
 pub mod caller_request;
 pub mod daemon;
+pub mod daemon_sockets;
 pub mod deployment_keys;
 pub mod error;
 pub mod fresh_client;
 pub mod log;
 pub mod memory_pool;
+mod open_call;
 pub mod operator_port;
 pub mod peer_keys;
 pub mod peer_link;
