Await a whole head before a connection to ryetided takes its place

Cause: held back connections on which nothing was received only; one with a part of a head still kept its descriptor for five seconds.

Change: a connection waits in the gate until its head is whole, by looking at the received bytes without reading them. What is no head, longer than 8 KiB, or ended goes to the server, which answers as before. The module is named for what it holds now.

--- a/src/caller_gate.rs
+++ b/src/caller_gate.rs
@@ -1,7 +1,7 @@
 //! Decides which accepted connections of callers are served.
 //!
 //! The server accepts connections on a thread of its own. Each then waits here until its caller has
-//! sent something and, before any of that is read, until the thread that serves callers has given a
+//! sent a head and, before any of that is read, until the thread that serves callers has given a
 //! turn to everything that it has begun. So connections queue up here, and not behind requests that
 //! were read, when a VM gets more than it can carry.
 
@@ -21,15 +21,15 @@
 };
 use tokio::{sync::Semaphore, task};
 
-use crate::silent_connections::{SilenceFault, SilentConnections};
+use crate::pending_heads::{HeadFault, PendingHeads};
 
 /// The shortest time between two log lines about closed connections.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
 
-/// The share of the process's descriptors for connections on which nothing was received, as a divisor.
-const SILENT_DIVISOR: u64 = 3;
+/// The share of the process's descriptors for connections without a head, as a divisor.
+const PENDING_DIVISOR: u64 = 3;
 /// The most such connections.
-const MAX_SILENT: u64 = 4_096;
+const MAX_PENDING: u64 = 4_096;
 
 /// Why a connection was closed before its request was read.
 #[derive(Debug, thiserror::Error)]
@@ -37,16 +37,16 @@
     /// The VM gets more connections than it can carry.
     #[error("the VM gets more connections than it can carry")]
     Overload,
-    /// Its caller has sent nothing.
+    /// Its caller has not sent a head.
     #[error(transparent)]
-    Silent(#[from] SilenceFault),
+    Headless(#[from] HeadFault),
 }
 
 /// The queue of accepted connections whose requests have not been read.
 #[derive(Debug)]
 pub struct CallerGate {
     started: Instant,
-    silent: SilentConnections,
+    pending: PendingHeads,
     /// Held by the connection whose turn it is. Turns are given in order.
     turn: Semaphore,
     waiting: AtomicUsize,
@@ -75,7 +75,7 @@
     fn default() -> Self {
         Self {
             started: Instant::now(),
-            silent: SilentConnections::new(silent_limit()),
+            pending: PendingHeads::new(pending_limit()),
             turn: Semaphore::new(1),
             waiting: AtomicUsize::new(0),
             queue: Mutex::default(),
@@ -91,16 +91,16 @@
     ///
     /// Returns [`ClosedUnread`] when it is to be closed instead.
     pub async fn enter(&self, stream: TcpStream) -> Result<TcpStream, ClosedUnread> {
-        let stream = self.silent.await_bytes(stream).await.inspect_err(|fault| {
+        let stream = self.pending.await_head(stream).await.inspect_err(|fault| {
             tracing::debug!(event = "caller-closed", step = "accept", reason = %fault);
         })?;
         self.await_turn().await?;
         Ok(stream)
     }
 
-    /// Closes the connections on which nothing has been received.
+    /// Closes the connections on which no head has arrived.
     pub fn stop(&self) {
-        self.silent.stop();
+        self.pending.stop();
     }
 
     async fn await_turn(&self) -> Result<(), ClosedUnread> {
@@ -133,9 +133,9 @@
     }
 }
 
-/// Returns how many connections may be open on which nothing was received.
-fn silent_limit() -> usize {
+/// Returns how many connections may be open on which no head has arrived.
+fn pending_limit() -> usize {
     let descriptors = resource::getrlimit(Resource::RLIMIT_NOFILE).map_or(0, |(soft, _)| soft);
-    let limit = (descriptors / SILENT_DIVISOR).clamp(1, MAX_SILENT);
+    let limit = (descriptors / PENDING_DIVISOR).clamp(1, MAX_PENDING);
     usize::try_from(limit).unwrap_or(usize::MAX)
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,7 +10,7 @@
 //! |---|---|
 //! | [`daemon`], [`daemon_sockets`], [`server_stop`] | the daemon: the core, its threads, their sockets and their shutdown |
 //! | [`settings`], [`text_report`], [`log`], [`error`] | settings, validation reports, logs, errors |
-//! | [`caller_edge`], [`caller_gate`], [`silent_connections`], [`caller_request`], `open_call`, [`caller_answer`], [`answer_buffer`] | HTTP to callers |
+//! | [`caller_edge`], [`caller_gate`], [`pending_heads`], [`caller_request`], `open_call`, [`caller_answer`], [`answer_buffer`] | HTTP to callers |
 //! | [`target_client`], [`fresh_client`] | HTTP to targets |
 //! | [`tunnel`] | connections to targets through peers |
 //! | [`peer_link`], [`peer_keys`], [`deployment_keys`] | connections to the other entry VMs |
@@ -36,6 +36,7 @@
 pub mod operator_port;
 pub mod peer_keys;
 pub mod peer_link;
+pub mod pending_heads;
 pub mod platform_client;
 pub mod quarantine_log;
 pub mod request_report;
@@ -43,7 +44,6 @@
 pub mod segmented_body;
 pub mod server_stop;
 pub mod settings;
-pub mod silent_connections;
 pub mod target_client;
 pub mod text_report;
 pub mod tunnel;
