Take the bodies for plain services for no prompts of an engine

A small request to a plain service got no answer for 10 s and then, five times, 503 in a few milliseconds. The daemon's log gives deadline-unreachable; its status shows 15 requests asking at its own arbiter, which holds no slot. The arbiter takes a body of 3 MiB for a prompt of 786,432 tokens that is read at the assumed 5,000 tokens a second, 157 s, one after the other: the target's backlog is over every deadline, and an answer that comes before the supposed backlog is over corrects nothing.

Change: a target of a plain service has no prefill. Sizes still count for fairness and for the tokens that a target holds. Only ryetided uses these arbiters; the gateway and ryetide-platform do not.

Measured: the new test of the arbiter fails before (DeadlineUnreachable).

--- a/crates/ryetide-core/src/arbiter.rs
+++ b/crates/ryetide-core/src/arbiter.rs
@@ -15,7 +15,7 @@
 
 use crate::{
     affinity::PrefixHints,
-    catalog::{ServiceCatalog, TierRule},
+    catalog::{ServiceCatalog, ServiceKind, TierRule},
     chart::TargetEvent,
     effect::OperatorNotice,
     event::LoadReport,
@@ -125,12 +125,14 @@
         self.tiers = catalog.tiers().iter().map(limit).collect();
         let organisations = catalog.organisations().iter();
         self.weights = organisations.map(|(key, rule)| (*key, rule.share)).collect();
+        let service = catalog.service(self.scope.service);
+        let kind = service.map_or(ServiceKind::Plain, |service| service.kind);
         let mut targets = BTreeMap::new();
         for rule in catalog.targets_of(self.scope) {
             let key = TargetKey::of(&rule.name);
-            let mut model =
-                self.targets.remove(&key).unwrap_or_else(|| TargetEstimate::new(rule.clone()));
-            model.set_rule(rule.clone());
+            let known = self.targets.remove(&key);
+            let mut model = known.unwrap_or_else(|| TargetEstimate::new(kind, rule.clone()));
+            model.set_rule(kind, rule.clone());
             targets.insert(key, model);
         }
         for removed in self.targets.keys() {
--- a/crates/ryetide-core/src/target_estimate.rs
+++ b/crates/ryetide-core/src/target_estimate.rs
@@ -8,7 +8,7 @@
 use std::{collections::VecDeque, time::Duration};
 
 use crate::{
-    catalog::TargetRule,
+    catalog::{ServiceKind, TargetRule},
     chart::{self, TargetEvent, TargetState},
     event::LoadReport,
     ids::TargetKey,
@@ -36,6 +36,7 @@
 #[derive(Debug)]
 pub struct TargetEstimate {
     key: TargetKey,
+    kind: ServiceKind,
     rule: TargetRule,
     state: TargetState,
     /// The end of the pause after a failed connection.
@@ -67,9 +68,10 @@
 
 impl TargetEstimate {
     /// Creates the estimate of a target that has not been observed yet.
-    pub fn new(rule: TargetRule) -> Self {
+    pub fn new(kind: ServiceKind, rule: TargetRule) -> Self {
         Self {
             key: TargetKey::of(&rule.name),
+            kind,
             state: chart::target().initial(),
             pause_until: Moment::default(),
             backed_off_until: Moment::default(),
@@ -100,7 +102,8 @@
     }
 
     /// Replaces the rule after a change of configuration; the estimated speeds are retained.
-    pub fn set_rule(&mut self, rule: TargetRule) {
+    pub fn set_rule(&mut self, kind: ServiceKind, rule: TargetRule) {
+        self.kind = kind;
         self.rule = rule;
     }
 
@@ -207,7 +210,7 @@
         self.running += 1;
         self.reserved.0 += tokens.0;
         self.limit.take(now);
-        self.prefill_end = self.prefill_end.max(now) + self.prefill_rate.time_for(prefill);
+        self.prefill_end = self.prefill_end.max(now) + self.prefill_time(prefill);
         self.record_running(now);
     }
 
@@ -227,10 +230,19 @@
     /// Returns the expected time from a dispatch at `now` to the end of the answer, for a prefill
     /// of `prefill` tokens and an answer of `output` tokens.
     pub fn service_time(&self, now: Moment, prefill: Tokens, output: Tokens) -> Duration {
-        let prefill = self.prefill_backlog(now) + self.prefill_rate.time_for(prefill);
+        let prefill = self.prefill_backlog(now) + self.prefill_time(prefill);
         prefill + self.decode_rate.time_for(output)
     }
 
+    /// Returns the time that the prefill of a prompt takes. A plain service does none, however large
+    /// the bodies that it gets.
+    fn prefill_time(&self, prompt: Tokens) -> Duration {
+        match self.kind {
+            ServiceKind::Model => self.prefill_rate.time_for(prompt),
+            ServiceKind::Plain => Duration::ZERO,
+        }
+    }
+
     /// Returns whether the speeds were declared or observed, as opposed to assumed. After a restart
     /// of all VMs no speed has been observed, and refusals based on assumed speeds would turn away
     /// most callers of the first second.
--- a/crates/ryetide-core/tests/arbiter.rs
+++ b/crates/ryetide-core/tests/arbiter.rs
@@ -438,3 +438,20 @@
         assert!(longest < 1_000, "initially down for {down} ms: {reached:?}");
     }
 }
+
+/// Guards against small requests to a plain service that are refused as late behind large bodies,
+/// which were taken for prompts that an engine reads.
+#[test]
+fn large_bodies_delay_no_request_to_a_plain_service() {
+    let text = ONE_TARGET.replace("tokens: 100000", "tokens: 10000000");
+    let mut bench = Bench::new(&text);
+    let large: Vec<u64> = (0..4).map(|_| bench.ask(at(1), 0, 800_000, 0, 60_000)).collect();
+    for number in large {
+        assert_eq!(bench.verdict(number), Some(&VerdictKind::Grant(target("only"))));
+        bench.release(at(50), number, ReleaseOutcome::Completed);
+    }
+    for _ in 0..8 {
+        let small = bench.ask(at(60), 0, 100, 0, 60_000);
+        assert_eq!(bench.verdict(small), Some(&VerdictKind::Grant(target("only"))));
+    }
+}
