--- a/crates/ryetide-core/src/lib.rs
+++ b/crates/ryetide-core/src/lib.rs
@@ -53,6 +53,7 @@
 pub mod affinity;
 pub mod arbiter;
 mod arbiter_placement;
+mod arbiter_wait;
 pub mod arrival_forecast;
 pub mod brittle_services;
 pub mod catalog;
--- a/tests/tunnels.rs
+++ b/tests/tunnels.rs
@@ -192,6 +192,28 @@
     address
 }
 
+/// Starts a VM beside a target that gets one request, answers a part without a length and ends. Its
+/// address refuses connections then, after one more if `accepts_one_more`.
+async fn start_vm_of_dying_target(accepts_one_more: bool) -> CutVm {
+    // No other test listens on this host.
+    let listener = TcpListener::bind("127.0.0.2:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let mut vm = CutVm::start(address).await;
+    vm.route.address = address;
+    task::spawn_local(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let mut buffer = [0; 4_096];
+        assert!(stream.read(&mut buffer).await.unwrap() > 0);
+        let listener = accepts_one_more.then_some(listener);
+        stream.write_all(b"HTTP/1.1 200 OK\r\n\r\nhalf").await.unwrap();
+        drop(stream);
+        if let Some(listener) = listener {
+            listener.accept().await.unwrap();
+        }
+    });
+    vm
+}
+
 /// Guards against refusing callers because this VM's own connections to a target are refused.
 #[test]
 fn a_request_is_dispatched_through_a_peer() {
@@ -243,17 +265,7 @@
 #[test]
 fn an_answer_whose_target_crashes_is_not_complete() {
     run(async {
-        // No other test listens on this host.
-        let listener = TcpListener::bind("127.0.0.2:0").await.unwrap();
-        let mut vm = CutVm::start(listener.local_addr().unwrap()).await;
-        vm.route.address = listener.local_addr().unwrap();
-        task::spawn_local(async move {
-            let (mut stream, _) = listener.accept().await.unwrap();
-            let mut buffer = [0; 4_096];
-            assert!(stream.read(&mut buffer).await.unwrap() > 0);
-            drop(listener);
-            stream.write_all(b"HTTP/1.1 200 OK\r\n\r\nhalf").await.unwrap();
-        });
+        let mut vm = start_vm_of_dying_target(false).await;
         let events = vm.dispatch(1).await;
         assert!(matches!(events.last(), Some(Event::TargetBroken { .. })), "{events:?}");
     });
@@ -264,17 +276,7 @@
 #[test]
 fn an_answer_whose_target_refuses_a_moment_later_is_not_complete() {
     run(async {
-        let listener = TcpListener::bind("127.0.0.2:0").await.unwrap();
-        let mut vm = CutVm::start(listener.local_addr().unwrap()).await;
-        vm.route.address = listener.local_addr().unwrap();
-        task::spawn_local(async move {
-            let (mut stream, _) = listener.accept().await.unwrap();
-            let mut buffer = [0; 4_096];
-            assert!(stream.read(&mut buffer).await.unwrap() > 0);
-            stream.write_all(b"HTTP/1.1 200 OK\r\n\r\nhalf").await.unwrap();
-            drop(stream);
-            listener.accept().await.unwrap();
-        });
+        let mut vm = start_vm_of_dying_target(true).await;
         let events = vm.dispatch(1).await;
         assert!(matches!(events.last(), Some(Event::TargetBroken { .. })), "{events:?}");
     });
