--- a/crates/ryetide-core/src/arbiter.rs
+++ b/crates/ryetide-core/src/arbiter.rs
@@ -124,6 +124,7 @@
         self.tiers = catalog.tiers().iter().map(limit).collect();
         let organisations = catalog.organisations().iter();
         self.weights = organisations.map(|(key, rule)| (*key, rule.share)).collect();
+        // A service that is gone has no targets, whatever its kind.
         let service = catalog.service(self.scope.service);
         let kind = service.map_or(ServiceKind::Plain, |service| service.kind);
         let mut targets = BTreeMap::new();
