Count prompts no more that an engine has read sooner than assumed

Cause, looked for after large bodies had refused small requests: an arbiter takes the prompts that it has granted to an engine as read one after the other at an assumed speed, and no answer corrects that. An engine that is faster than assumed, or than it was, seems busy long after it is idle. Four prompts of 100,000 tokens at the assumed 5,000 a second count for 80 s; once they are answered, within 0.2 s, callers with a deadline of 5 s get 503 deadline-unreachable.

Change: a slot keeps the sum of the prompts granted up to it. Engines read prompts in order, so when its answer has ended, only those granted later are left.

Measured: the new test fails before (DeadlineUnreachable) and passes; all 20 tests of the arbiter pass.

--- a/crates/ryetide-core/src/arbiter.rs
+++ b/crates/ryetide-core/src/arbiter.rs
@@ -373,6 +373,7 @@
                         prefill,
                         total - first.min(total) + prefill,
                     );
+                    target.record_prefill_done(now, slot.granted_prompts);
                     self.output.learn(slot.output_limit, message.output);
                 }
                 ReleaseOutcome::ConnectFailed => {
--- a/crates/ryetide-core/src/arbiter_placement.rs
+++ b/crates/ryetide-core/src/arbiter_placement.rs
@@ -114,10 +114,17 @@
         let expected_end = started + model.service_time(now, prefill, output);
         let backlog = model.prefill_backlog(now);
         model.reserve(now, tokens, prefill);
+        let granted_prompts = model.granted_prompts();
         self.hints.record(now, target, &profile.prefixes);
-        let output_limit = profile.output_limit;
-        let slot =
-            HeldSlot { target, tokens, prompt: prefill, output_limit, expected_end, backlog };
+        let slot = HeldSlot {
+            target,
+            tokens,
+            prompt: prefill,
+            output_limit: profile.output_limit,
+            expected_end,
+            backlog,
+            granted_prompts,
+        };
         self.held.insert(key, slot);
     }
 
--- a/crates/ryetide-core/src/slot_ledger.rs
+++ b/crates/ryetide-core/src/slot_ledger.rs
@@ -23,6 +23,8 @@
     pub(crate) expected_end: Moment,
     /// The target's prefill backlog when the slot was granted.
     pub(crate) backlog: Duration,
+    /// The sum of the prompts granted to the target up to this one.
+    pub(crate) granted_prompts: Tokens,
 }
 
 /// All slots in use, by the slot request that each was granted for.
--- a/crates/ryetide-core/src/target_estimate.rs
+++ b/crates/ryetide-core/src/target_estimate.rs
@@ -64,6 +64,8 @@
     generated: Option<(Moment, u64)>,
     /// The expected end of the prefill of all prompts granted so far.
     prefill_end: Moment,
+    /// The sum of these prompts.
+    granted_prompts: Tokens,
 }
 
 impl TargetEstimate {
@@ -87,6 +89,7 @@
             surplus_at: Moment::default(),
             generated: None,
             prefill_end: Moment::default(),
+            granted_prompts: Tokens(0),
             rule,
         }
     }
@@ -211,9 +214,22 @@
         self.reserved.0 += tokens.0;
         self.limit.take(now);
         self.prefill_end = self.prefill_end.max(now) + self.prefill_time(prefill);
+        self.granted_prompts.0 += prefill.0;
         self.record_running(now);
     }
 
+    /// Returns the sum of the prompts granted so far.
+    pub fn granted_prompts(&self) -> Tokens {
+        self.granted_prompts
+    }
+
+    /// Records that the prefill of the prompts granted up to the sum `done` is over. An engine that is
+    /// faster than assumed would otherwise seem busy with them.
+    pub fn record_prefill_done(&mut self, now: Moment, done: Tokens) {
+        let left = Tokens(self.granted_prompts.0.saturating_sub(done.0));
+        self.prefill_end = self.prefill_end.min(now + self.prefill_time(left));
+    }
+
     /// Returns the expected time until the prefill of all prompts granted so far is done. Engines
     /// process prompts in order, so a short request behind two long prompts waits for both.
     pub fn prefill_backlog(&self, now: Moment) -> Duration {
--- a/crates/ryetide-core/tests/arbiter.rs
+++ b/crates/ryetide-core/tests/arbiter.rs
@@ -455,3 +455,18 @@
         assert_eq!(bench.verdict(small), Some(&VerdictKind::Grant(target("only"))));
     }
 }
+
+/// Guards against requests that are refused as late behind prompts that an engine, faster than assumed,
+/// has long read.
+#[test]
+fn prompts_that_an_engine_has_read_delay_no_request() {
+    let text = ONE_TARGET.replace("plain", "model").replace("tokens: 100000", "tokens: 10000000");
+    let mut bench = Bench::new(&text);
+    let long: Vec<u64> = (0..4).map(|_| bench.ask(at(1), 0, 100_000, 10, 60_000)).collect();
+    for number in long {
+        assert_eq!(bench.verdict(number), Some(&VerdictKind::Grant(target("only"))));
+        bench.release(at(150), number, ReleaseOutcome::Completed);
+    }
+    let short = bench.ask(at(160), 0, 100, 10, 5_000);
+    assert_eq!(bench.verdict(short), Some(&VerdictKind::Grant(target("only"))));
+}
